--- /dev/null
+++ b/crates/lycheeford-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder for the config package.
--- /dev/null
+++ b/crates/lycheeford-policy/src/name.rs
@@ -0,0 +1,65 @@
+use std::borrow::Borrow;
+use std::fmt::{self, Display};
+use std::ops::Deref;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A shared immutable name of a customer, model, target or other entity.
+///
+/// Cloning shares the text, so that tables keyed by name stay small.
+///
+/// ```
+/// use lycheeford_policy::Name;
+///
+/// let name = Name::from("ice-chart");
+/// assert_eq!(name.as_str(), "ice-chart");
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// Returns the text of the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Name {
+        Name(Arc::from(text))
+    }
+}
+
+impl From<String> for Name {
+    fn from(text: String) -> Name {
+        Name(Arc::from(text))
+    }
+}
+
+impl Deref for Name {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl AsRef<str> for Name {
+    fn as_ref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Display for Name {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-policy/src/rendezvous.rs
@@ -0,0 +1,23 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Name;
+
+/// Returns the member of `hosts` that owns `key`, or `None` without hosts.
+///
+/// Every host that sees the same members picks the same owner, and a member
+/// that leaves moves only its own keys. Ownership saves work; it never makes
+/// an act safe, which a conditional update does. See docs/DESIGN.md.
+pub fn rendezvous_owner<'a>(key: &str, hosts: &'a [Name]) -> Option<&'a Name> {
+    hosts.iter().max_by_key(|host| (weight(key, host), *host))
+}
+
+/// Returns `hosts` in the order in which they would own `key`.
+pub fn rendezvous_rank<'a>(key: &str, hosts: &'a [Name]) -> Vec<&'a Name> {
+    let mut ranked: Vec<&Name> = hosts.iter().collect();
+    ranked.sort_by_key(|host| std::cmp::Reverse((weight(key, host), *host)));
+    ranked
+}
+
+fn weight(key: &str, host: &str) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(host.as_bytes(), 0))
+}
--- /dev/null
+++ b/crates/lycheeford-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder for the wire package.
--- /dev/null
+++ b/crates/lycheefordd/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
