--- /dev/null
+++ b/crates/lycheeford-policy/src/router.rs
@@ -0,0 +1,204 @@
+use crate::name_table::NameTable;
+use crate::{Name, TimeMs};
+
+const PREFIXES_PER_TARGET: usize = 512;
+const LOAD_FRESH_MS: u64 = 5_000;
+const AFFINITY_SLACK_REQUESTS: u32 = 2;
+
+/// Chooses the target that serves a request.
+///
+/// Engines report their load late, so the router adds what it has itself
+/// started since the report. A target that served a prompt's prefix before
+/// keeps its cache warm and is preferred while it isn't much busier than the
+/// least loaded one; among the others the better of two wins, so that hosts
+/// with the same late reports don't all pick the same target.
+#[derive(Debug, Default)]
+pub struct Router {
+    names: NameTable<Vec<u32>>,
+    targets: NameTable<RoutedTarget>,
+    choices: u64,
+}
+
+#[derive(Debug, Default)]
+struct RoutedTarget {
+    running_here: u32,
+    started_since_report: u32,
+    reported: u32,
+    reported_at: TimeMs,
+    prefixes: Vec<PrefixUse>,
+    uses: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PrefixUse {
+    hash: u64,
+    last_use: u32,
+}
+
+impl Router {
+    /// Returns a router without replicas.
+    pub fn new() -> Router {
+        Router::default()
+    }
+
+    /// Records that `target` serves `name`.
+    pub fn set_replica(&mut self, name: &str, target: &str) {
+        let target_id = self.targets.find_or_insert(target);
+        let name_id = self.names.find_or_insert(name);
+        let Some(replicas) = self.names.get_mut(name_id) else { return };
+        if let Err(index) = replicas.binary_search(&target_id) {
+            replicas.insert(index, target_id);
+        }
+    }
+
+    /// Records that `target` no longer serves `name`.
+    pub fn remove_replica(&mut self, name: &str, target: &str) {
+        let Some(target_id) = self.targets.find(target) else { return };
+        let Some(name_id) = self.names.find(name) else { return };
+        let Some(replicas) = self.names.get_mut(name_id) else { return };
+        if let Ok(index) = replicas.binary_search(&target_id) {
+            replicas.remove(index);
+        }
+        if replicas.is_empty() {
+            self.names.remove(name_id);
+        }
+    }
+
+    /// Forgets a target with its replicas.
+    pub fn remove_target(&mut self, target: &str) {
+        let Some(target_id) = self.targets.find(target) else { return };
+        for name_id in self.names.ids().collect::<Vec<_>>() {
+            let Some(replicas) = self.names.get_mut(name_id) else { continue };
+            replicas.retain(|replica| *replica != target_id);
+            if replicas.is_empty() {
+                self.names.remove(name_id);
+            }
+        }
+        self.targets.remove(target_id);
+    }
+
+    /// Returns whether a replica of `name` is known.
+    pub fn is_ready(&self, name: &str) -> bool {
+        self.names.find(name).is_some()
+    }
+
+    /// Chooses the target for a request, or `None` if no replica may take it.
+    ///
+    /// `prompt_prefix_hashes` are hashes of ever longer prefixes of the
+    /// prompt, the shortest first; `excluded` targets have failed the request.
+    pub fn choose(
+        &mut self,
+        now: TimeMs,
+        name: &str,
+        prompt_prefix_hashes: &[u64],
+        excluded: &[Name],
+    ) -> Option<Name> {
+        self.choices += 1;
+        let replicas = self.names.get(self.names.find(name)?)?;
+        let usable: Vec<u32> = replicas
+            .iter()
+            .copied()
+            .filter(|id| self.targets.name(*id).is_some_and(|name| !excluded.contains(name)))
+            .collect();
+        let least = usable.iter().map(|id| self.load(now, *id)).min()?;
+        let chosen = self
+            .cached(now, &usable, prompt_prefix_hashes, least)
+            .unwrap_or_else(|| self.better_of_two(now, &usable));
+        if let Some(target) = self.targets.get_mut(chosen) {
+            target.remember(prompt_prefix_hashes);
+        }
+        self.targets.name(chosen).cloned()
+    }
+
+    /// Records that a request was sent to `target`.
+    pub fn started(&mut self, target: &str) {
+        let Some(id) = self.targets.find(target) else { return };
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.running_here += 1;
+        target.started_since_report += 1;
+    }
+
+    /// Records that a request at `target` ended.
+    pub fn finished(&mut self, target: &str) {
+        let Some(id) = self.targets.find(target) else { return };
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.running_here = target.running_here.saturating_sub(1);
+    }
+
+    /// Takes over the load that `target` reported, which lags.
+    pub fn observe_load(&mut self, now: TimeMs, target: &str, running: u32, queued: u32) {
+        let Some(id) = self.targets.find(target) else { return };
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.reported = running.saturating_add(queued);
+        target.reported_at = now;
+        target.started_since_report = 0;
+    }
+
+    fn load(&self, now: TimeMs, id: u32) -> u32 {
+        let Some(target) = self.targets.get(id) else { return u32::MAX };
+        if now.since_ms(target.reported_at) > LOAD_FRESH_MS {
+            return target.running_here;
+        }
+        target.running_here.max(target.reported.saturating_add(target.started_since_report))
+    }
+
+    fn cached(&self, now: TimeMs, usable: &[u32], hashes: &[u64], least: u32) -> Option<u32> {
+        let limit = least + least / 4 + AFFINITY_SLACK_REQUESTS;
+        usable
+            .iter()
+            .copied()
+            .filter(|id| self.load(now, *id) <= limit)
+            .map(|id| (self.targets.get(id).map_or(0, |target| target.longest(hashes)), id))
+            .filter(|(length, _)| *length > 0)
+            .max_by_key(|(length, id)| (*length, std::cmp::Reverse(*id)))
+            .map(|(_, id)| id)
+    }
+
+    fn better_of_two(&self, now: TimeMs, usable: &[u32]) -> u32 {
+        let pick = |salt: u64| {
+            let mixed = self.choices.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt;
+            let hash = xxhash_rust::xxh3::xxh3_64(&mixed.to_le_bytes());
+            (hash % usable.len() as u64) as usize
+        };
+        let first = pick(1);
+        let mut second = pick(2);
+        if first == second {
+            second = (second + 1) % usable.len();
+        }
+        let (first, second) = (usable[first], usable[second]);
+        if self.load(now, second) < self.load(now, first) { second } else { first }
+    }
+}
+
+impl RoutedTarget {
+    fn longest(&self, hashes: &[u64]) -> usize {
+        hashes.iter().rposition(|hash| self.find(*hash).is_ok()).map_or(0, |index| index + 1)
+    }
+
+    fn find(&self, hash: u64) -> Result<usize, usize> {
+        self.prefixes.binary_search_by_key(&hash, |prefix| prefix.hash)
+    }
+
+    fn remember(&mut self, hashes: &[u64]) {
+        for &hash in hashes {
+            self.uses = self.uses.wrapping_add(1);
+            match self.find(hash) {
+                Ok(index) => self.prefixes[index].last_use = self.uses,
+                Err(index) => {
+                    self.prefixes.insert(index, PrefixUse { hash, last_use: self.uses });
+                }
+            }
+        }
+        if self.prefixes.len() > PREFIXES_PER_TARGET {
+            self.forget_older_half();
+        }
+    }
+
+    fn forget_older_half(&mut self) {
+        let mut uses: Vec<u32> = self.prefixes.iter().map(|prefix| prefix.last_use).collect();
+        let middle = uses.len() / 2;
+        let (_, median, _) = uses.select_nth_unstable(middle);
+        let median = *median;
+        self.prefixes.retain(|prefix| prefix.last_use >= median);
+    }
+}
