Fill in the planner

Placement by checkpoint and free memory, one load for a burst, loads ordered by class, deadline and the customer's part of recent loads, four at once from the store, keep-warm from each model's own gaps, eviction by expected reload cost per byte.

--- a/crates/lycheeford-policy/src/name_table.rs
+++ b/crates/lycheeford-policy/src/name_table.rs
@@ -38,6 +38,10 @@
         self.sorted.iter().copied()
     }
 
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut T> {
+        self.slots.iter_mut().flatten().map(|(_, value)| value)
+    }
+
     pub fn remove(&mut self, id: u32) -> Option<T> {
         let name = self.name(id)?.clone();
         if let Ok(index) = self.position(&name) {
--- /dev/null
+++ b/crates/lycheeford-policy/src/planner/entry.rs
@@ -0,0 +1,194 @@
+use super::gap_history::{GAP_MIN_MS, GapHistory};
+use super::view::CheckpointPlace;
+use crate::TimeMs;
+
+/// Loads from the host's memory take this part of a load from its disk.
+const MEMORY_LOAD_DIVISOR: u64 = 4;
+/// How long an adapter's load takes within the limit of loads at once.
+const ADAPTER_LOAD_MS: u64 = 10;
+
+/// What the planner knows of one model or adapter.
+#[derive(Debug, Default)]
+pub(super) struct Entry {
+    /// What the configuration says; `None` if it isn't configured.
+    pub spec: Option<EntrySpec>,
+    /// The replicas, sorted by target.
+    pub replicas: Vec<Replica>,
+    /// The targets with a local checkpoint, sorted.
+    pub checkpoints: Vec<(u32, CheckpointPlace)>,
+    /// Waiting requests by host and customer.
+    pub demand: Vec<DemandPart>,
+    /// Running requests over all hosts, those of a model's adapters counted.
+    pub running: u32,
+    pub last_used: Option<TimeMs>,
+    /// When requests last waited although a replica was ready.
+    pub last_pressure: Option<TimeMs>,
+    /// The load goes on until then for callers that were told to come back.
+    pub promised_until: Option<TimeMs>,
+    /// The target where room is being made.
+    pub room_on: Option<u32>,
+    pub timer_set: bool,
+    history: Option<Box<GapHistory>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EntrySpec {
+    pub memory_bytes: u64,
+    pub replicas_max: u32,
+    pub kind: EntryKind,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) enum EntryKind {
+    Model { load_remote_ms: u64, load_disk_ms: u64 },
+    Adapter { base: u32 },
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Replica {
+    pub target: u32,
+    pub phase: Phase,
+    pub since: TimeMs,
+    pub source: LoadSource,
+    pub expected_ms: u64,
+}
+
+/// How far a replica is, with decisions that no view has confirmed yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    LoadDecided,
+    Loading,
+    Ready,
+    UnloadDecided,
+    Unloading,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum LoadSource {
+    Memory,
+    Disk,
+    Adapter,
+    Remote,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct DemandPart {
+    pub host: u32,
+    pub customer: u32,
+    pub class: u8,
+    pub waiting: u32,
+    pub deadline: TimeMs,
+    pub since: TimeMs,
+}
+
+impl Entry {
+    pub fn base(&self) -> Option<u32> {
+        match self.spec?.kind {
+            EntryKind::Adapter { base } => Some(base),
+            EntryKind::Model { .. } => None,
+        }
+    }
+
+    pub fn replica(&self, target: u32) -> Option<&Replica> {
+        let index = self.replicas.binary_search_by_key(&target, |replica| replica.target).ok()?;
+        Some(&self.replicas[index])
+    }
+
+    pub fn replica_mut(&mut self, target: u32) -> Option<&mut Replica> {
+        let index = self.replicas.binary_search_by_key(&target, |replica| replica.target).ok()?;
+        Some(&mut self.replicas[index])
+    }
+
+    pub fn set_replica(&mut self, replica: Replica) {
+        match self.replicas.binary_search_by_key(&replica.target, |known| known.target) {
+            Ok(index) => self.replicas[index] = replica,
+            Err(index) => self.replicas.insert(index, replica),
+        }
+    }
+
+    pub fn remove_replica(&mut self, target: u32) {
+        self.replicas.retain(|replica| replica.target != target);
+    }
+
+    /// Returns where a load on `target` reads from.
+    pub fn source(&self, target: u32) -> LoadSource {
+        if self.base().is_some() {
+            return LoadSource::Adapter;
+        }
+        match self.checkpoints.binary_search_by_key(&target, |(target, _)| *target) {
+            Ok(index) if self.checkpoints[index].1 == CheckpointPlace::Memory => LoadSource::Memory,
+            Ok(_) => LoadSource::Disk,
+            Err(_) => LoadSource::Remote,
+        }
+    }
+
+    /// Returns how long a load from `source` takes at full speed.
+    pub fn load_ms(&self, source: LoadSource) -> u64 {
+        let Some(EntrySpec { kind: EntryKind::Model { load_remote_ms, load_disk_ms }, .. }) =
+            self.spec
+        else {
+            return ADAPTER_LOAD_MS;
+        };
+        match source {
+            LoadSource::Memory => load_disk_ms / MEMORY_LOAD_DIVISOR,
+            LoadSource::Disk => load_disk_ms,
+            LoadSource::Adapter | LoadSource::Remote => load_remote_ms,
+        }
+    }
+
+    /// Returns how long the next load is likely to take at full speed.
+    pub fn reload_ms(&self) -> u64 {
+        let best = self.checkpoints.iter().map(|(_, place)| *place).min();
+        match (self.base(), best) {
+            (Some(_), _) => self.load_ms(LoadSource::Adapter),
+            (None, Some(CheckpointPlace::Memory)) => self.load_ms(LoadSource::Memory),
+            (None, Some(CheckpointPlace::Disk)) => self.load_ms(LoadSource::Disk),
+            (None, None) => self.load_ms(LoadSource::Remote),
+        }
+    }
+
+    /// Records a use and, if one ended, the gap before it.
+    pub fn touch(&mut self, now: TimeMs) {
+        if let Some(last_used) = self.last_used {
+            let gap_ms = now.since_ms(last_used);
+            if gap_ms >= GAP_MIN_MS {
+                self.history.get_or_insert_default().record(gap_ms);
+            }
+        }
+        self.last_used = Some(now);
+    }
+
+    pub fn idle_ms(&self, now: TimeMs) -> u64 {
+        self.last_used.map_or(0, |last_used| now.since_ms(last_used))
+    }
+
+    /// Returns how long to keep an idle replica; see [`GapHistory::best_hold_ms`].
+    pub fn hold_ms(&self, reload_cost: f64) -> u64 {
+        match &self.history {
+            Some(history) => history.best_hold_ms(reload_cost),
+            None => GapHistory::default().best_hold_ms(reload_cost),
+        }
+    }
+
+    /// Returns the expected time to the next use.
+    pub fn remaining_ms(&self, now: TimeMs) -> f64 {
+        let idle_ms = self.idle_ms(now);
+        match &self.history {
+            Some(history) => history.remaining_ms(idle_ms),
+            None => GapHistory::default().remaining_ms(idle_ms),
+        }
+    }
+
+    /// Returns whether no request uses or wants it.
+    pub fn is_idle(&self) -> bool {
+        self.running == 0 && self.demand.is_empty() && self.promised_until.is_none()
+    }
+
+    /// Returns whether nothing refers to an entry that isn't configured.
+    pub fn is_unused(&self) -> bool {
+        self.spec.is_none()
+            && self.replicas.is_empty()
+            && self.checkpoints.is_empty()
+            && self.is_idle()
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-policy/src/planner/keep_warm.rs
@@ -0,0 +1,131 @@
+use std::cmp::Reverse;
+
+use super::entry::{Entry, Phase, Replica};
+use super::{PlanAction, Planner};
+use crate::TimeMs;
+
+/// Idle time of one whole accelerator that equals a millisecond of cold start.
+const IDLE_MS_PER_COLD_MS: f64 = 600.0;
+/// How long to wait before looking again at a replica that could not be unloaded.
+const RECHECK_MS: u64 = 1_000;
+/// How long no request has waited before a surplus replica goes.
+const SURPLUS_IDLE_MS: u64 = 60_000;
+
+impl Planner {
+    /// Unloads the replicas whose time to be kept is over.
+    pub(super) fn unload_idle(&mut self, now: TimeMs, actions: &mut Vec<PlanAction>) {
+        while let Some(Reverse((due, id))) = self.timers.peek().copied() {
+            if due > now {
+                return;
+            }
+            self.timers.pop();
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.timer_set = false;
+            }
+            if let Some(next) = self.check_idle(now, id, actions) {
+                self.set_timer(next, id);
+            }
+        }
+    }
+
+    pub(super) fn set_timer(&mut self, due: TimeMs, id: u32) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        if entry.timer_set {
+            return;
+        }
+        entry.timer_set = true;
+        self.timers.push(Reverse((due, id)));
+    }
+
+    /// Unloads what is due and returns when to look again.
+    fn check_idle(
+        &mut self,
+        now: TimeMs,
+        id: u32,
+        actions: &mut Vec<PlanAction>,
+    ) -> Option<TimeMs> {
+        let entry = self.entries.get(id)?;
+        if entry.replicas.is_empty() {
+            return None;
+        }
+        let due = self.idle_due(now, entry);
+        if due <= now && entry.is_idle() {
+            for target in ready_targets(entry) {
+                self.unload(now, id, target, actions);
+            }
+            return Some(now + RECHECK_MS);
+        }
+        if entry.replicas.len() == 1 {
+            return Some(due.max(now + RECHECK_MS));
+        }
+        self.unload_surplus(now, id, actions);
+        Some(due.max(now + RECHECK_MS).min(now + SURPLUS_IDLE_MS))
+    }
+
+    fn idle_due(&self, now: TimeMs, entry: &Entry) -> TimeMs {
+        let (Some(spec), Some(last_used)) = (entry.spec, entry.last_used) else { return now };
+        let total_bytes = entry
+            .replicas
+            .iter()
+            .filter_map(|replica| self.targets.get(replica.target))
+            .map(|target| target.memory_total_bytes)
+            .max()
+            .unwrap_or(0);
+        let share = spec.memory_bytes.max(1) as f64 / total_bytes.max(1) as f64;
+        let reload_cost = entry.reload_ms() as f64 * self.idle_per_cold() / share;
+        last_used + entry.hold_ms(reload_cost)
+    }
+
+    /// Returns how the site weighs idle time against cold starts.
+    fn idle_per_cold(&self) -> f64 {
+        let warm = self.weights.cold_start_tail.max(self.weights.wrongful_refusals);
+        IDLE_MS_PER_COLD_MS * warm / self.weights.idle_hours.max(0.01)
+    }
+
+    fn unload_surplus(&mut self, now: TimeMs, id: u32, actions: &mut Vec<PlanAction>) {
+        let Some(entry) = self.entries.get(id) else { return };
+        let pressed = entry.last_pressure.is_some_and(|at| now.since_ms(at) < SURPLUS_IDLE_MS);
+        let ready = ready_targets(entry);
+        let recent =
+            entry.replicas.iter().any(|replica| now.since_ms(replica.since) < SURPLUS_IDLE_MS);
+        if pressed || recent || ready.len() < 2 || entry.running as usize >= ready.len() {
+            return;
+        }
+        let busiest = ready
+            .into_iter()
+            .max_by_key(|target| self.targets.get(*target).map_or(0, |target| target.running));
+        if let Some(target) = busiest {
+            self.unload(now, id, target, actions);
+        }
+    }
+
+    /// Unloads a replica, or first an idle adapter that needs it.
+    pub(super) fn unload(
+        &mut self,
+        now: TimeMs,
+        id: u32,
+        target: u32,
+        actions: &mut Vec<PlanAction>,
+    ) {
+        if !self.targets.get(target).is_some_and(super::target::Target::takes_orders) {
+            return;
+        }
+        let first = self.unload_first(id, target);
+        let Some(entry) = self.entries.get(first) else { return };
+        let Some(replica) = entry.replica(target) else { return };
+        if replica.phase != Phase::Ready || (first != id && !entry.is_idle()) {
+            return;
+        }
+        let replica = Replica { phase: Phase::UnloadDecided, since: now, ..*replica };
+        self.decide(first, replica);
+        let names = (self.entries.name(first), self.targets.name(target));
+        if let (Some(name), Some(target)) = names {
+            actions.push(PlanAction::Unload { name: name.clone(), target: target.clone() });
+        }
+    }
+}
+
+fn ready_targets(entry: &Entry) -> Vec<u32> {
+    let ready = entry.replicas.iter().filter(|replica| replica.phase == Phase::Ready);
+    ready.map(|replica| replica.target).collect()
+}
--- /dev/null
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -0,0 +1,199 @@
+use std::cmp::Reverse;
+
+use super::Planner;
+use super::entry::{Entry, LoadSource, Phase};
+use crate::TimeMs;
+
+/// Targets that are weighed against each other for one load.
+const CANDIDATES_MAX: usize = 32;
+/// What it costs to unload a victim before a load, as time.
+const EVICTION_MS: f64 = 100.0;
+/// A victim that is likely to be used within this time costs its whole reload.
+const EVICTION_HORIZON_MS: f64 = 600_000.0;
+/// A replica that was used a moment ago is likely to be used again.
+const EVICTION_IDLE_MIN_MS: u64 = 1_000;
+
+/// Where a load can go.
+#[derive(Debug)]
+pub(super) enum Placement {
+    /// The target has room.
+    Room { target: u32, source: LoadSource },
+    /// The target has room once the victim is unloaded.
+    Evict { target: u32, victim: u32 },
+    /// No target has room or can make it now.
+    Nowhere,
+}
+
+#[derive(Debug)]
+struct Eviction {
+    target: u32,
+    first_victim: u32,
+    cost_ms: f64,
+}
+
+impl Planner {
+    /// Chooses where to load an entry.
+    ///
+    /// The place of the checkpoint goes first, since it decides how long the
+    /// load takes. Among the others the smallest sufficient gap keeps large
+    /// gaps for large models, a failure domain without the model goes first.
+    pub(super) fn place(&self, now: TimeMs, id: u32) -> Placement {
+        let Some(entry) = self.entries.get(id) else { return Placement::Nowhere };
+        let Some(spec) = entry.spec else { return Placement::Nowhere };
+        if let Some(target) = entry.room_on {
+            let waits = self.targets.get(target).is_some_and(|t| t.accepts_work && t.pending > 0);
+            if waits {
+                return Placement::Nowhere;
+            }
+        }
+        let room = match entry.base() {
+            Some(base) => self.room_beside(entry, base, spec.memory_bytes),
+            None => self.room_by_checkpoint(entry, spec.memory_bytes),
+        };
+        if let Some(target) = room {
+            return Placement::Room { target, source: entry.source(target) };
+        }
+        match self.cheapest_eviction(now, entry, spec.memory_bytes) {
+            Some(eviction) => {
+                Placement::Evict { target: eviction.target, victim: eviction.first_victim }
+            }
+            None => Placement::Nowhere,
+        }
+    }
+
+    /// Returns the target with a ready base and room that runs the least.
+    fn room_beside(&self, entry: &Entry, base: u32, memory_bytes: u64) -> Option<u32> {
+        self.base_targets(entry, base)
+            .filter_map(|id| Some((id, self.targets.get(id)?)))
+            .filter(|(_, target)| target.free_bytes() >= memory_bytes)
+            .min_by_key(|(id, target)| (target.running, *id))
+            .map(|(id, _)| id)
+    }
+
+    /// Returns the targets that take orders and have the base but not the adapter.
+    fn base_targets<'a>(
+        &'a self,
+        entry: &'a Entry,
+        base: u32,
+    ) -> impl Iterator<Item = u32> + use<'a> {
+        let replicas = self.entries.get(base).map_or(&[][..], |base| &base.replicas);
+        replicas
+            .iter()
+            .filter(|replica| replica.phase == Phase::Ready)
+            .map(|replica| replica.target)
+            .filter(|id| self.targets.get(*id).is_some_and(super::target::Target::takes_orders))
+            .filter(|id| entry.replica(*id).is_none())
+    }
+
+    fn room_by_checkpoint(&self, entry: &Entry, memory_bytes: u64) -> Option<u32> {
+        let local = entry
+            .checkpoints
+            .iter()
+            .filter_map(|(id, place)| Some((*id, *place, self.targets.get(*id)?)))
+            .filter(|(_, _, target)| target.takes_orders() && target.free_bytes() >= memory_bytes)
+            .filter(|(id, _, _)| entry.replica(*id).is_none())
+            .min_by_key(|(id, place, target)| (*place, target.running, *id))
+            .map(|(id, _, _)| id);
+        local.or_else(|| {
+            self.free
+                .range((memory_bytes, 0)..)
+                .map(|(_, id)| *id)
+                .filter(|id| entry.replica(*id).is_none())
+                .take(CANDIDATES_MAX)
+                .min_by_key(|id| self.remote_rank(entry, *id))
+        })
+    }
+
+    fn remote_rank(&self, entry: &Entry, id: u32) -> (bool, u64, u32, u32) {
+        let Some(target) = self.targets.get(id) else { return (true, u64::MAX, u32::MAX, id) };
+        let domain_taken = entry
+            .replicas
+            .iter()
+            .filter_map(|replica| self.targets.get(replica.target))
+            .any(|other| other.failure_domain == target.failure_domain);
+        (domain_taken, target.free_bytes(), target.running, id)
+    }
+
+    fn cheapest_eviction(&self, now: TimeMs, entry: &Entry, need: u64) -> Option<Eviction> {
+        let candidates: Vec<u32> = if let Some(base) = entry.base() {
+            self.base_targets(entry, base).collect()
+        } else {
+            let local = entry.checkpoints.iter().map(|(id, _)| *id);
+            let roomy = self.free.iter().rev().map(|(_, id)| *id).take(CANDIDATES_MAX);
+            local.chain(roomy).filter(|id| entry.replica(*id).is_none()).collect()
+        };
+        candidates
+            .into_iter()
+            .filter_map(|id| self.eviction(now, entry, id, need))
+            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
+    }
+
+    fn eviction(&self, now: TimeMs, entry: &Entry, id: u32, need: u64) -> Option<Eviction> {
+        let target = self.targets.get(id)?;
+        if !target.takes_orders() || target.memory_total_bytes < need {
+            return None;
+        }
+        let mut victims: Vec<(f64, u32, u64)> = target
+            .entries
+            .iter()
+            .filter(|victim| Some(**victim) != entry.base())
+            .filter_map(|victim| self.victim(now, *victim, id))
+            .collect();
+        victims.sort_by(|one, other| {
+            (one.0 / one.2.max(1) as f64).total_cmp(&(other.0 / other.2.max(1) as f64))
+        });
+        let mut free_bytes = target.free_bytes();
+        let mut cost_ms = entry.load_ms(entry.source(id)) as f64;
+        let mut first_victim = None;
+        for (value_ms, victim, memory_bytes) in victims {
+            if free_bytes >= need {
+                break;
+            }
+            first_victim.get_or_insert(victim);
+            free_bytes += memory_bytes;
+            cost_ms += EVICTION_MS + value_ms;
+        }
+        if free_bytes < need {
+            return None;
+        }
+        Some(Eviction { target: id, first_victim: self.unload_first(first_victim?, id), cost_ms })
+    }
+
+    /// Returns what the eviction of an idle replica is likely to cost, and what it frees.
+    fn victim(&self, now: TimeMs, id: u32, target: u32) -> Option<(f64, u32, u64)> {
+        let entry = self.entries.get(id)?;
+        let ready = entry.replica(target).is_some_and(|replica| replica.phase == Phase::Ready);
+        if !ready || !entry.is_idle() || entry.idle_ms(now) < EVICTION_IDLE_MIN_MS {
+            return None;
+        }
+        let soon = (EVICTION_HORIZON_MS / entry.remaining_ms(now).max(1.0)).min(1.0);
+        let memory_bytes = entry.spec.map_or(0, |spec| spec.memory_bytes);
+        Some((entry.reload_ms() as f64 * soon, id, memory_bytes))
+    }
+
+    /// Returns an adapter of `id` on the target, which must go first, or `id` itself.
+    pub(super) fn unload_first(&self, id: u32, target: u32) -> u32 {
+        let Some(target) = self.targets.get(target) else { return id };
+        let adapter = target
+            .entries
+            .iter()
+            .copied()
+            .find(|other| self.entries.get(*other).and_then(Entry::base) == Some(id));
+        adapter.unwrap_or(id)
+    }
+
+    /// Returns whether a replica is ready on a target that takes work, with the least busy first.
+    pub(super) fn usable_targets(&self, id: u32) -> Vec<u32> {
+        let Some(entry) = self.entries.get(id) else { return Vec::new() };
+        let mut usable: Vec<(Reverse<u32>, u32)> = entry
+            .replicas
+            .iter()
+            .filter(|replica| replica.phase == Phase::Ready)
+            .filter_map(|replica| Some((replica.target, self.targets.get(replica.target)?)))
+            .filter(|(_, target)| target.accepts_work)
+            .map(|(id, target)| (Reverse(target.running), id))
+            .collect();
+        usable.sort_unstable();
+        usable.into_iter().rev().map(|(_, id)| id).collect()
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-policy/src/planner/want.rs
@@ -0,0 +1,326 @@
+use super::entry::{DemandPart, Entry, LoadSource, Phase, Replica};
+use super::placement::Placement;
+use super::store_gate::Forecast;
+use super::{PlanAction, Planner};
+use crate::TimeMs;
+
+/// Time for an order to be recorded, sent and confirmed.
+const ORDER_MS: u64 = 20;
+/// Time to unload a replica that makes room.
+const UNLOAD_MS: u64 = 100;
+/// When to come back if no target can take the load for now.
+const NOWHERE_RETRY_MS: u64 = 5_000;
+/// How long a promised load is kept for the callers that come back.
+const PROMISE_GRACE_MS: u64 = 5_000;
+/// A request that has waited this long for a ready model asks for another replica.
+const PRESSURE_WAIT_MS: u64 = 200;
+/// A load that takes this many times what was expected is overdue.
+const OVERDUE_FACTOR: u64 = 3;
+/// The part of the customers' recent loads that is remembered halves in this time.
+const USAGE_HALF_LIFE_MS: f64 = 60_000.0;
+/// Deadlines further away than this are all alike.
+const SLACK_MAX_MS: u64 = 3_600_000;
+/// The most that a customer's use of loads moves its next load.
+const FAIRNESS_MAX_MS: f64 = 10_000.0;
+
+/// An entry with waiting requests, and its place in the order.
+#[derive(Debug)]
+struct Want {
+    order: (bool, u8, bool, i64, u32),
+    entry: u32,
+    parts: Vec<DemandPart>,
+}
+
+impl Planner {
+    pub(super) fn serve_wants(&mut self, now: TimeMs, actions: &mut Vec<PlanAction>) {
+        let ends = self
+            .in_flight(|source| source == LoadSource::Remote)
+            .iter()
+            .map(|replica| now + remaining_ms(now, replica))
+            .collect();
+        let mut forecast = self.store.forecast(now, ends);
+        let mut answered = Vec::new();
+        for want in self.wants(now) {
+            let ready_in_ms = self.serve(now, &want, &answered, &mut forecast, actions);
+            answered.push((want.entry, ready_in_ms));
+            self.answer(now, &want, ready_in_ms, actions);
+        }
+    }
+
+    /// Forgets the decayed part of the customers' loads.
+    pub(super) fn decay_usage(&mut self, now: TimeMs) {
+        let elapsed_ms = now.since_ms(self.usage_decayed_at) as f64;
+        self.usage_decayed_at = now;
+        let factor = 0.5f64.powf(elapsed_ms / USAGE_HALF_LIFE_MS);
+        self.total_load_ms *= factor;
+        for customer in self.customers.values_mut() {
+            customer.load_ms *= factor;
+        }
+    }
+
+    /// Returns what is wanted in the order in which it is served.
+    ///
+    /// Models go before adapters, which need them ready. The lowest class goes first. What can no longer be ready in time goes
+    /// after what can, or one late load after another would make all late.
+    /// Then the earliest deadline goes first, moved by how far the customer
+    /// is over its share of the recent loads.
+    fn wants(&mut self, now: TimeMs) -> Vec<Want> {
+        self.expire_demand(now);
+        let mut parts: Vec<(u32, Option<DemandPart>)> = Vec::new();
+        for id in &self.wanted {
+            let Some(entry) = self.entries.get(*id) else { continue };
+            parts.push((*id, None));
+            parts.extend(entry.demand.iter().map(|part| (*id, Some(*part))));
+            if let Some(base) = entry.base() {
+                parts.push((base, None));
+                parts.extend(entry.demand.iter().map(|part| (base, Some(*part))));
+            }
+        }
+        parts.sort_by_key(|(id, _)| *id);
+        let mut wants: Vec<Want> = parts
+            .chunk_by(|one, other| one.0 == other.0)
+            .map(|group| self.want_of(now, group[0].0, group.iter().filter_map(|(_, part)| *part)))
+            .collect();
+        wants.sort_by_key(|want| want.order);
+        wants
+    }
+
+    fn expire_demand(&mut self, now: TimeMs) {
+        let entries = &mut self.entries;
+        self.wanted.retain(|id| {
+            let Some(entry) = entries.get_mut(*id) else { return false };
+            entry.demand.retain(|part| part.deadline > now && part.waiting > 0);
+            entry.promised_until = entry.promised_until.filter(|until| *until > now);
+            !entry.demand.is_empty() || entry.promised_until.is_some()
+        });
+    }
+
+    fn want_of(&self, now: TimeMs, id: u32, parts: impl Iterator<Item = DemandPart>) -> Want {
+        let parts: Vec<DemandPart> = parts.collect();
+        let is_adapter = self.entries.get(id).and_then(Entry::base).is_some();
+        let load_ms = self.entries.get(id).map_or(0, Entry::reload_ms).cast_signed();
+        let order = parts
+            .iter()
+            .map(|part| {
+                let slack_ms =
+                    part.deadline.since_ms(now).min(SLACK_MAX_MS).cast_signed() - load_ms;
+                let score = slack_ms + self.over_share_ms(part.customer) as i64;
+                (is_adapter, part.class, slack_ms < 0, score, id)
+            })
+            .min()
+            .unwrap_or((is_adapter, u8::MAX, true, 0, id));
+        Want { order, entry: id, parts }
+    }
+
+    /// Returns by how much a customer's recent loads exceed its share, weighed by the site.
+    fn over_share_ms(&self, customer: u32) -> f64 {
+        let Some(customer) = self.customers.get(customer) else { return 0.0 };
+        let share = customer.rate / self.total_rate.max(1.0);
+        let over_ms = customer.load_ms - share * self.total_load_ms;
+        let weight = self.weights.worst_customer / self.weights.cold_start_tail.max(0.01);
+        (over_ms * weight).clamp(-FAIRNESS_MAX_MS, FAIRNESS_MAX_MS)
+    }
+
+    /// Loads or makes room for an entry and returns when it is expected to be ready.
+    fn serve(
+        &mut self,
+        now: TimeMs,
+        want: &Want,
+        answered: &[(u32, Option<u64>)],
+        forecast: &mut Forecast,
+        actions: &mut Vec<PlanAction>,
+    ) -> Option<u64> {
+        let id = want.entry;
+        let entry = self.entries.get(id)?;
+        let replicas_max = entry.spec?.replicas_max as usize;
+        let may_add = entry.replicas.len() < replicas_max;
+        let base = entry.base();
+        let loading: Vec<Replica> = entry
+            .replicas
+            .iter()
+            .filter(|replica| matches!(replica.phase, Phase::LoadDecided | Phase::Loading))
+            .copied()
+            .collect();
+        if !self.usable_targets(id).is_empty() {
+            if may_add && loading.is_empty() && self.is_pressed(now, want) {
+                self.load(now, want, forecast, actions);
+            }
+            return Some(0);
+        }
+        if let Some(first_ms) = loading.iter().map(|replica| remaining_ms(now, replica)).min() {
+            let overdue = loading.iter().all(|replica| is_overdue(now, replica));
+            if may_add && overdue {
+                self.load(now, want, forecast, actions);
+            }
+            return Some(first_ms);
+        }
+        if !may_add {
+            return None;
+        }
+        if let Some(base) = base
+            && self.usable_targets(base).is_empty()
+        {
+            let load_ms = entry.reload_ms() + ORDER_MS;
+            return answered.iter().find(|(other, _)| *other == base)?.1.map(|ms| ms + load_ms);
+        }
+        self.load(now, want, forecast, actions)
+    }
+
+    /// Returns whether requests wait long although a replica is ready.
+    fn is_pressed(&mut self, now: TimeMs, want: &Want) -> bool {
+        let Some(entry) = self.entries.get_mut(want.entry) else { return false };
+        let ready_since = entry
+            .replicas
+            .iter()
+            .filter(|replica| replica.phase == Phase::Ready)
+            .map(|replica| replica.since)
+            .min();
+        let first = want.parts.iter().map(|part| part.since).min();
+        let Some(waits_since) = first.max(ready_since) else { return false };
+        if want.parts.is_empty() || now.since_ms(waits_since) < PRESSURE_WAIT_MS {
+            return false;
+        }
+        entry.last_pressure = Some(now);
+        true
+    }
+
+    /// Starts a load, makes room for it or queues it; returns when it is expected to end.
+    fn load(
+        &mut self,
+        now: TimeMs,
+        want: &Want,
+        forecast: &mut Forecast,
+        actions: &mut Vec<PlanAction>,
+    ) -> Option<u64> {
+        let id = want.entry;
+        match self.place(now, id) {
+            Placement::Room { target, source } => {
+                let expected_ms = self.expected_ms(id, source);
+                if !self.may_start(source) {
+                    return Some(forecast.queue(now, expected_ms).since_ms(now) + ORDER_MS);
+                }
+                if source == LoadSource::Remote {
+                    self.store.take();
+                    forecast.queue(now, expected_ms);
+                    self.charge(want, expected_ms);
+                }
+                self.start(now, id, target, source, expected_ms, actions);
+                Some(expected_ms + ORDER_MS)
+            }
+            Placement::Evict { target, victim } => {
+                self.unload(now, victim, target, actions);
+                let entry = self.entries.get_mut(id)?;
+                entry.room_on = Some(target);
+                let source = entry.source(target);
+                Some(UNLOAD_MS + ORDER_MS + self.expected_ms(id, source))
+            }
+            Placement::Nowhere => {
+                let entry = self.entries.get(id)?;
+                entry.room_on?;
+                Some(UNLOAD_MS + ORDER_MS + self.expected_ms(id, LoadSource::Remote))
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: TimeMs,
+        id: u32,
+        target: u32,
+        source: LoadSource,
+        expected_ms: u64,
+        actions: &mut Vec<PlanAction>,
+    ) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        entry.room_on = None;
+        let Some(spec) = entry.spec else { return };
+        let base = entry.base().and_then(|base| self.entries.name(base)).cloned();
+        let phase = Phase::LoadDecided;
+        self.decide(id, Replica { target, phase, since: now, source, expected_ms });
+        let names = (self.entries.name(id), self.targets.name(target));
+        if let (Some(name), Some(target)) = names {
+            actions.push(PlanAction::Load {
+                name: name.clone(),
+                base,
+                target: target.clone(),
+                memory_bytes: spec.memory_bytes,
+            });
+        }
+    }
+
+    fn may_start(&self, source: LoadSource) -> bool {
+        let in_flight = self.in_flight(|other| other == source).len();
+        match source {
+            LoadSource::Memory | LoadSource::Disk => true,
+            LoadSource::Adapter => in_flight < self.limits.adapter_loads_at_once as usize,
+            LoadSource::Remote => self.store.is_open(in_flight),
+        }
+    }
+
+    fn expected_ms(&self, id: u32, source: LoadSource) -> u64 {
+        let Some(entry) = self.entries.get(id) else { return 0 };
+        let full_speed_ms = entry.load_ms(source);
+        match source {
+            LoadSource::Remote => self.store.expected_ms(full_speed_ms),
+            LoadSource::Memory | LoadSource::Disk | LoadSource::Adapter => full_speed_ms,
+        }
+    }
+
+    /// Charges a load to the customers that wait for it, by their requests.
+    fn charge(&mut self, want: &Want, load_ms: u64) {
+        let waiting: u32 = want.parts.iter().map(|part| part.waiting).sum();
+        for part in &want.parts {
+            let part_ms = load_ms as f64 * f64::from(part.waiting) / f64::from(waiting.max(1));
+            self.total_load_ms += part_ms;
+            if let Some(customer) = self.customers.get_mut(part.customer) {
+                customer.load_ms += part_ms;
+            }
+        }
+    }
+
+    /// Tells the hosts when an entry is ready and refuses what ends before.
+    ///
+    /// A refusal names a time to come back, so the load goes on until then.
+    fn answer(
+        &mut self,
+        now: TimeMs,
+        want: &Want,
+        ready_in_ms: Option<u64>,
+        actions: &mut Vec<PlanAction>,
+    ) {
+        let id = want.entry;
+        let Some(name) = self.entries.name(id).cloned() else { return };
+        if let Some(ready_in_ms) = ready_in_ms {
+            actions.push(PlanAction::Expect { name: name.clone(), ready_in_ms });
+        }
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        let ready_at = ready_in_ms.map(|ready_in_ms| now + ready_in_ms);
+        let mut parts = entry.demand.clone();
+        parts.sort_by_key(|part| part.customer);
+        for group in parts.chunk_by(|one, other| one.customer == other.customer) {
+            if ready_at.is_some_and(|at| group.iter().any(|part| part.deadline >= at)) {
+                continue;
+            }
+            if let Some(at) = ready_at {
+                let until = at + PROMISE_GRACE_MS;
+                entry.promised_until = entry.promised_until.max(Some(until));
+            }
+            let Some(customer) = self.customers.name(group[0].customer) else { continue };
+            actions.push(PlanAction::Refuse {
+                name: name.clone(),
+                customer: customer.clone(),
+                retry_after_ms: ready_in_ms.unwrap_or(NOWHERE_RETRY_MS),
+            });
+        }
+    }
+}
+
+/// Returns the time until a load ends; an overdue one is given a part of what it has taken.
+fn remaining_ms(now: TimeMs, replica: &Replica) -> u64 {
+    let elapsed_ms = now.since_ms(replica.since);
+    (replica.expected_ms + ORDER_MS).saturating_sub(elapsed_ms).max(elapsed_ms / 4)
+}
+
+fn is_overdue(now: TimeMs, replica: &Replica) -> bool {
+    now.since_ms(replica.since) > OVERDUE_FACTOR * replica.expected_ms + ORDER_MS
+}
