Hold the planner to its limits over random histories

A property test drives the planner with demand, use, passing time, leaving and replaced targets, failed loads and changes of coordinator against targets that carry the orders out, and checks replicas, memory, store loads, target state and that every demand is answered. It found that the use of a request that ran for long was dated to its start, so its replica went the moment it ended; the end of a run now counts as use.

--- a/crates/lycheeford-policy/src/planner/entry.rs
+++ b/crates/lycheeford-policy/src/planner/entry.rs
@@ -149,7 +149,9 @@
 
     /// Records a use and, if one ended, the gap before it.
     pub fn touch(&mut self, now: TimeMs) {
-        if let Some(last_used) = self.last_used {
+        if let Some(last_used) = self.last_used
+            && self.running == 0
+        {
             let gap_ms = now.since_ms(last_used);
             if gap_ms >= GAP_MIN_MS {
                 self.history.get_or_insert_default().record(gap_ms);
--- a/crates/lycheeford-policy/src/planner/observe.rs
+++ b/crates/lycheeford-policy/src/planner/observe.rs
@@ -49,6 +49,7 @@
     /// Takes over the whole demand of an entry host.
     pub fn report_demand(&mut self, now: TimeMs, report: DemandReport) {
         let host = self.hosts.find_or_insert(&report.host);
+        self.touch_running(now, host);
         self.clear_host(host);
         let mut host_use = HostUse::default();
         for demand in report.demands {
@@ -89,6 +90,14 @@
         self.hosts.remove(host);
     }
 
+    /// Ends the use of what ran until this report.
+    fn touch_running(&mut self, now: TimeMs, host: u32) {
+        let Some(host_use) = self.hosts.get(host) else { return };
+        for (id, _) in host_use.running.clone() {
+            self.touch(now, id);
+        }
+    }
+
     fn clear_host(&mut self, host: u32) {
         let Some(slot) = self.hosts.get_mut(host) else { return };
         let HostUse { wanted, running } = std::mem::take(slot);
--- /dev/null
+++ b/crates/lycheeford-policy/tests/planner.rs
@@ -0,0 +1,476 @@
+//! The planner's limits hold over random histories of demand, loads and losses.
+
+use lycheeford_policy::{
+    Activity, Adapter, CheckpointPlace, Configuration, Customer, Demand, DemandReport, LoadLimits,
+    Model, Name, PlanAction, Planner, ReplicaState, ReplicaView, TargetView, TimeMs,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const MODELS: usize = 8;
+const ADAPTERS: usize = 4;
+const TARGETS: usize = 5;
+const MEMORY_BYTES: u64 = 100;
+const LOAD_REMOTE_MS: u64 = 600;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Demand { host: usize, name: usize, customer: usize, deadline_in_ms: u64 },
+    Activity { host: usize, name: usize, running: u32 },
+    Advance { ms: u64 },
+    Leave { target: usize },
+    Replace { target: usize },
+    Observe { target: usize },
+    Fail,
+    ChangeCoordinator,
+}
+
+/// Targets that carry orders out, with their state as it truly is.
+#[derive(Debug)]
+struct World {
+    now: TimeMs,
+    configuration: Configuration,
+    targets: Vec<TargetView>,
+    orders: Vec<Order>,
+    demands: Vec<(usize, Demand, TimeMs)>,
+    starts: Vec<TimeMs>,
+}
+
+#[derive(Debug)]
+struct Order {
+    target: Name,
+    name: Name,
+    ends: TimeMs,
+    is_remote: bool,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..3usize, 0..MODELS + ADAPTERS, 0..3usize, 50..5_000u64).prop_map(
+            |(host, name, customer, deadline_in_ms)| Step::Demand {
+                host, name, customer, deadline_in_ms
+            }
+        ),
+        2 => (0..3usize, 0..MODELS + ADAPTERS, 0..3u32)
+            .prop_map(|(host, name, running)| Step::Activity { host, name, running }),
+        6 => prop_oneof![1..200u64, 1..2_000u64, 60_000..7_200_000u64]
+            .prop_map(|ms| Step::Advance { ms }),
+        1 => (0..TARGETS).prop_map(|target| Step::Leave { target }),
+        1 => (0..TARGETS).prop_map(|target| Step::Replace { target }),
+        4 => (0..TARGETS).prop_map(|target| Step::Observe { target }),
+        1 => Just(Step::Fail),
+        1 => Just(Step::ChangeCoordinator),
+    ]
+}
+
+fn name(index: usize) -> Name {
+    match index.checked_sub(MODELS) {
+        None => Name::from(format!("model-{index}")),
+        Some(adapter) => Name::from(format!("adapter-{adapter}")),
+    }
+}
+
+fn configuration() -> Configuration {
+    let model = |index: usize| Model {
+        name: name(index),
+        memory_bytes: 20 + 10 * (index as u64 % 6),
+        replicas_max: 1 + index as u32 % 3,
+        load_remote_ms: LOAD_REMOTE_MS,
+        load_disk_ms: 200,
+        min_bytes_per_token: 1,
+        customers: Vec::new(),
+    };
+    let adapter = |index: usize| Adapter {
+        name: name(MODELS + index),
+        model: name(index / 2),
+        memory_bytes: 5,
+        customers: Vec::new(),
+    };
+    let customer = |index: usize| Customer {
+        name: Name::from(format!("customer-{index}")),
+        rate_tokens_per_s: 100 + 900 * index as u64,
+        burst_tokens: 1_000,
+        class: index as u8 % 2,
+    };
+    Configuration {
+        models: (0..MODELS).map(model).collect(),
+        adapters: (0..ADAPTERS).map(adapter).collect(),
+        customers: (0..3).map(customer).collect(),
+        ..Configuration::default()
+    }
+}
+
+fn empty_target(index: usize, generation: u64) -> TargetView {
+    TargetView {
+        name: Name::from(format!("target-{index}-{generation}")),
+        failure_domain: Name::from(format!("domain-{}", index % 3)),
+        accepts_work: true,
+        memory_total_bytes: MEMORY_BYTES,
+        reserved_bytes: 0,
+        blocked: false,
+        replicas: Vec::new(),
+        checkpoints: vec![(name(index), CheckpointPlace::Disk)],
+        running: 0,
+    }
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            now: TimeMs::from_ms(1_000),
+            configuration: configuration(),
+            targets: (0..TARGETS).map(|index| empty_target(index, 0)).collect(),
+            orders: Vec::new(),
+            demands: Vec::new(),
+            starts: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, step: &Step, planner: &mut Planner) {
+        match step {
+            Step::Demand { host, name: index, customer, deadline_in_ms } => {
+                let demand = Demand {
+                    name: name(*index),
+                    customer: Name::from(format!("customer-{customer}")),
+                    class: *customer as u8 % 2,
+                    waiting: 1,
+                    deadline_in_ms: *deadline_in_ms,
+                    waited_ms: 0,
+                };
+                self.demands.retain(|(other, ..)| other != host);
+                self.demands.push((*host, demand.clone(), self.now + *deadline_in_ms));
+                self.report(planner, *host, vec![demand], Vec::new());
+            }
+            Step::Activity { host, name: index, running } => {
+                self.demands.retain(|(other, ..)| other != host);
+                let activity = Activity { name: name(*index), served: 1, running: *running };
+                self.report(planner, *host, Vec::new(), vec![activity]);
+            }
+            Step::Advance { ms } => self.advance(planner, *ms),
+            Step::Leave { target } => {
+                self.targets[*target].accepts_work = false;
+                planner.observe_target(self.now, self.targets[*target].clone());
+            }
+            Step::Replace { target } => self.replace(planner, *target),
+            Step::Observe { target } => {
+                planner.observe_target(self.now, self.targets[*target].clone());
+            }
+            Step::Fail => self.fail(planner),
+            Step::ChangeCoordinator => {
+                *planner = Planner::new(LoadLimits::default());
+                planner.configure(&self.configuration);
+                self.observe_all(planner);
+                self.demands.clear();
+            }
+        }
+    }
+
+    fn report(
+        &self,
+        planner: &mut Planner,
+        host: usize,
+        demands: Vec<Demand>,
+        activity: Vec<Activity>,
+    ) {
+        let host = Name::from(format!("host-{host}"));
+        planner.report_demand(self.now, DemandReport { host, demands, activity });
+    }
+
+    fn observe_all(&self, planner: &mut Planner) {
+        for target in &self.targets {
+            planner.observe_target(self.now, target.clone());
+        }
+    }
+
+    fn advance(&mut self, planner: &mut Planner, ms: u64) {
+        self.now = self.now + ms;
+        let now = self.now;
+        let (ended, running) =
+            std::mem::take(&mut self.orders).into_iter().partition(|order| order.ends <= now);
+        self.orders = running;
+        for order in ended {
+            let Some(target) = self.targets.iter_mut().find(|t| t.name == order.target) else {
+                continue;
+            };
+            target.blocked = false;
+            target.replicas.retain(|replica| {
+                replica.name != order.name || replica.state != ReplicaState::Unloading
+            });
+            for replica in target.replicas.iter_mut().filter(|r| r.name == order.name) {
+                replica.state = ReplicaState::Ready;
+            }
+            target.reserved_bytes = target.replicas.iter().map(|r| r.memory_bytes).sum();
+        }
+        self.observe_all(planner);
+    }
+
+    fn replace(&mut self, planner: &mut Planner, index: usize) {
+        let old = self.targets[index].name.clone();
+        planner.forget_target(&old);
+        self.orders.retain(|order| order.target != old);
+        self.targets[index] = empty_target(index, self.now.as_ms());
+        planner.observe_target(self.now, self.targets[index].clone());
+    }
+
+    /// The first load under way fails at its target.
+    fn fail(&mut self, planner: &mut Planner) {
+        if self.orders.is_empty() {
+            return;
+        }
+        let order = self.orders.remove(0);
+        if let Some(target) = self.targets.iter_mut().find(|t| t.name == order.target) {
+            target.blocked = false;
+            target.replicas.retain(|replica| replica.name != order.name);
+            target.reserved_bytes = target.replicas.iter().map(|r| r.memory_bytes).sum();
+            planner.abandon(&order.name, &order.target);
+            planner.observe_target(self.now, target.clone());
+        }
+    }
+
+    /// Checks the actions of a plan against the world and carries them out.
+    fn carry_out(&mut self, actions: &[PlanAction]) {
+        for action in actions {
+            match action {
+                PlanAction::Load { name, base, target, memory_bytes } => {
+                    self.load(name, base.as_ref(), target, *memory_bytes);
+                }
+                PlanAction::Unload { name, target } => self.unload(name, target),
+                PlanAction::Refuse { .. } | PlanAction::Expect { .. } => {}
+            }
+        }
+        self.check_limits();
+        self.check_answers(actions);
+    }
+
+    fn load(&mut self, name: &Name, base: Option<&Name>, target: &Name, memory_bytes: u64) {
+        let now = self.now;
+        let is_model = base.is_none();
+        let target = self.targets.iter_mut().find(|t| t.name == *target).expect("known target");
+        assert!(target.accepts_work, "load on a target that accepts no work");
+        assert!(!target.blocked, "load on a target with an unresolved order");
+        assert!(target.replicas.iter().all(|replica| replica.name != *name), "loaded twice");
+        if let Some(base) = base {
+            let has_base = |r: &ReplicaView| r.name == *base && r.state == ReplicaState::Ready;
+            assert!(target.replicas.iter().any(has_base), "adapter without its base");
+        }
+        let is_remote = is_model && target.checkpoints.iter().all(|(held, _)| held != name);
+        let load_ms = if is_remote { LOAD_REMOTE_MS } else { 200 };
+        let state = ReplicaState::Loading;
+        target.replicas.push(ReplicaView { name: name.clone(), state, memory_bytes });
+        target.reserved_bytes += memory_bytes;
+        target.blocked = true;
+        let (target, name) = (target.name.clone(), name.clone());
+        self.orders.push(Order { target, name, ends: now + load_ms, is_remote });
+        if is_remote {
+            self.starts.push(now);
+        }
+    }
+
+    fn unload(&mut self, name: &Name, target: &Name) {
+        let target = self.targets.iter_mut().find(|t| t.name == *target).expect("known target");
+        assert!(target.accepts_work && !target.blocked, "unload on a target that takes no order");
+        for adapter in &self.configuration.adapters {
+            let leaves_adapter = adapter.model == *name
+                && target.replicas.iter().any(|replica| replica.name == adapter.name);
+            assert!(!leaves_adapter, "base unloaded below its adapter");
+        }
+        let replica = target.replicas.iter_mut().find(|replica| replica.name == *name);
+        replica.expect("known replica").state = ReplicaState::Unloading;
+        target.blocked = true;
+        let (target, name) = (target.name.clone(), name.clone());
+        self.orders.push(Order { target, name, ends: self.now + 100, is_remote: false });
+    }
+
+    fn check_limits(&self) {
+        for target in &self.targets {
+            let used: u64 = target.replicas.iter().map(|replica| replica.memory_bytes).sum();
+            assert!(used <= target.memory_total_bytes, "{used} bytes on {}", target.name);
+        }
+        for model in &self.configuration.models {
+            let replicas = self.targets.iter().flat_map(|target| &target.replicas);
+            let count = replicas.filter(|replica| replica.name == model.name).count();
+            assert!(count <= model.replicas_max as usize, "{count} replicas of {}", model.name);
+        }
+        let in_flight = self.orders.iter().filter(|order| order.is_remote).count();
+        assert!(in_flight <= 4, "{in_flight} loads from the store at once");
+        let recent = self.starts.iter().filter(|at| self.now.since_ms(**at) < 1_000).count();
+        assert!(recent <= 4 + 8, "{recent} loads from the store in a second");
+    }
+
+    fn check_answers(&self, actions: &[PlanAction]) {
+        for (_, demand, deadline) in &self.demands {
+            if *deadline <= self.now {
+                continue;
+            }
+            let answered = actions.iter().any(|action| match action {
+                PlanAction::Expect { name, .. } => *name == demand.name,
+                PlanAction::Refuse { name, customer, retry_after_ms } => {
+                    *name == demand.name && *customer == demand.customer && *retry_after_ms > 0
+                }
+                PlanAction::Load { .. } | PlanAction::Unload { .. } => false,
+            });
+            assert!(answered, "no answer for {demand:?}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn limits_hold_and_every_demand_is_answered(steps in prop::collection::vec(step(), 1..150)) {
+        let mut world = World::new();
+        let mut planner = Planner::new(LoadLimits::default());
+        planner.configure(&world.configuration);
+        world.observe_all(&mut planner);
+        for step in &steps {
+            world.apply(step, &mut planner);
+            let actions = planner.plan(world.now);
+            world.carry_out(&actions);
+        }
+    }
+
+    #[test]
+    fn patient_demand_is_served(names in prop::collection::vec(0..MODELS + ADAPTERS, 1..6)) {
+        let mut world = World::new();
+        let mut planner = Planner::new(LoadLimits::default());
+        planner.configure(&world.configuration);
+        world.observe_all(&mut planner);
+        let demands: Vec<Demand> = names.iter().map(|index| Demand {
+            name: name(*index),
+            customer: Name::from("customer-0"),
+            class: 0,
+            waiting: 1,
+            deadline_in_ms: 60_000,
+            waited_ms: 0,
+        }).collect();
+        world.report(&mut planner, 0, demands, Vec::new());
+        let mut waiting: Vec<Name> = names.iter().map(|index| name(*index)).collect();
+        for _ in 0..1_000 {
+            world.carry_out(&planner.plan(world.now));
+            world.advance(&mut planner, 20);
+            let ready: Vec<Name> = world.targets.iter().flat_map(|target| &target.replicas)
+                .filter(|replica| replica.state == ReplicaState::Ready)
+                .map(|replica| replica.name.clone()).collect();
+            waiting.retain(|name| !ready.contains(name));
+        }
+        prop_assert!(waiting.is_empty(), "never ready: {:?}", waiting);
+    }
+}
+
+fn settled(limits: LoadLimits, demands: Vec<Demand>) -> (World, Planner) {
+    let world = World::new();
+    let mut planner = Planner::new(limits);
+    planner.configure(&world.configuration);
+    world.observe_all(&mut planner);
+    world.report(&mut planner, 0, demands, Vec::new());
+    (world, planner)
+}
+
+fn demand(name: &str, customer: &str, deadline_in_ms: u64) -> Demand {
+    let (name, customer) = (Name::from(name), Name::from(customer));
+    Demand { name, customer, class: 0, waiting: 1, deadline_in_ms, waited_ms: 0 }
+}
+
+#[test]
+fn a_burst_over_many_hosts_makes_one_load() {
+    let (mut world, mut planner) = settled(LoadLimits::default(), Vec::new());
+    let mut loads = 0;
+    for host in 0..30 {
+        world.report(&mut planner, host, vec![demand("model-5", "customer-0", 5_000)], Vec::new());
+        let actions = planner.plan(world.now);
+        world.carry_out(&actions);
+        loads += actions.iter().filter(|a| matches!(a, PlanAction::Load { .. })).count();
+        world.advance(&mut planner, 5);
+    }
+    assert_eq!(loads, 1);
+}
+
+#[test]
+fn the_earliest_deadline_loads_first_and_the_rest_is_told_when() {
+    let names = ["model-5", "model-6", "model-7"];
+    let limits = LoadLimits { store_loads_at_once: 1, ..LoadLimits::default() };
+    let demands = vec![
+        demand(names[0], "customer-0", 5_000),
+        demand(names[1], "customer-0", 2_000),
+        demand(names[2], "customer-0", 900),
+    ];
+    let (world, mut planner) = settled(limits, demands);
+    let actions = planner.plan(world.now);
+    let loads: Vec<&str> = actions
+        .iter()
+        .filter_map(|action| match action {
+            PlanAction::Load { name, .. } => Some(name.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(loads, ["model-7"]);
+    for (name, at_least_ms) in [("model-6", 2 * LOAD_REMOTE_MS), ("model-5", 3 * LOAD_REMOTE_MS)] {
+        let expected = actions.iter().find_map(|action| match action {
+            PlanAction::Expect { name: other, ready_in_ms } if other.as_str() == name => {
+                Some(*ready_in_ms)
+            }
+            _ => None,
+        });
+        assert!(expected.is_some_and(|ms| ms >= at_least_ms), "{name}: {expected:?}");
+    }
+}
+
+#[test]
+fn a_refusal_names_a_time_at_which_the_model_is_ready() {
+    let limits = LoadLimits { store_loads_at_once: 1, ..LoadLimits::default() };
+    let (mut world, mut planner) = settled(
+        limits,
+        vec![demand("model-5", "customer-0", 5_000), demand("model-6", "customer-1", 100)],
+    );
+    let actions = planner.plan(world.now);
+    world.carry_out(&actions);
+    let retry_after_ms = actions
+        .iter()
+        .find_map(|action| match action {
+            PlanAction::Refuse { retry_after_ms, .. } => Some(*retry_after_ms),
+            _ => None,
+        })
+        .expect("a refusal");
+    world.report(&mut planner, 0, Vec::new(), Vec::new());
+    for _ in 0..retry_after_ms.div_ceil(20) {
+        world.advance(&mut planner, 20);
+        world.carry_out(&planner.plan(world.now));
+    }
+    let replicas = world.targets.iter().flat_map(|target| &target.replicas);
+    let mut ready: Vec<&str> = replicas
+        .filter(|replica| replica.state == ReplicaState::Ready)
+        .map(|replica| replica.name.as_str())
+        .collect();
+    ready.sort_unstable();
+    assert_eq!(ready, ["model-5", "model-6"]);
+}
+
+#[test]
+fn an_idle_replica_goes_and_a_running_one_stays() {
+    let (mut world, mut planner) =
+        settled(LoadLimits::default(), vec![demand("model-5", "customer-0", 5_000)]);
+    let running = Activity { name: name(5), served: 1, running: 1 };
+    let mut unloads_at = Vec::new();
+    for second in 0..20_000u64 {
+        if second == 2 {
+            world.report(&mut planner, 0, Vec::new(), vec![running.clone()]);
+        }
+        if second == 10_000 {
+            world.report(&mut planner, 0, Vec::new(), Vec::new());
+        }
+        let actions = planner.plan(world.now);
+        world.carry_out(&actions);
+        if actions.iter().any(|action| matches!(action, PlanAction::Unload { .. })) {
+            unloads_at.push(second);
+        }
+        world.advance(&mut planner, 1_000);
+    }
+    assert_eq!(unloads_at.len(), 1, "{unloads_at:?}");
+    assert!(unloads_at[0] > 10_060, "{unloads_at:?}");
+}
