--- a/crates/lycheeford-policy/src/router.rs
+++ b/crates/lycheeford-policy/src/router.rs
@@ -1,8 +1,15 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::name_table::NameTable;
 use crate::{Name, TimeMs};
 
+/// Spreads small seeds over the whole range.
+const SEED_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Remembered prefixes of a target.
 const PREFIXES_PER_TARGET: usize = 512;
+/// How long a reported load counts.
 const LOAD_FRESH_MS: u64 = 5_000;
+/// By how much a target with the prefix may exceed the least load, beside a quarter.
 const AFFINITY_SLACK_REQUESTS: u32 = 2;
 
 /// Chooses the target that serves a request.
@@ -41,6 +48,14 @@
         Router::default()
     }
 
+    /// Returns a router whose random choices follow `seed`.
+    ///
+    /// Hosts need different seeds: with the same late reports and the same
+    /// choices they would all pick the same target.
+    pub fn with_seed(seed: u64) -> Router {
+        Router { choices: seed.wrapping_mul(SEED_FACTOR), ..Router::default() }
+    }
+
     /// Records that `target` serves `name`.
     pub fn set_replica(&mut self, name: &str, target: &str) {
         let target_id = self.targets.find_or_insert(target);
@@ -93,7 +108,7 @@
         prompt_prefix_hashes: &[u64],
         excluded: &[Name],
     ) -> Option<Name> {
-        self.choices += 1;
+        self.choices = self.choices.wrapping_add(1);
         let replicas = self.names.get(self.names.find(name)?)?;
         let usable: Vec<u32> = replicas
             .iter()
@@ -156,8 +171,7 @@
 
     fn better_of_two(&self, now: TimeMs, usable: &[u32]) -> u32 {
         let pick = |salt: u64| {
-            let mixed = self.choices.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt;
-            let hash = xxhash_rust::xxh3::xxh3_64(&mixed.to_le_bytes());
+            let hash = xxh3_64_with_seed(&self.choices.to_le_bytes(), salt);
             (hash % usable.len() as u64) as usize
         };
         let first = pick(1);
