--- /dev/null
+++ b/crates/lycheeford-policy/benches/deployments/main.rs
@@ -0,0 +1,34 @@
+//! Measures the decisions in virtual time over both deployments.
+//!
+//! `cargo bench -p lycheeford-policy --bench deployments` prints the figures
+//! beside a baseline and a bound; `-- --check` fails if an aim isn't met.
+
+mod baseline;
+mod fleet;
+mod measures;
+mod report;
+mod simulation;
+mod workload;
+
+use std::process::ExitCode;
+
+use crate::report::Report;
+use crate::workload::{NORTHPASS, REGULATOR};
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let seed = arguments
+        .iter()
+        .find_map(|argument| argument.strip_prefix("--seed="))
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(report::SEED);
+    let reports = [NORTHPASS, REGULATOR].map(|deployment| Report::new(deployment, seed));
+    for report in &reports {
+        println!("{report}");
+    }
+    let missed = reports.iter().flat_map(Report::missed_aims).count();
+    if arguments.iter().any(|argument| argument == "--check") && missed > 0 {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/lycheeford-policy/src/fair_queue.rs
+++ b/crates/lycheeford-policy/src/fair_queue.rs
@@ -198,6 +198,12 @@
         self.waiting.len()
     }
 
+    /// Returns how many requests wait for `name`.
+    pub fn waiting(&self, name: &str) -> usize {
+        let lanes = self.lanes.find(name).and_then(|lane| self.lanes.get(lane));
+        lanes.map_or(0, |lanes| lanes.iter().map(|lane| lane.requests.len()).sum())
+    }
+
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
