Load from a local checkpoint where unloading or waiting costs less

A target with the checkpoint that lacked room or was busy with another order was passed over for a load from the remote store. Its eviction and its wait are now weighed as time against the remote load, and a load whose room is being made stays on its target.

--- a/crates/lycheeford-policy/src/planner/placement.rs
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -1,7 +1,9 @@
 use std::cmp::Reverse;
 
 use super::Planner;
-use super::entry::{Entry, LoadSource, Phase};
+use super::entry::{Entry, LoadSource, Phase, Replica};
+use super::target::Target;
+use super::want::{UNLOAD_MS, remaining_ms};
 use crate::TimeMs;
 
 /// Targets that are weighed against each other for one load.
@@ -18,6 +20,8 @@
 pub(super) enum Placement {
     /// The target has room.
     Room { target: u32, source: LoadSource },
+    /// The target is busy with another order, and waiting for it takes the least time.
+    Wait { ready_in_ms: u64 },
     /// The target has room once the victim is unloaded.
     Evict { target: u32, victim: u32 },
     /// No target has room or can make it now.
@@ -40,27 +44,74 @@
     pub(super) fn place(&self, now: TimeMs, id: u32) -> Placement {
         let Some(entry) = self.entries.get(id) else { return Placement::Nowhere };
         let Some(spec) = entry.spec else { return Placement::Nowhere };
-        if let Some(target) = entry.room_on {
-            let waits = self.targets.get(target).is_some_and(|t| t.accepts_work && t.pending > 0);
-            if waits {
-                return Placement::Nowhere;
-            }
+        if let Some(target) = entry.room_on
+            && let Some(busy_ms) = self.busy_ms(now, target)
+        {
+            let load_ms = self.expected_ms(id, entry.source(target));
+            return Placement::Wait { ready_in_ms: busy_ms + load_ms };
         }
         let room = match entry.base() {
             Some(base) => self.room_beside(entry, base, spec.memory_bytes),
-            None => self.room_by_checkpoint(entry, spec.memory_bytes),
+            None => self.room_for_model(entry, spec.memory_bytes),
         };
-        if let Some(target) = room {
-            return Placement::Room { target, source: entry.source(target) };
+        let room = room.map(|target| (target, entry.source(target)));
+        let room_ms = room.map_or(u64::MAX, |(_, source)| self.expected_ms(id, source));
+        let eviction = self
+            .eviction_candidates(entry, room.is_some())
+            .into_iter()
+            .filter_map(|target| self.eviction(now, id, target, spec.memory_bytes))
+            .filter(|eviction| eviction.cost_ms < room_ms as f64)
+            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
+        let best_ms = eviction.as_ref().map_or(room_ms, |eviction| eviction.cost_ms as u64);
+        if let Some(ready_in_ms) = self.wait_ms(now, id, entry, spec.memory_bytes)
+            && ready_in_ms < best_ms
+        {
+            return Placement::Wait { ready_in_ms };
         }
-        match self.cheapest_eviction(now, entry, spec.memory_bytes) {
-            Some(eviction) => {
-                Placement::Evict { target: eviction.target, victim: eviction.first_victim }
+        match (eviction, room) {
+            (Some(Eviction { target, first_victim: victim, .. }), _) => {
+                Placement::Evict { target, victim }
             }
-            None => Placement::Nowhere,
+            (None, Some((target, source))) => Placement::Room { target, source },
+            (None, None) => Placement::Nowhere,
         }
     }
 
+    /// Returns the time to ready on the best busy target with a checkpoint or the base.
+    fn wait_ms(&self, now: TimeMs, id: u32, entry: &Entry, memory_bytes: u64) -> Option<u64> {
+        let bases = entry.base().and_then(|base| self.entries.get(base));
+        let beside = bases.into_iter().flat_map(|base| &base.replicas);
+        let beside = beside.filter(|replica| replica.phase == Phase::Ready);
+        let beside = beside.map(|replica| replica.target);
+        let local = entry.checkpoints.iter().map(|(target, _)| *target);
+        beside
+            .chain(local)
+            .filter(|target| entry.replica(*target).is_none())
+            .filter(|target| {
+                self.targets.get(*target).is_some_and(|t| t.free_bytes() >= memory_bytes)
+            })
+            .filter_map(|target| {
+                Some(self.busy_ms(now, target)? + self.expected_ms(id, entry.source(target)))
+            })
+            .min()
+    }
+
+    /// Returns how long a target is busy with its order, or `None` if it isn't.
+    fn busy_ms(&self, now: TimeMs, id: u32) -> Option<u64> {
+        let target = self.targets.get(id)?;
+        if !target.accepts_work || target.takes_orders() {
+            return None;
+        }
+        let replicas =
+            target.entries.iter().filter_map(|entry| self.entries.get(*entry)?.replica(id));
+        let left_ms = |replica: &Replica| match replica.phase {
+            Phase::Ready => 0,
+            Phase::LoadDecided | Phase::Loading => remaining_ms(now, replica),
+            Phase::UnloadDecided | Phase::Unloading => UNLOAD_MS,
+        };
+        replicas.map(left_ms).max().filter(|left_ms| *left_ms > 0)
+    }
+
     /// Returns the target with a ready base and room that runs the least.
     fn room_beside(&self, entry: &Entry, base: u32, memory_bytes: u64) -> Option<u32> {
         self.base_targets(entry, base)
@@ -81,26 +132,26 @@
             .iter()
             .filter(|replica| replica.phase == Phase::Ready)
             .map(|replica| replica.target)
-            .filter(|id| self.targets.get(*id).is_some_and(super::target::Target::takes_orders))
+            .filter(|id| self.targets.get(*id).is_some_and(Target::takes_orders))
             .filter(|id| entry.replica(*id).is_none())
     }
 
-    fn room_by_checkpoint(&self, entry: &Entry, memory_bytes: u64) -> Option<u32> {
+    fn room_for_model(&self, entry: &Entry, memory_bytes: u64) -> Option<u32> {
         let local = entry
             .checkpoints
             .iter()
-            .filter_map(|(id, place)| Some((*id, *place, self.targets.get(*id)?)))
+            .filter_map(|(target, place)| Some((*target, *place, self.targets.get(*target)?)))
             .filter(|(_, _, target)| target.takes_orders() && target.free_bytes() >= memory_bytes)
-            .filter(|(id, _, _)| entry.replica(*id).is_none())
-            .min_by_key(|(id, place, target)| (*place, target.running, *id))
-            .map(|(id, _, _)| id);
+            .filter(|(target, _, _)| entry.replica(*target).is_none())
+            .min_by_key(|(target, place, state)| (*place, state.running, *target))
+            .map(|(target, _, _)| target);
         local.or_else(|| {
             self.free
                 .range((memory_bytes, 0)..)
-                .map(|(_, id)| *id)
-                .filter(|id| entry.replica(*id).is_none())
+                .map(|(_, target)| *target)
+                .filter(|target| entry.replica(*target).is_none())
                 .take(CANDIDATES_MAX)
-                .min_by_key(|id| self.remote_rank(entry, *id))
+                .min_by_key(|target| self.remote_rank(entry, *target))
         })
     }
 
@@ -114,22 +165,21 @@
         (domain_taken, target.free_bytes(), target.running, id)
     }
 
-    fn cheapest_eviction(&self, now: TimeMs, entry: &Entry, need: u64) -> Option<Eviction> {
-        let candidates: Vec<u32> = if let Some(base) = entry.base() {
-            self.base_targets(entry, base).collect()
-        } else {
-            let local = entry.checkpoints.iter().map(|(id, _)| *id);
-            let roomy = self.free.iter().rev().map(|(_, id)| *id).take(CANDIDATES_MAX);
-            local.chain(roomy).filter(|id| entry.replica(*id).is_none()).collect()
-        };
-        candidates
-            .into_iter()
-            .filter_map(|id| self.eviction(now, entry, id, need))
-            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
+    /// Returns the targets on which unloading may be worth its time.
+    ///
+    /// If another target has room, only a local checkpoint can make up for it.
+    fn eviction_candidates(&self, entry: &Entry, has_room: bool) -> Vec<u32> {
+        if let Some(base) = entry.base() {
+            return self.base_targets(entry, base).collect();
+        }
+        let local = entry.checkpoints.iter().map(|(id, _)| *id);
+        let roomy_max = if has_room { 0 } else { CANDIDATES_MAX };
+        let roomy = self.free.iter().rev().map(|(_, id)| *id).take(roomy_max);
+        local.chain(roomy).filter(|id| entry.replica(*id).is_none()).collect()
     }
 
-    fn eviction(&self, now: TimeMs, entry: &Entry, id: u32, need: u64) -> Option<Eviction> {
-        let target = self.targets.get(id)?;
+    fn eviction(&self, now: TimeMs, wanted: u32, id: u32, need: u64) -> Option<Eviction> {
+        let (entry, target) = (self.entries.get(wanted)?, self.targets.get(id)?);
         if !target.takes_orders() || target.memory_total_bytes < need {
             return None;
         }
@@ -143,7 +193,7 @@
             (one.0 / one.2.max(1) as f64).total_cmp(&(other.0 / other.2.max(1) as f64))
         });
         let mut free_bytes = target.free_bytes();
-        let mut cost_ms = entry.load_ms(entry.source(id)) as f64;
+        let mut cost_ms = self.expected_ms(wanted, entry.source(id)) as f64;
         let mut first_victim = None;
         for (value_ms, victim, memory_bytes) in victims {
             if free_bytes >= need {
--- a/crates/lycheeford-policy/src/planner/want.rs
+++ b/crates/lycheeford-policy/src/planner/want.rs
@@ -7,7 +7,7 @@
 /// Time for an order to be recorded, sent and confirmed.
 const ORDER_MS: u64 = 20;
 /// Time to unload a replica that makes room.
-const UNLOAD_MS: u64 = 100;
+pub(super) const UNLOAD_MS: u64 = 100;
 /// When to come back if no target can take the load for now.
 const NOWHERE_RETRY_MS: u64 = 5_000;
 /// How long a promised load is kept for the callers that come back.
@@ -213,15 +213,12 @@
                 let source = entry.source(target);
                 Some(UNLOAD_MS + ORDER_MS + self.expected_ms(id, source))
             }
-            Placement::Nowhere => {
-                let entry = self.entries.get(id)?;
-                entry.room_on?;
-                Some(UNLOAD_MS + ORDER_MS + self.expected_ms(id, LoadSource::Remote))
-            }
+            Placement::Wait { ready_in_ms } => Some(ready_in_ms + ORDER_MS),
+            Placement::Nowhere => None,
         }
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         now: TimeMs,
         id: u32,
@@ -256,7 +253,7 @@
         }
     }
 
-    fn expected_ms(&self, id: u32, source: LoadSource) -> u64 {
+    pub(super) fn expected_ms(&self, id: u32, source: LoadSource) -> u64 {
         let Some(entry) = self.entries.get(id) else { return 0 };
         let full_speed_ms = entry.load_ms(source);
         match source {
@@ -315,7 +312,7 @@
 }
 
 /// Returns the time until a load ends; an overdue one is given a part of what it has taken.
-fn remaining_ms(now: TimeMs, replica: &Replica) -> u64 {
+pub(super) fn remaining_ms(now: TimeMs, replica: &Replica) -> u64 {
     let elapsed_ms = now.since_ms(replica.since);
     (replica.expected_ms + ORDER_MS).saturating_sub(elapsed_ms).max(elapsed_ms / 4)
 }
