--- a/crates/lycheeford-policy/benches/deployments/simulation.rs
+++ b/crates/lycheeford-policy/benches/deployments/simulation.rs
@@ -351,9 +351,9 @@
             waited_ms: now.since_ms(depth.first_arrival),
         });
         let used = |(index, (running, served)): (usize, (&u32, &u32))| {
-            let is_used = *running > 0 || *served > 0;
-            let name = names[index].clone();
-            is_used.then_some(Activity { name, served: *served, running: *running })
+            let (served, running) = (*served, *running);
+            let is_used = running > 0 || served > 0;
+            is_used.then(|| Activity { name: names[index].clone(), served, running })
         };
         let activity = state.running.iter().zip(&state.served).enumerate().filter_map(used);
         let host = Name::from(format!("host-{host}"));
--- a/crates/lycheeford-policy/src/planner/entry.rs
+++ b/crates/lycheeford-policy/src/planner/entry.rs
@@ -166,11 +166,8 @@
     }
 
     /// Returns when to keep an idle replica; see [`GapHistory::keep_warm`].
-    pub fn keep_warm(&self, reload_cost: f64) -> KeepWarm {
-        match &self.history {
-            Some(history) => history.keep_warm(reload_cost),
-            None => GapHistory::default().keep_warm(reload_cost),
-        }
+    pub fn keep_warm(&mut self, reload_cost: f64) -> KeepWarm {
+        self.history.get_or_insert_default().keep_warm(reload_cost)
     }
 
     /// Returns the expected time to the next use.
--- a/crates/lycheeford-policy/src/planner/gap_history.rs
+++ b/crates/lycheeford-policy/src/planner/gap_history.rs
@@ -8,6 +8,8 @@
 const PRELOAD_MARGIN: f64 = 0.03;
 /// A load ahead of a use costs this part of a reload that a request waits for.
 const PRELOAD_COST: f64 = 0.1;
+/// An answer is good for reload costs that differ by less than this part.
+const REUSE_TOLERANCE: f64 = 0.01;
 const PRIOR_GAPS: usize = 16;
 const PRIOR_WEIGHT: f64 = 2.0 / PRIOR_GAPS as f64;
 /// The longest gap of the prior, as a power of two times the shortest.
@@ -17,10 +19,12 @@
 ///
 /// A weak prior spreads a few gaps evenly over the orders of magnitude, so
 /// that a model without history is kept for about as long as a reload is worth.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct GapHistory {
     gaps_ms: [u32; GAPS_MAX],
     recorded: usize,
+    /// The last answer with its reload cost, until another gap is recorded.
+    answer: Option<(f64, KeepWarm)>,
 }
 
 /// When an idle replica is worth keeping, counted from its last use.
@@ -36,13 +40,25 @@
     pub fn record(&mut self, gap_ms: u64) {
         self.gaps_ms[self.recorded % GAPS_MAX] = u32::try_from(gap_ms).unwrap_or(u32::MAX);
         self.recorded += 1;
+        self.answer = None;
     }
 
     /// Returns when to keep a replica so that the expected cost is least.
     ///
     /// `reload_cost` is what a reload costs, in units of the cost of holding
     /// the replica for a millisecond.
-    pub fn keep_warm(&self, reload_cost: f64) -> KeepWarm {
+    pub fn keep_warm(&mut self, reload_cost: f64) -> KeepWarm {
+        if let Some((cost, answer)) = self.answer
+            && (cost - reload_cost).abs() < cost * REUSE_TOLERANCE
+        {
+            return answer;
+        }
+        let answer = self.cheapest(reload_cost);
+        self.answer = Some((reload_cost, answer));
+        answer
+    }
+
+    fn cheapest(&self, reload_cost: f64) -> KeepWarm {
         let samples = self.samples();
         let mut best_cost = f64::INFINITY;
         let mut best = KeepWarm::default();
--- a/crates/lycheeford-policy/src/planner/keep_warm.rs
+++ b/crates/lycheeford-policy/src/planner/keep_warm.rs
@@ -7,7 +7,7 @@
 use crate::TimeMs;
 
 /// Idle time of one whole accelerator that equals a millisecond of cold start.
-const IDLE_MS_PER_COLD_MS: f64 = 600.0;
+const IDLE_MS_PER_COLD_MS: f64 = 130.0;
 /// How long to wait before looking again at a replica that could not be unloaded.
 const RECHECK_MS: u64 = 1_000;
 /// How long to wait before looking again at a replica in use.
@@ -58,9 +58,10 @@
             self.unload_surplus(now, id, actions);
             return Some(now + RECHECK_BUSY_MS);
         }
-        let due = self.idle_due(now, entry);
+        let ready = ready_targets(entry);
+        let due = self.idle_due(now, id).unwrap_or(now);
         if due <= now {
-            for target in ready_targets(entry) {
+            for target in ready {
                 self.unload(now, id, target, actions);
             }
             return Some(now + RECHECK_MS);
@@ -69,17 +70,17 @@
         Some(due)
     }
 
-    /// Returns when an idle replica goes.
-    fn idle_due(&self, now: TimeMs, entry: &Entry) -> TimeMs {
-        let (Some(_), Some(last_used)) = (entry.spec, entry.last_used) else { return now };
-        let keep_warm = self.keep_warm_of(entry);
-        let idle_ms = entry.idle_ms(now);
-        match keep_warm.preload_ms {
+    /// Returns when an idle replica goes, or `None` if it isn't worth keeping at all.
+    fn idle_due(&mut self, now: TimeMs, id: u32) -> Option<TimeMs> {
+        let entry = self.entries.get(id)?;
+        let (last_used, idle_ms) = (entry.last_used?, entry.idle_ms(now));
+        let keep_warm = self.keep_warm_of(id)?;
+        Some(match keep_warm.preload_ms {
             Some((from_ms, until_ms)) if (from_ms..until_ms).contains(&idle_ms) => {
                 last_used + until_ms
             }
             _ => last_used + keep_warm.hold_ms.max(HOLD_MIN_MS),
-        }
+        })
     }
 
     /// Loads an entry ahead of its expected use if nothing else needs the room or the store.
@@ -91,12 +92,12 @@
     ) -> Option<TimeMs> {
         let entry = self.entries.get(id)?;
         let (last_used, None) = (entry.last_used?, entry.base()) else { return None };
-        let (from_ms, until_ms) = self.keep_warm_of(entry).preload_ms?;
-        let idle_ms = entry.idle_ms(now);
+        let (idle_ms, is_idle) = (entry.idle_ms(now), entry.is_idle());
+        let (from_ms, until_ms) = self.keep_warm_of(id)?.preload_ms?;
         if idle_ms < from_ms {
             return Some(last_used + from_ms);
         }
-        if idle_ms >= until_ms || !entry.is_idle() {
+        if idle_ms >= until_ms || !is_idle {
             return None;
         }
         let has_loads = !self.in_flight(|source| source == LoadSource::Remote).is_empty();
@@ -110,17 +111,17 @@
         Some(now + RECHECK_MS)
     }
 
-    fn keep_warm_of(&self, entry: &Entry) -> KeepWarm {
-        let Some(spec) = entry.spec else { return KeepWarm::default() };
-        let share = spec.memory_bytes.max(1) as f64 / self.target_bytes_max.max(1) as f64;
-        entry.keep_warm(entry.reload_ms() as f64 * self.idle_per_cold() / share)
+    fn keep_warm_of(&mut self, id: u32) -> Option<KeepWarm> {
+        let idle_per_cold = self.idle_per_cold();
+        let entry = self.entries.get_mut(id)?;
+        let share = entry.spec?.memory_bytes.max(1) as f64 / self.target_bytes_max.max(1) as f64;
+        Some(entry.keep_warm(entry.reload_ms() as f64 * idle_per_cold / share))
     }
 
     /// Returns how the site weighs idle time against cold starts.
     fn idle_per_cold(&self) -> f64 {
         let warm = self.weights.cold_start_tail.max(self.weights.wrongful_refusals);
-        std::env::var("K").ok().and_then(|k| k.parse().ok()).unwrap_or(IDLE_MS_PER_COLD_MS) * warm
-            / self.weights.idle_hours.max(0.01)
+        IDLE_MS_PER_COLD_MS * warm / self.weights.idle_hours.max(0.01)
     }
 
     fn unload_surplus(&mut self, now: TimeMs, id: u32, actions: &mut Vec<PlanAction>) {
