Count a victim's adapters in the cost of its eviction

Each adapter takes an order of its own before its base can go, so an eviction could take three orders in a row.

--- a/crates/lycheeford-policy/src/planner/placement.rs
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -201,7 +201,7 @@
             }
             first_victim.get_or_insert(victim);
             free_bytes += memory_bytes;
-            cost_ms += EVICTION_MS + value_ms;
+            cost_ms += value_ms;
         }
         if free_bytes < need {
             return None;
@@ -218,18 +218,20 @@
         }
         let soon = (EVICTION_HORIZON_MS / entry.remaining_ms(now).max(1.0)).min(1.0);
         let memory_bytes = entry.spec.map_or(0, |spec| spec.memory_bytes);
-        Some((entry.reload_ms() as f64 * soon, id, memory_bytes))
+        let orders = 1 + self.adapters_on(id, target).count();
+        Some((entry.reload_ms() as f64 * soon + EVICTION_MS * orders as f64, id, memory_bytes))
     }
 
     /// Returns an adapter of `id` on the target, which must go first, or `id` itself.
     pub(super) fn unload_first(&self, id: u32, target: u32) -> u32 {
-        let Some(target) = self.targets.get(target) else { return id };
-        let adapter = target
-            .entries
-            .iter()
-            .copied()
-            .find(|other| self.entries.get(*other).and_then(Entry::base) == Some(id));
-        adapter.unwrap_or(id)
+        self.adapters_on(id, target).next().unwrap_or(id)
+    }
+
+    fn adapters_on(&self, id: u32, target: u32) -> impl Iterator<Item = u32> + '_ {
+        let entries = self.targets.get(target).map_or(&[][..], |target| &target.entries);
+        let is_adapter =
+            move |other: &u32| self.entries.get(*other).and_then(Entry::base) == Some(id);
+        entries.iter().copied().filter(is_adapter)
     }
 
     /// Returns whether a replica is ready on a target that takes work, with the least busy first.
