--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder for the target package.
+//! HTTP towards targets: model engines and plain services.
+//!
+//! The main types:
+//!
+//! - [`TargetClient`]: calls targets over pooled or fresh connections.
+//! - [`TargetRequest`], [`TargetResponse`]: a call and its answer.
+//! - [`TargetError`]: why a call failed, and whether it may have run.
+//! - [`TargetStatus`], [`Order`]: what engines report, and what they are told.
+//! - [`EventSplitter`], [`CompletionEvent`]: the events of a streamed completion.
+
+mod client;
+mod completion;
+mod error;
+mod event;
+mod limits;
+mod order;
+mod request;
+mod response;
+mod status;
+
+pub use crate::client::TargetClient;
+pub use crate::completion::{CompletionEvent, Usage};
+pub use crate::error::{Category, TargetError};
+pub use crate::event::{Event, EventSplitter, EventTooLarge};
+pub use crate::limits::TargetLimits;
+pub use crate::order::{Action, Order, OrderOutcome};
+pub use crate::request::{Connection, TargetRequest};
+pub use crate::response::{TargetBody, TargetResponse};
+pub use crate::status::{
+    Checkpoint, CheckpointPlace, LoadState, Loaded, OrderRecord, TargetStatus,
+};
+pub use http_types::Method;
--- /dev/null
+++ b/crates/lycheeford-target/src/limits.rs
@@ -0,0 +1,29 @@
+/// Limits on how long a target may take and how much it may send.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetLimits {
+    /// How long a connection may take to open.
+    pub connect_ms_max: u64,
+    /// How long a target may take until the first byte of its answer.
+    pub first_byte_ms_max: u64,
+    /// How long a target may pause between bytes of an answer.
+    pub between_bytes_ms_max: u64,
+    /// How long a pooled connection may stay unused.
+    pub pool_idle_ms_max: u64,
+    /// Unused connections kept for each target.
+    pub pool_per_target_max: usize,
+    /// The longest answer body.
+    pub answer_bytes_max: usize,
+}
+
+impl Default for TargetLimits {
+    fn default() -> TargetLimits {
+        TargetLimits {
+            connect_ms_max: 1_000,
+            first_byte_ms_max: 30_000,
+            between_bytes_ms_max: 10_000,
+            pool_idle_ms_max: 15_000,
+            pool_per_target_max: 16,
+            answer_bytes_max: 64 * 1024 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-target/src/status.rs
@@ -0,0 +1,142 @@
+use lycheeford_policy::{HostState, Incarnation, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::error::Code;
+use crate::{OrderOutcome, TargetError};
+
+/// What an engine reports of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetStatus {
+    /// The life of the engine's process.
+    pub incarnation: Incarnation,
+    /// Whether it may get new work.
+    pub state: HostState,
+    /// Memory for weights and adapters.
+    pub memory_total_bytes: u64,
+    /// Memory in use.
+    pub memory_used_bytes: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// The highest fencing number seen.
+    pub highest_fence: u64,
+    /// The models and adapters in memory, sorted by name.
+    pub loaded: Vec<Loaded>,
+    /// The checkpoints near the engine, sorted by name.
+    pub checkpoints: Vec<Checkpoint>,
+    /// The last orders, in the order in which they came.
+    pub orders: Vec<OrderRecord>,
+}
+
+impl TargetStatus {
+    /// Reads a status from the JSON that an engine sends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a field is missing, mistyped or named twice, or if an engine
+    /// reports the same model as loaded twice.
+    pub fn from_json(bytes: &[u8]) -> Result<TargetStatus, TargetError> {
+        let wire: WireStatus =
+            serde_json::from_slice(bytes).map_err(|source| Code::Json { source })?;
+        TargetStatus::try_from(wire)
+    }
+
+    /// Returns the state of the model or adapter called `name`.
+    pub fn loaded(&self, name: &str) -> Option<&Loaded> {
+        let index = self.loaded.binary_search_by(|loaded| loaded.name.as_str().cmp(name)).ok()?;
+        Some(&self.loaded[index])
+    }
+}
+
+/// A model or adapter in an engine's memory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loaded {
+    /// The name.
+    pub name: Name,
+    /// Memory that it takes.
+    pub memory_bytes: u64,
+    /// How far the load is.
+    pub state: LoadState,
+    /// The order that loaded it, if there was one.
+    pub order_id: Option<Name>,
+}
+
+/// How far a load is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadState {
+    /// Being loaded.
+    Loading,
+    /// Ready to serve.
+    Ready,
+    /// Being unloaded.
+    Unloading,
+}
+
+/// A checkpoint near an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checkpoint {
+    /// The model or adapter.
+    pub name: Name,
+    /// Where it lies.
+    pub place: CheckpointPlace,
+}
+
+/// Where a checkpoint lies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CheckpointPlace {
+    /// In the memory of the target's host.
+    Memory,
+    /// On its disk.
+    Disk,
+}
+
+/// What an engine remembers of an order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRecord {
+    /// The id of the order.
+    pub order_id: Name,
+    /// What became of it.
+    pub outcome: OrderOutcome,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireStatus {
+    incarnation: Incarnation,
+    state: HostState,
+    memory_total_bytes: u64,
+    memory_used_bytes: u64,
+    running: u32,
+    queued: u32,
+    highest_fence: u64,
+    loaded: Vec<Loaded>,
+    checkpoints: Vec<Checkpoint>,
+    orders: Vec<OrderRecord>,
+}
+
+impl TryFrom<WireStatus> for TargetStatus {
+    type Error = TargetError;
+
+    fn try_from(wire: WireStatus) -> Result<TargetStatus, TargetError> {
+        let WireStatus { mut loaded, mut checkpoints, .. } = wire;
+        loaded.sort_by(|left, right| left.name.cmp(&right.name));
+        if loaded.windows(2).any(|pair| pair[0].name == pair[1].name) {
+            return Err(Code::Field { field: "loaded", what: "a name stands twice" }.into());
+        }
+        checkpoints.sort_by(|left, right| left.name.cmp(&right.name));
+        Ok(TargetStatus {
+            incarnation: wire.incarnation,
+            state: wire.state,
+            memory_total_bytes: wire.memory_total_bytes,
+            memory_used_bytes: wire.memory_used_bytes,
+            running: wire.running,
+            queued: wire.queued,
+            highest_fence: wire.highest_fence,
+            loaded,
+            checkpoints,
+            orders: wire.orders,
+        })
+    }
+}
