Serve callers within bounds

Each connection reads a head and a body within its bounds of size and time, checks both, takes the key out of every place where one can be, and hands the request on. async-h1 resolves the target and encodes every answer; its accept loop isn't used, since it would read ahead into the next request and give no answer to a request that it refuses.

A hang-up is noticed by reading ahead, up to 8 KiB, while the handler works. Peeking was ruled out: behind a pipelined request it would spin. After a stop, an idle connection is kept for one second, since a request may be on its way; after a refusal the connection is read from for up to a second, since a close with unread bytes would reset it and lose the refusal. All bodies together may hold 64 MiB, as a bound for each alone still lets many callers take gigabytes. A key that also stands in the path, the query, a header or the body is refused rather than passed on.

--- a/crates/lycheeford-caller/src/bounds.rs
+++ b/crates/lycheeford-caller/src/bounds.rs
@@ -1,3 +1,8 @@
+/// The longest head that async-h1 takes is 8 KiB; some of it is left for its own lines.
+const HEAD_BYTES_LIMIT: usize = 7 * 1024;
+/// The bytes that all request bodies in memory may take together.
+pub(crate) const BODIES_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// Limits on what a caller may send, hold and wait for.
 ///
 /// Each keeps a slow or hostile caller from holding memory or a connection.
@@ -19,10 +24,18 @@
     pub connections_max: usize,
 }
 
+impl Bounds {
+    /// Returns the bounds with a head that async-h1 takes.
+    pub(crate) fn checked(mut self) -> Bounds {
+        self.head_bytes_max = self.head_bytes_max.min(HEAD_BYTES_LIMIT);
+        self
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
-            head_bytes_max: 7 * 1024,
+            head_bytes_max: HEAD_BYTES_LIMIT,
             head_ms_max: 5_000,
             body_bytes_max: 1024 * 1024,
             body_ms_max: 20_000,
--- /dev/null
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -0,0 +1,310 @@
+use std::future;
+use std::io;
+use std::sync::Arc;
+
+use async_h1::server::Encoder;
+use async_std::net::{Shutdown, TcpStream};
+use futures_util::FutureExt;
+use futures_util::io::AsyncWriteExt;
+use http_types::{Method, Response};
+use lycheeford_http::{
+    BodyDecoder, Category, Error, Framing, MessageReader, Persistence, RequestHead, read_some,
+};
+use lycheeford_policy::{Name, Refusal, RefusalCode};
+
+use crate::budget::{BodyBudget, Reservation};
+use crate::race::{unless, within};
+use crate::request::bad_request;
+use crate::{Bounds, CallerRequest, CallerResponse, Handler, Stop, refusal_response};
+
+/// How long an idle connection is kept after the stop for a request on its way.
+const DRAIN_IDLE_MS: u64 = 1_000;
+/// How long a closed connection is read from, so that its last answer isn't
+/// lost to a reset while the caller still sends.
+const LINGER_MS: u64 = 1_000;
+/// Bytes read ahead while a request is answered.
+const READ_AHEAD_BYTES_MAX: usize = 8 * 1024;
+/// Bytes gathered for one write.
+const WRITE_BYTES: usize = 16 * 1024;
+const RETRY_AFTER_MS: u64 = 1_000;
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// What all connections share.
+pub(crate) struct Server<H> {
+    pub(crate) bounds: Bounds,
+    pub(crate) budget: Arc<BodyBudget>,
+    pub(crate) handler: H,
+    pub(crate) stop: Stop,
+}
+
+/// Serves one connection until it closes.
+pub(crate) async fn run<H: Handler>(stream: TcpStream, server: Arc<Server<H>>) {
+    let mut connection = Connection::new(stream, server);
+    let end = loop {
+        match connection.serve_one().await {
+            Next::KeepAlive => {}
+            Next::End(end) => break end,
+        }
+    };
+    if end == End::Answered {
+        connection.linger().await;
+    }
+}
+
+/// Tells a caller that there are too many connections.
+pub(crate) async fn turn_away<H: Handler>(stream: TcpStream, server: Arc<Server<H>>) {
+    let mut connection = Connection::new(stream, server);
+    let refusal = overloaded("there are too many connections; try another host or later");
+    connection.refuse(&new_request_id(), &refusal).await;
+    connection.linger().await;
+}
+
+struct Connection<H> {
+    reader: MessageReader<TcpStream>,
+    writer: TcpStream,
+    server: Arc<Server<H>>,
+}
+
+/// What follows a request.
+enum Next {
+    KeepAlive,
+    End(End),
+}
+
+/// How a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The caller has got, or may still be reading, a last answer.
+    Answered,
+    /// Nobody waits for anything, or the answer is to be seen as cut.
+    Abandoned,
+}
+
+/// Why a request can't be handed on.
+enum Rejection {
+    /// The stream is usable no more.
+    Gone,
+    /// Where the request ends isn't known.
+    Unframed(Refusal),
+    /// The request was read whole.
+    Framed(Refusal, Method, Persistence),
+}
+
+impl<H: Handler> Connection<H> {
+    fn new(stream: TcpStream, server: Arc<Server<H>>) -> Connection<H> {
+        // Without it a short chunk could wait for the acknowledgement of the last.
+        let _ = stream.set_nodelay(true);
+        Connection { reader: MessageReader::new(stream.clone()), writer: stream, server }
+    }
+
+    async fn serve_one(&mut self) -> Next {
+        if self.reader.surplus_bytes() == 0 && !self.wait_for_request().await {
+            return Next::End(End::Abandoned);
+        }
+        let id = new_request_id();
+        let mut memory = self.server.budget.reservation();
+        match self.read_request(&id, &mut memory).await {
+            Ok((request, persistence)) => self.answer(request, persistence).await,
+            Err(Rejection::Gone) => Next::End(End::Abandoned),
+            Err(Rejection::Unframed(refusal)) => {
+                self.refuse(&id, &refusal).await;
+                Next::End(End::Answered)
+            }
+            Err(Rejection::Framed(refusal, method, persistence)) => {
+                let response = refusal_response(&id, &refusal);
+                self.write(&id, response, method, persistence).await
+            }
+        }
+    }
+
+    async fn wait_for_request(&mut self) -> bool {
+        let idle_ms_max = self.server.bounds.idle_ms_max;
+        let filled =
+            unless(self.server.stop.triggered(), within(idle_ms_max, self.reader.fill())).await;
+        let filled = match filled {
+            Some(filled) => filled,
+            None => within(DRAIN_IDLE_MS.min(idle_ms_max), self.reader.fill()).await,
+        };
+        matches!(filled, Some(Ok(1..)))
+    }
+
+    async fn read_request(
+        &mut self,
+        id: &Name,
+        memory: &mut Reservation,
+    ) -> Result<(CallerRequest, Persistence), Rejection> {
+        let bounds = self.server.bounds;
+        let Some(head) = within(bounds.head_ms_max, self.reader.head(bounds.head_bytes_max)).await
+        else {
+            return Err(too_slow("the head took too long; send it at once"));
+        };
+        let head = RequestHead::parse(&head.map_err(|error| rejection(&error))?)
+            .map_err(|error| rejection(&error))?;
+        check_declared_length(&head, bounds.body_bytes_max)?;
+        self.confirm_expectation(&head).await?;
+        let Some(body) = within(bounds.body_ms_max, self.read_body(head.framing, memory)).await
+        else {
+            return Err(too_slow("the body took too long; send it faster or in parts"));
+        };
+        let body = body?;
+        let (method, persistence) = (head.method, head.persistence);
+        match CallerRequest::new(id.clone(), head, body).await {
+            Ok(request) => Ok((request, persistence)),
+            Err(refusal) => Err(Rejection::Framed(refusal, method, persistence)),
+        }
+    }
+
+    async fn confirm_expectation(&mut self, head: &RequestHead) -> Result<(), Rejection> {
+        let mut expectations = head.values("expect").peekable();
+        if expectations.peek().is_none() {
+            return Ok(());
+        }
+        if !expectations.all(|value| value.eq_ignore_ascii_case("100-continue")) {
+            let refusal = bad_request("the expectation is unknown; expect 100-continue or nothing");
+            return Err(Rejection::Unframed(refusal));
+        }
+        if head.framing == Framing::Empty || self.reader.surplus_bytes() > 0 {
+            return Ok(());
+        }
+        self.write_bytes(CONTINUE).await.map_err(|_| Rejection::Gone)
+    }
+
+    async fn read_body(
+        &mut self,
+        framing: Framing,
+        memory: &mut Reservation,
+    ) -> Result<Vec<u8>, Rejection> {
+        let body_bytes_max = self.server.bounds.body_bytes_max;
+        let mut decoder = BodyDecoder::new(framing);
+        let mut body = Vec::new();
+        while let Some(chunk) =
+            self.reader.body_chunk(&mut decoder).await.map_err(|error| rejection(&error))?
+        {
+            if memory.held_bytes() + chunk.len() > body_bytes_max {
+                return Err(body_too_large(body_bytes_max));
+            }
+            if memory.grow(chunk.len()).is_none() {
+                let refusal = overloaded("the host is short of memory; try another host or later");
+                return Err(Rejection::Unframed(refusal));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body)
+    }
+
+    async fn answer(&mut self, request: CallerRequest, persistence: Persistence) -> Next {
+        let (id, method) = (request.id.clone(), request.method);
+        let handled = self.server.handler.handle(request);
+        match unless(hang_up(&mut self.reader), handled).await {
+            Some(response) => self.write(&id, response, method, persistence).await,
+            None => Next::End(End::Abandoned),
+        }
+    }
+
+    async fn refuse(&mut self, id: &Name, refusal: &Refusal) {
+        let response = refusal_response(id, refusal);
+        self.write(id, response, Method::Get, Persistence::Close).await;
+    }
+
+    async fn write(
+        &mut self,
+        id: &Name,
+        response: CallerResponse,
+        method: Method,
+        persistence: Persistence,
+    ) -> Next {
+        let is_last = persistence == Persistence::Close
+            || response.persistence() == Persistence::Close
+            || (self.server.stop.is_triggered() && self.reader.surplus_bytes() == 0);
+        let persistence = if is_last { Persistence::Close } else { Persistence::KeepAlive };
+        let response = response.into_http(id, persistence);
+        match self.write_response(response, method).await {
+            Ok(()) if is_last => Next::End(End::Answered),
+            Ok(()) => Next::KeepAlive,
+            Err(_) => Next::End(End::Abandoned),
+        }
+    }
+
+    async fn write_response(&mut self, response: Response, method: Method) -> io::Result<()> {
+        let mut encoder = Encoder::new(response, method);
+        let mut buffer = Vec::new();
+        loop {
+            buffer.clear();
+            let read = unless(hang_up(&mut self.reader), read_some(&mut encoder, &mut buffer));
+            let mut read = read.await.ok_or(io::ErrorKind::ConnectionAborted)?;
+            // Gathers what is there already, but waits for nothing.
+            while buffer.len() < WRITE_BYTES && matches!(read, Ok(1..)) {
+                match read_some(&mut encoder, &mut buffer).now_or_never() {
+                    Some(more) => read = more,
+                    None => break,
+                }
+            }
+            self.write_bytes(&buffer).await?;
+            if read? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn write_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let written = within(self.server.bounds.write_ms_max, self.writer.write_all(bytes)).await;
+        written.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    async fn linger(&mut self) {
+        let _ = self.writer.shutdown(Shutdown::Write);
+        let mut discarded = Vec::new();
+        let stream = &mut self.writer;
+        let drain = async {
+            while let Ok(1..) = read_some(stream, &mut discarded).await {
+                discarded.clear();
+            }
+        };
+        within(LINGER_MS, drain).await;
+    }
+}
+
+/// Waits until the caller closes its side, keeping what it sends meanwhile.
+async fn hang_up(reader: &mut MessageReader<TcpStream>) {
+    while reader.surplus_bytes() < READ_AHEAD_BYTES_MAX {
+        if !matches!(reader.fill().await, Ok(1..)) {
+            return;
+        }
+    }
+    future::pending::<()>().await;
+}
+
+fn new_request_id() -> Name {
+    Name::from(format!("{:032x}", rand::random::<u128>()))
+}
+
+fn check_declared_length(head: &RequestHead, body_bytes_max: usize) -> Result<(), Rejection> {
+    match head.framing {
+        Framing::Length(length_bytes) if length_bytes > body_bytes_max as u64 => {
+            Err(body_too_large(body_bytes_max))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn rejection(error: &Error) -> Rejection {
+    let code = match error.category() {
+        Category::Closed | Category::Broken => return Rejection::Gone,
+        Category::TooLarge => RefusalCode::TooLarge,
+        Category::Truncated | Category::Malformed => RefusalCode::BadRequest,
+    };
+    Rejection::Unframed(Refusal::not_run(code, error.to_string(), None))
+}
+
+fn body_too_large(body_bytes_max: usize) -> Rejection {
+    let message = format!("the body is over {body_bytes_max} bytes; send less");
+    Rejection::Unframed(Refusal::not_run(RefusalCode::TooLarge, message, None))
+}
+
+fn too_slow(message: &str) -> Rejection {
+    Rejection::Unframed(Refusal::not_run(RefusalCode::TooSlow, message, None))
+}
+
+fn overloaded(message: &str) -> Refusal {
+    Refusal::not_run(RefusalCode::Overloaded, message, Some(RETRY_AFTER_MS))
+}
--- a/crates/lycheeford-caller/src/lib.rs
+++ b/crates/lycheeford-caller/src/lib.rs
@@ -15,7 +15,10 @@
 //! docs/CALLERS.md describes the same for callers and operators.
 
 mod bounds;
+mod budget;
+mod connection;
 mod key;
+mod race;
 mod refusal;
 mod request;
 mod response;
@@ -30,5 +33,5 @@
 pub use crate::response::{CallerBody, CallerResponse};
 pub use crate::serve::{Handler, serve};
 pub use crate::stop::Stop;
-pub use crate::stream::{Aborted, ChunkReceiver, ChunkSender, HungUp, chunk_channel};
+pub use crate::stream::{ChunkReceiver, ChunkSender, HungUp, chunk_channel};
 pub use http_types::Method;
--- a/crates/lycheeford-caller/src/request.rs
+++ b/crates/lycheeford-caller/src/request.rs
@@ -1,7 +1,17 @@
-use http_types::Method;
-use lycheeford_policy::Name;
+use futures_util::io::Cursor;
+use http_types::{Method, Url};
+use lycheeford_http::{Header, RequestHead, strip_connection_headers};
+use lycheeford_policy::{Name, Refusal, RefusalCode};
+use percent_encoding::percent_decode_str;
 
 use crate::PresentedKey;
+use crate::key::take_key;
+
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const DEADLINE_MS_MAX: u64 = 24 * 60 * 60 * 1_000;
+const IDEMPOTENCY_KEY_BYTES_MAX: usize = 256;
 
 /// A checked request of a caller.
 ///
@@ -29,3 +39,97 @@
     /// The whole body, without chunk framing.
     pub body: Vec<u8>,
 }
+
+impl CallerRequest {
+    /// Checks what a head and a body say and takes the key out of them.
+    pub(crate) async fn new(
+        id: Name,
+        head: RequestHead,
+        body: Vec<u8>,
+    ) -> Result<CallerRequest, Refusal> {
+        let mut url = resolve_target(&head).await?;
+        check_path(url.path())?;
+        let RequestHead { method, mut headers, .. } = head;
+        let deadline_ms = single(&headers, DEADLINE_HEADER)?.map(parse_deadline).transpose()?;
+        let idempotency_key =
+            single(&headers, IDEMPOTENCY_HEADER)?.map(parse_idempotency_key).transpose()?;
+        let key = take_key(&mut headers, &mut url)?;
+        strip_connection_headers(&mut headers);
+        headers.retain(|(name, _)| name != DEADLINE_HEADER && name != REQUEST_ID_HEADER);
+        let request = CallerRequest {
+            id,
+            method,
+            path: url.path().to_owned(),
+            query: url.query().map(str::to_owned),
+            headers,
+            key,
+            idempotency_key,
+            deadline_ms,
+            body,
+        };
+        request.check_for_stray_key()?;
+        Ok(request)
+    }
+
+    fn check_for_stray_key(&self) -> Result<(), Refusal> {
+        let Some(key) = &self.key else { return Ok(()) };
+        let is_stray = key.is_in(self.path.as_bytes())
+            || key.is_in(self.query.as_deref().unwrap_or_default().as_bytes())
+            || self.headers.iter().any(|(_, value)| key.is_in(value.as_bytes()))
+            || key.is_in(&self.body);
+        if is_stray {
+            return Err(bad_request("the key stands in a second place; send it in one header"));
+        }
+        Ok(())
+    }
+}
+
+/// Lets async-h1 resolve the request's target against its host.
+async fn resolve_target(head: &RequestHead) -> Result<Url, Refusal> {
+    let host = head.values("host").next().unwrap_or_default();
+    let replay = format!("{} {} HTTP/1.1\r\nhost: {host}\r\n\r\n", head.method, head.target);
+    match async_h1::server::decode(Cursor::new(replay.into_bytes())).await {
+        Ok(Some((request, _))) => Ok(request.url().clone()),
+        _ => Err(bad_request("the target or the host isn't valid; correct the URL")),
+    }
+}
+
+/// Refuses a path that a target could resolve to another one than the router.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let decoded = percent_decode_str(path).decode_utf8_lossy();
+    let is_dotted = decoded.split(['/', '\\']).any(|part| part == "." || part == "..");
+    if is_dotted || decoded.contains(|character: char| character.is_ascii_control()) {
+        return Err(bad_request("the path hides dot segments or controls; send a plain path"));
+    }
+    Ok(())
+}
+
+fn single<'a>(headers: &'a [Header], name: &str) -> Result<Option<&'a str>, Refusal> {
+    let mut values = headers.iter().filter(|header| header.0 == name);
+    let value = values.next();
+    if values.next().is_some() {
+        return Err(bad_request(format!("the header {name} repeats; send it once")));
+    }
+    Ok(value.map(|header| header.1.as_str()))
+}
+
+fn parse_deadline(text: &str) -> Result<u64, Refusal> {
+    let is_plain = text.bytes().all(|byte| byte.is_ascii_digit());
+    match text.parse() {
+        Ok(deadline_ms) if is_plain && (1..=DEADLINE_MS_MAX).contains(&deadline_ms) => {
+            Ok(deadline_ms)
+        }
+        _ => Err(bad_request("x-deadline-ms isn't a number of milliseconds; send 1 to 86400000")),
+    }
+}
+
+fn parse_idempotency_key(text: &str) -> Result<Name, Refusal> {
+    if text.is_empty() || text.len() > IDEMPOTENCY_KEY_BYTES_MAX {
+        return Err(bad_request("idempotency-key is empty or over 256 bytes; send a short one"));
+    }
+    Ok(Name::from(text))
+}
+
+pub(crate) fn bad_request(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(RefusalCode::BadRequest, message, None)
+}
--- a/crates/lycheeford-caller/src/response.rs
+++ b/crates/lycheeford-caller/src/response.rs
@@ -1,11 +1,21 @@
+use http_types::{Body, Response, StatusCode};
+use lycheeford_http::{Persistence, is_sendable, strip_connection_headers};
+use lycheeford_policy::Name;
+
 use crate::ChunkReceiver;
 
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// An answer to a caller.
 #[derive(Debug)]
 pub struct CallerResponse {
     /// The status code.
     pub status: u16,
-    /// The headers; those that concern the connection are set by the server.
+    /// The headers.
+    ///
+    /// Those that concern the connection are set by the server, but
+    /// `connection: close` is honoured: it moves a caller off a host that is
+    /// about to shut down.
     pub headers: Vec<(String, String)>,
     /// The body.
     pub body: CallerBody,
@@ -19,3 +29,48 @@
     /// Chunks that are sent as they come.
     Stream(ChunkReceiver),
 }
+
+impl CallerResponse {
+    /// Returns whether the handler asked to close the connection.
+    pub(crate) fn persistence(&self) -> Persistence {
+        let closes = self.headers.iter().any(|(name, value)| {
+            name.eq_ignore_ascii_case("connection") && value.eq_ignore_ascii_case("close")
+        });
+        if closes { Persistence::Close } else { Persistence::KeepAlive }
+    }
+
+    /// Returns the answer as async-h1 encodes it.
+    pub(crate) fn into_http(self, id: &Name, persistence: Persistence) -> Response {
+        let mut response = Response::new(status_code(self.status));
+        let mut headers = self.headers;
+        for (name, _) in &mut headers {
+            name.make_ascii_lowercase();
+        }
+        strip_connection_headers(&mut headers);
+        headers.retain(|(name, value)| is_sendable(name, value));
+        response.set_body(match self.body {
+            CallerBody::Whole(bytes) => Body::from_bytes(bytes),
+            CallerBody::Stream(receiver) => Body::from_reader(receiver, None),
+        });
+        response.remove_header("content-type");
+        for (name, value) in &headers {
+            response.append_header(name.as_str(), value.as_str());
+        }
+        response.insert_header(REQUEST_ID_HEADER, id.as_str());
+        if persistence == Persistence::Close {
+            response.insert_header("connection", "close");
+        }
+        response
+    }
+}
+
+/// Returns the code, or the first of its class if the library doesn't know it.
+fn status_code(status: u16) -> StatusCode {
+    StatusCode::try_from(status).unwrap_or(match status {
+        200..300 => StatusCode::Ok,
+        300..400 => StatusCode::MultipleChoice,
+        400..500 => StatusCode::BadRequest,
+        500..600 => StatusCode::InternalServerError,
+        _ => StatusCode::BadGateway,
+    })
+}
--- a/crates/lycheeford-caller/src/stream.rs
+++ b/crates/lycheeford-caller/src/stream.rs
@@ -1,7 +1,12 @@
+use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
 
 use async_std::channel::{self, Receiver, Sender};
+use futures_util::io::{AsyncBufRead, AsyncRead};
+use futures_util::stream::Stream;
 use snafu::Snafu;
 
 /// Chunks that may wait for a slow caller; the sender waits when they are full.
@@ -17,7 +22,13 @@
     let (guard, hang_up) = channel::bounded(1);
     let finished = Arc::new(AtomicBool::new(false));
     let sender = ChunkSender { chunks: chunk_sender, finished: Arc::clone(&finished), hang_up };
-    let receiver = ChunkReceiver { chunks: chunk_receiver, finished, _guard: guard };
+    let receiver = ChunkReceiver {
+        chunks: chunk_receiver,
+        finished,
+        chunk: Vec::new(),
+        read_bytes: 0,
+        _guard: guard,
+    };
     (sender, receiver)
 }
 
@@ -60,24 +71,57 @@
 }
 
 /// The end of a streamed body that the server reads from.
+///
+/// It reads one chunk at a time, so that the first one goes out at once
+/// instead of waiting for a buffer to fill.
 #[derive(Debug)]
 pub struct ChunkReceiver {
     chunks: Receiver<Vec<u8>>,
     finished: Arc<AtomicBool>,
+    chunk: Vec<u8>,
+    read_bytes: usize,
     _guard: Sender<()>,
 }
 
 impl ChunkReceiver {
-    /// Returns the next chunk, or `None` after a clean end.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the sender was dropped without [`ChunkSender::finish`].
-    pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, Aborted> {
-        if let Ok(chunk) = self.chunks.recv().await {
-            return Ok(Some(chunk));
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.read_bytes == self.chunk.len() {
+            match ready!(Pin::new(&mut self.chunks).poll_next(context)) {
+                Some(chunk) => {
+                    self.chunk = chunk;
+                    self.read_bytes = 0;
+                }
+                None if self.finished.load(Ordering::Acquire) => break,
+                None => return Poll::Ready(Err(io::Error::other(Aborted))),
+            }
         }
-        if self.finished.load(Ordering::Acquire) { Ok(None) } else { Err(Aborted) }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncBufRead for ChunkReceiver {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let receiver = self.get_mut();
+        ready!(receiver.poll_chunk(context))?;
+        Poll::Ready(Ok(&receiver.chunk[receiver.read_bytes..]))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, length_bytes: usize) {
+        self.read_bytes += length_bytes;
+    }
+}
+
+impl AsyncRead for ChunkReceiver {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(context))?;
+        let length_bytes = available.len().min(buffer.len());
+        buffer[..length_bytes].copy_from_slice(&available[..length_bytes]);
+        self.consume(length_bytes);
+        Poll::Ready(Ok(length_bytes))
     }
 }
 
@@ -86,7 +130,6 @@
 #[snafu(display("the caller hung up; cancel the work for it"))]
 pub struct HungUp;
 
-/// The sender of a streamed body gave it up.
 #[derive(Debug, Snafu)]
 #[snafu(display("the answer was given up before its end; send the request again"))]
-pub struct Aborted;
+struct Aborted;
--- /dev/null
+++ b/crates/lycheeford-caller/tests/common/mod.rs
@@ -0,0 +1,172 @@
+//! A server with a handler whose behaviour the path selects, and raw callers.
+
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_std::channel::{self, Receiver, Sender};
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use lycheeford_caller::{
+    Bounds, CallerBody, CallerRequest, CallerResponse, Handler, PresentedKey, Stop, chunk_channel,
+    serve,
+};
+
+/// Waits of this length end only in failing tests.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Server {
+    pub address: SocketAddr,
+    pub stop: Stop,
+    pub calls: Arc<AtomicUsize>,
+    pub cancelled: Receiver<()>,
+    pub proceed: Sender<()>,
+    pub done: JoinHandle<()>,
+}
+
+pub fn start(bounds: Bounds) -> Server {
+    let (cancelled_sender, cancelled) = channel::unbounded();
+    let (proceed, proceed_receiver) = channel::unbounded();
+    let probe =
+        Probe { calls: Arc::default(), cancelled: cancelled_sender, proceed: proceed_receiver };
+    let calls = Arc::clone(&probe.calls);
+    let stop = Stop::new();
+    let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let address = listener.local_addr().unwrap();
+    let done = task::spawn(serve(listener, bounds, probe, stop.clone()));
+    Server { address, stop, calls, cancelled, proceed, done }
+}
+
+impl Server {
+    pub fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Sends `bytes` and returns all that comes back until the server closes.
+    pub fn exchange(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect();
+        // The server may refuse and close before it has read everything.
+        let _ = stream.write_all(bytes);
+        read_to_close(&mut stream)
+    }
+}
+
+pub fn read_to_close(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    String::from_utf8(answer).unwrap()
+}
+
+/// Reads until `text` has come.
+pub fn read_until(stream: &mut TcpStream, text: &str) -> String {
+    let mut seen = Vec::new();
+    let mut byte = [0];
+    while !seen.ends_with(text.as_bytes()) {
+        assert_eq!(stream.read(&mut byte).unwrap(), 1, "{}", String::from_utf8_lossy(&seen));
+        seen.push(byte[0]);
+    }
+    String::from_utf8(seen).unwrap()
+}
+
+pub fn half_close(stream: &TcpStream) {
+    stream.shutdown(Shutdown::Write).unwrap();
+}
+
+#[derive(Clone)]
+struct Probe {
+    calls: Arc<AtomicUsize>,
+    cancelled: Sender<()>,
+    proceed: Receiver<()>,
+}
+
+impl Handler for Probe {
+    async fn handle(&self, request: CallerRequest) -> CallerResponse {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        match request.path.as_str() {
+            "/wait" => {
+                let guard = CancelGuard(self.cancelled.clone());
+                let _ = self.proceed.recv().await;
+                std::mem::forget(guard);
+                whole("waited")
+            }
+            "/stream" => self.stream(),
+            "/abandon" => abandon().await,
+            _ => whole(&describe(&request)),
+        }
+    }
+}
+
+impl Probe {
+    /// Streams the clock of the test: a chunk now, one at each signal, and then its end.
+    fn stream(&self) -> CallerResponse {
+        let (sender, receiver) = chunk_channel();
+        let probe = self.clone();
+        task::spawn(async move {
+            let mut chunk = b"first".to_vec();
+            loop {
+                if sender.send(chunk).await.is_err() {
+                    let _ = probe.cancelled.try_send(());
+                    return;
+                }
+                let signal = async { Some(probe.proceed.recv().await) };
+                let hung_up = async {
+                    sender.hung_up().await;
+                    None
+                };
+                chunk = match async_std::prelude::FutureExt::race(signal, hung_up).await {
+                    Some(Ok(())) => vec![b'x'; 64 * 1024],
+                    Some(Err(_)) => return sender.finish(),
+                    None => {
+                        let _ = probe.cancelled.try_send(());
+                        return sender.fail();
+                    }
+                };
+            }
+        });
+        CallerResponse { status: 200, headers: Vec::new(), body: CallerBody::Stream(receiver) }
+    }
+}
+
+async fn abandon() -> CallerResponse {
+    let (sender, receiver) = chunk_channel();
+    sender.send(b"part".to_vec()).await.unwrap();
+    drop(sender);
+    CallerResponse { status: 200, headers: Vec::new(), body: CallerBody::Stream(receiver) }
+}
+
+struct CancelGuard(Sender<()>);
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        let _ = self.0.try_send(());
+    }
+}
+
+fn whole(text: &str) -> CallerResponse {
+    let body = CallerBody::Whole(text.as_bytes().to_vec());
+    CallerResponse { status: 200, headers: Vec::new(), body }
+}
+
+fn describe(request: &CallerRequest) -> String {
+    format!(
+        "{} {} query={:?} key={:?} idempotency={:?} deadline={:?} headers={:?} body={}",
+        request.method,
+        request.path,
+        request.query,
+        request.key.as_ref().map(PresentedKey::as_str),
+        request.idempotency_key.as_deref(),
+        request.deadline_ms,
+        request.headers,
+        String::from_utf8_lossy(&request.body),
+    )
+}
--- /dev/null
+++ b/crates/lycheeford-caller/tests/hang_up.rs
@@ -0,0 +1,94 @@
+//! Callers that leave or stop reading, and handlers that give up.
+
+mod common;
+
+use std::io::{Read, Write};
+
+use async_std::future::timeout;
+use async_std::task;
+use lycheeford_caller::{Bounds, chunk_channel};
+
+use crate::common::{PATIENCE, Server, read_until, start};
+
+struct Case {
+    name: &'static str,
+    request: &'static [u8],
+    until: Option<&'static str>,
+}
+
+#[test]
+fn a_hang_up_cancels_the_work() {
+    let cases = [
+        Case {
+            name: "while the request waits",
+            request: b"GET /wait HTTP/1.1\r\nhost: h\r\n\r\n",
+            until: None,
+        },
+        Case {
+            name: "behind a pipelined request",
+            request: b"GET /wait HTTP/1.1\r\nhost: h\r\n\r\nGET / HTTP/1.1\r\nhost: h\r\n\r\n",
+            until: None,
+        },
+        Case {
+            name: "in a stream",
+            request: b"GET /stream HTTP/1.1\r\nhost: h\r\n\r\n",
+            until: Some("first\r\n"),
+        },
+    ];
+    for case in cases {
+        let server = start(Bounds::default());
+        let mut stream = server.connect();
+        stream.write_all(case.request).unwrap();
+        if let Some(until) = case.until {
+            read_until(&mut stream, until);
+        }
+        while server.calls() == 0 {
+            std::thread::yield_now();
+        }
+        drop(stream);
+        assert_cancelled(&server, case.name);
+        assert_eq!(server.calls(), 1, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_caller_that_stops_reading_is_dropped() {
+    let server = start(Bounds { write_ms_max: 200, ..Bounds::default() });
+    let mut stream = server.connect();
+    stream.write_all(b"GET /stream HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
+    read_until(&mut stream, "first\r\n");
+    // Far more than the socket buffers of both sides hold.
+    for _ in 0..1_000 {
+        server.proceed.try_send(()).unwrap();
+    }
+    assert_cancelled(&server, "stopped reading");
+    assert!(!server.proceed.is_empty(), "everything was sent into memory");
+}
+
+fn assert_cancelled(server: &Server, name: &str) {
+    let cancelled = task::block_on(timeout(PATIENCE, server.cancelled.recv()));
+    assert!(matches!(cancelled, Ok(Ok(()))), "{name}: the work went on");
+}
+
+#[test]
+fn an_abandoned_stream_never_ends_cleanly() {
+    let server = start(Bounds::default());
+    let mut stream = server.connect();
+    stream.write_all(b"GET /abandon HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("\r\n4\r\npart\r\n"), "{answer}");
+}
+
+#[test]
+fn a_full_channel_holds_its_sender_back() {
+    let (sender, receiver) = chunk_channel();
+    let mut queued = 0;
+    while let Some(sent) = futures_util::FutureExt::now_or_never(sender.send(vec![1])) {
+        sent.unwrap();
+        queued += 1;
+        assert!(queued < 100, "the channel has no bound");
+    }
+    drop(receiver);
+    assert!(task::block_on(sender.send(vec![1])).is_err());
+}
