Call targets and know whether a failed call may have run

An answer counts as whole only if its length or its last chunk says so: a short body, an answer with neither, a pause, an endless head and a body over the bound are errors, each with a category. may_have_run is false only if the system accepted no byte for sending. Nothing is sent twice; the daemon decides on a retry.

A connection goes back to the pool after a whole answer and is taken out again only if it is young and nothing, not even its end, has come on it since. The check stands at the taking alone: bytes may arrive after the putting, too. A task closes old connections, so that an idle client holds none. The request's path must be what a URL parser leaves as it is, so that the target sees what the router decided on; a test of that found that a fragment slipped through.

Seen to fail without the mechanism, each by a scratch edit: an early end taken for the whole ("ic" for truncated), the quiet check ("late" for "1"), use after connection: close, use before the end, an error followed by a clean end, the bounds of body, head and event, the limits on the first byte and between bytes (no end within 30 s), normalised paths, split headers, a model loaded twice, CR LF as two line ends. The age is checked at the taking and by the task; the test failed only with both taken away.

The chunk decoder now refuses a chunk that is longer than its size at its first surplus byte, rather than at the end of that line.

--- a/crates/lycheeford-caller/tests/requests.rs
+++ b/crates/lycheeford-caller/tests/requests.rs
@@ -121,9 +121,10 @@
         std::thread::yield_now();
     }
     let mut late = server.connect();
+    late.write_all(b"GET / HTTP/1.1\r\n").unwrap();
     let triggered_at = Instant::now();
     server.stop.trigger();
-    late.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
+    late.write_all(b"host: h\r\n\r\n").unwrap();
     assert!(read_to_close(&mut late).contains("\r\nconnection: close\r\n"));
     assert_eq!(idle.read(&mut [0]).unwrap(), 0, "the idle connection stayed open");
     // A request that is on its way at the stop still finds the connection open.
--- a/crates/lycheeford-http/src/body.rs
+++ b/crates/lycheeford-http/src/body.rs
@@ -112,6 +112,9 @@
             return Err(Code::TooLarge { part, limit_bytes }.into());
         }
         self.line.extend_from_slice(piece);
+        if self.state == State::ChunkEnd && !b"\r\n".starts_with(&self.line) {
+            return Err(malformed("a chunk is longer than its size; correct the size"));
+        }
         Ok(())
     }
 
@@ -126,9 +129,6 @@
                 check_trailers(&self.line)?;
                 self.state = State::Complete;
             }
-            _ if self.line != b"\r\n" => {
-                return Err(malformed("a chunk is longer than its size; correct the size"));
-            }
             _ => self.state = State::ChunkSize,
         }
         self.line.clear();
--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -1,21 +1,38 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use http_types::Method;
+use lycheeford_http::{BodyDecoder, Persistence, strip_connection_headers};
 
 use crate::error::Code;
+use crate::link::Link;
+use crate::pool::Pool;
+use crate::response::Home;
+use crate::wire::WireOrder;
 use crate::{
-    Order, OrderOutcome, TargetError, TargetLimits, TargetRequest, TargetResponse, TargetStatus,
+    Connection, Order, OrderOutcome, TargetBody, TargetError, TargetLimits, TargetRequest,
+    TargetResponse, TargetStatus,
 };
 
+/// How long a status may take altogether; health must be known soon.
+const STATUS_MS_MAX: u64 = 2_000;
+const STATUS_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// How long an engine may take to accept an order.
+const ORDER_MS_MAX: u64 = 5_000;
+
 /// Calls targets over pooled or fresh connections; clones share the pool.
 #[derive(Debug, Clone)]
 pub struct TargetClient {
     limits: Arc<TargetLimits>,
+    pool: Pool,
 }
 
 impl TargetClient {
     /// Returns a client with an empty pool.
     pub fn new(limits: TargetLimits) -> TargetClient {
-        TargetClient { limits: Arc::new(limits) }
+        TargetClient { pool: Pool::new(&limits), limits: Arc::new(limits) }
     }
 
     /// Sends a request and returns the answer as soon as its head is there.
@@ -25,14 +42,28 @@
     ///
     /// # Errors
     ///
-    /// Fails if no whole head of an answer comes within the limits.
+    /// Fails if no whole head of an answer comes within the limits. A pooled
+    /// connection that the target closed meanwhile gives an error that the
+    /// call may have run, since the target may have closed it after the call.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: &TargetRequest,
     ) -> Result<TargetResponse, TargetError> {
-        let _ = (address, request, &self.limits);
-        std::future::ready(Err(Code::Closed.into())).await
+        let encoded = request.to_http(address)?;
+        let mut link = self.link(address, request.connection).await?;
+        link.send(encoded, &self.limits).await?;
+        let first_byte_ms_max = request.first_byte_ms_max.unwrap_or(self.limits.first_byte_ms_max);
+        let between_bytes_ms_max = self.limits.between_bytes_ms_max;
+        let mut head =
+            link.receive_head(request.method, first_byte_ms_max, between_bytes_ms_max).await?;
+        let home = match (request.connection, head.persistence) {
+            (Connection::Pooled, Persistence::KeepAlive) => Home::Pool(self.pool.clone(), address),
+            _ => Home::Nowhere,
+        };
+        strip_connection_headers(&mut head.headers);
+        let body = TargetBody::new(link, BodyDecoder::new(head.framing), home, &self.limits);
+        Ok(TargetResponse { status: head.status, headers: head.headers, body })
     }
 
     /// Asks an engine for its status, on a fresh connection with short limits.
@@ -41,8 +72,25 @@
     ///
     /// Fails if the engine doesn't answer in time or not with a status.
     pub async fn status(&self, address: SocketAddr) -> Result<TargetStatus, TargetError> {
-        let _ = address;
-        std::future::ready(Err(Code::Closed.into())).await
+        let request = TargetRequest {
+            method: Method::Get,
+            path_and_query: "/status".to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            connection: Connection::Fresh,
+            first_byte_ms_max: Some(STATUS_MS_MAX),
+        };
+        let exchange = async {
+            let response = self.call(address, &request).await?;
+            match response.status {
+                200 => response.body.whole(STATUS_BYTES_MAX).await,
+                status => Err(Code::Status { status }.into()),
+            }
+        };
+        let body = timeout(Duration::from_millis(STATUS_MS_MAX), exchange)
+            .await
+            .map_err(|_| Code::FirstByteTimeout { limit_ms: STATUS_MS_MAX })??;
+        TargetStatus::from_json(&body)
     }
 
     /// Sends an order once, on a fresh connection.
@@ -56,7 +104,33 @@
         address: SocketAddr,
         order: &Order,
     ) -> Result<OrderOutcome, TargetError> {
-        let _ = (address, order);
-        std::future::ready(Err(Code::Closed.into())).await
+        let body = serde_json::to_vec(&WireOrder::from(order))
+            .map_err(|_| Code::Request { what: "the order can't be written as JSON" })?;
+        let request = TargetRequest {
+            method: Method::Post,
+            path_and_query: "/orders".to_owned(),
+            headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+            body,
+            connection: Connection::Fresh,
+            first_byte_ms_max: Some(ORDER_MS_MAX),
+        };
+        let response = self.call(address, &request).await?;
+        match response.status {
+            202 => Ok(OrderOutcome::Accepted),
+            409 => Ok(OrderOutcome::RefusedStaleFence),
+            507 => Ok(OrderOutcome::RefusedMemory),
+            status => Err(Code::Status { status }.into()),
+        }
+    }
+
+    async fn link(&self, address: SocketAddr, connection: Connection) -> Result<Link, TargetError> {
+        let pooled = match connection {
+            Connection::Pooled => self.pool.take(address),
+            Connection::Fresh => None,
+        };
+        match pooled {
+            Some(link) => Ok(link),
+            None => Link::open(address, self.limits.connect_ms_max).await,
+        }
     }
 }
--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -22,7 +22,8 @@
             Code::Write { .. } | Code::Read { .. } | Code::Closed => Category::Broken,
             Code::Truncated => Category::Truncated,
             Code::Head { .. }
-            | Code::Framing { .. }
+            | Code::Body { .. }
+            | Code::Interim
             | Code::TooLarge { .. }
             | Code::Json { .. }
             | Code::Field { .. }
@@ -74,7 +75,6 @@
 
 /// The cause of a failed call.
 #[derive(Debug, Snafu)]
-#[expect(dead_code, reason = "the client that fails in these ways follows")]
 pub(crate) enum Code {
     #[snafu(display("the request can't be sent: {what}; correct the request"))]
     Request { what: &'static str },
@@ -98,10 +98,12 @@
     Closed,
     #[snafu(display("the answer ended too early; check the target before a resend"))]
     Truncated,
-    #[snafu(display("the head of the answer is malformed: {what}; mend the target"))]
-    Head { what: &'static str },
-    #[snafu(display("the framing of the answer is malformed: {what}; mend the target"))]
-    Framing { what: &'static str },
+    #[snafu(display("the head of the answer is refused: {source}; mend the target"))]
+    Head { source: lycheeford_http::Error },
+    #[snafu(display("the body of the answer is refused: {source}; mend the target"))]
+    Body { source: lycheeford_http::Error },
+    #[snafu(display("the target answered 101 or too many interim heads; mend the target"))]
+    Interim,
     #[snafu(display("the answer is over {limit_bytes} bytes; raise the limit or mend the target"))]
     TooLarge { limit_bytes: usize },
     #[snafu(display("the answer isn't the expected JSON: {source}; mend the target"))]
--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -13,10 +13,13 @@
 mod error;
 mod event;
 mod limits;
+mod link;
 mod order;
+mod pool;
 mod request;
 mod response;
 mod status;
+mod wire;
 
 pub use crate::client::TargetClient;
 pub use crate::completion::{CompletionEvent, Usage};
--- a/crates/lycheeford-target/src/order.rs
+++ b/crates/lycheeford-target/src/order.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 /// An order to an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
     /// The id, unique for each order that is ever sent.
     pub order_id: Name,
@@ -29,7 +29,7 @@
 }
 
 /// What became of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderOutcome {
     /// The engine took it and works on it.
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -1,5 +1,12 @@
-use crate::TargetError;
+use std::mem;
+use std::net::SocketAddr;
+
+use lycheeford_http::BodyDecoder;
+
 use crate::error::Code;
+use crate::link::Link;
+use crate::pool::Pool;
+use crate::{TargetError, TargetLimits};
 
 /// An answer of a target, whose body may still be on its way.
 ///
@@ -16,16 +23,68 @@
 
 /// The body of an answer.
 #[derive(Debug)]
-pub struct TargetBody;
+pub struct TargetBody {
+    state: State,
+    between_bytes_ms_max: u64,
+    answer_bytes_max: usize,
+    received_bytes: usize,
+}
+
+#[derive(Debug)]
+enum State {
+    Open { link: Link, decoder: BodyDecoder, home: Home },
+    Whole,
+    Failed,
+}
+
+/// Where a connection goes after a whole answer.
+#[derive(Debug)]
+pub(crate) enum Home {
+    /// Back to the pool.
+    Pool(Pool, SocketAddr),
+    /// Nowhere; it is closed.
+    Nowhere,
+}
 
 impl TargetBody {
+    pub(crate) fn new(
+        link: Link,
+        decoder: BodyDecoder,
+        home: Home,
+        limits: &TargetLimits,
+    ) -> TargetBody {
+        let mut body = TargetBody {
+            state: State::Open { link, decoder, home },
+            between_bytes_ms_max: limits.between_bytes_ms_max,
+            answer_bytes_max: limits.answer_bytes_max,
+            received_bytes: 0,
+        };
+        body.release_if_whole();
+        body
+    }
+
     /// Returns the next bytes, or `None` after the whole body.
     ///
+    /// Dropping the future loses nothing.
+    ///
     /// # Errors
     ///
-    /// Fails if the answer is cut, malformed, too large, or pauses too long.
+    /// Fails if the answer is cut, malformed, too large, or pauses too long;
+    /// the connection is closed then.
     pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, TargetError> {
-        std::future::ready(Err(Code::Closed.into())).await
+        let received = match &mut self.state {
+            State::Whole => return Ok(None),
+            State::Failed => return Err(Code::Truncated.into()),
+            State::Open { link, decoder, .. } => {
+                link.receive_chunk(decoder, self.between_bytes_ms_max).await
+            }
+        };
+        let checked = received.and_then(|chunk| self.count(chunk));
+        match checked {
+            Ok(_) => self.release_if_whole(),
+            Err(_) => self.state = State::Failed,
+        }
+        checked
     }
 
     /// Returns the whole body, of at most `bytes_max` bytes.
@@ -43,4 +102,22 @@
         }
         Ok(whole)
     }
+
+    fn count(&mut self, chunk: Option<Vec<u8>>) -> Result<Option<Vec<u8>>, TargetError> {
+        self.received_bytes += chunk.as_ref().map_or(0, Vec::len);
+        if self.received_bytes > self.answer_bytes_max {
+            return Err(Code::TooLarge { limit_bytes: self.answer_bytes_max }.into());
+        }
+        Ok(chunk)
+    }
+
+    fn release_if_whole(&mut self) {
+        if !matches!(&self.state, State::Open { decoder, .. } if decoder.is_complete()) {
+            return;
+        }
+        let state = mem::replace(&mut self.state, State::Whole);
+        if let State::Open { link, home: Home::Pool(pool, address), .. } = state {
+            pool.put(address, link);
+        }
+    }
 }
--- a/crates/lycheeford-target/src/status.rs
+++ b/crates/lycheeford-target/src/status.rs
@@ -1,7 +1,8 @@
 use lycheeford_policy::{HostState, Incarnation, Name};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 
 use crate::error::Code;
+use crate::wire::WireStatus;
 use crate::{OrderOutcome, TargetError};
 
 /// What an engine reports of itself.
@@ -50,7 +51,7 @@
 }
 
 /// A model or adapter in an engine's memory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Loaded {
     /// The name.
     pub name: Name,
@@ -63,7 +64,7 @@
 }
 
 /// How far a load is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LoadState {
     /// Being loaded.
@@ -75,7 +76,7 @@
 }
 
 /// A checkpoint near an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Checkpoint {
     /// The model or adapter.
     pub name: Name,
@@ -84,7 +85,7 @@
 }
 
 /// Where a checkpoint lies.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CheckpointPlace {
     /// In the memory of the target's host.
@@ -94,49 +95,10 @@
 }
 
 /// What an engine remembers of an order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrderRecord {
     /// The id of the order.
     pub order_id: Name,
     /// What became of it.
     pub outcome: OrderOutcome,
 }
-
-#[derive(Debug, Deserialize)]
-struct WireStatus {
-    incarnation: Incarnation,
-    state: HostState,
-    memory_total_bytes: u64,
-    memory_used_bytes: u64,
-    running: u32,
-    queued: u32,
-    highest_fence: u64,
-    loaded: Vec<Loaded>,
-    checkpoints: Vec<Checkpoint>,
-    orders: Vec<OrderRecord>,
-}
-
-impl TryFrom<WireStatus> for TargetStatus {
-    type Error = TargetError;
-
-    fn try_from(wire: WireStatus) -> Result<TargetStatus, TargetError> {
-        let WireStatus { mut loaded, mut checkpoints, .. } = wire;
-        loaded.sort_by(|left, right| left.name.cmp(&right.name));
-        if loaded.windows(2).any(|pair| pair[0].name == pair[1].name) {
-            return Err(Code::Field { field: "loaded", what: "a name stands twice" }.into());
-        }
-        checkpoints.sort_by(|left, right| left.name.cmp(&right.name));
-        Ok(TargetStatus {
-            incarnation: wire.incarnation,
-            state: wire.state,
-            memory_total_bytes: wire.memory_total_bytes,
-            memory_used_bytes: wire.memory_used_bytes,
-            running: wire.running,
-            queued: wire.queued,
-            highest_fence: wire.highest_fence,
-            loaded,
-            checkpoints,
-            orders: wire.orders,
-        })
-    }
-}
--- /dev/null
+++ b/crates/lycheeford-target/src/wire.rs
@@ -0,0 +1,113 @@
+//! The JSON forms that engines send and take.
+
+use lycheeford_policy::{HostState, Incarnation, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::error::Code;
+use crate::{
+    Action, Checkpoint, CheckpointPlace, LoadState, Loaded, Order, OrderOutcome, OrderRecord,
+    TargetError, TargetStatus,
+};
+
+#[derive(Debug, Serialize)]
+pub(crate) struct WireOrder<'a> {
+    order_id: &'a Name,
+    fence: u64,
+    action: Action,
+    name: &'a Name,
+    base: Option<&'a Name>,
+    memory_bytes: u64,
+}
+
+impl<'a> From<&'a Order> for WireOrder<'a> {
+    fn from(order: &'a Order) -> WireOrder<'a> {
+        WireOrder {
+            order_id: &order.order_id,
+            fence: order.fence,
+            action: order.action,
+            name: &order.name,
+            base: order.base.as_ref(),
+            memory_bytes: order.memory_bytes,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct WireStatus {
+    incarnation: Incarnation,
+    state: HostState,
+    memory_total_bytes: u64,
+    memory_used_bytes: u64,
+    running: u32,
+    queued: u32,
+    highest_fence: u64,
+    loaded: Vec<WireLoaded>,
+    checkpoints: Vec<WireCheckpoint>,
+    orders: Vec<WireOrderRecord>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireLoaded {
+    name: Name,
+    memory_bytes: u64,
+    state: LoadState,
+    order_id: Option<Name>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireCheckpoint {
+    name: Name,
+    place: CheckpointPlace,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireOrderRecord {
+    order_id: Name,
+    outcome: OrderOutcome,
+}
+
+impl TryFrom<WireStatus> for TargetStatus {
+    type Error = TargetError;
+
+    fn try_from(wire: WireStatus) -> Result<TargetStatus, TargetError> {
+        let mut loaded: Vec<Loaded> = wire.loaded.into_iter().map(Loaded::from).collect();
+        loaded.sort_by(|left, right| left.name.cmp(&right.name));
+        if loaded.windows(2).any(|pair| pair[0].name == pair[1].name) {
+            return Err(Code::Field { field: "loaded", what: "a name stands twice" }.into());
+        }
+        let mut checkpoints: Vec<Checkpoint> =
+            wire.checkpoints.into_iter().map(Checkpoint::from).collect();
+        checkpoints.sort_by(|left, right| left.name.cmp(&right.name));
+        Ok(TargetStatus {
+            incarnation: wire.incarnation,
+            state: wire.state,
+            memory_total_bytes: wire.memory_total_bytes,
+            memory_used_bytes: wire.memory_used_bytes,
+            running: wire.running,
+            queued: wire.queued,
+            highest_fence: wire.highest_fence,
+            loaded,
+            checkpoints,
+            orders: wire.orders.into_iter().map(OrderRecord::from).collect(),
+        })
+    }
+}
+
+impl From<WireLoaded> for Loaded {
+    fn from(wire: WireLoaded) -> Loaded {
+        let WireLoaded { name, memory_bytes, state, order_id } = wire;
+        Loaded { name, memory_bytes, state, order_id }
+    }
+}
+
+impl From<WireCheckpoint> for Checkpoint {
+    fn from(wire: WireCheckpoint) -> Checkpoint {
+        Checkpoint { name: wire.name, place: wire.place }
+    }
+}
+
+impl From<WireOrderRecord> for OrderRecord {
+    fn from(wire: WireOrderRecord) -> OrderRecord {
+        OrderRecord { order_id: wire.order_id, outcome: wire.outcome }
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-target/tests/answers.rs
@@ -0,0 +1,220 @@
+//! Whole and broken answers of a target.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use async_std::task;
+use lycheeford_target::{
+    Category, Connection, Method, TargetClient, TargetError, TargetLimits, TargetRequest,
+};
+
+use crate::common::{answer_and_hold, get, read_request, short_limits, target};
+
+/// What the target does after its answer.
+#[derive(Debug, Clone, Copy)]
+enum Then {
+    Close,
+    Hold,
+}
+
+struct Case {
+    answer: &'static str,
+    then: Then,
+    expected: Result<&'static str, Category>,
+}
+
+#[test]
+fn answers_are_whole_or_an_error() {
+    let cases = [
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nice",
+            then: Then::Hold,
+            expected: Ok("ice"),
+        },
+        Case {
+            answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nice\r\n0\r\n\r\n",
+            then: Then::Hold,
+            expected: Ok("ice"),
+        },
+        Case { answer: "HTTP/1.1 204 No Content\r\n\r\n", then: Then::Hold, expected: Ok("") },
+        Case { answer: "", then: Then::Close, expected: Err(Category::Broken) },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\nconte",
+            then: Then::Close,
+            expected: Err(Category::Broken),
+        },
+        Case { answer: "", then: Then::Hold, expected: Err(Category::Silent) },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\nconte",
+            then: Then::Hold,
+            expected: Err(Category::Silent),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nic",
+            then: Then::Close,
+            expected: Err(Category::Truncated),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nic",
+            then: Then::Hold,
+            expected: Err(Category::Silent),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nice\r\n",
+            then: Then::Close,
+            expected: Err(Category::Truncated),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nice\r\n0\r\n",
+            then: Then::Close,
+            expected: Err(Category::Truncated),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nicecap",
+            then: Then::Close,
+            expected: Err(Category::Malformed),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\n\r\nice",
+            then: Then::Close,
+            expected: Err(Category::Malformed),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\nice",
+            then: Then::Hold,
+            expected: Err(Category::Malformed),
+        },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\nx: \u{e9}\r\n\r\nice",
+            then: Then::Hold,
+            expected: Err(Category::Malformed),
+        },
+        Case {
+            answer: "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+            then: Then::Hold,
+            expected: Err(Category::Malformed),
+        },
+        Case { answer: "nonsense\r\n\r\n", then: Then::Hold, expected: Err(Category::Malformed) },
+        Case {
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 65\r\n\r\n0123456789012345678901234567890123456789012345678901234567890123456789",
+            then: Then::Hold,
+            expected: Err(Category::Malformed),
+        },
+    ];
+    for case in cases {
+        let (answer, then) = (case.answer, case.then);
+        let address = target(move |_, mut stream| match then {
+            Then::Hold => answer_and_hold(&mut stream, answer.as_bytes()),
+            Then::Close => {
+                read_request(&mut stream);
+                stream.write_all(answer.as_bytes()).unwrap();
+            }
+        });
+        // Only a case that is to run into a limit gets a short one.
+        let limits = match case.expected {
+            Err(Category::Silent) => short_limits(),
+            _ => TargetLimits { answer_bytes_max: 64, ..TargetLimits::default() },
+        };
+        let seen = whole(address, &get("/", Connection::Pooled), limits);
+        let seen = match &seen {
+            Ok(body) => Ok(body.as_str()),
+            Err(error) => {
+                assert!(error.may_have_run(), "{answer:?}: {error}");
+                Err(error.category())
+            }
+        };
+        assert_eq!(seen, case.expected, "{answer:?}, then {then:?}");
+    }
+}
+
+#[test]
+fn endless_heads_are_cut_off() {
+    let address = target(|_, mut stream| {
+        read_request(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nx: ");
+        while stream.write_all(&[b'a'; 1024]).is_ok() {}
+    });
+    let error = whole(address, &get("/", Connection::Pooled), TargetLimits::default()).unwrap_err();
+    assert_eq!(error.category(), Category::Malformed, "{error}");
+}
+
+#[test]
+fn only_what_was_never_sent_is_said_not_to_have_run() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let open = target(|_, mut stream| {
+        read_request(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    });
+    let mut split = get("/", Connection::Fresh);
+    split.headers.push(("x".to_owned(), "a\r\nb: c".to_owned()));
+    let cases = [
+        ("refused", closed, get("/", Connection::Pooled)),
+        ("split header", open, split),
+        ("dot segments", open, get("/a/../b", Connection::Fresh)),
+        ("fragment", open, get("/a#b", Connection::Fresh)),
+        ("space", open, get("/a b", Connection::Fresh)),
+        ("another host", open, get("@127.0.0.1/", Connection::Fresh)),
+    ];
+    for (name, address, request) in cases {
+        let error = whole(address, &request, TargetLimits::default()).expect_err(name);
+        assert_eq!((error.category(), error.may_have_run()), (Category::NotSent, false), "{name}");
+    }
+}
+
+#[test]
+fn the_target_gets_the_request_as_given() {
+    let (sender, receiver) = mpsc::channel();
+    let address = target(move |_, mut stream| {
+        sender.send(read_request(&mut stream).unwrap()).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n").unwrap();
+    });
+    let mut request = get("/v1/x?a=%20b&c", Connection::Fresh);
+    request.method = Method::Post;
+    request.headers.push(("Transfer-Encoding".to_owned(), "chunked".to_owned()));
+    request.body = b"ice".to_vec();
+    let client = TargetClient::new(TargetLimits::default());
+    let response = task::block_on(client.call(address, &request)).unwrap();
+    assert_eq!(response.headers, [("x-a".to_owned(), "b".to_owned())]);
+    let expected = format!(
+        "POST /v1/x?a=%20b&c HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-length: 3\r\nx-priority: 0\r\n\r\nice"
+    );
+    assert_eq!(receiver.recv().unwrap(), expected);
+}
+
+#[test]
+fn dropping_an_answer_or_a_call_closes_the_connection() {
+    let (sender, closed) = mpsc::channel();
+    let address = target(move |_, mut stream| {
+        read_request(&mut stream);
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n")
+            .unwrap();
+        sender.send(false).unwrap();
+        let _ = stream.read(&mut [0]);
+        sender.send(true).unwrap();
+    });
+    let client = TargetClient::new(TargetLimits::default());
+    let request = get("/", Connection::Pooled);
+    let mut response = task::block_on(client.call(address, &request)).unwrap();
+    assert_eq!(task::block_on(response.body.next_chunk()).unwrap(), Some(b"a".to_vec()));
+    assert!(!closed.recv().unwrap());
+    drop(response);
+    assert!(closed.recv_timeout(Duration::from_secs(20)).unwrap());
+}
+
+fn whole(
+    address: SocketAddr,
+    request: &TargetRequest,
+    limits: TargetLimits,
+) -> Result<String, TargetError> {
+    let client = TargetClient::new(limits);
+    task::block_on(async {
+        let response = client.call(address, request).await?;
+        let body = response.body.whole(1_000).await?;
+        Ok(String::from_utf8(body).unwrap())
+    })
+}
--- /dev/null
+++ b/crates/lycheeford-target/tests/pool.rs
@@ -0,0 +1,184 @@
+//! Connections that are used again, and those that must not be.
+
+mod common;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use async_std::task;
+use lycheeford_target::{Category, Connection, TargetClient, TargetLimits};
+
+use crate::common::{get, read_request, short_limits, target};
+
+/// Answers each request of a connection with its index and the request's path.
+fn echo(index: usize, mut stream: TcpStream, extra: &str) {
+    while let Some(request) = read_request(&mut stream) {
+        let path = request.split(' ').nth(1).unwrap();
+        let body = format!("{index}{path}");
+        let length = body.len();
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n{extra}\r\n{body}");
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+struct Case {
+    name: &'static str,
+    first: Connection,
+    second: Connection,
+    extra: &'static str,
+    limits: TargetLimits,
+    /// The connection that carries the second call.
+    expected: &'static str,
+}
+
+#[test]
+fn connections_are_used_again_only_when_clean() {
+    use Connection::{Fresh, Pooled};
+
+    let limits = TargetLimits::default();
+    let case = |name, first, second, extra, limits, expected| Case {
+        name,
+        first,
+        second,
+        extra,
+        limits,
+        expected,
+    };
+    let cases = [
+        case("pooled", Pooled, Pooled, "", limits, "0/b"),
+        case("first fresh", Fresh, Pooled, "", limits, "1/b"),
+        case("second fresh", Pooled, Fresh, "", limits, "1/b"),
+        case("target closes", Pooled, Pooled, "connection: close\r\n", limits, "1/b"),
+        case(
+            "no place",
+            Pooled,
+            Pooled,
+            "",
+            TargetLimits { pool_per_target_max: 0, ..limits },
+            "1/b",
+        ),
+        case("too old", Pooled, Pooled, "", TargetLimits { pool_idle_ms_max: 0, ..limits }, "1/b"),
+    ];
+    for case in cases {
+        let extra = case.extra;
+        let address = target(move |index, stream| echo(index, stream, extra));
+        let client = TargetClient::new(case.limits);
+        assert_eq!(call(&client, address, "/a", case.first), "0/a", "{}", case.name);
+        assert_eq!(call(&client, address, "/b", case.second), case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn surplus_bytes_are_never_taken_for_the_next_answer() {
+    for surplus in [Duration::ZERO, Duration::from_millis(50)] {
+        let (sent_sender, sent) = mpsc::channel();
+        let address = target(move |index, mut stream| {
+            read_request(&mut stream);
+            let honest = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{index}");
+            stream.write_all(honest.as_bytes()).unwrap();
+            thread::sleep(surplus);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate");
+            sent_sender.send(()).unwrap();
+            read_request(&mut stream);
+        });
+        let client = TargetClient::new(TargetLimits::default());
+        assert_eq!(call(&client, address, "/", Connection::Pooled), "0");
+        sent.recv().unwrap();
+        assert_eq!(call(&client, address, "/", Connection::Pooled), "1", "after {surplus:?}");
+    }
+}
+
+#[test]
+fn a_connection_is_not_used_after_an_error() {
+    let address = target(|index, mut stream| {
+        read_request(&mut stream);
+        let length = if index == 0 { 9 } else { 1 };
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{index}");
+        stream.write_all(answer.as_bytes()).unwrap();
+        read_request(&mut stream);
+    });
+    let client = TargetClient::new(short_limits());
+    let request = get("/", Connection::Pooled);
+    let mut response = task::block_on(client.call(address, &request)).unwrap();
+    task::block_on(response.body.next_chunk()).unwrap();
+    let error = task::block_on(response.body.next_chunk()).unwrap_err();
+    assert_eq!(error.category(), Category::Silent);
+    assert!(task::block_on(response.body.next_chunk()).is_err(), "an error looked like an end");
+    assert_eq!(call(&client, address, "/", Connection::Pooled), "1");
+}
+
+#[test]
+fn a_pooled_connection_that_dies_under_a_call_may_have_run_it() {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let seen = Arc::clone(&requests);
+    let address = target(move |_, mut stream| {
+        read_request(&mut stream);
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+        read_request(&mut stream);
+        seen.fetch_add(1, Ordering::SeqCst);
+    });
+    let client = TargetClient::new(TargetLimits::default());
+    assert_eq!(call(&client, address, "/", Connection::Pooled), "");
+    let request = get("/", Connection::Pooled);
+    let error = task::block_on(client.call(address, &request)).unwrap_err();
+    assert_eq!((error.category(), error.may_have_run()), (Category::Broken, true));
+    assert_eq!(requests.load(Ordering::SeqCst), 1, "the call was sent twice");
+}
+
+#[test]
+fn a_connection_closed_while_idle_is_replaced() {
+    let (sender, closed) = mpsc::channel();
+    let address = target(move |index, mut stream| {
+        read_request(&mut stream);
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{index}");
+        stream.write_all(answer.as_bytes()).unwrap();
+        drop(stream);
+        sender.send(()).unwrap();
+    });
+    let client = TargetClient::new(TargetLimits::default());
+    assert_eq!(call(&client, address, "/", Connection::Pooled), "0");
+    closed.recv().unwrap();
+    assert_eq!(call(&client, address, "/", Connection::Pooled), "1");
+}
+
+#[test]
+fn many_calls_each_get_their_own_answer() {
+    let address = target(|index, stream| echo(index, stream, ""));
+    let client = TargetClient::new(TargetLimits::default());
+    let calls: Vec<_> = (0..32)
+        .map(|caller| {
+            let client = client.clone();
+            task::spawn(async move {
+                for round in 0..20 {
+                    let path = format!("/{caller}/{round}");
+                    let request = get(&path, Connection::Pooled);
+                    let response = client.call(address, &request).await.unwrap();
+                    // Every third caller leaves its answer unread, as a hang-up does.
+                    if (caller + round) % 3 == 0 {
+                        continue;
+                    }
+                    let body = response.body.whole(1_000).await.unwrap();
+                    let body = String::from_utf8(body).unwrap();
+                    assert!(body.ends_with(&path), "{path} got {body}");
+                }
+            })
+        })
+        .collect();
+    for call in calls {
+        task::block_on(call);
+    }
+}
+
+fn call(client: &TargetClient, address: SocketAddr, path: &str, connection: Connection) -> String {
+    task::block_on(async {
+        let response = client.call(address, &get(path, connection)).await.unwrap();
+        String::from_utf8(response.body.whole(1_000).await.unwrap()).unwrap()
+    })
+}
