platform: Add the object API client

The daemon needs conditional puts whose outcome is known, and a follower that says how fresh it is. Writes open a fresh connection each: a pooled one that has gone silent would cost the whole answer time and leave the outcome unknown. Reads reuse connections and fall back to a fresh one.

--- /dev/null
+++ b/crates/lycheeford-platform/src/connection.rs
@@ -0,0 +1,147 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use async_std::net::TcpStream;
+use http_types::{Request, Response, StatusCode};
+
+use crate::PlatformLimits;
+
+/// An answer that was read whole.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Why no whole answer came, and whether the request can have been seen.
+#[derive(Debug)]
+pub(crate) enum ExchangeError {
+    /// No connection was opened, so that no byte was sent.
+    NotSent(String),
+    /// The request may have been seen.
+    MaybeSent(String),
+}
+
+/// Connections to the platform, reused for a short while.
+#[derive(Debug)]
+pub(crate) struct Connections {
+    address: SocketAddr,
+    limits: PlatformLimits,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    stream: TcpStream,
+    since: Instant,
+}
+
+impl Connections {
+    pub(crate) fn new(address: SocketAddr, limits: PlatformLimits) -> Connections {
+        Connections { address, limits, idle: Mutex::new(Vec::new()) }
+    }
+
+    /// Sends on an idle connection, or returns `None` if there is none or it fails.
+    pub(crate) async fn exchange_reused(&self, request: Request, wait_ms: u64) -> Option<Answer> {
+        let stream = self.take_idle()?;
+        self.exchange_on(stream, request, wait_ms).await.ok()
+    }
+
+    /// Sends on a fresh connection.
+    pub(crate) async fn exchange_fresh(
+        &self,
+        request: Request,
+        wait_ms: u64,
+    ) -> Result<Answer, ExchangeError> {
+        let limit = Duration::from_millis(self.limits.connect_ms_max);
+        let stream = match timeout(limit, TcpStream::connect(self.address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(ExchangeError::NotSent(error.to_string())),
+            Err(_) => return Err(ExchangeError::NotSent("no connection in time".to_owned())),
+        };
+        self.exchange_on(stream, request, wait_ms).await.map_err(ExchangeError::MaybeSent)
+    }
+
+    async fn exchange_on(
+        &self,
+        stream: TcpStream,
+        request: Request,
+        wait_ms: u64,
+    ) -> Result<Answer, String> {
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let limit = Duration::from_millis(self.limits.answer_ms_max.saturating_add(wait_ms));
+        let exchange = async {
+            let response = async_h1::connect(stream.clone(), request)
+                .await
+                .map_err(|error| error.to_string())?;
+            read_whole(response, self.limits.answer_bytes_max).await
+        };
+        let (answer, keep_alive) =
+            timeout(limit, exchange).await.map_err(|_| "no answer in time".to_owned())??;
+        if keep_alive {
+            self.put_idle(stream);
+        }
+        Ok(answer)
+    }
+
+    fn take_idle(&self) -> Option<TcpStream> {
+        let idle_max = Duration::from_millis(self.limits.idle_ms_max);
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|connection| connection.since.elapsed() < idle_max);
+        idle.pop().map(|connection| connection.stream)
+    }
+
+    fn put_idle(&self, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < self.limits.idle_connections_max {
+            idle.push(IdleConnection { stream, since: Instant::now() });
+        }
+    }
+}
+
+/// Reads the body and checks it against its announced length.
+///
+/// The HTTP library takes a body that ends early, or has no length at all,
+/// for a whole one.
+async fn read_whole(response: Response, bytes_max: u64) -> Result<(Answer, bool), String> {
+    let status = response.status();
+    let keep_alive = response.header("connection").is_none_or(|value| value.as_str() != "close");
+    let length = announced_length(&response)?;
+    let mut body = Vec::new();
+    let mut reader = response.take(bytes_max.saturating_add(1));
+    reader.read_to_end(&mut body).await.map_err(|error: io::Error| error.to_string())?;
+    if body.len() as u64 > bytes_max {
+        return Err(format!("the answer is larger than {bytes_max} bytes"));
+    }
+    match length {
+        Length::Known(length) if length != body.len() as u64 => {
+            Err(format!("the answer ended after {} of {length} bytes", body.len()))
+        }
+        Length::Known(_) | Length::Chunked => Ok((Answer { status, body }, keep_alive)),
+    }
+}
+
+enum Length {
+    Known(u64),
+    Chunked,
+}
+
+fn announced_length(response: &Response) -> Result<Length, String> {
+    if response.status() == StatusCode::NoContent {
+        return Ok(Length::Known(0));
+    }
+    if let Some(value) = response.header("content-length") {
+        return match value.as_str().parse() {
+            Ok(length) => Ok(Length::Known(length)),
+            Err(_) => Err("the answer's length can't be read".to_owned()),
+        };
+    }
+    if response.header("transfer-encoding").is_some() {
+        return Ok(Length::Chunked);
+    }
+    Err("the answer has no length".to_owned())
+}
--- /dev/null
+++ b/crates/lycheeford-platform/src/follow.rs
@@ -0,0 +1,144 @@
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use lycheeford_policy::TimeMs;
+
+use crate::backoff::Backoff;
+use crate::{Category, Listing, ObjectStore, PlatformError, WatchBatch, WatchEvent};
+
+/// How a kind is followed.
+#[derive(Debug, Clone)]
+pub struct FollowLimits {
+    /// How long a watch waits for a change; bounds how old a confirmation gets.
+    pub wait_ms: u64,
+    /// How much longer an answer may take before the watch counts as dead.
+    pub grace_ms: u64,
+    /// The first delay after a failure; doubles with each one that follows.
+    pub backoff_ms_min: u64,
+    /// The longest delay after a failure.
+    pub backoff_ms_max: u64,
+}
+
+impl Default for FollowLimits {
+    fn default() -> FollowLimits {
+        FollowLimits { wait_ms: 1_500, grace_ms: 1_000, backoff_ms_min: 50, backoff_ms_max: 1_000 }
+    }
+}
+
+/// A confirmation by the platform, with what changed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Update {
+    /// The moment the call began: the follower has seen every change before it.
+    pub as_of: TimeMs,
+    /// The revision that the follower has reached.
+    pub revision: u64,
+    /// What changed.
+    pub change: Change,
+}
+
+/// What an update changes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// The list replaces everything known of the kind.
+    Replace(Listing),
+    /// The changes apply in order; there may be none.
+    Apply(Vec<WatchEvent>),
+}
+
+/// Follows the objects of a kind until the future is dropped.
+///
+/// Lists, then watches. Lists again when the platform no longer keeps the
+/// changes, when a watch stays quiet for too long, and after any failure, with
+/// delays that grow. Hands each update to `on_update`, also one without a
+/// change, since it confirms that what is known is current. An answer older
+/// than what was seen is dropped and confirms nothing.
+pub async fn follow(
+    store: &dyn ObjectStore,
+    kind: &str,
+    limits: &FollowLimits,
+    clock: impl Fn() -> TimeMs + Send,
+    mut on_update: impl FnMut(Update) + Send,
+) {
+    let mut follower = Follower { store, kind, limits, revision: 0 };
+    let mut backoff = Backoff::new(limits.backoff_ms_min, limits.backoff_ms_max);
+    let mut next = Step::List;
+    loop {
+        let as_of = clock();
+        match follower.step(next).await {
+            Outcome::Current(change) => {
+                backoff.reset();
+                next = Step::Watch;
+                on_update(Update { as_of, revision: follower.revision, change });
+            }
+            Outcome::ListNow => next = Step::List,
+            Outcome::Failed => {
+                next = Step::List;
+                task::sleep(backoff.next_delay()).await;
+            }
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    List,
+    Watch,
+}
+
+enum Outcome {
+    Current(Change),
+    ListNow,
+    Failed,
+}
+
+struct Follower<'a> {
+    store: &'a dyn ObjectStore,
+    kind: &'a str,
+    limits: &'a FollowLimits,
+    revision: u64,
+}
+
+impl Follower<'_> {
+    async fn step(&mut self, step: Step) -> Outcome {
+        match step {
+            Step::List => {
+                let listed = timeout(self.patience(), self.store.list(self.kind)).await;
+                listed.map_or(Outcome::Failed, |listed| self.listed(listed))
+            }
+            Step::Watch => {
+                let watch = self.store.watch(self.kind, self.revision, self.limits.wait_ms);
+                let watched = timeout(self.patience(), watch).await;
+                watched.map_or(Outcome::ListNow, |watched| self.watched(watched))
+            }
+        }
+    }
+
+    fn listed(&mut self, listed: Result<Listing, PlatformError>) -> Outcome {
+        match listed {
+            Ok(listing) if listing.revision >= self.revision => {
+                self.revision = listing.revision;
+                Outcome::Current(Change::Replace(listing))
+            }
+            _ => Outcome::Failed,
+        }
+    }
+
+    fn watched(&mut self, watched: Result<WatchBatch, PlatformError>) -> Outcome {
+        match watched {
+            Ok(batch) if batch.revision >= self.revision => {
+                let after = self.revision;
+                self.revision = batch.revision;
+                let mut events = batch.events;
+                events.retain(|event| event.version() > after);
+                Outcome::Current(Change::Apply(events))
+            }
+            Err(error) if error.category() == Category::WatchTooOld => Outcome::ListNow,
+            _ => Outcome::Failed,
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        Duration::from_millis(self.limits.wait_ms.saturating_add(self.limits.grace_ms))
+    }
+}
--- a/crates/lycheeford-platform/src/lib.rs
+++ b/crates/lycheeford-platform/src/lib.rs
@@ -1,1 +1,51 @@
-//! Placeholder for the platform package.
+//! Client of the platform's object API.
+//!
+//! The platform keeps what must last: named objects of a kind, each with a
+//! version, changed by conditional updates and followed by watches. It may be
+//! slow or down, and an answer may be lost after the call took effect, so
+//! every error says whether the call can have had an effect.
+//!
+//! The main types:
+//!
+//! - [`ObjectStore`]: the edge that the rest of the daemon sees.
+//! - [`HttpObjectStore`]: the edge over HTTP and JSON.
+//! - [`put_settled`]: a conditional put whose outcome is made definite.
+//! - [`follow`]: keeps a caller up to date with the objects of a kind.
+//! - [`PlatformError`] with its [`Category`].
+//!
+//! ```no_run
+//! use lycheeford_platform::{Expect, HttpObjectStore, PlatformLimits, put_settled};
+//! use serde_json::json;
+//!
+//! # async fn example() -> Result<(), lycheeford_platform::PlatformError> {
+//! let address = ([127, 0, 0, 1], 7000).into();
+//! let store = HttpObjectStore::new(address, PlatformLimits::default());
+//! let value = json!({ "decided": 1, "writer": "host-a/17/1" });
+//! let version = put_settled(&store, "replica", "ice-chart", value, Expect::Absent, 5_000).await?;
+//! # let _ = version;
+//! # Ok(())
+//! # }
+//! ```
+
+mod backoff;
+mod calls;
+mod connection;
+mod error;
+mod follow;
+mod http;
+mod limits;
+mod object;
+mod settled;
+mod store;
+mod watch;
+mod wire;
+
+pub use crate::calls::{CallCounters, Calls};
+pub use crate::error::{Category, PlatformError};
+pub use crate::follow::{Change, FollowLimits, Update, follow};
+pub use crate::http::HttpObjectStore;
+pub use crate::limits::PlatformLimits;
+pub use crate::object::{Expect, Listing, Object};
+pub use crate::settled::put_settled;
+pub use crate::store::ObjectStore;
+pub use crate::watch::{WatchBatch, WatchEvent};
