--- /dev/null
+++ b/crates/lycheeford-config/src/fault.rs
@@ -0,0 +1,126 @@
+use std::error::Error;
+use std::fmt::{self, Display};
+
+/// One thing that is wrong with a settings file or a fleet's document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    category: Category,
+    entry: String,
+    field: String,
+    line: Option<usize>,
+    message: String,
+    remedy: String,
+}
+
+/// The coarse kind of a [`Fault`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Category {
+    /// The text isn't YAML, or isn't laid out as expected.
+    Syntax,
+    /// A field that doesn't exist.
+    UnknownField,
+    /// A field that is required and absent.
+    MissingField,
+    /// A value out of its range or of the wrong type.
+    BadValue,
+    /// A value that clashes with another entry or refers to an absent one.
+    Conflict,
+}
+
+impl Fault {
+    pub(crate) fn new(
+        category: Category,
+        entry: &str,
+        field: &str,
+        message: impl Into<String>,
+        remedy: impl Into<String>,
+    ) -> Fault {
+        Fault {
+            category,
+            entry: entry.to_owned(),
+            field: field.to_owned(),
+            line: None,
+            message: message.into(),
+            remedy: remedy.into(),
+        }
+    }
+
+    pub(crate) fn at_line(mut self, line: Option<usize>) -> Fault {
+        self.line = line;
+        self
+    }
+
+    /// Returns the coarse kind.
+    pub fn category(&self) -> Category {
+        self.category
+    }
+
+    /// Returns the entry at fault, such as `model ice-chart`; empty at the top level.
+    pub fn entry(&self) -> &str {
+        &self.entry
+    }
+
+    /// Returns the field at fault; empty if the entry as a whole is.
+    pub fn field(&self) -> &str {
+        &self.field
+    }
+
+    /// Returns the line in the file, counted from 1, where it is known.
+    pub fn line(&self) -> Option<usize> {
+        self.line
+    }
+}
+
+impl Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(formatter, "line {line}: ")?;
+        }
+        for part in [&self.entry, &self.field] {
+            if !part.is_empty() {
+                write!(formatter, "{part}: ")?;
+            }
+        }
+        write!(formatter, "{}; {}", self.message, self.remedy)
+    }
+}
+
+/// Every fault of a document, found in one pass.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Faults {
+    file_name: String,
+    faults: Vec<Fault>,
+}
+
+impl Faults {
+    pub(crate) fn new(file_name: &str, faults: Vec<Fault>) -> Faults {
+        Faults { file_name: file_name.to_owned(), faults }
+    }
+
+    /// Returns the faults in the order in which they were found; never empty.
+    pub fn as_slice(&self) -> &[Fault] {
+        &self.faults
+    }
+
+    /// Returns the name of the file, or an empty string for a merged document.
+    pub fn file_name(&self) -> &str {
+        &self.file_name
+    }
+}
+
+impl Display for Faults {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.faults.iter().enumerate() {
+            if index > 0 {
+                formatter.write_str("\n")?;
+            }
+            if !self.file_name.is_empty() {
+                write!(formatter, "{}: ", self.file_name)?;
+            }
+            write!(formatter, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Faults {}
