--- a/crates/lycheeford-wire/src/convert.rs
+++ b/crates/lycheeford-wire/src/convert.rs
@@ -5,9 +5,9 @@
 use crate::generated as wire;
 use crate::generated::frame::Body;
 use crate::message::{
-    Beat, CrashCount, Demand, DemandReport, Expected, Hello, HostReport, LoanGrant, LoanQuery,
-    LoanRequest, LoanSettlement, Message, PlacementReport, Refused, Served, SpareTokens,
-    TargetLoad, TargetPlacement,
+    Activity, Beat, CrashCount, Demand, DemandReport, Expected, Hello, HostReport, LoanGrant,
+    LoanQuery, LoanRequest, LoanSettlement, Message, PlacementReport, Refused, SpareTokens,
+    TargetPlacement,
 };
 
 /// Encodes a message as the bytes of one frame.
@@ -231,8 +231,7 @@
     fn from(domain: DemandReport) -> wire::DemandReport {
         wire::DemandReport {
             demands: encoded_all(domain.demands),
-            served: encoded_all(domain.served),
-            loads: encoded_all(domain.loads),
+            activity: encoded_all(domain.activity),
         }
     }
 }
@@ -243,8 +242,7 @@
     fn try_from(wire: wire::DemandReport) -> Result<DemandReport, WireError> {
         Ok(DemandReport {
             demands: checked_all(wire.demands)?,
-            served: checked_all(wire.served)?,
-            loads: checked_all(wire.loads)?,
+            activity: checked_all(wire.activity)?,
         })
     }
 }
@@ -277,31 +275,25 @@
     }
 }
 
-impl From<Served> for wire::Served {
-    fn from(domain: Served) -> wire::Served {
-        wire::Served { name: domain.name.as_str().to_owned(), requests: domain.requests }
-    }
-}
-
-impl TryFrom<wire::Served> for Served {
-    type Error = WireError;
-
-    fn try_from(wire: wire::Served) -> Result<Served, WireError> {
-        Ok(Served { name: checked_name(wire.name, "name")?, requests: wire.requests })
-    }
-}
-
-impl From<TargetLoad> for wire::TargetLoad {
-    fn from(domain: TargetLoad) -> wire::TargetLoad {
-        wire::TargetLoad { target: domain.target.as_str().to_owned(), running: domain.running }
+impl From<Activity> for wire::Activity {
+    fn from(domain: Activity) -> wire::Activity {
+        wire::Activity {
+            name: domain.name.as_str().to_owned(),
+            served: domain.served,
+            running: domain.running,
+        }
     }
 }
 
-impl TryFrom<wire::TargetLoad> for TargetLoad {
+impl TryFrom<wire::Activity> for Activity {
     type Error = WireError;
 
-    fn try_from(wire: wire::TargetLoad) -> Result<TargetLoad, WireError> {
-        Ok(TargetLoad { target: checked_name(wire.target, "target")?, running: wire.running })
+    fn try_from(wire: wire::Activity) -> Result<Activity, WireError> {
+        Ok(Activity {
+            name: checked_name(wire.name, "name")?,
+            served: wire.served,
+            running: wire.running,
+        })
     }
 }
 
--- a/crates/lycheeford-wire/src/message.rs
+++ b/crates/lycheeford-wire/src/message.rs
@@ -122,10 +122,8 @@
 pub struct DemandReport {
     /// What callers wait for.
     pub demands: Vec<Demand>,
-    /// What was served since the last report.
-    pub served: Vec<Served>,
-    /// How many requests of this host run at each target.
-    pub loads: Vec<TargetLoad>,
+    /// What the host's requests use.
+    pub activity: Vec<Activity>,
 }
 
 /// Requests of one customer that wait for one model or adapter.
@@ -145,21 +143,14 @@
     pub waited_ms: u64,
 }
 
-/// Requests served for one model or adapter.
+/// The use of one model or adapter by one host's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Served {
+pub struct Activity {
     /// The model or adapter.
     pub name: Name,
-    /// How many requests.
-    pub requests: u32,
-}
-
-/// Requests of one host that run at one target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetLoad {
-    /// The target.
-    pub target: Name,
-    /// How many requests run.
+    /// Requests dispatched since the last report.
+    pub served: u32,
+    /// Requests that run now.
     pub running: u32,
 }
 
--- a/crates/lycheeford-wire/tests/frames.rs
+++ b/crates/lycheeford-wire/tests/frames.rs
@@ -2,8 +2,8 @@
 
 use lycheeford_policy::{Incarnation, Name};
 use lycheeford_wire::{
-    Beat, CrashCount, Demand, DemandReport, Hello, HostReport, LoanGrant, Message, SpareTokens,
-    decode, encode,
+    Activity, Beat, CrashCount, Demand, DemandReport, Hello, HostReport, LoanGrant, Message,
+    SpareTokens, decode, encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -65,8 +65,7 @@
                     deadline_in_ms: 900,
                     waited_ms: 10,
                 }],
-                served: Vec::new(),
-                loads: Vec::new(),
+                activity: vec![Activity { name: "ice".into(), served: 3, running: 1 }],
             }),
         },
         Case {
--- /dev/null
+++ b/crates/lycheefordd/src/placement.rs
@@ -0,0 +1,280 @@
+use async_std::channel::{Receiver, Sender, bounded};
+use lycheeford_policy::{
+    Configuration, FairQueue, Incarnation, Name, QueueId, QueuedRequest, Readiness, Router, TimeMs,
+};
+use lycheeford_wire::{Activity, Demand, DemandReport, PlacementReport, TargetPlacement};
+
+/// How long a demand outlives a request that was refused at its arrival, so
+/// that the caller finds the model ready when it comes back.
+const WANTED_GRACE_MS: u64 = 5_000;
+
+/// Where replicas are, and the requests of this host that wait for one.
+#[derive(Debug, Default)]
+pub(crate) struct Placement {
+    router: Router,
+    readiness: Readiness,
+    queue: FairQueue<Sender<Placed>>,
+    /// Sorted by name.
+    targets: Vec<TargetPlacement>,
+    /// Who sent the view in force, and its sequence.
+    source: Option<(Name, Incarnation, u64)>,
+    wanted: Vec<Wanted>,
+    /// Sorted by name.
+    activity: Vec<Activity>,
+}
+
+/// What became of a queued request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Placed {
+    /// The target that takes it.
+    Target(Name),
+    /// It can't be served in time; the value is when to come back.
+    Refused(u64),
+    /// Its deadline has passed.
+    Expired,
+}
+
+/// What a request is placed by.
+#[derive(Debug, Clone)]
+pub(crate) struct PlaceRequest {
+    pub(crate) name: Name,
+    pub(crate) customer: Name,
+    pub(crate) class: u8,
+    pub(crate) deadline: TimeMs,
+    pub(crate) cost_tokens: u64,
+    pub(crate) prefix_hashes: Vec<u64>,
+}
+
+/// The first answer to a request for a place.
+#[derive(Debug)]
+pub(crate) enum Place {
+    /// A replica is ready.
+    Now(Name),
+    /// The request waits.
+    Queued(QueueId, Receiver<Placed>),
+    /// It can't be served before its deadline; the value is when to come back.
+    TooLate(u64),
+}
+
+#[derive(Debug)]
+struct Wanted {
+    name: Name,
+    customer: Name,
+    class: u8,
+    until: TimeMs,
+}
+
+impl Placement {
+    pub(crate) fn configure(&mut self, configuration: &Configuration) {
+        self.readiness.configure(configuration);
+        self.queue.configure(configuration);
+    }
+
+    /// Finds a place for a request, or queues it, or tells that it is too late.
+    pub(crate) fn place(&mut self, now: TimeMs, request: &PlaceRequest, excluded: &[Name]) -> Place {
+        let chosen = self.router.choose(now, &request.name, &request.prefix_hashes, excluded);
+        if let Some(target) = chosen {
+            return Place::Now(target);
+        }
+        let ready_in_ms = self.readiness.ready_in_ms(now, &request.name).unwrap_or(0);
+        if now + ready_in_ms > request.deadline {
+            self.want(now, request, ready_in_ms);
+            return Place::TooLate(ready_in_ms);
+        }
+        let (sender, receiver) = bounded(1);
+        let queued = QueuedRequest {
+            name: request.name.clone(),
+            customer: request.customer.clone(),
+            deadline: request.deadline,
+            cost_tokens: request.cost_tokens,
+            payload: sender,
+        };
+        Place::Queued(self.queue.push(now, queued), receiver)
+    }
+
+    pub(crate) fn cancel(&mut self, id: QueueId) {
+        self.queue.cancel(id);
+    }
+
+    /// Notes that a request runs at `target`.
+    pub(crate) fn started(&mut self, name: &Name, target: &str) {
+        self.router.started(target);
+        let activity = self.activity_mut(name);
+        activity.served += 1;
+        activity.running += 1;
+    }
+
+    /// Notes that a request at `target` ended.
+    pub(crate) fn finished(&mut self, name: &Name, target: &str) {
+        self.router.finished(target);
+        let activity = self.activity_mut(name);
+        activity.running = activity.running.saturating_sub(1);
+    }
+
+    /// Forgets a replica that turned out not to be there.
+    pub(crate) fn forget_replica(&mut self, name: &str, target: &str) {
+        self.router.remove_replica(name, target);
+        if let Ok(index) = self.position(target) {
+            self.targets[index].ready.retain(|ready| ready.as_str() != name);
+        }
+    }
+
+    /// Forgets the replicas of a target that failed, until the next report.
+    pub(crate) fn forget_target(&mut self, target: &str) {
+        self.router.remove_target(target);
+        if let Ok(index) = self.position(target) {
+            self.targets[index].ready.clear();
+        }
+    }
+
+    /// Takes over a coordinator's view and hands out what it makes possible.
+    ///
+    /// An older view of the same coordinator changes nothing.
+    pub(crate) fn adopt(
+        &mut self,
+        now: TimeMs,
+        from: (&Name, Incarnation),
+        report: PlacementReport,
+    ) {
+        if let Some((host, incarnation, sequence)) = &self.source
+            && host == from.0
+            && (*incarnation, *sequence) >= (from.1, report.sequence)
+        {
+            return;
+        }
+        self.source = Some((from.0.clone(), from.1, report.sequence));
+        self.replace_targets(now, report.targets);
+        for expected in &report.expected {
+            self.readiness.expect(now, &expected.name, expected.ready_in_ms);
+        }
+        for refused in &report.refused {
+            let reachable_at = now + refused.retry_after_ms;
+            let given_up =
+                self.queue.unreachable(&refused.name, &refused.customer, reachable_at);
+            for request in given_up {
+                // A caller that hung up meanwhile needs no answer.
+                let _ = request.payload.try_send(Placed::Refused(refused.retry_after_ms));
+            }
+        }
+        self.hand_out(now);
+    }
+
+    /// Refuses what has expired and returns whether anything is left.
+    pub(crate) fn expire(&mut self, now: TimeMs) {
+        for request in self.queue.expired(now) {
+            let _ = request.payload.try_send(Placed::Expired);
+        }
+        self.wanted.retain(|wanted| wanted.until > now);
+    }
+
+    pub(crate) fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub(crate) fn targets(&self) -> &[TargetPlacement] {
+        &self.targets
+    }
+
+    /// Returns the report for the coordinator and starts the next period.
+    pub(crate) fn report(&mut self, now: TimeMs) -> DemandReport {
+        let mut demands: Vec<Demand> = self
+            .queue
+            .depths()
+            .into_iter()
+            .map(|depth| Demand {
+                name: depth.name,
+                customer: depth.customer,
+                class: depth.class,
+                waiting: depth.waiting,
+                deadline_in_ms: depth.first_deadline.since_ms(now),
+                waited_ms: now.since_ms(depth.first_arrival),
+            })
+            .collect();
+        demands.extend(self.wanted.iter().map(|wanted| Demand {
+            name: wanted.name.clone(),
+            customer: wanted.customer.clone(),
+            class: wanted.class,
+            waiting: 1,
+            deadline_in_ms: wanted.until.since_ms(now),
+            waited_ms: 0,
+        }));
+        let activity = self.activity.clone();
+        self.activity.retain(|activity| activity.running > 0);
+        for activity in &mut self.activity {
+            activity.served = 0;
+        }
+        DemandReport { demands, activity }
+    }
+
+    fn want(&mut self, now: TimeMs, request: &PlaceRequest, ready_in_ms: u64) {
+        let until = now + ready_in_ms + WANTED_GRACE_MS;
+        let same = |wanted: &&mut Wanted| {
+            wanted.name == request.name && wanted.customer == request.customer
+        };
+        if let Some(wanted) = self.wanted.iter_mut().find(same) {
+            wanted.until = until;
+            return;
+        }
+        self.wanted.push(Wanted {
+            name: request.name.clone(),
+            customer: request.customer.clone(),
+            class: request.class,
+            until,
+        });
+    }
+
+    fn replace_targets(&mut self, now: TimeMs, mut targets: Vec<TargetPlacement>) {
+        targets.sort_by(|a, b| a.target.cmp(&b.target));
+        for known in std::mem::take(&mut self.targets) {
+            let new = targets.binary_search_by(|target| target.target.cmp(&known.target));
+            let usable = |index: usize| targets[index].accepts_work;
+            match new.ok().filter(|index| usable(*index)) {
+                None => self.router.remove_target(&known.target),
+                Some(index) => {
+                    for name in &known.ready {
+                        if targets[index].ready.binary_search(name).is_err() {
+                            self.router.remove_replica(name, &known.target);
+                        }
+                    }
+                }
+            }
+        }
+        for target in targets.iter().filter(|target| target.accepts_work) {
+            for name in &target.ready {
+                self.router.set_replica(name, &target.target);
+            }
+            self.router.observe_load(now, &target.target, target.running, target.queued);
+        }
+        self.targets = targets;
+    }
+
+    fn hand_out(&mut self, now: TimeMs) {
+        let mut names: Vec<Name> =
+            self.queue.depths().into_iter().map(|depth| depth.name).collect();
+        names.dedup();
+        for name in names {
+            while self.router.is_ready(&name)
+                && let Some(request) = self.queue.pop(now, &name)
+            {
+                let Some(target) = self.router.choose(now, &name, &[], &[]) else { break };
+                let _ = request.payload.try_send(Placed::Target(target));
+            }
+        }
+    }
+
+    fn activity_mut(&mut self, name: &Name) -> &mut Activity {
+        let index = match self.activity.binary_search_by(|activity| activity.name.cmp(name)) {
+            Ok(index) => index,
+            Err(index) => {
+                let activity = Activity { name: name.clone(), served: 0, running: 0 };
+                self.activity.insert(index, activity);
+                index
+            }
+        };
+        &mut self.activity[index]
+    }
+
+    fn position(&self, target: &str) -> Result<usize, usize> {
+        self.targets.binary_search_by(|known| known.target.as_str().cmp(target))
+    }
+}
