Add the decisions that safety rests on: shares, replicas, ledger, keys

First version of the public interface, so that others can build on it: RateShare and ShareTable (standing shares plus loans), ReplicaSet and TargetRecord with resolve, LedgerBucket, check_key, Freshness, CrashSuspects and Health. Only the doc examples run so far; the property tests follow.

--- /dev/null
+++ b/crates/lycheeford-policy/src/gone.rs
@@ -0,0 +1,63 @@
+use crate::{Instance, Name};
+
+/// What proves that an instance can send no more.
+///
+/// There are two proofs: the host left the platform's list after having been
+/// in it, or its own address answered as a newer incarnation. A missed
+/// heartbeat or a lapsed lease is neither, since a paused process wakes up.
+///
+/// ```
+/// use lycheeford_policy::{GoneProofs, Instance, Name};
+///
+/// let mut proofs = GoneProofs::default();
+/// proofs.list(&[Name::from("a"), Name::from("b")]);
+/// proofs.list(&[Name::from("b")]);
+/// assert!(proofs.is_gone(&Instance::new("a", 1)));
+/// proofs.answered(&Instance::new("b", 7));
+/// assert!(proofs.is_gone(&Instance::new("b", 6)));
+/// assert!(!proofs.is_gone(&Instance::new("b", 7)));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct GoneProofs {
+    listed: Vec<Name>,
+    left: Vec<Name>,
+    newest: Vec<Instance>,
+}
+
+impl GoneProofs {
+    /// Takes in the platform's whole list of hosts, live and leaving ones.
+    ///
+    /// A host that is listed again is no longer gone as a whole; its earlier
+    /// lives are proven gone once the new one answers.
+    pub fn list(&mut self, hosts: &[Name]) {
+        let mut hosts = hosts.to_vec();
+        hosts.sort_unstable();
+        let gone = self.listed.iter().filter(|host| hosts.binary_search(host).is_err());
+        self.left.extend(gone.cloned());
+        self.left.sort_unstable();
+        self.left.dedup();
+        self.left.retain(|host| hosts.binary_search(host).is_err());
+        self.listed = hosts;
+    }
+
+    /// Takes in that the address of the instance's host answered as this instance.
+    pub fn answered(&mut self, instance: &Instance) {
+        match self.newest.binary_search_by(|known| known.host.cmp(&instance.host)) {
+            Ok(index) if self.newest[index].incarnation < instance.incarnation => {
+                self.newest[index] = instance.clone();
+            }
+            Ok(_) => {}
+            Err(index) => self.newest.insert(index, instance.clone()),
+        }
+    }
+
+    /// Tells whether the instance is proven gone.
+    pub fn is_gone(&self, instance: &Instance) -> bool {
+        if self.left.binary_search(&instance.host).is_ok() {
+            return true;
+        }
+        self.newest
+            .binary_search_by(|known| known.host.cmp(&instance.host))
+            .is_ok_and(|index| self.newest[index].succeeds(instance))
+    }
+}
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -11,20 +11,73 @@
 //! - [`TimeMs`]: a reading of a monotonic clock in milliseconds.
 //! - [`Configuration`]: what the operators declared, checked as a whole.
 //! - [`Host`]: a machine as the platform's list shows it.
+//! - [`RateShare`]: one daemon's part in a customer's rate and burst.
+//! - [`ReplicaSet`], [`TargetRecord`]: what may be loaded where, decided before it is ordered.
+//! - [`LedgerBucket`]: calls that run at most once.
+//! - [`Freshness`], [`check_key`]: whose key counts, and for how long.
+//! - [`Health`], [`CrashSuspects`]: who answers, and which requests crash targets.
 //! - [`Refusal`]: why a request was refused, and whether it ran.
 
 mod configuration;
+mod crash_suspect;
+mod freshness;
+mod gone;
+mod health;
 mod host;
+mod instance;
+mod key;
+mod ledger;
+mod lenders;
+mod loan;
+mod loan_book;
 mod name;
+mod rate_share;
 mod refusal;
 mod rendezvous;
+mod replica;
+mod resolve;
+mod share;
+mod target_record;
 mod time;
+mod token_bucket;
 
 pub use crate::configuration::{
     Access, Adapter, Configuration, Customer, Key, Model, Repeat, Route, Service, SiteWeights,
 };
+pub use crate::crash_suspect::{
+    CrashSuspect, CrashSuspects, CrashVerdict, MAX_CRASH_SUSPECTS, MAX_TARGET_CRASHES,
+};
+pub use crate::freshness::{ConfigurationState, Freshness, KEY_STALENESS_MS_MAX};
+pub use crate::gone::GoneProofs;
+pub use crate::health::{
+    CLOCK_JUMP_MS, DOWN_AFTER_MS, HEALTH_TICK_MS, Health, MIN_FAILED_PROBES, ProbeResult,
+    SUSPECT_AFTER_MS, Verdict, VerdictChange,
+};
 pub use crate::host::{Host, HostRole, HostState, Incarnation};
+pub use crate::instance::Instance;
+pub use crate::key::{check_key, granted_key};
+pub use crate::ledger::{
+    AttemptId, ClaimOutcome, LEDGER_BODY_BYTES_MAX, LEDGER_BUCKET_BYTES_MAX, LEDGER_BUCKETS,
+    LEDGER_CLOCK_STEP_MS_MAX, LEDGER_RETENTION_MS, LedgerAnswer, LedgerBucket, LedgerClaim,
+    LedgerRecord, LedgerState, ledger_bucket,
+};
+pub use crate::lenders::{
+    MAX_LENDERS_ASKED, MIN_GIVE_PPM, PeerSpare, REBALANCE_INTERVAL_MS, ShareDemand, choose_lenders,
+};
+pub use crate::loan::{AskId, Loan, LoanArrival, LoanId, LoanReport, LoanState};
 pub use crate::name::Name;
+pub use crate::rate_share::{Overdrawn, RateShare, ReservationId, Shortage};
 pub use crate::refusal::{Ran, Refusal, RefusalCode};
 pub use crate::rendezvous::{rendezvous_owner, rendezvous_rank};
+pub use crate::replica::{Replica, ReplicaFault, ReplicaSet};
+pub use crate::resolve::{
+    FenceCheck, LoadState, LoadedName, OrderOutcome, OrderReport, ResolveEvidence, TargetStatus,
+    resolve,
+};
+pub use crate::share::{MAX_SHARE_HOLDERS, ShareEntry, ShareFault, ShareTable, TakenShare};
+pub use crate::target_record::{
+    CancelledReplica, LoadRequest, MAX_CANCELLED_REPLICAS, MAX_ORDERS_SET_ASIDE, MemoryReservation,
+    ORDER_SET_ASIDE_MS, OrderAction, RecordFault, ReplicaRef, TargetOrder, TargetRecord,
+};
 pub use crate::time::TimeMs;
+pub use crate::token_bucket::{LENDABLE_PPM, RateLimits, TokenBucket, WHOLE_SHARE_PPM};
--- /dev/null
+++ b/crates/lycheeford-policy/src/loan_book.rs
@@ -0,0 +1,228 @@
+use crate::loan::{AskId, Loan, LoanId, LoanReport, LoanState};
+use crate::rate_share::ReservationId;
+use crate::share::TakenShare;
+use crate::{GoneProofs, Instance, Name, TimeMs};
+
+/// The loans of this life that aren't settled, sorted by number.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LoansOut {
+    loans: Vec<(TimeMs, Loan)>,
+}
+
+impl LoansOut {
+    pub(crate) fn record(&mut self, now: TimeMs, loan: &Loan) {
+        self.loans.push((now, loan.clone()));
+    }
+
+    pub(crate) fn remove(&mut self, id: &LoanId) -> Option<Loan> {
+        let index = self.loans.binary_search_by(|(_, loan)| loan.id.cmp(id)).ok()?;
+        Some(self.loans.remove(index).1)
+    }
+
+    pub(crate) fn remove_gone(&mut self, gone: &GoneProofs) -> Vec<Loan> {
+        let (over, kept) = self.loans.drain(..).partition(|(_, loan)| gone.is_gone(&loan.borrower));
+        self.loans = kept;
+        let over: Vec<(TimeMs, Loan)> = over;
+        over.into_iter().map(|(_, loan)| loan).collect()
+    }
+
+    pub(crate) fn older_than(&self, now: TimeMs, age_ms: u64) -> Vec<Loan> {
+        let old = self.loans.iter().filter(|(lent_at, _)| now.since_ms(*lent_at) >= age_ms);
+        old.map(|(_, loan)| loan.clone()).collect()
+    }
+
+    pub(crate) fn tokens(&self) -> u64 {
+        self.loans.iter().map(|(_, loan)| loan.tokens).sum()
+    }
+}
+
+/// The borrower's side: open questions, and loans until their lender has settled them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BorrowedLoans {
+    asks: Vec<OpenAsk>,
+    loans: Vec<Borrowed>,
+    /// For each host, the last life whose loans are refused.
+    disclaimed: Vec<Instance>,
+}
+
+#[derive(Debug, Clone)]
+struct OpenAsk {
+    id: AskId,
+    reservation: ReservationId,
+    lender: Name,
+}
+
+#[derive(Debug, Clone)]
+struct Borrowed {
+    id: LoanId,
+    tokens: u64,
+    used_tokens: u64,
+    running: bool,
+}
+
+impl BorrowedLoans {
+    pub(crate) fn open_ask(&mut self, id: AskId, reservation: ReservationId, lender: &Name) {
+        self.asks.push(OpenAsk { id, reservation, lender: lender.clone() });
+    }
+
+    /// Closes the question that `loan` answers and returns who asked.
+    pub(crate) fn take_ask(&mut self, loan: &Loan) -> Option<ReservationId> {
+        if self.is_disclaimed(&loan.id.lender) {
+            return None;
+        }
+        let index = self.asks.binary_search_by_key(&loan.ask, |ask| ask.id).ok()?;
+        if self.asks[index].lender != loan.id.lender.host {
+            return None;
+        }
+        Some(self.asks.remove(index).reservation)
+    }
+
+    pub(crate) fn close_ask(&mut self, id: AskId) {
+        self.asks.retain(|ask| ask.id != id);
+    }
+
+    pub(crate) fn close_asks(&mut self, reservation: ReservationId) {
+        self.asks.retain(|ask| ask.reservation != reservation);
+    }
+
+    pub(crate) fn record(&mut self, loan: &Loan) {
+        if let Err(index) = self.position(&loan.id) {
+            let borrowed = Borrowed {
+                id: loan.id.clone(),
+                tokens: loan.tokens,
+                used_tokens: 0,
+                running: true,
+            };
+            self.loans.insert(index, borrowed);
+        }
+    }
+
+    pub(crate) fn contains(&self, id: &LoanId) -> bool {
+        self.position(id).is_ok()
+    }
+
+    pub(crate) fn left_tokens(&self, ids: &[LoanId]) -> u64 {
+        ids.iter().filter_map(|id| self.get(id)).map(Borrowed::left_tokens).sum()
+    }
+
+    /// Spends `tokens`, which [`left_tokens`](Self::left_tokens) covers.
+    pub(crate) fn spend(&mut self, ids: &[LoanId], tokens: u64) {
+        let mut rest_tokens = tokens;
+        for id in ids {
+            let Ok(index) = self.position(id) else { continue };
+            let part_tokens = rest_tokens.min(self.loans[index].left_tokens());
+            self.loans[index].used_tokens += part_tokens;
+            rest_tokens -= part_tokens;
+        }
+    }
+
+    pub(crate) fn close(&mut self, id: &LoanId) -> Option<LoanReport> {
+        let index = self.position(id).ok()?;
+        self.loans[index].running = false;
+        self.report(id)
+    }
+
+    pub(crate) fn report(&self, id: &LoanId) -> Option<LoanReport> {
+        let loan = self.get(id)?;
+        let state = if loan.running {
+            LoanState::Running
+        } else {
+            LoanState::Closed { used_tokens: loan.used_tokens, returned_tokens: loan.left_tokens() }
+        };
+        Some(LoanReport { id: id.clone(), state })
+    }
+
+    pub(crate) fn forget(&mut self, id: &LoanId) {
+        if let Ok(index) = self.position(id)
+            && !self.loans[index].running
+        {
+            self.loans.remove(index);
+        }
+    }
+
+    pub(crate) fn forget_gone(&mut self, gone: &GoneProofs) {
+        self.loans.retain(|loan| loan.running || !gone.is_gone(&loan.id.lender));
+    }
+
+    pub(crate) fn disclaim(&mut self, former: &Instance) -> bool {
+        match self.disclaimed.binary_search_by(|known| known.host.cmp(&former.host)) {
+            Ok(index) if former.succeeds(&self.disclaimed[index]) => {
+                self.disclaimed[index] = former.clone();
+            }
+            Ok(_) => {}
+            Err(index) => self.disclaimed.insert(index, former.clone()),
+        }
+        let is_former = |loan: &Borrowed| !loan.id.lender.succeeds(former);
+        let of_host = self.loans.iter().filter(|loan| loan.id.lender.host == former.host);
+        !of_host.into_iter().any(|loan| loan.running && is_former(loan))
+    }
+
+    fn is_disclaimed(&self, lender: &Instance) -> bool {
+        self.disclaimed
+            .binary_search_by(|known| known.host.cmp(&lender.host))
+            .is_ok_and(|index| !lender.succeeds(&self.disclaimed[index]))
+    }
+
+    fn get(&self, id: &LoanId) -> Option<&Borrowed> {
+        self.position(id).ok().map(|index| &self.loans[index])
+    }
+
+    fn position(&self, id: &LoanId) -> Result<usize, usize> {
+        self.loans.binary_search_by(|loan| loan.id.cmp(id))
+    }
+}
+
+impl Borrowed {
+    fn left_tokens(&self) -> u64 {
+        self.tokens - self.used_tokens
+    }
+}
+
+/// Shares that were taken over, with the hosts that may hold loans of the former holder.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Inherited {
+    shares: Vec<InheritedShare>,
+}
+
+#[derive(Debug, Clone)]
+struct InheritedShare {
+    taken: TakenShare,
+    awaited: Vec<Name>,
+}
+
+impl Inherited {
+    /// Takes over what the table lists; what it no longer lists is over.
+    pub(crate) fn update(&mut self, taken: &[TakenShare], entry_hosts: &[Name]) {
+        self.shares.retain(|share| taken.contains(&share.taken));
+        for taken in taken {
+            if !self.shares.iter().any(|share| share.taken == *taken) {
+                let awaited = entry_hosts.to_vec();
+                self.shares.push(InheritedShare { taken: taken.clone(), awaited });
+            }
+        }
+    }
+
+    pub(crate) fn disclaimed(&mut self, host: &Name, former: &Instance) {
+        for share in self.shares.iter_mut().filter(|share| share.taken.from == *former) {
+            share.awaited.retain(|awaited| awaited != host);
+        }
+    }
+
+    pub(crate) fn queries(&self) -> Vec<(Name, Instance)> {
+        let of_share = |share: &InheritedShare| {
+            let former = share.taken.from.clone();
+            share.awaited.clone().into_iter().map(move |host| (host, former.clone()))
+        };
+        self.shares.iter().flat_map(of_share).collect()
+    }
+
+    pub(crate) fn resolved(&self) -> Vec<Instance> {
+        let over = self.shares.iter().filter(|share| share.awaited.is_empty());
+        over.map(|share| share.taken.from.clone()).collect()
+    }
+
+    pub(crate) fn open_ppm(&self) -> u32 {
+        let open = self.shares.iter().filter(|share| !share.awaited.is_empty());
+        open.fold(0, |sum, share| sum.saturating_add(share.taken.share_ppm))
+    }
+}
