--- a/crates/lycheeford-peer/tests/lanes.rs
+++ b/crates/lycheeford-peer/tests/lanes.rs
@@ -8,8 +8,8 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use lycheeford_peer::{Inbox, Member, Missed, PeerLimits, Peers, Sent};
-use lycheeford_policy::{Incarnation, Name};
-use lycheeford_wire::{Hello, HostReport, LoanQuery, Message};
+use lycheeford_policy::{AskId, Incarnation, Name};
+use lycheeford_wire::{Hello, HostReport, LoanAsk, Message};
 
 #[derive(Debug)]
 struct Recorder {
@@ -51,8 +51,8 @@
     }
 
     fn message(&self, _from: &Hello, message: Message) {
-        if let Message::LoanQuery(query) = message {
-            self.loans.lock().unwrap().push(query.loan_id);
+        if let Message::LoanAsk(ask) = message {
+            self.loans.lock().unwrap().push(ask.ask.0);
         }
     }
 }
@@ -76,8 +76,8 @@
     Member { host: host.into(), address }
 }
 
-fn loan(loan_id: u64) -> Message {
-    Message::LoanQuery(LoanQuery { loan_id, customer: "north".into() })
+fn loan(ask: u64) -> Message {
+    Message::LoanAsk(LoanAsk { ask: AskId(ask), customer: "north".into(), tokens: 1 })
 }
 
 /// Waits until `done` holds; the limit only ends a test that hangs.
--- a/crates/lycheeford-wire/src/convert.rs
+++ b/crates/lycheeford-wire/src/convert.rs
@@ -1,13 +1,16 @@
-use lycheeford_policy::{Incarnation, Name};
+use lycheeford_policy::{
+    AskId, CrashSuspect, Incarnation, Instance, Loan, LoanId, LoanReport, LoanState, Name,
+};
 use prost::Message as _;
 
 use crate::error::WireError;
 use crate::generated as wire;
 use crate::generated::frame::Body;
+use crate::generated::loan_report::State;
 use crate::message::{
-    Activity, Beat, CrashCount, Demand, DemandReport, Expected, Hello, HostReport, LoanGrant,
-    LoanQuery, LoanRequest, LoanSettlement, Message, PlacementReport, Refused, SpareTokens,
-    TargetPlacement,
+    Activity, Beat, CustomerLoanReport, Demand, DemandReport, Expected, FormerHolder, Hello,
+    HostReport, LoanAsk, LoanOffer, LoanRefusal, LoanSettled, Message, PlacementReport, Refused,
+    SpareTokens, TargetPlacement,
 };
 
 /// Encodes a message as the bytes of one frame.
@@ -21,15 +24,28 @@
             sequence: beat.sequence,
             report: Some(beat.report.into()),
         }),
-        Message::LoanRequest(request) => Body::LoanRequest(request.into()),
-        Message::LoanGrant(grant) => Body::LoanGrant(grant.into()),
-        Message::LoanSettlement(settlement) => Body::LoanSettlement(settlement.into()),
-        Message::LoanQuery(query) => Body::LoanQuery(query.into()),
+        Message::LoanAsk(ask) => Body::LoanAsk(ask.into()),
+        Message::LoanOffer(offer) => Body::LoanOffer(offer.into()),
+        Message::LoanRefusal(refusal) => Body::LoanRefusal(refusal.into()),
+        Message::LoanQuery(query) => {
+            let wire::LoanOffer { customer, loan } = query.into();
+            Body::LoanQuery(wire::LoanQuery { customer, loan })
+        }
+        Message::LoanReport(report) => Body::LoanReport(report.into()),
+        Message::LoanSettled(settled) => Body::LoanSettled(settled.into()),
+        Message::DisclaimAsk(holder) => Body::DisclaimAsk(wire::DisclaimAsk {
+            customer: holder.customer.as_str().to_owned(),
+            former: Some(holder.former.into()),
+        }),
+        Message::Disclaimed(holder) => Body::Disclaimed(wire::Disclaimed {
+            customer: holder.customer.as_str().to_owned(),
+            former: Some(holder.former.into()),
+        }),
         Message::DemandReport(report) => Body::DemandReport(report.into()),
         Message::PlacementReport(report) => Body::PlacementReport(report.into()),
-        Message::CrashReport(crashes) => Body::CrashReport(wire::CrashReport {
-            crashes: crashes.into_iter().map(Into::into).collect(),
-        }),
+        Message::CrashReport(suspects) => {
+            Body::CrashReport(wire::CrashReport { suspects: encoded_all(suspects) })
+        }
         Message::Flush(sequence) => Body::Flush(wire::Flush { sequence }),
         Message::Flushed(sequence) => Body::Flushed(wire::Flushed { sequence }),
     };
@@ -48,15 +64,21 @@
         Body::Hello(hello) => Message::Hello(hello.try_into()?),
         Body::Beat(beat) => Message::Beat(checked_beat(beat.sequence, beat.report)?),
         Body::BeatReply(beat) => Message::BeatReply(checked_beat(beat.sequence, beat.report)?),
-        Body::LoanRequest(request) => Message::LoanRequest(request.try_into()?),
-        Body::LoanGrant(grant) => Message::LoanGrant(grant.try_into()?),
-        Body::LoanSettlement(settlement) => Message::LoanSettlement(settlement.try_into()?),
-        Body::LoanQuery(query) => Message::LoanQuery(query.try_into()?),
+        Body::LoanAsk(ask) => Message::LoanAsk(ask.try_into()?),
+        Body::LoanOffer(offer) => Message::LoanOffer(offer.try_into()?),
+        Body::LoanRefusal(refusal) => Message::LoanRefusal(refusal.try_into()?),
+        Body::LoanQuery(wire::LoanQuery { customer, loan }) => {
+            Message::LoanQuery(wire::LoanOffer { customer, loan }.try_into()?)
+        }
+        Body::LoanReport(report) => Message::LoanReport(report.try_into()?),
+        Body::LoanSettled(settled) => Message::LoanSettled(settled.try_into()?),
+        Body::DisclaimAsk(ask) => Message::DisclaimAsk(former_holder(ask.customer, ask.former)?),
+        Body::Disclaimed(answer) => {
+            Message::Disclaimed(former_holder(answer.customer, answer.former)?)
+        }
         Body::DemandReport(report) => Message::DemandReport(report.try_into()?),
         Body::PlacementReport(report) => Message::PlacementReport(report.try_into()?),
-        Body::CrashReport(report) => {
-            Message::CrashReport(report.crashes.into_iter().map(Into::into).collect())
-        }
+        Body::CrashReport(report) => Message::CrashReport(checked_all(report.suspects)?),
         Body::Flush(flush) => Message::Flush(flush.sequence),
         Body::Flushed(flushed) => Message::Flushed(flushed.sequence),
     };
@@ -68,6 +90,23 @@
     Ok(Beat { sequence, report })
 }
 
+fn former_holder(
+    customer: String,
+    former: Option<wire::Instance>,
+) -> Result<FormerHolder, WireError> {
+    Ok(FormerHolder {
+        customer: checked_name(customer, "customer")?,
+        former: present(former, "former")?,
+    })
+}
+
+fn present<T, U>(part: Option<T>, field: &'static str) -> Result<U, WireError>
+where
+    U: TryFrom<T, Error = WireError>,
+{
+    U::try_from(part.ok_or_else(|| WireError::missing(field))?)
+}
+
 fn checked_name(text: String, field: &'static str) -> Result<Name, WireError> {
     if text.is_empty() {
         return Err(WireError::missing(field));
@@ -145,85 +184,142 @@
     }
 }
 
-impl From<LoanRequest> for wire::LoanRequest {
-    fn from(domain: LoanRequest) -> wire::LoanRequest {
-        wire::LoanRequest {
-            loan_id: domain.loan_id,
+impl From<LoanAsk> for wire::LoanAsk {
+    fn from(domain: LoanAsk) -> wire::LoanAsk {
+        wire::LoanAsk {
             customer: domain.customer.as_str().to_owned(),
+            ask: domain.ask.0,
             tokens: domain.tokens,
         }
     }
 }
 
-impl TryFrom<wire::LoanRequest> for LoanRequest {
+impl TryFrom<wire::LoanAsk> for LoanAsk {
     type Error = WireError;
 
-    fn try_from(wire: wire::LoanRequest) -> Result<LoanRequest, WireError> {
-        Ok(LoanRequest {
-            loan_id: wire.loan_id,
+    fn try_from(wire: wire::LoanAsk) -> Result<LoanAsk, WireError> {
+        Ok(LoanAsk {
             customer: checked_name(wire.customer, "customer")?,
+            ask: AskId(wire.ask),
             tokens: wire.tokens,
         })
     }
 }
 
-impl From<LoanGrant> for wire::LoanGrant {
-    fn from(domain: LoanGrant) -> wire::LoanGrant {
-        wire::LoanGrant {
-            loan_id: domain.loan_id,
+impl From<LoanOffer> for wire::LoanOffer {
+    fn from(domain: LoanOffer) -> wire::LoanOffer {
+        wire::LoanOffer {
             customer: domain.customer.as_str().to_owned(),
-            tokens: domain.tokens,
-            ready_in_ms: domain.ready_in_ms,
+            loan: Some(domain.loan.into()),
         }
     }
 }
 
-impl TryFrom<wire::LoanGrant> for LoanGrant {
+impl TryFrom<wire::LoanOffer> for LoanOffer {
     type Error = WireError;
 
-    fn try_from(wire: wire::LoanGrant) -> Result<LoanGrant, WireError> {
-        Ok(LoanGrant {
-            loan_id: wire.loan_id,
+    fn try_from(wire: wire::LoanOffer) -> Result<LoanOffer, WireError> {
+        Ok(LoanOffer {
             customer: checked_name(wire.customer, "customer")?,
-            tokens: wire.tokens,
-            ready_in_ms: wire.ready_in_ms,
+            loan: present(wire.loan, "loan")?,
         })
     }
 }
 
-impl From<LoanSettlement> for wire::LoanSettlement {
-    fn from(domain: LoanSettlement) -> wire::LoanSettlement {
-        wire::LoanSettlement {
-            loan_id: domain.loan_id,
+impl From<LoanRefusal> for wire::LoanRefusal {
+    fn from(domain: LoanRefusal) -> wire::LoanRefusal {
+        wire::LoanRefusal {
             customer: domain.customer.as_str().to_owned(),
-            used_tokens: domain.used_tokens,
+            ask: domain.ask.0,
+            spare_tokens: domain.spare_tokens,
         }
     }
 }
 
-impl TryFrom<wire::LoanSettlement> for LoanSettlement {
+impl TryFrom<wire::LoanRefusal> for LoanRefusal {
     type Error = WireError;
 
-    fn try_from(wire: wire::LoanSettlement) -> Result<LoanSettlement, WireError> {
-        Ok(LoanSettlement {
-            loan_id: wire.loan_id,
+    fn try_from(wire: wire::LoanRefusal) -> Result<LoanRefusal, WireError> {
+        Ok(LoanRefusal {
             customer: checked_name(wire.customer, "customer")?,
-            used_tokens: wire.used_tokens,
+            ask: AskId(wire.ask),
+            spare_tokens: wire.spare_tokens,
         })
     }
 }
 
-impl From<LoanQuery> for wire::LoanQuery {
-    fn from(domain: LoanQuery) -> wire::LoanQuery {
-        wire::LoanQuery { loan_id: domain.loan_id, customer: domain.customer.as_str().to_owned() }
+impl From<LoanSettled> for wire::LoanSettled {
+    fn from(domain: LoanSettled) -> wire::LoanSettled {
+        wire::LoanSettled {
+            customer: domain.customer.as_str().to_owned(),
+            id: Some(domain.id.into()),
+        }
     }
 }
 
-impl TryFrom<wire::LoanQuery> for LoanQuery {
+impl TryFrom<wire::LoanSettled> for LoanSettled {
     type Error = WireError;
 
-    fn try_from(wire: wire::LoanQuery) -> Result<LoanQuery, WireError> {
-        Ok(LoanQuery { loan_id: wire.loan_id, customer: checked_name(wire.customer, "customer")? })
+    fn try_from(wire: wire::LoanSettled) -> Result<LoanSettled, WireError> {
+        Ok(LoanSettled {
+            customer: checked_name(wire.customer, "customer")?,
+            id: present(wire.id, "id")?,
+        })
+    }
+}
+
+impl From<Instance> for wire::Instance {
+    fn from(domain: Instance) -> wire::Instance {
+        wire::Instance { host: domain.host.as_str().to_owned(), incarnation: domain.incarnation.0 }
+    }
+}
+
+impl TryFrom<wire::Instance> for Instance {
+    type Error = WireError;
+
+    fn try_from(wire: wire::Instance) -> Result<Instance, WireError> {
+        Ok(Instance {
+            host: checked_name(wire.host, "host")?,
+            incarnation: Incarnation(wire.incarnation),
+        })
+    }
+}
+
+impl From<LoanId> for wire::LoanId {
+    fn from(domain: LoanId) -> wire::LoanId {
+        wire::LoanId { lender: Some(domain.lender.into()), number: domain.number }
+    }
+}
+
+impl TryFrom<wire::LoanId> for LoanId {
+    type Error = WireError;
+
+    fn try_from(wire: wire::LoanId) -> Result<LoanId, WireError> {
+        Ok(LoanId { lender: present(wire.lender, "lender")?, number: wire.number })
+    }
+}
+
+impl From<Loan> for wire::Loan {
+    fn from(domain: Loan) -> wire::Loan {
+        wire::Loan {
+            id: Some(domain.id.into()),
+            borrower: Some(domain.borrower.into()),
+            ask: domain.ask.0,
+            tokens: domain.tokens,
+        }
+    }
+}
+
+impl TryFrom<wire::Loan> for Loan {
+    type Error = WireError;
+
+    fn try_from(wire: wire::Loan) -> Result<Loan, WireError> {
+        Ok(Loan {
+            id: present(wire.id, "id")?,
+            borrower: present(wire.borrower, "borrower")?,
+            ask: AskId(wire.ask),
+            tokens: wire.tokens,
+        })
     }
 }
 
@@ -385,14 +481,58 @@
     }
 }
 
-impl From<CrashCount> for wire::CrashCount {
-    fn from(domain: CrashCount) -> wire::CrashCount {
-        wire::CrashCount { fingerprint: domain.fingerprint, crashes: domain.crashes }
+impl From<CustomerLoanReport> for wire::LoanReport {
+    fn from(domain: CustomerLoanReport) -> wire::LoanReport {
+        let state = match domain.report.state {
+            LoanState::Running => State::Running(wire::Running {}),
+            LoanState::Closed { used_tokens, returned_tokens } => {
+                State::Closed(wire::Closed { used_tokens, returned_tokens })
+            }
+            LoanState::BorrowerGone => State::BorrowerGone(wire::BorrowerGone {}),
+        };
+        wire::LoanReport {
+            customer: domain.customer.as_str().to_owned(),
+            id: Some(domain.report.id.into()),
+            state: Some(state),
+        }
+    }
+}
+
+impl TryFrom<wire::LoanReport> for CustomerLoanReport {
+    type Error = WireError;
+
+    fn try_from(wire: wire::LoanReport) -> Result<CustomerLoanReport, WireError> {
+        let state = match wire.state.ok_or_else(|| WireError::missing("state"))? {
+            State::Running(_) => LoanState::Running,
+            State::Closed(wire::Closed { used_tokens, returned_tokens }) => {
+                LoanState::Closed { used_tokens, returned_tokens }
+            }
+            State::BorrowerGone(_) => LoanState::BorrowerGone,
+        };
+        Ok(CustomerLoanReport {
+            customer: checked_name(wire.customer, "customer")?,
+            report: LoanReport { id: present(wire.id, "id")?, state },
+        })
+    }
+}
+
+impl From<CrashSuspect> for wire::CrashSuspect {
+    fn from(domain: CrashSuspect) -> wire::CrashSuspect {
+        let target_lives = domain.crashes.iter().map(|life| life.as_str().to_owned()).collect();
+        wire::CrashSuspect { fingerprint: domain.fingerprint, target_lives }
     }
 }
 
-impl From<wire::CrashCount> for CrashCount {
-    fn from(wire: wire::CrashCount) -> CrashCount {
-        CrashCount { fingerprint: wire.fingerprint, crashes: wire.crashes }
+impl TryFrom<wire::CrashSuspect> for CrashSuspect {
+    type Error = WireError;
+
+    fn try_from(wire: wire::CrashSuspect) -> Result<CrashSuspect, WireError> {
+        let mut crashes = wire
+            .target_lives
+            .into_iter()
+            .map(|life| checked_name(life, "target life"))
+            .collect::<Result<Vec<Name>, WireError>>()?;
+        crashes.sort();
+        Ok(CrashSuspect { fingerprint: wire.fingerprint, crashes, noted: 0 })
     }
 }
--- a/crates/lycheeford-wire/src/lib.rs
+++ b/crates/lycheeford-wire/src/lib.rs
@@ -25,7 +25,7 @@
 pub use crate::convert::{decode, encode};
 pub use crate::error::WireError;
 pub use crate::message::{
-    Activity, Beat, CrashCount, Demand, DemandReport, Expected, Hello, HostReport, LoanGrant,
-    LoanQuery, LoanRequest, LoanSettlement, Message, PlacementReport, Refused, SpareTokens,
-    TargetPlacement,
+    Activity, Beat, CustomerLoanReport, Demand, DemandReport, Expected, FormerHolder, Hello,
+    HostReport, LoanAsk, LoanOffer, LoanRefusal, LoanSettled, Message, PlacementReport, Refused,
+    SpareTokens, TargetPlacement,
 };
--- a/crates/lycheeford-wire/src/message.rs
+++ b/crates/lycheeford-wire/src/message.rs
@@ -1,4 +1,6 @@
-use lycheeford_policy::{Incarnation, Name};
+use lycheeford_policy::{
+    AskId, CrashSuspect, Incarnation, Instance, Loan, LoanId, LoanReport, Name,
+};
 
 /// One message between daemons.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -10,19 +12,27 @@
     /// Answers a beat on the same connection.
     BeatReply(Beat),
     /// Asks for tokens.
-    LoanRequest(LoanRequest),
-    /// Lends tokens, or refuses to with zero.
-    LoanGrant(LoanGrant),
-    /// Tells how many lent tokens were used.
-    LoanSettlement(LoanSettlement),
-    /// Asks what became of a loan.
-    LoanQuery(LoanQuery),
+    LoanAsk(LoanAsk),
+    /// Lends tokens.
+    LoanOffer(LoanOffer),
+    /// Lends nothing.
+    LoanRefusal(LoanRefusal),
+    /// Asks how a loan stands.
+    LoanQuery(LoanOffer),
+    /// Tells how a loan stands.
+    LoanReport(CustomerLoanReport),
+    /// Tells that a loan is settled.
+    LoanSettled(LoanSettled),
+    /// Asks whether the receiver holds no loan of a former holder.
+    DisclaimAsk(FormerHolder),
+    /// Tells that the sender holds no such loan and accepts none any more.
+    Disclaimed(FormerHolder),
     /// Tells the coordinator what callers wait for.
     DemandReport(DemandReport),
     /// Tells every host where replicas are ready.
     PlacementReport(PlacementReport),
     /// Shares which requests were running when a target died.
-    CrashReport(Vec<CrashCount>),
+    CrashReport(Vec<CrashSuspect>),
     /// Asks whether all frames before it were taken; the value pairs it with its answer.
     Flush(u64),
     /// Answers a flush on the same connection.
@@ -75,46 +85,60 @@
 
 /// Asks for tokens of a customer for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LoanRequest {
-    /// Unique for the borrower's life.
-    pub loan_id: u64,
+pub struct LoanAsk {
     /// The customer.
     pub customer: Name,
+    /// The borrower's id of the question.
+    pub ask: AskId,
     /// How many tokens the request lacks.
     pub tokens: u64,
 }
 
-/// Lends tokens that the sender has set aside.
+/// A loan of a customer's tokens.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LoanGrant {
-    /// The borrower's id of the loan.
-    pub loan_id: u64,
+pub struct LoanOffer {
     /// The customer.
     pub customer: Name,
-    /// How many tokens are lent; zero refuses.
-    pub tokens: u64,
-    /// When the lender expects to have the tokens, if it refused.
-    pub ready_in_ms: Option<u64>,
+    /// The loan.
+    pub loan: Loan,
+}
+
+/// Lends nothing, and says what the sender has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoanRefusal {
+    /// The customer.
+    pub customer: Name,
+    /// The question.
+    pub ask: AskId,
+    /// What the sender could lend now.
+    pub spare_tokens: u64,
+}
+
+/// Tells how a loan stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CustomerLoanReport {
+    /// The customer.
+    pub customer: Name,
+    /// How it stands.
+    pub report: LoanReport,
 }
 
-/// Tells the lender how many of the lent tokens were used.
+/// Tells a borrower that a loan is settled.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LoanSettlement {
-    /// The borrower's id of the loan.
-    pub loan_id: u64,
+pub struct LoanSettled {
     /// The customer.
     pub customer: Name,
-    /// How many tokens were used; the rest returns to the lender.
-    pub used_tokens: u64,
+    /// The loan.
+    pub id: LoanId,
 }
 
-/// Asks a borrower what became of a loan whose settlement is missing.
+/// A former holder of a customer's share, whose loans are asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LoanQuery {
-    /// The borrower's id of the loan.
-    pub loan_id: u64,
+pub struct FormerHolder {
     /// The customer.
     pub customer: Name,
+    /// The holder.
+    pub former: Instance,
 }
 
 /// A host's whole demand, which replaces its earlier report.
@@ -203,12 +227,3 @@
     /// When to come back.
     pub retry_after_ms: u64,
 }
-
-/// How often one request was running when its target died.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CrashCount {
-    /// The request's fingerprint.
-    pub fingerprint: u64,
-    /// How many targets died.
-    pub crashes: u32,
-}
--- a/crates/lycheeford-wire/tests/frames.rs
+++ b/crates/lycheeford-wire/tests/frames.rs
@@ -1,9 +1,11 @@
 //! Frames from a peer are bytes from outside: any bytes decode or are refused.
 
-use lycheeford_policy::{Incarnation, Name};
+use lycheeford_policy::{
+    AskId, CrashSuspect, Incarnation, Instance, Loan, LoanId, LoanReport, LoanState, Name,
+};
 use lycheeford_wire::{
-    Activity, Beat, CrashCount, Demand, DemandReport, Hello, HostReport, LoanGrant, Message,
-    SpareTokens, decode, encode,
+    Activity, Beat, CustomerLoanReport, Demand, DemandReport, Hello, HostReport, LoanOffer,
+    Message, SpareTokens, decode, encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -28,6 +30,15 @@
     }
 }
 
+fn loan() -> Loan {
+    Loan {
+        id: LoanId { lender: Instance::new("entry-1", 4), number: 9 },
+        borrower: Instance::new("entry-2", 5),
+        ask: AskId(11),
+        tokens: 40,
+    }
+}
+
 struct Case {
     name: &'static str,
     message: Message,
@@ -46,12 +57,21 @@
             message: Message::BeatReply(Beat { sequence: 3, report: report() }),
         },
         Case {
-            name: "loan grant",
-            message: Message::LoanGrant(LoanGrant {
-                loan_id: 7,
+            name: "loan offer",
+            message: Message::LoanOffer(LoanOffer { customer: "north".into(), loan: loan() }),
+        },
+        Case {
+            name: "loan query",
+            message: Message::LoanQuery(LoanOffer { customer: "north".into(), loan: loan() }),
+        },
+        Case {
+            name: "loan report",
+            message: Message::LoanReport(CustomerLoanReport {
                 customer: "north".into(),
-                tokens: 0,
-                ready_in_ms: Some(40),
+                report: LoanReport {
+                    id: loan().id,
+                    state: LoanState::Closed { used_tokens: 30, returned_tokens: 10 },
+                },
             }),
         },
         Case {
@@ -70,7 +90,11 @@
         },
         Case {
             name: "crashes",
-            message: Message::CrashReport(vec![CrashCount { fingerprint: u64::MAX, crashes: 2 }]),
+            message: Message::CrashReport(vec![CrashSuspect {
+                fingerprint: u64::MAX,
+                crashes: vec!["target-1@7".into()],
+                noted: 0,
+            }]),
         },
     ];
     for case in cases {
