fakes: Add stand-ins for platform, engine, service and weight store

Each runs in a test's process or as a binary, and takes faults while it runs. Answers of the engine are a function of model, prompt and index, so that a caller can tell a whole answer of its own from any other.

--- /dev/null
+++ b/crates/lycheeford-fakes/src/engine/state.rs
@@ -0,0 +1,204 @@
+use std::collections::VecDeque;
+use std::time::{Duration, Instant, SystemTime};
+
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::audit::EngineAudit;
+use super::batch::Batch;
+use super::faults::{EngineFaults, EngineState};
+use super::options::EngineOptions;
+
+/// The orders that a status lists.
+const ORDERS_LISTED: usize = 64;
+
+/// The past statuses kept for a status that lags.
+const STATUSES_KEPT: usize = 512;
+
+/// What an engine holds and does.
+#[derive(Debug)]
+pub(super) struct State {
+    incarnation: u64,
+    memory_total_bytes: u64,
+    pub(super) highest_fence: u64,
+    pub(super) loaded: Vec<Loaded>,
+    checkpoints: Vec<Checkpoint>,
+    orders: VecDeque<OrderOutcome>,
+    pub(super) batch: Batch,
+    pub(super) faults: EngineFaults,
+    pub(super) audit: EngineAudit,
+    leaving_since: Option<Instant>,
+    past: VecDeque<(Instant, Value)>,
+}
+
+/// A replica of a model or adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(super) struct Loaded {
+    pub(super) name: String,
+    pub(super) memory_bytes: u64,
+    pub(super) state: LoadedState,
+    pub(super) order_id: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum LoadedState {
+    Loading,
+    Ready,
+    Unloading,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct Checkpoint {
+    name: String,
+    place: CheckpointPlace,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum CheckpointPlace {
+    Disk,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct OrderOutcome {
+    order_id: String,
+    outcome: Outcome,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum Outcome {
+    Accepted,
+    RefusedStaleFence,
+    RefusedMemory,
+    Done,
+    Failed,
+}
+
+impl State {
+    pub(super) fn new(options: &EngineOptions) -> State {
+        let mut checkpoints: Vec<Checkpoint> = Vec::new();
+        for name in &options.disk_checkpoints {
+            checkpoints.push(Checkpoint { name: name.clone(), place: CheckpointPlace::Disk });
+        }
+        checkpoints.sort_unstable_by(|left, right| left.name.cmp(&right.name));
+        let audit =
+            EngineAudit { memory_total_bytes: options.memory_bytes, ..EngineAudit::default() };
+        let mut state = State {
+            incarnation: incarnation(),
+            memory_total_bytes: options.memory_bytes,
+            highest_fence: 0,
+            loaded: Vec::new(),
+            checkpoints,
+            orders: VecDeque::new(),
+            batch: Batch::new(options.batch_max),
+            faults: EngineFaults::default(),
+            audit,
+            leaving_since: None,
+            past: VecDeque::new(),
+        };
+        state.changed();
+        state
+    }
+
+    pub(super) fn set_faults(&mut self, faults: EngineFaults) {
+        let leaving = faults.state == EngineState::Leaving;
+        let since = self.leaving_since.unwrap_or_else(Instant::now);
+        self.leaving_since = leaving.then_some(since);
+        self.faults = faults;
+        self.changed();
+    }
+
+    pub(super) fn memory_used_bytes(&self) -> u64 {
+        self.loaded.iter().map(|loaded| loaded.memory_bytes).sum()
+    }
+
+    pub(super) fn is_ready(&self, name: &str) -> bool {
+        self.loaded.iter().any(|loaded| loaded.name == name && loaded.state == LoadedState::Ready)
+    }
+
+    pub(super) fn has_checkpoint(&self, name: &str) -> bool {
+        self.checkpoint_position(name).is_ok()
+    }
+
+    pub(super) fn keep_checkpoint(&mut self, name: &str) {
+        if let Err(index) = self.checkpoint_position(name) {
+            let checkpoint = Checkpoint { name: name.to_owned(), place: CheckpointPlace::Disk };
+            self.checkpoints.insert(index, checkpoint);
+        }
+    }
+
+    pub(super) fn add_loaded(&mut self, loaded: Loaded) {
+        let name = loaded.name.clone();
+        self.loaded.push(loaded);
+        let replicas = self.loaded.iter().filter(|loaded| loaded.name == name).count() as u64;
+        self.audit.see_replicas(&name, replicas);
+        let used = self.memory_used_bytes();
+        self.audit.memory_used_bytes_max = self.audit.memory_used_bytes_max.max(used);
+    }
+
+    pub(super) fn set_outcome(&mut self, order_id: &str, outcome: Outcome) {
+        match self.orders.iter_mut().rfind(|order| order.order_id == order_id) {
+            Some(order) => order.outcome = outcome,
+            None => self.orders.push_back(OrderOutcome { order_id: order_id.to_owned(), outcome }),
+        }
+        if self.orders.len() > ORDERS_LISTED {
+            self.orders.pop_front();
+        }
+        self.changed();
+    }
+
+    pub(super) fn arrived(&mut self) {
+        if let Some(since) = self.leaving_since {
+            let after_ms = since.elapsed().as_millis() as u64;
+            self.audit.last_arrival_after_leaving_ms = Some(after_ms);
+        }
+    }
+
+    /// Returns the status, as old as the fault says.
+    pub(super) fn status(&mut self) -> Value {
+        let lag_ms = self.faults.status_lag_ms;
+        if lag_ms == 0 {
+            return self.status_now();
+        }
+        self.changed();
+        let lag = Duration::from_millis(lag_ms);
+        let old = self.past.iter().rfind(|(at, _)| at.elapsed() >= lag);
+        old.or(self.past.front()).map_or_else(|| self.status_now(), |(_, status)| status.clone())
+    }
+
+    /// Keeps the status for reports that lag.
+    pub(super) fn changed(&mut self) {
+        let status = self.status_now();
+        self.past.push_back((Instant::now(), status));
+        if self.past.len() > STATUSES_KEPT {
+            self.past.pop_front();
+        }
+    }
+
+    fn status_now(&self) -> Value {
+        json!({
+            "incarnation": self.incarnation,
+            "state": self.faults.state,
+            "memory_total_bytes": self.memory_total_bytes,
+            "memory_used_bytes": self.memory_used_bytes(),
+            "running": self.batch.running(),
+            "queued": self.batch.queued(),
+            "highest_fence": self.highest_fence,
+            "loaded": self.loaded,
+            "checkpoints": self.checkpoints,
+            "orders": self.orders,
+        })
+    }
+
+    fn checkpoint_position(&self, name: &str) -> Result<usize, usize> {
+        self.checkpoints.binary_search_by(|checkpoint| checkpoint.name.as_str().cmp(name))
+    }
+}
+
+/// Returns a number that grows from one life of a process to the next.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
--- a/crates/lycheeford-fakes/src/lib.rs
+++ b/crates/lycheeford-fakes/src/lib.rs
@@ -1,1 +1,40 @@
-//! Placeholder for the fakes package.
+//! Small stand-ins for what surrounds lycheeford.
+//!
+//! Each stands behind the same protocol as the real thing, runs in the process
+//! of a test or as a binary of its own, and takes faults while it runs by
+//! `POST /fault`; an empty JSON object there clears them.
+//!
+//! - [`FakePlatform`]: the object API with versions, conditional updates and
+//!   watches.
+//! - [`FakeEngine`]: a model engine with deterministic answers, which keeps an
+//!   audit of what it was told.
+//! - [`FakeService`]: a plain service that counts its runs.
+//! - [`FakeWeightStore`]: the rate-limited store that engines load from.
+//!
+//! ```
+//! use lycheeford_fakes::expected_text;
+//!
+//! let text = expected_text("ice-chart", "is the lead open?", 8);
+//! assert!(text.starts_with(&expected_text("ice-chart", "is the lead open?", 3)));
+//! ```
+
+mod engine;
+mod expected;
+mod platform;
+mod process;
+mod reply;
+mod server;
+mod service;
+mod weight_store;
+
+pub use crate::engine::{
+    EngineAudit, EngineFaults, EngineOptions, EngineState, FakeEngine, FenceCheck, OnCrash,
+    OrderSeen, ReplicasSeen,
+};
+pub use crate::expected::{expected_text, expected_token, prompt_tokens};
+pub use crate::platform::{
+    CallFault, FakePlatform, LostWrites, PlatformCalls, PlatformFaults, WatchFault,
+};
+pub use crate::process::{ProcessError, serve_until_signal};
+pub use crate::service::{FakeService, RunCount, ServiceFaults, ServiceOptions, ServiceRuns};
+pub use crate::weight_store::{FakeWeightStore, LoadKind, WeightStoreFaults, WeightStoreOptions};
--- /dev/null
+++ b/crates/lycheeford-fakes/src/platform/mod.rs
@@ -0,0 +1,356 @@
+mod faults;
+mod table;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::sync::{Condvar, Mutex};
+use async_std::task;
+use futures_util::future::pending;
+use http_types::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::reply::{error_reply, json_reply, path_segments, read_json};
+use crate::server::{Caller, Server};
+
+use self::faults::WriteFate;
+use self::table::{Condition, ObjectTable, PutError};
+
+pub use self::faults::{CallFault, LostWrites, PlatformFaults, WatchFault};
+
+/// The largest value that the platform stores.
+const VALUE_BYTES_MAX: usize = 1 << 20;
+
+/// How often a watch looks again while reads lag behind.
+const LAG_POLL_MS: u64 = 20;
+
+/// A stand-in for the platform's object API.
+///
+/// It keeps its objects in memory and stops when it is dropped.
+#[derive(Debug)]
+pub struct FakePlatform {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    gets: AtomicU64,
+    lists: AtomicU64,
+    puts: AtomicU64,
+    deletes: AtomicU64,
+    watches: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: ObjectTable,
+    faults: PlatformFaults,
+}
+
+/// Calls received so far by operation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCalls {
+    /// Reads of one object.
+    pub gets: u64,
+    /// Lists of a kind.
+    pub lists: u64,
+    /// Puts.
+    pub puts: u64,
+    /// Deletes.
+    pub deletes: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+impl FakePlatform {
+    /// Starts listening on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub async fn start(address: SocketAddr) -> io::Result<FakePlatform> {
+        let shared = Arc::new(Shared::default());
+        let handling = Arc::clone(&shared);
+        let server = Server::start(address, move |request, _: Caller| {
+            handle(Arc::clone(&handling), request)
+        })
+        .await?;
+        Ok(FakePlatform { server, shared })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces the faults.
+    pub async fn set_faults(&self, faults: PlatformFaults) {
+        self.shared.set_faults(faults).await;
+    }
+
+    /// Drops every open connection.
+    pub fn drop_connections(&self) {
+        self.server.drop_connections();
+    }
+
+    /// Stores a value whatever is there, and returns its version.
+    pub async fn store(&self, kind: &str, name: &str, value: Value) -> u64 {
+        let mut state = self.shared.state.lock().await;
+        let stored = state.table.put(kind, name, value, Condition::Any);
+        drop(state);
+        self.shared.changed.notify_all();
+        stored.unwrap_or_default()
+    }
+
+    /// Returns the stored value and its version.
+    pub async fn stored(&self, kind: &str, name: &str) -> Option<(u64, Value)> {
+        let state = self.shared.state.lock().await;
+        state.table.object(kind, name, u64::MAX)
+    }
+
+    /// Returns the calls received so far.
+    pub fn calls(&self) -> PlatformCalls {
+        self.shared.calls()
+    }
+}
+
+impl Drop for FakePlatform {
+    fn drop(&mut self) {
+        self.server.stop();
+    }
+}
+
+impl Shared {
+    async fn set_faults(&self, faults: PlatformFaults) {
+        self.state.lock().await.faults = faults;
+        self.changed.notify_all();
+    }
+
+    fn calls(&self) -> PlatformCalls {
+        PlatformCalls {
+            gets: self.gets.load(Ordering::Relaxed),
+            lists: self.lists.load(Ordering::Relaxed),
+            puts: self.puts.load(Ordering::Relaxed),
+            deletes: self.deletes.load(Ordering::Relaxed),
+            watches: self.watches.load(Ordering::Relaxed),
+        }
+    }
+}
+
+async fn handle(shared: Arc<Shared>, mut request: Request) -> http_types::Result<Response> {
+    let segments = path_segments(&request);
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    match (request.method(), segments.as_slice()) {
+        (Method::Post, ["fault"]) => match read_json(&mut request).await {
+            Ok(faults) => {
+                shared.set_faults(faults).await;
+                json_reply(StatusCode::Ok, &json!({}))
+            }
+            Err(refusal) => refusal,
+        },
+        (Method::Get, ["calls"]) => json_reply(StatusCode::Ok, &shared.calls()),
+        (method, segments) => {
+            shared.hold_call().await?;
+            if shared.refuses().await {
+                return error_reply(StatusCode::ServiceUnavailable, "unavailable");
+            }
+            call(&shared, method, segments, request).await
+        }
+    }
+}
+
+async fn call(
+    shared: &Shared,
+    method: Method,
+    segments: &[&str],
+    request: Request,
+) -> http_types::Result<Response> {
+    match (method, segments) {
+        (Method::Get, ["objects", kind]) => shared.list(kind).await,
+        (Method::Get, ["objects", kind, name]) => shared.get(kind, name).await,
+        (Method::Put, ["objects", kind, name]) => shared.put(kind, name, request).await,
+        (Method::Delete, ["objects", kind, name]) => shared.delete(kind, name, &request).await,
+        (Method::Get, ["watch", kind]) => shared.watch(kind, &request).await,
+        _ => error_reply(StatusCode::NotFound, "no such path"),
+    }
+}
+
+impl Shared {
+    /// Delays, stalls or drops a call as the faults say.
+    async fn hold_call(&self) -> http_types::Result<()> {
+        let delay_ms = self.state.lock().await.faults.answer_delay_ms;
+        task::sleep(Duration::from_millis(delay_ms)).await;
+        let mut state = self.state.lock().await;
+        while state.faults.calls == CallFault::Stall {
+            state = self.changed.wait(state).await;
+        }
+        match state.faults.calls {
+            CallFault::Reset => Err(dropped()),
+            _ => Ok(()),
+        }
+    }
+
+    async fn refuses(&self) -> bool {
+        self.state.lock().await.faults.calls == CallFault::Refuse
+    }
+
+    async fn list(&self, kind: &str) -> http_types::Result<Response> {
+        self.lists.fetch_add(1, Ordering::Relaxed);
+        let state = self.state.lock().await;
+        let revision = state.readable_revision(kind);
+        let objects = state.table.objects(kind, revision);
+        json_reply(StatusCode::Ok, &json!({ "revision": revision, "objects": objects }))
+    }
+
+    async fn get(&self, kind: &str, name: &str) -> http_types::Result<Response> {
+        self.gets.fetch_add(1, Ordering::Relaxed);
+        let state = self.state.lock().await;
+        match state.table.object(kind, name, state.readable_revision(kind)) {
+            Some((version, value)) => json_reply(
+                StatusCode::Ok,
+                &json!({ "kind": kind, "name": name, "version": version, "value": value }),
+            ),
+            None => error_reply(StatusCode::NotFound, "absent"),
+        }
+    }
+
+    async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        mut request: Request,
+    ) -> http_types::Result<Response> {
+        self.puts.fetch_add(1, Ordering::Relaxed);
+        let bytes = request.body_bytes().await?;
+        if bytes.len() > VALUE_BYTES_MAX {
+            return error_reply(StatusCode::PayloadTooLarge, "too large");
+        }
+        let Ok(value) = serde_json::from_slice(&bytes) else {
+            return error_reply(StatusCode::BadRequest, "not json");
+        };
+        let Some(condition) = condition(&request) else {
+            return error_reply(StatusCode::BadRequest, "if-match is not a version");
+        };
+        let write = |table: &mut ObjectTable| table.put(kind, name, value, condition);
+        match self.write(write).await? {
+            Ok(version) => json_reply(
+                StatusCode::Ok,
+                &json!({ "kind": kind, "name": name, "version": version }),
+            ),
+            Err(error) => refuse_write(error),
+        }
+    }
+
+    async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        request: &Request,
+    ) -> http_types::Result<Response> {
+        self.deletes.fetch_add(1, Ordering::Relaxed);
+        let Some(condition) = condition(request) else {
+            return error_reply(StatusCode::BadRequest, "if-match is not a version");
+        };
+        match self.write(|table| table.delete(kind, name, condition)).await? {
+            Ok(_) => Ok(Response::new(StatusCode::NoContent)),
+            Err(error) => refuse_write(error),
+        }
+    }
+
+    async fn write(
+        &self,
+        write: impl FnOnce(&mut ObjectTable) -> Result<u64, PutError>,
+    ) -> http_types::Result<Result<u64, PutError>> {
+        let mut state = self.state.lock().await;
+        let fate = state.faults.next_write();
+        if fate == WriteFate::LoseRequest {
+            return Err(dropped());
+        }
+        let written = write(&mut state.table);
+        drop(state);
+        self.changed.notify_all();
+        match fate {
+            WriteFate::LoseAnswer => Err(dropped()),
+            _ => Ok(written),
+        }
+    }
+
+    async fn watch(&self, kind: &str, request: &Request) -> http_types::Result<Response> {
+        self.watches.fetch_add(1, Ordering::Relaxed);
+        let after = query_number(request, "after").unwrap_or(0);
+        let wait_ms = query_number(request, "wait_ms").unwrap_or(0);
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let mut state = self.state.lock().await;
+        loop {
+            if state.faults.watches == WatchFault::Silent {
+                drop(state);
+                pending::<()>().await;
+                return Err(dropped());
+            }
+            if !state.table.keeps_after(after) {
+                return error_reply(StatusCode::Gone, "watch too old");
+            }
+            let revision = state.readable_revision(kind);
+            let events = state.table.events(kind, after, revision);
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            if !events.is_empty() || remaining.is_zero() {
+                let batch = json!({ "revision": revision, "events": events });
+                return json_reply(StatusCode::Ok, &batch);
+            }
+            let pause = if state.faults.reads_lag() {
+                remaining.min(Duration::from_millis(LAG_POLL_MS))
+            } else {
+                remaining
+            };
+            state = self.changed.wait_timeout(state, pause).await.0;
+        }
+    }
+}
+
+impl State {
+    /// Returns the revision as of which `kind` is read.
+    fn readable_revision(&self, kind: &str) -> u64 {
+        let newest = self.table.revision();
+        let stale = newest.saturating_sub(self.faults.stale_by_revisions);
+        if kind != "host" || self.faults.host_list_lag_ms == 0 {
+            return stale;
+        }
+        let lag = Duration::from_millis(self.faults.host_list_lag_ms);
+        stale.min(self.table.revision_before(Instant::now().checked_sub(lag)))
+    }
+}
+
+/// Returns the condition in the request's headers, or `None` if it can't be read.
+fn condition(request: &Request) -> Option<Condition> {
+    if request.header("if-none-match").is_some() {
+        return Some(Condition::Absent);
+    }
+    let Some(value) = request.header("if-match") else {
+        return Some(Condition::Any);
+    };
+    value.as_str().trim_matches('"').parse().ok().map(Condition::Version)
+}
+
+fn refuse_write(error: PutError) -> http_types::Result<Response> {
+    match error {
+        PutError::Conflict => error_reply(StatusCode::Conflict, "conflict"),
+        PutError::Absent => error_reply(StatusCode::NotFound, "absent"),
+    }
+}
+
+fn query_number(request: &Request, key: &str) -> Option<u64> {
+    let mut pairs = request.url().query_pairs();
+    let (_, value) = pairs.find(|(name, _)| name == key)?;
+    value.parse().ok()
+}
+
+fn dropped() -> http_types::Error {
+    http_types::Error::from_str(StatusCode::InternalServerError, "dropped by a fault")
+}
--- /dev/null
+++ b/crates/lycheeford-fakes/src/server.rs
@@ -0,0 +1,125 @@
+use std::future::Future;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures_util::StreamExt;
+use futures_util::future::{AbortHandle, abortable, pending};
+use http_types::{Request, Response};
+
+/// An HTTP server on one address that can drop its connections.
+#[derive(Debug, Clone)]
+pub(crate) struct Server {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    address: SocketAddr,
+    accepting: Mutex<Option<AbortHandle>>,
+    stopped: AtomicBool,
+    next_id: AtomicU64,
+    streams: Mutex<Vec<(u64, TcpStream)>>,
+}
+
+/// The other end of the connection that a request came on.
+#[derive(Debug, Clone)]
+pub(crate) struct Caller(TcpStream);
+
+impl Server {
+    /// Listens on `address` and answers each request by `handler`; an error drops the connection.
+    pub(crate) async fn start<H, F>(address: SocketAddr, handler: H) -> io::Result<Server>
+    where
+        H: Fn(Request, Caller) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = http_types::Result<Response>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let shared = Arc::new(Shared {
+            address: listener.local_addr()?,
+            accepting: Mutex::new(None),
+            stopped: AtomicBool::new(false),
+            next_id: AtomicU64::new(0),
+            streams: Mutex::new(Vec::new()),
+        });
+        let server = Server { shared };
+        let (accepting, abort) = abortable(accept(server.clone(), listener, handler));
+        *lock(&server.shared.accepting) = Some(abort);
+        task::spawn(accepting);
+        Ok(server)
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Stops listening and drops every connection.
+    pub(crate) fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::SeqCst);
+        if let Some(accepting) = lock(&self.shared.accepting).take() {
+            accepting.abort();
+        }
+        self.drop_connections();
+    }
+
+    /// Drops every connection that is open now.
+    pub(crate) fn drop_connections(&self) {
+        for (_, stream) in lock(&self.shared.streams).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn register(&self, stream: &TcpStream) -> u64 {
+        let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
+        lock(&self.shared.streams).push((id, stream.clone()));
+        if self.shared.stopped.load(Ordering::SeqCst) {
+            self.drop_connections();
+        }
+        id
+    }
+
+    fn unregister(&self, id: u64) {
+        let mut streams = lock(&self.shared.streams);
+        if let Ok(index) = streams.binary_search_by_key(&id, |(id, _)| *id) {
+            streams.remove(index);
+        }
+    }
+}
+
+impl Caller {
+    /// Waits until the caller has closed the connection.
+    pub(crate) async fn gone(&self) {
+        let mut byte = [0_u8; 1];
+        if let Ok(1) = self.0.peek(&mut byte).await {
+            // The next request waits already; a later hang-up shows at its turn.
+            pending::<()>().await;
+        }
+    }
+}
+
+async fn accept<H, F>(server: Server, listener: TcpListener, handler: H)
+where
+    H: Fn(Request, Caller) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = http_types::Result<Response>> + Send + 'static,
+{
+    let mut incoming = listener.incoming();
+    while let Some(accepted) = incoming.next().await {
+        let Ok(stream) = accepted else { continue };
+        let _ = stream.set_nodelay(true);
+        let (server, handler) = (server.clone(), handler.clone());
+        task::spawn(async move {
+            let id = server.register(&stream);
+            let caller = Caller(stream.clone());
+            let _ =
+                async_h1::accept(stream.clone(), |request| handler(request, caller.clone())).await;
+            let _ = stream.shutdown(Shutdown::Both);
+            server.unregister(id);
+        });
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
