--- /dev/null
+++ b/crates/lycheeford-config/src/grant.rs
@@ -0,0 +1,38 @@
+use sha2::{Digest, Sha256};
+
+use lycheeford_policy::{Key, Name};
+
+/// The random bytes that [`grant`] needs, from the operating system's generator.
+pub const GRANT_BYTES: usize = ID_BYTES + SALT_BYTES + SECRET_BYTES;
+
+const ID_BYTES: usize = 8;
+const SALT_BYTES: usize = 16;
+const SECRET_BYTES: usize = 32;
+
+/// Makes a key for `customer`, with the text that its callers present.
+///
+/// The text is `lf_ID_SECRET`, with the id and the secret in hex. It is shown
+/// once; the key holds only a salted digest of the secret part as written.
+///
+/// ```
+/// use lycheeford_config::{GRANT_BYTES, grant};
+/// use lycheeford_policy::Name;
+///
+/// let (key, secret) = grant(&Name::from("ferry-dispatch"), &[7; GRANT_BYTES]);
+/// assert!(secret.starts_with(&format!("lf_{}_", key.id)));
+/// ```
+pub fn grant(customer: &Name, random: &[u8; GRANT_BYTES]) -> (Key, String) {
+    let (id, rest) = random.split_at(ID_BYTES);
+    let (salt, secret) = rest.split_at(SALT_BYTES);
+    let id = hex::encode(id);
+    let secret = hex::encode(secret);
+    let digest = Sha256::new().chain_update(salt).chain_update(&secret).finalize();
+    let text = format!("lf_{id}_{secret}");
+    let key = Key {
+        id: Name::from(id),
+        customer: customer.clone(),
+        salt: Name::from(hex::encode(salt)),
+        digest: Name::from(hex::encode(digest)),
+    };
+    (key, text)
+}
--- a/crates/lycheeford-config/src/lib.rs
+++ b/crates/lycheeford-config/src/lib.rs
@@ -2,23 +2,62 @@
 //!
 //! [`Settings`] is what one daemon reads from its own file. [`Document`] is
 //! what operators declare for the whole fleet: a base file and a site's
-//! overlay. docs/CONFIGURATION.md describes every field of both.
+//! overlay, laid over each other by [`merge`] and checked as a whole by
+//! [`check`]. docs/CONFIGURATION.md describes every field of both.
 //!
-//! In the platform's store a configuration is a [`Head`] that names
-//! immutable [`Chunk`]s. Everything here is a pure function; the daemon does
-//! the I/O.
+//! ```
+//! use lycheeford_config::{Document, check, merge};
+//!
+//! let base = Document::from_yaml(
+//!     "customers: [{ name: pilots, rate_tokens_per_s: 100, burst_tokens: 2000 }]",
+//!     "base.yaml",
+//! )?;
+//! let overlay = Document::from_yaml(
+//!     "customers: [{ name: pilots, burst_tokens: 5000 }]",
+//!     "site.yaml",
+//! )?;
+//! let configuration = check(&merge(&base, &overlay))?;
+//! assert_eq!(configuration.customers[0].burst_tokens, 5000);
+//! # Ok::<(), lycheeford_config::Faults>(())
+//! ```
+//!
+//! In the platform's store a configuration is a [`Head`] that names immutable
+//! [`Chunk`]s. [`plan_apply`], [`plan_grant`] and [`plan_withdraw`] plan a
+//! change, [`assemble`] reads the result, and [`settle`] decides what became
+//! of a change whose answer was lost. Everything here is a pure function; the
+//! daemon does the I/O.
 
+mod assemble_error;
+mod change;
+mod check;
+mod declared;
+mod diff;
 mod document;
 mod fault;
+mod grant;
+mod key_list;
 mod line;
+mod merge;
 mod section;
 mod settings;
 mod stored;
 mod value;
 
+pub use crate::assemble_error::{AssembleCategory, AssembleError};
+pub use crate::change::{
+    ChangeCategory, ChangeError, HeadWrite, Settlement, plan_apply, plan_grant, plan_withdraw,
+    settle,
+};
+pub use crate::check::{CUSTOMERS_LISTED_MAX, NAME_BYTES_MAX, check};
+pub use crate::diff::{Difference, diff};
 pub use crate::document::{
     AdapterEntry, CustomerEntry, Document, ModelEntry, RouteEntry, ServiceEntry, WeightsEntry,
 };
 pub use crate::fault::{Category, Fault, Faults};
+pub use crate::grant::{GRANT_BYTES, grant};
+pub use crate::merge::merge;
 pub use crate::settings::{CallerLimits, LogLevel, Settings, SettingsError, WeightStoreLimits};
-pub use crate::stored::{CHUNK_BYTES_MAX, CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head};
+pub use crate::stored::{
+    CHUNK_BYTES_MAX, CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head, assemble, encode_declared,
+    encode_keys,
+};
--- /dev/null
+++ b/crates/lycheeford-config/src/merge.rs
@@ -0,0 +1,126 @@
+use lycheeford_policy::Name;
+
+use crate::document::{
+    AdapterEntry, CustomerEntry, Document, ModelEntry, RouteEntry, ServiceEntry, WeightsEntry,
+};
+
+/// Lays a site's overlay over the base.
+///
+/// An overlay's entry overrides the fields it states of the base's entry of
+/// the same name, adds the entry if the base has none, and takes it out with
+/// `remove: true`. Lists are replaced as a whole. Merging the same overlay
+/// again changes nothing.
+pub fn merge(base: &Document, overlay: &Document) -> Document {
+    Document {
+        models: merge_entries(&base.models, &overlay.models, model_key, override_model),
+        adapters: merge_entries(&base.adapters, &overlay.adapters, adapter_key, override_adapter),
+        services: merge_entries(&base.services, &overlay.services, service_key, override_service),
+        routes: merge_entries(&base.routes, &overlay.routes, route_key, override_route),
+        customers: merge_entries(
+            &base.customers,
+            &overlay.customers,
+            customer_key,
+            override_customer,
+        ),
+        weights: merge_weights(base.weights.as_ref(), overlay.weights.as_ref()),
+    }
+}
+
+fn merge_entries<T: Clone>(
+    base: &[T],
+    overlay: &[T],
+    key: fn(&T) -> (&Name, Option<bool>),
+    override_fields: fn(&mut T, &T),
+) -> Vec<T> {
+    let mut merged = base.to_vec();
+    for entry in overlay {
+        let (name, remove) = key(entry);
+        if remove == Some(true) {
+            merged.retain(|other| key(other).0 != name);
+            continue;
+        }
+        match merged.iter_mut().find(|other| key(other).0 == name) {
+            Some(existing) => override_fields(existing, entry),
+            None => merged.push(entry.clone()),
+        }
+    }
+    merged
+}
+
+fn model_key(entry: &ModelEntry) -> (&Name, Option<bool>) {
+    (&entry.name, entry.remove)
+}
+
+fn override_model(base: &mut ModelEntry, overlay: &ModelEntry) {
+    set(&mut base.remove, overlay.remove.as_ref());
+    set(&mut base.memory_bytes, overlay.memory_bytes.as_ref());
+    set(&mut base.replicas_max, overlay.replicas_max.as_ref());
+    set(&mut base.load_remote_ms, overlay.load_remote_ms.as_ref());
+    set(&mut base.load_disk_ms, overlay.load_disk_ms.as_ref());
+    set(&mut base.min_bytes_per_token, overlay.min_bytes_per_token.as_ref());
+    set(&mut base.customers, overlay.customers.as_ref());
+}
+
+fn adapter_key(entry: &AdapterEntry) -> (&Name, Option<bool>) {
+    (&entry.name, entry.remove)
+}
+
+fn override_adapter(base: &mut AdapterEntry, overlay: &AdapterEntry) {
+    set(&mut base.remove, overlay.remove.as_ref());
+    set(&mut base.model, overlay.model.as_ref());
+    set(&mut base.memory_bytes, overlay.memory_bytes.as_ref());
+    set(&mut base.customers, overlay.customers.as_ref());
+}
+
+fn service_key(entry: &ServiceEntry) -> (&Name, Option<bool>) {
+    (&entry.name, entry.remove)
+}
+
+fn override_service(base: &mut ServiceEntry, overlay: &ServiceEntry) {
+    set(&mut base.remove, overlay.remove.as_ref());
+    set(&mut base.timeout_ms, overlay.timeout_ms.as_ref());
+}
+
+fn route_key(entry: &RouteEntry) -> (&Name, Option<bool>) {
+    (&entry.path_prefix, entry.remove)
+}
+
+fn override_route(base: &mut RouteEntry, overlay: &RouteEntry) {
+    set(&mut base.remove, overlay.remove.as_ref());
+    set(&mut base.service, overlay.service.as_ref());
+    set(&mut base.access, overlay.access.as_ref());
+    set(&mut base.repeat, overlay.repeat.as_ref());
+    set(&mut base.customers, overlay.customers.as_ref());
+}
+
+fn customer_key(entry: &CustomerEntry) -> (&Name, Option<bool>) {
+    (&entry.name, entry.remove)
+}
+
+fn override_customer(base: &mut CustomerEntry, overlay: &CustomerEntry) {
+    set(&mut base.remove, overlay.remove.as_ref());
+    set(&mut base.rate_tokens_per_s, overlay.rate_tokens_per_s.as_ref());
+    set(&mut base.burst_tokens, overlay.burst_tokens.as_ref());
+    set(&mut base.class, overlay.class.as_ref());
+}
+
+fn merge_weights(
+    base: Option<&WeightsEntry>,
+    overlay: Option<&WeightsEntry>,
+) -> Option<WeightsEntry> {
+    let (Some(base), Some(overlay)) = (base, overlay) else {
+        return overlay.or(base).cloned();
+    };
+    Some(WeightsEntry {
+        cold_start_tail: overlay.cold_start_tail.or(base.cold_start_tail),
+        idle_hours: overlay.idle_hours.or(base.idle_hours),
+        worst_customer: overlay.worst_customer.or(base.worst_customer),
+        wrongful_refusals: overlay.wrongful_refusals.or(base.wrongful_refusals),
+    })
+}
+
+fn set<T: Clone>(base: &mut Option<T>, overlay: Option<&T>) {
+    if let Some(value) = overlay {
+        *base = Some(value.clone());
+    }
+}
