--- a/crates/lycheeford-config/src/document.rs
+++ b/crates/lycheeford-config/src/document.rs
@@ -2,7 +2,7 @@
 
 use lycheeford_policy::{Access, Name, Repeat};
 
-use crate::fault::Faults;
+use crate::fault::{Category, Faults};
 use crate::section::Section;
 use crate::value;
 
@@ -187,9 +187,19 @@
     read: fn(&mut Section<'_>, Name) -> T,
 ) -> Vec<T> {
     let mut entries = Vec::new();
+    let mut names: Vec<Name> = Vec::new();
     for mut section in root.items(list) {
         if let Some(name) = section.required(name_field, value::name) {
             section.rename(format!("{} {name}", list.trim_end_matches('s')));
+            match names.binary_search(&name) {
+                Ok(_) => section.fault(
+                    Category::Conflict,
+                    name_field,
+                    "stands twice in this file",
+                    "join the two entries or rename one",
+                ),
+                Err(index) => names.insert(index, name.clone()),
+            }
             entries.push(read(&mut section, name));
             root.absorb(section.finish());
         } else {
--- a/crates/lycheeford-config/src/merge.rs
+++ b/crates/lycheeford-config/src/merge.rs
@@ -32,19 +32,26 @@
     key: fn(&T) -> (&Name, Option<bool>),
     override_fields: fn(&mut T, &T),
 ) -> Vec<T> {
-    let mut merged = base.to_vec();
+    let mut merged: Vec<Option<T>> = base.iter().cloned().map(Some).collect();
+    let mut positions: Vec<(Name, usize)> =
+        base.iter().enumerate().map(|(index, entry)| (key(entry).0.clone(), index)).collect();
+    positions.sort();
     for entry in overlay {
         let (name, remove) = key(entry);
+        let start = positions.partition_point(|(other, _)| other < name);
+        let end = positions.partition_point(|(other, _)| other <= name);
         if remove == Some(true) {
-            merged.retain(|other| key(other).0 != name);
-            continue;
-        }
-        match merged.iter_mut().find(|other| key(other).0 == name) {
-            Some(existing) => override_fields(existing, entry),
-            None => merged.push(entry.clone()),
+            for (_, index) in positions.drain(start..end) {
+                merged[index] = None;
+            }
+        } else if start == end {
+            positions.insert(start, (name.clone(), merged.len()));
+            merged.push(Some(entry.clone()));
+        } else if let Some(existing) = &mut merged[positions[start].1] {
+            override_fields(existing, entry);
         }
     }
-    merged
+    merged.into_iter().flatten().collect()
 }
 
 fn model_key(entry: &ModelEntry) -> (&Name, Option<bool>) {
