--- /dev/null
+++ b/crates/lycheefordd/src/access.rs
@@ -0,0 +1,83 @@
+use lycheeford_caller::CallerRequest;
+use lycheeford_policy::{
+    ConfigurationState, Customer, KEY_STALENESS_MS_MAX, Name, Refusal, RefusalCode, check_key,
+};
+
+use crate::state::State;
+
+/// Whose request it is, by the key that came with it.
+#[derive(Debug, Clone)]
+pub(crate) struct Access {
+    pub(crate) customer: Customer,
+    key_id: Name,
+    key_digest: Name,
+}
+
+impl Access {
+    /// Checks the key of a request against the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request without a valid key, and every keyed request while
+    /// this host can't tell whether its keys are current.
+    pub(crate) fn check(state: &State, request: &CallerRequest) -> Result<Access, Refusal> {
+        check_fresh(state)?;
+        let configuration = state.configuration.load();
+        let presented = request.key.as_ref().ok_or_else(|| {
+            bad_key("no key came with the request; send it as Authorization: Bearer")
+        })?;
+        let key = check_key(&configuration, presented.as_str())
+            .ok_or_else(|| bad_key("key is unknown or withdrawn; ask your operator for another"))?;
+        let customer = configuration
+            .customer(&key.customer)
+            .ok_or_else(|| bad_key("key's customer is not declared; ask your operator"))?;
+        Ok(Access {
+            customer: customer.clone(),
+            key_id: key.id.clone(),
+            key_digest: key.digest.clone(),
+        })
+    }
+
+    /// Checks that the key is still good, for a request that has been running.
+    ///
+    /// # Errors
+    ///
+    /// As [`check`](Access::check).
+    pub(crate) fn recheck(&self, state: &State) -> Result<(), Refusal> {
+        check_fresh(state)?;
+        let configuration = state.configuration.load();
+        match configuration.key(&self.key_id) {
+            Some(key) if key.digest == self.key_digest => Ok(()),
+            _ => Err(bad_key("key was withdrawn; ask your operator for another")),
+        }
+    }
+
+    /// Checks that the customer is among those allowed, where empty means all.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a customer that isn't.
+    pub(crate) fn allowed(&self, customers: &[Name], what: &str) -> Result<(), Refusal> {
+        if customers.is_empty() || customers.binary_search(&self.customer.name).is_ok() {
+            return Ok(());
+        }
+        let message = format!("customer {} may not call {what}", self.customer.name);
+        Err(Refusal::not_run(RefusalCode::NotAllowed, message, None))
+    }
+}
+
+fn check_fresh(state: &State) -> Result<(), Refusal> {
+    let now = state.now();
+    if state.freshness().state(now) == ConfigurationState::Fresh {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        RefusalCode::ConfigurationStale,
+        "this host can't confirm that its keys are current; use another host",
+        Some(KEY_STALENESS_MS_MAX),
+    ))
+}
+
+fn bad_key(message: &str) -> Refusal {
+    Refusal::not_run(RefusalCode::BadKey, message, None)
+}
--- /dev/null
+++ b/crates/lycheefordd/src/configuration.rs
@@ -0,0 +1,123 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use lycheeford_config::{CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head, assemble};
+use lycheeford_platform::{Change, FollowLimits, Object, ObjectStore, WatchEvent, follow};
+use lycheeford_policy::{Configuration, TimeMs};
+use slog::{info, warn};
+use snafu::{ResultExt, Snafu};
+
+use crate::state::State;
+
+/// The pause before the chunks of a head are read again after a failure.
+const RETRY_MS: u64 = 200;
+
+/// Why the configuration that a head names can't be read.
+#[derive(Debug, Snafu)]
+pub(crate) enum ReadError {
+    #[snafu(display("platform didn't give the configuration: {source}"))]
+    Platform { source: lycheeford_platform::PlatformError },
+    #[snafu(display("stored configuration lacks chunk {name}; apply the configuration again"))]
+    MissingChunk { name: String },
+    #[snafu(display("stored chunk {name} isn't text; apply the configuration again"))]
+    BadChunk { name: String },
+    #[snafu(display("stored head isn't readable: {source}; apply the configuration again"))]
+    BadHead { source: serde_json::Error },
+    #[snafu(display("stored configuration is wrong: {source}"))]
+    Assemble { source: lycheeford_config::AssembleError },
+}
+
+/// Follows the head object and puts each newer configuration in force.
+///
+/// The chunks are read outside of the follower, so that a slow read doesn't
+/// delay the confirmations of what is in force.
+pub(crate) async fn follow_configuration(state: Arc<State>) {
+    let (sender, receiver) = async_std::channel::unbounded::<(TimeMs, Option<Head>)>();
+    let reader = state.clone();
+    task::spawn(async move {
+        while let Ok((as_of, head)) = receiver.recv().await {
+            if let Some(head) = head {
+                put_in_force(&reader, head).await;
+            }
+            let revision = reader.configuration.load().revision;
+            reader.freshness().confirm(as_of, revision);
+        }
+    });
+    let limits = FollowLimits::default();
+    let clock = state.clock;
+    follow(&state.store, HEAD_KIND, &limits, move || clock.now(), |update| {
+        let head = latest_head(&state, &update.change);
+        // The receiver lives as long as the daemon.
+        let _ = sender.try_send((update.as_of, head));
+    })
+    .await;
+}
+
+/// Reads the configuration that `head` names.
+pub(crate) async fn read_configuration(
+    state: &State,
+    head: &Head,
+) -> Result<Configuration, ReadError> {
+    let mut chunks = Vec::with_capacity(head.declared.len() + head.keys.len());
+    for name in head.declared.iter().chain(&head.keys) {
+        let object = state.store.get(CHUNK_KIND, name).await.context(PlatformSnafu)?;
+        let object = object.ok_or_else(|| ReadError::MissingChunk { name: name.to_string() })?;
+        let text = object.value.as_str();
+        let text = text.ok_or_else(|| ReadError::BadChunk { name: name.to_string() })?;
+        chunks.push(Chunk { name: name.clone(), text: text.to_owned() });
+    }
+    assemble(head, &chunks).context(AssembleSnafu)
+}
+
+/// Reads a head from its object.
+pub(crate) fn head_of(object: &Object) -> Result<Head, ReadError> {
+    serde_json::from_value(object.value.clone()).context(BadHeadSnafu)
+}
+
+/// Puts a configuration in force unless a newer one is.
+pub(crate) fn adopt(state: &State, head: Head, configuration: Configuration) {
+    if configuration.revision <= state.configuration.load().revision {
+        return;
+    }
+    info!(state.log, "configuration in force"; "revision" => configuration.revision);
+    let now = state.now();
+    state.metrics.configuration_revision.set(configuration.revision);
+    state.freshness().in_force(configuration.revision);
+    state.rates().configure(now, &configuration);
+    state.placement().configure(&configuration);
+    state.coordinator().configure(&configuration);
+    state.configuration.store(Arc::new(configuration));
+    state.head.store(Arc::new(head));
+    state.configuration_changed.notify_all();
+    state.wake_planner();
+}
+
+async fn put_in_force(state: &State, head: Head) {
+    while head.revision > state.configuration.load().revision {
+        match read_configuration(state, &head).await {
+            Ok(configuration) => adopt(state, head.clone(), configuration),
+            Err(error) => {
+                warn!(state.log, "configuration not readable"; "error" => %error);
+                task::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+fn latest_head(state: &State, change: &Change) -> Option<Head> {
+    let object = match change {
+        Change::Replace(listing) => listing.object(HEAD_NAME),
+        Change::Apply(events) => events.iter().rev().find_map(|event| match event {
+            WatchEvent::Put(object) if object.name.as_str() == HEAD_NAME => Some(object),
+            _ => None,
+        }),
+    }?;
+    match head_of(object) {
+        Ok(head) => Some(head),
+        Err(error) => {
+            warn!(state.log, "head not readable"; "error" => %error);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheefordd/src/state.rs
@@ -0,0 +1,209 @@
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+
+use arc_swap::ArcSwap;
+use async_std::channel::{Receiver, Sender, bounded};
+use lycheeford_caller::Stop;
+use lycheeford_config::{Head, Settings};
+use lycheeford_peer::Peers;
+use lycheeford_platform::HttpObjectStore;
+use lycheeford_policy::{
+    Configuration, CrashSuspects, Freshness, GoneProofs, Health, Instance, Name, RetryBudget,
+    TimeMs,
+};
+use lycheeford_target::TargetClient;
+use slog::Logger;
+
+use crate::clock::Clock;
+use crate::coordinator::Coordinator;
+use crate::decisions::DecisionLog;
+use crate::fleet::Fleet;
+use crate::members::Members;
+use crate::metrics::{CustomerLabels, Metrics};
+use crate::placement::Placement;
+use crate::rates::Rates;
+
+/// Retries that each request earns.
+const RETRIES_PER_REQUEST: f64 = 0.2;
+
+/// The tables that all workers of a daemon share.
+///
+/// The executor's workers run every task over these tables. A task holds one
+/// lock at a time and never across an await. Where two are needed, the order is
+/// the order of the fields: `members`, `gone`, `freshness`, `rates`,
+/// `placement`, `coordinator`, `suspects`, `decisions`.
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) me: Instance,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) store: HttpObjectStore,
+    pub(crate) targets: TargetClient,
+    pub(crate) configuration: ArcSwap<Configuration>,
+    pub(crate) head: ArcSwap<Head>,
+    pub(crate) fleet: ArcSwap<Fleet>,
+    pub(crate) peers: OnceLock<Peers<State>>,
+    members: Mutex<Members>,
+    gone: Mutex<GoneProofs>,
+    freshness: Mutex<Freshness>,
+    rates: Mutex<Rates>,
+    placement: Mutex<Placement>,
+    coordinator: Mutex<Coordinator>,
+    target_health: Mutex<Health>,
+    suspects: Mutex<CrashSuspects>,
+    decisions: Mutex<DecisionLog>,
+    retry_budget: Mutex<RetryBudget>,
+    draining: AtomicBool,
+    requests_running: AtomicU64,
+    last_number: AtomicU64,
+    /// Wakes the task that reports demand.
+    pub(crate) demand_changed: (Sender<()>, Receiver<()>),
+    /// Wakes the task that plans loads.
+    pub(crate) plan_due: (Sender<()>, Receiver<()>),
+    /// Wakes everything that holds a stream open when the configuration changes.
+    pub(crate) configuration_changed: async_std::sync::Condvar,
+    /// Ends the daemon.
+    pub(crate) shutdown: Stop,
+}
+
+impl State {
+    pub(crate) fn new(settings: Settings, me: Instance, clock: Clock, log: Logger) -> Arc<State> {
+        let now = clock.now();
+        let store = HttpObjectStore::new(settings.platform_address, Default::default());
+        let coordinator = Coordinator::new(&settings.weight_store);
+        Arc::new(State {
+            freshness: Mutex::new(Freshness::new(settings.host.clone())),
+            rates: Mutex::new(Rates::new(me.clone())),
+            settings,
+            me,
+            clock,
+            log,
+            metrics: Metrics::new(),
+            store,
+            targets: TargetClient::new(Default::default()),
+            configuration: ArcSwap::default(),
+            head: ArcSwap::default(),
+            fleet: ArcSwap::default(),
+            peers: OnceLock::new(),
+            members: Mutex::default(),
+            gone: Mutex::default(),
+            placement: Mutex::default(),
+            coordinator: Mutex::new(coordinator),
+            target_health: Mutex::new(Health::new(now)),
+            suspects: Mutex::default(),
+            decisions: Mutex::default(),
+            retry_budget: Mutex::new(RetryBudget::new(RETRIES_PER_REQUEST)),
+            draining: AtomicBool::new(false),
+            requests_running: AtomicU64::new(0),
+            last_number: AtomicU64::new(0),
+            demand_changed: bounded(1),
+            plan_due: bounded(1),
+            configuration_changed: async_std::sync::Condvar::new(),
+            shutdown: Stop::new(),
+        })
+    }
+
+    pub(crate) fn now(&self) -> TimeMs {
+        self.clock.now()
+    }
+
+    pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    pub(crate) fn gone(&self) -> MutexGuard<'_, GoneProofs> {
+        lock(&self.gone)
+    }
+
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        lock(&self.freshness)
+    }
+
+    pub(crate) fn rates(&self) -> MutexGuard<'_, Rates> {
+        lock(&self.rates)
+    }
+
+    pub(crate) fn placement(&self) -> MutexGuard<'_, Placement> {
+        lock(&self.placement)
+    }
+
+    pub(crate) fn coordinator(&self) -> MutexGuard<'_, Coordinator> {
+        lock(&self.coordinator)
+    }
+
+    pub(crate) fn target_health(&self) -> MutexGuard<'_, Health> {
+        lock(&self.target_health)
+    }
+
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, CrashSuspects> {
+        lock(&self.suspects)
+    }
+
+    pub(crate) fn decisions(&self) -> MutexGuard<'_, DecisionLog> {
+        lock(&self.decisions)
+    }
+
+    pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.retry_budget)
+    }
+
+    /// Starts to drain and returns whether this call started it.
+    pub(crate) fn start_draining(&self) -> bool {
+        !self.draining.swap(true, Ordering::AcqRel)
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as running until the guard is dropped.
+    pub(crate) fn request_started(self: &Arc<State>) -> RunningRequest {
+        self.requests_running.fetch_add(1, Ordering::AcqRel);
+        RunningRequest { state: self.clone() }
+    }
+
+    pub(crate) fn requests_running(&self) -> u64 {
+        self.requests_running.load(Ordering::Acquire)
+    }
+
+    /// Returns a number that this life of the daemon gives once.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.last_number.fetch_add(1, Ordering::AcqRel) + 1
+    }
+
+    pub(crate) fn wake_demand(&self) {
+        // A full channel has a wake-up in it already.
+        let _ = self.demand_changed.0.try_send(());
+    }
+
+    pub(crate) fn wake_planner(&self) {
+        let _ = self.plan_due.0.try_send(());
+    }
+
+    /// Returns the host that coordinates loads, as seen from here.
+    pub(crate) fn coordinator_host(&self) -> Name {
+        self.members().coordinator(self.now(), &self.me.host, self.is_draining())
+    }
+
+    pub(crate) fn customer_labels(&self, customer: &Name) -> CustomerLabels {
+        let configuration = self.configuration.load();
+        let class = configuration.customer(customer).map_or(0, |customer| customer.class);
+        CustomerLabels { customer: customer.as_str().to_owned(), class: u32::from(class) }
+    }
+}
+
+/// Counts a request as running while it lives.
+pub(crate) struct RunningRequest {
+    state: Arc<State>,
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.state.requests_running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
