--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -17,9 +17,14 @@
 //! - [`Freshness`], [`check_key`]: whose key counts, and for how long.
 //! - [`Health`], [`CrashSuspects`]: who answers, and which requests crash targets.
 //! - [`Refusal`]: why a request was refused, and whether it ran.
-
+//! - [`Planner`]: which replicas are loaded and unloaded where, and in which order.
+//! - [`Router`]: which target takes a request.
+//! - [`FairQueue`]: the requests that wait at one host, and who goes next.
+//! - [`Readiness`]: when a model is expected to be ready, for refusal at arrival.
+//! - [`RetryBudget`]: how much of the load may be retries.
 mod configuration;
 mod crash_suspect;
+mod fair_queue;
 mod freshness;
 mod gone;
 mod health;
@@ -31,11 +36,16 @@
 mod loan;
 mod loan_book;
 mod name;
+mod name_table;
+mod planner;
 mod rate_share;
+mod readiness;
 mod refusal;
 mod rendezvous;
 mod replica;
 mod resolve;
+mod retry_budget;
+mod router;
 mod share;
 mod target_record;
 mod time;
@@ -47,6 +57,7 @@
 pub use crate::crash_suspect::{
     CrashSuspect, CrashSuspects, CrashVerdict, MAX_CRASH_SUSPECTS, MAX_TARGET_CRASHES,
 };
+pub use crate::fair_queue::{FairQueue, QueueDepth, QueueId, QueuedRequest};
 pub use crate::freshness::{ConfigurationState, Freshness, KEY_STALENESS_MS_MAX};
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
@@ -66,7 +77,12 @@
 };
 pub use crate::loan::{AskId, Loan, LoanArrival, LoanId, LoanReport, LoanState};
 pub use crate::name::Name;
+pub use crate::planner::{
+    Activity, CheckpointPlace, Demand, DemandReport, LoadLimits, PlanAction, Planner, ReplicaState,
+    ReplicaView, TargetView,
+};
 pub use crate::rate_share::{Overdrawn, RateShare, ReservationId, Shortage};
+pub use crate::readiness::Readiness;
 pub use crate::refusal::{Ran, Refusal, RefusalCode};
 pub use crate::rendezvous::{rendezvous_owner, rendezvous_rank};
 pub use crate::replica::{Replica, ReplicaFault, ReplicaSet};
@@ -74,6 +90,8 @@
     FenceCheck, LoadState, LoadedName, OrderOutcome, OrderReport, ResolveEvidence, TargetStatus,
     resolve,
 };
+pub use crate::retry_budget::RetryBudget;
+pub use crate::router::Router;
 pub use crate::share::{MAX_SHARE_HOLDERS, ShareEntry, ShareFault, ShareTable, TakenShare};
 pub use crate::target_record::{
     CancelledReplica, LoadRequest, MAX_CANCELLED_REPLICAS, MAX_ORDERS_SET_ASIDE, MemoryReservation,
