Add the stored forms of shares, replicas, targets, ledger and hosts

Wire types of their own, so that a decision's type can change without the store noticing. Reading checks what the decisions rely on (order, bounds, sums) and names the wrong field. A loan is now named by lender, borrower and question, which the connection's greeting gives, so that the peer messages need no further number; a doubled question gets the same loan.

Host keeps its own serde derives until its users have moved to StoredHost.

--- a/crates/lycheeford-policy/src/loan.rs
+++ b/crates/lycheeford-policy/src/loan.rs
@@ -1,18 +1,23 @@
 use crate::Instance;
 
+/// Names one question for a loan, within one life of the borrower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AskId(pub u64);
+
 /// Names one loan over the whole fleet.
+///
+/// Between daemons only the question's number travels: a connection belongs to
+/// one life at each end, which the daemon fills in from its greeting.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LoanId {
-    /// The lender.
+    /// The life of the peer that lends.
     pub lender: Instance,
-    /// The lender's own count of its loans.
-    pub number: u64,
+    /// The life of the peer that asked.
+    pub borrower: Instance,
+    /// The question, which is put to one lender only.
+    pub ask: AskId,
 }
 
-/// Names one question for a loan, within one life of the borrower.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AskId(pub u64);
-
 /// Tokens lent to a peer for one request of its own.
 ///
 /// The lender has moved them out of its level before the message leaves; a
@@ -21,10 +26,6 @@
 pub struct Loan {
     /// The loan.
     pub id: LoanId,
-    /// The life of the peer that asked.
-    pub borrower: Instance,
-    /// The question that it answers.
-    pub ask: AskId,
     /// The tokens.
     pub tokens: u64,
 }
--- a/crates/lycheeford-policy/src/loan_book.rs
+++ b/crates/lycheeford-policy/src/loan_book.rs
@@ -3,7 +3,7 @@
 use crate::share::TakenShare;
 use crate::{GoneProofs, Instance, Name, TimeMs};
 
-/// The loans of this life that aren't settled, sorted by number.
+/// The loans of this life that aren't settled, sorted by id.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LoansOut {
     loans: Vec<(TimeMs, Loan)>,
@@ -11,16 +11,23 @@
 
 impl LoansOut {
     pub(crate) fn record(&mut self, now: TimeMs, loan: &Loan) {
-        self.loans.push((now, loan.clone()));
+        if let Err(index) = self.position(&loan.id) {
+            self.loans.insert(index, (now, loan.clone()));
+        }
+    }
+
+    pub(crate) fn get(&self, id: &LoanId) -> Option<&Loan> {
+        self.position(id).ok().map(|index| &self.loans[index].1)
     }
 
     pub(crate) fn remove(&mut self, id: &LoanId) -> Option<Loan> {
-        let index = self.loans.binary_search_by(|(_, loan)| loan.id.cmp(id)).ok()?;
+        let index = self.position(id).ok()?;
         Some(self.loans.remove(index).1)
     }
 
     pub(crate) fn remove_gone(&mut self, gone: &GoneProofs) -> Vec<Loan> {
-        let (over, kept) = self.loans.drain(..).partition(|(_, loan)| gone.is_gone(&loan.borrower));
+        let (over, kept) =
+            self.loans.drain(..).partition(|(_, loan)| gone.is_gone(&loan.id.borrower));
         self.loans = kept;
         let over: Vec<(TimeMs, Loan)> = over;
         over.into_iter().map(|(_, loan)| loan).collect()
@@ -34,6 +41,10 @@
     pub(crate) fn tokens(&self) -> u64 {
         self.loans.iter().map(|(_, loan)| loan.tokens).sum()
     }
+
+    fn position(&self, id: &LoanId) -> Result<usize, usize> {
+        self.loans.binary_search_by(|(_, loan)| loan.id.cmp(id))
+    }
 }
 
 /// The borrower's side: open questions, and loans until their lender has settled them.
@@ -70,7 +81,7 @@
         if self.is_disclaimed(&loan.id.lender) {
             return None;
         }
-        let index = self.asks.binary_search_by_key(&loan.ask, |ask| ask.id).ok()?;
+        let index = self.asks.binary_search_by_key(&loan.id.ask, |ask| ask.id).ok()?;
         if self.asks[index].lender != loan.id.lender.host {
             return None;
         }
--- a/crates/lycheeford-policy/src/rate_share.rs
+++ b/crates/lycheeford-policy/src/rate_share.rs
@@ -247,7 +247,7 @@
 
     /// Takes a loan in for the reservation that asked for it.
     pub fn accept_loan(&mut self, loan: &Loan) -> LoanArrival {
-        if loan.borrower != self.me {
+        if loan.id.borrower != self.me {
             return LoanArrival::Returned(self.foreign_report(loan));
         }
         if self.borrowed.contains(&loan.id) {
@@ -271,13 +271,13 @@
     /// A loan that never arrived is refused from now on, so that it can be
     /// returned whole.
     pub fn report_loan(&mut self, loan: &Loan) -> LoanReport {
-        if loan.borrower != self.me {
+        if loan.id.borrower != self.me {
             return self.foreign_report(loan);
         }
         if let Some(report) = self.borrowed.report(&loan.id) {
             return report;
         }
-        self.borrowed.close_ask(loan.ask);
+        self.borrowed.close_ask(loan.id.ask);
         unused(loan)
     }
 
@@ -288,6 +288,7 @@
 
     /// Lends up to `tokens` to the peer's question, or `None` without any to spare.
     ///
+    /// A doubled question gets the same loan again while it is out.
     /// The tokens leave the level here, before the message is sent. Lend only to
     /// a host of the platform's list: a later holder asks the listed hosts what
     /// they still hold.
@@ -298,12 +299,15 @@
         ask: AskId,
         tokens: u64,
     ) -> Option<Loan> {
+        let id = LoanId { lender: self.me.clone(), borrower: borrower.clone(), ask };
+        if let Some(loan) = self.loans_out.get(&id) {
+            return Some(loan.clone());
+        }
         let granted = self.bucket.commit(now, tokens.min(self.lendable_tokens()));
         if granted == 0 {
             return None;
         }
-        let id = LoanId { lender: self.me.clone(), number: self.next_number() };
-        let loan = Loan { id, borrower: borrower.clone(), ask, tokens: granted };
+        let loan = Loan { id, tokens: granted };
         self.loans_out.record(now, &loan);
         Some(loan)
     }
@@ -408,7 +412,7 @@
     }
 
     fn foreign_report(&self, loan: &Loan) -> LoanReport {
-        let state = if self.me.succeeds(&loan.borrower) {
+        let state = if self.me.succeeds(&loan.id.borrower) {
             LoanState::BorrowerGone
         } else {
             LoanState::Running
--- a/crates/lycheeford-wire/src/lib.rs
+++ b/crates/lycheeford-wire/src/lib.rs
@@ -21,6 +21,7 @@
     include!("generated/lycheeford.peer.rs");
 }
 mod message;
+pub mod stored;
 
 pub use crate::convert::{decode, encode};
 pub use crate::error::WireError;
--- /dev/null
+++ b/crates/lycheeford-wire/tests/stored.rs
@@ -0,0 +1,146 @@
+//! The stored forms: what is written reads back, and a broken one names its field.
+
+use assert_matches::assert_matches;
+use lycheeford_policy::{
+    AttemptId, GoneProofs, Host, Instance, LedgerBucket, LedgerClaim, LoadRequest, Name,
+    ReplicaSet, ShareTable, TargetRecord,
+};
+use lycheeford_wire::stored::{
+    StoredError, StoredHost, StoredLedgerBucket, StoredReplicaSet, StoredShareTable,
+    StoredTargetRecord,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Reads JSON as the stored form `S` of the domain type `D`.
+fn read<S, D>(json: &str) -> Result<D, StoredError>
+where
+    S: DeserializeOwned,
+    D: TryFrom<S, Error = StoredError>,
+{
+    D::try_from(serde_json::from_str::<S>(json).unwrap())
+}
+
+fn read_back<S, D>(value: &D) -> D
+where
+    S: DeserializeOwned + Serialize + for<'a> From<&'a D>,
+    D: TryFrom<S, Error = StoredError>,
+{
+    read::<S, D>(&serde_json::to_string(&S::from(value)).unwrap()).unwrap()
+}
+
+#[test]
+fn share_table_reads_back() {
+    let me = Instance::new("a", 1);
+    let hosts = ["a".into(), "b".into(), "c".into()];
+    let table = ShareTable::create(&"pilots".into(), &me, &hosts);
+    let restarted = Instance::new("a", 2);
+    let table = table.claim(&"pilots".into(), &restarted, &hosts, &GoneProofs::default()).unwrap();
+    assert_eq!(read_back::<StoredShareTable, ShareTable>(&table), table);
+}
+
+#[test]
+fn replica_set_and_target_record_read_back() {
+    let me = Instance::new("a", 1);
+    let name = Name::from("ice-chart");
+    let (set, replica) = ReplicaSet::default().decide(&"engine-1".into(), 2, &me).unwrap();
+    assert_eq!(read_back::<StoredReplicaSet, ReplicaSet>(&set), set);
+    let load = LoadRequest {
+        order_id: &"a.1.1".into(),
+        name: &name,
+        memory_bytes: 5,
+        replica: &replica,
+        sender: &me,
+        capacity_bytes: 10,
+    };
+    let record = TargetRecord::default().record_load(&load).unwrap();
+    let record = record.set_aside(&"a.1.1".into()).unwrap();
+    let (_, other) = set.decide(&"engine-2".into(), 2, &me).unwrap();
+    let record = record.cancel(&"other".into(), &other).unwrap();
+    let record = record.record_unload(&"a.1.2".into(), &name, &me).unwrap_or(record);
+    assert_eq!(read_back::<StoredTargetRecord, TargetRecord>(&record), record);
+}
+
+#[test]
+fn ledger_bucket_reads_back() {
+    let claim = |key: &str| LedgerClaim {
+        customer: "pilots".into(),
+        key: key.into(),
+        fingerprint: 7,
+        attempt: AttemptId { sender: Instance::new("a", 1), number: 1 },
+    };
+    let claims = [claim("k1"), claim("k2"), claim("k3")];
+    let (bucket, _) = LedgerBucket::default().claim_all(5, &claims);
+    let bucket = bucket.answer(5, &claims[0], 200, &[0, 255, b'"']).unwrap();
+    let bucket = bucket.release(5, &claims[2]).unwrap();
+    assert_eq!(read_back::<StoredLedgerBucket, LedgerBucket>(&bucket), bucket);
+}
+
+#[test]
+fn host_keeps_the_form_of_the_platform() {
+    let json = r#"{"name":"engine-1","role":"model_worker","memory_bytes":9,"checks_fence":true,
+        "address":"127.0.0.1:80","failure_domain":"d1","state":"leaving"}"#;
+    let host = read::<StoredHost, Host>(json).unwrap();
+    assert_eq!(host, serde_json::from_str::<Host>(json).unwrap());
+    assert_eq!(read_back::<StoredHost, Host>(&host), host);
+}
+
+struct Broken {
+    json: &'static str,
+    field: &'static str,
+    read: fn(&str) -> Option<StoredError>,
+}
+
+#[test]
+fn broken_forms_name_their_field() {
+    let share = |json: &str| read::<StoredShareTable, ShareTable>(json).err();
+    let replica = |json: &str| read::<StoredReplicaSet, ReplicaSet>(json).err();
+    let target = |json: &str| read::<StoredTargetRecord, TargetRecord>(json).err();
+    let ledger = |json: &str| read::<StoredLedgerBucket, LedgerBucket>(json).err();
+    let host = |json: &str| read::<StoredHost, Host>(json).err();
+    let cases = [
+        Broken {
+            json: r#"{"creator":{"host":"a","incarnation":1},"entries":[
+                {"holder":{"host":"a","incarnation":1},"share_ppm":600000},
+                {"holder":{"host":"b","incarnation":1},"share_ppm":400001}]}"#,
+            field: "entries.share_ppm",
+            read: share,
+        },
+        Broken {
+            json: r#"{"creator":{"host":"a","incarnation":1},"entries":[
+                {"holder":{"host":"b","incarnation":1},"share_ppm":1},
+                {"holder":{"host":"a","incarnation":1},"share_ppm":1}]}"#,
+            field: "entries.holder.host",
+            read: share,
+        },
+        Broken {
+            json: r#"{"last_id":1,"replicas":[
+                {"id":2,"target":"t","decider":{"host":"a","incarnation":1}}]}"#,
+            field: "replicas.id",
+            read: replica,
+        },
+        Broken {
+            json: r#"{"incarnation":1,"fence":0,"order":null,"reservations":[
+                {"name":"m","memory_bytes":1,"replica":null},
+                {"name":"m","memory_bytes":1,"replica":null}]}"#,
+            field: "reservations.name",
+            read: target,
+        },
+        Broken {
+            json: r#"{"clock_ms":1,"records":[{"customer":"c","key":"k","fingerprint":1,
+                "sender":{"host":"a","incarnation":1},"attempt":1,"changed_ms":0,
+                "state":{"answered":{"status":200,"body_hex":"zz"}}}]}"#,
+            field: "records.state.answered.body_hex",
+            read: ledger,
+        },
+        Broken {
+            json: r#"{"name":"w","role":"application_worker","services":["b","a"],
+                "address":"127.0.0.1:80","failure_domain":"d1","state":"live"}"#,
+            field: "services",
+            read: host,
+        },
+    ];
+    for case in cases {
+        assert_matches!((case.read)(case.json), Some(error) if error.field() == case.field);
+    }
+}
