--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -22,7 +22,6 @@
 //! - [`FairQueue`]: the requests that wait at one host, and who goes next.
 //! - [`Readiness`]: when a model is expected to be ready, for refusal at arrival.
 //! - [`RetryBudget`]: how much of the load may be retries.
-
 mod configuration;
 mod crash_suspect;
 mod fair_queue;
