--- a/crates/lycheeford-policy/src/rate_share.rs
+++ b/crates/lycheeford-policy/src/rate_share.rs
@@ -373,6 +373,11 @@
         self.inherited.resolved()
     }
 
+    /// Returns the former holders whose loans are over, as [`clear_inherited`](Self::clear_inherited).
+    pub fn resolved_holders(&self) -> Vec<Instance> {
+        self.inherited.resolved()
+    }
+
     /// Tells whether every token is accounted for within the share's burst.
     pub fn is_within_share(&mut self, now: TimeMs) -> bool {
         let level_nano = nano(self.bucket.level_tokens(now));
--- a/crates/lycheeford-wire/src/convert.rs
+++ b/crates/lycheeford-wire/src/convert.rs
@@ -287,7 +287,11 @@
 
 impl From<LoanId> for wire::LoanId {
     fn from(domain: LoanId) -> wire::LoanId {
-        wire::LoanId { lender: Some(domain.lender.into()), number: domain.number }
+        wire::LoanId {
+            lender: Some(domain.lender.into()),
+            borrower: Some(domain.borrower.into()),
+            ask: domain.ask.0,
+        }
     }
 }
 
@@ -295,18 +299,17 @@
     type Error = WireError;
 
     fn try_from(wire: wire::LoanId) -> Result<LoanId, WireError> {
-        Ok(LoanId { lender: present(wire.lender, "lender")?, number: wire.number })
+        Ok(LoanId {
+            lender: present(wire.lender, "lender")?,
+            borrower: present(wire.borrower, "borrower")?,
+            ask: AskId(wire.ask),
+        })
     }
 }
 
 impl From<Loan> for wire::Loan {
     fn from(domain: Loan) -> wire::Loan {
-        wire::Loan {
-            id: Some(domain.id.into()),
-            borrower: Some(domain.borrower.into()),
-            ask: domain.ask.0,
-            tokens: domain.tokens,
-        }
+        wire::Loan { id: Some(domain.id.into()), tokens: domain.tokens }
     }
 }
 
@@ -314,12 +317,7 @@
     type Error = WireError;
 
     fn try_from(wire: wire::Loan) -> Result<Loan, WireError> {
-        Ok(Loan {
-            id: present(wire.id, "id")?,
-            borrower: present(wire.borrower, "borrower")?,
-            ask: AskId(wire.ask),
-            tokens: wire.tokens,
-        })
+        Ok(Loan { id: present(wire.id, "id")?, tokens: wire.tokens })
     }
 }
 
--- a/crates/lycheeford-wire/tests/frames.rs
+++ b/crates/lycheeford-wire/tests/frames.rs
@@ -32,9 +32,11 @@
 
 fn loan() -> Loan {
     Loan {
-        id: LoanId { lender: Instance::new("entry-1", 4), number: 9 },
-        borrower: Instance::new("entry-2", 5),
-        ask: AskId(11),
+        id: LoanId {
+            lender: Instance::new("entry-1", 4),
+            borrower: Instance::new("entry-2", 5),
+            ask: AskId(11),
+        },
         tokens: 40,
     }
 }
--- a/crates/lycheefordd/src/call.rs
+++ b/crates/lycheefordd/src/call.rs
@@ -1,6 +1,6 @@
 use lycheeford_caller::CallerRequest;
 use lycheeford_policy::{Configuration, Name, Refusal, RefusalCode};
-use serde_json::{Map, Value};
+use serde_json::{Map, Value, json};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::access::Access;
@@ -62,6 +62,10 @@
             Some(Value::Bool(streams)) => *streams,
             Some(_) => return Err(bad("stream is not true or false")),
         };
+        if streams {
+            // The engine's own count of the prompt is what the customer is charged.
+            body.insert("stream_options".to_owned(), json!({ "include_usage": true }));
+        }
         let body = serde_json::to_vec(&body).unwrap_or_default();
         let prompt_bytes = prompt.len() as u64;
         Ok(Call {
--- /dev/null
+++ b/crates/lycheefordd/src/change.rs
@@ -0,0 +1,192 @@
+use lycheeford_config::{
+    CHUNK_KIND, ChangeCategory, ChangeError, GRANT_BYTES, HEAD_KIND, HEAD_NAME, Head, HeadWrite,
+    check, grant, plan_apply, plan_grant, plan_withdraw,
+};
+use lycheeford_operator::{
+    ApplyReport, ApplyRequest, GrantReport, GrantRequest, OperatorError, OperatorErrorCode,
+    WithdrawRequest,
+};
+use lycheeford_platform::{Category, Expect, ObjectStore, PlatformError, put_settled};
+use lycheeford_policy::Configuration;
+
+use crate::configuration::{ReadError, adopt, head_of, read_configuration};
+use crate::state::State;
+
+/// How long a change may take until its outcome is definite.
+const CHANGE_MS_MAX: u64 = 5_000;
+/// Grants and withdrawals that lose to other changes this often are given up.
+const CONFLICTS_MAX: usize = 16;
+
+/// The stored configuration with the version of its head.
+pub(crate) struct Stored {
+    pub(crate) version: Option<u64>,
+    pub(crate) head: Head,
+    pub(crate) configuration: Configuration,
+}
+
+/// Reads the configuration as it is stored now.
+///
+/// # Errors
+///
+/// Fails if the platform doesn't answer or what is stored can't be read.
+pub(crate) async fn read_stored(state: &State) -> Result<Stored, OperatorError> {
+    let object = state.store.get(HEAD_KIND, HEAD_NAME).await.map_err(|error| platform(&error))?;
+    let Some(object) = object else {
+        let (head, configuration) = Default::default();
+        return Ok(Stored { version: None, head, configuration });
+    };
+    let head = head_of(&object).map_err(|error| unreadable(&error))?;
+    // What is in force here was read from the same immutable chunks.
+    let in_force = state.configuration.load_full();
+    let configuration = if in_force.revision == head.revision {
+        (*in_force).clone()
+    } else {
+        read_configuration(state, &head).await.map_err(|error| unreadable(&error))?
+    };
+    Ok(Stored { version: Some(object.version), head, configuration })
+}
+
+/// Replaces what is declared.
+///
+/// # Errors
+///
+/// Fails on a faulty document, on a conflict with another apply, and if the
+/// platform doesn't settle the outcome.
+pub(crate) async fn apply(
+    state: &State,
+    request: ApplyRequest,
+) -> Result<ApplyReport, OperatorError> {
+    let declared = check(&request.document).map_err(|faults| {
+        OperatorError::new(OperatorErrorCode::FaultyDocument, faults.to_string())
+    })?;
+    let revision = change(state, |stored| {
+        plan_apply(
+            &stored.head,
+            &stored.configuration,
+            request.base_revision,
+            &declared,
+            &request.stamp,
+        )
+    })
+    .await?;
+    Ok(ApplyReport { revision })
+}
+
+/// Grants a key.
+///
+/// # Errors
+///
+/// Fails on an unknown customer, and if the platform doesn't settle the outcome.
+pub(crate) async fn grant_key(
+    state: &State,
+    request: GrantRequest,
+) -> Result<GrantReport, OperatorError> {
+    let random: [u8; GRANT_BYTES] = rand::random();
+    let (key, secret) = grant(&request.customer, &random);
+    let revision = change(state, |stored| {
+        plan_grant(&stored.head, &stored.configuration, key.clone(), &stamp())
+    })
+    .await?;
+    Ok(GrantReport { id: key.id, customer: request.customer, secret, revision })
+}
+
+/// Withdraws a key.
+///
+/// # Errors
+///
+/// Fails on an unknown key, and if the platform doesn't settle the outcome.
+pub(crate) async fn withdraw_key(
+    state: &State,
+    request: WithdrawRequest,
+) -> Result<ApplyReport, OperatorError> {
+    let revision = change(state, |stored| {
+        plan_withdraw(&stored.head, &stored.configuration, &request.id, &stamp())
+    })
+    .await?;
+    Ok(ApplyReport { revision })
+}
+
+/// Plans a change on what is stored and commits it by one conditional update of the head.
+async fn change(
+    state: &State,
+    plan: impl Fn(&Stored) -> Result<HeadWrite, ChangeError>,
+) -> Result<u64, OperatorError> {
+    for _ in 0..CONFLICTS_MAX {
+        let stored = read_stored(state).await?;
+        let write = plan(&stored).map_err(|error| refused(&error, stored.head.revision))?;
+        store_chunks(state, &write).await?;
+        match commit(state, stored.version, &write.head).await {
+            Ok(()) => {
+                let revision = write.head.revision;
+                // The follower sees it as well; this host need not wait for that.
+                if let Ok(configuration) = read_configuration(state, &write.head).await {
+                    adopt(state, write.head, configuration);
+                }
+                return Ok(revision);
+            }
+            Err(error) if error.category() == Category::Conflict => {}
+            Err(error) => return Err(platform(&error)),
+        }
+    }
+    let message = "other changes kept coming; try again";
+    Err(OperatorError::new(OperatorErrorCode::Refused, message))
+}
+
+async fn store_chunks(state: &State, write: &HeadWrite) -> Result<(), OperatorError> {
+    for chunk in &write.chunks {
+        let value = chunk.text.clone().into();
+        let put = put_settled(
+            &state.store,
+            CHUNK_KIND,
+            &chunk.name,
+            value,
+            Expect::Absent,
+            CHANGE_MS_MAX,
+        );
+        match put.await {
+            Ok(_) => {}
+            // A chunk's name is its content's digest, so it is there already.
+            Err(error) if error.category() == Category::Conflict => {}
+            Err(error) => return Err(platform(&error)),
+        }
+    }
+    Ok(())
+}
+
+async fn commit(state: &State, version: Option<u64>, head: &Head) -> Result<(), PlatformError> {
+    let expect = version.map_or(Expect::Absent, Expect::Version);
+    // A head holds names and numbers only.
+    let value = serde_json::to_value(head).unwrap_or_default();
+    put_settled(&state.store, HEAD_KIND, HEAD_NAME, value, expect, CHANGE_MS_MAX).await?;
+    Ok(())
+}
+
+fn stamp() -> String {
+    hex::encode(rand::random::<[u8; 16]>())
+}
+
+fn refused(error: &ChangeError, revision: u64) -> OperatorError {
+    match error.category() {
+        ChangeCategory::Conflict => OperatorError::conflict(revision, error.to_string()),
+        ChangeCategory::NotFound => {
+            OperatorError::new(OperatorErrorCode::NotFound, error.to_string())
+        }
+        ChangeCategory::Refused => OperatorError::new(OperatorErrorCode::Refused, error.to_string()),
+    }
+}
+
+fn platform(error: &PlatformError) -> OperatorError {
+    let code = match error.category() {
+        Category::OutcomeUnknown => OperatorErrorCode::OutcomeUnknown,
+        _ => OperatorErrorCode::PlatformUnavailable,
+    };
+    OperatorError::new(code, error.to_string())
+}
+
+fn unreadable(error: &ReadError) -> OperatorError {
+    let code = match error {
+        ReadError::Platform { .. } => OperatorErrorCode::PlatformUnavailable,
+        _ => OperatorErrorCode::Internal,
+    };
+    OperatorError::new(code, error.to_string())
+}
--- /dev/null
+++ b/crates/lycheefordd/src/completion.rs
@@ -0,0 +1,340 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::task;
+use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse, Method, chunk_channel};
+use lycheeford_policy::{CrashVerdict, Name, Refusal, RefusalCode, TimeMs};
+use lycheeford_target::{
+    CompletionEvent, Connection, TargetError, TargetRequest, TargetResponse,
+};
+use serde_json::Value;
+
+use crate::access::Access;
+use crate::call::Call;
+use crate::crash::note_target_failure;
+use crate::metrics::{CustomerLabels, Event};
+use crate::placement::PlaceRequest;
+use crate::placement_task::{PlacedRequest, place};
+use crate::relay::Relay;
+use crate::reservation::Reserved;
+use crate::state::State;
+
+/// The largest answer that is kept whole.
+const ANSWER_BYTES_MAX: usize = 16 << 20;
+/// The HTTP status of an engine that doesn't have the model ready.
+const NOT_LOADED: u16 = 404;
+/// When a caller should come back while a suspect of the same kind runs.
+const SUSPECT_RETRY_MS: u64 = 1_000;
+
+/// A completion on its way, with what it holds until it ends.
+pub(crate) struct Completion {
+    pub(crate) state: Arc<State>,
+    pub(crate) id: Name,
+    pub(crate) access: Access,
+    pub(crate) labels: CustomerLabels,
+    pub(crate) call: Call,
+    pub(crate) reserved: Reserved,
+    pub(crate) arrived: TimeMs,
+    pub(crate) deadline: TimeMs,
+    /// Targets that failed this request.
+    pub(crate) failed: Vec<Name>,
+    alone: Option<RunsAlone>,
+}
+
+/// An engine that answers a completion.
+pub(crate) struct Answering {
+    pub(crate) placed: PlacedRequest,
+    pub(crate) response: TargetResponse,
+}
+
+/// Serves a completion.
+///
+/// # Errors
+///
+/// Refuses a request that may not run, can't run in time, or failed everywhere.
+pub(crate) async fn complete(
+    state: Arc<State>,
+    request: CallerRequest,
+) -> Result<CallerResponse, Refusal> {
+    let arrived = state.now();
+    let access = Access::check(&state, &request)?;
+    let labels = state.customer_labels(&access.customer.name);
+    state.metrics.request(&labels);
+    let served = serve(&state, request, access.clone(), labels, arrived).await;
+    if let Err(refusal) = &served {
+        state.metrics.refusal(Some(&access.customer.name), refusal.code);
+        let what = format!("request refused: {:?}: {}", refusal.code, refusal.message);
+        state.decisions().record(state.now(), &[&access.customer.name], what);
+    }
+    served
+}
+
+async fn serve(
+    state: &Arc<State>,
+    request: CallerRequest,
+    access: Access,
+    labels: CustomerLabels,
+    arrived: TimeMs,
+) -> Result<CallerResponse, Refusal> {
+    let call = Call::check(&state.configuration.load(), &access, &request)?;
+    let alone = run_alone(state, call.fingerprint)?;
+    let deadline_ms =
+        request.deadline_ms.unwrap_or(state.settings.caller_limits.deadline_ms_default);
+    let reserved = Reserved::new(state, &access.customer.name, call.tokens_max()).await?;
+    let mut completion = Completion {
+        state: state.clone(),
+        id: request.id,
+        access,
+        labels,
+        call,
+        reserved,
+        arrived,
+        deadline: arrived + deadline_ms,
+        failed: Vec::new(),
+        alone,
+    };
+    let answering = completion.dispatch(0).await?;
+    if answering.response.status != 200 {
+        return Ok(engine_answer(answering).await);
+    }
+    if completion.call.streams {
+        let (sender, receiver) = chunk_channel();
+        let headers = answer_headers(&answering.response);
+        task::spawn(Relay::new(completion, sender).run(answering));
+        return Ok(CallerResponse { status: 200, headers, body: CallerBody::Stream(receiver) });
+    }
+    completion.whole_answer(answering).await
+}
+
+impl Completion {
+    /// Places the request and sends it, to one target after another if need be.
+    ///
+    /// `from_token` is the number of tokens that the caller has already.
+    pub(crate) async fn dispatch(&mut self, from_token: u64) -> Result<Answering, Refusal> {
+        let mut last_error: Option<TargetError> = None;
+        let mut first = true;
+        loop {
+            if !first && !self.may_retry() {
+                return Err(self.failure(last_error));
+            }
+            let placed = place(&self.state, &self.place_request(), &self.failed).await?;
+            if let Some(waited_ms) = placed.waited_ms {
+                self.state.metrics.queueing_ms.get_or_create(&self.labels).observe(waited_ms as f64);
+            }
+            self.access.recheck(&self.state)?;
+            let Some(address) = self.address(&placed.target) else {
+                self.state.placement().forget_target(&placed.target);
+                self.failed.push(placed.target.clone());
+                continue;
+            };
+            match self.send(address, from_token).await {
+                Ok(response) if response.status == NOT_LOADED => {
+                    // The view was late: the model isn't there any more, and nothing ran.
+                    self.state.placement().forget_replica(&self.call.name, &placed.target);
+                    if self.state.now() > self.deadline {
+                        return Err(self.failure(None));
+                    }
+                }
+                Ok(response) => return Ok(Answering { placed, response }),
+                Err(error) => {
+                    first = false;
+                    self.target_failed(&placed.target, &error).await;
+                    last_error = Some(error);
+                }
+            }
+        }
+    }
+
+    /// Takes in that a target failed this request.
+    pub(crate) async fn target_failed(&mut self, target: &Name, error: &TargetError) {
+        self.failed.push(target.clone());
+        if error.may_have_run() {
+            note_target_failure(&self.state, target, self.call.fingerprint).await;
+        } else {
+            self.state.placement().forget_target(target);
+        }
+    }
+
+    /// Tells whether the request may be sent to yet another target.
+    pub(crate) fn may_retry(&self) -> bool {
+        let suspect = self.state.suspects().verdict(self.call.fingerprint);
+        let allowed = suspect != CrashVerdict::Refuse
+            && self.state.now() < self.deadline
+            && self.state.retry_budget().withdraw(self.state.now());
+        if allowed {
+            self.state.metrics.event(Event::Retry);
+        }
+        allowed
+    }
+
+    /// Returns the refusal of a request that no target completed.
+    pub(crate) fn failure(&self, error: Option<TargetError>) -> Refusal {
+        if self.state.suspects().verdict(self.call.fingerprint) == CrashVerdict::Refuse {
+            return crash_suspect();
+        }
+        if self.state.now() >= self.deadline {
+            return Refusal::unknown(
+                RefusalCode::DeadlinePassed,
+                "the deadline passed while the request ran; send it again with a longer one",
+            );
+        }
+        match error {
+            Some(error) => Refusal::unknown(RefusalCode::TargetFailed, error.to_string()),
+            None => Refusal::not_run(
+                RefusalCode::NoTarget,
+                "no target has the model ready; send the request again",
+                Some(SUSPECT_RETRY_MS),
+            ),
+        }
+    }
+
+    /// Notes the end of a whole answer.
+    pub(crate) fn succeeded(&self) {
+        self.state.metrics.good_answer(&self.labels);
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        from_token: u64,
+    ) -> Result<TargetResponse, TargetError> {
+        self.state.retry_budget().deposit();
+        let mut headers = vec![
+            ("content-type".to_owned(), "application/json".to_owned()),
+            ("x-request-id".to_owned(), self.id.as_str().to_owned()),
+            ("x-priority".to_owned(), self.access.customer.class.to_string()),
+        ];
+        if from_token > 0 {
+            headers.push(("x-resume-from-token".to_owned(), from_token.to_string()));
+        }
+        let request = TargetRequest {
+            method: Method::Post,
+            path_and_query: self.call.path.clone(),
+            headers,
+            body: self.call.body.clone(),
+            connection: if self.failed.is_empty() { Connection::Pooled } else { Connection::Fresh },
+            first_byte_ms_max: Some(self.deadline.since_ms(self.state.now()).max(1)),
+        };
+        self.state.targets.call(address, &request).await
+    }
+
+    fn address(&self, target: &Name) -> Option<SocketAddr> {
+        self.state.fleet.load().host(target).map(|host| host.address)
+    }
+
+    fn place_request(&self) -> PlaceRequest {
+        PlaceRequest {
+            name: self.call.name.clone(),
+            customer: self.access.customer.name.clone(),
+            class: self.access.customer.class,
+            deadline: self.deadline,
+            cost_tokens: self.call.tokens_max(),
+            prefix_hashes: self.call.prefix_hashes.clone(),
+        }
+    }
+
+    async fn whole_answer(mut self, answering: Answering) -> Result<CallerResponse, Refusal> {
+        let mut answering = answering;
+        loop {
+            let cold = answering.placed.waited_ms.is_some();
+            let headers = answer_headers(&answering.response);
+            let target = answering.placed.target.clone();
+            match answering.response.body.whole(ANSWER_BYTES_MAX).await {
+                Ok(body) => {
+                    self.access.recheck(&self.state).map_err(|refusal| ran(refusal))?;
+                    self.charge(&body);
+                    self.observe_first_token(cold);
+                    self.succeeded();
+                    return Ok(CallerResponse {
+                        status: 200,
+                        headers,
+                        body: CallerBody::Whole(body),
+                    });
+                }
+                Err(error) => {
+                    self.target_failed(&target, &error).await;
+                    if !self.may_retry() {
+                        return Err(self.failure(Some(error)));
+                    }
+                    answering = self.dispatch(0).await?;
+                }
+            }
+        }
+    }
+
+    /// Spends the tokens that a whole answer says it took, or all that are reserved.
+    fn charge(&self, body: &[u8]) {
+        let usage = CompletionEvent::parse(body).ok().and_then(|event| event.usage);
+        let used_tokens = usage.map_or(self.call.tokens_max(), |usage| {
+            (usage.prompt_tokens + usage.completion_tokens).min(self.call.tokens_max())
+        });
+        // The reservation holds as much as the call can take.
+        let _ = self.reserved.consume(used_tokens);
+        self.state.metrics.tokens(&self.labels, used_tokens);
+    }
+
+    /// Notes the time to the first token.
+    pub(crate) fn observe_first_token(&self, cold: bool) {
+        let elapsed_ms = self.state.now().since_ms(self.arrived) as f64;
+        let metrics = &self.state.metrics;
+        metrics.first_token_ms.get_or_create(&self.labels).observe(elapsed_ms);
+        if cold {
+            metrics.cold_start_ms.get_or_create(&self.labels).observe(elapsed_ms);
+        }
+    }
+}
+
+/// Keeps a suspect from running twice at once, while it lives.
+struct RunsAlone {
+    state: Arc<State>,
+    fingerprint: u64,
+}
+
+impl Drop for RunsAlone {
+    fn drop(&mut self) {
+        self.state.suspects().end_alone(self.fingerprint);
+    }
+}
+
+fn run_alone(state: &Arc<State>, fingerprint: u64) -> Result<Option<RunsAlone>, Refusal> {
+    let mut suspects = state.suspects();
+    match suspects.verdict(fingerprint) {
+        CrashVerdict::Clear => Ok(None),
+        CrashVerdict::Refuse => Err(crash_suspect()),
+        CrashVerdict::RunAlone if suspects.start_alone(fingerprint) => {
+            Ok(Some(RunsAlone { state: state.clone(), fingerprint }))
+        }
+        CrashVerdict::RunAlone => Err(Refusal::not_run(
+            RefusalCode::CrashSuspect,
+            "the same request runs already, and a target died while it ran; wait for its answer",
+            Some(SUSPECT_RETRY_MS),
+        )),
+    }
+}
+
+fn crash_suspect() -> Refusal {
+    Refusal::not_run(
+        RefusalCode::CrashSuspect,
+        "targets died each time this request ran; change the request",
+        None,
+    )
+}
+
+fn ran(refusal: Refusal) -> Refusal {
+    Refusal { ran: lycheeford_policy::Ran::Ran, ..refusal }
+}
+
+fn answer_headers(response: &TargetResponse) -> Vec<(String, String)> {
+    let keep = |name: &str| name.eq_ignore_ascii_case("content-type");
+    response.headers.iter().filter(|(name, _)| keep(name)).cloned().collect()
+}
+
+/// Passes on what an engine says of a request that it won't run.
+async fn engine_answer(answering: Answering) -> CallerResponse {
+    let status = answering.response.status;
+    let headers = answer_headers(&answering.response);
+    let body = answering.response.body.whole(ANSWER_BYTES_MAX).await.unwrap_or_else(|error| {
+        Value::String(error.to_string()).to_string().into_bytes()
+    });
+    CallerResponse { status, headers, body: CallerBody::Whole(body) }
+}
--- /dev/null
+++ b/crates/lycheefordd/src/coordinator.rs
@@ -0,0 +1,293 @@
+use lycheeford_config::WeightStoreLimits;
+use lycheeford_policy::{
+    CheckpointPlace, Configuration, DemandReport, Host, HostRole, HostState, Incarnation, LoadLimits,
+    Name,
+    PlanAction, Planner, ReplicaState, ReplicaView, TargetRecord, TargetView, TimeMs, Verdict,
+};
+use lycheeford_target::{self as target, LoadState, TargetStatus};
+use lycheeford_wire::{Expected, PlacementReport, Refused, TargetPlacement};
+
+use crate::objects::Versioned;
+
+/// How often a target is asked for its status while nothing changes on it.
+const POLL_MS: u64 = 250;
+/// How often while it loads or unloads.
+const POLL_BUSY_MS: u64 = 20;
+
+/// What the coordinating daemon knows and plans by.
+///
+/// Every daemon has one; it is active on the daemon that coordinates, and
+/// starts anew when that changes.
+#[derive(Debug)]
+pub(crate) struct Coordinator {
+    limits: LoadLimits,
+    planner: Planner,
+    configuration: Configuration,
+    active: bool,
+    sequence: u64,
+    /// Sorted by name.
+    targets: Vec<Coordinated>,
+    expected: Vec<Expected>,
+    refused: Vec<Refused>,
+}
+
+/// A target as its coordinator sees it.
+#[derive(Debug)]
+pub(crate) struct Coordinated {
+    pub(crate) host: Host,
+    pub(crate) status: Option<TargetStatus>,
+    pub(crate) record: Option<Versioned<TargetRecord>>,
+    pub(crate) verdict: Verdict,
+    poll_due: TimeMs,
+    polling: bool,
+    idle_since: TimeMs,
+}
+
+impl Coordinator {
+    pub(crate) fn new(limits: &WeightStoreLimits) -> Coordinator {
+        let limits = LoadLimits {
+            store_loads_at_once: limits.loads_at_once,
+            store_loads_per_s: limits.loads_per_s,
+            adapter_loads_at_once: limits.adapter_loads_at_once,
+        };
+        Coordinator {
+            planner: Planner::new(limits.clone()),
+            limits,
+            configuration: Configuration::default(),
+            active: false,
+            sequence: 0,
+            targets: Vec::new(),
+            expected: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    pub(crate) fn configure(&mut self, configuration: &Configuration) {
+        self.configuration = configuration.clone();
+        self.planner.configure(configuration);
+    }
+
+    pub(crate) fn is_active(&self) -> bool {
+        self.active
+    }
+
+    /// Starts to coordinate and returns whether this call started it.
+    pub(crate) fn activate(&mut self) -> bool {
+        if self.active {
+            return false;
+        }
+        self.active = true;
+        self.planner = Planner::new(self.limits.clone());
+        self.planner.configure(&self.configuration);
+        self.targets.clear();
+        true
+    }
+
+    pub(crate) fn deactivate(&mut self) -> bool {
+        std::mem::replace(&mut self.active, false)
+    }
+
+    /// Takes over the list of model workers, sorted by name.
+    pub(crate) fn set_hosts(&mut self, now: TimeMs, hosts: Vec<Host>) {
+        let mut known = std::mem::take(&mut self.targets);
+        for host in hosts {
+            match known.iter().position(|target| target.host.name == host.name) {
+                Some(index) => {
+                    let mut target = known.swap_remove(index);
+                    target.host = host;
+                    self.targets.push(target);
+                }
+                None => self.targets.push(Coordinated {
+                    host,
+                    status: None,
+                    record: None,
+                    verdict: Verdict::Up,
+                    poll_due: now,
+                    polling: false,
+                    idle_since: now,
+                }),
+            }
+        }
+        for gone in known {
+            self.planner.forget_target(&gone.host.name);
+        }
+    }
+
+    /// Returns the targets whose status is due, and marks them as being asked.
+    pub(crate) fn due(&mut self, now: TimeMs) -> Vec<(Host, Option<Versioned<TargetRecord>>)> {
+        let due = self.targets.iter_mut().filter(|target| !target.polling && target.poll_due <= now);
+        due.map(|target| {
+            target.polling = true;
+            (target.host.clone(), target.record.clone())
+        })
+        .collect()
+    }
+
+    /// Takes over what a poll of a target found and returns the idle time that it adds.
+    pub(crate) fn polled(
+        &mut self,
+        now: TimeMs,
+        name: &str,
+        status: Option<TargetStatus>,
+        record: Option<Versioned<TargetRecord>>,
+        verdict: Verdict,
+    ) -> u64 {
+        let Ok(index) = self.position(name) else { return 0 };
+        let target = &mut self.targets[index];
+        target.polling = false;
+        target.verdict = verdict;
+        if status.is_some() {
+            target.status = status;
+        }
+        target.record = record;
+        let pause_ms = if target.is_changing() { POLL_BUSY_MS } else { POLL_MS };
+        target.poll_due = now + pause_ms;
+        let idle_ms = target.idle_ms(now);
+        if let Some(view) = target.view() {
+            self.planner.observe_target(now, view);
+        }
+        idle_ms
+    }
+
+    /// Has a target asked at once, and its record read again.
+    pub(crate) fn poll_soon(&mut self, now: TimeMs, name: &str) {
+        if let Ok(index) = self.position(name) {
+            self.targets[index].poll_due = now;
+            self.targets[index].record = None;
+        }
+    }
+
+    pub(crate) fn report_demand(&mut self, now: TimeMs, report: DemandReport) {
+        self.planner.report_demand(now, report);
+    }
+
+    /// Gives up a planned action that couldn't be carried out.
+    pub(crate) fn abandon(&mut self, name: &str, target: &str) {
+        self.planner.abandon(name, target);
+    }
+
+    /// Plans, keeps what callers should know and returns what is to be done.
+    pub(crate) fn plan(&mut self, now: TimeMs) -> Vec<PlanAction> {
+        self.expected.clear();
+        self.refused.clear();
+        let mut orders = Vec::new();
+        for action in self.planner.plan(now) {
+            match action {
+                PlanAction::Expect { name, ready_in_ms } => {
+                    self.expected.push(Expected { name, ready_in_ms });
+                }
+                PlanAction::Refuse { name, customer, retry_after_ms } => {
+                    self.refused.push(Refused { name, customer, retry_after_ms });
+                }
+                PlanAction::Load { .. } | PlanAction::Unload { .. } => orders.push(action),
+            }
+        }
+        orders
+    }
+
+    /// Returns the view to publish.
+    pub(crate) fn report(&mut self) -> PlacementReport {
+        self.sequence += 1;
+        PlacementReport {
+            sequence: self.sequence,
+            targets: self.targets.iter().filter_map(Coordinated::placement).collect(),
+            expected: self.expected.clone(),
+            refused: self.refused.clone(),
+        }
+    }
+
+    /// Returns the life of a target as it was last seen.
+    pub(crate) fn target_incarnation(&self, name: &str) -> Option<Incarnation> {
+        let target = &self.targets[self.position(name).ok()?];
+        target.status.as_ref().map(|status| status.incarnation)
+    }
+
+    pub(crate) fn targets(&self) -> &[Coordinated] {
+        &self.targets
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.targets.binary_search_by(|target| target.host.name.as_str().cmp(name))
+    }
+}
+
+impl Coordinated {
+    /// Whether new work may go to the target.
+    pub(crate) fn accepts_work(&self) -> bool {
+        self.host.state == HostState::Live
+            && self.verdict != Verdict::Down
+            && self.status.as_ref().is_some_and(|status| status.state == HostState::Live)
+    }
+
+    fn is_changing(&self) -> bool {
+        let loading = |status: &TargetStatus| {
+            status.loaded.iter().any(|loaded| loaded.state != LoadState::Ready)
+        };
+        let ordered = |record: &Versioned<TargetRecord>| record.value.order.is_some();
+        self.status.as_ref().is_some_and(loading) || self.record.as_ref().is_some_and(ordered)
+    }
+
+    /// Returns how long the target has held replicas without a request since the last call.
+    fn idle_ms(&mut self, now: TimeMs) -> u64 {
+        let idle_since = std::mem::replace(&mut self.idle_since, now);
+        let idle = self.status.as_ref().is_some_and(|status| {
+            !status.loaded.is_empty() && status.running == 0 && status.queued == 0
+        });
+        if idle { now.since_ms(idle_since) } else { 0 }
+    }
+
+    fn view(&self) -> Option<TargetView> {
+        let HostRole::ModelWorker { memory_bytes, .. } = self.host.role else { return None };
+        let (status, record) = (self.status.as_ref()?, self.record.as_ref()?);
+        Some(TargetView {
+            name: self.host.name.clone(),
+            failure_domain: self.host.failure_domain.clone(),
+            accepts_work: self.accepts_work(),
+            memory_total_bytes: memory_bytes.min(status.memory_total_bytes),
+            reserved_bytes: record.value.reserved_bytes(),
+            blocked: record.value.order.is_some(),
+            replicas: status.loaded.iter().map(replica_view).collect(),
+            checkpoints: status
+                .checkpoints
+                .iter()
+                .map(|checkpoint| (checkpoint.name.clone(), checkpoint_place(checkpoint.place)))
+                .collect(),
+            running: status.running,
+        })
+    }
+
+    fn placement(&self) -> Option<TargetPlacement> {
+        let status = self.status.as_ref()?;
+        let mut ready: Vec<Name> = status
+            .loaded
+            .iter()
+            .filter(|loaded| loaded.state == LoadState::Ready)
+            .map(|loaded| loaded.name.clone())
+            .collect();
+        ready.sort();
+        Some(TargetPlacement {
+            target: self.host.name.clone(),
+            incarnation: status.incarnation,
+            accepts_work: self.accepts_work(),
+            running: status.running,
+            queued: status.queued,
+            ready,
+        })
+    }
+}
+
+fn replica_view(loaded: &target::Loaded) -> ReplicaView {
+    let state = match loaded.state {
+        LoadState::Loading => ReplicaState::Loading,
+        LoadState::Ready => ReplicaState::Ready,
+        LoadState::Unloading => ReplicaState::Unloading,
+    };
+    ReplicaView { name: loaded.name.clone(), state, memory_bytes: loaded.memory_bytes }
+}
+
+fn checkpoint_place(place: target::CheckpointPlace) -> CheckpointPlace {
+    match place {
+        target::CheckpointPlace::Memory => CheckpointPlace::Memory,
+        target::CheckpointPlace::Disk => CheckpointPlace::Disk,
+    }
+}
--- /dev/null
+++ b/crates/lycheefordd/src/daemon.rs
@@ -0,0 +1,170 @@
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use lycheeford_caller::{Bounds, Stop};
+use lycheeford_config::Settings;
+use lycheeford_peer::{Member, PeerLimits, Peers};
+use lycheeford_platform::{Expect, ObjectStore, PlatformError, put_settled};
+use lycheeford_policy::Instance;
+use lycheeford_wire::Hello;
+use serde_json::json;
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
+
+use crate::admin::Admin;
+use crate::clock::Clock;
+use crate::configuration::follow_configuration;
+use crate::front::{ADDRESS_KEEP_MS, Front};
+use crate::hosts::follow_hosts;
+use crate::placement_task::report_demand;
+use crate::planning::plan_loads;
+use crate::share_upkeep::{follow_shares, keep_shares};
+use crate::state::State;
+
+/// The kind of the objects that count the lives of daemons.
+const INCARNATION_KIND: &str = "incarnation";
+/// How long one attempt to register a life may take.
+const REGISTER_MS_MAX: u64 = 2_000;
+/// The pause before the next attempt.
+const REGISTER_PAUSE_MS: u64 = 200;
+/// How often a draining daemon looks whether it is done.
+const DRAIN_TICK_MS: u64 = 50;
+/// How long a draining daemon waits for its requests at most.
+const DRAIN_MS_MAX: u64 = 120_000;
+/// How long it goes on after its last request, so that peers' loans settle.
+const SETTLE_MS: u64 = 300;
+
+/// Why the daemon can't start.
+#[derive(Debug, Snafu)]
+pub(crate) enum StartError {
+    #[snafu(display("can't listen at {field} {address}: {source}; free the address or change it"))]
+    Listen { field: &'static str, address: String, source: io::Error },
+}
+
+/// Runs the daemon until it is stopped, and drains it then.
+///
+/// # Errors
+///
+/// Fails if one of its addresses can't be had.
+pub(crate) async fn run(settings: Settings, log: Logger, stop: Stop) -> Result<(), StartError> {
+    let callers = listen("caller_address", settings.caller_address).await?;
+    let peers = listen("peer_address", settings.peer_address).await?;
+    let operators = listen("operator_address", settings.operator_address).await?;
+
+    let Some(me) = register(&settings, &log, &stop).await else { return Ok(()) };
+    info!(log, "started"; "incarnation" => me.incarnation.0);
+    let bounds = bounds(&settings);
+    let state = State::new(settings, me, Clock::start(), log);
+    connect_peers(&state, peers);
+    start_tasks(&state);
+
+    let front = Front { state: state.clone() };
+    let front_stop = Stop::new();
+    let serving = task::spawn(lycheeford_caller::serve(callers, bounds, front, front_stop.clone()));
+    let admin = Arc::new(Admin { state: state.clone() });
+    let admin_stop = Stop::new();
+    let admin_stopped = admin_stop.clone();
+    let administering = task::spawn(lycheeford_operator::serve(operators, admin, async move {
+        admin_stopped.triggered().await;
+    }));
+
+    wait_for_drain(&state, &stop).await;
+    drain(&state, &front_stop).await;
+    serving.await;
+    admin_stop.trigger();
+    administering.await;
+    info!(state.log, "ended");
+    Ok(())
+}
+
+/// Registers this life of the daemon; the version of the write is its incarnation.
+///
+/// The platform's revisions only grow, so a later life has a greater one
+/// whatever the hosts' clocks say. Returns `None` if stopped meanwhile.
+async fn register(settings: &Settings, log: &Logger, stop: &Stop) -> Option<Instance> {
+    let store =
+        lycheeford_platform::HttpObjectStore::new(settings.platform_address, Default::default());
+    let mut told = false;
+    while !stop.is_triggered() {
+        match register_once(&store, &settings.host).await {
+            Ok(incarnation) => return Some(Instance::new(settings.host.clone(), incarnation)),
+            Err(error) if !told => {
+                warn!(log, "waits for the platform"; "error" => %error);
+                told = true;
+            }
+            Err(_) => {}
+        }
+        task::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
+    }
+    None
+}
+
+async fn register_once(store: &dyn ObjectStore, host: &str) -> Result<u64, PlatformError> {
+    let object = store.get(INCARNATION_KIND, host).await?;
+    let expect = object.map_or(Expect::Absent, |object| Expect::Version(object.version));
+    let value = json!({ "stamp": hex::encode(rand::random::<[u8; 16]>()) });
+    put_settled(store, INCARNATION_KIND, host, value, expect, REGISTER_MS_MAX).await
+}
+
+fn connect_peers(state: &Arc<State>, listener: TcpListener) {
+    let me = Hello { host: state.me.host.clone(), incarnation: state.me.incarnation };
+    let peers = Peers::start(listener, me, PeerLimits::default(), state.clone());
+    let fleet = state.fleet.load();
+    let members = fleet.entries().map(|(host, address)| Member { host: host.name.clone(), address });
+    peers.set_members(members.collect());
+    // Set once, here.
+    let _ = state.peers.set(peers);
+}
+
+fn start_tasks(state: &Arc<State>) {
+    task::spawn(follow_configuration(state.clone()));
+    task::spawn(follow_hosts(state.clone()));
+    task::spawn(follow_shares(state.clone()));
+    task::spawn(keep_shares(state.clone()));
+    task::spawn(report_demand(state.clone()));
+    task::spawn(plan_loads(state.clone()));
+}
+
+async fn wait_for_drain(state: &State, stop: &Stop) {
+    while !stop.is_triggered() && !state.is_draining() {
+        task::sleep(Duration::from_millis(DRAIN_TICK_MS)).await;
+    }
+}
+
+/// Lets the addresses that callers were given age out, then finishes every request.
+async fn drain(state: &State, front: &Stop) {
+    state.start_draining();
+    info!(state.log, "draining"; "requests" => state.requests_running());
+    task::sleep(Duration::from_millis(ADDRESS_KEEP_MS)).await;
+    front.trigger();
+    let started = state.now();
+    while state.requests_running() > 0 && state.now().since_ms(started) < DRAIN_MS_MAX {
+        task::sleep(Duration::from_millis(DRAIN_TICK_MS)).await;
+    }
+    task::sleep(Duration::from_millis(SETTLE_MS)).await;
+}
+
+fn bounds(settings: &Settings) -> Bounds {
+    let limits = &settings.caller_limits;
+    Bounds {
+        head_bytes_max: limits.head_bytes_max as usize,
+        head_ms_max: limits.head_ms_max,
+        body_bytes_max: limits.body_bytes_max as usize,
+        body_ms_max: limits.body_ms_max,
+        idle_ms_max: limits.idle_ms_max,
+        write_ms_max: limits.write_ms_max,
+        connections_max: limits.connections_max as usize,
+    }
+}
+
+async fn listen(
+    field: &'static str,
+    address: std::net::SocketAddr,
+) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { field, address: address.to_string() })
+}
--- a/crates/lycheefordd/src/hosts.rs
+++ b/crates/lycheefordd/src/hosts.rs
@@ -3,9 +3,11 @@
 use lycheeford_peer::Member;
 use lycheeford_platform::{Change, FollowLimits, Object, WatchEvent, follow};
 use lycheeford_policy::{Host, HostState, Name};
+use lycheeford_wire::stored::StoredHost;
 use slog::{info, warn};
 
 use crate::fleet::Fleet;
+use crate::objects;
 use crate::state::State;
 
 /// The kind of the platform's list of hosts.
@@ -19,6 +21,7 @@
         if let Some(hosts) = changed_hosts(&state, update.change) {
             adopt(&state, Fleet { revision: update.revision, hosts });
         }
+        state.set_fleet_revision(update.revision);
     })
     .await;
 }
@@ -58,7 +61,9 @@
 }
 
 fn host_of(state: &State, object: &Object) -> Option<Host> {
-    match serde_json::from_value::<Host>(object.value.clone()) {
+    let decoded =
+        objects::decode::<Host, StoredHost>(HOST_KIND, &object.name, object.value.clone());
+    match decoded {
         Ok(host) if host.name == object.name => Some(host),
         Ok(host) => {
             warn!(state.log, "listed host has another name than its object";
--- /dev/null
+++ b/crates/lycheefordd/src/objects.rs
@@ -0,0 +1,161 @@
+use std::fmt::Display;
+
+use lycheeford_platform::{Category, Expect, ObjectStore, PlatformError, put_settled};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+
+use crate::state::State;
+
+/// The kinds of objects that daemons write beside the configuration.
+pub(crate) const REPLICA_KIND: &str = "replica";
+pub(crate) const TARGET_KIND: &str = "target";
+pub(crate) const SHARE_KIND: &str = "share";
+pub(crate) const LEDGER_KIND: &str = "ledger";
+
+/// Updates that lose to another writer this often in a row are given up.
+const CONFLICTS_MAX: usize = 16;
+/// How long one conditional write may take until its outcome is definite.
+const WRITE_MS_MAX: u64 = 3_000;
+
+/// Why an object couldn't be read or updated.
+#[derive(Debug, Snafu)]
+pub(crate) enum ObjectError {
+    #[snafu(display("platform didn't do it: {source}"))]
+    Platform { source: PlatformError },
+    #[snafu(display("object {kind}/{name} is not readable: {reason}; restore or delete it"))]
+    Unreadable { kind: String, name: String, reason: String },
+    #[snafu(display("object {kind}/{name} has too many writers; try again"))]
+    Contended { kind: String, name: String },
+}
+
+impl ObjectError {
+    /// Tells whether the write may have taken effect or may do so yet.
+    pub(crate) fn outcome_unknown(&self) -> bool {
+        match self {
+            ObjectError::Platform { source } => source.category() == Category::OutcomeUnknown,
+            ObjectError::Unreadable { .. } | ObjectError::Contended { .. } => false,
+        }
+    }
+}
+
+/// An object as it was read or written.
+#[derive(Debug, Clone)]
+pub(crate) struct Versioned<T> {
+    /// `None` if the object doesn't exist.
+    pub(crate) version: Option<u64>,
+    pub(crate) value: T,
+}
+
+/// Reads an object; one that doesn't exist has its default value.
+///
+/// # Errors
+///
+/// Fails if the platform does, or if the object can't be read.
+pub(crate) async fn read<T, S>(
+    state: &State,
+    kind: &str,
+    name: &str,
+) -> Result<Versioned<T>, ObjectError>
+where
+    T: Default + TryFrom<S>,
+    T::Error: Display,
+    S: DeserializeOwned,
+{
+    let object = state.store.get(kind, name).await.context(PlatformSnafu)?;
+    let Some(object) = object else {
+        return Ok(Versioned { version: None, value: T::default() });
+    };
+    Ok(Versioned { version: Some(object.version), value: decode(kind, name, object.value)? })
+}
+
+/// Decodes a stored value.
+///
+/// # Errors
+///
+/// Fails if the value doesn't have the form of its kind.
+pub(crate) fn decode<T, S>(
+    kind: &str,
+    name: &str,
+    value: serde_json::Value,
+) -> Result<T, ObjectError>
+where
+    T: TryFrom<S>,
+    T::Error: Display,
+    S: DeserializeOwned,
+{
+    let unreadable = |reason: String| ObjectError::Unreadable {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        reason,
+    };
+    let stored: S = serde_json::from_value(value).map_err(|error| unreadable(error.to_string()))?;
+    T::try_from(stored).map_err(|error| unreadable(error.to_string()))
+}
+
+/// Writes an object on condition of the version that it was made from.
+///
+/// # Errors
+///
+/// Fails on a conflict, and if the platform doesn't settle the outcome in time.
+pub(crate) async fn write<T, S>(
+    state: &State,
+    kind: &str,
+    name: &str,
+    version: Option<u64>,
+    value: T,
+) -> Result<Versioned<T>, ObjectError>
+where
+    S: Serialize + for<'a> From<&'a T>,
+{
+    let json = serde_json::to_value(S::from(&value)).map_err(|error| ObjectError::Unreadable {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        reason: error.to_string(),
+    })?;
+    let expect = version.map_or(Expect::Absent, Expect::Version);
+    let version = put_settled(&state.store, kind, name, json, expect, WRITE_MS_MAX)
+        .await
+        .context(PlatformSnafu)?;
+    Ok(Versioned { version: Some(version), value })
+}
+
+/// Reads an object, changes it and writes it, again while others write it too.
+///
+/// `change` returns the new value with a result, or `Err` to leave the object
+/// as it is.
+///
+/// # Errors
+///
+/// Fails if the platform does or the object stays contended; the inner result
+/// is that of `change`.
+pub(crate) async fn update<T, S, R, E>(
+    state: &State,
+    kind: &str,
+    name: &str,
+    mut change: impl FnMut(&T) -> Result<(T, R), E>,
+) -> Result<Result<(Versioned<T>, R), E>, ObjectError>
+where
+    T: Default + TryFrom<S>,
+    T::Error: Display,
+    S: Serialize + DeserializeOwned + for<'a> From<&'a T>,
+{
+    for _ in 0..CONFLICTS_MAX {
+        let read = read::<T, S>(state, kind, name).await?;
+        let (value, result) = match change(&read.value) {
+            Ok(changed) => changed,
+            Err(error) => return Ok(Err(error)),
+        };
+        match write::<T, S>(state, kind, name, read.version, value).await {
+            Ok(written) => return Ok(Ok((written, result))),
+            Err(error) if is_conflict(&error) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(ObjectError::Contended { kind: kind.to_owned(), name: name.to_owned() })
+}
+
+/// Tells whether a write lost to another one for certain.
+pub(crate) fn is_conflict(error: &ObjectError) -> bool {
+    matches!(error, ObjectError::Platform { source } if source.category() == Category::Conflict)
+}
--- a/crates/lycheefordd/src/placement.rs
+++ b/crates/lycheefordd/src/placement.rs
@@ -74,6 +74,7 @@
     pub(crate) fn place(&mut self, now: TimeMs, request: &PlaceRequest, excluded: &[Name]) -> Place {
         let chosen = self.router.choose(now, &request.name, &request.prefix_hashes, excluded);
         if let Some(target) = chosen {
+            self.started(&request.name, &target);
             return Place::Now(target);
         }
         let ready_in_ms = self.readiness.ready_in_ms(now, &request.name).unwrap_or(0);
@@ -97,7 +98,7 @@
     }
 
     /// Notes that a request runs at `target`.
-    pub(crate) fn started(&mut self, name: &Name, target: &str) {
+    fn started(&mut self, name: &Name, target: &str) {
         self.router.started(target);
         let activity = self.activity_mut(name);
         activity.served += 1;
@@ -159,7 +160,7 @@
         self.hand_out(now);
     }
 
-    /// Refuses what has expired and returns whether anything is left.
+    /// Refuses what has expired.
     pub(crate) fn expire(&mut self, now: TimeMs) {
         for request in self.queue.expired(now) {
             let _ = request.payload.try_send(Placed::Expired);
@@ -171,6 +172,13 @@
         self.queue.len()
     }
 
+    /// Returns how many requests of this host wait for `name`.
+    pub(crate) fn waiting(&self, name: &str) -> u64 {
+        let depths = self.queue.depths();
+        let depths = depths.iter().filter(|depth| depth.name.as_str() == name);
+        depths.map(|depth| u64::from(depth.waiting)).sum()
+    }
+
     pub(crate) fn targets(&self) -> &[TargetPlacement] {
         &self.targets
     }
@@ -257,7 +265,10 @@
                 && let Some(request) = self.queue.pop(now, &name)
             {
                 let Some(target) = self.router.choose(now, &name, &[], &[]) else { break };
-                let _ = request.payload.try_send(Placed::Target(target));
+                self.started(&name, &target);
+                if request.payload.try_send(Placed::Target(target.clone())).is_err() {
+                    self.finished(&name, &target);
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/lycheefordd/src/planning.rs
@@ -0,0 +1,192 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use lycheeford_policy::{
+    Activity, Demand, DemandReport, Host, HostRole, Instance, PlanAction, ProbeResult,
+    TargetRecord, Verdict,
+};
+use lycheeford_target::TargetStatus;
+use lycheeford_wire::{Message, stored::StoredTargetRecord};
+use slog::{debug, info, warn};
+
+use crate::metrics::Event;
+use crate::objects::{self, TARGET_KIND, Versioned};
+use crate::orders;
+use crate::placement_task;
+use crate::state::State;
+
+/// The longest pause between two plans.
+const PLAN_MS_MAX: u64 = 20;
+/// How often the view is published though nothing changed.
+const PUBLISH_MS: u64 = 500;
+
+/// Coordinates loads whenever this daemon is the one to do so.
+pub(crate) async fn plan_loads(state: Arc<State>) {
+    let mut published = None;
+    let mut published_at = state.now();
+    loop {
+        // A wake-up and the end of the pause mean the same.
+        let _ = timeout(Duration::from_millis(PLAN_MS_MAX), state.plan_due.1.recv()).await;
+        if state.coordinator_host() != state.me.host {
+            if state.coordinator().deactivate() {
+                info!(state.log, "no longer coordinates loads");
+            }
+            continue;
+        }
+        if state.coordinator().activate() {
+            info!(state.log, "coordinates loads");
+            task::spawn(orders::clean_up(state.clone()));
+        }
+        poll_due_targets(&state);
+        let actions = plan(&state);
+        for action in actions {
+            task::spawn(carry_out(state.clone(), action));
+        }
+        let now = state.now();
+        let mut report = state.coordinator().report();
+        let sequence = std::mem::take(&mut report.sequence);
+        if published.as_ref() != Some(&report) || now.since_ms(published_at) >= PUBLISH_MS {
+            published = Some(report.clone());
+            published_at = now;
+            report.sequence = sequence;
+            if let Some(peers) = state.peers.get() {
+                peers.send_all(&Message::PlacementReport(report.clone()));
+            }
+            placement_task::adopt(&state, &state.me, report);
+        }
+    }
+}
+
+/// Takes a host's demand over, if this daemon coordinates.
+pub(crate) fn take_demand(state: &State, from: &Instance, report: lycheeford_wire::DemandReport) {
+    let demands = report.demands.into_iter().map(|demand| Demand {
+        name: demand.name,
+        customer: demand.customer,
+        class: demand.class,
+        waiting: demand.waiting,
+        deadline_in_ms: demand.deadline_in_ms,
+        waited_ms: demand.waited_ms,
+    });
+    let activity = report.activity.into_iter().map(|activity| Activity {
+        name: activity.name,
+        served: activity.served,
+        running: activity.running,
+    });
+    let report = DemandReport {
+        host: from.host.clone(),
+        demands: demands.collect(),
+        activity: activity.collect(),
+    };
+    state.coordinator().report_demand(state.now(), report);
+    state.wake_planner();
+}
+
+fn plan(state: &State) -> Vec<PlanAction> {
+    let hosts = state.fleet.load().model_workers().cloned().collect();
+    let mut coordinator = state.coordinator();
+    let now = state.now();
+    coordinator.set_hosts(now, hosts);
+    coordinator.plan(now)
+}
+
+async fn carry_out(state: Arc<State>, action: PlanAction) {
+    let now = state.now();
+    let (name, target) = match &action {
+        PlanAction::Load { name, target, .. } | PlanAction::Unload { name, target } => {
+            (name.clone(), target.clone())
+        }
+        PlanAction::Refuse { .. } | PlanAction::Expect { .. } => return,
+    };
+    debug!(state.log, "planned"; "action" => ?action);
+    let done = match action {
+        PlanAction::Load { base, memory_bytes, .. } => {
+            state.metrics.event(Event::Load);
+            let what = format!("load {name} on {target}: callers wait and it fits there best");
+            state.decisions().record(now, &[&name, &target], what);
+            orders::load(&state, &name, base, &target, memory_bytes).await
+        }
+        _ => {
+            state.metrics.event(Event::Unload);
+            let what = format!("unload {name} on {target}: idle, or its memory is wanted more");
+            state.decisions().record(now, &[&name, &target], what);
+            orders::unload(&state, &name, &target).await
+        }
+    };
+    if let Err(error) = done {
+        warn!(state.log, "order not carried out";
+            "name" => %name, "target" => %target, "error" => %error);
+        let what = format!("order for {name} on {target} not carried out: {error}");
+        state.decisions().record(state.now(), &[&name, &target], what);
+        state.coordinator().abandon(&name, &target);
+    }
+    state.coordinator().poll_soon(state.now(), &target);
+    state.wake_planner();
+}
+
+fn poll_due_targets(state: &Arc<State>) {
+    let due = state.coordinator().due(state.now());
+    for (host, record) in due {
+        task::spawn(poll(state.clone(), host, record));
+    }
+}
+
+async fn poll(state: Arc<State>, host: Host, known: Option<Versioned<TargetRecord>>) {
+    // The record has to be older than the status that settles it.
+    let record = match known {
+        Some(record) => Some(record),
+        None => objects::read::<_, StoredTargetRecord>(&state, TARGET_KIND, &host.name).await.ok(),
+    };
+    let gone = state.gone().clone();
+    let sending_over = state.sent_orders().sending_over();
+    let sent_at = state.now();
+    let status = state.targets.status(host.address).await.ok();
+    if let Some(status) = &status {
+        state.sent_orders().target_lives(&host.name, status.incarnation);
+    }
+    let result = if status.is_some() { ProbeResult::Answered } else { ProbeResult::Failed };
+    let verdict = judge(&state, &host, sent_at, result);
+    let record = match (&status, record) {
+        (Some(status), Some(record)) => {
+            orders::settle(&state, &host, record, status, &gone, &sending_over).await
+        }
+        (_, record) => record,
+    };
+    finish_poll(&state, &host, status, record, verdict);
+}
+
+fn finish_poll(
+    state: &State,
+    host: &Host,
+    status: Option<TargetStatus>,
+    record: Option<Versioned<TargetRecord>>,
+    verdict: Verdict,
+) {
+    let now = state.now();
+    let idle_ms = state.coordinator().polled(now, &host.name, status, record, verdict);
+    state.metrics.idle_accelerators(idle_ms);
+    state.wake_planner();
+}
+
+fn judge(
+    state: &State,
+    host: &Host,
+    sent_at: lycheeford_policy::TimeMs,
+    result: ProbeResult,
+) -> Verdict {
+    let mut health = state.target_health();
+    if let Some(change) = health.probed(state.now(), &host.name, sent_at, result) {
+        info!(state.log, "target's health changed";
+            "target" => %change.host, "verdict" => ?change.verdict);
+    }
+    health.verdict(&host.name)
+}
+
+/// Returns the memory of a model worker.
+pub(crate) fn memory_bytes(host: &Host) -> u64 {
+    match host.role {
+        HostRole::ModelWorker { memory_bytes, .. } => memory_bytes,
+        HostRole::Entry { .. } | HostRole::ApplicationWorker { .. } => 0,
+    }
+}
--- /dev/null
+++ b/crates/lycheefordd/src/relay.rs
@@ -0,0 +1,211 @@
+use std::time::Duration;
+
+use async_std::future::timeout;
+use lycheeford_caller::ChunkSender;
+use lycheeford_policy::{Ran, Refusal, RefusalCode, TimeMs};
+use lycheeford_target::{CompletionEvent, Event, EventSplitter, TargetError};
+use serde_json::json;
+
+use crate::completion::{Answering, Completion};
+use crate::metrics;
+
+/// The longest event that an engine may send.
+const EVENT_BYTES_MAX: usize = 1 << 20;
+/// How often a stream without events checks its key and its deadline.
+const CHECK_MS: u64 = 250;
+
+/// Passes a streamed completion on, event by event.
+///
+/// A stream that breaks goes on at another target after the tokens that the
+/// caller has. A key that is withdrawn ends it.
+pub(crate) struct Relay {
+    completion: Completion,
+    sender: ChunkSender,
+    delivered_tokens: u64,
+    prompt_charged: bool,
+    last_token_at: Option<TimeMs>,
+}
+
+/// How a stream ended at one target.
+enum End {
+    Done,
+    HungUp,
+    Broken(Option<TargetError>),
+    Refused(Refusal),
+}
+
+impl Relay {
+    pub(crate) fn new(completion: Completion, sender: ChunkSender) -> Relay {
+        Relay {
+            completion,
+            sender,
+            delivered_tokens: 0,
+            prompt_charged: false,
+            last_token_at: None,
+        }
+    }
+
+    pub(crate) async fn run(mut self, answering: Answering) {
+        let _running = self.completion.state.request_started();
+        let mut answering = answering;
+        loop {
+            let target = answering.placed.target.clone();
+            let end = self.copy(answering).await;
+            if self.delivered_tokens > 0 && !matches!(end, End::Broken(_)) {
+                self.charge_prompt(u64::MAX);
+            }
+            match end {
+                End::Done => {
+                    self.completion.succeeded();
+                    self.sender.finish();
+                    return;
+                }
+                End::HungUp => {
+                    self.completion.state.metrics.event(metrics::Event::HangUp);
+                    return;
+                }
+                End::Refused(refusal) => return self.give_up(&refusal).await,
+                End::Broken(error) => {
+                    if let Some(error) = &error {
+                        self.completion.target_failed(&target, error).await;
+                    } else {
+                        self.completion.failed.push(target);
+                    }
+                    match self.resume(error).await {
+                        Ok(resumed) => answering = resumed,
+                        Err(refusal) => return self.give_up(&refusal).await,
+                    }
+                }
+            }
+        }
+    }
+
+    async fn resume(&mut self, error: Option<TargetError>) -> Result<Answering, Refusal> {
+        if !self.completion.may_retry() {
+            return Err(self.completion.failure(error));
+        }
+        let resumed = self.completion.dispatch(self.delivered_tokens).await?;
+        if resumed.response.status != 200 {
+            return Err(self.completion.failure(error));
+        }
+        self.completion.state.metrics.event(metrics::Event::Resume);
+        Ok(resumed)
+    }
+
+    async fn copy(&mut self, answering: Answering) -> End {
+        let Answering { placed, response } = answering;
+        let mut body = response.body;
+        let cold = placed.waited_ms.is_some();
+        let mut splitter = EventSplitter::new(EVENT_BYTES_MAX);
+        loop {
+            if let Err(refusal) = self.check() {
+                return End::Refused(refusal);
+            }
+            let next = timeout(Duration::from_millis(CHECK_MS), body.next_chunk()).await;
+            let chunk = match next {
+                Err(_) => continue,
+                Ok(Ok(Some(chunk))) => chunk,
+                // The end without the last event is a truncated answer.
+                Ok(Ok(None)) => return End::Broken(None),
+                Ok(Err(error)) => return End::Broken(Some(error)),
+            };
+            let Ok(events) = splitter.push(&chunk) else { return End::Broken(None) };
+            for event in events {
+                if let Some(end) = self.pass_on(event, cold).await {
+                    return end;
+                }
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, event: Event, cold: bool) -> Option<End> {
+        let parsed = match CompletionEvent::parse(&event.data) {
+            Ok(parsed) => parsed,
+            Err(error) => return Some(End::Broken(Some(error))),
+        };
+        if parsed.done {
+            let sent = self.sender.send(event.raw).await;
+            return Some(if sent.is_ok() { End::Done } else { End::HungUp });
+        }
+        if !parsed.text.is_empty() {
+            if self.completion.reserved.consume(1).is_err() {
+                return Some(End::Refused(over_reservation()));
+            }
+            self.note_token(cold);
+        }
+        if let Some(usage) = parsed.usage {
+            self.charge_prompt(usage.prompt_tokens);
+        }
+        self.sender.send(event.raw).await.err().map(|_| End::HungUp)
+    }
+
+    fn note_token(&mut self, cold: bool) {
+        let now = self.completion.state.now();
+        let (metrics, labels) = (&self.completion.state.metrics, &self.completion.labels);
+        match self.last_token_at {
+            None => self.completion.observe_first_token(cold),
+            Some(last) => {
+                let gap_ms = now.since_ms(last) as f64;
+                metrics.between_tokens_ms.get_or_create(labels).observe(gap_ms);
+            }
+        }
+        metrics.tokens(labels, 1);
+        self.last_token_at = Some(now);
+        self.delivered_tokens += 1;
+    }
+
+    /// Charges the prompt once, by the engine's count or else all that was reserved for it.
+    fn charge_prompt(&mut self, prompt_tokens: u64) {
+        if std::mem::replace(&mut self.prompt_charged, true) {
+            return;
+        }
+        let tokens = prompt_tokens.min(self.completion.call.prompt_tokens_max);
+        // The reservation holds the prompt's tokens until here.
+        let _ = self.completion.reserved.consume(tokens);
+        self.completion.state.metrics.tokens(&self.completion.labels, tokens);
+    }
+
+    fn check(&self) -> Result<(), Refusal> {
+        if self.completion.state.now() > self.completion.deadline {
+            return Err(Refusal {
+                code: RefusalCode::DeadlinePassed,
+                ran: Ran::Ran,
+                message: "the deadline passed before the answer's end; allow more time".to_owned(),
+                retry_after_ms: None,
+            });
+        }
+        let checked = self.completion.access.recheck(&self.completion.state);
+        checked.map_err(|refusal| Refusal { ran: Ran::Ran, ..refusal })
+    }
+
+    /// Tells the caller why its stream ends early, and breaks it off.
+    async fn give_up(self, refusal: &Refusal) {
+        let state = &self.completion.state;
+        state.metrics.refusal(Some(&self.completion.access.customer.name), refusal.code);
+        let what = format!("stream ended early: {:?}: {}", refusal.code, refusal.message);
+        state.decisions().record(
+            state.now(),
+            &[&self.completion.id, &self.completion.access.customer.name],
+            what,
+        );
+        let error = json!({ "error": {
+            "code": refusal.code,
+            "message": refusal.message,
+            "ran": refusal.ran,
+            "request_id": self.completion.id,
+            "retry_after_ms": refusal.retry_after_ms,
+        }});
+        // The caller may have hung up; the broken end tells the rest.
+        let _ = self.sender.send(format!("data: {error}\n\n").into_bytes()).await;
+        self.sender.fail();
+    }
+}
+
+fn over_reservation() -> Refusal {
+    Refusal {
+        code: RefusalCode::TargetFailed,
+        ran: Ran::Ran,
+        message: "the engine generated more than max_tokens; mend the engine".to_owned(),
+        retry_after_ms: None,
+    }
+}
--- /dev/null
+++ b/crates/lycheefordd/src/service.rs
@@ -0,0 +1,312 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::task;
+use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse};
+use lycheeford_policy::{
+    ClaimOutcome, LedgerAnswer, Name, Refusal, RefusalCode, Repeat, Route, TimeMs,
+};
+use lycheeford_target::{Connection, TargetError, TargetRequest};
+
+use crate::access::Access;
+use crate::call::fingerprint;
+use crate::ledger::{Claimed, LedgerEntry, claim};
+use crate::metrics::Event;
+use crate::state::State;
+
+/// The largest answer of a service.
+const ANSWER_BYTES_MAX: usize = 16 << 20;
+/// Targets that one request is sent to at most.
+const ATTEMPTS_MAX: usize = 3;
+/// When a caller should come back after a failure that passes by itself.
+const RETRY_AFTER_MS: u64 = 1_000;
+/// Whose calls those of an open route count as, in the ledger.
+const OPEN_CUSTOMER: &str = "*";
+/// The header that marks an answer out of the ledger.
+const REPLAYED_HEADER: &str = "idempotent-replayed";
+
+/// A call to a plain service.
+struct ServiceCall {
+    state: Arc<State>,
+    request: CallerRequest,
+    access: Option<Access>,
+    route: Route,
+    deadline: TimeMs,
+    tried: Vec<Name>,
+}
+
+/// A target that a call runs on, until it is dropped.
+struct ServicePlace {
+    state: Arc<State>,
+    target: Name,
+    address: SocketAddr,
+}
+
+impl Drop for ServicePlace {
+    fn drop(&mut self) {
+        self.state.service_targets().finished(&self.target);
+    }
+}
+
+/// Routes a call to a plain service.
+///
+/// # Errors
+///
+/// Refuses a call that may not be made, and one that no target answered.
+pub(crate) async fn call_service(
+    state: Arc<State>,
+    request: CallerRequest,
+) -> Result<CallerResponse, Refusal> {
+    let configuration = state.configuration.load_full();
+    let Some(route) = configuration.route(&request.path) else {
+        let message = format!("no route for {}; see the declared routes", request.path);
+        return Err(Refusal::not_run(RefusalCode::NotFound, message, None));
+    };
+    let access = check_access(&state, &request, route)?;
+    let customer = access.as_ref().map(|access| access.customer.name.clone());
+    if let Some(customer) = &customer {
+        state.metrics.request(&state.customer_labels(customer));
+    }
+    let timeout_ms = configuration
+        .services
+        .iter()
+        .find(|service| service.name == route.service)
+        .map_or(state.settings.caller_limits.deadline_ms_default, |service| service.timeout_ms);
+    let deadline_ms = request.deadline_ms.map_or(timeout_ms, |asked_ms| asked_ms.min(timeout_ms));
+    let call = ServiceCall {
+        deadline: state.now() + deadline_ms,
+        state: state.clone(),
+        request,
+        access,
+        route: route.clone(),
+        tried: Vec::new(),
+    };
+    let served = match route.repeat {
+        Repeat::Idempotent => call.run_repeatable().await,
+        // Goes on after the caller hung up, so that its answer is kept.
+        Repeat::AtMostOnce => task::spawn(call.run_once()).await,
+    };
+    match &served {
+        Ok(_) => {
+            if let Some(customer) = &customer {
+                state.metrics.good_answer(&state.customer_labels(customer));
+            }
+        }
+        Err(refusal) => state.metrics.refusal(customer.as_ref(), refusal.code),
+    }
+    served
+}
+
+impl ServiceCall {
+    async fn run_repeatable(mut self) -> Result<CallerResponse, Refusal> {
+        let mut last_error = None;
+        for attempt in 0..ATTEMPTS_MAX {
+            if attempt > 0 && !self.may_retry() {
+                break;
+            }
+            let Some(place) = self.place() else { break };
+            self.recheck()?;
+            let connection = if attempt == 0 { Connection::Pooled } else { Connection::Fresh };
+            match self.send(&place, connection).await {
+                Ok(response) => return Ok(response),
+                Err(error) => {
+                    self.failed(&place, &error);
+                    last_error = Some(error);
+                }
+            }
+        }
+        Err(self.failure(last_error))
+    }
+
+    /// Runs a call that must not run twice: claimed first, sent once, never again.
+    async fn run_once(mut self) -> Result<CallerResponse, Refusal> {
+        let key = self.request.idempotency_key.clone().ok_or_else(|| {
+            let message = "this route runs a call at most once; send an Idempotency-Key";
+            Refusal::not_run(RefusalCode::BadRequest, message, None)
+        })?;
+        let entry = match self.claim(&key).await? {
+            Claimed::Run(entry) => entry,
+            Claimed::Known(outcome) => return known_answer(outcome),
+        };
+        loop {
+            if let Err(refusal) = self.recheck() {
+                entry.release().await;
+                return Err(refusal);
+            }
+            let Some(place) = self.place() else {
+                entry.release().await;
+                return Err(self.failure(None));
+            };
+            match self.send(&place, Connection::Fresh).await {
+                Ok(response) => {
+                    keep_answer(&self.state, entry, &response);
+                    return Ok(response);
+                }
+                Err(error) if error.may_have_run() => {
+                    let message = format!("{error}; the call may have run");
+                    return Err(Refusal::unknown(RefusalCode::OutcomeUnknown, message));
+                }
+                // No byte of it left this host, so another target may run it.
+                Err(error) => self.failed(&place, &error),
+            }
+        }
+    }
+
+    async fn claim(&self, key: &Name) -> Result<Claimed, Refusal> {
+        let customer = match &self.access {
+            Some(access) => access.customer.name.clone(),
+            None => Name::from(OPEN_CUSTOMER),
+        };
+        let what = format!("{} {}", self.request.method, self.target_path());
+        let fingerprint = fingerprint(&customer, &what, &self.request.body);
+        claim(&self.state, &customer, key, fingerprint).await.map_err(|error| {
+            let message = format!("{error}; the call was not run, send it again later");
+            Refusal::not_run(RefusalCode::PlatformUnavailable, message, Some(RETRY_AFTER_MS))
+        })
+    }
+
+    fn place(&mut self) -> Option<ServicePlace> {
+        let fleet = self.state.fleet.load();
+        let hosts = fleet.service_targets(&self.route.service);
+        let now = self.state.now();
+        let host = self.state.service_targets().choose(now, hosts, &self.tried)?;
+        self.tried.push(host.name.clone());
+        Some(ServicePlace {
+            state: self.state.clone(),
+            target: host.name.clone(),
+            address: host.address,
+        })
+    }
+
+    async fn send(
+        &self,
+        place: &ServicePlace,
+        connection: Connection,
+    ) -> Result<CallerResponse, TargetError> {
+        self.state.retry_budget().deposit();
+        let mut headers = self.request.headers.clone();
+        headers.push(("x-request-id".to_owned(), self.request.id.as_str().to_owned()));
+        if let Some(key) = &self.request.idempotency_key {
+            headers.push(("idempotency-key".to_owned(), key.as_str().to_owned()));
+        }
+        let request = TargetRequest {
+            method: self.request.method,
+            path_and_query: self.target_path(),
+            headers,
+            body: self.request.body.clone(),
+            connection,
+            first_byte_ms_max: Some(self.deadline.since_ms(self.state.now()).max(1)),
+        };
+        let response = self.state.targets.call(place.address, &request).await?;
+        let (status, headers) = (response.status, response.headers);
+        let body = CallerBody::Whole(response.body.whole(ANSWER_BYTES_MAX).await?);
+        Ok(CallerResponse { status, headers, body })
+    }
+
+    fn target_path(&self) -> String {
+        match &self.request.query {
+            Some(query) => format!("{}?{query}", self.request.path),
+            None => self.request.path.clone(),
+        }
+    }
+
+    fn recheck(&self) -> Result<(), Refusal> {
+        if self.state.now() > self.deadline {
+            let message = "the deadline passed before the call could be sent; allow more time";
+            return Err(Refusal::not_run(RefusalCode::DeadlinePassed, message, None));
+        }
+        self.access.as_ref().map_or(Ok(()), |access| access.recheck(&self.state))
+    }
+
+    fn may_retry(&self) -> bool {
+        let now = self.state.now();
+        let allowed = now < self.deadline && self.state.retry_budget().withdraw(now);
+        if allowed {
+            self.state.metrics.event(Event::Retry);
+        }
+        allowed
+    }
+
+    fn failed(&self, place: &ServicePlace, error: &TargetError) {
+        if !error.may_have_run() {
+            self.state.service_targets().avoid(self.state.now(), &place.target);
+        }
+    }
+
+    fn failure(&self, error: Option<TargetError>) -> Refusal {
+        match error {
+            Some(error) if error.may_have_run() => {
+                Refusal::unknown(RefusalCode::TargetFailed, error.to_string())
+            }
+            _ => {
+                let message = format!("no target of {} answers; come back later", self.route.service);
+                Refusal::not_run(RefusalCode::NoTarget, message, Some(RETRY_AFTER_MS))
+            }
+        }
+    }
+}
+
+fn check_access(
+    state: &State,
+    request: &CallerRequest,
+    route: &Route,
+) -> Result<Option<Access>, Refusal> {
+    match route.access {
+        lycheeford_policy::Access::Open => Ok(None),
+        lycheeford_policy::Access::Keyed => {
+            let access = Access::check(state, request)?;
+            access.allowed(&route.customers, &route.path_prefix)?;
+            Ok(Some(access))
+        }
+    }
+}
+
+/// Keeps an answer without letting the caller wait for the platform.
+fn keep_answer(state: &Arc<State>, entry: LedgerEntry, response: &CallerResponse) {
+    let body = match &response.body {
+        CallerBody::Whole(body) => body.clone(),
+        CallerBody::Stream(_) => Vec::new(),
+    };
+    let status = response.status;
+    let running = state.request_started();
+    task::spawn(async move {
+        entry.answered(status, &body).await;
+        drop(running);
+    });
+}
+
+/// Answers a call that the ledger knows.
+fn known_answer(outcome: ClaimOutcome) -> Result<CallerResponse, Refusal> {
+    match outcome {
+        ClaimOutcome::Answered(LedgerAnswer { status, body: Some(body) }) => Ok(CallerResponse {
+            status,
+            headers: vec![
+                ("content-type".to_owned(), "application/json".to_owned()),
+                (REPLAYED_HEADER.to_owned(), "true".to_owned()),
+            ],
+            body: CallerBody::Whole(body),
+        }),
+        ClaimOutcome::Answered(LedgerAnswer { body: None, .. }) => Err(Refusal {
+            code: RefusalCode::OutcomeUnknown,
+            ran: lycheeford_policy::Ran::Ran,
+            message: "the call ran and its answer was too long to keep; ask the service".to_owned(),
+            retry_after_ms: None,
+        }),
+        ClaimOutcome::KeyReused => Err(Refusal::not_run(
+            RefusalCode::KeyReused,
+            "this idempotency key came with another request; use a new key",
+            None,
+        )),
+        ClaimOutcome::Full => Err(Refusal::not_run(
+            RefusalCode::Overloaded,
+            "the ledger has no room for more calls; come back later",
+            Some(RETRY_AFTER_MS),
+        )),
+        ClaimOutcome::Run | ClaimOutcome::Unknown | ClaimOutcome::Released => {
+            Err(Refusal::unknown(
+                RefusalCode::OutcomeUnknown,
+                "a call with this idempotency key was sent and its outcome isn't known; ask the service",
+            ))
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheefordd/src/share_upkeep.rs
@@ -0,0 +1,243 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use lycheeford_platform::{Change, FollowLimits, Object, WatchEvent, follow};
+use lycheeford_policy::{GoneProofs, Instance, Name, ShareTable};
+use lycheeford_wire::stored::StoredShareTable;
+use lycheeford_wire::{FormerHolder, LoanOffer, Message};
+use slog::{debug, warn};
+
+use crate::objects::{self, SHARE_KIND, Versioned};
+use crate::state::State;
+
+/// The pause between two rounds of upkeep.
+const UPKEEP_MS: u64 = 250;
+/// The age at which a loan that isn't settled is asked for.
+const LOAN_OVERDUE_MS: u64 = 1_000;
+
+/// Follows the stored share tables.
+pub(crate) async fn follow_shares(state: Arc<State>) {
+    let limits = FollowLimits::default();
+    let clock = state.clock;
+    follow(&state.store, SHARE_KIND, &limits, move || clock.now(), |update| match update.change {
+        Change::Replace(listing) => {
+            listing.objects.into_iter().for_each(|object| take_object(&state, object));
+        }
+        Change::Apply(events) => {
+            for event in events {
+                if let WatchEvent::Put(object) = event {
+                    take_object(&state, object);
+                }
+            }
+        }
+    })
+    .await;
+}
+
+/// Claims, gives and clears shares, and asks for loans that weren't settled.
+pub(crate) async fn keep_shares(state: Arc<State>) {
+    loop {
+        task::sleep(Duration::from_millis(UPKEEP_MS)).await;
+        if state.is_draining() || state.fleet.load().host(&state.me.host).is_none() {
+            continue;
+        }
+        ask_for_loans(&state);
+        let customers: Vec<Name> =
+            state.configuration.load().customers.iter().map(|c| c.name.clone()).collect();
+        for customer in customers {
+            if let Err(error) = keep_share(&state, &customer).await
+                && !objects::is_conflict(&error)
+            {
+                debug!(state.log, "share not kept"; "customer" => %customer, "error" => %error);
+            }
+        }
+    }
+}
+
+/// Takes over a share table that was read or written.
+pub(crate) fn adopt(state: &State, customer: &Name, table: Versioned<ShareTable>) {
+    let Some(version) = table.version else { return };
+    let entry = table.value.entry(&state.me.host);
+    let inherits = entry.is_some_and(|entry| !entry.taken.is_empty());
+    if inherits && state.fleet_revision() < version {
+        // Former holders may have lent to hosts that an older list lacks.
+        return;
+    }
+    let hosts = entry_hosts(state);
+    let now = state.now();
+    let mut rates = state.rates();
+    let Some(rate) = rates.customer(customer) else { return };
+    if rate.table.as_ref().is_some_and(|known| known.version >= Some(version)) {
+        return;
+    }
+    rate.share.adopt(now, version, &table.value, &hosts);
+    rate.table = Some(table);
+}
+
+fn take_object(state: &State, object: Object) {
+    let decoded = objects::decode::<ShareTable, StoredShareTable>(
+        SHARE_KIND,
+        &object.name,
+        object.value,
+    );
+    match decoded {
+        Ok(value) => adopt(state, &object.name, Versioned { version: Some(object.version), value }),
+        Err(error) => warn!(state.log, "share table not readable"; "error" => %error),
+    }
+}
+
+async fn keep_share(state: &State, customer: &Name) -> Result<(), objects::ObjectError> {
+    let known = state.rates().customer(customer).and_then(|rate| rate.table.clone());
+    let Some(known) = known else { return start_table(state, customer).await };
+    if let Some(table) = claimed(state, customer, &known) {
+        return write(state, customer, known.version, table).await;
+    }
+    if let Some(table) = cleared(state, customer, &known) {
+        return write(state, customer, known.version, table).await;
+    }
+    give(state, customer, &known).await
+}
+
+async fn start_table(state: &State, customer: &Name) -> Result<(), objects::ObjectError> {
+    if let Some(object) = read_object(state, customer).await? {
+        take_object(state, object);
+        return Ok(());
+    }
+    let table = ShareTable::create(customer, &state.me, &live_hosts(state));
+    write(state, customer, None, table).await
+}
+
+async fn read_object(
+    state: &State,
+    customer: &Name,
+) -> Result<Option<Object>, objects::ObjectError> {
+    use lycheeford_platform::ObjectStore;
+    let read = state.store.get(SHARE_KIND, customer).await;
+    read.map_err(|source| objects::ObjectError::Platform { source })
+}
+
+fn claimed(state: &State, customer: &Name, known: &Versioned<ShareTable>) -> Option<ShareTable> {
+    let gone = state.gone().clone();
+    known.value.claim(customer, &state.me, &live_hosts(state), &gone)
+}
+
+fn cleared(state: &State, customer: &Name, known: &Versioned<ShareTable>) -> Option<ShareTable> {
+    let over = clear_gone_holders(state, customer);
+    over.iter().find_map(|former| known.value.clear_taken(&state.me, former))
+}
+
+/// Counts hosts that are gone as holding no loans, and returns the former holders cleared.
+fn clear_gone_holders(state: &State, customer: &Name) -> Vec<Instance> {
+    let gone = state.gone().clone();
+    let fleet = state.fleet.load();
+    let now = state.now();
+    let mut rates = state.rates();
+    let Some(rate) = rates.customer(customer) else { return Vec::new() };
+    for (host, former) in rate.share.inherited_queries() {
+        let left = fleet.host(&host).is_none();
+        let disclaimed = host == state.me.host && rate.share.disclaim_loans(&former);
+        if left || disclaimed || is_gone(&gone, &host) {
+            rate.share.clear_inherited(now, &host, &former);
+        }
+    }
+    rate.share.resolved_holders()
+}
+
+fn is_gone(gone: &GoneProofs, host: &Name) -> bool {
+    gone.is_gone(&Instance::new(host.clone(), u64::MAX))
+}
+
+async fn give(
+    state: &State,
+    customer: &Name,
+    known: &Versioned<ShareTable>,
+) -> Result<(), objects::ObjectError> {
+    let prepared = {
+        let now = state.now();
+        let mut rates = state.rates();
+        let Some(rate) = rates.customer(customer) else { return Ok(()) };
+        let Some((host, ppm)) = rate.rebalance(now) else { return Ok(()) };
+        let Some(entry) = known.value.entry(&host) else { return Ok(()) };
+        rate.share.prepare_give(now, ppm).map(|given_ppm| (entry.holder.clone(), given_ppm))
+    };
+    let Some((to, given_ppm)) = prepared else { return Ok(()) };
+    let Ok(table) = known.value.give(&state.me, &to, given_ppm) else {
+        abort_give(state, customer, given_ppm);
+        return Ok(());
+    };
+    let written = write(state, customer, known.version, table).await;
+    match &written {
+        Err(error) if !error.outcome_unknown() => abort_give(state, customer, given_ppm),
+        _ => {}
+    }
+    written
+}
+
+fn abort_give(state: &State, customer: &Name, given_ppm: u32) {
+    let now = state.now();
+    if let Some(rate) = state.rates().customer(customer) {
+        rate.share.abort_give(now, given_ppm);
+    }
+}
+
+async fn write(
+    state: &State,
+    customer: &Name,
+    version: Option<u64>,
+    table: ShareTable,
+) -> Result<(), objects::ObjectError> {
+    let written =
+        objects::write::<_, StoredShareTable>(state, SHARE_KIND, customer, version, table).await;
+    match written {
+        Ok(written) => {
+            adopt(state, customer, written);
+            Ok(())
+        }
+        Err(error) => {
+            // Whatever is stored now decides; the follower may be slow to see it.
+            if let Ok(Some(object)) = read_object(state, customer).await {
+                take_object(state, object);
+            }
+            Err(error)
+        }
+    }
+}
+
+fn ask_for_loans(state: &State) {
+    let gone = state.gone().clone();
+    let now = state.now();
+    let mut questions = Vec::new();
+    let mut rates = state.rates();
+    rates.settle_gone(now, &gone);
+    for rate in rates.customers() {
+        let customer = rate.name.clone();
+        for loan in rate.share.overdue_loans(now, LOAN_OVERDUE_MS) {
+            let borrower = loan.borrower.host.clone();
+            let query = LoanOffer { customer: customer.clone(), loan };
+            questions.push((borrower, Message::LoanQuery(query)));
+        }
+        for (host, former) in rate.share.inherited_queries() {
+            let holder = FormerHolder { customer: customer.clone(), former };
+            questions.push((host, Message::DisclaimAsk(holder)));
+        }
+    }
+    drop(rates);
+    if let Some(peers) = state.peers.get() {
+        for (host, question) in questions {
+            let _ = peers.send(&host, question);
+        }
+    }
+}
+
+fn entry_hosts(state: &State) -> Vec<Name> {
+    state.fleet.load().entries().map(|(host, _)| host.name.clone()).collect()
+}
+
+fn live_hosts(state: &State) -> Vec<Name> {
+    let fleet = state.fleet.load();
+    let live = fleet.entries().filter(|(host, _)| {
+        host.state == lycheeford_policy::HostState::Live
+    });
+    live.map(|(host, _)| host.name.clone()).collect()
+}
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -18,10 +18,13 @@
 use crate::coordinator::Coordinator;
 use crate::decisions::DecisionLog;
 use crate::fleet::Fleet;
+use crate::ledger::LedgerSeen;
 use crate::members::Members;
 use crate::metrics::{CustomerLabels, Metrics};
 use crate::placement::Placement;
 use crate::rates::Rates;
+use crate::sent_orders::SentOrders;
+use crate::service_targets::ServiceTargets;
 
 /// Retries that each request earns.
 const RETRIES_PER_REQUEST: f64 = 0.2;
@@ -31,7 +34,8 @@
 /// The executor's workers run every task over these tables. A task holds one
 /// lock at a time and never across an await. Where two are needed, the order is
 /// the order of the fields: `members`, `gone`, `freshness`, `rates`,
-/// `placement`, `coordinator`, `suspects`, `decisions`.
+/// `placement`, `coordinator`, `sent_orders`, `target_health`, `suspects`, `decisions`,
+/// `retry_budget`, `ledger_seen`, `service_targets`.
 pub(crate) struct State {
     pub(crate) settings: Settings,
     pub(crate) me: Instance,
@@ -50,10 +54,14 @@
     rates: Mutex<Rates>,
     placement: Mutex<Placement>,
     coordinator: Mutex<Coordinator>,
+    sent_orders: Mutex<SentOrders>,
     target_health: Mutex<Health>,
     suspects: Mutex<CrashSuspects>,
     decisions: Mutex<DecisionLog>,
     retry_budget: Mutex<RetryBudget>,
+    ledger_seen: Mutex<LedgerSeen>,
+    service_targets: Mutex<ServiceTargets>,
+    fleet_revision: AtomicU64,
     draining: AtomicBool,
     requests_running: AtomicU64,
     last_number: AtomicU64,
@@ -90,10 +98,14 @@
             gone: Mutex::default(),
             placement: Mutex::default(),
             coordinator: Mutex::new(coordinator),
+            sent_orders: Mutex::default(),
             target_health: Mutex::new(Health::new(now)),
             suspects: Mutex::default(),
             decisions: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::new(RETRIES_PER_REQUEST)),
+            ledger_seen: Mutex::default(),
+            service_targets: Mutex::default(),
+            fleet_revision: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             requests_running: AtomicU64::new(0),
             last_number: AtomicU64::new(0),
@@ -132,6 +144,10 @@
         lock(&self.coordinator)
     }
 
+    pub(crate) fn sent_orders(&self) -> MutexGuard<'_, SentOrders> {
+        lock(&self.sent_orders)
+    }
+
     pub(crate) fn target_health(&self) -> MutexGuard<'_, Health> {
         lock(&self.target_health)
     }
@@ -148,6 +164,23 @@
         lock(&self.retry_budget)
     }
 
+    pub(crate) fn ledger_seen(&self) -> MutexGuard<'_, LedgerSeen> {
+        lock(&self.ledger_seen)
+    }
+
+    pub(crate) fn service_targets(&self) -> MutexGuard<'_, ServiceTargets> {
+        lock(&self.service_targets)
+    }
+
+    /// Returns the revision at which the list of hosts was last known to be whole.
+    pub(crate) fn fleet_revision(&self) -> u64 {
+        self.fleet_revision.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_fleet_revision(&self, revision: u64) {
+        self.fleet_revision.store(revision, Ordering::Release);
+    }
+
     /// Starts to drain and returns whether this call started it.
     pub(crate) fn start_draining(&self) -> bool {
         !self.draining.swap(true, Ordering::AcqRel)
