--- a/crates/lycheeford-config/src/document.rs
+++ b/crates/lycheeford-config/src/document.rs
@@ -178,6 +178,11 @@
         let faults = root.finish();
         if faults.is_empty() { Ok(document) } else { Err(Faults::new(file_name, faults)) }
     }
+
+    /// Writes the document as YAML that [`from_yaml`](Document::from_yaml) reads back.
+    pub fn to_yaml(&self) -> String {
+        serde_yaml_ng::to_string(self).expect("documents hold only text keys and numbers")
+    }
 }
 
 fn read_entries<T>(
