--- a/crates/lycheeford-config/src/merge.rs
+++ b/crates/lycheeford-config/src/merge.rs
@@ -8,8 +8,8 @@
 ///
 /// An overlay's entry overrides the fields it states of the base's entry of
 /// the same name, adds the entry if the base has none, and takes it out with
-/// `remove: true`. Lists are replaced as a whole. Merging the same overlay
-/// again changes nothing.
+/// `remove: true`. Lists are replaced as a whole. The entries come out sorted by
+/// name, and merging the same overlay again changes nothing.
 pub fn merge(base: &Document, overlay: &Document) -> Document {
     Document {
         models: merge_entries(&base.models, &overlay.models, model_key, override_model),
@@ -51,7 +51,9 @@
             override_fields(existing, entry);
         }
     }
-    merged.into_iter().flatten().collect()
+    let mut merged: Vec<T> = merged.into_iter().flatten().collect();
+    merged.sort_by(|one, other| key(one).0.cmp(key(other).0));
+    merged
 }
 
 fn model_key(entry: &ModelEntry) -> (&Name, Option<bool>) {
