--- a/crates/lycheeford-wire/src/lib.rs
+++ b/crates/lycheeford-wire/src/lib.rs
@@ -21,11 +21,12 @@
     include!("generated/lycheeford.peer.rs");
 }
 mod message;
+pub mod stored;
 
 pub use crate::convert::{decode, encode};
 pub use crate::error::WireError;
 pub use crate::message::{
-    Activity, Beat, CrashCount, Demand, DemandReport, Expected, Hello, HostReport, LoanGrant,
-    LoanQuery, LoanRequest, LoanSettlement, Message, PlacementReport, Refused, SpareTokens,
-    TargetPlacement,
+    Activity, Beat, CustomerLoanReport, Demand, DemandReport, Expected, FormerHolder, Hello,
+    HostReport, LoanAsk, LoanOffer, LoanRefusal, LoanSettled, Message, PlacementReport, Refused,
+    SpareTokens, TargetPlacement,
 };
