--- a/crates/lycheeford-fakes/src/server.rs
+++ b/crates/lycheeford-fakes/src/server.rs
@@ -1,30 +1,36 @@
+use std::fmt::{self, Debug, Formatter};
 use std::future::Future;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures_util::StreamExt;
-use futures_util::future::{AbortHandle, abortable, pending};
+use futures_util::future::{BoxFuture, pending};
+use futures_util::{FutureExt, StreamExt};
 use http_types::{Request, Response};
 
 /// An HTTP server on one address that can drop its connections.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub(crate) struct Server {
     shared: Arc<Shared>,
 }
 
-#[derive(Debug)]
 struct Shared {
     address: SocketAddr,
-    accepting: Mutex<Option<AbortHandle>>,
+    accepting: Accepting,
     stopped: AtomicBool,
     next_id: AtomicU64,
     streams: Mutex<Vec<(u64, TcpStream)>>,
 }
 
+/// The task that accepts connections; taking its future out closes the listener at once.
+#[derive(Clone, Default)]
+struct Accepting(Arc<Mutex<Option<BoxFuture<'static, ()>>>>);
+
 /// The other end of the connection that a request came on.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller(TcpStream);
@@ -39,14 +45,14 @@
         let listener = TcpListener::bind(address).await?;
         let shared = Arc::new(Shared {
             address: listener.local_addr()?,
-            accepting: Mutex::new(None),
+            accepting: Accepting::default(),
             stopped: AtomicBool::new(false),
             next_id: AtomicU64::new(0),
             streams: Mutex::new(Vec::new()),
         });
         let server = Server { shared };
-        let (accepting, abort) = abortable(accept(server.clone(), listener, handler));
-        *lock(&server.shared.accepting) = Some(abort);
+        let accepting = server.shared.accepting.clone();
+        *lock(&accepting.0) = Some(accept(server.clone(), listener, handler).boxed());
         task::spawn(accepting);
         Ok(server)
     }
@@ -58,9 +64,7 @@
     /// Stops listening and drops every connection.
     pub(crate) fn stop(&self) {
         self.shared.stopped.store(true, Ordering::SeqCst);
-        if let Some(accepting) = lock(&self.shared.accepting).take() {
-            accepting.abort();
-        }
+        drop(lock(&self.shared.accepting.0).take());
         self.drop_connections();
     }
 
@@ -99,6 +103,23 @@
     }
 }
 
+impl Future for Accepting {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        match lock(&self.0).as_mut() {
+            Some(accepting) => accepting.as_mut().poll(context),
+            None => Poll::Ready(()),
+        }
+    }
+}
+
+impl Debug for Server {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Server").field("address", &self.address()).finish_non_exhaustive()
+    }
+}
+
 async fn accept<H, F>(server: Server, listener: TcpListener, handler: H)
 where
     H: Fn(Request, Caller) -> F + Clone + Send + Sync + 'static,
