fakes: Keep each engine's replica spans, and test the stand-ins

An engine now treats a load of what it holds as done, as a real one would; a status with a name twice would be unreadable to the daemon. So that a test still sees too many replicas, the audit keeps when each replica held memory, and replicas_max counts the overlaps over all engines.

--- a/crates/lycheeford-fakes/src/engine/audit.rs
+++ b/crates/lycheeford-fakes/src/engine/audit.rs
@@ -1,3 +1,5 @@
+use std::time::SystemTime;
+
 use serde::{Deserialize, Serialize};
 
 /// The orders kept in an audit.
@@ -10,8 +12,8 @@
     pub memory_total_bytes: u64,
     /// The most memory in use at once, also beyond what it has.
     pub memory_used_bytes_max: u64,
-    /// The most replicas at once by name, sorted.
-    pub replicas_max: Vec<ReplicasSeen>,
+    /// When each replica held memory, oldest first.
+    pub held: Vec<Held>,
     /// The orders, oldest first.
     pub orders: Vec<OrderSeen>,
     /// Whether a request carried one of the markers.
@@ -26,13 +28,28 @@
     pub last_arrival_after_leaving_ms: Option<u64>,
 }
 
-/// The most replicas of a name at once.
+/// When a replica held memory, by the machine's clock.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReplicasSeen {
+pub struct Held {
     /// The model or adapter.
     pub name: String,
-    /// The replicas.
-    pub replicas: u64,
+    /// When its load began, in microseconds of Unix time.
+    pub from_us: u64,
+    /// When its unload ended, if it did.
+    pub until_us: Option<u64>,
+}
+
+/// Returns the most replicas of `name` that held memory at one moment over all engines.
+pub fn replicas_max(audits: &[EngineAudit], name: &str) -> usize {
+    let held: Vec<&Held> =
+        audits.iter().flat_map(|audit| &audit.held).filter(|held| held.name == name).collect();
+    let at = |moment_us: u64| {
+        let holds = |held: &&&Held| {
+            held.from_us <= moment_us && held.until_us.is_none_or(|until_us| until_us > moment_us)
+        };
+        held.iter().filter(holds).count()
+    };
+    held.iter().map(|held| at(held.from_us)).max().unwrap_or(0)
 }
 
 /// An order as it came.
@@ -57,15 +74,20 @@
         }
     }
 
-    pub(super) fn see_replicas(&mut self, name: &str, replicas: u64) {
-        match self.replicas_max.binary_search_by(|seen| seen.name.as_str().cmp(name)) {
-            Ok(index) => {
-                let seen = &mut self.replicas_max[index];
-                seen.replicas = seen.replicas.max(replicas);
-            }
-            Err(index) => {
-                self.replicas_max.insert(index, ReplicasSeen { name: name.to_owned(), replicas });
-            }
+    pub(super) fn see_load(&mut self, name: &str) {
+        self.held.push(Held { name: name.to_owned(), from_us: unix_us(), until_us: None });
+    }
+
+    pub(super) fn see_unload(&mut self, name: &str) {
+        let open = |held: &&mut Held| held.name == name && held.until_us.is_none();
+        if let Some(held) = self.held.iter_mut().rfind(open) {
+            held.until_us = Some(unix_us());
         }
     }
 }
+
+/// Returns the machine's clock.
+pub(super) fn unix_us() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
--- a/crates/lycheeford-fakes/src/engine/orders.rs
+++ b/crates/lycheeford-fakes/src/engine/orders.rs
@@ -84,11 +84,19 @@
     if outdated && shared.options.fence_check == FenceCheck::Refuse {
         return Outcome::RefusedStaleFence;
     }
-    if order.action == Action::Unload || shared.options.trusting {
-        return Outcome::Accepted;
+    let held = state.loaded.iter().find(|loaded| loaded.name == order.name);
+    match (order.action, held.map(|loaded| loaded.state)) {
+        (Action::Load, Some(LoadedState::Ready | LoadedState::Loading)) => Outcome::Done,
+        (Action::Load, Some(LoadedState::Unloading))
+        | (Action::Unload, None | Some(LoadedState::Unloading)) => Outcome::Failed,
+        (Action::Unload, Some(_)) => Outcome::Accepted,
+        (Action::Load, None) => judge_memory(shared, state, order),
     }
+}
+
+fn judge_memory(shared: &Shared, state: &State, order: &Order) -> Outcome {
     let wanted_bytes = state.memory_used_bytes().saturating_add(order.memory_bytes);
-    if wanted_bytes > shared.options.memory_bytes {
+    if wanted_bytes > shared.options.memory_bytes && !shared.options.trusting {
         return Outcome::RefusedMemory;
     }
     Outcome::Accepted
@@ -103,11 +111,7 @@
             order_id: order.id.clone(),
         }),
         Action::Unload => {
-            let ready = state
-                .loaded
-                .iter_mut()
-                .find(|loaded| loaded.name == order.name && loaded.state != LoadedState::Unloading);
-            if let Some(loaded) = ready {
+            if let Some(loaded) = state.loaded.iter_mut().find(|held| held.name == order.name) {
                 loaded.state = LoadedState::Unloading;
                 loaded.order_id.clone_from(&order.id);
             }
@@ -127,12 +131,11 @@
     let base_ready = order.base.as_ref().is_none_or(|base| lock(&shared.state).is_ready(base));
     let fetched = base_ready && fetch(shared, order).await;
     let mut state = lock(&shared.state);
-    let own = |loaded: &Loaded| loaded.order_id == order.id && loaded.state == LoadedState::Loading;
-    let Some(index) = state.loaded.iter().position(own) else {
+    let Some(index) = state.loaded_position(&order.id) else {
         return Outcome::Failed;
     };
     if !fetched {
-        state.loaded.remove(index);
+        state.remove_loaded(&order.id);
         return Outcome::Failed;
     }
     state.loaded[index].state = LoadedState::Ready;
@@ -145,12 +148,8 @@
         task::sleep(UNLOAD_POLL).await;
     }
     task::sleep(Duration::from_millis(shared.options.unload_ms)).await;
-    let mut state = lock(&shared.state);
-    let before = state.loaded.len();
-    state
-        .loaded
-        .retain(|loaded| loaded.order_id != order.id || loaded.state != LoadedState::Unloading);
-    if state.loaded.len() == before { Outcome::Failed } else { Outcome::Done }
+    lock(&shared.state).remove_loaded(&order.id);
+    Outcome::Done
 }
 
 /// Brings the weights into memory; returns whether that worked.
--- a/crates/lycheeford-fakes/src/engine/state.rs
+++ b/crates/lycheeford-fakes/src/engine/state.rs
@@ -1,10 +1,10 @@
 use std::collections::VecDeque;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use serde_json::{Value, json};
 
-use super::audit::EngineAudit;
+use super::audit::{EngineAudit, unix_us};
 use super::batch::Batch;
 use super::faults::{EngineFaults, EngineState};
 use super::options::EngineOptions;
@@ -86,7 +86,7 @@
         let audit =
             EngineAudit { memory_total_bytes: options.memory_bytes, ..EngineAudit::default() };
         let mut state = State {
-            incarnation: incarnation(),
+            incarnation: unix_us(),
             memory_total_bytes: options.memory_bytes,
             highest_fence: 0,
             loaded: Vec::new(),
@@ -130,14 +130,24 @@
     }
 
     pub(super) fn add_loaded(&mut self, loaded: Loaded) {
-        let name = loaded.name.clone();
+        self.audit.see_load(&loaded.name);
         self.loaded.push(loaded);
-        let replicas = self.loaded.iter().filter(|loaded| loaded.name == name).count() as u64;
-        self.audit.see_replicas(&name, replicas);
         let used = self.memory_used_bytes();
         self.audit.memory_used_bytes_max = self.audit.memory_used_bytes_max.max(used);
     }
 
+    /// Frees what the order loaded or unloaded, if that is still its.
+    pub(super) fn remove_loaded(&mut self, order_id: &str) {
+        if let Some(index) = self.loaded_position(order_id) {
+            let loaded = self.loaded.remove(index);
+            self.audit.see_unload(&loaded.name);
+        }
+    }
+
+    pub(super) fn loaded_position(&self, order_id: &str) -> Option<usize> {
+        self.loaded.iter().position(|loaded| loaded.order_id == order_id)
+    }
+
     pub(super) fn set_outcome(&mut self, order_id: &str, outcome: Outcome) {
         match self.orders.iter_mut().rfind(|order| order.order_id == order_id) {
             Some(order) => order.outcome = outcome,
@@ -196,9 +206,3 @@
         self.checkpoints.binary_search_by(|checkpoint| checkpoint.name.as_str().cmp(name))
     }
 }
-
-/// Returns a number that grows from one life of a process to the next.
-fn incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    since.as_micros() as u64
-}
--- a/crates/lycheeford-fakes/src/lib.rs
+++ b/crates/lycheeford-fakes/src/lib.rs
@@ -28,8 +28,8 @@
 mod weight_store;
 
 pub use crate::engine::{
-    EngineAudit, EngineFaults, EngineOptions, EngineState, FakeEngine, FenceCheck, OnCrash,
-    OrderSeen, ReplicasSeen,
+    EngineAudit, EngineFaults, EngineOptions, EngineState, FakeEngine, FenceCheck, Held, OnCrash,
+    OrderSeen, replicas_max,
 };
 pub use crate::expected::{expected_text, expected_token, prompt_tokens};
 pub use crate::platform::{
--- a/crates/lycheeford-fakes/src/service.rs
+++ b/crates/lycheeford-fakes/src/service.rs
@@ -1,6 +1,6 @@
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use async_std::task;
@@ -73,6 +73,7 @@
 struct Shared {
     options: ServiceOptions,
     state: Mutex<State>,
+    server: OnceLock<Server>,
 }
 
 #[derive(Debug, Default)]
@@ -88,12 +89,13 @@
     ///
     /// Fails if the address can't be listened on.
     pub async fn start(address: SocketAddr, options: ServiceOptions) -> io::Result<FakeService> {
-        let shared = Arc::new(Shared { options, state: Mutex::default() });
+        let shared = Arc::new(Shared { options, state: Mutex::default(), server: OnceLock::new() });
         let handling = Arc::clone(&shared);
         let server = Server::start(address, move |request, _: Caller| {
             handle(Arc::clone(&handling), request)
         })
         .await?;
+        let _ = shared.server.set(server.clone());
         Ok(FakeService { server, shared })
     }
 
@@ -119,6 +121,15 @@
     }
 }
 
+impl Shared {
+    fn crash(&self) {
+        self.options.on_crash.abort_if_asked();
+        if let Some(server) = self.server.get() {
+            server.stop();
+        }
+    }
+}
+
 async fn handle(shared: Arc<Shared>, mut request: Request) -> http_types::Result<Response> {
     let segments = path_segments(&request);
     match (request.method(), segments.first().map_or("", String::as_str)) {
@@ -148,7 +159,7 @@
         state.faults.next_answer()
     };
     if fate.dies {
-        shared.options.on_crash.abort_if_asked();
+        shared.crash();
     }
     task::sleep(Duration::from_millis(fate.delay_ms)).await;
     if fate.drops || fate.dies {
