--- a/crates/lycheeford-fakes/src/lib.rs
+++ b/crates/lycheeford-fakes/src/lib.rs
@@ -11,6 +11,9 @@
 //! - [`FakeService`]: a plain service that counts its runs.
 //! - [`FakeWeightStore`]: the rate-limited store that engines load from.
 //!
+//! Beside them stand [`Call`], a caller's request to a daemon, and
+//! [`Deployment`], the processes and files of a whole fleet on loopback.
+//!
 //! ```
 //! use lycheeford_fakes::expected_text;
 //!
@@ -18,6 +21,8 @@
 //! assert!(text.starts_with(&expected_text("ice-chart", "is the lead open?", 3)));
 //! ```
 
+mod call;
+mod deployment;
 mod engine;
 mod expected;
 mod platform;
@@ -27,6 +32,8 @@
 mod service;
 mod weight_store;
 
+pub use crate::call::{Answer, Call, CallError};
+pub use crate::deployment::{DaemonPlan, Deployment, DeploymentKind, EnginePlan, ServicePlan};
 pub use crate::engine::{
     EngineAudit, EngineFaults, EngineOptions, EngineState, FakeEngine, FenceCheck, Held, OnCrash,
     OrderSeen, replicas_max,
--- a/crates/lycheeford-fakes/src/process.rs
+++ b/crates/lycheeford-fakes/src/process.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use futures_util::StreamExt;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::SIGTERM;
 use signal_hook_async_std::Signals;
 use snafu::{ResultExt, Snafu};
 
@@ -31,7 +31,10 @@
     },
 }
 
-/// Prints `ready ADDRESS` once `started` has an address, and runs until SIGTERM or SIGINT.
+/// Prints `ready ADDRESS` once `started` has an address, and runs until SIGTERM.
+///
+/// An interrupt is left to its default, so that one typed at a terminal doesn't
+/// take the stand-ins away from daemons that drain.
 ///
 /// # Errors
 ///
@@ -41,7 +44,7 @@
     started: impl Future<Output = io::Result<T>>,
     address: impl Fn(&T) -> SocketAddr,
 ) -> Result<(), ProcessError> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context(SignalsSnafu)?;
+    let mut signals = Signals::new([SIGTERM]).context(SignalsSnafu)?;
     let server = started.await.context(ListenSnafu { address: listen })?;
     let mut output = io::stdout().lock();
     writeln!(output, "ready {}", address(&server)).context(OutputSnafu)?;
