--- a/crates/lycheefordd/src/admin.rs
+++ b/crates/lycheefordd/src/admin.rs
@@ -177,7 +177,8 @@
         drop(placement);
         for target in state.coordinator().targets() {
             let reserved = target.record.as_ref().map_or(0, |record| record.value.reserved_bytes());
-            if let Some(report) = reports.iter_mut().find(|report| report.name == target.host.name) {
+            if let Some(report) = reports.iter_mut().find(|report| report.name == target.host.name)
+            {
                 report.memory_reserved_bytes = reserved;
             }
         }
--- a/crates/lycheefordd/src/call.rs
+++ b/crates/lycheefordd/src/call.rs
@@ -92,11 +92,7 @@
     xxh3_64_with_seed(body, seed)
 }
 
-fn check_name(
-    configuration: &Configuration,
-    access: &Access,
-    name: &str,
-) -> Result<u32, Refusal> {
+fn check_name(configuration: &Configuration, access: &Access, name: &str) -> Result<u32, Refusal> {
     if let Some(model) = configuration.model(name) {
         access.allowed(&model.customers, name)?;
         return Ok(model.min_bytes_per_token);
--- a/crates/lycheefordd/src/change.rs
+++ b/crates/lycheefordd/src/change.rs
@@ -171,7 +171,9 @@
         ChangeCategory::NotFound => {
             OperatorError::new(OperatorErrorCode::NotFound, error.to_string())
         }
-        ChangeCategory::Refused => OperatorError::new(OperatorErrorCode::Refused, error.to_string()),
+        ChangeCategory::Refused => {
+            OperatorError::new(OperatorErrorCode::Refused, error.to_string())
+        }
     }
 }
 
--- a/crates/lycheefordd/src/completion.rs
+++ b/crates/lycheefordd/src/completion.rs
@@ -4,9 +4,7 @@
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse, Method, chunk_channel};
 use lycheeford_policy::{CrashVerdict, Name, Refusal, RefusalCode, TimeMs};
-use lycheeford_target::{
-    CompletionEvent, Connection, TargetError, TargetRequest, TargetResponse,
-};
+use lycheeford_target::{CompletionEvent, Connection, TargetError, TargetRequest, TargetResponse};
 use serde_json::Value;
 
 use crate::access::Access;
@@ -38,7 +36,8 @@
     pub(crate) deadline: TimeMs,
     /// Targets that failed this request.
     pub(crate) failed: Vec<Name>,
-    alone: Option<RunsAlone>,
+    /// Held until the request ends.
+    _alone: Option<RunsAlone>,
 }
 
 /// An engine that answers a completion.
@@ -91,7 +90,7 @@
         arrived,
         deadline: arrived + deadline_ms,
         failed: Vec::new(),
-        alone,
+        _alone: alone,
     };
     let answering = completion.dispatch(0).await?;
     if answering.response.status != 200 {
@@ -119,7 +118,11 @@
             }
             let placed = place(&self.state, &self.place_request(), &self.failed).await?;
             if let Some(waited_ms) = placed.waited_ms {
-                self.state.metrics.queueing_ms.get_or_create(&self.labels).observe(waited_ms as f64);
+                self.state
+                    .metrics
+                    .queueing_ms
+                    .get_or_create(&self.labels)
+                    .observe(waited_ms as f64);
             }
             self.access.recheck(&self.state)?;
             let Some(address) = self.address(&placed.target) else {
@@ -241,7 +244,7 @@
             let target = answering.placed.target.clone();
             match answering.response.body.whole(ANSWER_BYTES_MAX).await {
                 Ok(body) => {
-                    self.access.recheck(&self.state).map_err(|refusal| ran(refusal))?;
+                    self.access.recheck(&self.state).map_err(ran)?;
                     self.charge(&body);
                     self.observe_first_token(cold);
                     self.succeeded();
@@ -333,8 +336,11 @@
 async fn engine_answer(answering: Answering) -> CallerResponse {
     let status = answering.response.status;
     let headers = answer_headers(&answering.response);
-    let body = answering.response.body.whole(ANSWER_BYTES_MAX).await.unwrap_or_else(|error| {
-        Value::String(error.to_string()).to_string().into_bytes()
-    });
+    let body = answering
+        .response
+        .body
+        .whole(ANSWER_BYTES_MAX)
+        .await
+        .unwrap_or_else(|error| Value::String(error.to_string()).to_string().into_bytes());
     CallerResponse { status, headers, body: CallerBody::Whole(body) }
 }
--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -46,11 +46,17 @@
     });
     let limits = FollowLimits::default();
     let clock = state.clock;
-    follow(&state.store, HEAD_KIND, &limits, move || clock.now(), |update| {
-        let head = latest_head(&state, &update.change);
-        // The receiver lives as long as the daemon.
-        let _ = sender.try_send((update.as_of, head));
-    })
+    follow(
+        &state.store,
+        HEAD_KIND,
+        &limits,
+        move || clock.now(),
+        |update| {
+            let head = latest_head(&state, &update.change);
+            // The receiver lives as long as the daemon.
+            let _ = sender.try_send((update.as_of, head));
+        },
+    )
     .await;
 }
 
--- a/crates/lycheefordd/src/coordinator.rs
+++ b/crates/lycheefordd/src/coordinator.rs
@@ -1,8 +1,8 @@
 use lycheeford_config::WeightStoreLimits;
 use lycheeford_policy::{
-    CheckpointPlace, Configuration, DemandReport, Host, HostRole, HostState, Incarnation, LoadLimits,
-    Name,
-    PlanAction, Planner, ReplicaState, ReplicaView, TargetRecord, TargetView, TimeMs, Verdict,
+    CheckpointPlace, Configuration, DemandReport, Host, HostRole, HostState, Incarnation,
+    LoadLimits, Name, PlanAction, Planner, ReplicaState, ReplicaView, TargetRecord, TargetView,
+    TimeMs, Verdict,
 };
 use lycheeford_target::{self as target, LoadState, TargetStatus};
 use lycheeford_wire::{Expected, PlacementReport, Refused, TargetPlacement};
@@ -115,7 +115,8 @@
 
     /// Returns the targets whose status is due, and marks them as being asked.
     pub(crate) fn due(&mut self, now: TimeMs) -> Vec<(Host, Option<Versioned<TargetRecord>>)> {
-        let due = self.targets.iter_mut().filter(|target| !target.polling && target.poll_due <= now);
+        let due =
+            self.targets.iter_mut().filter(|target| !target.polling && target.poll_due <= now);
         due.map(|target| {
             target.polling = true;
             (target.host.clone(), target.record.clone())
--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -113,7 +113,8 @@
     let me = Hello { host: state.me.host.clone(), incarnation: state.me.incarnation };
     let peers = Peers::start(listener, me, PeerLimits::default(), state.clone());
     let fleet = state.fleet.load();
-    let members = fleet.entries().map(|(host, address)| Member { host: host.name.clone(), address });
+    let members =
+        fleet.entries().map(|(host, address)| Member { host: host.name.clone(), address });
     peers.set_members(members.collect());
     // Set once, here.
     let _ = state.peers.set(peers);
@@ -164,7 +165,5 @@
     field: &'static str,
     address: std::net::SocketAddr,
 ) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { field, address: address.to_string() })
+    TcpListener::bind(address).await.context(ListenSnafu { field, address: address.to_string() })
 }
--- a/crates/lycheefordd/src/fleet.rs
+++ b/crates/lycheefordd/src/fleet.rs
@@ -30,7 +30,10 @@
     }
 
     /// Returns the live application workers that run `service`.
-    pub(crate) fn service_targets<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Host> {
+    pub(crate) fn service_targets<'a>(
+        &'a self,
+        service: &'a Name,
+    ) -> impl Iterator<Item = &'a Host> {
         self.hosts.iter().filter(move |host| {
             host.state == HostState::Live
                 && matches!(&host.role, HostRole::ApplicationWorker { services }
--- a/crates/lycheefordd/src/front.rs
+++ b/crates/lycheefordd/src/front.rs
@@ -21,12 +21,12 @@
 
 #[derive(Debug, Serialize)]
 struct Addresses {
-    addresses: Vec<Address>,
+    addresses: Vec<AddressEntry>,
     keep_ms: u64,
 }
 
 #[derive(Debug, Serialize)]
-struct Address {
+struct AddressEntry {
     host: Name,
     address: String,
     failure_domain: Name,
@@ -92,7 +92,7 @@
         member.is_some_and(|member| member.is_reachable(now) && !member.is_draining())
     });
     let addresses = usable
-        .map(|host| Address {
+        .map(|host| AddressEntry {
             host: host.name.clone(),
             address: host.address.to_string(),
             failure_domain: host.failure_domain.clone(),
--- a/crates/lycheefordd/src/hosts.rs
+++ b/crates/lycheefordd/src/hosts.rs
@@ -17,12 +17,18 @@
 pub(crate) async fn follow_hosts(state: Arc<State>) {
     let limits = FollowLimits::default();
     let clock = state.clock;
-    follow(&state.store, HOST_KIND, &limits, move || clock.now(), |update| {
-        if let Some(hosts) = changed_hosts(&state, update.change) {
-            adopt(&state, Fleet { revision: update.revision, hosts });
-        }
-        state.set_fleet_revision(update.revision);
-    })
+    follow(
+        &state.store,
+        HOST_KIND,
+        &limits,
+        move || clock.now(),
+        |update| {
+            if let Some(hosts) = changed_hosts(&state, update.change) {
+                adopt(&state, Fleet { revision: update.revision, hosts });
+            }
+            state.set_fleet_revision(update.revision);
+        },
+    )
     .await;
 }
 
--- a/crates/lycheefordd/src/members.rs
+++ b/crates/lycheefordd/src/members.rs
@@ -52,22 +52,11 @@
         }
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &Member> {
-        self.members.iter()
-    }
-
     pub(crate) fn member(&self, host: &str) -> Option<&Member> {
-        let index =
-            self.members.binary_search_by(|member| member.host.as_str().cmp(host)).ok()?;
+        let index = self.members.binary_search_by(|member| member.host.as_str().cmp(host)).ok()?;
         Some(&self.members[index])
     }
 
-    /// Returns the reachable members, in order.
-    pub(crate) fn reachable(&self, now: TimeMs) -> Vec<Name> {
-        let reachable = self.members.iter().filter(|member| member.is_reachable(now));
-        reachable.map(|member| member.host.clone()).collect()
-    }
-
     /// Returns the host that coordinates loads, as seen from `me`.
     ///
     /// Two hosts may disagree for a while; conditional updates keep that safe.
@@ -85,8 +74,7 @@
     }
 
     fn member_mut(&mut self, host: &str) -> Option<&mut Member> {
-        let index =
-            self.members.binary_search_by(|member| member.host.as_str().cmp(host)).ok()?;
+        let index = self.members.binary_search_by(|member| member.host.as_str().cmp(host)).ok()?;
         Some(&mut self.members[index])
     }
 }
--- a/crates/lycheefordd/src/orders.rs
+++ b/crates/lycheefordd/src/orders.rs
@@ -2,8 +2,8 @@
 
 use lycheeford_platform::ObjectStore;
 use lycheeford_policy::{
-    FenceCheck, GoneProofs, Host, HostRole, LoadRequest, LoadedName, Name, OrderReport, RecordFault, Replica, ReplicaFault, ReplicaSet, ResolveEvidence, TargetRecord,
-    resolve,
+    FenceCheck, GoneProofs, Host, HostRole, LoadRequest, LoadedName, Name, OrderReport,
+    RecordFault, Replica, ReplicaFault, ReplicaSet, ResolveEvidence, TargetRecord, resolve,
 };
 use lycheeford_target::{Action, Order, TargetStatus};
 use lycheeford_wire::stored::{StoredReplicaSet, StoredTargetRecord};
@@ -154,8 +154,7 @@
     gone: &GoneProofs,
     sending_over: &[Name],
 ) -> Option<Versioned<TargetRecord>> {
-    let evidence =
-        ResolveEvidence { gone, sending_over, fence_check: fence_check(host) };
+    let evidence = ResolveEvidence { gone, sending_over, fence_check: fence_check(host) };
     let mut record = record;
     if let Some(resolved) = resolve(&record.value, &policy_status(status), &evidence) {
         record = store_record(state, &host.name, record.version, resolved).await?;
@@ -188,8 +187,11 @@
         }
     };
     for object in listing.objects {
-        let decoded =
-            objects::decode::<ReplicaSet, StoredReplicaSet>(REPLICA_KIND, &object.name, object.value);
+        let decoded = objects::decode::<ReplicaSet, StoredReplicaSet>(
+            REPLICA_KIND,
+            &object.name,
+            object.value,
+        );
         let Ok(set) = decoded else { continue };
         for replica in set.replicas.iter().filter(|replica| replica.decider != state.me) {
             cancel_unreserved(&state, &object.name, replica).await;
@@ -244,7 +246,8 @@
         return;
     }
     let read =
-        objects::read::<TargetRecord, StoredTargetRecord>(state, TARGET_KIND, &replica.target).await;
+        objects::read::<TargetRecord, StoredTargetRecord>(state, TARGET_KIND, &replica.target)
+            .await;
     if read.is_ok_and(|record| record.value.reservation(name).is_none()) {
         give_up(state, name, replica).await;
     }
@@ -295,7 +298,8 @@
     gone: &GoneProofs,
 ) -> Option<Versioned<TargetRecord>> {
     for cancelled in record.value.cancelled.clone() {
-        let set = remove_replica(state, &cancelled.name, cancelled.replica.id, &record.value).await?;
+        let set =
+            remove_replica(state, &cancelled.name, cancelled.replica.id, &record.value).await?;
         let cleared = record.value.clear_cancelled(&cancelled.name, &set, &state.me, gone);
         if let Some(cleared) = cleared {
             record = store_record(state, target, record.version, cleared).await?;
--- a/crates/lycheefordd/src/placement.rs
+++ b/crates/lycheefordd/src/placement.rs
@@ -71,7 +71,12 @@
     }
 
     /// Finds a place for a request, or queues it, or tells that it is too late.
-    pub(crate) fn place(&mut self, now: TimeMs, request: &PlaceRequest, excluded: &[Name]) -> Place {
+    pub(crate) fn place(
+        &mut self,
+        now: TimeMs,
+        request: &PlaceRequest,
+        excluded: &[Name],
+    ) -> Place {
         let chosen = self.router.choose(now, &request.name, &request.prefix_hashes, excluded);
         if let Some(target) = chosen {
             self.started(&request.name, &target);
@@ -150,8 +155,7 @@
         }
         for refused in &report.refused {
             let reachable_at = now + refused.retry_after_ms;
-            let given_up =
-                self.queue.unreachable(&refused.name, &refused.customer, reachable_at);
+            let given_up = self.queue.unreachable(&refused.name, &refused.customer, reachable_at);
             for request in given_up {
                 // A caller that hung up meanwhile needs no answer.
                 let _ = request.payload.try_send(Placed::Refused(refused.retry_after_ms));
--- a/crates/lycheefordd/src/placement_task.rs
+++ b/crates/lycheefordd/src/placement_task.rs
@@ -72,7 +72,7 @@
     let now = state.now();
     let mut placement = state.placement();
     placement.adopt(now, (&from.host, from.incarnation), report);
-    state.metrics.queued.set(placement.queued() as i64);
+    state.metrics.queued.set(i64::try_from(placement.queued()).unwrap_or(i64::MAX));
 }
 
 /// Reports demand to the coordinator and refuses what has expired.
--- a/crates/lycheefordd/src/planning.rs
+++ b/crates/lycheefordd/src/planning.rs
@@ -4,7 +4,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use lycheeford_policy::{
-    Activity, Demand, DemandReport, Host, HostRole, Instance, PlanAction, ProbeResult,
+    Activity, Demand, DemandReport, Host, HostRole, Instance, Name, PlanAction, ProbeResult,
     TargetRecord, Verdict,
 };
 use lycheeford_target::TargetStatus;
@@ -92,39 +92,38 @@
 }
 
 async fn carry_out(state: Arc<State>, action: PlanAction) {
-    let now = state.now();
-    let (name, target) = match &action {
-        PlanAction::Load { name, target, .. } | PlanAction::Unload { name, target } => {
-            (name.clone(), target.clone())
-        }
-        PlanAction::Refuse { .. } | PlanAction::Expect { .. } => return,
-    };
     debug!(state.log, "planned"; "action" => ?action);
-    let done = match action {
-        PlanAction::Load { base, memory_bytes, .. } => {
+    let (name, target, done) = match action {
+        PlanAction::Load { name, base, target, memory_bytes } => {
             state.metrics.event(Event::Load);
-            let what = format!("load {name} on {target}: callers wait and it fits there best");
-            state.decisions().record(now, &[&name, &target], what);
-            orders::load(&state, &name, base, &target, memory_bytes).await
+            note(&state, &name, &target, format!("load {name} on {target}: callers wait for it"));
+            let done = orders::load(&state, &name, base, &target, memory_bytes).await;
+            (name, target, done)
         }
-        _ => {
+        PlanAction::Unload { name, target } => {
             state.metrics.event(Event::Unload);
             let what = format!("unload {name} on {target}: idle, or its memory is wanted more");
-            state.decisions().record(now, &[&name, &target], what);
-            orders::unload(&state, &name, &target).await
+            note(&state, &name, &target, what);
+            let done = orders::unload(&state, &name, &target).await;
+            (name, target, done)
         }
+        PlanAction::Refuse { .. } | PlanAction::Expect { .. } => return,
     };
     if let Err(error) = done {
         warn!(state.log, "order not carried out";
             "name" => %name, "target" => %target, "error" => %error);
         let what = format!("order for {name} on {target} not carried out: {error}");
-        state.decisions().record(state.now(), &[&name, &target], what);
+        note(&state, &name, &target, what);
         state.coordinator().abandon(&name, &target);
     }
     state.coordinator().poll_soon(state.now(), &target);
     state.wake_planner();
 }
 
+fn note(state: &State, name: &Name, target: &Name, what: String) {
+    state.decisions().record(state.now(), &[name, target], what);
+}
+
 fn poll_due_targets(state: &Arc<State>) {
     let due = state.coordinator().due(state.now());
     for (host, record) in due {
--- a/crates/lycheefordd/src/rates.rs
+++ b/crates/lycheefordd/src/rates.rs
@@ -47,7 +47,6 @@
     pub(crate) asks: Vec<(Name, AskId, u64)>,
     /// Gets the tokens still missing, once for each answer.
     pub(crate) answers: Receiver<u64>,
-    pub(crate) missing_tokens: u64,
 }
 
 impl Rates {
@@ -155,7 +154,7 @@
                 asks.push((lender.host, ask, lender.spare_tokens));
             }
         }
-        LoanSearch { reservation, asks, answers, missing_tokens }
+        LoanSearch { reservation, asks, answers }
     }
 
     /// Closes a search: the reservation stands if nothing is missing any more.
@@ -186,7 +185,7 @@
     pub(crate) fn accept(&mut self, loan: &Loan) -> Option<LoanReport> {
         match self.share.accept_loan(loan) {
             LoanArrival::Accepted { missing_tokens } => {
-                self.answered(loan.ask, missing_tokens);
+                self.answered(loan.id.ask, missing_tokens);
                 None
             }
             LoanArrival::Duplicate => None,
--- a/crates/lycheefordd/src/reservation.rs
+++ b/crates/lycheefordd/src/reservation.rs
@@ -129,7 +129,8 @@
     if within_rate {
         state.metrics.refusal_within_rate(&state.customer_labels(customer));
     }
-    let message = format!("{tokens} tokens are over the customer's rate and burst; send less or later");
+    let message =
+        format!("{tokens} tokens are over the customer's rate and burst; send less or later");
     Err(over_rate(&message, Some(retry_after_ms.max(RETRY_AFTER_MS_MIN))))
 }
 
--- a/crates/lycheefordd/src/sent_orders.rs
+++ b/crates/lycheefordd/src/sent_orders.rs
@@ -47,7 +47,8 @@
     /// Takes in the life of a target: what was sent to an earlier one is over.
     pub(crate) fn target_lives(&mut self, target: &Name, incarnation: Incarnation) {
         let earlier = |order: &UnknownOrder| {
-            order.target == *target && order.target_incarnation.is_some_and(|life| life < incarnation)
+            order.target == *target
+                && order.target_incarnation.is_some_and(|life| life < incarnation)
         };
         let (over, unknown): (Vec<_>, Vec<_>) = self.unknown.drain(..).partition(earlier);
         self.unknown = unknown;
@@ -67,15 +68,11 @@
 
     /// Tells whether a target's unresolved order has been so for too long.
     pub(crate) fn is_overdue(&mut self, now: TimeMs, id: &Name) -> bool {
-        match self.first_seen.iter().find(|(known, _)| known == id) {
-            Some((_, seen_at)) => now.since_ms(*seen_at) >= ORDER_SET_ASIDE_MS,
-            None => {
-                self.first_seen.retain(|(_, seen_at)| {
-                    now.since_ms(*seen_at) < 2 * ORDER_SET_ASIDE_MS
-                });
-                self.first_seen.push((id.clone(), now));
-                false
-            }
+        if let Some((_, seen_at)) = self.first_seen.iter().find(|(known, _)| known == id) {
+            return now.since_ms(*seen_at) >= ORDER_SET_ASIDE_MS;
         }
+        self.first_seen.retain(|(_, seen_at)| now.since_ms(*seen_at) < 2 * ORDER_SET_ASIDE_MS);
+        self.first_seen.push((id.clone(), now));
+        false
     }
 }
--- a/crates/lycheefordd/src/service.rs
+++ b/crates/lycheefordd/src/service.rs
@@ -239,7 +239,8 @@
                 Refusal::unknown(RefusalCode::TargetFailed, error.to_string())
             }
             _ => {
-                let message = format!("no target of {} answers; come back later", self.route.service);
+                let message =
+                    format!("no target of {} answers; come back later", self.route.service);
                 Refusal::not_run(RefusalCode::NoTarget, message, Some(RETRY_AFTER_MS))
             }
         }
--- a/crates/lycheefordd/src/service_targets.rs
+++ b/crates/lycheefordd/src/service_targets.rs
@@ -46,7 +46,8 @@
     fn target_mut(&mut self, name: &Name) -> &mut ServiceTarget {
         let index = self.position(name).unwrap_or_else(|index| {
             let avoid_until = TimeMs::default();
-            self.targets.insert(index, ServiceTarget { name: name.clone(), running: 0, avoid_until });
+            self.targets
+                .insert(index, ServiceTarget { name: name.clone(), running: 0, avoid_until });
             index
         });
         &mut self.targets[index]
--- a/crates/lycheefordd/src/share_upkeep.rs
+++ b/crates/lycheefordd/src/share_upkeep.rs
@@ -20,18 +20,24 @@
 pub(crate) async fn follow_shares(state: Arc<State>) {
     let limits = FollowLimits::default();
     let clock = state.clock;
-    follow(&state.store, SHARE_KIND, &limits, move || clock.now(), |update| match update.change {
-        Change::Replace(listing) => {
-            listing.objects.into_iter().for_each(|object| take_object(&state, object));
-        }
-        Change::Apply(events) => {
-            for event in events {
-                if let WatchEvent::Put(object) = event {
-                    take_object(&state, object);
+    follow(
+        &state.store,
+        SHARE_KIND,
+        &limits,
+        move || clock.now(),
+        |update| match update.change {
+            Change::Replace(listing) => {
+                listing.objects.into_iter().for_each(|object| take_object(&state, object));
+            }
+            Change::Apply(events) => {
+                for event in events {
+                    if let WatchEvent::Put(object) = event {
+                        take_object(&state, object);
+                    }
                 }
             }
-        }
-    })
+        },
+    )
     .await;
 }
 
@@ -76,11 +82,8 @@
 }
 
 fn take_object(state: &State, object: Object) {
-    let decoded = objects::decode::<ShareTable, StoredShareTable>(
-        SHARE_KIND,
-        &object.name,
-        object.value,
-    );
+    let decoded =
+        objects::decode::<ShareTable, StoredShareTable>(SHARE_KIND, &object.name, object.value);
     match decoded {
         Ok(value) => adopt(state, &object.name, Versioned { version: Some(object.version), value }),
         Err(error) => warn!(state.log, "share table not readable"; "error" => %error),
@@ -207,13 +210,13 @@
 fn ask_for_loans(state: &State) {
     let gone = state.gone().clone();
     let now = state.now();
-    let mut questions = Vec::new();
+    let mut questions: Vec<(Name, Message)> = Vec::new();
     let mut rates = state.rates();
     rates.settle_gone(now, &gone);
     for rate in rates.customers() {
         let customer = rate.name.clone();
         for loan in rate.share.overdue_loans(now, LOAN_OVERDUE_MS) {
-            let borrower = loan.borrower.host.clone();
+            let borrower = loan.id.borrower.host.clone();
             let query = LoanOffer { customer: customer.clone(), loan };
             questions.push((borrower, Message::LoanQuery(query)));
         }
@@ -236,8 +239,6 @@
 
 fn live_hosts(state: &State) -> Vec<Name> {
     let fleet = state.fleet.load();
-    let live = fleet.entries().filter(|(host, _)| {
-        host.state == lycheeford_policy::HostState::Live
-    });
+    let live = fleet.entries().filter(|(host, _)| host.state == lycheeford_policy::HostState::Live);
     live.map(|(host, _)| host.name.clone()).collect()
 }
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -3,7 +3,6 @@
 
 use arc_swap::ArcSwap;
 use async_std::channel::{Receiver, Sender, bounded};
-use lycheeford_caller::Stop;
 use lycheeford_config::{Head, Settings};
 use lycheeford_peer::Peers;
 use lycheeford_platform::HttpObjectStore;
@@ -71,8 +70,6 @@
     pub(crate) plan_due: (Sender<()>, Receiver<()>),
     /// Wakes everything that holds a stream open when the configuration changes.
     pub(crate) configuration_changed: async_std::sync::Condvar,
-    /// Ends the daemon.
-    pub(crate) shutdown: Stop,
 }
 
 impl State {
@@ -112,7 +109,6 @@
             demand_changed: bounded(1),
             plan_due: bounded(1),
             configuration_changed: async_std::sync::Condvar::new(),
-            shutdown: Stop::new(),
         })
     }
 
