Split the conversions between daemons by concern, and trust only asked-for beats

A beat that waits in a buffer while this daemon is paused would count as fresh when it wakes; only an answer to a question has a known age. Loans are asked for in up to three rounds, so that a request isn't refused after three of five peers.

--- a/crates/lycheeford-peer/src/inbound.rs
+++ b/crates/lycheeford-peer/src/inbound.rs
@@ -54,7 +54,7 @@
 fn take<I: Inbox>(from: &Hello, message: Message, inbox: &I) -> Option<Message> {
     match message {
         Message::Beat(beat) => {
-            inbox.beat(beat.report, 0);
+            inbox.told(beat.report);
             let answer = Beat { sequence: beat.sequence, report: inbox.report() };
             Some(Message::BeatReply(answer))
         }
--- a/crates/lycheeford-peer/src/inbox.rs
+++ b/crates/lycheeford-peer/src/inbox.rs
@@ -7,8 +7,13 @@
     /// Returns what this daemon says of itself in a beat.
     fn report(&self) -> HostReport;
 
-    /// Takes a member's report, which is at most `age_ms` old.
-    fn beat(&self, report: HostReport, age_ms: u64);
+    /// Takes a member's answer to a beat, which is at most `age_ms` old.
+    fn answered(&self, report: HostReport, age_ms: u64);
+
+    /// Takes a report that came unasked, so that its age isn't known.
+    ///
+    /// It may have waited in a buffer for as long as this process was paused.
+    fn told(&self, report: HostReport);
 
     /// Notes that a beat over a fresh connection to `host` went without an answer.
     fn missed(&self, host: &str, how: Missed);
--- a/crates/lycheeford-peer/src/lane.rs
+++ b/crates/lycheeford-peer/src/lane.rs
@@ -31,7 +31,7 @@
             Ok((link, report, age_ms)) => {
                 open = Some(link);
                 if report.host == lane.host {
-                    lane.inbox.beat(report, age_ms);
+                    lane.inbox.answered(report, age_ms);
                 } else {
                     open = None;
                     lane.inbox.missed(&lane.host, Missed::OtherHost);
--- a/crates/lycheeford-peer/tests/lanes.rs
+++ b/crates/lycheeford-peer/tests/lanes.rs
@@ -42,10 +42,12 @@
         }
     }
 
-    fn beat(&self, report: HostReport, _age_ms: u64) {
+    fn answered(&self, report: HostReport, _age_ms: u64) {
         self.beats.lock().unwrap().push(report.host);
     }
 
+    fn told(&self, _report: HostReport) {}
+
     fn missed(&self, _host: &str, how: Missed) {
         self.missed.lock().unwrap().push(how);
     }
--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -95,7 +95,6 @@
     state.coordinator().configure(&configuration);
     state.configuration.store(Arc::new(configuration));
     state.head.store(Arc::new(head));
-    state.configuration_changed.notify_all();
     state.wake_planner();
 }
 
--- a/crates/lycheefordd/src/inbox.rs
+++ b/crates/lycheefordd/src/inbox.rs
@@ -27,7 +27,7 @@
         }
     }
 
-    fn beat(&self, report: HostReport, age_ms: u64) {
+    fn answered(&self, report: HostReport, age_ms: u64) {
         let now = self.now();
         let asked_at = now - age_ms;
         let instance = Instance { host: report.host.clone(), incarnation: report.incarnation };
@@ -42,6 +42,12 @@
         self.members().heard(asked_at, report);
     }
 
+    fn told(&self, report: HostReport) {
+        let instance = Instance { host: report.host.clone(), incarnation: report.incarnation };
+        self.gone().answered(&instance);
+        self.rates().peer_spare(&report.host, &report.spare);
+    }
+
     fn missed(&self, host: &str, how: Missed) {
         self.members().missed(host, how);
     }
--- a/crates/lycheefordd/src/rates.rs
+++ b/crates/lycheefordd/src/rates.rs
@@ -42,7 +42,6 @@
 /// Questions to peers for the tokens that a reservation lacks.
 #[derive(Debug)]
 pub(crate) struct LoanSearch {
-    pub(crate) reservation: ReservationId,
     /// Whom to ask for how much.
     pub(crate) asks: Vec<(Name, AskId, u64)>,
     /// Gets the tokens still missing, once for each answer.
@@ -143,29 +142,46 @@
         reserved
     }
 
-    /// Reserves what is there and opens questions to peers for the rest.
-    pub(crate) fn search_loans(&mut self, now: TimeMs, tokens: u64) -> LoanSearch {
-        let (reservation, missing_tokens) = self.share.begin(now, tokens);
+    /// Reserves what is there and returns what is missing.
+    pub(crate) fn begin(&mut self, now: TimeMs, tokens: u64) -> (ReservationId, u64) {
+        self.share.begin(now, tokens)
+    }
+
+    /// Opens questions to peers that weren't asked yet for what a reservation lacks.
+    pub(crate) fn search_loans(
+        &mut self,
+        reservation: ReservationId,
+        missing_tokens: u64,
+        asked: &[Name],
+    ) -> LoanSearch {
         let (sender, answers) = bounded(MAX_LENDERS_ASKED);
+        let unasked: Vec<PeerSpare> =
+            self.peers.iter().filter(|peer| !asked.contains(&peer.host)).cloned().collect();
         let mut asks = Vec::new();
-        for lender in choose_lenders(missing_tokens, &self.peers) {
+        for lender in choose_lenders(missing_tokens, &unasked) {
             if let Some(ask) = self.share.open_ask(reservation, &lender.host) {
                 self.questions.push(Question { ask, answers: sender.clone() });
                 asks.push((lender.host, ask, lender.spare_tokens));
             }
         }
-        LoanSearch { reservation, asks, answers }
+        LoanSearch { asks, answers }
     }
 
-    /// Closes a search: the reservation stands if nothing is missing any more.
-    pub(crate) fn end_search(&mut self, now: TimeMs, search: &LoanSearch) -> u64 {
+    /// Closes a round of questions and returns what is still missing.
+    pub(crate) fn end_search(
+        &mut self,
+        now: TimeMs,
+        reservation: ReservationId,
+        search: &LoanSearch,
+    ) -> u64 {
         let asked = |question: &Question| search.asks.iter().any(|ask| ask.1 == question.ask);
         self.questions.retain(|question| !asked(question));
-        let missing_tokens = self.share.top_up(now, search.reservation);
-        if missing_tokens == 0 {
-            self.admitted += 1;
-        }
-        missing_tokens
+        self.share.top_up(now, reservation)
+    }
+
+    /// Returns the customer's rate and burst over all hosts.
+    pub(crate) fn limits(&self) -> RateLimits {
+        self.limits
     }
 
     /// Lends to a peer's question.
--- a/crates/lycheefordd/src/reservation.rs
+++ b/crates/lycheefordd/src/reservation.rs
@@ -8,11 +8,13 @@
 use lycheeford_wire::{CustomerLoanReport, LoanAsk, Message};
 
 use crate::metrics::Event;
-use crate::rates::LoanSearch;
+use crate::rates::{CustomerRate, LoanSearch};
 use crate::state::State;
 
 /// How long a request waits for loans; peers are a few milliseconds away.
 const LOAN_MS_MAX: u64 = 150;
+/// Rounds of questions for one request.
+const LOAN_ROUNDS_MAX: usize = 3;
 /// The least that a caller is told to wait.
 const RETRY_AFTER_MS_MIN: u64 = 10;
 
@@ -36,9 +38,8 @@
     ) -> Result<Reserved, Refusal> {
         let shortage = {
             let mut rates = state.rates();
-            let Some(rate) = rates.customer(customer) else {
-                return Err(over_rate("customer has no rate declared; ask your operator", None));
-            };
+            let rate = rates.customer(customer).ok_or_else(no_rate)?;
+            check_possible(rate, tokens)?;
             match rate.reserve(state.now(), tokens) {
                 Ok(id) => return Ok(Reserved::standing(state, customer, id)),
                 Err(shortage) => shortage,
@@ -93,45 +94,100 @@
     tokens: u64,
     shortage: Shortage,
 ) -> Result<Reserved, Refusal> {
-    let search = {
+    let (id, mut missing_tokens) = {
         let mut rates = state.rates();
-        let Some(rate) = rates.customer(customer) else {
-            return Err(over_rate("customer has no rate declared; ask your operator", None));
-        };
-        rate.search_loans(state.now(), tokens)
+        let rate = rates.customer(customer).ok_or_else(no_rate)?;
+        rate.begin(state.now(), tokens)
     };
     // Gives back what was borrowed if the caller hangs up or the search fails.
-    let reserved = Reserved::standing(state, customer, search.reservation);
+    let reserved = Reserved::standing(state, customer, id);
+    let mut asked = Vec::new();
+    for _ in 0..LOAN_ROUNDS_MAX {
+        let search = {
+            let mut rates = state.rates();
+            let rate = rates.customer(customer).ok_or_else(no_rate)?;
+            rate.search_loans(id, missing_tokens, &asked)
+        };
+        if search.asks.is_empty() {
+            break;
+        }
+        asked.extend(search.asks.iter().map(|ask| ask.0.clone()));
+        missing_tokens = ask_peers(state, customer, id, &search).await?;
+        if missing_tokens == 0 {
+            state.metrics.event(Event::Loan);
+            return Ok(reserved);
+        }
+    }
+    Err(refuse(state, customer, tokens, shortage, missing_tokens))
+}
+
+async fn ask_peers(
+    state: &State,
+    customer: &Name,
+    id: ReservationId,
+    search: &LoanSearch,
+) -> Result<u64, Refusal> {
     for (lender, ask, tokens) in &search.asks {
         let ask = LoanAsk { customer: customer.clone(), ask: *ask, tokens: *tokens };
         if let Some(peers) = state.peers.get() {
+            // A question that gets lost costs this round its time limit.
             let _ = peers.send(lender, Message::LoanAsk(ask));
         }
     }
-    // Without an answer in time the search ends with what came.
-    let _ = timeout(Duration::from_millis(LOAN_MS_MAX), all_answers(&search)).await;
-
-    let now = state.now();
+    let _ = timeout(Duration::from_millis(LOAN_MS_MAX), all_answers(search)).await;
     let mut rates = state.rates();
-    let Some(rate) = rates.customer(customer) else {
-        return Err(over_rate("customer has no rate declared; ask your operator", None));
-    };
-    let missing_tokens = rate.end_search(now, &search);
+    let rate = rates.customer(customer).ok_or_else(no_rate)?;
+    let missing_tokens = rate.end_search(state.now(), id, search);
     if missing_tokens == 0 {
-        state.metrics.event(Event::Loan);
-        drop(rates);
-        return Ok(reserved);
+        rate.admitted += 1;
     }
-    let within_rate = rate.is_within_rate(now, tokens);
-    let retry_after_ms = rate.retry_after_ms(shortage, missing_tokens);
-    rate.refused += 1;
-    drop(rates);
+    Ok(missing_tokens)
+}
+
+fn refuse(
+    state: &State,
+    customer: &Name,
+    tokens: u64,
+    shortage: Shortage,
+    missing_tokens: u64,
+) -> Refusal {
+    let (within_rate, retry_after_ms) = {
+        let mut rates = state.rates();
+        let Some(rate) = rates.customer(customer) else { return no_rate() };
+        rate.refused += 1;
+        let within_rate = rate.is_within_rate(state.now(), tokens);
+        (within_rate, rate.retry_after_ms(shortage, missing_tokens))
+    };
     if within_rate {
         state.metrics.refusal_within_rate(&state.customer_labels(customer));
     }
     let message =
         format!("{tokens} tokens are over the customer's rate and burst; send less or later");
-    Err(over_rate(&message, Some(retry_after_ms.max(RETRY_AFTER_MS_MIN))))
+    over_rate(&message, Some(retry_after_ms.max(RETRY_AFTER_MS_MIN)))
+}
+
+/// Refuses what no wait could make possible, or what can't be judged yet.
+fn check_possible(rate: &CustomerRate, tokens: u64) -> Result<(), Refusal> {
+    let burst_tokens = rate.limits().burst_tokens;
+    if tokens > burst_tokens {
+        let message = format!(
+            "request may take {tokens} tokens and the customer's burst is {burst_tokens}; \
+             lower max_tokens or shorten the prompt"
+        );
+        return Err(over_rate(&message, None));
+    }
+    if rate.table.is_none() {
+        return Err(Refusal::not_run(
+            RefusalCode::PlatformUnavailable,
+            "this host has no share of the customer's rate yet; use another host",
+            Some(LOAN_MS_MAX),
+        ));
+    }
+    Ok(())
+}
+
+fn no_rate() -> Refusal {
+    over_rate("customer has no rate declared; ask your operator", None)
 }
 
 async fn all_answers(search: &LoanSearch) {
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -68,8 +68,6 @@
     pub(crate) demand_changed: (Sender<()>, Receiver<()>),
     /// Wakes the task that plans loads.
     pub(crate) plan_due: (Sender<()>, Receiver<()>),
-    /// Wakes everything that holds a stream open when the configuration changes.
-    pub(crate) configuration_changed: async_std::sync::Condvar,
 }
 
 impl State {
@@ -108,7 +106,6 @@
             last_number: AtomicU64::new(0),
             demand_changed: bounded(1),
             plan_due: bounded(1),
-            configuration_changed: async_std::sync::Condvar::new(),
         })
     }
 
