--- a/crates/lycheeford-policy/src/planner/entry.rs
+++ b/crates/lycheeford-policy/src/planner/entry.rs
@@ -1,4 +1,4 @@
-use super::gap_history::{GAP_MIN_MS, GapHistory};
+use super::gap_history::{GAP_MIN_MS, GapHistory, KeepWarm};
 use super::view::CheckpointPlace;
 use crate::TimeMs;
 
@@ -165,11 +165,11 @@
         self.last_used.map_or(0, |last_used| now.since_ms(last_used))
     }
 
-    /// Returns how long to keep an idle replica; see [`GapHistory::best_hold_ms`].
-    pub fn hold_ms(&self, reload_cost: f64) -> u64 {
+    /// Returns when to keep an idle replica; see [`GapHistory::keep_warm`].
+    pub fn keep_warm(&self, reload_cost: f64) -> KeepWarm {
         match &self.history {
-            Some(history) => history.best_hold_ms(reload_cost),
-            None => GapHistory::default().best_hold_ms(reload_cost),
+            Some(history) => history.keep_warm(reload_cost),
+            None => GapHistory::default().keep_warm(reload_cost),
         }
     }
 
--- a/crates/lycheeford-policy/src/planner/gap_history.rs
+++ b/crates/lycheeford-policy/src/planner/gap_history.rs
@@ -1,80 +1,129 @@
 /// The shortest gap that counts as idle time.
 pub(super) const GAP_MIN_MS: u64 = 2_000;
 
-const BUCKETS: usize = 32;
-const PRIOR_GAPS: f64 = 2.0;
-const TOTAL_MAX: u32 = 256;
+const GAPS_MAX: usize = 24;
+/// The gaps without which no load is made ahead of a use.
+const PRELOAD_GAPS_MIN: usize = 5;
+/// A window for a load ahead of a use is wider than the gaps seen by this part.
+const PRELOAD_MARGIN: f64 = 0.03;
+/// A load ahead of a use costs this part of a reload that a request waits for.
+const PRELOAD_COST: f64 = 0.1;
+const PRIOR_GAPS: usize = 16;
+const PRIOR_WEIGHT: f64 = 2.0 / PRIOR_GAPS as f64;
+/// The longest gap of the prior, as a power of two times the shortest.
+const PRIOR_OCTAVES: f64 = 15.0;
 
-/// How long one model or adapter stayed idle in the past, as a decaying histogram.
+/// How long one model or adapter stayed idle, over its last gaps.
 ///
-/// Bucket `i` counts gaps from [`GAP_MIN_MS`] times the square root of two to
-/// the power of `i` up to the next bucket, the last one everything longer. A
-/// weak prior spreads a few gaps evenly over the buckets, so that a model
-/// without history is kept for about as long as a reload is worth.
+/// A weak prior spreads a few gaps evenly over the orders of magnitude, so
+/// that a model without history is kept for about as long as a reload is worth.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct GapHistory {
-    counts: [u16; BUCKETS],
+    gaps_ms: [u32; GAPS_MAX],
+    recorded: usize,
+}
+
+/// When an idle replica is worth keeping, counted from its last use.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct KeepWarm {
+    /// How long to keep it after its last use.
+    pub hold_ms: u64,
+    /// When to have it loaded again, and until when.
+    pub preload_ms: Option<(u64, u64)>,
 }
 
 impl GapHistory {
     pub fn record(&mut self, gap_ms: u64) {
-        let bucket = &mut self.counts[bucket(gap_ms)];
-        *bucket = bucket.saturating_add(1);
-        let total: u32 = self.counts.iter().map(|count| u32::from(*count)).sum();
-        if total > TOTAL_MAX {
-            self.counts.iter_mut().for_each(|count| *count /= 2);
-        }
+        self.gaps_ms[self.recorded % GAPS_MAX] = u32::try_from(gap_ms).unwrap_or(u32::MAX);
+        self.recorded += 1;
     }
 
-    /// Returns how long to keep an idle replica so that the expected cost is least.
+    /// Returns when to keep a replica so that the expected cost is least.
     ///
     /// `reload_cost` is what a reload costs, in units of the cost of holding
     /// the replica for a millisecond.
-    pub fn best_hold_ms(&self, reload_cost: f64) -> u64 {
-        let total: f64 = (0..BUCKETS).map(|index| self.weight(index)).sum();
-        let mut best = (total * reload_cost, 0.0);
-        let (mut ended_cost, mut remaining) = (0.0, total);
-        for index in 0..BUCKETS - 1 {
-            let weight = self.weight(index);
-            ended_cost += weight * middle_ms(index);
-            remaining -= weight;
-            let hold_ms = edge_ms(index + 1);
-            let cost = ended_cost + remaining * (hold_ms + reload_cost);
-            if cost < best.0 {
-                best = (cost, hold_ms);
+    pub fn keep_warm(&self, reload_cost: f64) -> KeepWarm {
+        let samples = self.samples();
+        let mut best_cost = f64::INFINITY;
+        let mut best = KeepWarm::default();
+        let holds = std::iter::once(0.0).chain(samples.iter().map(|(gap_ms, _)| *gap_ms));
+        for hold_ms in holds {
+            let cost = cost(&samples, reload_cost, hold_ms, None);
+            if cost < best_cost {
+                best_cost = cost;
+                best = KeepWarm { hold_ms: hold_ms as u64, preload_ms: None };
             }
         }
-        best.1 as u64
+        if self.recorded < PRELOAD_GAPS_MIN {
+            return best;
+        }
+        let seen = self.seen();
+        for (index, first_ms) in seen.iter().enumerate() {
+            for last_ms in &seen[index..] {
+                let window = (first_ms * (1.0 - PRELOAD_MARGIN), last_ms * (1.0 + PRELOAD_MARGIN));
+                let cost = cost(&samples, reload_cost, 0.0, Some(window));
+                if cost < best_cost {
+                    best_cost = cost;
+                    let preload_ms = Some((window.0 as u64, window.1 as u64));
+                    best = KeepWarm { hold_ms: 0, preload_ms };
+                }
+            }
+        }
+        best
     }
 
     /// Returns the expected rest of a gap that has lasted for `idle_ms`.
     pub fn remaining_ms(&self, idle_ms: u64) -> f64 {
         let idle_ms = idle_ms as f64;
         let (mut weights, mut rest) = (0.0, 0.0);
-        for index in 0..BUCKETS {
-            let rest_ms = middle_ms(index) - idle_ms;
-            if rest_ms > 0.0 {
-                weights += self.weight(index);
-                rest += self.weight(index) * rest_ms;
+        for (gap_ms, weight) in self.samples() {
+            if gap_ms > idle_ms {
+                weights += weight;
+                rest += weight * (gap_ms - idle_ms);
             }
         }
         if weights == 0.0 { idle_ms } else { rest / weights }
     }
 
-    fn weight(&self, index: usize) -> f64 {
-        f64::from(self.counts[index]) + PRIOR_GAPS / BUCKETS as f64
+    fn seen(&self) -> Vec<f64> {
+        let seen = &self.gaps_ms[..self.recorded.min(GAPS_MAX)];
+        let mut seen: Vec<f64> = seen.iter().map(|gap_ms| f64::from(*gap_ms)).collect();
+        seen.sort_by(f64::total_cmp);
+        seen
     }
-}
 
-fn bucket(gap_ms: u64) -> usize {
-    let ratio = gap_ms.max(GAP_MIN_MS) as f64 / GAP_MIN_MS as f64;
-    ((2.0 * ratio.log2()) as usize).min(BUCKETS - 1)
-}
-
-fn edge_ms(index: usize) -> f64 {
-    GAP_MIN_MS as f64 * 2f64.powf(index as f64 / 2.0)
+    /// Returns the gaps with their weights, the shortest first.
+    fn samples(&self) -> Vec<(f64, f64)> {
+        let prior = (0..PRIOR_GAPS).map(|index| {
+            let octaves = PRIOR_OCTAVES * (index as f64 + 0.5) / PRIOR_GAPS as f64;
+            (GAP_MIN_MS as f64 * octaves.exp2(), PRIOR_WEIGHT)
+        });
+        let seen = self.seen().into_iter().map(|gap_ms| (gap_ms * (1.0 + PRELOAD_MARGIN), 1.0));
+        let mut samples: Vec<(f64, f64)> = prior.chain(seen).collect();
+        samples.sort_by(|one, other| one.0.total_cmp(&other.0));
+        samples
+    }
 }
 
-fn middle_ms(index: usize) -> f64 {
-    f64::midpoint(edge_ms(index), edge_ms(index + 1))
+fn cost(
+    samples: &[(f64, f64)],
+    reload_cost: f64,
+    hold_ms: f64,
+    preload_ms: Option<(f64, f64)>,
+) -> f64 {
+    let (from_ms, until_ms) = preload_ms.unwrap_or((f64::INFINITY, f64::INFINITY));
+    let of_gap = |gap_ms: f64| {
+        if gap_ms <= hold_ms {
+            return gap_ms;
+        }
+        if gap_ms < from_ms {
+            return hold_ms + reload_cost;
+        }
+        let preload = hold_ms + PRELOAD_COST * reload_cost;
+        if gap_ms <= until_ms {
+            return preload + gap_ms - from_ms;
+        }
+        preload + until_ms - from_ms + reload_cost
+    };
+    samples.iter().map(|(gap_ms, weight)| weight * of_gap(*gap_ms)).sum()
 }
--- a/crates/lycheeford-policy/src/planner/keep_warm.rs
+++ b/crates/lycheeford-policy/src/planner/keep_warm.rs
@@ -1,6 +1,8 @@
 use std::cmp::Reverse;
 
-use super::entry::{Entry, Phase, Replica};
+use super::entry::{Entry, LoadSource, Phase, Replica};
+use super::gap_history::KeepWarm;
+use super::placement::Placement;
 use super::{PlanAction, Planner};
 use crate::TimeMs;
 
@@ -8,6 +10,10 @@
 const IDLE_MS_PER_COLD_MS: f64 = 600.0;
 /// How long to wait before looking again at a replica that could not be unloaded.
 const RECHECK_MS: u64 = 1_000;
+/// How long to wait before looking again at a replica in use.
+const RECHECK_BUSY_MS: u64 = 5_000;
+/// The least time that an idle replica stays, for the rest of a burst.
+const HOLD_MIN_MS: u64 = 2_000;
 /// How long no request has waited before a surplus replica goes.
 const SURPLUS_IDLE_MS: u64 = 60_000;
 
@@ -37,7 +43,7 @@
         self.timers.push(Reverse((due, id)));
     }
 
-    /// Unloads what is due and returns when to look again.
+    /// Unloads or loads ahead what is due and returns when to look again.
     fn check_idle(
         &mut self,
         now: TimeMs,
@@ -46,34 +52,68 @@
     ) -> Option<TimeMs> {
         let entry = self.entries.get(id)?;
         if entry.replicas.is_empty() {
-            return None;
+            return self.check_preload(now, id, actions);
+        }
+        if !entry.is_idle() {
+            self.unload_surplus(now, id, actions);
+            return Some(now + RECHECK_BUSY_MS);
         }
         let due = self.idle_due(now, entry);
-        if due <= now && entry.is_idle() {
+        if due <= now {
             for target in ready_targets(entry) {
                 self.unload(now, id, target, actions);
             }
             return Some(now + RECHECK_MS);
         }
-        if entry.replicas.len() == 1 {
-            return Some(due.max(now + RECHECK_MS));
-        }
         self.unload_surplus(now, id, actions);
-        Some(due.max(now + RECHECK_MS).min(now + SURPLUS_IDLE_MS))
+        Some(due)
     }
 
+    /// Returns when an idle replica goes.
     fn idle_due(&self, now: TimeMs, entry: &Entry) -> TimeMs {
-        let (Some(spec), Some(last_used)) = (entry.spec, entry.last_used) else { return now };
-        let total_bytes = entry
-            .replicas
-            .iter()
-            .filter_map(|replica| self.targets.get(replica.target))
-            .map(|target| target.memory_total_bytes)
-            .max()
-            .unwrap_or(0);
-        let share = spec.memory_bytes.max(1) as f64 / total_bytes.max(1) as f64;
-        let reload_cost = entry.reload_ms() as f64 * self.idle_per_cold() / share;
-        last_used + entry.hold_ms(reload_cost)
+        let (Some(_), Some(last_used)) = (entry.spec, entry.last_used) else { return now };
+        let keep_warm = self.keep_warm_of(entry);
+        let idle_ms = entry.idle_ms(now);
+        match keep_warm.preload_ms {
+            Some((from_ms, until_ms)) if (from_ms..until_ms).contains(&idle_ms) => {
+                last_used + until_ms
+            }
+            _ => last_used + keep_warm.hold_ms.max(HOLD_MIN_MS),
+        }
+    }
+
+    /// Loads an entry ahead of its expected use if nothing else needs the room or the store.
+    fn check_preload(
+        &mut self,
+        now: TimeMs,
+        id: u32,
+        actions: &mut Vec<PlanAction>,
+    ) -> Option<TimeMs> {
+        let entry = self.entries.get(id)?;
+        let (last_used, None) = (entry.last_used?, entry.base()) else { return None };
+        let (from_ms, until_ms) = self.keep_warm_of(entry).preload_ms?;
+        let idle_ms = entry.idle_ms(now);
+        if idle_ms < from_ms {
+            return Some(last_used + from_ms);
+        }
+        if idle_ms >= until_ms || !entry.is_idle() {
+            return None;
+        }
+        let has_loads = !self.in_flight(|source| source == LoadSource::Remote).is_empty();
+        if !has_loads && let Placement::Room { target, source } = self.place(now, id) {
+            if source == LoadSource::Remote {
+                self.store.take();
+            }
+            let expected_ms = self.expected_ms(id, source);
+            self.start(now, id, target, source, expected_ms, actions);
+        }
+        Some(now + RECHECK_MS)
+    }
+
+    fn keep_warm_of(&self, entry: &Entry) -> KeepWarm {
+        let Some(spec) = entry.spec else { return KeepWarm::default() };
+        let share = spec.memory_bytes.max(1) as f64 / self.target_bytes_max.max(1) as f64;
+        entry.keep_warm(entry.reload_ms() as f64 * self.idle_per_cold() / share)
     }
 
     /// Returns how the site weighs idle time against cold starts.
--- a/crates/lycheeford-policy/src/planner/mod.rs
+++ b/crates/lycheeford-policy/src/planner/mod.rs
@@ -80,6 +80,8 @@
     /// When to look again at an entry that may be idle.
     timers: BinaryHeap<Reverse<(TimeMs, u32)>>,
     store: StoreGate,
+    /// The memory of the largest target seen.
+    target_bytes_max: u64,
     total_rate: f64,
     total_load_ms: f64,
     usage_decayed_at: TimeMs,
@@ -122,6 +124,7 @@
             pending: Vec::new(),
             free: BTreeSet::new(),
             timers: BinaryHeap::new(),
+            target_bytes_max: 0,
             total_rate: 0.0,
             total_load_ms: 0.0,
             usage_decayed_at: TimeMs::default(),
--- a/crates/lycheeford-policy/src/planner/observe.rs
+++ b/crates/lycheeford-policy/src/planner/observe.rs
@@ -15,6 +15,7 @@
         let Some(target) = self.targets.get_mut(id) else { return };
         let held = view.replicas.iter().map(|replica| replica.memory_bytes).sum();
         target.used_bytes = view.reserved_bytes.max(held);
+        self.target_bytes_max = self.target_bytes_max.max(view.memory_total_bytes);
         target.memory_total_bytes = view.memory_total_bytes;
         target.accepts_work = view.accepts_work;
         target.blocked = view.blocked;
--- a/crates/lycheeford-policy/src/planner/placement.rs
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -50,14 +50,20 @@
             Some(base) => self.room_beside(entry, base, spec.memory_bytes),
             None => self.room_by_checkpoint(entry, spec.memory_bytes),
         };
-        if let Some(target) = room {
-            return Placement::Room { target, source: entry.source(target) };
-        }
-        match self.cheapest_eviction(now, entry, spec.memory_bytes) {
-            Some(eviction) => {
-                Placement::Evict { target: eviction.target, victim: eviction.first_victim }
+        let room = room.map(|target| (target, entry.source(target)));
+        let room_ms = room.map_or(f64::INFINITY, |(_, source)| self.expected_ms(id, source) as f64);
+        let eviction = self
+            .eviction_candidates(entry, room.is_some())
+            .into_iter()
+            .filter_map(|target| self.eviction(now, id, target, spec.memory_bytes))
+            .filter(|eviction| eviction.cost_ms < room_ms)
+            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
+        match (eviction, room) {
+            (Some(Eviction { target, first_victim: victim, .. }), _) => {
+                Placement::Evict { target, victim }
             }
-            None => Placement::Nowhere,
+            (None, Some((target, source))) => Placement::Room { target, source },
+            (None, None) => Placement::Nowhere,
         }
     }
 
@@ -114,22 +120,21 @@
         (domain_taken, target.free_bytes(), target.running, id)
     }
 
-    fn cheapest_eviction(&self, now: TimeMs, entry: &Entry, need: u64) -> Option<Eviction> {
-        let candidates: Vec<u32> = if let Some(base) = entry.base() {
-            self.base_targets(entry, base).collect()
-        } else {
-            let local = entry.checkpoints.iter().map(|(id, _)| *id);
-            let roomy = self.free.iter().rev().map(|(_, id)| *id).take(CANDIDATES_MAX);
-            local.chain(roomy).filter(|id| entry.replica(*id).is_none()).collect()
-        };
-        candidates
-            .into_iter()
-            .filter_map(|id| self.eviction(now, entry, id, need))
-            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
+    /// Returns the targets on which unloading may be worth its time.
+    ///
+    /// If another target has room, only a local checkpoint can make up for it.
+    fn eviction_candidates(&self, entry: &Entry, has_room: bool) -> Vec<u32> {
+        if let Some(base) = entry.base() {
+            return self.base_targets(entry, base).collect();
+        }
+        let local = entry.checkpoints.iter().map(|(id, _)| *id);
+        let roomy_max = if has_room { 0 } else { CANDIDATES_MAX };
+        let roomy = self.free.iter().rev().map(|(_, id)| *id).take(roomy_max);
+        local.chain(roomy).filter(|id| entry.replica(*id).is_none()).collect()
     }
 
-    fn eviction(&self, now: TimeMs, entry: &Entry, id: u32, need: u64) -> Option<Eviction> {
-        let target = self.targets.get(id)?;
+    fn eviction(&self, now: TimeMs, wanted: u32, id: u32, need: u64) -> Option<Eviction> {
+        let (entry, target) = (self.entries.get(wanted)?, self.targets.get(id)?);
         if !target.takes_orders() || target.memory_total_bytes < need {
             return None;
         }
@@ -143,7 +148,7 @@
             (one.0 / one.2.max(1) as f64).total_cmp(&(other.0 / other.2.max(1) as f64))
         });
         let mut free_bytes = target.free_bytes();
-        let mut cost_ms = entry.load_ms(entry.source(id)) as f64;
+        let mut cost_ms = self.expected_ms(wanted, entry.source(id)) as f64;
         let mut first_victim = None;
         for (value_ms, victim, memory_bytes) in victims {
             if free_bytes >= need {
--- a/crates/lycheeford-policy/src/planner/want.rs
+++ b/crates/lycheeford-policy/src/planner/want.rs
@@ -221,7 +221,7 @@
         }
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         now: TimeMs,
         id: u32,
@@ -256,7 +256,7 @@
         }
     }
 
-    fn expected_ms(&self, id: u32, source: LoadSource) -> u64 {
+    pub(super) fn expected_ms(&self, id: u32, source: LoadSource) -> u64 {
         let Some(entry) = self.entries.get(id) else { return 0 };
         let full_speed_ms = entry.load_ms(source);
         match source {
