--- a/crates/lycheeford-fakes/src/bin/demo-files.rs
+++ b/crates/lycheeford-fakes/src/bin/demo-files.rs
@@ -44,7 +44,11 @@
     write(out, "stand-ins", &stand_ins(&deployment))?;
     write(out, "daemons", &daemons(&deployment, out))?;
     for daemon in &deployment.daemons {
-        write(out, &format!("{}.yaml", daemon.name), &deployment.settings_yaml(daemon))?;
+        write(
+            out,
+            &format!("{}.yaml", daemon.name),
+            &deployment.settings_yaml(daemon, deployment.platform),
+        )?;
     }
     Ok(())
 }
--- a/crates/lycheeford-fakes/src/deployment/mod.rs
+++ b/crates/lycheeford-fakes/src/deployment/mod.rs
@@ -101,8 +101,8 @@
         daemons.chain(engines).chain(services).collect()
     }
 
-    /// Returns a daemon's settings file.
-    pub fn settings_yaml(&self, daemon: &DaemonPlan) -> String {
+    /// Returns a daemon's settings file; `platform` is where it finds the platform.
+    pub fn settings_yaml(&self, daemon: &DaemonPlan, platform: SocketAddr) -> String {
         let loads_per_s = Sizes::of(self.kind).loads_per_s;
         let mut yaml = String::new();
         let fields = [
@@ -111,7 +111,7 @@
             ("caller_address", daemon.caller.to_string()),
             ("peer_address", daemon.peer.to_string()),
             ("operator_address", daemon.operator.to_string()),
-            ("platform_address", self.platform.to_string()),
+            ("platform_address", platform.to_string()),
         ];
         for (field, value) in fields {
             // Writing to a string can't fail.
--- a/crates/lycheeford-fakes/tests/deployment.rs
+++ b/crates/lycheeford-fakes/tests/deployment.rs
@@ -29,8 +29,8 @@
     for case in cases {
         let deployment = Deployment::new(case.kind, 7);
         for daemon in &deployment.daemons {
-            let settings = Settings::from_yaml(&deployment.settings_yaml(daemon), "settings");
-            let settings = settings.unwrap();
+            let yaml = deployment.settings_yaml(daemon, deployment.platform);
+            let settings = Settings::from_yaml(&yaml, "settings").unwrap();
             assert_eq!(settings.host, daemon.name);
             assert_eq!(settings.caller_address, daemon.caller);
         }
