lycheefordd: Add process tests of the whole path, restarts and outages

Support starts real processes on a network of loopback addresses of its own, with relays between daemons, platform and engines that cut or silence links.

--- a/crates/lycheeford-fakes/src/bin/demo-caller.rs
+++ b/crates/lycheeford-fakes/src/bin/demo-caller.rs
@@ -20,6 +20,9 @@
 /// The time within which a change is to be in force everywhere.
 const IN_FORCE_MAX: Duration = Duration::from_secs(7);
 
+/// How long a refused call is sent again.
+const COME_BACK_MAX: Duration = Duration::from_secs(5);
+
 const PAUSE: Duration = Duration::from_millis(20);
 const PROMPT: &str = "Is the lead off the point still open?";
 const ANSWER_TOKENS: u64 = 24;
@@ -151,7 +154,7 @@
 
 async fn complete(daemon: SocketAddr, command: &Once) -> Result<Answer, Whatever> {
     let call = Call::completion(&command.key, &command.model, PROMPT, ANSWER_TOKENS);
-    let answer = call.send(daemon).await.whatever_context("the completion failed")?;
+    let answer = send_again(&call, daemon).await?;
     ensure_whatever!(answer.status == 200, "completion: {} {}", answer.status, answer.body);
     let wanted = expected_text(&command.model, PROMPT, ANSWER_TOKENS);
     let text = answer.streamed_text();
@@ -159,11 +162,29 @@
     Ok(answer)
 }
 
+/// Sends a call, and again when a refusal says when to come back.
+async fn send_again(call: &Call, daemon: SocketAddr) -> Result<Answer, Whatever> {
+    let start = Instant::now();
+    loop {
+        let answer = call.send(daemon).await.whatever_context("the call failed")?;
+        let refusal = &answer.json()["error"];
+        let Some(retry_after_ms) = refusal["retry_after_ms"].as_u64() else {
+            return Ok(answer);
+        };
+        println!("refused, to come back after {retry_after_ms} ms: {}", refusal["message"]);
+        let retry_after = Duration::from_millis(retry_after_ms);
+        if start.elapsed() + retry_after > COME_BACK_MAX {
+            return Ok(answer);
+        }
+        task::sleep(retry_after).await;
+    }
+}
+
 async fn charge(daemon: SocketAddr, key: &str) -> Result<Answer, Whatever> {
     let idempotency_key = format!("demo-{:x}", rand::random::<u64>());
     let call = Call::post("/charges", key, &json!({ "id": idempotency_key, "amount": 12 }))
         .header("idempotency-key", &idempotency_key);
-    let answer = call.send(daemon).await.whatever_context("the service call failed")?;
+    let answer = send_again(&call, daemon).await?;
     ensure_whatever!(answer.status == 200, "service call: {} {}", answer.status, answer.body);
     let ran = answer.json()["id"].as_str() == Some(&idempotency_key);
     ensure_whatever!(ran, "the service answered something else: {}", answer.body);
--- /dev/null
+++ b/crates/lycheefordd/tests/rolling_restart.rs
@@ -0,0 +1,123 @@
+//! Every daemon is restarted in turn while callers keep calling.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::task::{self, JoinHandle};
+use lycheeford_fakes::{Call, expected_text};
+
+use crate::support::{Fleet, PATIENCE};
+
+const CALLERS: usize = 12;
+const MODEL: &str = "model-001";
+const TOKENS: u64 = 60;
+
+/// What the callers saw.
+#[derive(Debug, Default)]
+struct Seen {
+    whole: AtomicU64,
+    /// Refusals that say "not run" and when to come back.
+    refused: AtomicU64,
+    faults: Mutex<Vec<String>>,
+}
+
+/// Calls as callers do: asks for addresses, keeps them for the stated time, connects itself.
+async fn keep_calling(
+    caller: usize,
+    known: Vec<SocketAddr>,
+    key: String,
+    stop: Arc<AtomicBool>,
+    seen: Arc<Seen>,
+) {
+    let mut addresses = known;
+    let mut kept_until = Instant::now();
+    let mut turn = caller;
+    while !stop.load(Ordering::SeqCst) {
+        if Instant::now() >= kept_until {
+            (addresses, kept_until) = ask_for_addresses(&addresses).await;
+        }
+        turn += 1;
+        let address = addresses[turn % addresses.len()];
+        let prompt = format!("caller {caller} turn {turn}");
+        let call = Call::completion(&key, MODEL, &prompt, TOKENS);
+        let started = Instant::now();
+        let fault = match call.send(address).await {
+            Ok(answer) if answer.status == 200 => {
+                let text = answer.streamed_text();
+                if text == Some(expected_text(MODEL, &prompt, TOKENS)) {
+                    seen.whole.fetch_add(1, Ordering::SeqCst);
+                    continue;
+                }
+                format!("not whole: {text:?}")
+            }
+            Ok(answer) if answer.json()["error"]["ran"] == "not_run" => {
+                seen.refused.fetch_add(1, Ordering::SeqCst);
+                let retry_after_ms = answer.json()["error"]["retry_after_ms"].as_u64();
+                task::sleep(Duration::from_millis(retry_after_ms.unwrap_or(100))).await;
+                println!("refused by {address}: {}", answer.body);
+                continue;
+            }
+            Ok(answer) => format!("{} {}", answer.status, answer.body),
+            Err(error) => error.to_string(),
+        };
+        let after = started.elapsed();
+        seen.faults.lock().unwrap().push(format!("{address} after {after:?}: {fault}"));
+    }
+}
+
+/// Returns the addresses that the first daemon to answer gives, and how long to keep them.
+async fn ask_for_addresses(known: &[SocketAddr]) -> (Vec<SocketAddr>, Instant) {
+    for address in known {
+        let asked = Instant::now();
+        let Ok(answer) = Call::get("/v1/addresses").send(*address).await else { continue };
+        let answer = answer.json();
+        let given = answer["addresses"].as_array().cloned().unwrap_or_default();
+        let addresses: Vec<SocketAddr> =
+            given.iter().filter_map(|entry| entry["address"].as_str()?.parse().ok()).collect();
+        if !addresses.is_empty() {
+            let keep = Duration::from_millis(answer["keep_ms"].as_u64().unwrap_or(0));
+            return (addresses, asked + keep);
+        }
+    }
+    panic!("no daemon gave an address");
+}
+
+#[async_std::test]
+async fn a_rolling_restart_cuts_no_request() {
+    let mut fleet = Fleet::start("rolling-restart").await;
+    let known: Vec<SocketAddr> =
+        (0..fleet.daemons.len()).map(|daemon| fleet.caller_address(daemon)).collect();
+    let (stop, seen) = (Arc::new(AtomicBool::new(false)), Arc::new(Seen::default()));
+    let callers: Vec<JoinHandle<()>> = (0..CALLERS)
+        .map(|caller| {
+            let mut known = known.clone();
+            known.rotate_left(caller % 6);
+            let key = fleet.keys[0].clone();
+            task::spawn(keep_calling(caller, known, key, stop.clone(), seen.clone()))
+        })
+        .collect();
+
+    for daemon in 0..fleet.daemons.len() {
+        fleet.daemons[daemon].terminate();
+        let status = fleet.daemons[daemon].ended(PATIENCE).await.expect("the daemon drains");
+        assert!(status.success(), "daemon {daemon} ended with {status}");
+        fleet.daemons[daemon].start();
+        for other in 0..fleet.daemons.len() {
+            fleet.await_daemon(other).await;
+        }
+    }
+
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.await;
+    }
+    let (whole, refused) = (seen.whole.load(Ordering::SeqCst), seen.refused.load(Ordering::SeqCst));
+    println!("{whole} whole, {refused} refused as not run");
+    let faults = seen.faults.lock().unwrap();
+    assert!(faults.is_empty(), "{faults:#?}");
+    assert!(whole > 0);
+}
--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -18,8 +18,7 @@
 use http_types::Method;
 use lycheeford_config::{Document, check, merge};
 use lycheeford_fakes::{
-    Call, Deployment, DeploymentKind, EngineAudit, EnginePlan, PlatformCalls,
-    ServiceRuns,
+    Call, Deployment, DeploymentKind, EngineAudit, EnginePlan, PlatformCalls, ServiceRuns,
 };
 use lycheeford_operator::{ApplyRequest, GrantRequest, OperatorClient};
 use lycheeford_policy::{Host, HostRole};
@@ -71,7 +70,7 @@
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{net}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).expect("the folder for logs can be made");
-        let mut fleet = start_stand_ins(deployment, folder, claim).await;
+        let mut fleet = start_stand_ins(deployment, folder, claim);
         fleet.start_relays(net).await;
         fleet.store_hosts(net).await;
         fleet.start_daemons();
@@ -165,8 +164,7 @@
         for daemon in &self.deployment.daemons {
             let own = vec![daemon.name.to_string()];
             let (platform, peer) = (relayed(net, daemon.caller, 4), relayed(net, daemon.peer, 5));
-            self.platform_relays
-                .push(Relay::start(platform, self.deployment.platform, own).await);
+            self.platform_relays.push(Relay::start(platform, self.deployment.platform, own).await);
             self.peer_relays.push(Relay::start(peer, daemon.peer, names.clone()).await);
         }
         for engine in &self.deployment.engines {
@@ -271,7 +269,7 @@
     }
 }
 
-async fn start_stand_ins(deployment: Deployment, folder: PathBuf, claim: TcpListener) -> Fleet {
+fn start_stand_ins(deployment: Deployment, folder: PathBuf, claim: TcpListener) -> Fleet {
     let start = |name: &str, address: SocketAddr, mut arguments: Vec<String>| {
         arguments.extend(["--listen".to_owned(), address.to_string()]);
         let log = folder.join(format!("{name}-{}.log", address.ip()));
@@ -306,12 +304,17 @@
     }
 }
 
+/// A prompt with this text crashes the engine that runs it.
+pub const CRASH_MARKER: &str = "crash the engine";
+
 fn engine_arguments(engine: &EnginePlan, store: SocketAddr) -> Vec<String> {
     let mut arguments = vec![
         "--memory-bytes".to_owned(),
         engine.memory_bytes.to_string(),
         "--weight-store".to_owned(),
         store.to_string(),
+        "--crash-marker".to_owned(),
+        CRASH_MARKER.to_owned(),
     ];
     if engine.checks_fence {
         arguments.push("--checks-fence".to_owned());
--- a/crates/lycheefordd/tests/support/process.rs
+++ b/crates/lycheefordd/tests/support/process.rs
@@ -45,7 +45,8 @@
         let mut line = String::new();
         let output = child.stdout.take().expect("stdout is piped");
         BufReader::new(output).read_line(&mut line).expect("stdout is readable");
-        assert!(line.starts_with("ready "), "{:?} isn't ready: {line}", self.program);
+        let program = self.program.display();
+        assert!(line.starts_with("ready "), "{program} isn't ready: {line}");
         self.child = Some(child);
     }
 
@@ -88,7 +89,7 @@
 
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
-        let status = self.child.as_mut().map(|child| child.try_wait());
+        let status = self.child.as_mut().map(Child::try_wait);
         matches!(status, Some(Ok(None)))
     }
 
@@ -104,7 +105,7 @@
             .stdout(stdout)
             .stderr(Stdio::from(self.log_file()))
             .spawn();
-        started.unwrap_or_else(|error| panic!("can't start {:?}: {error}", self.program))
+        started.unwrap_or_else(|error| panic!("can't start {}: {error}", self.program.display()))
     }
 
     fn log_file(&self) -> File {
--- a/crates/lycheefordd/tests/support/relay.rs
+++ b/crates/lycheefordd/tests/support/relay.rs
@@ -93,7 +93,8 @@
     }
 
     fn caller_of(&self, first: &[u8]) -> Option<String> {
-        let contains = |name: &&String| first.windows(name.len()).any(|part| part == name.as_bytes());
+        let contains =
+            |name: &&String| first.windows(name.len()).any(|part| part == name.as_bytes());
         self.0.callers.iter().find(contains).cloned()
     }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -107,8 +107,9 @@
 while read -r customer; do
     granted=$("$bin/lycheeford" --daemon "$operator" key grant "$customer") ||
         fail "no key was granted to $customer"
-    key=$(printf '%s\n' "$granted" | tail -n 1)
-    echo "key $customer $key"
+    granted=$(printf '%s\n' "$granted" | tail -n 1)
+    key=${key:-$granted}
+    echo "key $customer $granted"
 done <"$work/customers"
 
 echo "curl -N http://$daemon/v1/completions -H 'authorization: Bearer $key'" \
