lycheefordd: Test keys over cuts, pauses and silent watches

Each test was seen to fail without its mechanism, on a scratch edit: with every configuration taken for fresh, "cut off: daemon 4 isn't configuration_stale" and "the first answer after waking is not_found"; without the time limits of the follower and of the store's client, "silent watches: daemon 0 isn't bad_key".

--- /dev/null
+++ b/crates/lycheefordd/tests/keys.rs
@@ -0,0 +1,108 @@
+//! Withdrawn keys stop working everywhere, whatever is cut or silent.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use lycheeford_fakes::{Call, PlatformFaults, WatchFault};
+use lycheeford_operator::WithdrawRequest;
+use lycheeford_policy::Name;
+
+use crate::support::{Fleet, until};
+
+/// The time within which an accepted change is in force everywhere.
+const IN_FORCE_MAX: Duration = Duration::from_secs(7);
+
+/// What a daemon makes of a key, told by a call that needs no target.
+async fn verdict(fleet: &Fleet, daemon: usize, key: &str) -> String {
+    let call = Call::completion(key, "model-999", "p", 1);
+    let answer = call.send(fleet.caller_address(daemon)).await;
+    answer.expect("a daemon answers").refusal_code()
+}
+
+const GOOD: &str = "not_found";
+const WITHDRAWN: &str = "bad_key";
+const STALE: &str = "configuration_stale";
+
+async fn withdraw(fleet: &Fleet, daemon: usize, key: &str) {
+    let id = key.split('_').nth(1).expect("a key has an id");
+    let request = WithdrawRequest { id: Name::from(id) };
+    fleet.operator(daemon).withdraw_key(&request).await.expect("the key is withdrawn");
+}
+
+/// Waits until each daemon gives the verdict, within the promised time.
+async fn assert_soon(fleet: &Fleet, daemons: &[usize], key: &str, wanted: &str, what: &str) {
+    let start = Instant::now();
+    for daemon in daemons {
+        while verdict(fleet, *daemon, key).await != wanted {
+            assert!(start.elapsed() < IN_FORCE_MAX, "{what}: daemon {daemon} isn't {wanted}");
+            task::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    println!("{what}: {wanted} everywhere after {} ms", start.elapsed().as_millis());
+}
+
+#[async_std::test]
+async fn a_withdrawn_key_stops_working() {
+    struct Case {
+        name: &'static str,
+        faults: PlatformFaults,
+    }
+    let cases = [
+        Case { name: "no fault", faults: PlatformFaults::default() },
+        Case {
+            name: "silent watches",
+            faults: PlatformFaults { watches: WatchFault::Silent, ..PlatformFaults::default() },
+        },
+        Case {
+            name: "slow store",
+            faults: PlatformFaults { answer_delay_ms: 300, ..PlatformFaults::default() },
+        },
+    ];
+    let fleet = Fleet::start("withdrawn-key").await;
+    let all: Vec<usize> = (0..fleet.daemons.len()).collect();
+    for (index, case) in cases.into_iter().enumerate() {
+        let key = &fleet.keys[index];
+        for daemon in &all {
+            assert_eq!(verdict(&fleet, *daemon, key).await, GOOD, "{}", case.name);
+        }
+        fleet.set_faults(fleet.deployment.platform, &case.faults).await;
+        withdraw(&fleet, index, key).await;
+        assert_soon(&fleet, &all, key, WITHDRAWN, case.name).await;
+        fleet.set_faults(fleet.deployment.platform, &PlatformFaults::default()).await;
+    }
+    let untouched = &fleet.keys[4];
+    assert_soon(&fleet, &all, untouched, GOOD, "another key").await;
+}
+
+#[async_std::test]
+async fn a_daemon_cut_off_refuses_keys_until_it_is_back() {
+    let fleet = Fleet::start("cut-off").await;
+    let (key, lost) = (&fleet.keys[0], 4);
+    let others: Vec<usize> = (0..fleet.daemons.len()).filter(|other| *other != lost).collect();
+    assert_eq!(verdict(&fleet, lost, key).await, GOOD);
+    fleet.isolate(lost);
+    withdraw(&fleet, 0, key).await;
+    assert_soon(&fleet, &[lost], key, STALE, "cut off").await;
+    assert_soon(&fleet, &others, key, WITHDRAWN, "the others").await;
+    let untouched = &fleet.keys[1];
+    assert_soon(&fleet, &others, untouched, GOOD, "another key at the others").await;
+    fleet.mend(lost);
+    until("the daemon is back", async || verdict(&fleet, lost, untouched).await == GOOD).await;
+    assert_eq!(verdict(&fleet, lost, key).await, WITHDRAWN);
+}
+
+#[async_std::test]
+async fn a_paused_daemon_takes_no_withdrawn_key_on_waking() {
+    let fleet = Fleet::start("paused").await;
+    let (key, paused) = (&fleet.keys[0], 3);
+    assert_eq!(verdict(&fleet, paused, key).await, GOOD);
+    fleet.daemons[paused].pause();
+    withdraw(&fleet, 0, key).await;
+    task::sleep(IN_FORCE_MAX).await;
+    fleet.daemons[paused].resume();
+    let first = verdict(&fleet, paused, key).await;
+    assert!(first == WITHDRAWN || first == STALE, "the first answer after waking is {first}");
+    assert_soon(&fleet, &[paused], key, WITHDRAWN, "after waking").await;
+}
