Make the stand-ins' log files before the demonstration waits on them

Cause: the loop that waits expanded its pattern before the background shells had made the files, so it waited for a file called *.log. Seen once at the first run; after the change the daemons start and the configuration is applied.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,6 +63,7 @@
 
 while read -r role url program arguments; do
     log="$work/$role-${url##*/}.log"
+    : >"$log"
     # The arguments are separate words.
     "$bin/$program" $arguments >"$log" 2>&1 &
     stand_ins="$stand_ins $!"
