--- a/crates/lycheeford-fakes/src/platform/faults.rs
+++ b/crates/lycheeford-fakes/src/platform/faults.rs
@@ -12,6 +12,8 @@
     pub lose_answers: LostWrites,
     /// The writes that take no effect and get no answer.
     pub lose_requests: LostWrites,
+    /// What befalls every call once the next write of a `head` has been answered.
+    pub after_head: CallFault,
     /// How far the list of hosts lags.
     pub host_list_lag_ms: u64,
     /// How many revisions every read lags.
--- a/crates/lycheeford-fakes/src/platform/mod.rs
+++ b/crates/lycheeford-fakes/src/platform/mod.rs
@@ -239,7 +239,7 @@
             return error_reply(StatusCode::BadRequest, "if-match is not a version");
         };
         let write = |table: &mut ObjectTable| table.put(kind, name, value, condition);
-        match self.write(write).await? {
+        match self.write(kind, write).await? {
             Ok(version) => json_reply(
                 StatusCode::Ok,
                 &json!({ "kind": kind, "name": name, "version": version }),
@@ -258,7 +258,7 @@
         let Some(condition) = condition(request) else {
             return error_reply(StatusCode::BadRequest, "if-match is not a version");
         };
-        match self.write(|table| table.delete(kind, name, condition)).await? {
+        match self.write(kind, |table| table.delete(kind, name, condition)).await? {
             Ok(_) => Ok(Response::new(StatusCode::NoContent)),
             Err(error) => refuse_write(error),
         }
@@ -266,6 +266,7 @@
 
     async fn write(
         &self,
+        kind: &str,
         write: impl FnOnce(&mut ObjectTable) -> Result<u64, PutError>,
     ) -> http_types::Result<Result<u64, PutError>> {
         let mut state = self.state.lock().await;
@@ -274,6 +275,9 @@
             return Err(dropped());
         }
         let written = write(&mut state.table);
+        if kind == "head" && state.faults.after_head != CallFault::None {
+            state.faults.calls = std::mem::take(&mut state.faults.after_head);
+        }
         drop(state);
         self.changed.notify_all();
         match fate {
@@ -294,6 +298,14 @@
                 pending::<()>().await;
                 return Err(dropped());
             }
+            match state.faults.calls {
+                CallFault::None => {}
+                CallFault::Stall => {
+                    state = self.changed.wait(state).await;
+                    continue;
+                }
+                CallFault::Refuse | CallFault::Reset => return Err(dropped()),
+            }
             if !state.table.keeps_after(after) {
                 return error_reply(StatusCode::Gone, "watch too old");
             }
