--- /dev/null
+++ b/crates/lycheeford-caller/src/stream.rs
@@ -0,0 +1,135 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+
+use async_std::channel::{self, Receiver, Sender};
+use futures_util::io::{AsyncBufRead, AsyncRead};
+use futures_util::stream::Stream;
+use snafu::Snafu;
+
+/// Chunks that may wait for a slow caller; the sender waits when they are full.
+const QUEUED_CHUNKS_MAX: usize = 4;
+
+/// Returns the two ends of a streamed body.
+///
+/// The body ends cleanly only by [`ChunkSender::finish`]; a sender that is
+/// dropped otherwise cuts the connection, so that the caller never takes a
+/// part of an answer for the whole.
+pub fn chunk_channel() -> (ChunkSender, ChunkReceiver) {
+    let (chunk_sender, chunk_receiver) = channel::bounded(QUEUED_CHUNKS_MAX);
+    let (guard, hang_up) = channel::bounded(1);
+    let finished = Arc::new(AtomicBool::new(false));
+    let sender = ChunkSender { chunks: chunk_sender, finished: Arc::clone(&finished), hang_up };
+    let receiver = ChunkReceiver {
+        chunks: chunk_receiver,
+        finished,
+        chunk: Vec::new(),
+        read_bytes: 0,
+        _guard: guard,
+    };
+    (sender, receiver)
+}
+
+/// The end of a streamed body that the handler writes to.
+#[derive(Debug)]
+pub struct ChunkSender {
+    chunks: Sender<Vec<u8>>,
+    finished: Arc<AtomicBool>,
+    hang_up: Receiver<()>,
+}
+
+impl ChunkSender {
+    /// Sends a chunk, waiting while the caller reads slowly.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller hung up or its connection failed.
+    pub async fn send(&self, chunk: Vec<u8>) -> Result<(), HungUp> {
+        if chunk.is_empty() {
+            return Ok(());
+        }
+        self.chunks.send(chunk).await.map_err(|_| HungUp)
+    }
+
+    /// Waits until the caller hung up or its connection failed.
+    ///
+    /// A handler that waits for a target races this against the wait, so that
+    /// a hang-up cancels the work at once rather than at the next chunk.
+    pub async fn hung_up(&self) {
+        let _ = self.hang_up.recv().await;
+    }
+
+    /// Ends the body cleanly.
+    pub fn finish(self) {
+        self.finished.store(true, Ordering::Release);
+    }
+
+    /// Cuts the connection, so that the caller sees a truncated body.
+    pub fn fail(self) {}
+}
+
+/// The end of a streamed body that the server reads from.
+///
+/// It reads one chunk at a time, so that the first one goes out at once
+/// instead of waiting for a buffer to fill.
+#[derive(Debug)]
+pub struct ChunkReceiver {
+    chunks: Receiver<Vec<u8>>,
+    finished: Arc<AtomicBool>,
+    chunk: Vec<u8>,
+    read_bytes: usize,
+    _guard: Sender<()>,
+}
+
+impl ChunkReceiver {
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.read_bytes == self.chunk.len() {
+            match ready!(Pin::new(&mut self.chunks).poll_next(context)) {
+                Some(chunk) => {
+                    self.chunk = chunk;
+                    self.read_bytes = 0;
+                }
+                None if self.finished.load(Ordering::Acquire) => break,
+                None => return Poll::Ready(Err(io::Error::other(Aborted))),
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncBufRead for ChunkReceiver {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let receiver = self.get_mut();
+        ready!(receiver.poll_chunk(context))?;
+        Poll::Ready(Ok(&receiver.chunk[receiver.read_bytes..]))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, length_bytes: usize) {
+        self.read_bytes += length_bytes;
+    }
+}
+
+impl AsyncRead for ChunkReceiver {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(context))?;
+        let length_bytes = available.len().min(buffer.len());
+        buffer[..length_bytes].copy_from_slice(&available[..length_bytes]);
+        self.consume(length_bytes);
+        Poll::Ready(Ok(length_bytes))
+    }
+}
+
+/// The caller hung up.
+#[derive(Debug, Snafu)]
+#[snafu(display("the caller hung up; cancel the work for it"))]
+pub struct HungUp;
+
+#[derive(Debug, Snafu)]
+#[snafu(display("the answer was given up before its end; send the request again"))]
+struct Aborted;
