--- a/crates/lycheeford-policy/benches/deployments/report.rs
+++ b/crates/lycheeford-policy/benches/deployments/report.rs
@@ -32,8 +32,10 @@
 impl Report {
     pub fn new(deployment: Deployment, seed: u64) -> Report {
         let trace = Trace::new(deployment, seed);
-        let planned = run(&trace, Policy::Planned);
-        let baseline = run(&trace, Policy::Baseline);
+        let (planned, baseline) = std::thread::scope(|scope| {
+            let baseline = scope.spawn(|| run(&trace, Policy::Baseline));
+            (run(&trace, Policy::Planned), baseline.join().expect("the simulation ends"))
+        });
         Report { deployment, seed, planned, baseline }
     }
 
@@ -51,11 +53,11 @@
         }
     }
 
-    fn cold_start_ratio(&self) -> f64 {
+    pub fn cold_start_ratio(&self) -> f64 {
         self.planned.cold_ms[1] as f64 / self.planned.cold_oracle_ms[1].max(1) as f64
     }
 
-    fn idle_ratio(&self) -> f64 {
+    pub fn idle_ratio(&self) -> f64 {
         self.planned.idle_hours / self.baseline.idle_hours.max(f64::MIN_POSITIVE)
     }
 }
