Choose a target in time that doesn't grow with the fleet

The router scanned all replicas of a name and kept prefixes by target. It now compares two random replicas and finds the target of a prefix in one bounded table of two generations. The bench of decisions also measures planner, fair queue and state sizes.

--- /dev/null
+++ b/crates/lycheeford-policy/benches/decisions.rs
@@ -0,0 +1,265 @@
+//! Time of a decision and size of the state against the size of the fleet.
+//!
+//! `cargo bench -p lycheeford-policy --bench decisions` prints both; the
+//! sizes come from the resident set of the process. docs/CAPACITY.md cites
+//! the figures.
+
+use std::fs;
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion};
+use lycheeford_policy::{
+    Activity, Adapter, CheckpointPlace, Configuration, Customer, Demand, DemandReport, FairQueue,
+    LoadLimits, Model, Name, Planner, QueuedRequest, Readiness, ReplicaState, ReplicaView, Router,
+    TargetView, TimeMs,
+};
+
+const NOW: TimeMs = TimeMs::from_ms(1_000_000);
+const MODELS: usize = 240;
+/// The model without a replica; some targets have its checkpoint.
+const COLD_MODEL: usize = MODELS - 1;
+const ADAPTERS: usize = 17_000;
+const TARGETS: [usize; 3] = [100, 1_000, 2_600];
+const TARGET_MEMORY_BYTES: u64 = 80_000_000_000;
+const MODEL_BYTES: u64 = 20_000_000_000;
+const PAGE_BYTES: u64 = 4_096;
+
+fn main() {
+    state_sizes();
+    let mut criterion = Criterion::default().configure_from_args().sample_size(30);
+    planner(&mut criterion);
+    router(&mut criterion);
+    fair_queue(&mut criterion);
+    criterion.final_summary();
+}
+
+fn model_name(index: usize) -> Name {
+    Name::from(format!("model-{index:03}"))
+}
+
+fn adapter_name(index: usize) -> Name {
+    Name::from(format!("adapter-{index:05}"))
+}
+
+fn target_name(index: usize) -> Name {
+    Name::from(format!("target-{index:04}"))
+}
+
+fn configuration(adapters: usize) -> Configuration {
+    let model = |index: usize| Model {
+        name: model_name(index),
+        memory_bytes: MODEL_BYTES,
+        replicas_max: 30,
+        load_remote_ms: 500,
+        load_disk_ms: 200,
+        min_bytes_per_token: 1,
+        customers: Vec::new(),
+    };
+    let adapter = |index: usize| Adapter {
+        name: adapter_name(index),
+        model: model_name(index % MODELS),
+        memory_bytes: 200_000_000,
+        customers: Vec::new(),
+    };
+    let customer = |index: usize| Customer {
+        name: Name::from(format!("customer-{index}")),
+        rate_tokens_per_s: 1_000,
+        burst_tokens: 10_000,
+        class: 0,
+    };
+    Configuration {
+        models: (0..MODELS).map(model).collect(),
+        adapters: (0..adapters).map(adapter).collect(),
+        customers: (0..100).map(customer).collect(),
+        ..Configuration::default()
+    }
+}
+
+/// Each target has one model ready, five of its adapters and two checkpoints.
+fn view(index: usize, adapters: usize) -> TargetView {
+    let model = index % (MODELS - 1);
+    let replica =
+        |name, memory_bytes| ReplicaView { name, state: ReplicaState::Ready, memory_bytes };
+    let own = (model..adapters).step_by(MODELS).skip(index / MODELS).take(5);
+    let mut replicas = vec![replica(model_name(model), MODEL_BYTES)];
+    replicas.extend(own.map(|adapter| replica(adapter_name(adapter), 200_000_000)));
+    TargetView {
+        name: target_name(index),
+        failure_domain: Name::from(format!("domain-{}", index % 4)),
+        accepts_work: true,
+        memory_total_bytes: TARGET_MEMORY_BYTES,
+        reserved_bytes: 0,
+        blocked: false,
+        replicas,
+        checkpoints: vec![
+            (model_name(model), CheckpointPlace::Disk),
+            (model_name(if model == 0 { COLD_MODEL } else { model - 1 }), CheckpointPlace::Disk),
+        ],
+        running: 3,
+    }
+}
+
+fn new_planner(targets: usize, adapters: usize) -> Planner {
+    let mut planner = Planner::new(LoadLimits::default());
+    planner.configure(&configuration(adapters));
+    for index in 0..targets {
+        planner.observe_target(NOW, view(index, adapters));
+    }
+    planner.plan(NOW);
+    planner
+}
+
+fn wake_up(planner: &mut Planner, name: &Name) {
+    let host = Name::from("host-0");
+    let demand = Demand {
+        name: name.clone(),
+        customer: Name::from("customer-3"),
+        class: 0,
+        waiting: 1,
+        deadline_in_ms: 5_000,
+        waited_ms: 0,
+    };
+    let report = |demands| DemandReport { host: host.clone(), demands, activity: Vec::new() };
+    planner.report_demand(NOW, report(vec![demand]));
+    let actions = planner.plan(NOW);
+    for action in black_box(actions) {
+        if let lycheeford_policy::PlanAction::Load { name, target, .. } = action {
+            planner.abandon(&name, &target);
+        }
+    }
+    planner.report_demand(NOW, report(Vec::new()));
+}
+
+fn planner(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("planner");
+    for targets in TARGETS {
+        let mut planner = new_planner(targets, ADAPTERS);
+        group.bench_function(BenchmarkId::new("steady_plan", targets), |bencher| {
+            bencher.iter(|| black_box(planner.plan(NOW)));
+        });
+        let cold_model = model_name(COLD_MODEL);
+        group.bench_function(BenchmarkId::new("model_wakes_up", targets), |bencher| {
+            bencher.iter(|| wake_up(&mut planner, &cold_model));
+        });
+        let cold_adapter = adapter_name(ADAPTERS - MODELS);
+        group.bench_function(BenchmarkId::new("adapter_wakes_up", targets), |bencher| {
+            bencher.iter(|| wake_up(&mut planner, &cold_adapter));
+        });
+        let view = view(targets / 2, ADAPTERS);
+        group.bench_function(BenchmarkId::new("observe_target", targets), |bencher| {
+            bencher.iter(|| planner.observe_target(NOW, view.clone()));
+        });
+        let activity = |index: usize| Activity { name: model_name(index), served: 8, running: 8 };
+        let report = DemandReport {
+            host: Name::from("host-1"),
+            demands: Vec::new(),
+            activity: (0..100).map(activity).collect(),
+        };
+        group.bench_function(BenchmarkId::new("report_of_100_names", targets), |bencher| {
+            bencher.iter(|| planner.report_demand(NOW, report.clone()));
+        });
+    }
+    for adapters in [1_000, 4_000, 17_000] {
+        let mut planner = new_planner(2_600, adapters);
+        let cold_adapter = adapter_name(adapters - MODELS);
+        group.bench_function(BenchmarkId::new("adapter_of", adapters), |bencher| {
+            bencher.iter(|| wake_up(&mut planner, &cold_adapter));
+        });
+    }
+    group.finish();
+}
+
+fn new_router(targets: usize) -> Router {
+    let mut router = Router::with_seed(1);
+    for index in 0..targets {
+        let view = view(index, ADAPTERS);
+        for replica in &view.replicas {
+            router.set_replica(&replica.name, &view.name);
+        }
+        router.observe_load(NOW, &view.name, 3, 0);
+    }
+    router
+}
+
+fn router(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("router");
+    for targets in TARGETS {
+        let mut router = new_router(targets);
+        let name = model_name(5);
+        group.bench_function(BenchmarkId::new("choose", targets), |bencher| {
+            let mut prefix = 0;
+            bencher.iter(|| {
+                prefix = (prefix + 1) % 100;
+                let target = router.choose(NOW, &name, &[prefix, 1_000 + prefix], &[]);
+                let target = target.expect("a replica");
+                router.started(&target);
+                router.finished(&target);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn queued(index: usize) -> QueuedRequest<usize> {
+    QueuedRequest {
+        name: model_name(index % MODELS),
+        customer: Name::from(format!("customer-{}", index % 20)),
+        deadline: NOW + 1_000 + index as u64 % 5_000,
+        cost_tokens: 500,
+        payload: index,
+    }
+}
+
+fn fair_queue(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("fair_queue");
+    for waiting in [100, 1_000, 10_000] {
+        let mut queue = FairQueue::new();
+        queue.configure(&configuration(0));
+        for index in 0..waiting {
+            queue.push(NOW, queued(index));
+        }
+        let request = queued(3);
+        group.bench_function(BenchmarkId::new("push_and_pop", waiting), |bencher| {
+            bencher.iter(|| {
+                queue.push(NOW, request.clone());
+                black_box(queue.pop(NOW, &request.name))
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Prints the memory that each state takes; every state stays alive until the end.
+fn state_sizes() {
+    let mut kept = Vec::new();
+    for (targets, adapters) in [(0, 1_000), (0, 17_000), (100, 17_000), (2_600, 17_000)] {
+        let before = resident_bytes();
+        kept.push(new_planner(targets, adapters));
+        let used = resident_bytes().saturating_sub(before);
+        println!("planner: {targets} targets, {adapters} adapters: {used} bytes");
+    }
+    let mut routers = Vec::new();
+    for targets in TARGETS {
+        let before = resident_bytes();
+        let mut router = new_router(targets);
+        for request in 0..200_000u64 {
+            let name = model_name(request as usize % (MODELS - 1));
+            router.choose(NOW, &name, &[request, request + 1], &[]);
+        }
+        routers.push(router);
+        let used = resident_bytes().saturating_sub(before);
+        println!("router: {targets} targets, caches of prefixes filled: {used} bytes");
+    }
+    let before = resident_bytes();
+    let mut readiness = Readiness::new();
+    readiness.configure(&configuration(ADAPTERS));
+    let used = resident_bytes().saturating_sub(before);
+    println!("readiness: {ADAPTERS} adapters: {used} bytes");
+    black_box((kept, routers, readiness));
+}
+
+fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -38,6 +38,7 @@
 mod name;
 mod name_table;
 mod planner;
+mod prefix_cache;
 mod rate_share;
 mod readiness;
 mod refusal;
--- a/crates/lycheeford-policy/src/router.rs
+++ b/crates/lycheeford-policy/src/router.rs
@@ -1,12 +1,13 @@
+use std::borrow::Cow;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::name_table::NameTable;
+use crate::prefix_cache::PrefixCache;
 use crate::{Name, TimeMs};
 
 /// Spreads small seeds over the whole range.
 const SEED_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
-/// Remembered prefixes of a target.
-const PREFIXES_PER_TARGET: usize = 512;
 /// How long a reported load counts.
 const LOAD_FRESH_MS: u64 = 5_000;
 /// By how much a target with the prefix may exceed the least load, beside a quarter.
@@ -15,14 +16,15 @@
 /// Chooses the target that serves a request.
 ///
 /// Engines report their load late, so the router adds what it has itself
-/// started since the report. A target that served a prompt's prefix before
-/// keeps its cache warm and is preferred while it isn't much busier than the
-/// least loaded one; among the others the better of two wins, so that hosts
-/// with the same late reports don't all pick the same target.
+/// started since the report. The better of two random replicas wins, so that
+/// hosts with the same late reports don't all pick the same target. The target
+/// that served the longest prefix of the prompt has it cached and is preferred
+/// while it isn't much busier.
 #[derive(Debug, Default)]
 pub struct Router {
     names: NameTable<Vec<u32>>,
     targets: NameTable<RoutedTarget>,
+    prefixes: PrefixCache,
     choices: u64,
 }
 
@@ -32,14 +34,6 @@
     started_since_report: u32,
     reported: u32,
     reported_at: TimeMs,
-    prefixes: Vec<PrefixUse>,
-    uses: u32,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct PrefixUse {
-    hash: u64,
-    last_use: u32,
 }
 
 impl Router {
@@ -109,18 +103,15 @@
         excluded: &[Name],
     ) -> Option<Name> {
         self.choices = self.choices.wrapping_add(1);
-        let replicas = self.names.get(self.names.find(name)?)?;
-        let usable: Vec<u32> = replicas
-            .iter()
-            .copied()
-            .filter(|id| self.targets.name(*id).is_some_and(|name| !excluded.contains(name)))
-            .collect();
-        let least = usable.iter().map(|id| self.load(now, *id)).min()?;
-        let chosen = self
-            .cached(now, &usable, prompt_prefix_hashes, least)
-            .unwrap_or_else(|| self.better_of_two(now, &usable));
-        if let Some(target) = self.targets.get_mut(chosen) {
-            target.remember(prompt_prefix_hashes);
+        let mut replicas = Cow::from(self.names.get(self.names.find(name)?)?.as_slice());
+        if !excluded.is_empty() {
+            let is_excluded = |id| self.targets.name(id).is_none_or(|name| excluded.contains(name));
+            replicas.to_mut().retain(|id| !is_excluded(*id));
+        }
+        let other = self.better_of_two(now, &replicas)?;
+        let chosen = self.cached(now, &replicas, prompt_prefix_hashes, other).unwrap_or(other);
+        for hash in prompt_prefix_hashes {
+            self.prefixes.insert(*hash, chosen);
         }
         self.targets.name(chosen).cloned()
     }
@@ -157,62 +148,27 @@
         target.running_here.max(target.reported.saturating_add(target.started_since_report))
     }
 
-    fn cached(&self, now: TimeMs, usable: &[u32], hashes: &[u64], least: u32) -> Option<u32> {
+    /// Returns the replica that served the longest prefix, unless it is much busier than `other`.
+    fn cached(&self, now: TimeMs, replicas: &[u32], hashes: &[u64], other: u32) -> Option<u32> {
+        let least = self.load(now, other);
         let limit = least + least / 4 + AFFINITY_SLACK_REQUESTS;
-        usable
+        hashes
             .iter()
-            .copied()
-            .filter(|id| self.load(now, *id) <= limit)
-            .map(|id| (self.targets.get(id).map_or(0, |target| target.longest(hashes)), id))
-            .filter(|(length, _)| *length > 0)
-            .max_by_key(|(length, id)| (*length, std::cmp::Reverse(*id)))
-            .map(|(_, id)| id)
+            .rev()
+            .filter_map(|hash| self.prefixes.target(*hash))
+            .filter(|id| replicas.binary_search(id).is_ok())
+            .find(|id| self.load(now, *id) <= limit)
     }
 
-    fn better_of_two(&self, now: TimeMs, usable: &[u32]) -> u32 {
-        let pick = |salt: u64| {
-            let hash = xxh3_64_with_seed(&self.choices.to_le_bytes(), salt);
-            (hash % usable.len() as u64) as usize
-        };
-        let first = pick(1);
-        let mut second = pick(2);
-        if first == second {
-            second = (second + 1) % usable.len();
+    fn better_of_two(&self, now: TimeMs, replicas: &[u32]) -> Option<u32> {
+        let len = replicas.len() as u64;
+        if len == 0 {
+            return None;
         }
-        let (first, second) = (usable[first], usable[second]);
-        if self.load(now, second) < self.load(now, first) { second } else { first }
-    }
-}
-
-impl RoutedTarget {
-    fn longest(&self, hashes: &[u64]) -> usize {
-        hashes.iter().rposition(|hash| self.find(*hash).is_ok()).map_or(0, |index| index + 1)
-    }
-
-    fn find(&self, hash: u64) -> Result<usize, usize> {
-        self.prefixes.binary_search_by_key(&hash, |prefix| prefix.hash)
-    }
-
-    fn remember(&mut self, hashes: &[u64]) {
-        for &hash in hashes {
-            self.uses = self.uses.wrapping_add(1);
-            match self.find(hash) {
-                Ok(index) => self.prefixes[index].last_use = self.uses,
-                Err(index) => {
-                    self.prefixes.insert(index, PrefixUse { hash, last_use: self.uses });
-                }
-            }
-        }
-        if self.prefixes.len() > PREFIXES_PER_TARGET {
-            self.forget_older_half();
-        }
-    }
-
-    fn forget_older_half(&mut self) {
-        let mut uses: Vec<u32> = self.prefixes.iter().map(|prefix| prefix.last_use).collect();
-        let middle = uses.len() / 2;
-        let (_, median, _) = uses.select_nth_unstable(middle);
-        let median = *median;
-        self.prefixes.retain(|prefix| prefix.last_use >= median);
+        let hash = xxh3_64_with_seed(&self.choices.to_le_bytes(), 0);
+        let first = hash % len;
+        let second = (first + 1 + (hash >> 32) % (len - 1).max(1)) % len;
+        let (first, second) = (replicas[first as usize], replicas[second as usize]);
+        Some(if self.load(now, second) < self.load(now, first) { second } else { first })
     }
 }
