Skip evictions and waits where a local checkpoint has room, and bound the candidates

A load beside its base or from a local checkpoint with room can't get faster by unloading. The baseline no longer loads a model twice while its order is on its way.

--- a/crates/lycheeford-policy/benches/deployments/baseline.rs
+++ b/crates/lycheeford-policy/benches/deployments/baseline.rs
@@ -6,14 +6,25 @@
 use crate::workload::{TARGET_MEMORY_BYTES, Trace};
 
 /// Decides for the waiting entries in the order of their first requests.
-pub fn plan(trace: &Trace, targets: &[Target], waiting: &[usize]) -> Vec<PlanAction> {
+pub fn plan(
+    trace: &Trace,
+    targets: &[Target],
+    waiting: &[usize],
+    ordered: &[usize],
+) -> Vec<PlanAction> {
     let mut taken: Vec<usize> = Vec::new();
     let mut actions = Vec::new();
     for &entry in waiting {
+        if ordered.contains(&entry) {
+            continue;
+        }
         let base = trace.base(entry);
         if let Some(base) = base
             && !targets.iter().any(|target| target.is_ready(base))
         {
+            if ordered.contains(&base) {
+                continue;
+            }
             actions.extend(step(trace, targets, base, None, &mut taken));
             continue;
         }
--- a/crates/lycheeford-policy/benches/deployments/simulation.rs
+++ b/crates/lycheeford-policy/benches/deployments/simulation.rs
@@ -82,6 +82,8 @@
     cold: Vec<Option<Wakeup>>,
     plan_at_ms: u64,
     is_platform_down: bool,
+    /// Loads whose orders are on their way.
+    ordered: Vec<usize>,
     counts: Counts,
 }
 
@@ -114,6 +116,7 @@
             cold: vec![None; trace.requests.len()],
             plan_at_ms: 0,
             is_platform_down: false,
+            ordered: Vec::new(),
             counts: Counts { loads: vec![0; names], ..Counts::default() },
         };
         for target in 0..simulation.targets.len() {
@@ -370,7 +373,9 @@
         }
         let actions = match self.policy {
             Policy::Planned => self.planner.plan(self.now()),
-            Policy::Baseline => baseline::plan(self.trace, &self.targets, &self.waiting()),
+            Policy::Baseline => {
+                baseline::plan(self.trace, &self.targets, &self.waiting(), &self.ordered)
+            }
         };
         let mut next_ms = REPORT_PERIOD_MS;
         for action in actions {
@@ -400,6 +405,7 @@
         match action {
             PlanAction::Load { name, target, .. } => {
                 let Some((target, generation, entry)) = self.order(&target, &name) else { return };
+                self.ordered.push(entry);
                 self.schedule(ORDER_MS, Event::StartLoad { target, generation, entry });
             }
             PlanAction::Unload { name, target } => {
@@ -432,6 +438,7 @@
     }
 
     fn start_load(&mut self, target: usize, generation: u64, entry: usize) {
+        self.ordered.retain(|ordered| *ordered != entry);
         if !self.begin_order(target, generation, entry) {
             return;
         }
--- a/crates/lycheeford-policy/src/planner/placement.rs
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -55,6 +55,11 @@
             None => self.room_for_model(entry, spec.memory_bytes),
         };
         let room = room.map(|target| (target, entry.source(target)));
+        if let Some((target, source)) = room
+            && source != LoadSource::Remote
+        {
+            return Placement::Room { target, source };
+        }
         let room_ms = room.map_or(u64::MAX, |(_, source)| self.expected_ms(id, source));
         let eviction = self
             .eviction_candidates(entry, room.is_some())
@@ -80,10 +85,10 @@
     /// Returns the time to ready on the best busy target with a checkpoint or the base.
     fn wait_ms(&self, now: TimeMs, id: u32, entry: &Entry, memory_bytes: u64) -> Option<u64> {
         let bases = entry.base().and_then(|base| self.entries.get(base));
-        let beside = bases.into_iter().flat_map(|base| &base.replicas);
+        let beside = bases.into_iter().flat_map(|base| base.replicas.iter().take(CANDIDATES_MAX));
         let beside = beside.filter(|replica| replica.phase == Phase::Ready);
         let beside = beside.map(|replica| replica.target);
-        let local = entry.checkpoints.iter().map(|(target, _)| *target);
+        let local = entry.checkpoints.iter().take(CANDIDATES_MAX).map(|(target, _)| *target);
         beside
             .chain(local)
             .filter(|target| entry.replica(*target).is_none())
@@ -131,6 +136,7 @@
         replicas
             .iter()
             .filter(|replica| replica.phase == Phase::Ready)
+            .take(CANDIDATES_MAX)
             .map(|replica| replica.target)
             .filter(|id| self.targets.get(*id).is_some_and(Target::takes_orders))
             .filter(|id| entry.replica(*id).is_none())
@@ -140,6 +146,7 @@
         let local = entry
             .checkpoints
             .iter()
+            .take(CANDIDATES_MAX)
             .filter_map(|(target, place)| Some((*target, *place, self.targets.get(*target)?)))
             .filter(|(_, _, target)| target.takes_orders() && target.free_bytes() >= memory_bytes)
             .filter(|(target, _, _)| entry.replica(*target).is_none())
@@ -172,7 +179,7 @@
         if let Some(base) = entry.base() {
             return self.base_targets(entry, base).collect();
         }
-        let local = entry.checkpoints.iter().map(|(id, _)| *id);
+        let local = entry.checkpoints.iter().take(CANDIDATES_MAX).map(|(id, _)| *id);
         let roomy_max = if has_room { 0 } else { CANDIDATES_MAX };
         let roomy = self.free.iter().rev().map(|(_, id)| *id).take(roomy_max);
         local.chain(roomy).filter(|id| entry.replica(*id).is_none()).collect()
