Place remote loads where the most memory is free

The smallest sufficient gap packed targets so tightly that the local checkpoint of the next load had no room beside it.

--- a/crates/lycheeford-policy/src/planner/placement.rs
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -39,8 +39,9 @@
     /// Chooses where to load an entry.
     ///
     /// The place of the checkpoint goes first, since it decides how long the
-    /// load takes. Among the others the smallest sufficient gap keeps large
-    /// gaps for large models, a failure domain without the model goes first.
+    /// load takes. Among the others a failure domain without the model goes
+    /// first, then the target with the most free memory: what is loaded there
+    /// leaves its checkpoint where the next load is likely to find room.
     pub(super) fn place(&self, now: TimeMs, id: u32) -> Placement {
         let Some(entry) = self.entries.get(id) else { return Placement::Nowhere };
         let Some(spec) = entry.spec else { return Placement::Nowhere };
@@ -155,6 +156,7 @@
         local.or_else(|| {
             self.free
                 .range((memory_bytes, 0)..)
+                .rev()
                 .map(|(_, target)| *target)
                 .filter(|target| entry.replica(*target).is_none())
                 .take(CANDIDATES_MAX)
@@ -162,14 +164,14 @@
         })
     }
 
-    fn remote_rank(&self, entry: &Entry, id: u32) -> (bool, u64, u32, u32) {
-        let Some(target) = self.targets.get(id) else { return (true, u64::MAX, u32::MAX, id) };
+    fn remote_rank(&self, entry: &Entry, id: u32) -> (bool, Reverse<u64>, u32, u32) {
+        let Some(target) = self.targets.get(id) else { return (true, Reverse(0), u32::MAX, id) };
         let domain_taken = entry
             .replicas
             .iter()
             .filter_map(|replica| self.targets.get(replica.target))
             .any(|other| other.failure_domain == target.failure_domain);
-        (domain_taken, target.free_bytes(), target.running, id)
+        (domain_taken, Reverse(target.free_bytes()), target.running, id)
     }
 
     /// Returns the targets on which unloading may be worth its time.
