--- a/crates/lycheeford-policy/benches/deployments/main.rs
+++ b/crates/lycheeford-policy/benches/deployments/main.rs
@@ -1,11 +1,13 @@
 //! Measures the decisions in virtual time over both deployments.
 //!
 //! `cargo bench -p lycheeford-policy --bench deployments` prints the figures
-//! beside a baseline and a bound; `-- --check` fails if an aim isn't met.
+//! beside a baseline and a bound; `-- --check` fails if an aim isn't met,
+//! `-- --plots` draws docs/plots, `-- --seed=N` takes another seed.
 
 mod baseline;
 mod fleet;
 mod measures;
+mod plots;
 mod report;
 mod simulation;
 mod workload;
@@ -26,8 +28,15 @@
     for report in &reports {
         println!("{report}");
     }
+    let has_flag = |flag: &str| arguments.iter().any(|argument| argument == flag);
+    if has_flag("--plots")
+        && let Err(error) = plots::draw(&reports)
+    {
+        eprintln!("the plots could not be drawn: {error}");
+        return ExitCode::FAILURE;
+    }
     let missed = reports.iter().flat_map(Report::missed_aims).count();
-    if arguments.iter().any(|argument| argument == "--check") && missed > 0 {
+    if has_flag("--check") && missed > 0 {
         return ExitCode::FAILURE;
     }
     ExitCode::SUCCESS
