--- a/crates/lycheeford-policy/benches/decisions.rs
+++ b/crates/lycheeford-policy/benches/decisions.rs
@@ -4,8 +4,10 @@
 //! sizes come from the resident set of the process. docs/CAPACITY.md cites
 //! the figures.
 
-use std::fs;
+use std::any::Any;
 use std::hint::black_box;
+use std::process::Command;
+use std::{env, fs};
 
 use criterion::{BenchmarkId, Criterion};
 use lycheeford_policy::{
@@ -22,9 +24,17 @@
 const TARGETS: [usize; 3] = [100, 1_000, 2_600];
 const TARGET_MEMORY_BYTES: u64 = 80_000_000_000;
 const MODEL_BYTES: u64 = 20_000_000_000;
+const STATE_FLAG: &str = "--state=";
 const PAGE_BYTES: u64 = 4_096;
 
 fn main() {
+    let state = env::args().find_map(|it| Some(it.strip_prefix(STATE_FLAG)?.to_owned()));
+    if let Some(state) = state {
+        let parts: Vec<&str> = state.split(',').collect();
+        let number = |index: usize| parts[index].parse().expect("a number");
+        println!("{}", state_size(parts[0], number(1), number(2)));
+        return;
+    }
     state_sizes();
     let mut criterion = Criterion::default().configure_from_args().sample_size(30);
     planner(&mut criterion);
@@ -229,33 +239,54 @@
     group.finish();
 }
 
-/// Prints the memory that each state takes; every state stays alive until the end.
+/// Prints the memory that each state takes, each measured in a process of its own.
 fn state_sizes() {
-    let mut kept = Vec::new();
-    for (targets, adapters) in [(0, 1_000), (0, 17_000), (100, 17_000), (2_600, 17_000)] {
-        let before = resident_bytes();
-        kept.push(new_planner(targets, adapters));
-        let used = resident_bytes().saturating_sub(before);
-        println!("planner: {targets} targets, {adapters} adapters: {used} bytes");
+    let planners = [(0, 1_000), (0, 17_000), (100, 17_000), (1_000, 17_000), (2_600, 17_000)];
+    for (targets, adapters) in planners {
+        print_size("planner", targets, adapters);
     }
-    let mut routers = Vec::new();
     for targets in TARGETS {
-        let before = resident_bytes();
-        let mut router = new_router(targets);
-        for request in 0..200_000u64 {
-            let name = model_name(request as usize % (MODELS - 1));
-            router.choose(NOW, &name, &[request, request + 1], &[]);
-        }
-        routers.push(router);
-        let used = resident_bytes().saturating_sub(before);
-        println!("router: {targets} targets, caches of prefixes filled: {used} bytes");
+        print_size("router", targets, ADAPTERS);
     }
+    print_size("readiness", 0, 1_000);
+    print_size("readiness", 0, ADAPTERS);
+}
+
+fn print_size(state: &str, targets: usize, adapters: usize) {
+    let argument = format!("{STATE_FLAG}{state},{targets},{adapters}");
+    let program = env::current_exe().expect("the path of this program");
+    let output = Command::new(program).arg(argument).output().expect("a second process");
+    let bytes = String::from_utf8_lossy(&output.stdout);
+    println!("{state}: {targets} targets, {adapters} adapters: {} bytes", bytes.trim());
+}
+
+/// Returns by how much a state, and what was needed to build it, grows the process.
+fn state_size(state: &str, targets: usize, adapters: usize) -> u64 {
     let before = resident_bytes();
-    let mut readiness = Readiness::new();
-    readiness.configure(&configuration(ADAPTERS));
+    let kept: Box<dyn Any> = match state {
+        "planner" => Box::new(new_planner(targets, adapters)),
+        "router" => Box::new(used_router(targets)),
+        _ => Box::new(new_readiness(adapters)),
+    };
     let used = resident_bytes().saturating_sub(before);
-    println!("readiness: {ADAPTERS} adapters: {used} bytes");
-    black_box((kept, routers, readiness));
+    drop(black_box(kept));
+    used
+}
+
+fn new_readiness(adapters: usize) -> Readiness {
+    let mut readiness = Readiness::new();
+    readiness.configure(&configuration(adapters));
+    readiness
+}
+
+/// Returns a router whose table of prefixes is full.
+fn used_router(targets: usize) -> Router {
+    let mut router = new_router(targets);
+    for request in 0..200_000u64 {
+        let name = model_name(request as usize % (MODELS - 1));
+        router.choose(NOW, &name, &[request, request + 1], &[]);
+    }
+    router
 }
 
 fn resident_bytes() -> u64 {
--- a/crates/lycheeford-policy/src/planner/placement.rs
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -243,18 +243,13 @@
         entries.iter().copied().filter(is_adapter)
     }
 
-    /// Returns whether a replica is ready on a target that takes work, with the least busy first.
-    pub(super) fn usable_targets(&self, id: u32) -> Vec<u32> {
-        let Some(entry) = self.entries.get(id) else { return Vec::new() };
-        let mut usable: Vec<(Reverse<u32>, u32)> = entry
-            .replicas
+    /// Returns whether a replica is ready on a target that takes work.
+    pub(super) fn is_usable(&self, id: u32) -> bool {
+        let replicas = self.entries.get(id).map_or(&[][..], |entry| &entry.replicas);
+        replicas
             .iter()
             .filter(|replica| replica.phase == Phase::Ready)
-            .filter_map(|replica| Some((replica.target, self.targets.get(replica.target)?)))
-            .filter(|(_, target)| target.accepts_work)
-            .map(|(id, target)| (Reverse(target.running), id))
-            .collect();
-        usable.sort_unstable();
-        usable.into_iter().rev().map(|(_, id)| id).collect()
+            .filter_map(|replica| self.targets.get(replica.target))
+            .any(|target| target.accepts_work)
     }
 }
--- a/crates/lycheeford-policy/src/planner/want.rs
+++ b/crates/lycheeford-policy/src/planner/want.rs
@@ -141,7 +141,7 @@
             .filter(|replica| matches!(replica.phase, Phase::LoadDecided | Phase::Loading))
             .copied()
             .collect();
-        if !self.usable_targets(id).is_empty() {
+        if self.is_usable(id) {
             if may_add && loading.is_empty() && self.is_pressed(now, want) {
                 self.load(now, want, forecast, actions);
             }
@@ -158,7 +158,7 @@
             return None;
         }
         if let Some(base) = base
-            && self.usable_targets(base).is_empty()
+            && !self.is_usable(base)
         {
             let load_ms = entry.reload_ms() + ORDER_MS;
             return answered.iter().find(|(other, _)| *other == base)?.1.map(|ms| ms + load_ms);
