--- a/crates/lycheeford-config/src/grant.rs
+++ b/crates/lycheeford-config/src/grant.rs
@@ -1,6 +1,4 @@
-use sha2::{Digest, Sha256};
-
-use lycheeford_policy::{Key, Name};
+use lycheeford_policy::{Key, Name, granted_key};
 
 /// The random bytes that [`grant`] needs, from the operating system's generator.
 pub const GRANT_BYTES: usize = ID_BYTES + SALT_BYTES + SECRET_BYTES;
@@ -26,13 +24,6 @@
     let (salt, secret) = rest.split_at(SALT_BYTES);
     let id = hex::encode(id);
     let secret = hex::encode(secret);
-    let digest = Sha256::new().chain_update(salt).chain_update(&secret).finalize();
-    let text = format!("lf_{id}_{secret}");
-    let key = Key {
-        id: Name::from(id),
-        customer: customer.clone(),
-        salt: Name::from(hex::encode(salt)),
-        digest: Name::from(hex::encode(digest)),
-    };
-    (key, text)
+    let key = granted_key(&id, &secret, salt, customer);
+    (key, format!("lf_{id}_{secret}"))
 }
--- a/crates/lycheeford-config/tests/stored.rs
+++ b/crates/lycheeford-config/tests/stored.rs
@@ -9,7 +9,7 @@
     Settlement, assemble, check, encode_declared, encode_keys, grant, plan_apply, plan_grant,
     plan_withdraw, settle,
 };
-use lycheeford_policy::{Adapter, Configuration, Customer, Key, Model, Name};
+use lycheeford_policy::{Adapter, Configuration, Customer, Key, Model, Name, check_key};
 
 fn configuration(models: u32, adapters: u32, customers: u32) -> Configuration {
     let listed: Vec<Name> = (0..customers).map(|index| name("customer", index)).collect();
@@ -399,4 +399,7 @@
     assert_eq!(key.salt.as_str(), hex::encode(&random[8..24]));
     assert_eq!(secret, hex::encode(&random[24..]));
     assert!(!format!("{key:?}").contains(secret));
+    let configuration = Configuration { keys: vec![key], ..Configuration::default() };
+    assert!(check_key(&configuration, &text).is_some());
+    assert!(check_key(&configuration, &text[..text.len() - 1]).is_none());
 }
--- a/crates/lycheeford-operator/src/server.rs
+++ b/crates/lycheeford-operator/src/server.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use async_h1::server::{Encoder, Server, ServerOptions};
+use async_h1::server::{Encoder, Server};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -21,7 +21,7 @@
 /// The longest head of a request, with the framing of its body.
 const HEAD_BYTES_MAX: u64 = 64 * 1024;
 /// How long a request may take from its first byte to the answer's last.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(30);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long a shutdown waits for the requests under way.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long the accept loop pauses when the process is out of sockets.
@@ -75,7 +75,7 @@
         let operator = Arc::clone(&operator);
         async move { Ok(dispatch(operator.as_ref(), request).await) }
     };
-    let mut server = Server::new(stream.clone(), endpoint).with_opts(ServerOptions::default());
+    let mut server = Server::new(stream.clone(), endpoint);
     let outcome = Box::pin(server.accept_one()).await;
     if outcome.is_err() && !answered.load(Ordering::Relaxed) {
         refuse(&mut stream).await;
