--- a/crates/lycheeford-operator/src/error.rs
+++ b/crates/lycheeford-operator/src/error.rs
@@ -39,7 +39,7 @@
     PlatformUnavailable,
     /// The store's answer was lost; the change may have taken effect.
     OutcomeUnknown,
-    /// The daemon failed.
+    /// The daemon failed; the change may have taken effect.
     Internal,
 }
 
--- a/crates/lycheeford/src/config_command.rs
+++ b/crates/lycheeford/src/config_command.rs
@@ -131,7 +131,7 @@
 fn outcome(error: &ClientError) -> Outcome {
     match error.refusal().map(|refusal| refusal.code) {
         Some(OperatorErrorCode::Conflict) => Outcome::Conflict,
-        Some(OperatorErrorCode::OutcomeUnknown) => Outcome::Unknown,
+        Some(OperatorErrorCode::OutcomeUnknown | OperatorErrorCode::Internal) => Outcome::Unknown,
         None if error.category() == ClientCategory::AnswerLost => Outcome::Unknown,
         _ => Outcome::Failed,
     }
@@ -139,7 +139,10 @@
 
 /// Returns the stored revision if it holds this change.
 async fn read_back(request: &ApplyRequest, daemons: &Daemons) -> Result<Option<u64>, Failure> {
-    let report = stored(daemons).await?;
+    let report = stored(daemons).await.map_err(|failure| {
+        let remedy = "the change may have taken effect, so see `config diff` later";
+        Failure::new(failure.exit, format!("{}; {remedy}", failure.message))
+    })?;
     let same_write = report.stamp == request.stamp;
     let same_document =
         report.revision > request.base_revision && report.document == request.document;
--- a/crates/lycheeford/src/key_command.rs
+++ b/crates/lycheeford/src/key_command.rs
@@ -90,7 +90,10 @@
 }
 
 fn may_have_happened(error: &ClientError) -> bool {
-    let refused = error.refusal().map(|refusal| refusal.code);
-    error.category() == ClientCategory::AnswerLost
-        || refused == Some(OperatorErrorCode::OutcomeUnknown)
+    match error.refusal().map(|refusal| refusal.code) {
+        Some(code) => {
+            matches!(code, OperatorErrorCode::OutcomeUnknown | OperatorErrorCode::Internal)
+        }
+        None => error.category() == ClientCategory::AnswerLost,
+    }
 }
