--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -46,11 +46,17 @@
     });
     let limits = FollowLimits::default();
     let clock = state.clock;
-    follow(&state.store, HEAD_KIND, &limits, move || clock.now(), |update| {
-        let head = latest_head(&state, &update.change);
-        // The receiver lives as long as the daemon.
-        let _ = sender.try_send((update.as_of, head));
-    })
+    follow(
+        &state.store,
+        HEAD_KIND,
+        &limits,
+        move || clock.now(),
+        |update| {
+            let head = latest_head(&state, &update.change);
+            // The receiver lives as long as the daemon.
+            let _ = sender.try_send((update.as_of, head));
+        },
+    )
     .await;
 }
 
@@ -89,7 +95,6 @@
     state.coordinator().configure(&configuration);
     state.configuration.store(Arc::new(configuration));
     state.head.store(Arc::new(head));
-    state.configuration_changed.notify_all();
     state.wake_planner();
 }
 
