Spread an accepted configuration between daemons

Cause: an outage straight after an accepted change left it in force on no other daemon, and not even on the one that took it, since each read the chunks back from the platform. Seen: an_accepted_change_outlives_an_outage_straight_after failed with 'Refuse: daemon 0 lacks revision 7'. Now beats say the revision in force and whoever lacks it asks a peer for the chunks that it doesn't have; the test passes, and the chunks in force are no longer read again from the platform.

--- a/crates/lycheeford-wire/src/convert/mod.rs
+++ b/crates/lycheeford-wire/src/convert/mod.rs
@@ -1,3 +1,4 @@
+mod configuration;
 mod host;
 mod loan;
 mod placement;
@@ -43,6 +44,11 @@
         Message::CrashReport(suspects) => {
             Body::CrashReport(wire::CrashReport { suspects: encoded_all(suspects) })
         }
+        Message::ConfigurationAsk(chunk_names) => {
+            let chunk_names = chunk_names.iter().map(|name| name.as_str().to_owned()).collect();
+            Body::ConfigurationAsk(wire::ConfigurationAsk { chunk_names })
+        }
+        Message::ConfigurationOffer(offer) => Body::ConfigurationOffer(offer.into()),
         Message::Flush(sequence) => Body::Flush(wire::Flush { sequence }),
         Message::Flushed(sequence) => Body::Flushed(wire::Flushed { sequence }),
     };
@@ -76,6 +82,10 @@
         Body::DemandReport(report) => Message::DemandReport(report.try_into()?),
         Body::PlacementReport(report) => Message::PlacementReport(report.try_into()?),
         Body::CrashReport(report) => Message::CrashReport(checked_all(report.suspects)?),
+        Body::ConfigurationAsk(ask) => {
+            Message::ConfigurationAsk(ask.chunk_names.into_iter().map(Name::from).collect())
+        }
+        Body::ConfigurationOffer(offer) => Message::ConfigurationOffer(offer.try_into()?),
         Body::Flush(flush) => Message::Flush(flush.sequence),
         Body::Flushed(flushed) => Message::Flushed(flushed.sequence),
     };
--- a/crates/lycheeford-wire/src/message.rs
+++ b/crates/lycheeford-wire/src/message.rs
@@ -33,6 +33,10 @@
     PlacementReport(PlacementReport),
     /// Shares which requests were running when a target died.
     CrashReport(Vec<CrashSuspect>),
+    /// Asks for a newer configuration; the value names the chunks that the sender has.
+    ConfigurationAsk(Vec<Name>),
+    /// Gives a newer configuration.
+    ConfigurationOffer(ConfigurationOffer),
     /// Asks whether all frames before it were taken; the value pairs it with its answer.
     Flush(u64),
     /// Answers a flush on the same connection.
@@ -227,3 +231,21 @@
     /// When to come back.
     pub retry_after_ms: u64,
 }
+
+/// A committed configuration's head, with some of its chunks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigurationOffer {
+    /// The head in its stored form.
+    pub head_json: String,
+    /// Chunks that the receiver lacks.
+    pub chunks: Vec<ConfigurationChunk>,
+}
+
+/// An immutable part of a configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigurationChunk {
+    /// The digest of the text.
+    pub name: Name,
+    /// The text.
+    pub text: String,
+}
--- a/crates/lycheefordd/src/admin.rs
+++ b/crates/lycheefordd/src/admin.rs
@@ -24,9 +24,9 @@
         Box::pin(async move {
             let stored = change::read_stored(&self.state).await?;
             Ok(ConfigurationReport {
-                revision: stored.head.revision,
-                stamp: stored.head.stamp,
-                document: Document::from(&stored.configuration),
+                revision: stored.committed.head.revision,
+                stamp: stored.committed.head.stamp,
+                document: Document::from(&stored.committed.configuration),
             })
         })
     }
@@ -62,7 +62,7 @@
                 id: key.id.clone(),
                 customer: key.customer.clone(),
             };
-            Ok(stored.configuration.keys.iter().map(report).collect())
+            Ok(stored.committed.configuration.keys.iter().map(report).collect())
         })
     }
 
--- a/crates/lycheefordd/src/change.rs
+++ b/crates/lycheefordd/src/change.rs
@@ -7,9 +7,8 @@
     WithdrawRequest,
 };
 use lycheeford_platform::{Category, Expect, ObjectStore, PlatformError, put_settled};
-use lycheeford_policy::Configuration;
 
-use crate::configuration::{ReadError, adopt, head_of, read_configuration};
+use crate::configuration::{Committed, ReadError, adopt, head_of, read_configuration};
 use crate::state::State;
 
 /// How long a change may take until its outcome is definite.
@@ -20,8 +19,15 @@
 /// The stored configuration with the version of its head.
 pub(crate) struct Stored {
     pub(crate) version: Option<u64>,
-    pub(crate) head: Head,
-    pub(crate) configuration: Configuration,
+    pub(crate) committed: Committed,
+}
+
+impl Stored {
+    /// Returns what a write makes of it, without reading it back.
+    fn committed_by(mut self, write: HeadWrite) -> Result<Committed, ReadError> {
+        self.committed.chunks.extend(write.chunks);
+        Committed::assemble(write.head, &self.committed.chunks)
+    }
 }
 
 /// Reads the configuration as it is stored now.
@@ -32,18 +38,17 @@
 pub(crate) async fn read_stored(state: &State) -> Result<Stored, OperatorError> {
     let object = state.store.get(HEAD_KIND, HEAD_NAME).await.map_err(|error| platform(&error))?;
     let Some(object) = object else {
-        let (head, configuration) = Default::default();
-        return Ok(Stored { version: None, head, configuration });
+        return Ok(Stored { version: None, committed: Committed::default() });
     };
     let head = head_of(&object).map_err(|error| unreadable(&error))?;
     // What is in force here was read from the same immutable chunks.
-    let in_force = state.configuration.load_full();
-    let configuration = if in_force.revision == head.revision {
+    let in_force = state.committed.load_full();
+    let committed = if in_force.head == head {
         (*in_force).clone()
     } else {
-        read_configuration(state, &head).await.map_err(|error| unreadable(&error))?
+        read_configuration(state, head).await.map_err(|error| unreadable(&error))?
     };
-    Ok(Stored { version: Some(object.version), head, configuration })
+    Ok(Stored { version: Some(object.version), committed })
 }
 
 /// Replaces what is declared.
@@ -61,8 +66,8 @@
     })?;
     let revision = change(state, |stored| {
         plan_apply(
-            &stored.head,
-            &stored.configuration,
+            &stored.committed.head,
+            &stored.committed.configuration,
             request.base_revision,
             &declared,
             &request.stamp,
@@ -84,7 +89,7 @@
     let random: [u8; GRANT_BYTES] = rand::random();
     let (key, secret) = grant(&request.customer, &random);
     let revision = change(state, |stored| {
-        plan_grant(&stored.head, &stored.configuration, key.clone(), &stamp())
+        plan_grant(&stored.committed.head, &stored.committed.configuration, key.clone(), &stamp())
     })
     .await?;
     Ok(GrantReport { id: key.id, customer: request.customer, secret, revision })
@@ -100,7 +105,12 @@
     request: WithdrawRequest,
 ) -> Result<ApplyReport, OperatorError> {
     let revision = change(state, |stored| {
-        plan_withdraw(&stored.head, &stored.configuration, &request.id, &stamp())
+        plan_withdraw(
+            &stored.committed.head,
+            &stored.committed.configuration,
+            &request.id,
+            &stamp(),
+        )
     })
     .await?;
     Ok(ApplyReport { revision })
@@ -113,14 +123,15 @@
 ) -> Result<u64, OperatorError> {
     for _ in 0..CONFLICTS_MAX {
         let stored = read_stored(state).await?;
-        let write = plan(&stored).map_err(|error| refused(&error, stored.head.revision))?;
+        let write =
+            plan(&stored).map_err(|error| refused(&error, stored.committed.head.revision))?;
         store_chunks(state, &write).await?;
         match commit(state, stored.version, &write.head).await {
             Ok(()) => {
                 let revision = write.head.revision;
                 // The follower sees it as well; this host need not wait for that.
-                if let Ok(configuration) = read_configuration(state, &write.head).await {
-                    adopt(state, write.head, configuration);
+                if let Ok(committed) = stored.committed_by(write) {
+                    adopt(state, committed);
                 }
                 return Ok(revision);
             }
--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -28,6 +28,26 @@
     Assemble { source: lycheeford_config::AssembleError },
 }
 
+/// A committed configuration with the objects that it was read from.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Committed {
+    pub(crate) head: Head,
+    pub(crate) chunks: Vec<Chunk>,
+    pub(crate) configuration: Configuration,
+}
+
+impl Committed {
+    /// Assembles what `head` names out of `chunks`, which may hold more.
+    pub(crate) fn assemble(head: Head, chunks: &[Chunk]) -> Result<Committed, ReadError> {
+        let named = head.declared.iter().chain(&head.keys);
+        let chunks = named
+            .filter_map(|name| chunks.iter().find(|chunk| chunk.name == *name).cloned())
+            .collect::<Vec<Chunk>>();
+        let configuration = assemble(&head, &chunks).context(AssembleSnafu)?;
+        Ok(Committed { head, chunks, configuration })
+    }
+}
+
 /// Follows the head object and puts each newer configuration in force.
 ///
 /// The chunks are read outside of the follower, so that a slow read doesn't
@@ -60,20 +80,24 @@
     .await;
 }
 
-/// Reads the configuration that `head` names.
-pub(crate) async fn read_configuration(
-    state: &State,
-    head: &Head,
-) -> Result<Configuration, ReadError> {
-    let mut chunks = Vec::with_capacity(head.declared.len() + head.keys.len());
+/// Reads the configuration that `head` names; chunks in force aren't read again.
+///
+/// # Errors
+///
+/// Fails if the platform doesn't answer, or what is stored isn't whole.
+pub(crate) async fn read_configuration(state: &State, head: Head) -> Result<Committed, ReadError> {
+    let mut chunks = state.committed.load().chunks.clone();
     for name in head.declared.iter().chain(&head.keys) {
+        if chunks.iter().any(|chunk| chunk.name == *name) {
+            continue;
+        }
         let object = state.store.get(CHUNK_KIND, name).await.context(PlatformSnafu)?;
         let object = object.ok_or_else(|| ReadError::MissingChunk { name: name.to_string() })?;
         let text = object.value.as_str();
         let text = text.ok_or_else(|| ReadError::BadChunk { name: name.to_string() })?;
         chunks.push(Chunk { name: name.clone(), text: text.to_owned() });
     }
-    assemble(head, &chunks).context(AssembleSnafu)
+    Committed::assemble(head, &chunks)
 }
 
 /// Reads a head from its object.
@@ -82,26 +106,31 @@
 }
 
 /// Puts a configuration in force unless a newer one is.
-pub(crate) fn adopt(state: &State, head: Head, configuration: Configuration) {
-    if configuration.revision <= state.configuration.load().revision {
-        return;
+pub(crate) fn adopt(state: &State, committed: Committed) {
+    let configuration = committed.configuration.clone();
+    let revision = configuration.revision;
+    {
+        let _adopting = state.adopting();
+        if revision <= state.configuration.load().revision {
+            return;
+        }
+        state.configuration.store(Arc::new(configuration.clone()));
+        state.committed.store(Arc::new(committed));
     }
-    info!(state.log, "configuration in force"; "revision" => configuration.revision);
+    info!(state.log, "configuration in force"; "revision" => revision);
     let now = state.now();
-    state.metrics.configuration_revision.set(configuration.revision);
-    state.freshness().in_force(configuration.revision);
+    state.metrics.configuration_revision.set(revision);
+    state.freshness().in_force(revision);
     state.rates().configure(now, &configuration);
     state.placement().configure(&configuration);
     state.coordinator().configure(&configuration);
-    state.configuration.store(Arc::new(configuration));
-    state.head.store(Arc::new(head));
     state.wake_planner();
 }
 
 async fn put_in_force(state: &State, head: Head) {
     while head.revision > state.configuration.load().revision {
-        match read_configuration(state, &head).await {
-            Ok(configuration) => adopt(state, head.clone(), configuration),
+        match read_configuration(state, head.clone()).await {
+            Ok(committed) => adopt(state, committed),
             Err(error) => {
                 warn!(state.log, "configuration not readable"; "error" => %error);
                 task::sleep(Duration::from_millis(RETRY_MS)).await;
--- a/crates/lycheefordd/src/inbox.rs
+++ b/crates/lycheefordd/src/inbox.rs
@@ -32,6 +32,7 @@
         let asked_at = now - age_ms;
         let instance = Instance { host: report.host.clone(), incarnation: report.incarnation };
         self.gone().answered(&instance);
+        self.ask_for_configuration(&report.host, report.configuration_revision);
         self.freshness().peer_report(
             asked_at,
             &report.host,
@@ -43,6 +44,7 @@
     }
 
     fn told(&self, report: HostReport) {
+        self.ask_for_configuration(&report.host, report.configuration_revision);
         let instance = Instance { host: report.host.clone(), incarnation: report.incarnation };
         self.gone().answered(&instance);
         self.rates().peer_spare(&report.host, &report.spare);
@@ -70,6 +72,8 @@
             Message::LoanSettled(settled) => self.forget_loan(&settled),
             Message::DisclaimAsk(holder) => self.disclaim(&from, holder),
             Message::Disclaimed(holder) => self.take_disclaimer(&from, &holder),
+            Message::ConfigurationAsk(known) => self.offer_configuration(&from.host, &known),
+            Message::ConfigurationOffer(offer) => self.take_configuration(offer),
             Message::Hello(_)
             | Message::Beat(_)
             | Message::BeatReply(_)
@@ -164,7 +168,8 @@
         }
     }
 
-    fn send(&self, host: &str, message: Message) {
+    /// Sends a message to a peer, as far as there are peers yet.
+    pub(crate) fn send(&self, host: &str, message: Message) {
         if let Some(peers) = self.peers.get() {
             // Every message is asked for again, or replaced, if it is lost.
             let _ = peers.send(host, message);
--- a/crates/lycheefordd/src/main.rs
+++ b/crates/lycheefordd/src/main.rs
@@ -11,7 +11,7 @@
 //! - `completion`, `relay`, `crash`: the answer of an engine.
 //! - `service`, `service_targets`, `ledger`: the answer of a plain service.
 //! - `coordinator`, `planning`, `orders`, `sent_orders`: loads and unloads.
-//! - `configuration`, `change`, `hosts`, `fleet`, `members`, `inbox`: what the
+//! - `configuration`, `configuration_spread`, `change`, `hosts`, `fleet`, `members`, `inbox`: what the
 //!   daemons know of the fleet and of each other.
 //! - `admin`, `explain`, `decisions`, `metrics`, `log`: what operators see.
 //! - `state`: the tables that all of them share, with their lock order.
@@ -25,6 +25,7 @@
 mod clock;
 mod completion;
 mod configuration;
+mod configuration_spread;
 mod coordinator;
 mod crash;
 mod daemon;
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwap;
 use async_std::channel::{Receiver, Sender, bounded};
-use lycheeford_config::{Head, Settings};
+use lycheeford_config::Settings;
 use lycheeford_peer::Peers;
 use lycheeford_platform::HttpObjectStore;
 use lycheeford_policy::{
@@ -14,6 +14,8 @@
 use slog::Logger;
 
 use crate::clock::Clock;
+use crate::configuration::Committed;
+use crate::configuration_spread::ConfigurationSpread;
 use crate::coordinator::Coordinator;
 use crate::decisions::DecisionLog;
 use crate::fleet::Fleet;
@@ -32,7 +34,7 @@
 ///
 /// The executor's workers run every task over these tables. A task holds one
 /// lock at a time and never across an await. Where two are needed, the order is
-/// the order of the fields: `members`, `gone`, `freshness`, `rates`,
+/// the order of the fields: `adopting`, `configuration_spread`, `members`, `gone`, `freshness`, `rates`,
 /// `placement`, `coordinator`, `sent_orders`, `target_health`, `suspects`, `decisions`,
 /// `retry_budget`, `ledger_seen`, `service_targets`.
 pub(crate) struct State {
@@ -44,9 +46,12 @@
     pub(crate) store: HttpObjectStore,
     pub(crate) targets: TargetClient,
     pub(crate) configuration: ArcSwap<Configuration>,
-    pub(crate) head: ArcSwap<Head>,
+    /// The configuration in force, as it is stored.
+    pub(crate) committed: ArcSwap<Committed>,
     pub(crate) fleet: ArcSwap<Fleet>,
     pub(crate) peers: OnceLock<Peers<State>>,
+    adopting: Mutex<()>,
+    configuration_spread: Mutex<ConfigurationSpread>,
     members: Mutex<Members>,
     gone: Mutex<GoneProofs>,
     freshness: Mutex<Freshness>,
@@ -86,7 +91,9 @@
             store,
             targets: TargetClient::new(Default::default()),
             configuration: ArcSwap::default(),
-            head: ArcSwap::default(),
+            committed: ArcSwap::default(),
+            adopting: Mutex::default(),
+            configuration_spread: Mutex::default(),
             fleet: ArcSwap::default(),
             peers: OnceLock::new(),
             members: Mutex::default(),
@@ -113,6 +120,15 @@
         self.clock.now()
     }
 
+    /// Lets one configuration at a time be put in force.
+    pub(crate) fn adopting(&self) -> MutexGuard<'_, ()> {
+        lock(&self.adopting)
+    }
+
+    pub(crate) fn configuration_spread(&self) -> MutexGuard<'_, ConfigurationSpread> {
+        lock(&self.configuration_spread)
+    }
+
     pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
         lock(&self.members)
     }
