Limit pauses over given-up waits, and take idempotency-key out of the headers

The daemon waits for each chunk in turns of 250 ms, to check the key and the deadline between them. Each turn started the limit between bytes anew, so that a silent connection would never have ended. The limit now counts from the first wait that found nothing. Seen to fail without it: 1,000 waits of 20 ms went by ("the limit never came").

idempotency-key stayed in the headers while the daemon adds it from its field, so that targets got it twice. The Debug of a request now shows neither headers nor body, since no body is ever to be logged.

--- a/crates/lycheeford-caller/src/request.rs
+++ b/crates/lycheeford-caller/src/request.rs
@@ -1,3 +1,5 @@
+use std::fmt::{self, Debug};
+
 use futures_util::io::Cursor;
 use http_types::{Method, Url};
 use lycheeford_http::{Header, RequestHead, strip_connection_headers};
@@ -10,6 +12,8 @@
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The headers that the request's own fields stand for.
+const TAKEN_HEADERS: [&str; 3] = [DEADLINE_HEADER, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER];
 const DEADLINE_MS_MAX: u64 = 24 * 60 * 60 * 1_000;
 const IDEMPOTENCY_KEY_BYTES_MAX: usize = 256;
 
@@ -17,8 +21,8 @@
 ///
 /// Nothing in `headers` or `query` holds the key: every place where a key can
 /// be is taken out, with all cookies and all headers that concern one
-/// connection only.
-#[derive(Debug)]
+/// connection only. Its `Debug` shows neither headers nor body, so that no log
+/// line holds what a caller wrote.
 pub struct CallerRequest {
     /// The id, made here at random; the answer carries it as `x-request-id`.
     pub id: Name,
@@ -32,7 +36,7 @@
     pub headers: Vec<(String, String)>,
     /// The key, if the caller presented one.
     pub key: Option<PresentedKey>,
-    /// The value of the header `idempotency-key`, which also stays in `headers`.
+    /// The value of the header `idempotency-key`.
     pub idempotency_key: Option<Name>,
     /// How long the caller waits, from the header `x-deadline-ms`.
     pub deadline_ms: Option<u64>,
@@ -55,7 +59,7 @@
             single(&headers, IDEMPOTENCY_HEADER)?.map(parse_idempotency_key).transpose()?;
         let key = take_key(&mut headers, &mut url)?;
         strip_connection_headers(&mut headers);
-        headers.retain(|(name, _)| name != DEADLINE_HEADER && name != REQUEST_ID_HEADER);
+        headers.retain(|(name, _)| !TAKEN_HEADERS.contains(&name.as_str()));
         let request = CallerRequest {
             id,
             method,
@@ -84,6 +88,20 @@
     }
 }
 
+impl Debug for CallerRequest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CallerRequest")
+            .field("id", &self.id)
+            .field("method", &self.method)
+            .field("path", &self.path)
+            .field("key", &self.key)
+            .field("deadline_ms", &self.deadline_ms)
+            .field("body_bytes", &self.body.len())
+            .finish_non_exhaustive()
+    }
+}
+
 /// Lets async-h1 resolve the request's target against its host.
 async fn resolve_target(head: &RequestHead) -> Result<Url, Refusal> {
     let host = head.values("host").next().unwrap_or_default();
--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -1,6 +1,6 @@
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_h1::client::Encoder;
 use async_std::future::timeout;
@@ -131,12 +131,16 @@
     }
 
     /// Receives the next bytes of the body, or `None` after its end.
+    ///
+    /// The limit counts from `waiting_since`.
     pub(crate) async fn receive_chunk(
         &mut self,
         decoder: &mut BodyDecoder,
+        waiting_since: Instant,
         limit_ms: u64,
     ) -> Result<Option<Vec<u8>>, TargetError> {
-        let chunk = timeout(Duration::from_millis(limit_ms), self.reader.body_chunk(decoder))
+        let limit = Duration::from_millis(limit_ms).saturating_sub(waiting_since.elapsed());
+        let chunk = timeout(limit, self.reader.body_chunk(decoder))
             .await
             .map_err(|_| Code::BetweenBytesTimeout { limit_ms })?;
         chunk.map_err(|source| {
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -1,5 +1,6 @@
 use std::mem;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use lycheeford_http::BodyDecoder;
 
@@ -28,6 +29,7 @@
     between_bytes_ms_max: u64,
     answer_bytes_max: usize,
     received_bytes: usize,
+    waiting_since: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -58,6 +60,7 @@
             between_bytes_ms_max: limits.between_bytes_ms_max,
             answer_bytes_max: limits.answer_bytes_max,
             received_bytes: 0,
+            waiting_since: None,
         };
         body.release_if_whole();
         body
@@ -65,7 +68,8 @@
 
     /// Returns the next bytes, or `None` after the whole body.
     ///
-    /// Dropping the future loses nothing.
+    /// Dropping the future loses nothing, and the limit on a pause counts on
+    /// from the first call that found nothing.
     ///
     /// # Errors
     ///
@@ -76,9 +80,11 @@
             State::Whole => return Ok(None),
             State::Failed => return Err(Code::Truncated.into()),
             State::Open { link, decoder, .. } => {
-                link.receive_chunk(decoder, self.between_bytes_ms_max).await
+                let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
+                link.receive_chunk(decoder, waiting_since, self.between_bytes_ms_max).await
             }
         };
+        self.waiting_since = None;
         let checked = received.and_then(|chunk| self.count(chunk));
         match checked {
             Ok(_) => self.release_if_whole(),
--- a/crates/lycheeford-target/tests/answers.rs
+++ b/crates/lycheeford-target/tests/answers.rs
@@ -7,6 +7,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task;
 use lycheeford_target::{
     Category, Connection, Method, TargetClient, TargetError, TargetLimits, TargetRequest,
@@ -218,3 +219,24 @@
         Ok(String::from_utf8(body).unwrap())
     })
 }
+
+#[test]
+fn a_pause_is_limited_even_if_the_wait_is_given_up_again_and_again() {
+    let address = target(|_, mut stream| {
+        answer_and_hold(&mut stream, b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\ni");
+    });
+    let client = TargetClient::new(short_limits());
+    let error = task::block_on(async {
+        let request = get("/", Connection::Pooled);
+        let mut body = client.call(address, &request).await.unwrap().body;
+        assert_eq!(body.next_chunk().await.unwrap(), Some(b"i".to_vec()));
+        let mut waits = (0..1_000).map(|_| Duration::from_millis(20));
+        loop {
+            let wait = waits.next().expect("the limit never came");
+            if let Ok(received) = timeout(wait, body.next_chunk()).await {
+                return received.unwrap_err();
+            }
+        }
+    });
+    assert_eq!(error.category(), Category::Silent);
+}
