--- a/crates/lycheeford-caller/src/bounds.rs
+++ b/crates/lycheeford-caller/src/bounds.rs
@@ -1,5 +1,3 @@
-/// The longest head that async-h1 takes is 8 KiB; some of it is left for its own lines.
-const HEAD_BYTES_LIMIT: usize = 7 * 1024;
 /// The bytes that all request bodies in memory may take together.
 pub(crate) const BODIES_BYTES_MAX: usize = 64 * 1024 * 1024;
 
@@ -8,7 +6,7 @@
 /// Each keeps a slow or hostile caller from holding memory or a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
-    /// The longest head, with the request line; larger values are lowered to 7 KiB.
+    /// The longest head, with the request line.
     pub head_bytes_max: usize,
     /// How long a head may take from its first byte.
     pub head_ms_max: u64,
@@ -24,18 +22,10 @@
     pub connections_max: usize,
 }
 
-impl Bounds {
-    /// Returns the bounds with a head that async-h1 takes.
-    pub(crate) fn checked(mut self) -> Bounds {
-        self.head_bytes_max = self.head_bytes_max.min(HEAD_BYTES_LIMIT);
-        self
-    }
-}
-
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
-            head_bytes_max: HEAD_BYTES_LIMIT,
+            head_bytes_max: 16 * 1024,
             head_ms_max: 5_000,
             body_bytes_max: 1024 * 1024,
             body_ms_max: 20_000,
--- a/crates/lycheeford-caller/src/request.rs
+++ b/crates/lycheeford-caller/src/request.rs
@@ -14,6 +14,8 @@
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The headers that the request's own fields stand for.
 const TAKEN_HEADERS: [&str; 3] = [DEADLINE_HEADER, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER];
+/// The longest target with its host; async-h1 takes heads of up to 8 KiB.
+const TARGET_BYTES_MAX: usize = 7 * 1024;
 const DEADLINE_MS_MAX: u64 = 24 * 60 * 60 * 1_000;
 const IDEMPOTENCY_KEY_BYTES_MAX: usize = 256;
 
@@ -105,6 +107,10 @@
 /// Lets async-h1 resolve the request's target against its host.
 async fn resolve_target(head: &RequestHead) -> Result<Url, Refusal> {
     let host = head.values("host").next().unwrap_or_default();
+    if host.len() + head.target.len() > TARGET_BYTES_MAX {
+        let message = format!("the target is over {TARGET_BYTES_MAX} bytes; send a body instead");
+        return Err(Refusal::not_run(RefusalCode::TooLarge, message, None));
+    }
     let replay = format!("{} {} HTTP/1.1\r\nhost: {host}\r\n\r\n", head.method, head.target);
     match async_h1::server::decode(Cursor::new(replay.into_bytes())).await {
         Ok(Some((request, _))) => Ok(request.url().clone()),
--- a/crates/lycheeford-caller/src/serve.rs
+++ b/crates/lycheeford-caller/src/serve.rs
@@ -32,7 +32,6 @@
 /// that it owes, and returns when all are closed. A connection without a
 /// request is kept for a last moment, since one may already be on its way.
 pub async fn serve<H: Handler>(listener: TcpListener, bounds: Bounds, handler: H, stop: Stop) {
-    let bounds = bounds.checked();
     let budget = Arc::new(BodyBudget::new(BODIES_BYTES_MAX));
     let server = Arc::new(Server { bounds, budget, handler, stop });
     // Every connection holds a sender, which counts them and tells the last end.
--- a/crates/lycheeford-caller/tests/hostile.rs
+++ b/crates/lycheeford-caller/tests/hostile.rs
@@ -110,6 +110,19 @@
     format!("GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{headers}\r\n\r\n")
 }
 
+#[test]
+fn a_long_target_is_refused_within_a_larger_bound_of_the_head() {
+    let server = start(Bounds::default());
+    let answer = |bytes| {
+        let target = "a".repeat(bytes);
+        server.exchange(
+            format!("GET /{target} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").as_bytes(),
+        )
+    };
+    assert!(answer(7_000).starts_with("HTTP/1.1 200 "));
+    assert!(answer(9_000).starts_with("HTTP/1.1 413 "));
+}
+
 #[test]
 fn a_head_sent_byte_by_byte_is_refused_in_time() {
     let server = start(small_bounds());
