--- a/crates/lycheeford-policy/src/loan.rs
+++ b/crates/lycheeford-policy/src/loan.rs
@@ -43,7 +43,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LoanState {
     /// The request still runs; the lender asks again later.
-    Running,
+    Running {
+        /// The tokens that were spent so far.
+        used_tokens: u64,
+    },
     /// The borrower spends no more of it.
     Closed {
         /// The tokens that were spent.
--- a/crates/lycheeford-policy/src/loan_book.rs
+++ b/crates/lycheeford-policy/src/loan_book.rs
@@ -6,44 +6,69 @@
 /// The loans of this life that aren't settled, sorted by id.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LoansOut {
-    loans: Vec<(TimeMs, Loan)>,
+    loans: Vec<LoanOut>,
+}
+
+#[derive(Debug, Clone)]
+struct LoanOut {
+    loan: Loan,
+    lent_at: TimeMs,
+    /// What the borrower is known to have spent.
+    used_tokens: u64,
+}
+
+impl LoanOut {
+    fn left_tokens(&self) -> u64 {
+        self.loan.tokens - self.used_tokens
+    }
 }
 
 impl LoansOut {
     pub(crate) fn record(&mut self, now: TimeMs, loan: &Loan) {
         if let Err(index) = self.position(&loan.id) {
-            self.loans.insert(index, (now, loan.clone()));
+            let out = LoanOut { loan: loan.clone(), lent_at: now, used_tokens: 0 };
+            self.loans.insert(index, out);
         }
     }
 
     pub(crate) fn get(&self, id: &LoanId) -> Option<&Loan> {
-        self.position(id).ok().map(|index| &self.loans[index].1)
+        self.position(id).ok().map(|index| &self.loans[index].loan)
     }
 
-    pub(crate) fn remove(&mut self, id: &LoanId) -> Option<Loan> {
+    /// Counts tokens of a running loan as spent and returns how many weren't counted yet.
+    pub(crate) fn spend_up_to(&mut self, id: &LoanId, used_tokens: u64) -> u64 {
+        let Ok(index) = self.position(id) else { return 0 };
+        let out = &mut self.loans[index];
+        let newly_used = used_tokens.min(out.loan.tokens).saturating_sub(out.used_tokens);
+        out.used_tokens += newly_used;
+        newly_used
+    }
+
+    /// Removes a loan and returns the tokens that weren't counted as spent.
+    pub(crate) fn remove(&mut self, id: &LoanId) -> Option<u64> {
         let index = self.position(id).ok()?;
-        Some(self.loans.remove(index).1)
+        Some(self.loans.remove(index).left_tokens())
     }
 
-    pub(crate) fn remove_gone(&mut self, gone: &GoneProofs) -> Vec<Loan> {
-        let (over, kept) =
-            self.loans.drain(..).partition(|(_, loan)| gone.is_gone(&loan.id.borrower));
-        self.loans = kept;
-        let over: Vec<(TimeMs, Loan)> = over;
-        over.into_iter().map(|(_, loan)| loan).collect()
+    /// Removes the loans of borrowers proven gone and returns their uncounted tokens.
+    pub(crate) fn remove_gone(&mut self, gone: &GoneProofs) -> u64 {
+        let before = self.tokens();
+        self.loans.retain(|out| !gone.is_gone(&out.loan.id.borrower));
+        before - self.tokens()
     }
 
     pub(crate) fn older_than(&self, now: TimeMs, age_ms: u64) -> Vec<Loan> {
-        let old = self.loans.iter().filter(|(lent_at, _)| now.since_ms(*lent_at) >= age_ms);
-        old.map(|(_, loan)| loan.clone()).collect()
+        let old = self.loans.iter().filter(|out| now.since_ms(out.lent_at) >= age_ms);
+        old.map(|out| out.loan.clone()).collect()
     }
 
+    /// Returns the tokens that may still be spent.
     pub(crate) fn tokens(&self) -> u64 {
-        self.loans.iter().map(|(_, loan)| loan.tokens).sum()
+        self.loans.iter().map(LoanOut::left_tokens).sum()
     }
 
     fn position(&self, id: &LoanId) -> Result<usize, usize> {
-        self.loans.binary_search_by(|(_, loan)| loan.id.cmp(id))
+        self.loans.binary_search_by(|out| out.loan.id.cmp(id))
     }
 }
 
@@ -136,7 +161,7 @@
     pub(crate) fn report(&self, id: &LoanId) -> Option<LoanReport> {
         let loan = self.get(id)?;
         let state = if loan.running {
-            LoanState::Running
+            LoanState::Running { used_tokens: loan.used_tokens }
         } else {
             LoanState::Closed { used_tokens: loan.used_tokens, returned_tokens: loan.left_tokens() }
         };
@@ -198,38 +223,44 @@
 #[derive(Debug, Clone)]
 struct InheritedShare {
     taken: TakenShare,
-    awaited: Vec<Name>,
+    /// Who has yet to deny holding loans of whom.
+    awaited: Vec<(Name, Instance)>,
 }
 
 impl Inherited {
     /// Takes over what the table lists; what it no longer lists is over.
     pub(crate) fn update(&mut self, taken: &[TakenShare], entry_hosts: &[Name]) {
-        self.shares.retain(|share| taken.contains(&share.taken));
-        for taken in taken {
-            if !self.shares.iter().any(|share| share.taken == *taken) {
-                let awaited = entry_hosts.to_vec();
-                self.shares.push(InheritedShare { taken: taken.clone(), awaited });
-            }
-        }
+        let known = std::mem::take(&mut self.shares);
+        self.shares = taken
+            .iter()
+            .map(|taken| {
+                let same = known.iter().find(|share| share.covers(taken));
+                let awaited = match same {
+                    Some(share) => share.awaited_of(taken),
+                    None => all_pairs(entry_hosts, &taken.from),
+                };
+                InheritedShare { taken: taken.clone(), awaited }
+            })
+            .collect();
     }
 
     pub(crate) fn disclaimed(&mut self, host: &Name, former: &Instance) {
-        for share in self.shares.iter_mut().filter(|share| share.taken.from == *former) {
-            share.awaited.retain(|awaited| awaited != host);
+        for share in &mut self.shares {
+            share.awaited.retain(|(awaited, from)| awaited != host || from != former);
         }
     }
 
     pub(crate) fn queries(&self) -> Vec<(Name, Instance)> {
-        let of_share = |share: &InheritedShare| {
-            let former = share.taken.from.clone();
-            share.awaited.clone().into_iter().map(move |host| (host, former.clone()))
-        };
-        self.shares.iter().flat_map(of_share).collect()
+        self.shares.iter().flat_map(|share| share.awaited.clone()).collect()
     }
 
+    /// Returns the former holders that nobody is awaited for.
     pub(crate) fn resolved(&self) -> Vec<Instance> {
-        let over = self.shares.iter().filter(|share| share.awaited.is_empty());
-        over.map(|share| share.taken.from.clone()).collect()
+        let is_awaited = |former: &Instance| {
+            self.shares.iter().flat_map(|share| &share.awaited).any(|(_, from)| from == former)
+        };
+        let formers = self.shares.iter().flat_map(|share| &share.taken.from);
+        formers.filter(|former| !is_awaited(former)).cloned().collect()
     }
 
     pub(crate) fn open_ppm(&self) -> u32 {
@@ -237,3 +268,22 @@
         open.fold(0, |sum, share| sum.saturating_add(share.taken.share_ppm))
     }
 }
+
+impl InheritedShare {
+    /// Tells whether `taken` is this share, perhaps with some former holders cleared.
+    fn covers(&self, taken: &TakenShare) -> bool {
+        self.taken.share_ppm == taken.share_ppm
+            && taken.from.iter().all(|former| self.taken.from.contains(former))
+    }
+
+    fn awaited_of(&self, taken: &TakenShare) -> Vec<(Name, Instance)> {
+        let open = self.awaited.iter().filter(|(_, former)| taken.from.contains(former));
+        open.cloned().collect()
+    }
+}
+
+fn all_pairs(hosts: &[Name], formers: &[Instance]) -> Vec<(Name, Instance)> {
+    let of_former =
+        |former: &Instance| hosts.iter().map(|host| (host.clone(), former.clone())).collect();
+    formers.iter().flat_map::<Vec<(Name, Instance)>, _>(of_former).collect()
+}
--- a/crates/lycheeford-policy/src/rate_share.rs
+++ b/crates/lycheeford-policy/src/rate_share.rs
@@ -319,16 +319,21 @@
 
     /// Settles a loan of this life from its borrower's report; a second report changes nothing.
     ///
-    /// Returns whether the borrower may forget the loan.
+    /// What a running loan has spent so far makes room here at once. Returns
+    /// whether the borrower may forget the loan.
     pub fn settle(&mut self, now: TimeMs, report: &LoanReport) -> bool {
         let returned_tokens = match report.state {
-            LoanState::Running => return false,
+            LoanState::Running { used_tokens } => {
+                let newly_used = self.loans_out.spend_up_to(&report.id, used_tokens);
+                self.bucket.spend(now, newly_used);
+                return false;
+            }
             LoanState::Closed { returned_tokens, .. } => returned_tokens,
             LoanState::BorrowerGone => 0,
         };
-        let Some(loan) = self.loans_out.remove(&report.id) else { return true };
-        let returned_tokens = returned_tokens.min(loan.tokens);
-        self.bucket.spend(now, loan.tokens - returned_tokens);
+        let Some(left_tokens) = self.loans_out.remove(&report.id) else { return true };
+        let returned_tokens = returned_tokens.min(left_tokens);
+        self.bucket.spend(now, left_tokens - returned_tokens);
         self.bucket.put_back(now, returned_tokens);
         true
     }
@@ -336,9 +341,8 @@
     /// Counts the loans of borrowers proven gone as spent, and forgets closed ones of lenders gone.
     pub fn settle_gone(&mut self, now: TimeMs, gone: &GoneProofs) {
         self.borrowed.forget_gone(gone);
-        for loan in self.loans_out.remove_gone(gone) {
-            self.bucket.spend(now, loan.tokens);
-        }
+        let left_tokens = self.loans_out.remove_gone(gone);
+        self.bucket.spend(now, left_tokens);
     }
 
     /// Returns the loans that were out at least `age_ms`, whose borrowers should be asked.
@@ -415,7 +419,7 @@
         let state = if self.me.succeeds(&loan.id.borrower) {
             LoanState::BorrowerGone
         } else {
-            LoanState::Running
+            LoanState::Running { used_tokens: 0 }
         };
         LoanReport { id: loan.id.clone(), state }
     }
--- a/crates/lycheeford-policy/src/share.rs
+++ b/crates/lycheeford-policy/src/share.rs
@@ -25,15 +25,16 @@
     pub holder: Instance,
     /// The share.
     pub share_ppm: u32,
-    /// Shares taken over from instances whose loans may still be out.
+    /// Shares taken over from instances whose loans may still be out; they add
+    /// up to no more than the share.
     pub taken: Vec<TakenShare>,
 }
 
-/// A share that was taken over, whose former holder may have lent from it.
+/// A share that was taken over, whose former holders may have lent from it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakenShare {
-    /// The former holder.
-    pub from: Instance,
+    /// The former holders, the last one at the end.
+    pub from: Vec<Instance>,
     /// The share that was taken over.
     pub share_ppm: u32,
 }
@@ -141,7 +142,10 @@
         if entry.holder != *me {
             return None;
         }
-        entry.taken.retain(|taken| taken.from != *former);
+        for taken in &mut entry.taken {
+            taken.from.retain(|instance| instance != former);
+        }
+        entry.taken.retain(|taken| !taken.from.is_empty());
         (table != *self).then_some(table)
     }
 
@@ -151,10 +155,8 @@
         if !me.succeeds(&entry.holder) {
             return;
         }
-        let former = std::mem::replace(&mut entry.holder, me.clone());
-        if former.incarnation != Incarnation(0) {
-            entry.taken.push(TakenShare { from: former, share_ppm: entry.share_ppm });
-        }
+        entry.taken = entry.taken_whole();
+        entry.holder = me.clone();
     }
 
     fn heir<'a>(&self, customer: &Name, live_hosts: &'a [Name]) -> Option<&'a Name> {
@@ -171,11 +173,7 @@
             return;
         }
         let Ok(mine) = self.position(&me.host) else { return };
-        let taken = &mut self.entries[mine].taken;
-        taken.extend(orphaned.taken);
-        if orphan.incarnation != Incarnation(0) {
-            taken.push(TakenShare { from: orphan.clone(), share_ppm: orphaned.share_ppm });
-        }
+        self.entries[mine].taken.extend(orphaned.taken_whole());
     }
 
     fn add(&mut self, to: &Instance, ppm: u32) -> Result<(), ShareFault> {
@@ -193,6 +191,22 @@
     }
 }
 
+impl ShareEntry {
+    /// Returns the whole share as one that is taken over from its holder.
+    ///
+    /// What its holder and those before it have lent is within one lendable
+    /// part of the whole, so it is counted once.
+    fn taken_whole(&self) -> Vec<TakenShare> {
+        let mut from: Vec<Instance> =
+            self.taken.iter().flat_map(|taken| taken.from.iter().cloned()).collect();
+        if self.holder.incarnation != Incarnation(0) {
+            from.push(self.holder.clone());
+        }
+        let taken = TakenShare { from, share_ppm: self.share_ppm };
+        Vec::from_iter((!taken.from.is_empty()).then_some(taken))
+    }
+}
+
 fn entry(holder: Instance, share_ppm: u32) -> ShareEntry {
     ShareEntry { holder, share_ppm, taken: Vec::new() }
 }
--- a/crates/lycheeford-policy/src/token_bucket.rs
+++ b/crates/lycheeford-policy/src/token_bucket.rs
@@ -7,7 +7,7 @@
 ///
 /// A holder that restarts has forgotten its loans and counts this part as
 /// lent until every peer has said otherwise; the rest serves meanwhile.
-pub const LENDABLE_PPM: u32 = 500_000;
+pub const LENDABLE_PPM: u32 = 900_000;
 
 /// Nanotokens in a token; ppm times tokens a second times milliseconds is nanotokens.
 pub(crate) const NANO: u128 = 1_000_000_000;
--- /dev/null
+++ b/crates/lycheeford-policy/tests/share_table.rs
@@ -0,0 +1,181 @@
+//! Standing shares: who may take which, and with how full a bucket.
+
+use lycheeford_policy::{
+    GoneProofs, Instance, LoanArrival, LoanReport, LoanState, MAX_SHARE_HOLDERS, Name, RateLimits,
+    RateShare, ShareFault, ShareTable, TimeMs, WHOLE_SHARE_PPM,
+};
+
+const LIMITS: RateLimits = RateLimits { rate_tokens_per_s: 1_000, burst_tokens: 6_000 };
+const START: TimeMs = TimeMs::from_ms(5_000);
+
+fn hosts(count: usize) -> Vec<Name> {
+    (0..count).map(|host| Name::from(format!("entry-{host:03}"))).collect()
+}
+
+fn customer() -> Name {
+    Name::from("pilots")
+}
+
+fn share_of(table: &ShareTable, me: &Instance, hosts: &[Name]) -> RateShare {
+    let mut share = RateShare::new(me.clone(), START, LIMITS);
+    share.adopt(START, 1, table, hosts);
+    share
+}
+
+#[test]
+fn shares_add_up_to_one_at_any_size() {
+    for count in [1, 2, 3, 6, 7, 8, 9, 320] {
+        let hosts = hosts(count);
+        let me = Instance::new(hosts[count / 2].clone(), 1);
+        let table = ShareTable::create(&customer(), &me, &hosts);
+        assert_eq!(table.total_ppm(), WHOLE_SHARE_PPM, "{count} hosts");
+        assert_eq!(table.entries.len(), count.min(MAX_SHARE_HOLDERS), "{count} hosts");
+        assert!(table.entry(&me.host).is_some(), "{count} hosts");
+    }
+}
+
+#[test]
+fn only_the_creator_starts_full() {
+    let hosts = hosts(2);
+    let creator = Instance::new(hosts[0].clone(), 1);
+    let other = Instance::new(hosts[1].clone(), 1);
+    let table = ShareTable::create(&customer(), &creator, &hosts);
+    let table = table.claim(&customer(), &other, &hosts, &GoneProofs::default()).unwrap();
+    assert_eq!(share_of(&table, &creator, &hosts).level_tokens(START), 3_000);
+    assert_eq!(share_of(&table, &other, &hosts).level_tokens(START), 0);
+    let restarted = Instance::new(hosts[0].clone(), 2);
+    let table = table.claim(&customer(), &restarted, &hosts, &GoneProofs::default()).unwrap();
+    assert_eq!(share_of(&table, &restarted, &hosts).level_tokens(START), 0);
+    assert_eq!(share_of(&table, &creator, &hosts).share_ppm(), 0);
+}
+
+#[test]
+fn a_restarted_holder_counts_its_loans_as_out_until_every_host_denies_them() {
+    let hosts = hosts(2);
+    let table = ShareTable::create(&customer(), &Instance::new(hosts[0].clone(), 1), &hosts);
+    let me = Instance::new(hosts[0].clone(), 2);
+    let table = table.claim(&customer(), &me, &hosts, &GoneProofs::default()).unwrap();
+    let mut share = share_of(&table, &me, &hosts);
+    let later = START + 60_000;
+    assert_eq!(share.level_tokens(later), 300);
+    let former = Instance::new(hosts[0].clone(), 1);
+    assert!(share.clear_inherited(later, &hosts[0], &former).is_empty());
+    assert_eq!(share.clear_inherited(later, &hosts[1], &former), [former]);
+    assert_eq!(share.level_tokens(later + 60_000), 3_000);
+}
+
+struct GoneCase {
+    name: &'static str,
+    listed: usize,
+    live: usize,
+    answered: Option<u64>,
+    taken: bool,
+}
+
+#[test]
+fn a_share_is_taken_only_from_a_holder_proven_gone() {
+    let cases = [
+        GoneCase { name: "silent but listed", listed: 8, live: 8, answered: None, taken: false },
+        GoneCase { name: "leaving", listed: 8, live: 7, answered: None, taken: false },
+        GoneCase { name: "left the list", listed: 7, live: 7, answered: None, taken: true },
+        GoneCase {
+            name: "restarted, claims itself",
+            listed: 8,
+            live: 8,
+            answered: Some(9),
+            taken: false,
+        },
+    ];
+    for case in cases {
+        let hosts = hosts(8);
+        let table = ShareTable::create(&customer(), &Instance::new(hosts[0].clone(), 1), &hosts);
+        let last = Instance::new(hosts[7].clone(), 1);
+        let mut gone = GoneProofs::default();
+        gone.list(&hosts);
+        let table = table.claim(&customer(), &last, &hosts, &gone).unwrap();
+        gone.list(&hosts[..case.listed]);
+        if let Some(incarnation) = case.answered {
+            gone.answered(&Instance::new(hosts[7].clone(), incarnation));
+        }
+        let live = &hosts[..case.live];
+        let heirs = live.iter().filter(|host| {
+            let me = Instance::new((*host).clone(), 1);
+            let claimed = table.claim(&customer(), &me, live, &gone);
+            claimed.is_some_and(|claimed| claimed.entry(&last.host).is_none())
+        });
+        assert_eq!(heirs.count(), usize::from(case.taken), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_share_is_given_only_by_the_life_that_holds_it() {
+    let hosts = hosts(2);
+    let me = Instance::new(hosts[0].clone(), 1);
+    let to = Instance::new(hosts[1].clone(), 1);
+    let table = ShareTable::create(&customer(), &me, &hosts);
+    let table = table.claim(&customer(), &to, &hosts, &GoneProofs::default()).unwrap();
+    let given = table.give(&me, &to, 100_000).unwrap();
+    assert_eq!(given.total_ppm(), WHOLE_SHARE_PPM);
+    assert_eq!(given.entry(&to.host).unwrap().share_ppm, 600_000);
+    let earlier = Instance::new(hosts[0].clone(), 0);
+    assert_eq!(table.give(&earlier, &to, 1), Err(ShareFault::NotHeld));
+    assert_eq!(table.give(&me, &to, 500_001), Err(ShareFault::NotHeld));
+}
+
+#[test]
+fn a_loan_that_arrives_after_it_was_denied_is_returned() {
+    let hosts = hosts(2);
+    let lender = Instance::new(hosts[0].clone(), 1);
+    let me = Instance::new(hosts[1].clone(), 1);
+    let table = ShareTable::create(&customer(), &lender, &hosts);
+    let mut lending = share_of(&table, &lender, &hosts);
+    let mut share = RateShare::new(me.clone(), START, LIMITS);
+    let (id, _) = share.begin(START, 500);
+    let ask = share.open_ask(id, &hosts[0]).unwrap();
+    let loan = lending.lend(START, &me, ask, 500).unwrap();
+    assert!(share.disclaim_loans(&lender));
+    let state = LoanState::Closed { used_tokens: 0, returned_tokens: 500 };
+    let report = LoanReport { id: loan.id.clone(), state };
+    assert_eq!(share.accept_loan(&loan), LoanArrival::Returned(report));
+}
+
+#[test]
+fn a_running_loan_makes_room_at_its_lender() {
+    let hosts = hosts(2);
+    let lender = Instance::new(hosts[0].clone(), 1);
+    let me = Instance::new(hosts[1].clone(), 1);
+    let table = ShareTable::create(&customer(), &lender, &hosts);
+    let mut lending = share_of(&table, &lender, &hosts);
+    let mut share = RateShare::new(me.clone(), START, LIMITS);
+    let (id, _) = share.begin(START, 2_000);
+    let ask = share.open_ask(id, &hosts[0]).unwrap();
+    let loan = lending.lend(START, &me, ask, 2_000).unwrap();
+    assert_eq!(lending.lend(START, &me, ask, 2_000), Some(loan.clone()));
+    assert_eq!(share.accept_loan(&loan), LoanArrival::Accepted { missing_tokens: 0 });
+    assert_eq!(share.accept_loan(&loan), LoanArrival::Duplicate);
+    share.consume(START, id, 1_500).unwrap();
+    assert!(!lending.settle(START, &share.report_loan(&loan)));
+    assert_eq!(lending.level_tokens(START), 1_000);
+    assert_eq!(lending.level_tokens(START + 60_000), 2_500);
+    let reports = share.finish(START, id);
+    assert!(lending.settle(START + 60_000, &reports[0]));
+    assert!(lending.settle(START + 60_000, &reports[0]));
+    assert_eq!(lending.level_tokens(START + 60_000), 3_000);
+}
+
+#[test]
+fn a_share_is_lowered_here_before_it_is_given() {
+    let hosts = hosts(1);
+    let me = Instance::new(hosts[0].clone(), 1);
+    let table = ShareTable::create(&customer(), &me, &hosts);
+    let mut share = share_of(&table, &me, &hosts);
+    let id = share.reserve(START, 4_500).unwrap();
+    assert_eq!(share.prepare_give(START, 900_000), Some(250_000));
+    assert_eq!(share.level_tokens(START), 0);
+    share.adopt(START, 1, &table, &hosts);
+    assert_eq!(share.share_ppm(), 750_000);
+    share.finish(START, id);
+    assert_eq!(share.level_tokens(START), 4_500);
+    share.abort_give(START, 250_000);
+    assert_eq!(share.level_tokens(START), 4_500);
+}
--- a/crates/lycheeford-wire/src/stored/share.rs
+++ b/crates/lycheeford-wire/src/stored/share.rs
@@ -1,4 +1,6 @@
-use lycheeford_policy::{MAX_SHARE_HOLDERS, ShareEntry, ShareTable, TakenShare, WHOLE_SHARE_PPM};
+use lycheeford_policy::{
+    Instance, MAX_SHARE_HOLDERS, ShareEntry, ShareTable, TakenShare, WHOLE_SHARE_PPM,
+};
 use serde::{Deserialize, Serialize};
 
 use super::{StoredError, StoredInstance, check_sorted};
@@ -25,7 +27,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoredTakenShare {
-    from: StoredInstance,
+    from: Vec<StoredInstance>,
     share_ppm: u32,
 }
 
@@ -81,12 +83,18 @@
 
 impl From<&TakenShare> for StoredTakenShare {
     fn from(taken: &TakenShare) -> StoredTakenShare {
-        StoredTakenShare { from: (&taken.from).into(), share_ppm: taken.share_ppm }
+        StoredTakenShare {
+            from: taken.from.iter().map(StoredInstance::from).collect(),
+            share_ppm: taken.share_ppm,
+        }
     }
 }
 
 impl From<StoredTakenShare> for TakenShare {
     fn from(stored: StoredTakenShare) -> TakenShare {
-        TakenShare { from: stored.from.into(), share_ppm: stored.share_ppm }
+        TakenShare {
+            from: stored.from.into_iter().map(Instance::from).collect(),
+            share_ppm: stored.share_ppm,
+        }
     }
 }
