--- a/crates/lycheeford-policy/src/ledger.rs
+++ b/crates/lycheeford-policy/src/ledger.rs
@@ -1,9 +1,13 @@
-use crate::{Instance, Name};
+use crate::{GoneProofs, Instance, Name};
 
 /// The bucket objects that the ledger is spread over.
 pub const LEDGER_BUCKETS: u32 = 256;
 
 /// How long a record is kept, by the bucket's own clock.
+///
+/// It counts from the claim, or from the answer that followed. A claimed one is
+/// kept longer, until its sender is proven gone: it may be paused between its
+/// claim and its dispatch.
 pub const LEDGER_RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// The longest answer body that is kept for a resend.
@@ -15,9 +19,6 @@
 /// character in JSON, for which [`LedgerRecord`] is charged.
 pub const LEDGER_BUCKET_BYTES_MAX: usize = 900_000;
 
-/// The most that one update moves a bucket's clock.
-pub const LEDGER_CLOCK_STEP_MS_MAX: u64 = 10 * 60 * 1_000;
-
 const RECORD_OVERHEAD_BYTES: usize = 256;
 
 /// Names one attempt to run a call; no two attempts share a name.
@@ -72,6 +73,8 @@
     Claimed,
     /// Given back by its attempt before it was dispatched; another may claim it.
     Released,
+    /// Dispatched by its attempt, which is over and doesn't know the outcome.
+    Lost,
     /// It ran and its answer is known.
     Answered(LedgerAnswer),
 }
@@ -133,8 +136,10 @@
         &self,
         elapsed_ms: u64,
         claims: &[LedgerClaim],
+        gone: &GoneProofs,
     ) -> (LedgerBucket, Vec<ClaimOutcome>) {
         let mut bucket = self.advanced(elapsed_ms);
+        bucket.expire(gone);
         let mut size_bytes = bucket.size_bytes();
         let outcomes = claims.iter().map(|claim| bucket.claim(claim, &mut size_bytes)).collect();
         (bucket, outcomes)
@@ -162,6 +167,14 @@
         self.settle(elapsed_ms, claim, LedgerState::Answered(LedgerAnswer { status, body }))
     }
 
+    /// Returns the bucket with the outcome of the attempt's call given up, or `None` if it has no claim.
+    ///
+    /// The attempt may have dispatched and does nothing more. Resends are told
+    /// [`ClaimOutcome::Unknown`] for the retention.
+    pub fn give_up(&self, elapsed_ms: u64, claim: &LedgerClaim) -> Option<LedgerBucket> {
+        self.settle(elapsed_ms, claim, LedgerState::Lost)
+    }
+
     /// Returns a bound on the bucket's size as it is stored.
     pub fn size_bytes(&self) -> usize {
         self.records.iter().map(LedgerRecord::size_bytes).sum()
@@ -217,7 +230,7 @@
         match &record.state {
             LedgerState::Answered(answer) => ClaimOutcome::Answered(answer.clone()),
             LedgerState::Claimed if is_own => ClaimOutcome::Run,
-            LedgerState::Claimed => ClaimOutcome::Unknown,
+            LedgerState::Claimed | LedgerState::Lost => ClaimOutcome::Unknown,
             LedgerState::Released if is_own => ClaimOutcome::Released,
             LedgerState::Released => {
                 record.attempt = claim.attempt.clone();
@@ -230,12 +243,20 @@
 
     fn advanced(&self, elapsed_ms: u64) -> LedgerBucket {
         let mut bucket = self.clone();
-        bucket.clock_ms += elapsed_ms.min(LEDGER_CLOCK_STEP_MS_MAX);
-        let clock_ms = bucket.clock_ms;
-        bucket.records.retain(|record| clock_ms - record.changed_ms < LEDGER_RETENTION_MS);
+        bucket.clock_ms += elapsed_ms;
         bucket
     }
 
+    fn expire(&mut self, gone: &GoneProofs) {
+        let clock_ms = self.clock_ms;
+        self.records.retain(|record| {
+            let is_recent = clock_ms - record.changed_ms < LEDGER_RETENTION_MS;
+            let may_dispatch =
+                record.state == LedgerState::Claimed && !gone.is_gone(&record.attempt.sender);
+            is_recent || may_dispatch
+        });
+    }
+
     fn position(&self, customer: &Name, key: &Name) -> Result<usize, usize> {
         self.records.binary_search_by(|record| {
             record.customer.cmp(customer).then_with(|| record.key.cmp(key))
@@ -248,7 +269,7 @@
     fn size_bytes(&self) -> usize {
         let body_bytes = match &self.state {
             LedgerState::Answered(answer) => answer.body.as_ref().map_or(0, Vec::len),
-            LedgerState::Claimed | LedgerState::Released => 0,
+            LedgerState::Claimed | LedgerState::Released | LedgerState::Lost => 0,
         };
         let names = self.customer.len() + self.key.len() + self.attempt.sender.host.len();
         RECORD_OVERHEAD_BYTES + 6 * names + 2 * body_bytes
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -69,8 +69,8 @@
 pub use crate::key::{check_key, granted_key};
 pub use crate::ledger::{
     AttemptId, ClaimOutcome, LEDGER_BODY_BYTES_MAX, LEDGER_BUCKET_BYTES_MAX, LEDGER_BUCKETS,
-    LEDGER_CLOCK_STEP_MS_MAX, LEDGER_RETENTION_MS, LedgerAnswer, LedgerBucket, LedgerClaim,
-    LedgerRecord, LedgerState, ledger_bucket,
+    LEDGER_RETENTION_MS, LedgerAnswer, LedgerBucket, LedgerClaim, LedgerRecord, LedgerState,
+    ledger_bucket,
 };
 pub use crate::lenders::{
     MAX_LENDERS_ASKED, MIN_GIVE_PPM, PeerSpare, REBALANCE_INTERVAL_MS, ShareDemand, choose_lenders,
--- a/crates/lycheeford-wire/src/stored/ledger.rs
+++ b/crates/lycheeford-wire/src/stored/ledger.rs
@@ -34,6 +34,8 @@
     Claimed,
     /// Given back before it was dispatched.
     Released,
+    /// Dispatched, and its outcome isn't known.
+    Lost,
     /// Answered.
     Answered {
         /// The HTTP status.
@@ -101,6 +103,7 @@
         match state {
             LedgerState::Claimed => StoredLedgerState::Claimed,
             LedgerState::Released => StoredLedgerState::Released,
+            LedgerState::Lost => StoredLedgerState::Lost,
             LedgerState::Answered(answer) => StoredLedgerState::Answered {
                 status: answer.status,
                 body_hex: answer.body.as_ref().map(hex::encode),
@@ -116,6 +119,7 @@
         Ok(match stored {
             StoredLedgerState::Claimed => LedgerState::Claimed,
             StoredLedgerState::Released => LedgerState::Released,
+            StoredLedgerState::Lost => LedgerState::Lost,
             StoredLedgerState::Answered { status, body_hex } => {
                 let body = body_hex.as_deref().map(body).transpose()?;
                 LedgerState::Answered(LedgerAnswer { status, body })
--- a/crates/lycheeford-wire/tests/stored.rs
+++ b/crates/lycheeford-wire/tests/stored.rs
@@ -69,10 +69,15 @@
         fingerprint: 7,
         attempt: AttemptId { sender: Instance::new("a", 1), number: 1 },
     };
-    let claims = [claim("k1"), claim("k2"), claim("k3")];
-    let (bucket, _) = LedgerBucket::default().claim_all(5, &claims);
+    let claims = [claim("k1"), claim("k2"), claim("k3"), claim("k4")];
+    let (bucket, _) = LedgerBucket::default().claim_all(5, &claims, &GoneProofs::default());
     let bucket = bucket.answer(5, &claims[0], 200, &[0, 255, b'"']).unwrap();
     let bucket = bucket.release(5, &claims[2]).unwrap();
+    let bucket = bucket.give_up(5, &claims[3]).unwrap();
+    assert!(
+        serde_json::to_string(&StoredLedgerBucket::from(&bucket)).unwrap().len()
+            <= bucket.size_bytes()
+    );
     assert_eq!(read_back::<StoredLedgerBucket, LedgerBucket>(&bucket), bucket);
 }
 
