Prove that loaded never exceeds decided and memory is never overcommitted

The model ends a daemon's connections with its life: an order that a dead sender left in a network buffer and that a target takes after a later status isn't covered; nothing at the sender's end can be.

--- a/crates/lycheeford-policy/src/resolve.rs
+++ b/crates/lycheeford-policy/src/resolve.rs
@@ -100,6 +100,10 @@
 ///   shows; an order that a living sender may still send stays. A target proven
 ///   gone counts as one that shows nothing.
 ///
+/// Once faults stop, two rounds of resolving every target, cancelling and
+/// removing what nobody orders any more and clearing the cancellations free
+/// every byte and replica that isn't in use.
+///
 /// A freed reservation cancels its replica in the same update, after which
 /// [`ReplicaSet::remove`](crate::ReplicaSet::remove) takes it out of its set.
 pub fn resolve(
--- /dev/null
+++ b/crates/lycheeford-policy/tests/replica_orders/world.rs
@@ -0,0 +1,464 @@
+//! Daemons, a store and targets that misbehave.
+
+use lycheeford_policy::{
+    FenceCheck, GoneProofs, Incarnation, Instance, LoadRequest, LoadState, LoadedName, Name,
+    OrderAction, OrderOutcome, OrderReport, Replica, ReplicaSet, ResolveEvidence, TargetOrder,
+    TargetRecord, TargetStatus, resolve,
+};
+
+use crate::{Fate, Op};
+
+pub const DAEMONS: usize = 3;
+pub const TARGETS: usize = 2;
+/// The name, its memory and its replicas allowed.
+pub const NAMES: [(&str, u64, u32); 3] = [("a", 6, 1), ("b", 5, 1), ("c", 3, 2)];
+const CAPACITY_BYTES: u64 = 10;
+/// The rounds after which everything unused must be free.
+const SETTLE_ROUNDS: usize = 2;
+
+#[derive(Debug, Clone)]
+enum Object {
+    Set(usize, ReplicaSet),
+    Record(usize, TargetRecord),
+}
+
+#[derive(Debug)]
+struct Daemon {
+    me: Instance,
+    /// Replicas that this daemon decided and may order.
+    decided: Vec<(usize, Replica)>,
+    /// Orders whose record may have been written.
+    unsure: Vec<(usize, Name)>,
+    to_send: Vec<(usize, TargetOrder)>,
+    sending_over: Vec<Name>,
+    records: Vec<Option<(u64, TargetRecord)>>,
+    statuses: Vec<Option<Seen>>,
+}
+
+/// A status with what was known before it was asked for.
+#[derive(Debug, Clone)]
+struct Seen {
+    status: TargetStatus,
+    gone: GoneProofs,
+    sending_over: Vec<Name>,
+}
+
+#[derive(Debug)]
+struct Engine {
+    status: TargetStatus,
+    fence_check: FenceCheck,
+}
+
+#[derive(Debug)]
+pub struct World {
+    sets: Vec<(u64, ReplicaSet)>,
+    records: Vec<(u64, TargetRecord)>,
+    delayed: Vec<(u64, Object)>,
+    daemons: Vec<Option<Daemon>>,
+    incarnations: Vec<u64>,
+    gone: GoneProofs,
+    engines: Vec<Engine>,
+    in_flight: Vec<(usize, usize, TargetOrder)>,
+    last_order: u64,
+}
+
+fn model(name: usize) -> Name {
+    Name::from(NAMES[name].0)
+}
+
+fn target_name(target: usize) -> Name {
+    Name::from(format!("engine-{target}"))
+}
+
+fn target_index(name: &Name) -> usize {
+    name.strip_prefix("engine-").unwrap().parse().unwrap()
+}
+
+impl World {
+    pub fn new() -> World {
+        let engine = |target| Engine {
+            status: TargetStatus { incarnation: Incarnation(1), ..TargetStatus::default() },
+            fence_check: if target == 0 { FenceCheck::Checked } else { FenceCheck::Ignored },
+        };
+        let mut world = World {
+            sets: vec![(0, ReplicaSet::default()); NAMES.len()],
+            records: vec![(0, TargetRecord::default()); TARGETS],
+            delayed: Vec::new(),
+            daemons: (0..DAEMONS).map(|_| None).collect(),
+            incarnations: vec![0; DAEMONS],
+            gone: GoneProofs::default(),
+            engines: (0..TARGETS).map(engine).collect(),
+            in_flight: Vec::new(),
+            last_order: 0,
+        };
+        (0..DAEMONS).for_each(|daemon| world.restart(daemon));
+        world
+    }
+
+    pub fn step(&mut self, op: &Op) {
+        match *op {
+            Op::Crash { daemon } => self.crash(daemon),
+            Op::Restart { daemon } => self.restart(daemon),
+            Op::Deliver { pick } => self.deliver(pick),
+            Op::LoseOrder { pick } => {
+                if let Some((_, sender, order)) = self.pick_in_flight(pick) {
+                    self.sending_is_over(sender, order);
+                }
+            }
+            Op::Progress { target, succeeds } => self.progress(target, succeeds),
+            Op::RestartTarget { target } => {
+                let incarnation = Incarnation(self.engines[target].status.incarnation.0 + 1);
+                self.engines[target].status =
+                    TargetStatus { incarnation, ..TargetStatus::default() };
+            }
+            Op::TakeEffect { pick } => {
+                if let Some(index) = pick.checked_rem(self.delayed.len()) {
+                    let (base, object) = self.delayed.swap_remove(index);
+                    self.put(base, object);
+                }
+            }
+            _ => self.act(op),
+        }
+    }
+
+    /// Steps a daemon, which isn't there for others while it acts.
+    fn act(&mut self, op: &Op) {
+        let (Op::Decide { daemon: index, .. }
+        | Op::Recover { daemon: index }
+        | Op::RecordLoad { daemon: index, .. }
+        | Op::RecordUnload { daemon: index, .. }
+        | Op::Reread { daemon: index }
+        | Op::Send { daemon: index, .. }
+        | Op::GiveUp { daemon: index, .. }
+        | Op::SetAside { daemon: index, .. }
+        | Op::ReadRecord { daemon: index, .. }
+        | Op::ReadStatus { daemon: index, .. }
+        | Op::Resolve { daemon: index, .. }
+        | Op::Cancel { daemon: index, .. }
+        | Op::Remove { daemon: index, .. }
+        | Op::Clear { daemon: index, .. }) = *op
+        else {
+            return;
+        };
+        let Some(mut daemon) = self.daemons[index].take() else { return };
+        match *op {
+            Op::Decide { name, target, fate, .. } => self.decide(&mut daemon, name, target, fate),
+            Op::Recover { .. } => self.recover(&mut daemon),
+            Op::RecordLoad { pick, fate, .. } => self.record_load(&mut daemon, pick, fate),
+            Op::RecordUnload { name, target, fate, .. } => {
+                let id = self.next_order();
+                let (version, record) = &self.records[target];
+                if let Ok(record) = record.record_unload(&id, &model(name), &daemon.me) {
+                    daemon.unsure.push((target, id));
+                    self.write(*version, Object::Record(target, record), fate);
+                }
+            }
+            Op::Reread { .. } => self.reread(&mut daemon),
+            Op::Send { pick, .. } => {
+                if let Some(at) = pick.checked_rem(daemon.to_send.len()) {
+                    let (target, order) = daemon.to_send.swap_remove(at);
+                    self.in_flight.push((target, index, order));
+                }
+            }
+            Op::GiveUp { pick, .. } => {
+                if let Some(at) = pick.checked_rem(daemon.to_send.len()) {
+                    let (_, order) = daemon.to_send.swap_remove(at);
+                    daemon.sending_over.push(order.id);
+                }
+            }
+            Op::SetAside { target, .. } => {
+                let (version, record) = &self.records[target];
+                let id = record.order.as_ref().map(|order| order.id.clone());
+                if let Some(Ok(record)) = id.map(|id| record.set_aside(&id)) {
+                    self.write(*version, Object::Record(target, record), Fate::Answered);
+                }
+            }
+            Op::ReadRecord { target, .. } => {
+                daemon.records[target] = Some(self.records[target].clone());
+                daemon.statuses[target] = None;
+            }
+            Op::ReadStatus { target, .. } if daemon.records[target].is_some() => {
+                daemon.statuses[target] = Some(self.see(&daemon, target));
+            }
+            Op::Resolve { target, fate, .. } => self.resolve(&mut daemon, target, fate),
+            Op::Cancel { name, fate, .. } => self.cancel(name, fate),
+            Op::Remove { name, fate, .. } => self.remove(name, fate),
+            Op::Clear { name, target, .. } => self.clear(&mut daemon, name, target),
+            _ => {}
+        }
+        self.daemons[index] = Some(daemon);
+    }
+
+    fn decide(&mut self, daemon: &mut Daemon, name: usize, target: usize, fate: Fate) {
+        let (version, set) = &self.sets[name];
+        let Ok((set, _)) = set.decide(&target_name(target), NAMES[name].2, &daemon.me) else {
+            return;
+        };
+        self.write(*version, Object::Set(name, set), fate);
+        self.recover(daemon);
+    }
+
+    /// Reads the sets for replicas of its own, which also settles lost answers.
+    fn recover(&self, daemon: &mut Daemon) {
+        daemon.decided.clear();
+        for (name, (_, set)) in self.sets.iter().enumerate() {
+            let own = set.replicas.iter().filter(|replica| replica.decider == daemon.me);
+            daemon.decided.extend(own.map(|replica| (name, replica.clone())));
+        }
+    }
+
+    fn record_load(&mut self, daemon: &mut Daemon, pick: usize, fate: Fate) {
+        let Some(at) = pick.checked_rem(daemon.decided.len()) else { return };
+        let (name, replica) = daemon.decided[at].clone();
+        let target = target_index(&replica.target);
+        let order_id = self.next_order();
+        let (version, record) = &self.records[target];
+        let load = LoadRequest {
+            order_id: &order_id,
+            name: &model(name),
+            memory_bytes: NAMES[name].1,
+            replica: &replica,
+            sender: &daemon.me,
+            capacity_bytes: CAPACITY_BYTES,
+        };
+        if let Ok(record) = record.record_load(&load) {
+            daemon.unsure.push((target, order_id));
+            self.write(*version, Object::Record(target, record), fate);
+            self.reread(daemon);
+        }
+    }
+
+    /// Finds its orders among the records; those may be sent, once.
+    fn reread(&self, daemon: &mut Daemon) {
+        for (target, id) in std::mem::take(&mut daemon.unsure) {
+            let orders = self.records[target].1.orders().find(|order| order.id == id).cloned();
+            match orders {
+                Some(order) => daemon.to_send.push((target, order)),
+                None => daemon.unsure.push((target, id)),
+            }
+        }
+    }
+
+    fn resolve(&mut self, daemon: &mut Daemon, target: usize, fate: Fate) {
+        if daemon.records[target].is_none() {
+            daemon.records[target] = Some(self.records[target].clone());
+        }
+        if daemon.statuses[target].is_none() {
+            daemon.statuses[target] = Some(self.see(daemon, target));
+        }
+        let (Some((version, record)), Some(seen)) =
+            (daemon.records[target].take(), daemon.statuses[target].take())
+        else {
+            return;
+        };
+        let evidence = ResolveEvidence {
+            gone: &seen.gone,
+            sending_over: &seen.sending_over,
+            fence_check: self.engines[target].fence_check,
+        };
+        if let Some(record) = resolve(&record, &seen.status, &evidence) {
+            self.write(version, Object::Record(target, record), fate);
+        }
+    }
+
+    fn see(&self, daemon: &Daemon, target: usize) -> Seen {
+        Seen {
+            status: self.engines[target].status.clone(),
+            gone: self.gone.clone(),
+            sending_over: daemon.sending_over.clone(),
+        }
+    }
+
+    /// Cancels decided replicas that no target has reserved.
+    fn cancel(&mut self, name: usize, fate: Fate) {
+        for replica in self.sets[name].1.replicas.clone() {
+            let target = target_index(&replica.target);
+            let (version, record) = &self.records[target];
+            if let Ok(record) = record.cancel(&model(name), &replica) {
+                self.write(*version, Object::Record(target, record), fate);
+            }
+        }
+    }
+
+    fn remove(&mut self, name: usize, fate: Fate) {
+        for replica in self.sets[name].1.replicas.clone() {
+            let (version, set) = &self.sets[name];
+            let record = &self.records[target_index(&replica.target)].1;
+            if let Ok(set) = set.remove(&model(name), replica.id, record) {
+                self.write(*version, Object::Set(name, set), fate);
+            }
+        }
+    }
+
+    fn clear(&mut self, daemon: &mut Daemon, name: usize, target: usize) {
+        let set = &self.sets[name].1;
+        daemon.decided.retain(|(decided, replica)| *decided != name || set.contains(replica.id));
+        let (version, record) = &self.records[target];
+        let cleared = record.clear_cancelled(&model(name), set, &daemon.me, &self.gone);
+        if let Some(record) = cleared {
+            self.write(*version, Object::Record(target, record), Fate::Answered);
+        }
+    }
+
+    fn write(&mut self, base: u64, object: Object, fate: Fate) {
+        match fate {
+            Fate::Answered | Fate::LostAfterEffect => self.put(base, object),
+            Fate::LostBeforeEffect => {}
+            Fate::TakesEffectLater => self.delayed.push((base, object)),
+        }
+    }
+
+    fn put(&mut self, base: u64, object: Object) {
+        match object {
+            Object::Set(name, set) if self.sets[name].0 == base => {
+                self.sets[name] = (base + 1, set);
+            }
+            Object::Record(target, record) if self.records[target].0 == base => {
+                self.records[target] = (base + 1, record);
+            }
+            Object::Set(..) | Object::Record(..) => {}
+        }
+    }
+
+    fn next_order(&mut self) -> Name {
+        self.last_order += 1;
+        Name::from(self.last_order.to_string())
+    }
+
+    /// Ends a daemon, with what it had under way to targets.
+    fn crash(&mut self, daemon: usize) {
+        self.daemons[daemon] = None;
+        self.in_flight.retain(|(_, sender, _)| *sender != daemon);
+    }
+
+    fn restart(&mut self, daemon: usize) {
+        if self.daemons[daemon].is_some() {
+            return;
+        }
+        self.incarnations[daemon] += 1;
+        let me = Instance::new(format!("entry-{daemon}"), self.incarnations[daemon]);
+        self.gone.answered(&me);
+        self.daemons[daemon] = Some(Daemon {
+            me,
+            decided: Vec::new(),
+            unsure: Vec::new(),
+            to_send: Vec::new(),
+            sending_over: Vec::new(),
+            records: vec![None; TARGETS],
+            statuses: vec![None; TARGETS],
+        });
+    }
+
+    fn pick_in_flight(&mut self, pick: usize) -> Option<(usize, usize, TargetOrder)> {
+        let index = pick.checked_rem(self.in_flight.len())?;
+        Some(self.in_flight.swap_remove(index))
+    }
+
+    fn sending_is_over(&mut self, sender: usize, order: TargetOrder) {
+        if let Some(daemon) = &mut self.daemons[sender] {
+            daemon.sending_over.push(order.id);
+        }
+    }
+
+    /// Hands an order to its target, which checks no memory.
+    fn deliver(&mut self, pick: usize) {
+        let Some((target, sender, order)) = self.pick_in_flight(pick) else { return };
+        let Engine { status, fence_check } = &mut self.engines[target];
+        let is_stale = order.fence <= status.highest_fence;
+        let outcome = match order.action {
+            _ if is_stale && *fence_check == FenceCheck::Checked => OrderOutcome::RefusedStaleFence,
+            OrderAction::Load => {
+                let memory_bytes = NAMES.iter().find(|name| *name.0 == *order.name).unwrap().1;
+                let loaded = status.loaded.iter().any(|loaded| loaded.name == order.name);
+                if !loaded {
+                    let state = LoadState::Loading;
+                    status.loaded.push(LoadedName {
+                        name: order.name.clone(),
+                        memory_bytes,
+                        state,
+                    });
+                }
+                OrderOutcome::Accepted
+            }
+            OrderAction::Unload => {
+                status.loaded.retain(|loaded| loaded.name != order.name);
+                OrderOutcome::Done
+            }
+        };
+        status.highest_fence = status.highest_fence.max(order.fence);
+        status.orders.push(OrderReport { order_id: order.id.clone(), outcome });
+        self.sending_is_over(sender, order);
+    }
+
+    /// Ends a target's loads.
+    fn progress(&mut self, target: usize, succeeds: bool) {
+        let status = &mut self.engines[target].status;
+        let outcome = if succeeds { OrderOutcome::Done } else { OrderOutcome::Failed };
+        for report in &mut status.orders {
+            if report.outcome == OrderOutcome::Accepted {
+                report.outcome = outcome;
+            }
+        }
+        if !succeeds {
+            status.loaded.retain(|loaded| loaded.state == LoadState::Ready);
+        }
+        for loaded in &mut status.loaded {
+            loaded.state = LoadState::Ready;
+        }
+    }
+
+    pub fn check(&self) {
+        for (target, engine) in self.engines.iter().enumerate() {
+            let used: u64 = engine.status.loaded.iter().map(|loaded| loaded.memory_bytes).sum();
+            assert!(used <= CAPACITY_BYTES, "memory of engine-{target} is overcommitted");
+        }
+        for (name, (_, set)) in self.sets.iter().enumerate() {
+            assert!(set.replicas.len() <= NAMES[name].2 as usize, "too many replicas decided");
+            for (target, engine) in self.engines.iter().enumerate() {
+                let is_loaded = engine.status.loaded.iter().any(|held| held.name == model(name));
+                let is_decided = set.on_target(&target_name(target)).is_some();
+                assert!(is_decided || !is_loaded, "{name} is loaded on {target}, not decided");
+            }
+        }
+    }
+
+    /// Stops all faults and checks that what isn't loaded becomes free.
+    pub fn settle(&mut self) {
+        self.delayed.clear();
+        for daemon in 0..DAEMONS {
+            self.crash(daemon);
+            self.restart(daemon);
+        }
+        (0..TARGETS).for_each(|target| self.progress(target, true));
+        for _ in 0..SETTLE_ROUNDS {
+            for target in 0..TARGETS {
+                for op in [
+                    Op::ReadRecord { daemon: 0, target },
+                    Op::ReadStatus { daemon: 0, target },
+                    Op::Resolve { daemon: 0, target, fate: Fate::Answered },
+                ] {
+                    self.step(&op);
+                }
+            }
+            for name in 0..NAMES.len() {
+                self.cancel(name, Fate::Answered);
+                self.remove(name, Fate::Answered);
+                for target in 0..TARGETS {
+                    self.step(&Op::Clear { daemon: 0, name, target });
+                }
+            }
+            self.check();
+        }
+        for (target, (_, record)) in self.records.iter().enumerate() {
+            let status = &self.engines[target].status;
+            let mut loaded: Vec<&Name> = status.loaded.iter().map(|held| &held.name).collect();
+            loaded.sort_unstable();
+            let reserved: Vec<&Name> = record.reservations.iter().map(|held| &held.name).collect();
+            assert_eq!(reserved, loaded, "engine-{target} holds what it doesn't use");
+            assert_eq!(record.orders().count() + record.cancelled.len(), 0);
+        }
+        let decided: usize = self.sets.iter().map(|(_, set)| set.replicas.len()).sum();
+        let loaded: usize = self.engines.iter().map(|engine| engine.status.loaded.len()).sum();
+        assert_eq!(decided, loaded, "replicas stay decided that aren't loaded");
+    }
+}
