lycheefordd: Test configuration over races, lost answers, stale reads and outages

The first forms of the last two passed without their mechanism, since other writes used the faults up; the platform's stand-in can now lose the writes of one kind and freeze its reads.

A real fault stays red and is listed: when the store goes down straight after it took a head, no daemon gets the new configuration, not even the one that accepted it, because chunks come from the store alone. Sending head and chunks to peers, or keeping what was just written, would mend it.

--- a/crates/lycheeford-fakes/src/platform/faults.rs
+++ b/crates/lycheeford-fakes/src/platform/faults.rs
@@ -12,12 +12,16 @@
     pub lose_answers: LostWrites,
     /// The writes that take no effect and get no answer.
     pub lose_requests: LostWrites,
+    /// The only kind whose writes are lost; without one, those of every kind are.
+    pub lost_kind: Option<String>,
     /// What befalls every call once the next write of a `head` has been answered.
     pub after_head: CallFault,
     /// How far the list of hosts lags.
     pub host_list_lag_ms: u64,
     /// How many revisions every read lags.
     pub stale_by_revisions: u64,
+    /// The revision at which every read stands still.
+    pub reads_frozen_at: Option<u64>,
     /// What befalls watches.
     pub watches: WatchFault,
 }
@@ -69,7 +73,10 @@
 }
 
 impl PlatformFaults {
-    pub(super) fn next_write(&mut self) -> WriteFate {
+    pub(super) fn next_write(&mut self, kind: &str) -> WriteFate {
+        if self.lost_kind.as_ref().is_some_and(|lost| lost != kind) {
+            return WriteFate::Serve;
+        }
         if self.lose_requests.take() {
             return WriteFate::LoseRequest;
         }
@@ -80,7 +87,7 @@
     }
 
     pub(super) fn reads_lag(&self) -> bool {
-        self.host_list_lag_ms > 0 || self.stale_by_revisions > 0
+        self.host_list_lag_ms > 0 || self.stale_by_revisions > 0 || self.reads_frozen_at.is_some()
     }
 }
 
--- a/crates/lycheeford-fakes/src/platform/mod.rs
+++ b/crates/lycheeford-fakes/src/platform/mod.rs
@@ -270,7 +270,7 @@
         write: impl FnOnce(&mut ObjectTable) -> Result<u64, PutError>,
     ) -> http_types::Result<Result<u64, PutError>> {
         let mut state = self.state.lock().await;
-        let fate = state.faults.next_write();
+        let fate = state.faults.next_write(kind);
         if fate == WriteFate::LoseRequest {
             return Err(dropped());
         }
@@ -330,7 +330,8 @@
     /// Returns the revision as of which `kind` is read.
     fn readable_revision(&self, kind: &str) -> u64 {
         let newest = self.table.revision();
-        let stale = newest.saturating_sub(self.faults.stale_by_revisions);
+        let frozen_at = self.faults.reads_frozen_at.unwrap_or(newest);
+        let stale = newest.saturating_sub(self.faults.stale_by_revisions).min(frozen_at);
         if kind != "host" || self.faults.host_list_lag_ms == 0 {
             return stale;
         }
--- a/crates/lycheefordd/tests/configuration.rs
+++ b/crates/lycheefordd/tests/configuration.rs
@@ -79,6 +79,7 @@
     let lost = |lose_answers, lose_requests| PlatformFaults {
         lose_answers,
         lose_requests,
+        lost_kind: Some("head".to_owned()),
         ..PlatformFaults::default()
     };
     let cases = [
@@ -124,13 +125,14 @@
     let mut fleet = Fleet::start("stale-restart").await;
     let key = fleet.keys[4].clone();
     let id = key.split('_').nth(1).expect("a key has an id");
+    let platform = fleet.deployment.platform;
+    let head = Call::get("/objects/head/fleet").send(platform).await.unwrap().json();
+    let granted_at = head["version"].as_u64();
     let withdrawn = fleet.operator(0).withdraw_key(&WithdrawRequest { id: Name::from(id) }).await;
     let revision = withdrawn.expect("the key is withdrawn").revision;
     assert_in_force(&fleet, revision, "withdrawal").await;
     fleet.daemons[2].kill();
-    // Every read now misses the last writes, the withdrawal among them.
-    let platform = fleet.deployment.platform;
-    let faults = PlatformFaults { stale_by_revisions: 3, ..PlatformFaults::default() };
+    let faults = PlatformFaults { reads_frozen_at: granted_at, ..PlatformFaults::default() };
     fleet.set_faults(platform, &faults).await;
     fleet.daemons[2].start();
     let start = Instant::now();
