--- a/crates/lycheeford-wire/src/convert/loan.rs
+++ b/crates/lycheeford-wire/src/convert/loan.rs
@@ -146,7 +146,7 @@
 impl From<CustomerLoanReport> for wire::LoanReport {
     fn from(domain: CustomerLoanReport) -> wire::LoanReport {
         let state = match domain.report.state {
-            LoanState::Running => State::Running(wire::Running {}),
+            LoanState::Running { used_tokens } => State::Running(wire::Running { used_tokens }),
             LoanState::Closed { used_tokens, returned_tokens } => {
                 State::Closed(wire::Closed { used_tokens, returned_tokens })
             }
@@ -165,7 +165,7 @@
 
     fn try_from(wire: wire::LoanReport) -> Result<CustomerLoanReport, WireError> {
         let state = match wire.state.ok_or_else(|| WireError::missing("state"))? {
-            State::Running(_) => LoanState::Running,
+            State::Running(wire::Running { used_tokens }) => LoanState::Running { used_tokens },
             State::Closed(wire::Closed { used_tokens, returned_tokens }) => {
                 LoanState::Closed { used_tokens, returned_tokens }
             }
--- a/crates/lycheefordd/src/ledger.rs
+++ b/crates/lycheefordd/src/ledger.rs
@@ -40,10 +40,11 @@
     let attempt = AttemptId { sender: state.me.clone(), number: state.next_number() };
     let claim = LedgerClaim { customer: customer.clone(), key: key.clone(), fingerprint, attempt };
     let entry = LedgerEntry { state: state.clone(), claim };
+    let gone = state.gone().clone();
     let outcome = entry
         .change(|bucket, elapsed_ms| {
             let (changed, mut outcomes) =
-                bucket.claim_all(elapsed_ms, std::slice::from_ref(&entry.claim));
+                bucket.claim_all(elapsed_ms, std::slice::from_ref(&entry.claim), &gone);
             let outcome = outcomes.pop()?;
             let write = outcome == ClaimOutcome::Run;
             Some((write.then_some(changed), outcome))
@@ -77,6 +78,19 @@
         }
     }
 
+    /// Notes that the call may have run and that its answer won't be known.
+    pub(crate) async fn give_up(self) {
+        let given_up = self
+            .change(|bucket, elapsed_ms| {
+                let given_up = bucket.give_up(elapsed_ms, &self.claim)?;
+                Some((Some(given_up), ()))
+            })
+            .await;
+        if let Err(error) = given_up {
+            warn!(self.state.log, "lost call not noted in the ledger"; "error" => %error);
+        }
+    }
+
     /// Keeps the answer for whoever sends the call again.
     pub(crate) async fn answered(self, status: u16, body: &[u8]) {
         let answered = self
--- a/crates/lycheefordd/src/service.rs
+++ b/crates/lycheefordd/src/service.rs
@@ -143,6 +143,7 @@
                     return Ok(response);
                 }
                 Err(error) if error.may_have_run() => {
+                    settle(&self.state, entry.give_up());
                     let message = format!("{error}; the call may have run");
                     return Err(Refusal::unknown(RefusalCode::OutcomeUnknown, message));
                 }
@@ -269,9 +270,14 @@
         CallerBody::Stream(_) => Vec::new(),
     };
     let status = response.status;
+    settle(state, async move { entry.answered(status, &body).await });
+}
+
+/// Settles a ledger entry without letting the caller wait for the platform.
+fn settle(state: &Arc<State>, settling: impl Future<Output = ()> + Send + 'static) {
     let running = state.request_started();
     task::spawn(async move {
-        entry.answered(status, &body).await;
+        settling.await;
         drop(running);
     });
 }
