--- a/crates/lycheeford-policy/src/crash_suspect.rs
+++ b/crates/lycheeford-policy/src/crash_suspect.rs
@@ -24,7 +24,7 @@
     pub fingerprint: u64,
     /// The lives of targets that died while it ran, sorted.
     pub crashes: Vec<Name>,
-    /// Orders the suspects by age, counted by the daemon that remembers them.
+    /// Orders the suspects by their last crash, counted by the daemon that remembers them.
     pub noted: u64,
 }
 
@@ -54,21 +54,19 @@
 impl CrashSuspects {
     /// Counts the death of a target's life under a request.
     pub fn crashed(&mut self, fingerprint: u64, target_life: &Name) {
-        self.last_noted += 1;
-        let noted = self.last_noted;
         let index = match self.position(fingerprint) {
             Ok(index) => index,
             Err(index) => {
-                let suspect = CrashSuspect { fingerprint, crashes: Vec::new(), noted };
+                let suspect = CrashSuspect { fingerprint, crashes: Vec::new(), noted: 0 };
                 self.suspects.insert(index, suspect);
                 index
             }
         };
         let suspect = &mut self.suspects[index];
-        suspect.noted = noted;
-        if let Err(place) = suspect.crashes.binary_search(target_life)
-            && suspect.crashes.len() < MAX_TARGET_CRASHES as usize
-        {
+        let Err(place) = suspect.crashes.binary_search(target_life) else { return };
+        if suspect.crashes.len() < MAX_TARGET_CRASHES as usize {
+            self.last_noted += 1;
+            suspect.noted = self.last_noted;
             suspect.crashes.insert(place, target_life.clone());
         }
         self.drop_oldest();
@@ -83,7 +81,7 @@
         }
     }
 
-    /// Returns what peers should know, the most recent last.
+    /// Returns what peers should know, sorted by fingerprint.
     pub fn reports(&self) -> &[CrashSuspect] {
         &self.suspects
     }
--- a/crates/lycheeford-policy/src/freshness.rs
+++ b/crates/lycheeford-policy/src/freshness.rs
@@ -12,37 +12,44 @@
     Stale,
 }
 
-/// How recently this daemon, or a peer that it reaches, confirmed its configuration.
+/// How recently the configuration in force here is known to have been current.
 ///
 /// A confirmation is an answer of the platform's service that shows the head
-/// object's revision. It counts from when the question was sent. Three cases
-/// keep keyed calls going for [`KEY_STALENESS_MS_MAX`] at a time:
+/// object's revision. It counts from when the question was sent. Keyed calls
+/// go on for [`KEY_STALENESS_MS_MAX`] after any of these:
 ///
-/// 1. this daemon confirmed its own revision;
-/// 2. a peer confirmed a revision that is no newer than the one in force here;
+/// 1. this daemon confirmed a revision that is in force here;
+/// 2. a peer did, as of when it did;
 /// 3. a majority of the listed live entry hosts, this one counted, answered,
-///    and none of them has a newer revision. Then the service is down for
-///    that majority, and a daemon that can't write accepts no withdrawal.
+///    and no newer revision was ever seen. Then the service is down for that
+///    majority, and a daemon that can't write accepts no withdrawal.
 ///
 /// Not covered: a minority that alone reaches the service may accept a
 /// withdrawal that the majority learns of only after the cut. Refusing there
 /// would turn every outage of the service into an outage of the product.
+///
+/// ```
+/// use lycheeford_policy::{ConfigurationState, Freshness, KEY_STALENESS_MS_MAX, TimeMs};
+///
+/// let mut freshness = Freshness::new("a".into());
+/// let now = TimeMs::from_ms(10_000);
+/// freshness.in_force(7);
+/// freshness.confirm(now, 7);
+/// assert_eq!(freshness.state(now + KEY_STALENESS_MS_MAX), ConfigurationState::Fresh);
+/// assert_eq!(freshness.state(now + KEY_STALENESS_MS_MAX + 1), ConfigurationState::Stale);
+/// ```
 #[derive(Debug, Clone)]
 pub struct Freshness {
     me: Name,
     revision: u64,
+    newest_seen: u64,
     confirmed_at: Option<TimeMs>,
-    entry_hosts: Vec<Name>,
-    /// Sorted by host.
-    peers: Vec<PeerReport>,
-}
-
-#[derive(Debug, Clone)]
-struct PeerReport {
-    host: Name,
-    asked_at: TimeMs,
-    confirmed_at: Option<TimeMs>,
-    revision: u64,
+    /// When the revision in force was current, by anyone's confirmation.
+    current_at: Option<TimeMs>,
+    /// The listed live entry hosts, sorted, this one included.
+    members: Vec<Name>,
+    /// When each other member that answered was asked last, sorted by host.
+    answered: Vec<(Name, TimeMs)>,
 }
 
 impl Freshness {
@@ -51,18 +58,21 @@
         Freshness {
             me,
             revision: 0,
+            newest_seen: 0,
             confirmed_at: None,
-            entry_hosts: Vec::new(),
-            peers: Vec::new(),
+            current_at: None,
+            members: Vec::new(),
+            answered: Vec::new(),
         }
     }
 
     /// Takes over the listed live entry hosts, the majority's measure.
     pub fn set_entry_hosts(&mut self, hosts: &[Name]) {
-        self.entry_hosts = hosts.to_vec();
-        self.entry_hosts.sort_unstable();
-        self.entry_hosts.dedup();
-        self.peers.retain(|peer| self.entry_hosts.binary_search(&peer.host).is_ok());
+        self.members = hosts.to_vec();
+        self.members.push(self.me.clone());
+        self.members.sort_unstable();
+        self.members.dedup();
+        self.answered.retain(|(host, _)| self.members.binary_search(host).is_ok());
     }
 
     /// Takes in the revision in force here; it only moves forward.
@@ -74,15 +84,17 @@
     ///
     /// A revision that isn't in force here yet confirms nothing.
     pub fn confirm(&mut self, asked_at: TimeMs, revision: u64) {
+        self.newest_seen = self.newest_seen.max(revision);
         if revision <= self.revision {
             self.confirmed_at = self.confirmed_at.max(Some(asked_at));
+            self.current_at = self.current_at.max(Some(asked_at));
         }
     }
 
     /// Takes in the answer of a peer that was asked at `asked_at`.
     ///
-    /// `confirmed_age_ms` is how long ago the peer had confirmed `revision` by
-    /// its own clock, if it ever had.
+    /// `confirmed_age_ms` is how long ago the peer itself had confirmed
+    /// `revision`, its own, if it ever had.
     pub fn peer_report(
         &mut self,
         asked_at: TimeMs,
@@ -90,21 +102,22 @@
         confirmed_age_ms: Option<u64>,
         revision: u64,
     ) {
-        if *host == self.me || self.entry_hosts.binary_search(host).is_err() {
+        self.newest_seen = self.newest_seen.max(revision);
+        if revision <= self.revision {
+            let confirmed_at =
+                confirmed_age_ms.and_then(|age_ms| asked_at.as_ms().checked_sub(age_ms));
+            self.current_at = self.current_at.max(confirmed_at.map(TimeMs::from_ms));
+        }
+        if *host == self.me || self.members.binary_search(host).is_err() {
             return;
         }
-        let confirmed_at = confirmed_age_ms
-            .and_then(|age_ms| asked_at.as_ms().checked_sub(age_ms))
-            .map(TimeMs::from_ms);
-        let report = PeerReport { host: host.clone(), asked_at, confirmed_at, revision };
-        match self.peers.binary_search_by(|peer| peer.host.cmp(host)) {
-            Ok(index) if self.peers[index].asked_at <= asked_at => self.peers[index] = report,
-            Ok(_) => {}
-            Err(index) => self.peers.insert(index, report),
+        match self.answered.binary_search_by(|(known, _)| known.cmp(host)) {
+            Ok(index) => self.answered[index].1 = self.answered[index].1.max(asked_at),
+            Err(index) => self.answered.insert(index, (host.clone(), asked_at)),
         }
     }
 
-    /// Returns how long ago the own revision was confirmed, to be told to peers.
+    /// Returns how long ago this daemon confirmed its revision, to be told to peers.
     pub fn confirmed_age_ms(&self, now: TimeMs) -> Option<u64> {
         self.confirmed_at.map(|at| now.since_ms(at))
     }
@@ -112,15 +125,10 @@
     /// Tells whether keyed calls may be served at `now`.
     pub fn state(&self, now: TimeMs) -> ConfigurationState {
         let is_recent = |at: TimeMs| now.since_ms(at) <= KEY_STALENESS_MS_MAX;
-        let reachable: Vec<&PeerReport> =
-            self.peers.iter().filter(|peer| is_recent(peer.asked_at)).collect();
-        if reachable.iter().any(|peer| peer.revision > self.revision) {
-            return ConfigurationState::Stale;
-        }
-        let is_confirmed = self.confirmed_at.is_some_and(is_recent)
-            || reachable.iter().any(|peer| peer.confirmed_at.is_some_and(is_recent));
-        let is_majority = self.revision > 0 && 2 * (reachable.len() + 1) > self.entry_hosts.len();
-        if is_confirmed || is_majority {
+        let reached = self.answered.iter().filter(|(_, asked_at)| is_recent(*asked_at)).count();
+        let is_majority = 2 * (reached + 1) > self.members.len() && !self.members.is_empty();
+        let is_newest = self.revision > 0 && self.newest_seen <= self.revision;
+        if self.current_at.is_some_and(is_recent) || (is_majority && is_newest) {
             ConfigurationState::Fresh
         } else {
             ConfigurationState::Stale
--- a/crates/lycheeford-policy/src/health.rs
+++ b/crates/lycheeford-policy/src/health.rs
@@ -53,7 +53,6 @@
 #[derive(Debug, Clone)]
 pub struct Health {
     ticked_at: TimeMs,
-    woke_at: TimeMs,
     /// Sorted by host.
     records: Vec<Record>,
 }
@@ -70,7 +69,7 @@
 impl Health {
     /// Returns a state without any host.
     pub fn new(now: TimeMs) -> Health {
-        Health { ticked_at: now, woke_at: now, records: Vec::new() }
+        Health { ticked_at: now, records: Vec::new() }
     }
 
     /// Takes over the hosts to watch; a new one starts as up.
@@ -98,7 +97,6 @@
         result: ProbeResult,
     ) -> Option<VerdictChange> {
         self.notice_jump(now);
-        let woke_at = self.woke_at;
         let index = self.position(host).ok()?;
         let record = &mut self.records[index];
         match result {
@@ -107,7 +105,7 @@
                 record.failed_probes = 0;
                 record.change(Verdict::Up)
             }
-            ProbeResult::Failed if sent_at >= woke_at && sent_at >= record.good_at => {
+            ProbeResult::Failed if sent_at >= record.good_at => {
                 record.failed_probes += 1;
                 None
             }
@@ -133,7 +131,6 @@
         let jumped = now.since_ms(self.ticked_at) > CLOCK_JUMP_MS;
         self.ticked_at = self.ticked_at.max(now);
         if jumped {
-            self.woke_at = now;
             for record in &mut self.records {
                 record.good_at = now;
                 record.failed_probes = 0;
