--- a/crates/lycheeford-caller/src/bounds.rs
+++ b/crates/lycheeford-caller/src/bounds.rs
@@ -1,9 +1,12 @@
+/// The bytes that all request bodies in memory may take together.
+pub(crate) const BODIES_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// Limits on what a caller may send, hold and wait for.
 ///
 /// Each keeps a slow or hostile caller from holding memory or a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
-    /// The longest head, with the request line; larger values are lowered to 7 KiB.
+    /// The longest head, with the request line.
     pub head_bytes_max: usize,
     /// How long a head may take from its first byte.
     pub head_ms_max: u64,
@@ -22,7 +25,7 @@
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
-            head_bytes_max: 7 * 1024,
+            head_bytes_max: 16 * 1024,
             head_ms_max: 5_000,
             body_bytes_max: 1024 * 1024,
             body_ms_max: 20_000,
--- a/crates/lycheeford-caller/src/request.rs
+++ b/crates/lycheeford-caller/src/request.rs
@@ -1,14 +1,30 @@
-use http_types::Method;
-use lycheeford_policy::Name;
+use std::fmt::{self, Debug};
+
+use futures_util::io::Cursor;
+use http_types::{Method, Url};
+use lycheeford_http::{Header, RequestHead, strip_connection_headers};
+use lycheeford_policy::{Name, Refusal, RefusalCode};
+use percent_encoding::percent_decode_str;
 
 use crate::PresentedKey;
+use crate::key::take_key;
+
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The headers that the request's own fields stand for.
+const TAKEN_HEADERS: [&str; 3] = [DEADLINE_HEADER, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER];
+/// The longest target with its host; async-h1 takes heads of up to 8 KiB.
+const TARGET_BYTES_MAX: usize = 7 * 1024;
+const DEADLINE_MS_MAX: u64 = 24 * 60 * 60 * 1_000;
+const IDEMPOTENCY_KEY_BYTES_MAX: usize = 256;
 
 /// A checked request of a caller.
 ///
 /// Nothing in `headers` or `query` holds the key: every place where a key can
 /// be is taken out, with all cookies and all headers that concern one
-/// connection only.
-#[derive(Debug)]
+/// connection only. Its `Debug` shows neither headers nor body, so that no log
+/// line holds what a caller wrote.
 pub struct CallerRequest {
     /// The id, made here at random; the answer carries it as `x-request-id`.
     pub id: Name,
@@ -22,10 +38,122 @@
     pub headers: Vec<(String, String)>,
     /// The key, if the caller presented one.
     pub key: Option<PresentedKey>,
-    /// The value of the header `idempotency-key`, which also stays in `headers`.
+    /// The value of the header `idempotency-key`.
     pub idempotency_key: Option<Name>,
     /// How long the caller waits, from the header `x-deadline-ms`.
     pub deadline_ms: Option<u64>,
     /// The whole body, without chunk framing.
     pub body: Vec<u8>,
 }
+
+impl CallerRequest {
+    /// Checks what a head and a body say and takes the key out of them.
+    pub(crate) async fn new(
+        id: Name,
+        head: RequestHead,
+        body: Vec<u8>,
+    ) -> Result<CallerRequest, Refusal> {
+        let mut url = resolve_target(&head).await?;
+        check_path(url.path())?;
+        let RequestHead { method, mut headers, .. } = head;
+        let deadline_ms = single(&headers, DEADLINE_HEADER)?.map(parse_deadline).transpose()?;
+        let idempotency_key =
+            single(&headers, IDEMPOTENCY_HEADER)?.map(parse_idempotency_key).transpose()?;
+        let key = take_key(&mut headers, &mut url)?;
+        strip_connection_headers(&mut headers);
+        headers.retain(|(name, _)| !TAKEN_HEADERS.contains(&name.as_str()));
+        let request = CallerRequest {
+            id,
+            method,
+            path: url.path().to_owned(),
+            query: url.query().map(str::to_owned),
+            headers,
+            key,
+            idempotency_key,
+            deadline_ms,
+            body,
+        };
+        request.check_for_stray_key()?;
+        Ok(request)
+    }
+
+    fn check_for_stray_key(&self) -> Result<(), Refusal> {
+        let Some(key) = &self.key else { return Ok(()) };
+        let is_stray = key.is_in(self.path.as_bytes())
+            || key.is_in(self.query.as_deref().unwrap_or_default().as_bytes())
+            || self.headers.iter().any(|(_, value)| key.is_in(value.as_bytes()))
+            || key.is_in(&self.body);
+        if is_stray {
+            return Err(bad_request("the key stands in a second place; send it in one header"));
+        }
+        Ok(())
+    }
+}
+
+impl Debug for CallerRequest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CallerRequest")
+            .field("id", &self.id)
+            .field("method", &self.method)
+            .field("path", &self.path)
+            .field("key", &self.key)
+            .field("deadline_ms", &self.deadline_ms)
+            .field("body_bytes", &self.body.len())
+            .finish_non_exhaustive()
+    }
+}
+
+/// Lets async-h1 resolve the request's target against its host.
+async fn resolve_target(head: &RequestHead) -> Result<Url, Refusal> {
+    let host = head.values("host").next().unwrap_or_default();
+    if host.len() + head.target.len() > TARGET_BYTES_MAX {
+        let message = format!("the target is over {TARGET_BYTES_MAX} bytes; send a body instead");
+        return Err(Refusal::not_run(RefusalCode::TooLarge, message, None));
+    }
+    let replay = format!("{} {} HTTP/1.1\r\nhost: {host}\r\n\r\n", head.method, head.target);
+    match async_h1::server::decode(Cursor::new(replay.into_bytes())).await {
+        Ok(Some((request, _))) => Ok(request.url().clone()),
+        _ => Err(bad_request("the target or the host isn't valid; correct the URL")),
+    }
+}
+
+/// Refuses a path that a target could resolve to another one than the router.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let decoded = percent_decode_str(path).decode_utf8_lossy();
+    let is_dotted = decoded.split(['/', '\\']).any(|part| part == "." || part == "..");
+    if is_dotted || decoded.contains(|character: char| character.is_ascii_control()) {
+        return Err(bad_request("the path hides dot segments or controls; send a plain path"));
+    }
+    Ok(())
+}
+
+fn single<'a>(headers: &'a [Header], name: &str) -> Result<Option<&'a str>, Refusal> {
+    let mut values = headers.iter().filter(|header| header.0 == name);
+    let value = values.next();
+    if values.next().is_some() {
+        return Err(bad_request(format!("the header {name} repeats; send it once")));
+    }
+    Ok(value.map(|header| header.1.as_str()))
+}
+
+fn parse_deadline(text: &str) -> Result<u64, Refusal> {
+    let is_plain = text.bytes().all(|byte| byte.is_ascii_digit());
+    match text.parse() {
+        Ok(deadline_ms) if is_plain && (1..=DEADLINE_MS_MAX).contains(&deadline_ms) => {
+            Ok(deadline_ms)
+        }
+        _ => Err(bad_request("x-deadline-ms isn't a number of milliseconds; send 1 to 86400000")),
+    }
+}
+
+fn parse_idempotency_key(text: &str) -> Result<Name, Refusal> {
+    if text.is_empty() || text.len() > IDEMPOTENCY_KEY_BYTES_MAX {
+        return Err(bad_request("idempotency-key is empty or over 256 bytes; send a short one"));
+    }
+    Ok(Name::from(text))
+}
+
+pub(crate) fn bad_request(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(RefusalCode::BadRequest, message, None)
+}
--- a/crates/lycheeford-config/src/document.rs
+++ b/crates/lycheeford-config/src/document.rs
@@ -2,7 +2,7 @@
 
 use lycheeford_policy::{Access, Name, Repeat};
 
-use crate::fault::Faults;
+use crate::fault::{Category, Faults};
 use crate::section::Section;
 use crate::value;
 
@@ -178,6 +178,11 @@
         let faults = root.finish();
         if faults.is_empty() { Ok(document) } else { Err(Faults::new(file_name, faults)) }
     }
+
+    /// Writes the document as YAML that [`from_yaml`](Document::from_yaml) reads back.
+    pub fn to_yaml(&self) -> String {
+        serde_yaml_ng::to_string(self).expect("documents hold only text keys and numbers")
+    }
 }
 
 fn read_entries<T>(
@@ -187,9 +192,19 @@
     read: fn(&mut Section<'_>, Name) -> T,
 ) -> Vec<T> {
     let mut entries = Vec::new();
+    let mut names: Vec<Name> = Vec::new();
     for mut section in root.items(list) {
         if let Some(name) = section.required(name_field, value::name) {
             section.rename(format!("{} {name}", list.trim_end_matches('s')));
+            match names.binary_search(&name) {
+                Ok(_) => section.fault(
+                    Category::Conflict,
+                    name_field,
+                    "stands twice in this file",
+                    "join the two entries or rename one",
+                ),
+                Err(index) => names.insert(index, name.clone()),
+            }
             entries.push(read(&mut section, name));
             root.absorb(section.finish());
         } else {
