Tell of a give whose write may still take effect, and fuzz the stored forms

A give whose answer was lost and whose write never took effect kept the giver's share low until somebody else wrote the table; has_pending_give lets the daemon rewrite it. stored.rs reads 4,096 damaged forms without a panic.

--- a/crates/lycheeford-policy/src/rate_share.rs
+++ b/crates/lycheeford-policy/src/rate_share.rs
@@ -158,14 +158,24 @@
 
     /// Takes back [`prepare_give`](Self::prepare_give) once the write was refused for certain.
     ///
-    /// After a lost answer it isn't certain: read the table, and write again
-    /// on the same version until a later one shows.
+    /// After a lost answer it isn't certain, and
+    /// [`has_pending_give`](Self::has_pending_give) tells so.
     pub fn abort_give(&mut self, now: TimeMs, given_ppm: u32) {
         if self.pending_give.take().is_some() {
             self.bucket.set_share(now, self.bucket.share_ppm() + given_ppm);
         }
     }
 
+    /// Tells whether a give was prepared whose write may still take effect.
+    ///
+    /// If no later version shows, store the table unchanged on condition of
+    /// [`table_version`](Self::table_version) and adopt it: then the earlier
+    /// write has failed for certain and the share is whole again. Until then
+    /// this host works with the lower share and gives nothing more.
+    pub fn has_pending_give(&self) -> bool {
+        self.pending_give.is_some()
+    }
+
     /// Reserves `tokens` from the own bucket, or nothing.
     ///
     /// # Errors
--- a/crates/lycheeford-policy/tests/share_table.rs
+++ b/crates/lycheeford-policy/tests/share_table.rs
@@ -176,6 +176,15 @@
     assert_eq!(share.share_ppm(), 750_000);
     share.finish(START, id);
     assert_eq!(share.level_tokens(START), 4_500);
-    share.abort_give(START, 250_000);
-    assert_eq!(share.level_tokens(START), 4_500);
+    assert!(share.has_pending_give());
+    assert_eq!(share.prepare_give(START, 1), None);
+    let mut aborted = share.clone();
+    aborted.abort_give(START, 250_000);
+    let mut rewritten = share.clone();
+    rewritten.adopt(START, 2, &table, &hosts);
+    for mut whole in [aborted, rewritten] {
+        assert!(!whole.has_pending_give());
+        assert_eq!(whole.share_ppm(), WHOLE_SHARE_PPM);
+        assert_eq!(whole.level_tokens(START), 4_500);
+    }
 }
--- a/crates/lycheeford-wire/tests/stored.rs
+++ b/crates/lycheeford-wire/tests/stored.rs
@@ -9,6 +9,8 @@
     StoredError, StoredHost, StoredLedgerBucket, StoredReplicaSet, StoredShareTable,
     StoredTargetRecord,
 };
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -149,3 +151,61 @@
         assert_matches!((case.read)(case.json), Some(error) if error.field() == case.field);
     }
 }
+
+fn read_all(value: &serde_json::Value) {
+    fn read<S: DeserializeOwned, D: TryFrom<S>>(value: &serde_json::Value) {
+        if let Ok(stored) = serde_json::from_value::<S>(value.clone()) {
+            let _ = D::try_from(stored);
+        }
+    }
+    read::<StoredShareTable, ShareTable>(value);
+    read::<StoredReplicaSet, ReplicaSet>(value);
+    read::<StoredTargetRecord, TargetRecord>(value);
+    read::<StoredLedgerBucket, LedgerBucket>(value);
+    read::<StoredHost, Host>(value);
+}
+
+/// A value of one of the stored forms, with other values in some places.
+fn damaged() -> impl Strategy<Value = String> {
+    let forms = [
+        r#"{"creator":{"host":"a","incarnation":1},"entries":[{"holder":{"host":"a","incarnation":@},
+            "share_ppm":@,"taken":[{"from":[{"host":"a","incarnation":@}],"share_ppm":@}]},
+            {"holder":{"host":"b","incarnation":@},"share_ppm":@}]}"#,
+        r#"{"last_id":@,"replicas":[{"id":@,"target":"t","decider":{"host":"a","incarnation":@}}]}"#,
+        r#"{"incarnation":@,"fence":@,"order":{"id":"o","fence":@,"sender":{"host":"a",
+            "incarnation":@},"action":"load","name":"m"},"reservations":[{"name":"m",
+            "memory_bytes":@,"replica":{"id":@,"decider":{"host":"a","incarnation":@}}}]}"#,
+        r#"{"clock_ms":@,"records":[{"customer":"c","key":"k","fingerprint":@,"sender":{"host":"a",
+            "incarnation":@},"attempt":@,"state":{"answered":{"status":200,"body_hex":@}},
+            "changed_ms":@}]}"#,
+    ];
+    let value = prop_oneof![
+        any::<u64>().prop_map(|number| number.to_string()),
+        any::<u32>().prop_map(|number| number.to_string()),
+        "[0-9a-f]{0,4}".prop_map(|hex| format!("\"{hex}\"")),
+        Just("null".to_owned()),
+        Just("-1".to_owned()),
+        Just("1e30".to_owned()),
+    ];
+    (prop::sample::select(forms.to_vec()), prop::collection::vec(value, 8)).prop_map(
+        |(form, values)| {
+            values.into_iter().fold(form.to_owned(), |form, value| form.replacen('@', &value, 1))
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_096,
+        rng_seed: RngSeed::Fixed(0x570e),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_damaged_form_never_panics(text in damaged()) {
+        if let Ok(value) = serde_json::from_str(&text) {
+            read_all(&value);
+        }
+    }
+}
