Let a newer head replace one that can't be read, and adopt in one piece

Cause: a daemon that met a head with a missing chunk read that head again for ever, and never looked at the head that mended it; and two adopters could leave metrics and rates on the older of two revisions, since the lock ended before they were set. Found by reading, reported by the writer of the configuration package. The configuration tests pass as before (4 of 4); the stuck head has no test yet.

--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::channel::{Receiver, unbounded};
+use async_std::future::timeout;
 use async_std::task;
 use lycheeford_config::{CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head, assemble};
 use lycheeford_platform::{Change, FollowLimits, Object, ObjectStore, WatchEvent, follow};
@@ -53,17 +55,8 @@
 /// The chunks are read outside of the follower, so that a slow read doesn't
 /// delay the confirmations of what is in force.
 pub(crate) async fn follow_configuration(state: Arc<State>) {
-    let (sender, receiver) = async_std::channel::unbounded::<(TimeMs, Option<Head>)>();
-    let reader = state.clone();
-    task::spawn(async move {
-        while let Ok((as_of, head)) = receiver.recv().await {
-            if let Some(head) = head {
-                put_in_force(&reader, head).await;
-            }
-            let revision = reader.configuration.load().revision;
-            reader.freshness().confirm(as_of, revision);
-        }
-    });
+    let (sender, receiver) = unbounded();
+    task::spawn(read_heads(state.clone(), receiver));
     let limits = FollowLimits::default();
     let clock = state.clock;
     follow(
@@ -109,14 +102,13 @@
 pub(crate) fn adopt(state: &State, committed: Committed) {
     let configuration = committed.configuration.clone();
     let revision = configuration.revision;
-    {
-        let _adopting = state.adopting();
-        if revision <= state.configuration.load().revision {
-            return;
-        }
-        state.configuration.store(Arc::new(configuration.clone()));
-        state.committed.store(Arc::new(committed));
+    // Held to the end, so that two revisions can't be taken over in the wrong order.
+    let _adopting = state.adopting();
+    if revision <= state.configuration.load().revision {
+        return;
     }
+    state.configuration.store(Arc::new(configuration.clone()));
+    state.committed.store(Arc::new(committed));
     info!(state.log, "configuration in force"; "revision" => revision);
     let now = state.now();
     state.metrics.configuration_revision.set(revision);
@@ -127,14 +119,50 @@
     state.wake_planner();
 }
 
-async fn put_in_force(state: &State, head: Head) {
-    while head.revision > state.configuration.load().revision {
-        match read_configuration(state, head.clone()).await {
-            Ok(committed) => adopt(state, committed),
-            Err(error) => {
-                warn!(state.log, "configuration not readable"; "error" => %error);
-                task::sleep(Duration::from_millis(RETRY_MS)).await;
-            }
+/// Reads each head's configuration; one that can't be read is tried again until a newer comes.
+async fn read_heads(state: Arc<State>, heads: Receiver<(TimeMs, Option<Head>)>) {
+    let mut wanted: Option<Head> = None;
+    loop {
+        let news = match &wanted {
+            None => heads.recv().await.ok(),
+            Some(_) => match timeout(Duration::from_millis(RETRY_MS), heads.recv()).await {
+                Ok(news) => news.ok(),
+                Err(_) => None,
+            },
+        };
+        let as_of = news.as_ref().map(|(as_of, _)| *as_of);
+        wanted = news.and_then(|(_, head)| head).or(wanted);
+        if let Some(head) = &wanted
+            && put_in_force(&state, head.clone()).await
+        {
+            wanted = None;
+        }
+        if let Some(as_of) = as_of {
+            confirm(&state, as_of, wanted.as_ref());
+        }
+    }
+}
+
+/// Notes that what is in force is current, unless a newer head is known.
+fn confirm(state: &State, as_of: TimeMs, wanted: Option<&Head>) {
+    let revision = state.configuration.load().revision;
+    let newest = wanted.map_or(revision, |head| head.revision.max(revision));
+    state.freshness().confirm(as_of, newest);
+}
+
+/// Returns whether a configuration at least as new as `head` is in force now.
+async fn put_in_force(state: &State, head: Head) -> bool {
+    if head.revision <= state.configuration.load().revision {
+        return true;
+    }
+    match read_configuration(state, head).await {
+        Ok(committed) => {
+            adopt(state, committed);
+            true
+        }
+        Err(error) => {
+            warn!(state.log, "configuration not readable"; "error" => %error);
+            false
         }
     }
 }
