Wait for peers at the start, and let a stale read confirm nothing

Cause: a daemon that restarts while the platform answers with an old head put that head in force and called it current, and served a key withdrawn before, until its peers' beats arrived. Now a daemon serves keyed calls once every member was asked and the newest revision that anyone showed is in force, and a head older than the newest seen confirms nothing.

--- a/crates/lycheeford-policy/src/freshness.rs
+++ b/crates/lycheeford-policy/src/freshness.rs
@@ -78,14 +78,16 @@
     /// Takes in the revision in force here; it only moves forward.
     pub fn in_force(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
+        self.newest_seen = self.newest_seen.max(revision);
     }
 
     /// Takes in that the service, asked at `asked_at`, showed `revision` as the head.
     ///
-    /// A revision that isn't in force here yet confirms nothing.
+    /// A revision that isn't in force here yet confirms nothing, and neither
+    /// does one older than the newest seen, which is a stale read.
     pub fn confirm(&mut self, asked_at: TimeMs, revision: u64) {
         self.newest_seen = self.newest_seen.max(revision);
-        if revision <= self.revision {
+        if self.is_newest(revision) {
             self.confirmed_at = self.confirmed_at.max(Some(asked_at));
             self.current_at = self.current_at.max(Some(asked_at));
         }
@@ -103,7 +105,7 @@
         revision: u64,
     ) {
         self.newest_seen = self.newest_seen.max(revision);
-        if revision <= self.revision {
+        if self.is_newest(revision) {
             let confirmed_at =
                 confirmed_age_ms.and_then(|age_ms| asked_at.as_ms().checked_sub(age_ms));
             self.current_at = self.current_at.max(confirmed_at.map(TimeMs::from_ms));
@@ -117,6 +119,11 @@
         }
     }
 
+    /// Tells whether the newest revision seen anywhere is in force here.
+    pub fn has_newest(&self) -> bool {
+        self.newest_seen <= self.revision
+    }
+
     /// Returns how long ago this daemon confirmed its revision, to be told to peers.
     pub fn confirmed_age_ms(&self, now: TimeMs) -> Option<u64> {
         self.confirmed_at.map(|at| now.since_ms(at))
@@ -127,11 +134,15 @@
         let is_recent = |at: TimeMs| now.since_ms(at) <= KEY_STALENESS_MS_MAX;
         let reached = self.answered.iter().filter(|(_, asked_at)| is_recent(*asked_at)).count();
         let is_majority = 2 * (reached + 1) > self.members.len() && !self.members.is_empty();
-        let is_newest = self.revision > 0 && self.newest_seen <= self.revision;
+        let is_newest = self.revision > 0 && self.has_newest();
         if self.current_at.is_some_and(is_recent) || (is_majority && is_newest) {
             ConfigurationState::Fresh
         } else {
             ConfigurationState::Stale
         }
     }
+
+    fn is_newest(&self, revision: u64) -> bool {
+        revision == self.revision && revision == self.newest_seen
+    }
 }
--- a/crates/lycheefordd/src/access.rs
+++ b/crates/lycheefordd/src/access.rs
@@ -68,7 +68,7 @@
 
 fn check_fresh(state: &State) -> Result<(), Refusal> {
     let now = state.now();
-    if state.freshness().state(now) == ConfigurationState::Fresh {
+    if state.has_met_peers(now) && state.freshness().state(now) == ConfigurationState::Fresh {
         return Ok(());
     }
     Err(Refusal::not_run(
--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -122,6 +122,7 @@
 /// Reads each head's configuration; one that can't be read is tried again until a newer comes.
 async fn read_heads(state: Arc<State>, heads: Receiver<(TimeMs, Option<Head>)>) {
     let mut wanted: Option<Head> = None;
+    let mut shown_revision = 0;
     loop {
         let news = match &wanted {
             None => heads.recv().await.ok(),
@@ -132,24 +133,18 @@
         };
         let as_of = news.as_ref().map(|(as_of, _)| *as_of);
         wanted = news.and_then(|(_, head)| head).or(wanted);
+        shown_revision = wanted.as_ref().map_or(shown_revision, |head| head.revision);
         if let Some(head) = &wanted
             && put_in_force(&state, head.clone()).await
         {
             wanted = None;
         }
         if let Some(as_of) = as_of {
-            confirm(&state, as_of, wanted.as_ref());
+            state.freshness().confirm(as_of, shown_revision);
         }
     }
 }
 
-/// Notes that what is in force is current, unless a newer head is known.
-fn confirm(state: &State, as_of: TimeMs, wanted: Option<&Head>) {
-    let revision = state.configuration.load().revision;
-    let newest = wanted.map_or(revision, |head| head.revision.max(revision));
-    state.freshness().confirm(as_of, newest);
-}
-
 /// Returns whether a configuration at least as new as `head` is in force now.
 async fn put_in_force(state: &State, head: Head) -> bool {
     if head.revision <= state.configuration.load().revision {
--- a/crates/lycheefordd/src/members.rs
+++ b/crates/lycheefordd/src/members.rs
@@ -73,6 +73,11 @@
         rendezvous_owner(COORDINATOR_KEY, &candidates).unwrap_or(me).clone()
     }
 
+    /// Tells whether every member has answered, or been asked in vain, since the start.
+    pub(crate) fn all_asked(&self) -> bool {
+        self.members.iter().all(|member| member.heard.is_some() || member.missed.is_some())
+    }
+
     fn member_mut(&mut self, host: &str) -> Option<&mut Member> {
         let index = self.members.binary_search_by(|member| member.host.as_str().cmp(host)).ok()?;
         Some(&mut self.members[index])
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -27,6 +27,8 @@
 use crate::sent_orders::SentOrders;
 use crate::service_targets::ServiceTargets;
 
+/// How long a daemon that starts waits for its peers before it serves keyed calls.
+const MEET_PEERS_MS_MAX: u64 = 2_000;
 /// Retries that each request earns.
 const RETRIES_PER_REQUEST: f64 = 0.2;
 
@@ -65,6 +67,8 @@
     retry_budget: Mutex<RetryBudget>,
     ledger_seen: Mutex<LedgerSeen>,
     service_targets: Mutex<ServiceTargets>,
+    started_at: TimeMs,
+    met_peers: AtomicBool,
     fleet_revision: AtomicU64,
     draining: AtomicBool,
     requests_running: AtomicU64,
@@ -107,6 +111,8 @@
             retry_budget: Mutex::new(RetryBudget::new(RETRIES_PER_REQUEST)),
             ledger_seen: Mutex::default(),
             service_targets: Mutex::default(),
+            started_at: now,
+            met_peers: AtomicBool::new(false),
             fleet_revision: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             requests_running: AtomicU64::new(0),
@@ -190,6 +196,23 @@
         self.fleet_revision.store(revision, Ordering::Release);
     }
 
+    /// Tells whether this daemon has had the time to hear of newer revisions from its peers.
+    ///
+    /// The platform may answer a reader with an old head, and call it current.
+    /// A daemon that just started knows nothing better until its peers answer.
+    pub(crate) fn has_met_peers(&self, now: TimeMs) -> bool {
+        if self.met_peers.load(Ordering::Acquire) {
+            return true;
+        }
+        let waited = now.since_ms(self.started_at) >= MEET_PEERS_MS_MAX;
+        let met = waited || (self.fleet_revision() > 0 && self.members().all_asked());
+        if met && self.freshness().has_newest() {
+            self.met_peers.store(true, Ordering::Release);
+            return true;
+        }
+        false
+    }
+
     /// Starts to drain and returns whether this call started it.
     pub(crate) fn start_draining(&self) -> bool {
         !self.draining.swap(true, Ordering::AcqRel)
