Take an empty line after a body for nothing

Some callers end a body with an empty line. It was taken for the begin of the next head, ran into the limit on its time, and brought a 408 that could pass for the answer to the next request. Empty lines are now dropped while waiting; after a stop they don't put off the end.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -98,8 +98,13 @@
     }
 
     async fn serve_one(&mut self) -> Next {
-        if self.reader.surplus_bytes() == 0 && !self.wait_for_request().await {
-            return Next::End(End::Abandoned);
+        while !self.has_request() {
+            // Empty lines must not put off the end after a stop.
+            let is_last_wait = self.server.stop.is_triggered();
+            let has_bytes = self.wait_for_request().await;
+            if !has_bytes || (is_last_wait && !self.has_request()) {
+                return Next::End(End::Abandoned);
+            }
         }
         let id = new_request_id();
         let mut memory = self.server.budget.reservation();
@@ -117,6 +122,16 @@
         }
     }
 
+    /// Returns whether a request has begun.
+    ///
+    /// Some callers send an empty line after a body. Taken for the begin of a
+    /// head, it would run into the limit on its time, and the refusal could
+    /// pass for the answer to the next request.
+    fn has_request(&mut self) -> bool {
+        self.reader.skip_empty_lines();
+        self.reader.surplus_bytes() > 0
+    }
+
     async fn wait_for_request(&mut self) -> bool {
         let idle_ms_max = self.server.bounds.idle_ms_max;
         let filled =
--- a/crates/lycheeford-caller/tests/hostile.rs
+++ b/crates/lycheeford-caller/tests/hostile.rs
@@ -5,10 +5,11 @@
 use std::io::Write;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task;
 use lycheeford_caller::Bounds;
 
-use crate::common::{Server, half_close, read_to_close, read_until, start};
+use crate::common::{PATIENCE, Server, half_close, read_to_close, read_until, start};
 
 fn small_bounds() -> Bounds {
     Bounds {
@@ -137,6 +138,32 @@
     assert_eq!(server.calls(), 0);
 }
 
+#[test]
+fn an_empty_line_after_a_body_brings_no_refusal() {
+    let server = start(small_bounds());
+    let mut stream = server.connect();
+    stream.write_all(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\na\r\n").unwrap();
+    read_until(&mut stream, "body=a");
+    std::thread::sleep(Duration::from_millis(2 * small_bounds().head_ms_max));
+    stream.write_all(get("x: y").as_bytes()).unwrap();
+    let answer = read_to_close(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+}
+
+#[test]
+fn empty_lines_dont_put_off_the_end_after_a_stop() {
+    let server = start(Bounds::default());
+    let mut stream = server.connect();
+    server.stop.trigger();
+    let sender = std::thread::spawn(move || {
+        while stream.write_all(b"\r\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    });
+    task::block_on(timeout(PATIENCE, server.done)).expect("the server didn't end");
+    sender.join().unwrap();
+}
+
 #[test]
 fn a_request_cut_short_is_refused_and_not_run() {
     let server = start(Bounds::default());
--- a/crates/lycheeford-http/src/reader.rs
+++ b/crates/lycheeford-http/src/reader.rs
@@ -69,6 +69,15 @@
         read_some(&mut self.stream, &mut self.buffer).await
     }
 
+    /// Drops empty lines before the next message, and returns whether there were any.
+    pub fn skip_empty_lines(&mut self) -> bool {
+        let kept_bytes = self.buffer.len();
+        while self.buffer.starts_with(LINE_END) {
+            self.buffer.drain(..LINE_END.len());
+        }
+        self.buffer.len() < kept_bytes
+    }
+
     /// Reads a head of at most `head_bytes_max` bytes, with its empty line.
     ///
     /// Empty lines before the head are skipped.
@@ -79,8 +88,7 @@
     pub async fn head(&mut self, head_bytes_max: usize) -> Result<Vec<u8>, Error> {
         let mut searched_bytes = 0;
         loop {
-            while self.buffer.starts_with(LINE_END) {
-                self.buffer.drain(..LINE_END.len());
+            if self.skip_empty_lines() {
                 searched_bytes = 0;
             }
             if let Some(length_bytes) = head_length(&self.buffer, searched_bytes) {
