Never call a request not run after an attempt that may have run

Cause: a later attempt's refusal replaced what the earlier attempts had shown: a call that may have run and was then refused by the next target went out as not_run, and so did a stream that broke after tokens, a crash suspect on its own run, and a refusal while placing a retry. Ruled out: mapping each place by hand, which is how they came about. The request now remembers the most that any attempt showed, and every refusal goes through it. Also: an engine's refusal after a retry keeps its own status, and a caller's hang-up cancels a silent prefill at once.

--- a/crates/lycheeford-policy/src/refusal.rs
+++ b/crates/lycheeford-policy/src/refusal.rs
@@ -2,7 +2,7 @@
 
 /// A final negative answer to a request, sent as soon as it is known.
 ///
-/// docs/OPERATING.md lists each code with what the caller should do.
+/// docs/CALLERS.md lists each code with what the caller should do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Refusal {
     /// The reason, from a closed set.
@@ -32,6 +32,21 @@
         Refusal { code, ran: Ran::NotRun, message: message.into(), retry_after_ms }
     }
 
+    /// Returns the same refusal of a request that `ran` says more of.
+    ///
+    /// A request that an earlier attempt may have run stays so, whatever stops
+    /// the attempts after it.
+    ///
+    /// ```
+    /// use lycheeford_policy::{Ran, Refusal, RefusalCode};
+    ///
+    /// let refusal = Refusal::not_run(RefusalCode::NoTarget, "come back later", None);
+    /// assert_eq!(refusal.after(Ran::Unknown).ran, Ran::Unknown);
+    /// ```
+    pub fn after(self, ran: Ran) -> Refusal {
+        Refusal { ran: self.ran.max(ran), ..self }
+    }
+
     /// Returns a refusal of a request whose bytes may have reached a target.
     pub fn unknown(code: RefusalCode, message: impl Into<String>) -> Refusal {
         Refusal { code, ran: Ran::Unknown, message: message.into(), retry_after_ms: None }
@@ -44,10 +59,10 @@
 pub enum Ran {
     /// No byte of the request reached a target.
     NotRun,
-    /// The target ran the request.
-    Ran,
     /// The request may have run.
     Unknown,
+    /// The target ran the request.
+    Ran,
 }
 
 /// The reason of a refusal.
--- a/crates/lycheeford-policy/tests/freshness.rs
+++ b/crates/lycheeford-policy/tests/freshness.rs
@@ -116,3 +116,20 @@
     assert_eq!(freshness.state(NOW), ConfigurationState::Fresh);
     assert_eq!(freshness.confirmed_age_ms(NOW + 5), Some(5));
 }
+
+/// A platform that answers with an old head mustn't make an old revision count as current.
+#[test]
+fn a_stale_read_confirms_nothing() {
+    let mut freshness = Freshness::new("a".into());
+    freshness.set_entry_hosts(&["a".into(), "b".into(), "c".into()]);
+    freshness.in_force(7);
+    freshness.peer_report(NOW, &"b".into(), Some(0), 8);
+    freshness.confirm(NOW, 7);
+    assert_eq!(freshness.state(NOW), ConfigurationState::Stale);
+    assert!(!freshness.has_newest());
+    freshness.in_force(8);
+    freshness.confirm(NOW, 7);
+    assert_eq!(freshness.state(NOW + LIMIT_MS + 1), ConfigurationState::Stale);
+    freshness.confirm(NOW, 8);
+    assert_eq!(freshness.state(NOW), ConfigurationState::Fresh);
+}
--- a/crates/lycheefordd/src/completion.rs
+++ b/crates/lycheefordd/src/completion.rs
@@ -3,7 +3,7 @@
 
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse, Method, chunk_channel};
-use lycheeford_policy::{CrashVerdict, Name, Refusal, RefusalCode, TimeMs};
+use lycheeford_policy::{CrashVerdict, Name, Ran, Refusal, RefusalCode, TimeMs};
 use lycheeford_target::{CompletionEvent, Connection, TargetError, TargetRequest, TargetResponse};
 use serde_json::Value;
 
@@ -21,8 +21,8 @@
 const ANSWER_BYTES_MAX: usize = 16 << 20;
 /// The HTTP status of an engine that doesn't have the model ready.
 const NOT_LOADED: u16 = 404;
-/// When a caller should come back while a suspect of the same kind runs.
-const SUSPECT_RETRY_MS: u64 = 1_000;
+/// When a caller should come back after a failure that may pass by itself.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 /// A completion on its way, with what it holds until it ends.
 pub(crate) struct Completion {
@@ -36,6 +36,8 @@
     pub(crate) deadline: TimeMs,
     /// Targets that failed this request.
     pub(crate) failed: Vec<Name>,
+    /// Whether an attempt ran, for every refusal from then on.
+    pub(crate) ran: Ran,
     /// Held until the request ends.
     _alone: Option<RunsAlone>,
 }
@@ -90,6 +92,7 @@
         arrived,
         deadline: arrived + deadline_ms,
         failed: Vec::new(),
+        ran: Ran::NotRun,
         _alone: alone,
     };
     let answering = completion.dispatch(0).await?;
@@ -109,7 +112,16 @@
     /// Places the request and sends it, to one target after another if need be.
     ///
     /// `from_token` is the number of tokens that the caller has already.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with all that is known of whether an attempt ran.
     pub(crate) async fn dispatch(&mut self, from_token: u64) -> Result<Answering, Refusal> {
+        let dispatched = self.try_targets(from_token).await;
+        dispatched.map_err(|refusal| refusal.after(self.ran))
+    }
+
+    async fn try_targets(&mut self, from_token: u64) -> Result<Answering, Refusal> {
         let mut last_error: Option<TargetError> = None;
         let mut first = true;
         loop {
@@ -138,7 +150,12 @@
                         return Err(self.failure(None));
                     }
                 }
-                Ok(response) => return Ok(Answering { placed, response }),
+                Ok(response) => {
+                    if response.status == 200 {
+                        self.ran = Ran::Ran;
+                    }
+                    return Ok(Answering { placed, response });
+                }
                 Err(error) => {
                     first = false;
                     self.target_failed(&placed.target, &error).await;
@@ -152,6 +169,7 @@
     pub(crate) async fn target_failed(&mut self, target: &Name, error: &TargetError) {
         self.failed.push(target.clone());
         if error.may_have_run() {
+            self.ran = self.ran.max(Ran::Unknown);
             note_target_failure(&self.state, target, self.call.fingerprint).await;
         } else {
             self.state.placement().forget_target(target);
@@ -172,21 +190,28 @@
 
     /// Returns the refusal of a request that no target completed.
     pub(crate) fn failure(&self, error: Option<TargetError>) -> Refusal {
+        self.why_failed(error).after(self.ran)
+    }
+
+    fn why_failed(&self, error: Option<TargetError>) -> Refusal {
         if self.state.suspects().verdict(self.call.fingerprint) == CrashVerdict::Refuse {
             return crash_suspect();
         }
         if self.state.now() >= self.deadline {
-            return Refusal::unknown(
+            return Refusal::not_run(
                 RefusalCode::DeadlinePassed,
-                "the deadline passed while the request ran; send it again with a longer one",
+                "the deadline passed before an answer; send the request again with a longer one",
+                None,
             );
         }
         match error {
-            Some(error) => Refusal::unknown(RefusalCode::TargetFailed, error.to_string()),
+            Some(error) => {
+                Refusal::not_run(RefusalCode::TargetFailed, error.to_string(), Some(RETRY_AFTER_MS))
+            }
             None => Refusal::not_run(
                 RefusalCode::NoTarget,
                 "no target has the model ready; send the request again",
-                Some(SUSPECT_RETRY_MS),
+                Some(RETRY_AFTER_MS),
             ),
         }
     }
@@ -242,9 +267,12 @@
             let cold = answering.placed.waited_ms.is_some();
             let headers = answer_headers(&answering.response);
             let target = answering.placed.target.clone();
+            if answering.response.status != 200 {
+                return Ok(engine_answer(answering).await);
+            }
             match answering.response.body.whole(ANSWER_BYTES_MAX).await {
                 Ok(body) => {
-                    self.access.recheck(&self.state).map_err(ran)?;
+                    self.access.recheck(&self.state).map_err(|r| r.after(Ran::Ran))?;
                     self.charge(&body);
                     self.observe_first_token(cold);
                     self.succeeded();
@@ -310,7 +338,7 @@
         CrashVerdict::RunAlone => Err(Refusal::not_run(
             RefusalCode::CrashSuspect,
             "the same request runs already, and a target died while it ran; wait for its answer",
-            Some(SUSPECT_RETRY_MS),
+            Some(RETRY_AFTER_MS),
         )),
     }
 }
@@ -323,10 +351,6 @@
     )
 }
 
-fn ran(refusal: Refusal) -> Refusal {
-    Refusal { ran: lycheeford_policy::Ran::Ran, ..refusal }
-}
-
 fn answer_headers(response: &TargetResponse) -> Vec<(String, String)> {
     let keep = |name: &str| name.eq_ignore_ascii_case("content-type");
     response.headers.iter().filter(|(name, _)| keep(name)).cloned().collect()
--- a/crates/lycheefordd/src/relay.rs
+++ b/crates/lycheefordd/src/relay.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
+use async_std::prelude::FutureExt;
 use lycheeford_caller::ChunkSender;
 use lycheeford_policy::{Ran, Refusal, RefusalCode, TimeMs};
-use lycheeford_target::{CompletionEvent, Event, EventSplitter, TargetError};
+use lycheeford_target::{CompletionEvent, Event, EventSplitter, TargetBody, TargetError};
 use serde_json::json;
 
 use crate::completion::{Answering, Completion};
@@ -34,6 +35,13 @@
     Refused(Refusal),
 }
 
+/// What came next of a stream.
+enum Next {
+    Chunk(Result<Option<Vec<u8>>, TargetError>),
+    HungUp,
+    Quiet,
+}
+
 impl Relay {
     pub(crate) fn new(completion: Completion, sender: ChunkSender) -> Relay {
         Relay {
@@ -101,13 +109,13 @@
             if let Err(refusal) = self.check() {
                 return End::Refused(refusal);
             }
-            let next = timeout(Duration::from_millis(CHECK_MS), body.next_chunk()).await;
-            let chunk = match next {
-                Err(_) => continue,
-                Ok(Ok(Some(chunk))) => chunk,
+            let chunk = match self.next(&mut body).await {
+                Next::Quiet => continue,
+                Next::HungUp => return End::HungUp,
+                Next::Chunk(Ok(Some(chunk))) => chunk,
                 // The end without the last event is a truncated answer.
-                Ok(Ok(None)) => return End::Broken(None),
-                Ok(Err(error)) => return End::Broken(Some(error)),
+                Next::Chunk(Ok(None)) => return End::Broken(None),
+                Next::Chunk(Err(error)) => return End::Broken(Some(error)),
             };
             let Ok(events) = splitter.push(&chunk) else { return End::Broken(None) };
             for event in events {
@@ -118,6 +126,17 @@
         }
     }
 
+    /// Waits for the next chunk, the caller's hang-up or the next check.
+    async fn next(&self, body: &mut TargetBody) -> Next {
+        let chunk = async { Next::Chunk(body.next_chunk().await) };
+        let hung_up = async {
+            self.sender.hung_up().await;
+            Next::HungUp
+        };
+        let either = chunk.race(hung_up);
+        timeout(Duration::from_millis(CHECK_MS), either).await.unwrap_or(Next::Quiet)
+    }
+
     async fn pass_on(&mut self, event: Event, cold: bool) -> Option<End> {
         let parsed = match CompletionEvent::parse(&event.data) {
             Ok(parsed) => parsed,
@@ -175,7 +194,7 @@
             });
         }
         let checked = self.completion.access.recheck(&self.completion.state);
-        checked.map_err(|refusal| Refusal { ran: Ran::Ran, ..refusal })
+        checked.map_err(|refusal| refusal.after(Ran::Ran))
     }
 
     /// Tells the caller why its stream ends early, and breaks it off.
--- a/crates/lycheefordd/src/service.rs
+++ b/crates/lycheefordd/src/service.rs
@@ -4,7 +4,7 @@
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse};
 use lycheeford_policy::{
-    ClaimOutcome, LedgerAnswer, Name, Refusal, RefusalCode, Repeat, Route, TimeMs,
+    ClaimOutcome, LedgerAnswer, Name, Ran, Refusal, RefusalCode, Repeat, Route, TimeMs,
 };
 use lycheeford_target::{Connection, TargetError, TargetRequest};
 
@@ -99,23 +99,27 @@
 
 impl ServiceCall {
     async fn run_repeatable(mut self) -> Result<CallerResponse, Refusal> {
+        let mut ran = Ran::NotRun;
         let mut last_error = None;
         for attempt in 0..ATTEMPTS_MAX {
             if attempt > 0 && !self.may_retry() {
                 break;
             }
             let Some(place) = self.place() else { break };
-            self.recheck()?;
+            self.recheck().map_err(|refusal| refusal.after(ran))?;
             let connection = if attempt == 0 { Connection::Pooled } else { Connection::Fresh };
             match self.send(&place, connection).await {
                 Ok(response) => return Ok(response),
                 Err(error) => {
                     self.failed(&place, &error);
+                    if error.may_have_run() {
+                        ran = Ran::Unknown;
+                    }
                     last_error = Some(error);
                 }
             }
         }
-        Err(self.failure(last_error))
+        Err(self.failure(last_error).after(ran))
     }
 
     /// Runs a call that must not run twice: claimed first, sent once, never again.
@@ -295,7 +299,7 @@
         }),
         ClaimOutcome::Answered(LedgerAnswer { body: None, .. }) => Err(Refusal {
             code: RefusalCode::OutcomeUnknown,
-            ran: lycheeford_policy::Ran::Ran,
+            ran: Ran::Ran,
             message: "the call ran and its answer was too long to keep; ask the service".to_owned(),
             retry_after_ms: None,
         }),
