Trust a greater fence only for orders whose sending has ended

A greater fence now counts only for an order whose connection has ended, which can only lie in the buffers of the life that the fence is of.

clear_cancelled asks whether a replica's decider may yet order its load instead of trusting its own decider blindly: another task of the same daemon may be between decision and record. Both change the interface; the daemon has to pass sending_ended and may_order.

--- a/crates/lycheeford-policy/src/resolve.rs
+++ b/crates/lycheeford-policy/src/resolve.rs
@@ -76,9 +76,12 @@
 pub struct ResolveEvidence<'a> {
     /// The instances that can send no more, as known before the status was asked for.
     pub gone: &'a GoneProofs,
-    /// The orders that this daemon recorded and whose sending was over before the
-    /// status was asked for: never sent and given up, or its connection has ended.
+    /// The own orders that were over before the status was asked for: answered
+    /// by the target, given up unsent, or sent to an earlier life of it.
     pub sending_over: &'a [Name],
+    /// The own orders whose connection had ended unanswered by then, to the
+    /// life that the status is of: they may still lie in its buffers.
+    pub sending_ended: &'a [Name],
     /// Whether the target checks fencing numbers.
     pub fence_check: FenceCheck,
 }
@@ -92,8 +95,10 @@
 /// - An order that the status shows as taken is settled, a refused or failed
 ///   one is dropped and its memory freed.
 /// - One that the status doesn't show stays, unless it can take effect no
-///   more: its sender has said that sending is over or is proven gone, or the
-///   target checks fences and has taken a greater one.
+///   more: its sender is proven gone or says that sending is over, or sending
+///   has ended and the target checks fences and has taken a greater one. A
+///   greater fence alone proves nothing about an order that may yet be sent: a
+///   target that restarts has forgotten it.
 /// - A reservation without an order that the status doesn't show is freed.
 /// - What the target holds without a reservation gets one.
 /// - After a restart of the target the same rules hold for what its new life
@@ -147,9 +152,9 @@
 ) -> bool {
     let is_fenced_off =
         evidence.fence_check == FenceCheck::Checked && status.highest_fence > order.fence;
-    is_fenced_off
+    evidence.gone.is_gone(&order.sender)
         || evidence.sending_over.contains(&order.id)
-        || evidence.gone.is_gone(&order.sender)
+        || (is_fenced_off && evidence.sending_ended.contains(&order.id))
 }
 
 fn free_unheld(record: &mut TargetRecord, status: &TargetStatus) {
--- a/crates/lycheeford-policy/src/target_record.rs
+++ b/crates/lycheeford-policy/src/target_record.rs
@@ -1,5 +1,5 @@
 use crate::replica::{Replica, ReplicaSet};
-use crate::{GoneProofs, Incarnation, Instance, Name};
+use crate::{Incarnation, Instance, Name};
 
 /// How long a daemon sees the same order unresolved before it sets it aside.
 ///
@@ -225,21 +225,21 @@
 
     /// Returns the record without the cancellations of `name` that are no longer needed.
     ///
-    /// One is needed until the stored set lacks the replica and its decider is
-    /// proven gone or is `me`, who has given the replica up.
+    /// One is needed until the stored set lacks the replica and its decider can
+    /// order its load no more. `may_order` tells that: another daemon may until
+    /// it is proven gone, and this one while any task of it has yet to record
+    /// the load.
     pub fn clear_cancelled(
         &self,
         name: &Name,
         set: &ReplicaSet,
-        me: &Instance,
-        gone: &GoneProofs,
+        may_order: impl Fn(&ReplicaRef) -> bool,
     ) -> Option<TargetRecord> {
         let mut record = self.clone();
         record.cancelled.retain(|cancelled| {
-            let decider = &cancelled.replica.decider;
             cancelled.name != *name
                 || set.contains(cancelled.replica.id)
-                || !(decider == me || gone.is_gone(decider))
+                || may_order(&cancelled.replica)
         });
         (record != *self).then_some(record)
     }
--- a/crates/lycheeford-policy/tests/replica_orders/main.rs
+++ b/crates/lycheeford-policy/tests/replica_orders/main.rs
@@ -5,6 +5,8 @@
 //! effect late; they pause between recording and sending an order and die.
 //! Two targets restart, fail loads and take orders late; one ignores fences.
 
+mod checks;
+mod targets;
 mod world;
 
 use proptest::prelude::*;
--- a/crates/lycheeford-policy/tests/replica_orders/world.rs
+++ b/crates/lycheeford-policy/tests/replica_orders/world.rs
@@ -1,9 +1,8 @@
 //! Daemons, a store and targets that misbehave.
 
 use lycheeford_policy::{
-    FenceCheck, GoneProofs, Incarnation, Instance, LoadRequest, LoadState, LoadedName, Name,
-    OrderAction, OrderOutcome, OrderReport, Replica, ReplicaSet, ResolveEvidence, TargetOrder,
-    TargetRecord, TargetStatus, resolve,
+    FenceCheck, GoneProofs, Incarnation, Instance, LoadRequest, Name, Replica, ReplicaRef,
+    ReplicaSet, ResolveEvidence, TargetOrder, TargetRecord, TargetStatus, resolve,
 };
 
 use crate::{Fate, Op};
@@ -12,25 +11,25 @@
 pub const TARGETS: usize = 2;
 /// The name, its memory and its replicas allowed.
 pub const NAMES: [(&str, u64, u32); 3] = [("a", 6, 1), ("b", 5, 1), ("c", 3, 2)];
-const CAPACITY_BYTES: u64 = 10;
-/// The rounds after which everything unused must be free.
-const SETTLE_ROUNDS: usize = 2;
+pub const CAPACITY_BYTES: u64 = 10;
 
 #[derive(Debug, Clone)]
-enum Object {
+pub enum Object {
     Set(usize, ReplicaSet),
     Record(usize, TargetRecord),
 }
 
 #[derive(Debug)]
-struct Daemon {
+pub struct Daemon {
     me: Instance,
     /// Replicas that this daemon decided and may order.
     decided: Vec<(usize, Replica)>,
     /// Orders whose record may have been written.
     unsure: Vec<(usize, Name)>,
     to_send: Vec<(usize, TargetOrder)>,
-    sending_over: Vec<Name>,
+    pub sending_over: Vec<Name>,
+    /// Orders whose connection ended unanswered, with their targets.
+    pub sending_ended: Vec<(usize, Name)>,
     records: Vec<Option<(u64, TargetRecord)>>,
     statuses: Vec<Option<Seen>>,
 }
@@ -41,32 +40,42 @@
     status: TargetStatus,
     gone: GoneProofs,
     sending_over: Vec<Name>,
+    sending_ended: Vec<Name>,
 }
 
+/// An order on its way, or in the buffers of its target once its connection ended.
 #[derive(Debug)]
-struct Engine {
-    status: TargetStatus,
-    fence_check: FenceCheck,
+pub struct InFlight {
+    pub target: usize,
+    pub sender: usize,
+    pub order: TargetOrder,
+    pub is_buffered: bool,
+}
+
+#[derive(Debug)]
+pub struct Engine {
+    pub status: TargetStatus,
+    pub fence_check: FenceCheck,
 }
 
 #[derive(Debug)]
 pub struct World {
-    sets: Vec<(u64, ReplicaSet)>,
-    records: Vec<(u64, TargetRecord)>,
-    delayed: Vec<(u64, Object)>,
-    daemons: Vec<Option<Daemon>>,
+    pub sets: Vec<(u64, ReplicaSet)>,
+    pub records: Vec<(u64, TargetRecord)>,
+    pub delayed: Vec<(u64, Object)>,
+    pub daemons: Vec<Option<Daemon>>,
     incarnations: Vec<u64>,
     gone: GoneProofs,
-    engines: Vec<Engine>,
-    in_flight: Vec<(usize, usize, TargetOrder)>,
+    pub engines: Vec<Engine>,
+    pub in_flight: Vec<InFlight>,
     last_order: u64,
 }
 
-fn model(name: usize) -> Name {
+pub fn model(name: usize) -> Name {
     Name::from(NAMES[name].0)
 }
 
-fn target_name(target: usize) -> Name {
+pub fn target_name(target: usize) -> Name {
     Name::from(format!("engine-{target}"))
 }
 
@@ -101,16 +110,14 @@
             Op::Restart { daemon } => self.restart(daemon),
             Op::Deliver { pick } => self.deliver(pick),
             Op::LoseOrder { pick } => {
-                if let Some((_, sender, order)) = self.pick_in_flight(pick) {
-                    self.sending_is_over(sender, order);
+                if let Some(mut sent) = self.pick_in_flight(pick) {
+                    self.end_sending(&sent);
+                    sent.is_buffered = true;
+                    self.in_flight.push(sent);
                 }
             }
             Op::Progress { target, succeeds } => self.progress(target, succeeds),
-            Op::RestartTarget { target } => {
-                let incarnation = Incarnation(self.engines[target].status.incarnation.0 + 1);
-                self.engines[target].status =
-                    TargetStatus { incarnation, ..TargetStatus::default() };
-            }
+            Op::RestartTarget { target } => self.restart_target(target),
             Op::TakeEffect { pick } => {
                 if let Some(index) = pick.checked_rem(self.delayed.len()) {
                     let (base, object) = self.delayed.swap_remove(index);
@@ -157,7 +164,8 @@
             Op::Send { pick, .. } => {
                 if let Some(at) = pick.checked_rem(daemon.to_send.len()) {
                     let (target, order) = daemon.to_send.swap_remove(at);
-                    self.in_flight.push((target, index, order));
+                    let sent = InFlight { target, sender: index, order, is_buffered: false };
+                    self.in_flight.push(sent);
                 }
             }
             Op::GiveUp { pick, .. } => {
@@ -254,6 +262,7 @@
         let evidence = ResolveEvidence {
             gone: &seen.gone,
             sending_over: &seen.sending_over,
+            sending_ended: &seen.sending_ended,
             fence_check: self.engines[target].fence_check,
         };
         if let Some(record) = resolve(&record, &seen.status, &evidence) {
@@ -266,11 +275,17 @@
             status: self.engines[target].status.clone(),
             gone: self.gone.clone(),
             sending_over: daemon.sending_over.clone(),
+            sending_ended: daemon
+                .sending_ended
+                .iter()
+                .filter(|(at, _)| *at == target)
+                .map(|(_, id)| id.clone())
+                .collect(),
         }
     }
 
     /// Cancels decided replicas that no target has reserved.
-    fn cancel(&mut self, name: usize, fate: Fate) {
+    pub fn cancel(&mut self, name: usize, fate: Fate) {
         for replica in self.sets[name].1.replicas.clone() {
             let target = target_index(&replica.target);
             let (version, record) = &self.records[target];
@@ -280,7 +295,7 @@
         }
     }
 
-    fn remove(&mut self, name: usize, fate: Fate) {
+    pub fn remove(&mut self, name: usize, fate: Fate) {
         for replica in self.sets[name].1.replicas.clone() {
             let (version, set) = &self.sets[name];
             let record = &self.records[target_index(&replica.target)].1;
@@ -294,7 +309,10 @@
         let set = &self.sets[name].1;
         daemon.decided.retain(|(decided, replica)| *decided != name || set.contains(replica.id));
         let (version, record) = &self.records[target];
-        let cleared = record.clear_cancelled(&model(name), set, &daemon.me, &self.gone);
+        let may_order = |replica: &ReplicaRef| {
+            replica.decider != daemon.me && !self.gone.is_gone(&replica.decider)
+        };
+        let cleared = record.clear_cancelled(&model(name), set, may_order);
         if let Some(record) = cleared {
             self.write(*version, Object::Record(target, record), Fate::Answered);
         }
@@ -326,12 +344,12 @@
     }
 
     /// Ends a daemon, with what it had under way to targets.
-    fn crash(&mut self, daemon: usize) {
+    pub fn crash(&mut self, daemon: usize) {
         self.daemons[daemon] = None;
-        self.in_flight.retain(|(_, sender, _)| *sender != daemon);
+        self.in_flight.retain(|sent| sent.sender != daemon);
     }
 
-    fn restart(&mut self, daemon: usize) {
+    pub fn restart(&mut self, daemon: usize) {
         if self.daemons[daemon].is_some() {
             return;
         }
@@ -344,121 +362,9 @@
             unsure: Vec::new(),
             to_send: Vec::new(),
             sending_over: Vec::new(),
+            sending_ended: Vec::new(),
             records: vec![None; TARGETS],
             statuses: vec![None; TARGETS],
         });
     }
-
-    fn pick_in_flight(&mut self, pick: usize) -> Option<(usize, usize, TargetOrder)> {
-        let index = pick.checked_rem(self.in_flight.len())?;
-        Some(self.in_flight.swap_remove(index))
-    }
-
-    fn sending_is_over(&mut self, sender: usize, order: TargetOrder) {
-        if let Some(daemon) = &mut self.daemons[sender] {
-            daemon.sending_over.push(order.id);
-        }
-    }
-
-    /// Hands an order to its target, which checks no memory.
-    fn deliver(&mut self, pick: usize) {
-        let Some((target, sender, order)) = self.pick_in_flight(pick) else { return };
-        let Engine { status, fence_check } = &mut self.engines[target];
-        let is_stale = order.fence <= status.highest_fence;
-        let outcome = match order.action {
-            _ if is_stale && *fence_check == FenceCheck::Checked => OrderOutcome::RefusedStaleFence,
-            OrderAction::Load => {
-                let memory_bytes = NAMES.iter().find(|name| *name.0 == *order.name).unwrap().1;
-                let loaded = status.loaded.iter().any(|loaded| loaded.name == order.name);
-                if !loaded {
-                    let state = LoadState::Loading;
-                    status.loaded.push(LoadedName {
-                        name: order.name.clone(),
-                        memory_bytes,
-                        state,
-                    });
-                }
-                OrderOutcome::Accepted
-            }
-            OrderAction::Unload => {
-                status.loaded.retain(|loaded| loaded.name != order.name);
-                OrderOutcome::Done
-            }
-        };
-        status.highest_fence = status.highest_fence.max(order.fence);
-        status.orders.push(OrderReport { order_id: order.id.clone(), outcome });
-        self.sending_is_over(sender, order);
-    }
-
-    /// Ends a target's loads.
-    fn progress(&mut self, target: usize, succeeds: bool) {
-        let status = &mut self.engines[target].status;
-        let outcome = if succeeds { OrderOutcome::Done } else { OrderOutcome::Failed };
-        for report in &mut status.orders {
-            if report.outcome == OrderOutcome::Accepted {
-                report.outcome = outcome;
-            }
-        }
-        if !succeeds {
-            status.loaded.retain(|loaded| loaded.state == LoadState::Ready);
-        }
-        for loaded in &mut status.loaded {
-            loaded.state = LoadState::Ready;
-        }
-    }
-
-    pub fn check(&self) {
-        for (target, engine) in self.engines.iter().enumerate() {
-            let used: u64 = engine.status.loaded.iter().map(|loaded| loaded.memory_bytes).sum();
-            assert!(used <= CAPACITY_BYTES, "memory of engine-{target} is overcommitted");
-        }
-        for (name, (_, set)) in self.sets.iter().enumerate() {
-            assert!(set.replicas.len() <= NAMES[name].2 as usize, "too many replicas decided");
-            for (target, engine) in self.engines.iter().enumerate() {
-                let is_loaded = engine.status.loaded.iter().any(|held| held.name == model(name));
-                let is_decided = set.on_target(&target_name(target)).is_some();
-                assert!(is_decided || !is_loaded, "{name} is loaded on {target}, not decided");
-            }
-        }
-    }
-
-    /// Stops all faults and checks that what isn't loaded becomes free.
-    pub fn settle(&mut self) {
-        self.delayed.clear();
-        for daemon in 0..DAEMONS {
-            self.crash(daemon);
-            self.restart(daemon);
-        }
-        (0..TARGETS).for_each(|target| self.progress(target, true));
-        for _ in 0..SETTLE_ROUNDS {
-            for target in 0..TARGETS {
-                for op in [
-                    Op::ReadRecord { daemon: 0, target },
-                    Op::ReadStatus { daemon: 0, target },
-                    Op::Resolve { daemon: 0, target, fate: Fate::Answered },
-                ] {
-                    self.step(&op);
-                }
-            }
-            for name in 0..NAMES.len() {
-                self.cancel(name, Fate::Answered);
-                self.remove(name, Fate::Answered);
-                for target in 0..TARGETS {
-                    self.step(&Op::Clear { daemon: 0, name, target });
-                }
-            }
-            self.check();
-        }
-        for (target, (_, record)) in self.records.iter().enumerate() {
-            let status = &self.engines[target].status;
-            let mut loaded: Vec<&Name> = status.loaded.iter().map(|held| &held.name).collect();
-            loaded.sort_unstable();
-            let reserved: Vec<&Name> = record.reservations.iter().map(|held| &held.name).collect();
-            assert_eq!(reserved, loaded, "engine-{target} holds what it doesn't use");
-            assert_eq!(record.orders().count() + record.cancelled.len(), 0);
-        }
-        let decided: usize = self.sets.iter().map(|(_, set)| set.replicas.len()).sum();
-        let loaded: usize = self.engines.iter().map(|engine| engine.status.loaded.len()).sum();
-        assert_eq!(decided, loaded, "replicas stay decided that aren't loaded");
-    }
 }
--- a/crates/lycheeford-policy/tests/target_orders.rs
+++ b/crates/lycheeford-policy/tests/target_orders.rs
@@ -48,6 +48,7 @@
     Nothing,
     SenderGone,
     SendingOver,
+    SendingEnded,
 }
 
 #[derive(Debug, PartialEq)]
@@ -111,10 +112,22 @@
             known: Known::SenderGone,
             ..Case::new("restarted, sender gone", restarted, After::Freed)
         },
-        Case::new("greater fence, ignored", fenced.clone(), After::Open),
+        Case {
+            known: Known::SendingEnded,
+            ..Case::new("unanswered, may lie in a buffer", status(None, None), After::Open)
+        },
+        Case {
+            known: Known::SendingEnded,
+            ..Case::new("unanswered, greater fence, ignored", fenced.clone(), After::Open)
+        },
         Case {
             fence_check: FenceCheck::Checked,
-            ..Case::new("greater fence, checked", fenced, After::Freed)
+            ..Case::new("greater fence, but it may yet be sent", fenced.clone(), After::Open)
+        },
+        Case {
+            known: Known::SendingEnded,
+            fence_check: FenceCheck::Checked,
+            ..Case::new("unanswered, greater fence, checked", fenced, After::Freed)
         },
         Case {
             known: Known::SenderGone,
@@ -127,8 +140,13 @@
             gone.answered(&Instance::new("entry-1", 2));
         }
         let over = [Name::from(ORDER)];
-        let sending_over = if case.known == Known::SendingOver { &over[..] } else { &[] };
-        let evidence = ResolveEvidence { gone: &gone, sending_over, fence_check: case.fence_check };
+        let known = |known| if case.known == known { &over[..] } else { &[] };
+        let evidence = ResolveEvidence {
+            gone: &gone,
+            sending_over: known(Known::SendingOver),
+            sending_ended: known(Known::SendingEnded),
+            fence_check: case.fence_check,
+        };
         let record = recorded();
         for record in [record.clone(), record.set_aside(&ORDER.into()).unwrap()] {
             let record = resolve(&record, &case.status, &evidence).unwrap_or(record);
@@ -153,8 +171,12 @@
 #[test]
 fn an_unload_frees_when_the_status_shows_it_gone() {
     let gone = GoneProofs::default();
-    let evidence =
-        ResolveEvidence { gone: &gone, sending_over: &[], fence_check: FenceCheck::Ignored };
+    let evidence = ResolveEvidence {
+        gone: &gone,
+        sending_over: &[],
+        sending_ended: &[],
+        fence_check: FenceCheck::Ignored,
+    };
     let loaded = status(Some(OrderOutcome::Done), Some(LoadState::Ready));
     let record = resolve(&recorded(), &loaded, &evidence).unwrap();
     let record = record.record_unload(&"entry-1.1.2".into(), &NAME.into(), &sender()).unwrap();
