--- /dev/null
+++ b/crates/lycheeford-policy/src/rate_share/mod.rs
@@ -0,0 +1,199 @@
+mod lending;
+mod standing;
+
+use crate::loan::{LoanId, LoanReport};
+use crate::loan_book::{BorrowedLoans, Inherited, LoansOut};
+use crate::token_bucket::{RateLimits, TokenBucket, burst_nano, nano};
+use crate::{Instance, TimeMs};
+
+/// Names one reservation within one life of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReservationId(pub u64);
+
+/// Why tokens can't be reserved here and now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shortage {
+    /// The tokens that are missing; a peer may lend them.
+    pub missing_tokens: u64,
+    /// When this host alone would have them, if it ever does.
+    pub ready_in_ms: Option<u64>,
+}
+
+/// The tokens asked for are more than the reservation still holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Overdrawn {
+    /// The tokens that the reservation still holds; none of them was spent.
+    pub left_tokens: u64,
+}
+
+/// One daemon's part in keeping one customer within its rate and burst.
+///
+/// Tokens come from the daemon's own bucket, or from a peer as a loan for one
+/// request. Nothing here waits for the platform's service: shares move rarely
+/// and by conditional update, loans by message. docs/RATES.md argues why the
+/// bound over the fleet holds whatever is paused, late or lost.
+///
+/// ```
+/// use lycheeford_policy::{Instance, RateLimits, RateShare, ShareTable, TimeMs};
+///
+/// let me = Instance::new("a", 1);
+/// let limits = RateLimits { rate_tokens_per_s: 100, burst_tokens: 1_000 };
+/// let now = TimeMs::from_ms(0);
+/// let mut share = RateShare::new(me.clone(), now, limits);
+/// let table = ShareTable::create(&"pilots".into(), &me, &["a".into()]);
+/// share.adopt(now, 1, &table, &["a".into()]);
+/// let id = share.reserve(now, 400).unwrap();
+/// share.consume(now, id, 150).unwrap();
+/// share.finish(now, id);
+/// assert_eq!(share.level_tokens(now), 850);
+/// ```
+#[derive(Debug, Clone)]
+pub struct RateShare {
+    me: Instance,
+    bucket: TokenBucket,
+    table_version: u64,
+    started: bool,
+    /// The version that a share-lowering write of ours was based on.
+    pending_give: Option<u64>,
+    reservations: Vec<Reservation>,
+    loans_out: LoansOut,
+    borrowed: BorrowedLoans,
+    inherited: Inherited,
+    inherited_nano: u128,
+    last_number: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Reservation {
+    id: ReservationId,
+    own_tokens: u64,
+    missing_tokens: u64,
+    loans: Vec<LoanId>,
+}
+
+impl RateShare {
+    /// Returns an empty part without a share.
+    pub fn new(me: Instance, now: TimeMs, limits: RateLimits) -> RateShare {
+        RateShare {
+            me,
+            bucket: TokenBucket::new(now, limits),
+            table_version: 0,
+            started: false,
+            pending_give: None,
+            reservations: Vec::new(),
+            loans_out: LoansOut::default(),
+            borrowed: BorrowedLoans::default(),
+            inherited: Inherited::default(),
+            inherited_nano: 0,
+            last_number: 0,
+        }
+    }
+
+    /// Returns the whole tokens that can be reserved without a loan.
+    pub fn level_tokens(&mut self, now: TimeMs) -> u64 {
+        self.bucket.level_tokens(now)
+    }
+
+    /// Returns the share in force here, which may be less than the stored one.
+    pub fn share_ppm(&self) -> u32 {
+        self.bucket.share_ppm()
+    }
+
+    /// Returns the version of the share table in force here.
+    pub fn table_version(&self) -> u64 {
+        self.table_version
+    }
+
+    /// Takes over the operator's new rate and burst.
+    pub fn set_limits(&mut self, now: TimeMs, limits: RateLimits) {
+        self.bucket.set_limits(now, limits);
+        self.weigh_inherited(now);
+    }
+
+    /// Reserves `tokens` from the own bucket, or nothing.
+    ///
+    /// # Errors
+    ///
+    /// A [`Shortage`] that says what is missing and when it would be there.
+    pub fn reserve(&mut self, now: TimeMs, tokens: u64) -> Result<ReservationId, Shortage> {
+        let level_tokens = self.bucket.level_tokens(now);
+        if level_tokens < tokens {
+            let missing_tokens = tokens - level_tokens;
+            let ready_in_ms = self.bucket.ready_in_ms(now, tokens);
+            return Err(Shortage { missing_tokens, ready_in_ms });
+        }
+        Ok(self.begin(now, tokens).0)
+    }
+
+    /// Reserves what the own bucket has of `tokens` and returns what is missing.
+    ///
+    /// Loans and [`top_up`](Self::top_up) fill the rest; a request that gives
+    /// up waiting calls [`finish`](Self::finish).
+    pub fn begin(&mut self, now: TimeMs, tokens: u64) -> (ReservationId, u64) {
+        let own_tokens = self.bucket.commit(now, tokens);
+        let missing_tokens = tokens - own_tokens;
+        let id = ReservationId(self.next_number());
+        self.reservations.push(Reservation { id, own_tokens, missing_tokens, loans: Vec::new() });
+        (id, missing_tokens)
+    }
+
+    /// Adds refilled tokens of the own bucket to a reservation and returns what is missing.
+    pub fn top_up(&mut self, now: TimeMs, id: ReservationId) -> u64 {
+        let Some(index) = self.position(id) else { return 0 };
+        let reservation = &mut self.reservations[index];
+        let own_tokens = self.bucket.commit(now, reservation.missing_tokens);
+        reservation.own_tokens += own_tokens;
+        reservation.missing_tokens -= own_tokens;
+        reservation.missing_tokens
+    }
+
+    /// Spends tokens of a reservation, before they are delivered.
+    ///
+    /// # Errors
+    ///
+    /// [`Overdrawn`] if it holds less; then nothing is spent and nothing may
+    /// be delivered.
+    pub fn consume(
+        &mut self,
+        now: TimeMs,
+        id: ReservationId,
+        tokens: u64,
+    ) -> Result<(), Overdrawn> {
+        let Some(index) = self.position(id) else { return Err(Overdrawn { left_tokens: 0 }) };
+        let reservation = &mut self.reservations[index];
+        let left_tokens = reservation.own_tokens + self.borrowed.left_tokens(&reservation.loans);
+        if left_tokens < tokens {
+            return Err(Overdrawn { left_tokens });
+        }
+        let own_tokens = tokens.min(reservation.own_tokens);
+        reservation.own_tokens -= own_tokens;
+        self.bucket.spend(now, own_tokens);
+        self.borrowed.spend(&reservation.loans, tokens - own_tokens);
+        Ok(())
+    }
+
+    /// Ends a reservation, gives the rest back and returns reports for the lenders.
+    pub fn finish(&mut self, now: TimeMs, id: ReservationId) -> Vec<LoanReport> {
+        let Some(index) = self.position(id) else { return Vec::new() };
+        let reservation = self.reservations.remove(index);
+        self.bucket.put_back(now, reservation.own_tokens);
+        self.borrowed.close_asks(id);
+        reservation.loans.iter().filter_map(|loan| self.borrowed.close(loan)).collect()
+    }
+
+    /// Tells whether every token is accounted for within the share's burst.
+    pub fn is_within_share(&mut self, now: TimeMs) -> bool {
+        let level_nano = nano(self.bucket.level_tokens(now));
+        let burst_nano = burst_nano(self.bucket.limits(), self.share_ppm());
+        level_nano + self.bucket.committed_nano() <= burst_nano
+    }
+
+    fn position(&self, id: ReservationId) -> Option<usize> {
+        self.reservations.binary_search_by_key(&id, |reservation| reservation.id).ok()
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+}
