Follow the safety rules that were mended, and refuse a load that is under way

An unreadable head no longer confirms the old one, and one daemon no longer starts the same load twice.

--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -65,9 +65,11 @@
         &limits,
         move || clock.now(),
         |update| {
-            let head = latest_head(&state, &update.change);
-            // The receiver lives as long as the daemon.
-            let _ = sender.try_send((update.as_of, head));
+            // A head that can't be read confirms nothing: it may be a newer one.
+            if let Ok(head) = latest_head(&state, &update.change) {
+                // The receiver lives as long as the daemon.
+                let _ = sender.try_send((update.as_of, head));
+            }
         },
     )
     .await;
@@ -162,19 +164,17 @@
     }
 }
 
-fn latest_head(state: &State, change: &Change) -> Option<Head> {
+fn latest_head(state: &State, change: &Change) -> Result<Option<Head>, ReadError> {
     let object = match change {
         Change::Replace(listing) => listing.object(HEAD_NAME),
         Change::Apply(events) => events.iter().rev().find_map(|event| match event {
             WatchEvent::Put(object) if object.name.as_str() == HEAD_NAME => Some(object),
             _ => None,
         }),
-    }?;
-    match head_of(object) {
-        Ok(head) => Some(head),
-        Err(error) => {
-            warn!(state.log, "head not readable"; "error" => %error);
-            None
-        }
+    };
+    let head = object.map(head_of).transpose();
+    if let Err(error) = &head {
+        warn!(state.log, "head not readable"; "error" => %error);
     }
+    head
 }
--- a/crates/lycheefordd/src/orders.rs
+++ b/crates/lycheefordd/src/orders.rs
@@ -3,7 +3,8 @@
 use lycheeford_platform::ObjectStore;
 use lycheeford_policy::{
     FenceCheck, GoneProofs, Host, HostRole, LoadRequest, LoadedName, Name, OrderReport,
-    RecordFault, Replica, ReplicaFault, ReplicaSet, ResolveEvidence, TargetRecord, resolve,
+    RecordFault, Replica, ReplicaFault, ReplicaRef, ReplicaSet, ResolveEvidence, TargetRecord,
+    resolve,
 };
 use lycheeford_target::{Action, Order, TargetStatus};
 use lycheeford_wire::stored::{StoredReplicaSet, StoredTargetRecord};
@@ -22,6 +23,8 @@
     Store { source: ObjectError },
     #[snafu(display("replica can't be decided: {fault:?}"))]
     Decide { fault: ReplicaFault },
+    #[snafu(display("the same load is under way"))]
+    UnderWay,
     #[snafu(display("order can't be recorded: {fault:?}"))]
     Record { fault: RecordFault },
     #[snafu(display("target {target} is not listed; wait for the platform's list"))]
@@ -45,7 +48,9 @@
     target: &Name,
     memory_bytes_needed: u64,
 ) -> Result<(), OrderError> {
-    state.sent_orders().start_load(name, target);
+    if !state.sent_orders().start_load(name, target) {
+        return Err(OrderError::UnderWay);
+    }
     let loaded = decide_and_load(state, name, base, target, memory_bytes_needed).await;
     state.sent_orders().end_load(name, target);
     loaded
@@ -153,8 +158,10 @@
     status: &TargetStatus,
     gone: &GoneProofs,
     sending_over: &[Name],
+    sending_ended: &[Name],
 ) -> Option<Versioned<TargetRecord>> {
-    let evidence = ResolveEvidence { gone, sending_over, fence_check: fence_check(host) };
+    let evidence =
+        ResolveEvidence { gone, sending_over, sending_ended, fence_check: fence_check(host) };
     let mut record = record;
     if let Some(resolved) = resolve(&record.value, &policy_status(status), &evidence) {
         record = store_record(state, &host.name, record.version, resolved).await?;
@@ -300,7 +307,14 @@
     for cancelled in record.value.cancelled.clone() {
         let set =
             remove_replica(state, &cancelled.name, cancelled.replica.id, &record.value).await?;
-        let cleared = record.value.clear_cancelled(&cancelled.name, &set, &state.me, gone);
+        let may_order = |replica: &ReplicaRef| {
+            if replica.decider == state.me {
+                state.sent_orders().is_loading(&cancelled.name, target)
+            } else {
+                !gone.is_gone(&replica.decider)
+            }
+        };
+        let cleared = record.value.clear_cancelled(&cancelled.name, &set, may_order);
         if let Some(cleared) = cleared {
             record = store_record(state, target, record.version, cleared).await?;
         }
--- a/crates/lycheefordd/src/planning.rs
+++ b/crates/lycheefordd/src/planning.rs
@@ -138,7 +138,10 @@
         None => objects::read::<_, StoredTargetRecord>(&state, TARGET_KIND, &host.name).await.ok(),
     };
     let gone = state.gone().clone();
-    let sending_over = state.sent_orders().sending_over();
+    let (sending_over, sending_ended) = {
+        let orders = state.sent_orders();
+        (orders.sending_over(), orders.sending_ended())
+    };
     let sent_at = state.now();
     let status = state.targets.status(host.address).await.ok();
     if let Some(status) = &status {
@@ -148,7 +151,8 @@
     let verdict = judge(&state, &host, sent_at, result);
     let record = match (&status, record) {
         (Some(status), Some(record)) => {
-            orders::settle(&state, &host, record, status, &gone, &sending_over).await
+            orders::settle(&state, &host, record, status, &gone, &sending_over, &sending_ended)
+                .await
         }
         (_, record) => record,
     };
--- a/crates/lycheefordd/src/sent_orders.rs
+++ b/crates/lycheefordd/src/sent_orders.rs
@@ -21,8 +21,13 @@
 }
 
 impl SentOrders {
-    pub(crate) fn start_load(&mut self, name: &Name, target: &Name) {
-        self.loading.push((name.clone(), target.clone()));
+    /// Starts a load here, unless the same is under way.
+    pub(crate) fn start_load(&mut self, name: &Name, target: &Name) -> bool {
+        let starts = !self.is_loading(name, target);
+        if starts {
+            self.loading.push((name.clone(), target.clone()));
+        }
+        starts
     }
 
     pub(crate) fn end_load(&mut self, name: &Name, target: &Name) {
@@ -59,6 +64,11 @@
         self.over.iter().map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns the orders whose connection ended unanswered.
+    pub(crate) fn sending_ended(&self) -> Vec<Name> {
+        self.unknown.iter().map(|order| order.id.clone()).collect()
+    }
+
     /// Forgets what the stored record of a target no longer holds.
     pub(crate) fn keep_only(&mut self, record: &TargetRecord, target: &Name) {
         let held = |id: &Name| record.orders().any(|order| order.id == *id);
--- a/crates/lycheefordd/src/share_upkeep.rs
+++ b/crates/lycheefordd/src/share_upkeep.rs
@@ -93,6 +93,12 @@
 async fn keep_share(state: &State, customer: &Name) -> Result<(), objects::ObjectError> {
     let known = state.rates().customer(customer).and_then(|rate| rate.table.clone());
     let Some(known) = known else { return start_table(state, customer).await };
+    let has_pending_give =
+        state.rates().customer(customer).is_some_and(|rate| rate.share.has_pending_give());
+    if has_pending_give {
+        // Written unchanged, so that a give with a lost answer fails for certain.
+        return write(state, customer, known.version, known.value).await;
+    }
     if let Some(table) = claimed(state, customer, &known) {
         return write(state, customer, known.version, table).await;
     }
