--- a/crates/lycheefordd/src/service.rs
+++ b/crates/lycheefordd/src/service.rs
@@ -4,7 +4,7 @@
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse};
 use lycheeford_policy::{
-    ClaimOutcome, LedgerAnswer, Name, Refusal, RefusalCode, Repeat, Route, TimeMs,
+    ClaimOutcome, LedgerAnswer, Name, Ran, Refusal, RefusalCode, Repeat, Route, TimeMs,
 };
 use lycheeford_target::{Connection, TargetError, TargetRequest};
 
@@ -99,23 +99,27 @@
 
 impl ServiceCall {
     async fn run_repeatable(mut self) -> Result<CallerResponse, Refusal> {
+        let mut ran = Ran::NotRun;
         let mut last_error = None;
         for attempt in 0..ATTEMPTS_MAX {
             if attempt > 0 && !self.may_retry() {
                 break;
             }
             let Some(place) = self.place() else { break };
-            self.recheck()?;
+            self.recheck().map_err(|refusal| refusal.after(ran))?;
             let connection = if attempt == 0 { Connection::Pooled } else { Connection::Fresh };
             match self.send(&place, connection).await {
                 Ok(response) => return Ok(response),
                 Err(error) => {
                     self.failed(&place, &error);
+                    if error.may_have_run() {
+                        ran = Ran::Unknown;
+                    }
                     last_error = Some(error);
                 }
             }
         }
-        Err(self.failure(last_error))
+        Err(self.failure(last_error).after(ran))
     }
 
     /// Runs a call that must not run twice: claimed first, sent once, never again.
@@ -143,6 +147,7 @@
                     return Ok(response);
                 }
                 Err(error) if error.may_have_run() => {
+                    settle(&self.state, entry.give_up());
                     let message = format!("{error}; the call may have run");
                     return Err(Refusal::unknown(RefusalCode::OutcomeUnknown, message));
                 }
@@ -269,9 +274,14 @@
         CallerBody::Stream(_) => Vec::new(),
     };
     let status = response.status;
+    settle(state, async move { entry.answered(status, &body).await });
+}
+
+/// Settles a ledger entry without letting the caller wait for the platform.
+fn settle(state: &Arc<State>, settling: impl Future<Output = ()> + Send + 'static) {
     let running = state.request_started();
     task::spawn(async move {
-        entry.answered(status, &body).await;
+        settling.await;
         drop(running);
     });
 }
@@ -289,7 +299,7 @@
         }),
         ClaimOutcome::Answered(LedgerAnswer { body: None, .. }) => Err(Refusal {
             code: RefusalCode::OutcomeUnknown,
-            ran: lycheeford_policy::Ran::Ran,
+            ran: Ran::Ran,
             message: "the call ran and its answer was too long to keep; ask the service".to_owned(),
             retry_after_ms: None,
         }),
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwap;
 use async_std::channel::{Receiver, Sender, bounded};
-use lycheeford_config::{Head, Settings};
+use lycheeford_config::Settings;
 use lycheeford_peer::Peers;
 use lycheeford_platform::HttpObjectStore;
 use lycheeford_policy::{
@@ -14,6 +14,8 @@
 use slog::Logger;
 
 use crate::clock::Clock;
+use crate::configuration::Committed;
+use crate::configuration_spread::ConfigurationSpread;
 use crate::coordinator::Coordinator;
 use crate::decisions::DecisionLog;
 use crate::fleet::Fleet;
@@ -25,6 +27,8 @@
 use crate::sent_orders::SentOrders;
 use crate::service_targets::ServiceTargets;
 
+/// How long a daemon that starts waits for its peers before it serves keyed calls.
+const MEET_PEERS_MS_MAX: u64 = 2_000;
 /// Retries that each request earns.
 const RETRIES_PER_REQUEST: f64 = 0.2;
 
@@ -32,7 +36,7 @@
 ///
 /// The executor's workers run every task over these tables. A task holds one
 /// lock at a time and never across an await. Where two are needed, the order is
-/// the order of the fields: `members`, `gone`, `freshness`, `rates`,
+/// the order of the fields: `adopting`, `configuration_spread`, `members`, `gone`, `freshness`, `rates`,
 /// `placement`, `coordinator`, `sent_orders`, `target_health`, `suspects`, `decisions`,
 /// `retry_budget`, `ledger_seen`, `service_targets`.
 pub(crate) struct State {
@@ -44,9 +48,12 @@
     pub(crate) store: HttpObjectStore,
     pub(crate) targets: TargetClient,
     pub(crate) configuration: ArcSwap<Configuration>,
-    pub(crate) head: ArcSwap<Head>,
+    /// The configuration in force, as it is stored.
+    pub(crate) committed: ArcSwap<Committed>,
     pub(crate) fleet: ArcSwap<Fleet>,
     pub(crate) peers: OnceLock<Peers<State>>,
+    adopting: Mutex<()>,
+    configuration_spread: Mutex<ConfigurationSpread>,
     members: Mutex<Members>,
     gone: Mutex<GoneProofs>,
     freshness: Mutex<Freshness>,
@@ -60,6 +67,8 @@
     retry_budget: Mutex<RetryBudget>,
     ledger_seen: Mutex<LedgerSeen>,
     service_targets: Mutex<ServiceTargets>,
+    started_at: TimeMs,
+    met_peers: AtomicBool,
     fleet_revision: AtomicU64,
     draining: AtomicBool,
     requests_running: AtomicU64,
@@ -86,7 +95,9 @@
             store,
             targets: TargetClient::new(Default::default()),
             configuration: ArcSwap::default(),
-            head: ArcSwap::default(),
+            committed: ArcSwap::default(),
+            adopting: Mutex::default(),
+            configuration_spread: Mutex::default(),
             fleet: ArcSwap::default(),
             peers: OnceLock::new(),
             members: Mutex::default(),
@@ -100,6 +111,8 @@
             retry_budget: Mutex::new(RetryBudget::new(RETRIES_PER_REQUEST)),
             ledger_seen: Mutex::default(),
             service_targets: Mutex::default(),
+            started_at: now,
+            met_peers: AtomicBool::new(false),
             fleet_revision: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             requests_running: AtomicU64::new(0),
@@ -113,6 +126,15 @@
         self.clock.now()
     }
 
+    /// Lets one configuration at a time be put in force.
+    pub(crate) fn adopting(&self) -> MutexGuard<'_, ()> {
+        lock(&self.adopting)
+    }
+
+    pub(crate) fn configuration_spread(&self) -> MutexGuard<'_, ConfigurationSpread> {
+        lock(&self.configuration_spread)
+    }
+
     pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
         lock(&self.members)
     }
@@ -174,6 +196,23 @@
         self.fleet_revision.store(revision, Ordering::Release);
     }
 
+    /// Tells whether this daemon has had the time to hear of newer revisions from its peers.
+    ///
+    /// The platform may answer a reader with an old head, and call it current.
+    /// A daemon that just started knows nothing better until its peers answer.
+    pub(crate) fn has_met_peers(&self, now: TimeMs) -> bool {
+        if self.met_peers.load(Ordering::Acquire) {
+            return true;
+        }
+        let waited = now.since_ms(self.started_at) >= MEET_PEERS_MS_MAX;
+        let met = waited || (self.fleet_revision() > 0 && self.members().all_asked());
+        if met && self.freshness().has_newest() {
+            self.met_peers.store(true, Ordering::Release);
+            return true;
+        }
+        false
+    }
+
     /// Starts to drain and returns whether this call started it.
     pub(crate) fn start_draining(&self) -> bool {
         !self.draining.swap(true, Ordering::AcqRel)
