--- a/crates/lycheeford-policy/src/rate_share.rs
+++ b/crates/lycheeford-policy/src/rate_share.rs
@@ -158,14 +158,24 @@
 
     /// Takes back [`prepare_give`](Self::prepare_give) once the write was refused for certain.
     ///
-    /// After a lost answer it isn't certain: read the table, and write again
-    /// on the same version until a later one shows.
+    /// After a lost answer it isn't certain, and
+    /// [`has_pending_give`](Self::has_pending_give) tells so.
     pub fn abort_give(&mut self, now: TimeMs, given_ppm: u32) {
         if self.pending_give.take().is_some() {
             self.bucket.set_share(now, self.bucket.share_ppm() + given_ppm);
         }
     }
 
+    /// Tells whether a give was prepared whose write may still take effect.
+    ///
+    /// If no later version shows, store the table unchanged on condition of
+    /// [`table_version`](Self::table_version) and adopt it: then the earlier
+    /// write has failed for certain and the share is whole again. Until then
+    /// this host works with the lower share and gives nothing more.
+    pub fn has_pending_give(&self) -> bool {
+        self.pending_give.is_some()
+    }
+
     /// Reserves `tokens` from the own bucket, or nothing.
     ///
     /// # Errors
@@ -319,16 +329,21 @@
 
     /// Settles a loan of this life from its borrower's report; a second report changes nothing.
     ///
-    /// Returns whether the borrower may forget the loan.
+    /// What a running loan has spent so far makes room here at once. Returns
+    /// whether the borrower may forget the loan.
     pub fn settle(&mut self, now: TimeMs, report: &LoanReport) -> bool {
         let returned_tokens = match report.state {
-            LoanState::Running => return false,
+            LoanState::Running { used_tokens } => {
+                let newly_used = self.loans_out.spend_up_to(&report.id, used_tokens);
+                self.bucket.spend(now, newly_used);
+                return false;
+            }
             LoanState::Closed { returned_tokens, .. } => returned_tokens,
             LoanState::BorrowerGone => 0,
         };
-        let Some(loan) = self.loans_out.remove(&report.id) else { return true };
-        let returned_tokens = returned_tokens.min(loan.tokens);
-        self.bucket.spend(now, loan.tokens - returned_tokens);
+        let Some(left_tokens) = self.loans_out.remove(&report.id) else { return true };
+        let returned_tokens = returned_tokens.min(left_tokens);
+        self.bucket.spend(now, left_tokens - returned_tokens);
         self.bucket.put_back(now, returned_tokens);
         true
     }
@@ -336,9 +351,8 @@
     /// Counts the loans of borrowers proven gone as spent, and forgets closed ones of lenders gone.
     pub fn settle_gone(&mut self, now: TimeMs, gone: &GoneProofs) {
         self.borrowed.forget_gone(gone);
-        for loan in self.loans_out.remove_gone(gone) {
-            self.bucket.spend(now, loan.tokens);
-        }
+        let left_tokens = self.loans_out.remove_gone(gone);
+        self.bucket.spend(now, left_tokens);
     }
 
     /// Returns the loans that were out at least `age_ms`, whose borrowers should be asked.
@@ -420,7 +434,7 @@
         let state = if self.me.succeeds(&loan.id.borrower) {
             LoanState::BorrowerGone
         } else {
-            LoanState::Running
+            LoanState::Running { used_tokens: 0 }
         };
         LoanReport { id: loan.id.clone(), state }
     }
--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::channel::{Receiver, unbounded};
+use async_std::future::timeout;
 use async_std::task;
 use lycheeford_config::{CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head, assemble};
 use lycheeford_platform::{Change, FollowLimits, Object, ObjectStore, WatchEvent, follow};
@@ -28,22 +30,33 @@
     Assemble { source: lycheeford_config::AssembleError },
 }
 
+/// A committed configuration with the objects that it was read from.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Committed {
+    pub(crate) head: Head,
+    pub(crate) chunks: Vec<Chunk>,
+    pub(crate) configuration: Configuration,
+}
+
+impl Committed {
+    /// Assembles what `head` names out of `chunks`, which may hold more.
+    pub(crate) fn assemble(head: Head, chunks: &[Chunk]) -> Result<Committed, ReadError> {
+        let named = head.declared.iter().chain(&head.keys);
+        let chunks = named
+            .filter_map(|name| chunks.iter().find(|chunk| chunk.name == *name).cloned())
+            .collect::<Vec<Chunk>>();
+        let configuration = assemble(&head, &chunks).context(AssembleSnafu)?;
+        Ok(Committed { head, chunks, configuration })
+    }
+}
+
 /// Follows the head object and puts each newer configuration in force.
 ///
 /// The chunks are read outside of the follower, so that a slow read doesn't
 /// delay the confirmations of what is in force.
 pub(crate) async fn follow_configuration(state: Arc<State>) {
-    let (sender, receiver) = async_std::channel::unbounded::<(TimeMs, Option<Head>)>();
-    let reader = state.clone();
-    task::spawn(async move {
-        while let Ok((as_of, head)) = receiver.recv().await {
-            if let Some(head) = head {
-                put_in_force(&reader, head).await;
-            }
-            let revision = reader.configuration.load().revision;
-            reader.freshness().confirm(as_of, revision);
-        }
-    });
+    let (sender, receiver) = unbounded();
+    task::spawn(read_heads(state.clone(), receiver));
     let limits = FollowLimits::default();
     let clock = state.clock;
     follow(
@@ -60,20 +73,24 @@
     .await;
 }
 
-/// Reads the configuration that `head` names.
-pub(crate) async fn read_configuration(
-    state: &State,
-    head: &Head,
-) -> Result<Configuration, ReadError> {
-    let mut chunks = Vec::with_capacity(head.declared.len() + head.keys.len());
+/// Reads the configuration that `head` names; chunks in force aren't read again.
+///
+/// # Errors
+///
+/// Fails if the platform doesn't answer, or what is stored isn't whole.
+pub(crate) async fn read_configuration(state: &State, head: Head) -> Result<Committed, ReadError> {
+    let mut chunks = state.committed.load().chunks.clone();
     for name in head.declared.iter().chain(&head.keys) {
+        if chunks.iter().any(|chunk| chunk.name == *name) {
+            continue;
+        }
         let object = state.store.get(CHUNK_KIND, name).await.context(PlatformSnafu)?;
         let object = object.ok_or_else(|| ReadError::MissingChunk { name: name.to_string() })?;
         let text = object.value.as_str();
         let text = text.ok_or_else(|| ReadError::BadChunk { name: name.to_string() })?;
         chunks.push(Chunk { name: name.clone(), text: text.to_owned() });
     }
-    assemble(head, &chunks).context(AssembleSnafu)
+    Committed::assemble(head, &chunks)
 }
 
 /// Reads a head from its object.
@@ -82,30 +99,70 @@
 }
 
 /// Puts a configuration in force unless a newer one is.
-pub(crate) fn adopt(state: &State, head: Head, configuration: Configuration) {
-    if configuration.revision <= state.configuration.load().revision {
+pub(crate) fn adopt(state: &State, committed: Committed) {
+    let configuration = committed.configuration.clone();
+    let revision = configuration.revision;
+    // Held to the end, so that two revisions can't be taken over in the wrong order.
+    let _adopting = state.adopting();
+    if revision <= state.configuration.load().revision {
         return;
     }
-    info!(state.log, "configuration in force"; "revision" => configuration.revision);
+    state.configuration.store(Arc::new(configuration.clone()));
+    state.committed.store(Arc::new(committed));
+    info!(state.log, "configuration in force"; "revision" => revision);
     let now = state.now();
-    state.metrics.configuration_revision.set(configuration.revision);
-    state.freshness().in_force(configuration.revision);
+    state.metrics.configuration_revision.set(revision);
+    state.freshness().in_force(revision);
     state.rates().configure(now, &configuration);
     state.placement().configure(&configuration);
     state.coordinator().configure(&configuration);
-    state.configuration.store(Arc::new(configuration));
-    state.head.store(Arc::new(head));
     state.wake_planner();
 }
 
-async fn put_in_force(state: &State, head: Head) {
-    while head.revision > state.configuration.load().revision {
-        match read_configuration(state, &head).await {
-            Ok(configuration) => adopt(state, head.clone(), configuration),
-            Err(error) => {
-                warn!(state.log, "configuration not readable"; "error" => %error);
-                task::sleep(Duration::from_millis(RETRY_MS)).await;
-            }
+/// Reads each head's configuration; one that can't be read is tried again until a newer comes.
+async fn read_heads(state: Arc<State>, heads: Receiver<(TimeMs, Option<Head>)>) {
+    let mut wanted: Option<Head> = None;
+    loop {
+        let news = match &wanted {
+            None => heads.recv().await.ok(),
+            Some(_) => match timeout(Duration::from_millis(RETRY_MS), heads.recv()).await {
+                Ok(news) => news.ok(),
+                Err(_) => None,
+            },
+        };
+        let as_of = news.as_ref().map(|(as_of, _)| *as_of);
+        wanted = news.and_then(|(_, head)| head).or(wanted);
+        if let Some(head) = &wanted
+            && put_in_force(&state, head.clone()).await
+        {
+            wanted = None;
+        }
+        if let Some(as_of) = as_of {
+            confirm(&state, as_of, wanted.as_ref());
+        }
+    }
+}
+
+/// Notes that what is in force is current, unless a newer head is known.
+fn confirm(state: &State, as_of: TimeMs, wanted: Option<&Head>) {
+    let revision = state.configuration.load().revision;
+    let newest = wanted.map_or(revision, |head| head.revision.max(revision));
+    state.freshness().confirm(as_of, newest);
+}
+
+/// Returns whether a configuration at least as new as `head` is in force now.
+async fn put_in_force(state: &State, head: Head) -> bool {
+    if head.revision <= state.configuration.load().revision {
+        return true;
+    }
+    match read_configuration(state, head).await {
+        Ok(committed) => {
+            adopt(state, committed);
+            true
+        }
+        Err(error) => {
+            warn!(state.log, "configuration not readable"; "error" => %error);
+            false
         }
     }
 }
