--- a/crates/lycheefordd/tests/targets.rs
+++ b/crates/lycheefordd/tests/targets.rs
@@ -13,6 +13,9 @@
 const MODEL: &str = "model-001";
 const TOKENS: u64 = 60;
 
+/// Longer than the deadline that the calls state.
+const TIMEOUT: Duration = Duration::from_secs(12);
+
 /// The time after which a leaving target gets nothing new.
 const LEAVING_MS_MAX: u64 = 3_000;
 
@@ -25,7 +28,8 @@
 
 async fn complete(fleet: &Fleet, caller: usize) -> Result<Answer, CallError> {
     let call = Call::completion(&fleet.keys[0], MODEL, &prompt(caller), TOKENS);
-    call.header("x-deadline-ms", "8000").send(fleet.caller_address(caller % 6)).await
+    let call = Call { timeout: TIMEOUT, ..call.header("x-deadline-ms", "8000") };
+    call.send(fleet.caller_address(caller % 6)).await
 }
 
 /// Checks that an answer is whole and the caller's own, or a clear error.
@@ -38,7 +42,10 @@
         assert!(!answer.refusal_code().is_empty(), "{}", answer.body);
         return false;
     }
-    let Some(text) = answer.streamed_text() else { return false };
+    let Some(text) = answer.streamed_text() else {
+        assert!(answer.body.contains("\"error\""), "an end without an error: {}", answer.body);
+        return false;
+    };
     assert_eq!(text, expected_text(MODEL, &prompt(caller), TOKENS), "caller {caller}");
     true
 }
