Measure a running fleet by one script

scripts/measure.sh starts a fleet of release builds as the demonstration does, and prints what requests, idle daemons and a growing configuration cost. What both scripts share moved to scripts/fleet.sh.

Bytes are the kernel's counters of each connection (ss), calls those of the platform's stand-in, processor time and memory those of /proc. Weighed: /proc/net/dev, which also counts what other processes send over loopback, and a counting relay, which adds its own delay.

--- a/crates/lycheeford-fakes/src/bin/demo-files.rs
+++ b/crates/lycheeford-fakes/src/bin/demo-files.rs
@@ -20,6 +20,10 @@
     #[argh(option, default = "0")]
     net: u8,
 
+    /// how many daemons, rather than the deployment's own number
+    #[argh(option)]
+    daemons: Option<u8>,
+
     /// the folder to write to
     #[argh(option)]
     out: PathBuf,
@@ -28,7 +32,10 @@
 #[snafu::report]
 fn main() -> Result<(), Whatever> {
     let arguments: Arguments = argh::from_env();
-    let deployment = Deployment::new(arguments.deployment, arguments.net);
+    let mut deployment = Deployment::new(arguments.deployment, arguments.net);
+    if let Some(daemons) = arguments.daemons {
+        deployment = deployment.with_daemons(daemons);
+    }
     let out = &arguments.out;
     fs::create_dir_all(out).whatever_context("can't make the folder; choose another --out")?;
     let base = serde_yaml_ng::to_string(&deployment.base).whatever_context("base as YAML")?;
--- a/crates/lycheeford-fakes/src/deployment/mod.rs
+++ b/crates/lycheeford-fakes/src/deployment/mod.rs
@@ -34,6 +34,7 @@
     /// The site's overlay.
     pub overlay: Document,
     kind: DeploymentKind,
+    net: u8,
 }
 
 /// Which deployment.
@@ -73,9 +74,16 @@
             base: declared_base(&sizes),
             overlay: declared_overlay(kind),
             kind,
+            net,
         }
     }
 
+    /// Returns the deployment with so many daemons, spread over the same failure domains.
+    pub fn with_daemons(self, daemons: u8) -> Deployment {
+        let daemons = (0..daemons).map(|index| DaemonPlan::new(self.net, index)).collect();
+        Deployment { daemons, ..self }
+    }
+
     /// Returns the names of the customers.
     pub fn customers(&self) -> Vec<Name> {
         self.base.customers.iter().map(|customer| customer.name.clone()).collect()
--- /dev/null
+++ b/crates/lycheeford-measure/src/control.rs
@@ -0,0 +1,88 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use lycheeford_policy::{Host, HostRole};
+use serde_json::Value;
+use snafu::{OptionExt, ResultExt, Whatever};
+
+use crate::fleet::Fleet;
+use crate::process::{Process, resident_range};
+use crate::row;
+use crate::sockets::SocketBytes;
+
+/// How long replicas, shares and memory settle first.
+const SETTLE: Duration = Duration::from_secs(2);
+const WINDOW: Duration = Duration::from_secs(8);
+/// The operations that the platform's stand-in counts.
+const OPERATIONS: [&str; 5] = ["lists", "gets", "puts", "deletes", "watches"];
+
+/// Reports memory and what control costs while no request runs.
+pub(crate) async fn report(fleet: &Fleet, when: &str) -> Result<(), Whatever> {
+    task::sleep(SETTLE).await;
+    let peers = peer_addresses(fleet).await?;
+    let before = Sample::take(fleet, &peers).await?;
+    let start = Instant::now();
+    task::sleep(WINDOW).await;
+    let after = Sample::take(fleet, &peers).await?;
+    let per_daemon_s = start.elapsed().as_secs_f64() * fleet.daemons.len() as f64;
+
+    row(&format!("{when}: memory of a daemon"), &resident_range(fleet.processes())?);
+    let elapsed_ms = start.elapsed().as_millis() as f64;
+    let used = after.cpu_ms.iter().zip(&before.cpu_ms).map(|(after, before)| after - before);
+    let mut shares: Vec<f64> = used.map(|ms| ms as f64 * 100.0 / elapsed_ms).collect();
+    shares.sort_by(f64::total_cmp);
+    let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+    let (least, most) = (shares[0], shares[shares.len() - 1]);
+    let value = format!("{least:.2}% to {most:.2}% of a core, mean {mean:.2}%");
+    row(&format!("{when}: CPU of a daemon"), &value);
+    let bytes = after.peers.since(&before.peers) as f64 / per_daemon_s;
+    row(&format!("{when}: between daemons, sent by one"), &format!("{bytes:.0} bytes a second"));
+    let bytes = after.platform.since(&before.platform) as f64 / per_daemon_s;
+    row(&format!("{when}: to and from the platform"), &format!("{bytes:.0} bytes a second"));
+    let calls = OPERATIONS.map(|operation| {
+        let made = count(&after.calls, operation) - count(&before.calls, operation);
+        format!("{:.2} {operation}", made as f64 / per_daemon_s)
+    });
+    row(&format!("{when}: platform calls of a daemon a second"), &calls.join(", "));
+    Ok(())
+}
+
+/// Running totals of the fleet.
+#[derive(Debug)]
+struct Sample {
+    /// In the order of the daemons.
+    cpu_ms: Vec<u64>,
+    peers: SocketBytes,
+    platform: SocketBytes,
+    calls: Value,
+}
+
+impl Sample {
+    async fn take(fleet: &Fleet, peers: &[SocketAddr]) -> Result<Sample, Whatever> {
+        Ok(Sample {
+            cpu_ms: fleet.processes().map(Process::cpu_ms).collect::<Result<_, _>>()?,
+            peers: SocketBytes::to(peers)?,
+            platform: SocketBytes::to(&[fleet.platform])?,
+            calls: fleet.platform_json("/calls").await?,
+        })
+    }
+}
+
+async fn peer_addresses(fleet: &Fleet) -> Result<Vec<SocketAddr>, Whatever> {
+    let listing = fleet.platform_json("/objects/host").await?;
+    let objects = listing["objects"].as_array().whatever_context("the platform lists no hosts")?;
+    let mut peers = Vec::new();
+    for object in objects {
+        let host: Host = serde_json::from_value(object["value"].clone())
+            .whatever_context("a host can't be read")?;
+        if let HostRole::Entry { peer_address } = host.role {
+            peers.push(peer_address);
+        }
+    }
+    Ok(peers)
+}
+
+fn count(calls: &Value, operation: &str) -> u64 {
+    calls[operation].as_u64().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/lycheeford-measure/src/latency.rs
@@ -0,0 +1,39 @@
+use hdrhistogram::Histogram;
+use snafu::{ResultExt, Whatever};
+
+use crate::fleet::Fleet;
+use crate::{MODEL, request, row};
+
+/// Pairs of calls, one through a daemon and one direct.
+const PAIRS: u32 = 1_000;
+const WARM_UP: u32 = 50;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// Reports what a daemon adds to a warm request, one request at a time.
+pub(crate) async fn report(fleet: &Fleet) -> Result<(), Whatever> {
+    let daemon = fleet.daemons[0].caller;
+    request::complete(fleet, daemon).await?;
+    let engine = fleet.engine_with(MODEL).await?;
+    let mut through = histogram()?;
+    let mut direct = histogram()?;
+    for pair in 0..WARM_UP + PAIRS {
+        let through_us = request::complete(fleet, daemon).await?;
+        let direct_us = request::complete(fleet, engine).await?;
+        if pair >= WARM_UP {
+            through.record(through_us).whatever_context("a latency can't be recorded")?;
+            direct.record(direct_us).whatever_context("a latency can't be recorded")?;
+        }
+    }
+    for (figure, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+        let (through, direct) =
+            (through.value_at_quantile(quantile), direct.value_at_quantile(quantile));
+        let ratio = through as f64 / direct as f64;
+        let value = format!("{through} µs against {direct} µs direct, ratio {ratio:.2}");
+        row(&format!("warm request, {figure} of {PAIRS}"), &value);
+    }
+    Ok(())
+}
+
+fn histogram() -> Result<Histogram<u64>, Whatever> {
+    Histogram::new(SIGNIFICANT_DIGITS).whatever_context("no histogram")
+}
--- /dev/null
+++ b/crates/lycheeford-measure/src/load.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use snafu::Whatever;
+
+use crate::fleet::Fleet;
+use crate::process::cpu_ms;
+use crate::{request, row};
+
+/// Requests that run at once, over all daemons that take them.
+const AT_ONCE: usize = 96;
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Reports requests a second through `addresses`, and the daemons' processor time a request.
+pub(crate) async fn report(
+    fleet: &Fleet,
+    what: &str,
+    addresses: &[SocketAddr],
+) -> Result<(), Whatever> {
+    let before_ms = cpu_ms(fleet.processes())?;
+    let start = Instant::now();
+    let callers = (0..AT_ONCE)
+        .map(|caller| send_until_end(fleet, addresses[caller % addresses.len()], start));
+    let counts = join_all(callers).await;
+    let elapsed = start.elapsed().as_secs_f64();
+    let used_ms = cpu_ms(fleet.processes())? - before_ms;
+    let done: u64 = counts.iter().map(|count| count.done).sum();
+    let failed: u64 = counts.iter().map(|count| count.failed).sum();
+    if let Some(error) = counts.into_iter().find_map(|count| count.error) {
+        eprintln!("measure: a request failed: {error}");
+    }
+    let per_s = done as f64 / elapsed;
+    let cpu_us = used_ms as f64 * 1_000.0 / done.max(1) as f64;
+    let value = format!("{per_s:.0} a second, {cpu_us:.0} µs of daemon CPU each, {failed} failed");
+    row(&format!("requests through {what}, {AT_ONCE} at once"), &value);
+    Ok(())
+}
+
+#[derive(Debug, Default)]
+struct Count {
+    done: u64,
+    failed: u64,
+    error: Option<Whatever>,
+}
+
+async fn send_until_end(fleet: &Fleet, address: SocketAddr, start: Instant) -> Count {
+    let mut count = Count::default();
+    while start.elapsed() < WINDOW {
+        match request::complete(fleet, address).await {
+            Ok(_) => count.done += 1,
+            Err(error) => {
+                count.failed += 1;
+                count.error.get_or_insert(error);
+                async_std::task::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+    count
+}
--- /dev/null
+++ b/crates/lycheeford-measure/src/request.rs
@@ -0,0 +1,53 @@
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use lycheeford_target::{Connection, Method, TargetRequest, TargetResponse};
+use serde_json::json;
+use snafu::{ResultExt, Whatever, ensure_whatever};
+
+use crate::MODEL;
+use crate::fleet::Fleet;
+
+/// Longer than any answer here.
+const ANSWER_BYTES_MAX: usize = 1 << 20;
+
+/// Opens a streamed completion and returns its answer's head.
+pub(crate) async fn open(
+    fleet: &Fleet,
+    address: SocketAddr,
+    max_tokens: u64,
+    connection: Connection,
+) -> Result<TargetResponse, Whatever> {
+    let body = json!({
+        "model": MODEL,
+        "prompt": "Is the lead open?",
+        "max_tokens": max_tokens,
+        "stream": true,
+    });
+    let headers = [
+        ("authorization", format!("Bearer {}", fleet.key)),
+        ("content-type", "application/json".to_owned()),
+    ];
+    let request = TargetRequest {
+        method: Method::Post,
+        path_and_query: "/v1/completions".to_owned(),
+        headers: headers.map(|(name, value)| (name.to_owned(), value)).to_vec(),
+        body: body.to_string().into_bytes(),
+        connection,
+        first_byte_ms_max: None,
+    };
+    let response = fleet.client.call(address, &request).await;
+    response.whatever_context("no answer")
+}
+
+/// Sends a completion of one token on a kept connection and returns its microseconds.
+pub(crate) async fn complete(fleet: &Fleet, address: SocketAddr) -> Result<u64, Whatever> {
+    let start = Instant::now();
+    let response = open(fleet, address, 1, Connection::Pooled).await?;
+    let status = response.status;
+    let body = response.body.whole(ANSWER_BYTES_MAX).await;
+    let body = String::from_utf8_lossy(&body.whatever_context("the answer was cut")?).into_owned();
+    ensure_whatever!(status == 200, "status {status}: {body}");
+    ensure_whatever!(body.trim_end().ends_with("data: [DONE]"), "no whole answer: {body}");
+    Ok(start.elapsed().as_micros() as u64)
+}
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,51 @@
+#!/bin/sh
+# Measures a fleet of release builds on loopback addresses and prints a table;
+# ends by itself in under two minutes after the build. docs/MEASUREMENTS.md
+# explains the rows.
+#
+#   scripts/measure.sh               what requests and idle daemons cost
+#   scripts/measure.sh --control     only what idle daemons cost
+#   scripts/measure.sh --sizes       that, as the configuration grows
+#   scripts/measure.sh --daemons N   with N daemons rather than six
+#
+# DEMO_NET=N moves every address to the network 127.N.0.0/16.
+set -eu
+
+deployment=small
+profile=release
+daemons_max=
+# Room for a thousand slow streams on one engine.
+engine_options="--batch-max 2048 --token-interval-ms 250"
+phases=requests
+while [ $# -gt 0 ]; do
+    case "$1" in
+        --control) phases=control ;;
+        --sizes) phases=sizes ;;
+        --daemons)
+            shift
+            daemons_max=${1:?--daemons needs a number}
+            ;;
+        *)
+            echo "measure.sh: unknown argument $1; use --control, --sizes or --daemons N" >&2
+            exit 2
+            ;;
+    esac
+    shift
+done
+
+cd "$(dirname "$0")/.."
+. scripts/fleet.sh
+start_fleet >&2
+
+options=
+for address in $addresses; do
+    options="$options --caller $address"
+done
+for address in $operators; do
+    options="$options --operator $address"
+done
+for pid in $daemons; do
+    options="$options --pid $pid"
+done
+"$bin/measure" --phases "$phases" --platform "$platform" --key "$key" $options ||
+    fail "not everything was measured"
