--- a/crates/lycheeford-measure/src/change.rs
+++ b/crates/lycheeford-measure/src/change.rs
@@ -48,14 +48,19 @@
 pub(crate) async fn report(fleet: &Fleet, sizes: &Sizes) -> Result<(), Whatever> {
     let grown = apply(fleet, |document| grow(document, sizes)).await?;
     row(&format!("{sizes}: from apply of all to in force"), &grown);
-    let changed = apply(fleet, |document| {
+    let changed = change_one_adapter(fleet).await?;
+    row(&format!("{sizes}: from apply of one adapter to in force"), &changed);
+    Ok(())
+}
+
+/// Changes one adapter and returns when that is in force.
+pub(crate) async fn change_one_adapter(fleet: &Fleet) -> Result<String, Whatever> {
+    apply(fleet, |document| {
         let adapter = document.adapters.last_mut().whatever_context("no adapter")?;
         adapter.memory_bytes = adapter.memory_bytes.map(|bytes| bytes + 1);
         Ok(())
     })
-    .await?;
-    row(&format!("{sizes}: from apply of one adapter to in force"), &changed);
-    Ok(())
+    .await
 }
 
 async fn apply(
--- a/crates/lycheeford-measure/src/control.rs
+++ b/crates/lycheeford-measure/src/control.rs
@@ -3,10 +3,10 @@
 
 use async_std::task;
 use lycheeford_policy::{Host, HostRole};
-use serde_json::Value;
 use snafu::{OptionExt, ResultExt, Whatever};
 
 use crate::fleet::Fleet;
+use crate::platform_calls::PlatformCalls;
 use crate::process::{Process, resident_range};
 use crate::row;
 use crate::sockets::SocketBytes;
@@ -14,9 +14,6 @@
 /// How long replicas, shares and memory settle first.
 const SETTLE: Duration = Duration::from_secs(2);
 const WINDOW: Duration = Duration::from_secs(8);
-/// The operations that the platform's stand-in counts.
-const OPERATIONS: [&str; 5] = ["lists", "gets", "puts", "deletes", "watches"];
-
 /// Reports memory and what control costs while no request runs.
 pub(crate) async fn report(fleet: &Fleet, when: &str) -> Result<(), Whatever> {
     task::sleep(SETTLE).await;
@@ -40,11 +37,8 @@
     row(&format!("{when}: between daemons, sent by one"), &format!("{bytes:.0} bytes a second"));
     let bytes = after.platform.since(&before.platform) as f64 / per_daemon_s;
     row(&format!("{when}: to and from the platform"), &format!("{bytes:.0} bytes a second"));
-    let calls = OPERATIONS.map(|operation| {
-        let made = count(&after.calls, operation) - count(&before.calls, operation);
-        format!("{:.2} {operation}", made as f64 / per_daemon_s)
-    });
-    row(&format!("{when}: platform calls of a daemon a second"), &calls.join(", "));
+    let calls = (after.calls - before.calls).each(per_daemon_s);
+    row(&format!("{when}: platform calls of a daemon a second"), &calls);
     Ok(())
 }
 
@@ -55,7 +49,7 @@
     cpu_ms: Vec<u64>,
     peers: SocketBytes,
     platform: SocketBytes,
-    calls: Value,
+    calls: PlatformCalls,
 }
 
 impl Sample {
@@ -64,7 +58,7 @@
             cpu_ms: fleet.processes().map(Process::cpu_ms).collect::<Result<_, _>>()?,
             peers: SocketBytes::to(peers)?,
             platform: SocketBytes::to(&[fleet.platform])?,
-            calls: fleet.platform_json("/calls").await?,
+            calls: PlatformCalls::read(fleet).await?,
         })
     }
 }
@@ -82,7 +76,3 @@
     }
     Ok(peers)
 }
-
-fn count(calls: &Value, operation: &str) -> u64 {
-    calls[operation].as_u64().unwrap_or(0)
-}
--- a/crates/lycheeford-measure/src/latency.rs
+++ b/crates/lycheeford-measure/src/latency.rs
@@ -2,7 +2,7 @@
 use snafu::{ResultExt, Whatever};
 
 use crate::fleet::Fleet;
-use crate::{MODEL, request, row};
+use crate::{MODELS, request, row};
 
 /// Pairs of calls, one through a daemon and one direct.
 const PAIRS: u32 = 1_000;
@@ -12,13 +12,13 @@
 /// Reports what a daemon adds to a warm request, one request at a time.
 pub(crate) async fn report(fleet: &Fleet) -> Result<(), Whatever> {
     let daemon = fleet.daemons[0].caller;
-    request::complete(fleet, daemon).await?;
-    let engine = fleet.engine_with(MODEL).await?;
+    request::complete(fleet, daemon, MODELS[0]).await?;
+    let engine = fleet.engine_with(MODELS[0]).await?;
     let mut through = histogram()?;
     let mut direct = histogram()?;
     for pair in 0..WARM_UP + PAIRS {
-        let through_us = request::complete(fleet, daemon).await?;
-        let direct_us = request::complete(fleet, engine).await?;
+        let through_us = request::complete(fleet, daemon, MODELS[0]).await?;
+        let direct_us = request::complete(fleet, engine, MODELS[0]).await?;
         if pair >= WARM_UP {
             through.record(through_us).whatever_context("a latency can't be recorded")?;
             direct.record(direct_us).whatever_context("a latency can't be recorded")?;
--- a/crates/lycheeford-measure/src/load.rs
+++ b/crates/lycheeford-measure/src/load.rs
@@ -6,22 +6,33 @@
 
 use crate::fleet::Fleet;
 use crate::process::cpu_ms;
-use crate::{request, row};
+use crate::{MODELS, request, row};
 
 /// Requests that run at once, over all daemons that take them.
 const AT_ONCE: usize = 96;
 const WINDOW: Duration = Duration::from_secs(5);
 
-/// Reports requests a second through `addresses`, and the daemons' processor time a request.
+/// Reports requests a second through `daemons`, and all daemons' processor time a request.
+///
+/// Without daemons the requests go to the engines directly.
 pub(crate) async fn report(
     fleet: &Fleet,
     what: &str,
-    addresses: &[SocketAddr],
+    daemons: &[SocketAddr],
 ) -> Result<(), Whatever> {
+    let mut engines = Vec::new();
+    for model in MODELS {
+        engines.push(fleet.engine_with(model).await?);
+    }
     let before_ms = cpu_ms(fleet.processes())?;
     let start = Instant::now();
-    let callers = (0..AT_ONCE)
-        .map(|caller| send_until_end(fleet, addresses[caller % addresses.len()], start));
+    let callers = (0..AT_ONCE).map(|caller| {
+        let model = caller % MODELS.len();
+        let turn = caller / MODELS.len();
+        let address =
+            if daemons.is_empty() { engines[model] } else { daemons[turn % daemons.len()] };
+        send_until_end(fleet, address, MODELS[model], start)
+    });
     let counts = join_all(callers).await;
     let elapsed = start.elapsed().as_secs_f64();
     let used_ms = cpu_ms(fleet.processes())? - before_ms;
@@ -44,10 +55,10 @@
     error: Option<Whatever>,
 }
 
-async fn send_until_end(fleet: &Fleet, address: SocketAddr, start: Instant) -> Count {
+async fn send_until_end(fleet: &Fleet, address: SocketAddr, model: &str, start: Instant) -> Count {
     let mut count = Count::default();
     while start.elapsed() < WINDOW {
-        match request::complete(fleet, address).await {
+        match request::complete(fleet, address, model).await {
             Ok(_) => count.done += 1,
             Err(error) => {
                 count.failed += 1;
--- a/crates/lycheeford-measure/src/main.rs
+++ b/crates/lycheeford-measure/src/main.rs
@@ -7,6 +7,8 @@
 mod fleet;
 mod latency;
 mod load;
+mod operations;
+mod platform_calls;
 mod process;
 mod request;
 mod sockets;
@@ -22,8 +24,9 @@
 use crate::change::Sizes;
 use crate::fleet::Fleet;
 
-/// The model that requests ask for.
-const MODEL: &str = "model-000";
+/// The models that requests ask for; single requests ask for the first one.
+const MODELS: [&str; 6] =
+    ["model-000", "model-001", "model-002", "model-003", "model-004", "model-005"];
 
 /// The sizes of configuration whose cost is measured, smallest first.
 const SIZES: [Sizes; 4] = [
@@ -96,10 +99,10 @@
 
 async fn requests(fleet: &Fleet) -> Result<(), Whatever> {
     latency::report(fleet).await?;
+    operations::report(fleet).await?;
     load::report(fleet, "one daemon", &fleet.callers()[..1]).await?;
     load::report(fleet, "all daemons", &fleet.callers()).await?;
-    let engine = fleet.engine_with(MODEL).await?;
-    load::report(fleet, "no daemon", &[engine]).await?;
+    load::report(fleet, "no daemon", &[]).await?;
     streams::report(fleet).await
 }
 
--- a/crates/lycheeford-measure/src/request.rs
+++ b/crates/lycheeford-measure/src/request.rs
@@ -5,7 +5,6 @@
 use serde_json::json;
 use snafu::{ResultExt, Whatever, ensure_whatever};
 
-use crate::MODEL;
 use crate::fleet::Fleet;
 
 /// Longer than any answer here.
@@ -15,11 +14,12 @@
 pub(crate) async fn open(
     fleet: &Fleet,
     address: SocketAddr,
+    model: &str,
     max_tokens: u64,
     connection: Connection,
 ) -> Result<TargetResponse, Whatever> {
     let body = json!({
-        "model": MODEL,
+        "model": model,
         "prompt": "Is the lead open?",
         "max_tokens": max_tokens,
         "stream": true,
@@ -41,9 +41,13 @@
 }
 
 /// Sends a completion of one token on a kept connection and returns its microseconds.
-pub(crate) async fn complete(fleet: &Fleet, address: SocketAddr) -> Result<u64, Whatever> {
+pub(crate) async fn complete(
+    fleet: &Fleet,
+    address: SocketAddr,
+    model: &str,
+) -> Result<u64, Whatever> {
     let start = Instant::now();
-    let response = open(fleet, address, 1, Connection::Pooled).await?;
+    let response = open(fleet, address, model, 1, Connection::Pooled).await?;
     let status = response.status;
     let body = response.body.whole(ANSWER_BYTES_MAX).await;
     let body = String::from_utf8_lossy(&body.whatever_context("the answer was cut")?).into_owned();
--- a/crates/lycheeford-measure/src/streams.rs
+++ b/crates/lycheeford-measure/src/streams.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::Fleet;
 use crate::process::resident_range;
-use crate::{request, row};
+use crate::{MODELS, request, row};
 
 const STREAMS: usize = 1_000;
 /// The streams last this many tokens, with a pause of 250 ms after each.
@@ -23,8 +23,8 @@
     let before = resident_range([&daemon.process].into_iter())?;
     let mut open = Vec::with_capacity(STREAMS);
     while open.len() < STREAMS {
-        let batch =
-            (0..BATCH).map(|_| request::open(fleet, daemon.caller, TOKENS, Connection::Fresh));
+        let batch = (0..BATCH)
+            .map(|_| request::open(fleet, daemon.caller, MODELS[0], TOKENS, Connection::Fresh));
         for response in join_all(batch).await {
             open.push(response?);
         }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -7,6 +7,8 @@
 #   scripts/measure.sh --control     only what idle daemons cost
 #   scripts/measure.sh --sizes       that, as the configuration grows
 #   scripts/measure.sh --daemons N   with N daemons rather than six
+#   scripts/measure.sh --northpass   at the size of the chart office
+#   scripts/measure.sh --regulator   at the size of the regulator
 #
 # DEMO_NET=N moves every address to the network 127.N.0.0/16.
 set -eu
@@ -21,12 +23,14 @@
     case "$1" in
         --control) phases=control ;;
         --sizes) phases=sizes ;;
+        --northpass) deployment=northpass ;;
+        --regulator) deployment=regulator ;;
         --daemons)
             shift
             daemons_max=${1:?--daemons needs a number}
             ;;
         *)
-            echo "measure.sh: unknown argument $1; use --control, --sizes or --daemons N" >&2
+            echo "measure.sh: unknown argument $1; its first lines list what there is" >&2
             exit 2
             ;;
     esac
