--- a/crates/lycheeford-fakes/src/call.rs
+++ b/crates/lycheeford-fakes/src/call.rs
@@ -111,18 +111,35 @@
     ///
     /// Fails if no connection opens, the answer is cut or it takes too long.
     pub async fn send(&self, address: SocketAddr) -> Result<Answer, CallError> {
-        let answer = timeout(self.timeout, self.exchange(address)).await;
+        self.send_watched(address, |_| {}).await
+    }
+
+    /// Sends the call and shows each line of the answer as it comes, also of one that is cut later.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection opens, the answer is cut or it takes too long.
+    pub async fn send_watched(
+        &self,
+        address: SocketAddr,
+        on_line: impl FnMut(&str),
+    ) -> Result<Answer, CallError> {
+        let answer = timeout(self.timeout, self.exchange(address, on_line)).await;
         let timeout_ms = self.timeout.as_millis() as u64;
         answer.unwrap_or_else(|_| TimeoutSnafu { timeout_ms }.fail())
     }
 
-    async fn exchange(&self, address: SocketAddr) -> Result<Answer, CallError> {
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        on_line: impl FnMut(&str),
+    ) -> Result<Answer, CallError> {
         let start = Instant::now();
         let stream = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
         stream.set_nodelay(true).context(ConnectSnafu { address })?;
         let request = self.request(address).map_err(|error| cut(&error))?;
         let response = async_h1::connect(stream, request).await.map_err(|error| cut(&error))?;
-        read_whole(response, start).await
+        read_whole(response, start, on_line).await
     }
 
     fn request(&self, address: SocketAddr) -> http_types::Result<Request> {
@@ -166,15 +183,24 @@
     }
 }
 
-async fn read_whole(mut response: Response, start: Instant) -> Result<Answer, CallError> {
+async fn read_whole(
+    mut response: Response,
+    start: Instant,
+    mut on_line: impl FnMut(&str),
+) -> Result<Answer, CallError> {
     let request_id = response.header("x-request-id").map(|id| id.as_str().to_owned());
     let status = u16::from(response.status());
     let announced = response.len();
     let mut first_line_ms = None;
     let mut body = Vec::new();
     let mut reader = response.take_body().into_reader();
-    while reader.read_until(b'\n', &mut body).await.map_err(|error| cut(&error))? > 0 {
+    loop {
+        let read = reader.read_until(b'\n', &mut body).await.map_err(|error| cut(&error))?;
+        if read == 0 {
+            break;
+        }
         first_line_ms.get_or_insert_with(|| elapsed_ms(start));
+        on_line(&String::from_utf8_lossy(&body[body.len() - read..]));
     }
     if announced.is_some_and(|announced| announced != body.len()) {
         return CutSnafu { message: "the body is shorter than announced" }.fail();
--- a/crates/lycheeford-fakes/src/engine/completion.rs
+++ b/crates/lycheeford-fakes/src/engine/completion.rs
@@ -15,6 +15,7 @@
 use crate::server::{Caller, lock};
 
 use super::Shared;
+use super::audit::unix_us;
 use super::faults::EngineFaults;
 
 /// How often a waiting request looks whether its turn has come.
@@ -205,7 +206,12 @@
                 json!({ "index": 0, "delta": { "content": token }, "finish_reason": null })
             }
         };
-        json!({ "object": self.object_name(), "model": self.model, "choices": [choice] })
+        json!({
+            "object": self.object_name(),
+            "model": self.model,
+            "choices": [choice],
+            "sent_us": unix_us(),
+        })
     }
 
     fn last_chunk(&self) -> Value {
@@ -218,6 +224,7 @@
             "model": self.model,
             "choices": [choice],
             "usage": self.usage(),
+            "sent_us": unix_us(),
         })
     }
 
