Don't call a route unknown on a host that has no configuration yet

A daemon that had just started answered calls to plain services with `not_found` and no time to come back, since the route was looked up before the configuration's freshness. A caller that resent a charge through it read a final answer. Ruled out: the ledger (the refusals came before any claim) and withdrawn routes (nothing was applied meanwhile).

--- a/crates/lycheefordd/src/access.rs
+++ b/crates/lycheefordd/src/access.rs
@@ -66,7 +66,12 @@
     }
 }
 
-fn check_fresh(state: &State) -> Result<(), Refusal> {
+/// Checks that this host's configuration is current.
+///
+/// # Errors
+///
+/// Refuses while the host can't tell.
+pub(crate) fn check_fresh(state: &State) -> Result<(), Refusal> {
     let now = state.now();
     if state.freshness().state(now) == ConfigurationState::Fresh {
         return Ok(());
--- a/crates/lycheefordd/src/service.rs
+++ b/crates/lycheefordd/src/service.rs
@@ -8,7 +8,7 @@
 };
 use lycheeford_target::{Connection, TargetError, TargetRequest};
 
-use crate::access::Access;
+use crate::access::{Access, check_fresh};
 use crate::call::fingerprint;
 use crate::ledger::{Claimed, LedgerEntry, claim};
 use crate::metrics::Event;
@@ -59,6 +59,8 @@
 ) -> Result<CallerResponse, Refusal> {
     let configuration = state.configuration.load_full();
     let Some(route) = configuration.route(&request.path) else {
+        // A host that has just started knows no routes yet.
+        check_fresh(&state)?;
         let message = format!("no route for {}; see the declared routes", request.path);
         return Err(Refusal::not_run(RefusalCode::NotFound, message, None));
     };
