--- a/crates/lycheeford-fakes/src/service.rs
+++ b/crates/lycheeford-fakes/src/service.rs
@@ -56,6 +56,8 @@
     pub by_key: Vec<RunCount>,
     /// By the body's `id`, sorted.
     pub by_id: Vec<RunCount>,
+    /// By `x-request-id`, sorted.
+    pub by_request: Vec<RunCount>,
     /// Whether a request carried one of the markers.
     pub marker_seen: bool,
 }
@@ -152,10 +154,11 @@
     let body = request.body_string().await?;
     let key = request.header("idempotency-key").map(|value| value.as_str().to_owned());
     let id = body_id(&body);
+    let request_id = request.header("x-request-id").map(|value| value.as_str().to_owned());
     let fate = {
         let mut state = lock(&shared.state);
         state.runs.marker_seen |= carries_any(&request, &shared.options.markers);
-        state.runs.count(key.as_deref(), id.as_deref());
+        state.runs.count(key.as_deref(), id.as_deref(), request_id.as_deref());
         state.faults.next_answer()
     };
     if fate.dies {
@@ -207,10 +210,16 @@
         runs_of(&self.by_id, id)
     }
 
-    fn count(&mut self, key: Option<&str>, id: Option<&str>) {
+    /// Returns how often the request with this `x-request-id` ran.
+    pub fn runs_of_request(&self, request_id: &str) -> u64 {
+        runs_of(&self.by_request, request_id)
+    }
+
+    fn count(&mut self, key: Option<&str>, id: Option<&str>, request_id: Option<&str>) {
         self.total += 1;
         count_in(&mut self.by_key, key);
         count_in(&mut self.by_id, id);
+        count_in(&mut self.by_request, request_id);
     }
 }
 
