--- a/crates/lycheefordd/src/access.rs
+++ b/crates/lycheefordd/src/access.rs
@@ -73,7 +73,7 @@
 /// Refuses while the host can't tell.
 pub(crate) fn check_fresh(state: &State) -> Result<(), Refusal> {
     let now = state.now();
-    if state.freshness().state(now) == ConfigurationState::Fresh {
+    if state.has_met_peers(now) && state.freshness().state(now) == ConfigurationState::Fresh {
         return Ok(());
     }
     Err(Refusal::not_run(
