--- a/crates/lycheefordd/tests/answers.rs
+++ b/crates/lycheefordd/tests/answers.rs
@@ -15,10 +15,11 @@
 
 const MODEL: &str = "model-001";
 /// The time that each caller gives its request.
-const DEADLINE_MS: u64 = 4_000;
+const DEADLINE_MS: u64 = 3_000;
 /// Far longer than a daemon takes to see that a deadline has passed; ends a hang.
 const SLACK: Duration = Duration::from_secs(3);
 const CALLERS: usize = 12;
+const EARNING_CALLS: usize = 40;
 /// An answer that takes longer than the wait before a kill.
 const LONG_TOKENS: u64 = 300;
 const KILL_AFTER: Duration = Duration::from_millis(150);
@@ -59,6 +60,7 @@
     let callers = Callers::new(&fleet);
     for case in cases {
         callers.await_warm().await;
+        callers.earn_retries().await;
         let holder = holder(&fleet).await;
         for (index, engine) in fleet.deployment.engines.iter().enumerate() {
             if case.everywhere || index == holder {
@@ -78,6 +80,7 @@
     let callers = Callers::new(&fleet);
     for name in ["one killed", "all killed"] {
         callers.await_warm().await;
+        callers.earn_retries().await;
         let holder = holder(&fleet).await;
         let killed: Vec<usize> = (0..fleet.engines.len())
             .filter(|index| name == "all killed" || *index == holder)
@@ -174,6 +177,16 @@
         .await;
     }
 
+    /// Lets every daemon earn a few retries, which are bounded to a part of the requests.
+    async fn earn_retries(&self) {
+        for daemon in &self.daemons {
+            let call = Call::completion(&self.key, MODEL, "earn", 1);
+            for answer in join_all((0..EARNING_CALLS).map(|_| call.send(*daemon))).await {
+                assert_eq!(answer.expect("an answer").status, 200);
+            }
+        }
+    }
+
     /// Calls in both forms at once and counts the outcomes.
     async fn call_all(&self, what: &str, tokens: u64) -> BTreeMap<String, usize> {
         let calls = (0..CALLERS).map(|caller| {
--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -12,6 +12,7 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -53,7 +54,6 @@
     /// A key for each customer, in their order.
     pub keys: Vec<String>,
     folder: PathBuf,
-    _net: TcpListener,
 }
 
 impl Fleet {
@@ -64,13 +64,13 @@
 
     /// Starts the small deployment after `change` was made to it.
     pub async fn start_with(test: &str, change: impl FnOnce(&mut Deployment)) -> Fleet {
-        let (net, claim) = claim_net();
+        let net = claim_net();
         let mut deployment = Deployment::new(DeploymentKind::Small, net);
         change(&mut deployment);
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{net}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).expect("the folder for logs can be made");
-        let mut fleet = start_stand_ins(deployment, folder, claim);
+        let mut fleet = start_stand_ins(deployment, folder);
         fleet.start_relays(net).await;
         fleet.store_hosts(net).await;
         fleet.start_daemons();
@@ -269,7 +269,7 @@
     }
 }
 
-fn start_stand_ins(deployment: Deployment, folder: PathBuf, claim: TcpListener) -> Fleet {
+fn start_stand_ins(deployment: Deployment, folder: PathBuf) -> Fleet {
     let start = |name: &str, address: SocketAddr, mut arguments: Vec<String>| {
         arguments.extend(["--listen".to_owned(), address.to_string()]);
         let log = folder.join(format!("{name}-{}.log", address.ip()));
@@ -300,7 +300,6 @@
         keys: Vec::new(),
         deployment,
         folder,
-        _net: claim,
     }
 }
 
@@ -343,12 +342,17 @@
     }
 }
 
-/// Finds a network that no other fleet on this machine uses, and holds it.
-fn claim_net() -> (u8, TcpListener) {
+/// Finds a network that no other fleet on this machine uses.
+///
+/// It stays claimed until this process ends, as the relays go on listening.
+fn claim_net() -> u8 {
+    static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
     let first = std::process::id() as usize;
     let claim = |net: u8| TcpListener::bind((Ipv4Addr::new(127, net, 255, 1), 6999)).ok();
-    (0..200)
+    let (net, listener) = (0..200)
         .map(|step| 20 + ((first * 7 + step) % 200) as u8)
         .find_map(|net| claim(net).map(|listener| (net, listener)))
-        .expect("a network is free")
+        .expect("a network is free");
+    CLAIMS.lock().unwrap().push(listener);
+    net
 }
