--- a/crates/lycheeford-policy/src/planner/placement.rs
+++ b/crates/lycheeford-policy/src/planner/placement.rs
@@ -39,8 +39,9 @@
     /// Chooses where to load an entry.
     ///
     /// The place of the checkpoint goes first, since it decides how long the
-    /// load takes. Among the others the smallest sufficient gap keeps large
-    /// gaps for large models, a failure domain without the model goes first.
+    /// load takes. Among the others a failure domain without the model goes
+    /// first, then the target with the most free memory: what is loaded there
+    /// leaves its checkpoint where the next load is likely to find room.
     pub(super) fn place(&self, now: TimeMs, id: u32) -> Placement {
         let Some(entry) = self.entries.get(id) else { return Placement::Nowhere };
         let Some(spec) = entry.spec else { return Placement::Nowhere };
@@ -55,6 +56,11 @@
             None => self.room_for_model(entry, spec.memory_bytes),
         };
         let room = room.map(|target| (target, entry.source(target)));
+        if let Some((target, source)) = room
+            && source != LoadSource::Remote
+        {
+            return Placement::Room { target, source };
+        }
         let room_ms = room.map_or(u64::MAX, |(_, source)| self.expected_ms(id, source));
         let eviction = self
             .eviction_candidates(entry, room.is_some())
@@ -80,10 +86,10 @@
     /// Returns the time to ready on the best busy target with a checkpoint or the base.
     fn wait_ms(&self, now: TimeMs, id: u32, entry: &Entry, memory_bytes: u64) -> Option<u64> {
         let bases = entry.base().and_then(|base| self.entries.get(base));
-        let beside = bases.into_iter().flat_map(|base| &base.replicas);
+        let beside = bases.into_iter().flat_map(|base| base.replicas.iter().take(CANDIDATES_MAX));
         let beside = beside.filter(|replica| replica.phase == Phase::Ready);
         let beside = beside.map(|replica| replica.target);
-        let local = entry.checkpoints.iter().map(|(target, _)| *target);
+        let local = entry.checkpoints.iter().take(CANDIDATES_MAX).map(|(target, _)| *target);
         beside
             .chain(local)
             .filter(|target| entry.replica(*target).is_none())
@@ -131,6 +137,7 @@
         replicas
             .iter()
             .filter(|replica| replica.phase == Phase::Ready)
+            .take(CANDIDATES_MAX)
             .map(|replica| replica.target)
             .filter(|id| self.targets.get(*id).is_some_and(Target::takes_orders))
             .filter(|id| entry.replica(*id).is_none())
@@ -140,6 +147,7 @@
         let local = entry
             .checkpoints
             .iter()
+            .take(CANDIDATES_MAX)
             .filter_map(|(target, place)| Some((*target, *place, self.targets.get(*target)?)))
             .filter(|(_, _, target)| target.takes_orders() && target.free_bytes() >= memory_bytes)
             .filter(|(target, _, _)| entry.replica(*target).is_none())
@@ -148,6 +156,7 @@
         local.or_else(|| {
             self.free
                 .range((memory_bytes, 0)..)
+                .rev()
                 .map(|(_, target)| *target)
                 .filter(|target| entry.replica(*target).is_none())
                 .take(CANDIDATES_MAX)
@@ -155,14 +164,14 @@
         })
     }
 
-    fn remote_rank(&self, entry: &Entry, id: u32) -> (bool, u64, u32, u32) {
-        let Some(target) = self.targets.get(id) else { return (true, u64::MAX, u32::MAX, id) };
+    fn remote_rank(&self, entry: &Entry, id: u32) -> (bool, Reverse<u64>, u32, u32) {
+        let Some(target) = self.targets.get(id) else { return (true, Reverse(0), u32::MAX, id) };
         let domain_taken = entry
             .replicas
             .iter()
             .filter_map(|replica| self.targets.get(replica.target))
             .any(|other| other.failure_domain == target.failure_domain);
-        (domain_taken, target.free_bytes(), target.running, id)
+        (domain_taken, Reverse(target.free_bytes()), target.running, id)
     }
 
     /// Returns the targets on which unloading may be worth its time.
@@ -172,7 +181,7 @@
         if let Some(base) = entry.base() {
             return self.base_targets(entry, base).collect();
         }
-        let local = entry.checkpoints.iter().map(|(id, _)| *id);
+        let local = entry.checkpoints.iter().take(CANDIDATES_MAX).map(|(id, _)| *id);
         let roomy_max = if has_room { 0 } else { CANDIDATES_MAX };
         let roomy = self.free.iter().rev().map(|(_, id)| *id).take(roomy_max);
         local.chain(roomy).filter(|id| entry.replica(*id).is_none()).collect()
@@ -234,18 +243,13 @@
         entries.iter().copied().filter(is_adapter)
     }
 
-    /// Returns whether a replica is ready on a target that takes work, with the least busy first.
-    pub(super) fn usable_targets(&self, id: u32) -> Vec<u32> {
-        let Some(entry) = self.entries.get(id) else { return Vec::new() };
-        let mut usable: Vec<(Reverse<u32>, u32)> = entry
-            .replicas
+    /// Returns whether a replica is ready on a target that takes work.
+    pub(super) fn is_usable(&self, id: u32) -> bool {
+        let replicas = self.entries.get(id).map_or(&[][..], |entry| &entry.replicas);
+        replicas
             .iter()
             .filter(|replica| replica.phase == Phase::Ready)
-            .filter_map(|replica| Some((replica.target, self.targets.get(replica.target)?)))
-            .filter(|(_, target)| target.accepts_work)
-            .map(|(id, target)| (Reverse(target.running), id))
-            .collect();
-        usable.sort_unstable();
-        usable.into_iter().rev().map(|(_, id)| id).collect()
+            .filter_map(|replica| self.targets.get(replica.target))
+            .any(|target| target.accepts_work)
     }
 }
--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -65,9 +65,11 @@
         &limits,
         move || clock.now(),
         |update| {
-            let head = latest_head(&state, &update.change);
-            // The receiver lives as long as the daemon.
-            let _ = sender.try_send((update.as_of, head));
+            // A head that can't be read confirms nothing: it may be a newer one.
+            if let Ok(head) = latest_head(&state, &update.change) {
+                // The receiver lives as long as the daemon.
+                let _ = sender.try_send((update.as_of, head));
+            }
         },
     )
     .await;
@@ -122,6 +124,7 @@
 /// Reads each head's configuration; one that can't be read is tried again until a newer comes.
 async fn read_heads(state: Arc<State>, heads: Receiver<(TimeMs, Option<Head>)>) {
     let mut wanted: Option<Head> = None;
+    let mut shown_revision = 0;
     loop {
         let news = match &wanted {
             None => heads.recv().await.ok(),
@@ -132,24 +135,18 @@
         };
         let as_of = news.as_ref().map(|(as_of, _)| *as_of);
         wanted = news.and_then(|(_, head)| head).or(wanted);
+        shown_revision = wanted.as_ref().map_or(shown_revision, |head| head.revision);
         if let Some(head) = &wanted
             && put_in_force(&state, head.clone()).await
         {
             wanted = None;
         }
         if let Some(as_of) = as_of {
-            confirm(&state, as_of, wanted.as_ref());
+            state.freshness().confirm(as_of, shown_revision);
         }
     }
 }
 
-/// Notes that what is in force is current, unless a newer head is known.
-fn confirm(state: &State, as_of: TimeMs, wanted: Option<&Head>) {
-    let revision = state.configuration.load().revision;
-    let newest = wanted.map_or(revision, |head| head.revision.max(revision));
-    state.freshness().confirm(as_of, newest);
-}
-
 /// Returns whether a configuration at least as new as `head` is in force now.
 async fn put_in_force(state: &State, head: Head) -> bool {
     if head.revision <= state.configuration.load().revision {
@@ -167,19 +164,17 @@
     }
 }
 
-fn latest_head(state: &State, change: &Change) -> Option<Head> {
+fn latest_head(state: &State, change: &Change) -> Result<Option<Head>, ReadError> {
     let object = match change {
         Change::Replace(listing) => listing.object(HEAD_NAME),
         Change::Apply(events) => events.iter().rev().find_map(|event| match event {
             WatchEvent::Put(object) if object.name.as_str() == HEAD_NAME => Some(object),
             _ => None,
         }),
-    }?;
-    match head_of(object) {
-        Ok(head) => Some(head),
-        Err(error) => {
-            warn!(state.log, "head not readable"; "error" => %error);
-            None
-        }
+    };
+    let head = object.map(head_of).transpose();
+    if let Err(error) = &head {
+        warn!(state.log, "head not readable"; "error" => %error);
     }
+    head
 }
