--- a/crates/lycheeford-policy/benches/deployments/main.rs
+++ b/crates/lycheeford-policy/benches/deployments/main.rs
@@ -5,10 +5,12 @@
 //! `-- --plots` draws docs/plots, `-- --seed=N` takes another seed.
 
 mod baseline;
+mod coordination;
 mod fleet;
 mod measures;
 mod plots;
 mod report;
+mod requests;
 mod simulation;
 mod workload;
 
--- a/crates/lycheeford-policy/tests/deployments.rs
+++ b/crates/lycheeford-policy/tests/deployments.rs
@@ -2,12 +2,16 @@
 
 #[path = "../benches/deployments/baseline.rs"]
 mod baseline;
+#[path = "../benches/deployments/coordination.rs"]
+mod coordination;
 #[path = "../benches/deployments/fleet.rs"]
 mod fleet;
 #[path = "../benches/deployments/measures.rs"]
 mod measures;
 #[path = "../benches/deployments/report.rs"]
 mod report;
+#[path = "../benches/deployments/requests.rs"]
+mod requests;
 #[path = "../benches/deployments/simulation.rs"]
 mod simulation;
 #[path = "../benches/deployments/workload.rs"]
