lycheefordd: Show that a draining daemon closes before its addresses age out

Cause: other daemons hand the draining one out until its next beat, about 250 ms, and callers keep the answer for the stated 2000 ms; the daemon closes its listener 2000 ms after its drain began.

--- a/crates/lycheefordd/tests/rolling_restart.rs
+++ b/crates/lycheefordd/tests/rolling_restart.rs
@@ -121,3 +121,42 @@
     assert!(faults.is_empty(), "{faults:#?}");
     assert!(whole > 0);
 }
+
+#[async_std::test]
+async fn a_draining_daemon_outlives_every_address_given() {
+    let mut fleet = Fleet::start("drain").await;
+    for draining in 0..fleet.daemons.len() {
+        let address = fleet.caller_address(draining);
+        fleet.daemons[draining].terminate();
+        let mut last_listed = None;
+        let mut turn = 0;
+        let start = Instant::now();
+        // Longer than a daemon needs to hear that another drains.
+        while start.elapsed() < Duration::from_millis(1_500) {
+            turn += 1;
+            let other = (draining + 1 + turn % 5) % 6;
+            let asked = Instant::now();
+            let answer = Call::get("/v1/addresses").send(fleet.caller_address(other)).await;
+            let answer = answer.expect("the others answer").json();
+            let listed = answer["addresses"].to_string().contains(&address.to_string());
+            if listed {
+                let keep_ms = answer["keep_ms"].as_u64().expect("addresses are kept for a time");
+                last_listed = Some((asked, Duration::from_millis(keep_ms)));
+            }
+        }
+        if let Some((asked, keep)) = last_listed {
+            println!("daemon {draining} was given out {:?} into its drain", asked - start);
+            // A caller may connect in the last moment.
+            let last = keep.saturating_sub(Duration::from_millis(5));
+            task::sleep(last.saturating_sub(asked.elapsed())).await;
+            let answer = Call::get("/v1/models").send(address).await;
+            assert!(answer.is_ok_and(|answer| answer.status == 200), "daemon {draining} is gone");
+        }
+        let status = fleet.daemons[draining].ended(PATIENCE).await.expect("the daemon drains");
+        assert!(status.success());
+        fleet.daemons[draining].start();
+        for other in 0..fleet.daemons.len() {
+            fleet.await_daemon(other).await;
+        }
+    }
+}
