--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::configuration::follow_configuration;
 use crate::front::{ADDRESS_KEEP_MS, Front};
 use crate::hosts::follow_hosts;
+use crate::members::REACHABLE_MS;
 use crate::placement_task::report_demand;
 use crate::planning::plan_loads;
 use crate::share_upkeep::{follow_shares, keep_shares};
@@ -30,6 +31,8 @@
 const REGISTER_MS_MAX: u64 = 2_000;
 /// The pause before the next attempt.
 const REGISTER_PAUSE_MS: u64 = 200;
+/// How long a caller may take to connect to an address that it still keeps.
+const CONNECT_MS: u64 = 200;
 /// How often a draining daemon looks whether it is done.
 const DRAIN_TICK_MS: u64 = 50;
 /// How long a draining daemon waits for its requests at most.
@@ -136,10 +139,13 @@
 }
 
 /// Lets the addresses that callers were given age out, then finishes every request.
+///
+/// A peer hands this host out for as long as an answer from before the drain
+/// counts there, by the peer's own clock; a caller keeps what it was given.
 async fn drain(state: &State, front: &Stop) {
     state.start_draining();
     info!(state.log, "draining"; "requests" => state.requests_running());
-    task::sleep(Duration::from_millis(ADDRESS_KEEP_MS)).await;
+    task::sleep(Duration::from_millis(REACHABLE_MS + ADDRESS_KEEP_MS + CONNECT_MS)).await;
     front.trigger();
     let started = state.now();
     while state.requests_running() > 0 && state.now().since_ms(started) < DRAIN_MS_MAX {
--- a/crates/lycheefordd/src/placement.rs
+++ b/crates/lycheefordd/src/placement.rs
@@ -10,7 +10,7 @@
 const WANTED_GRACE_MS: u64 = 5_000;
 
 /// Where replicas are, and the requests of this host that wait for one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Placement {
     router: Router,
     readiness: Readiness,
@@ -66,6 +66,19 @@
 }
 
 impl Placement {
+    /// Returns an empty placement; `seed` makes hosts choose apart from each other.
+    pub(crate) fn new(seed: u64) -> Placement {
+        Placement {
+            router: Router::with_seed(seed),
+            readiness: Readiness::default(),
+            queue: FairQueue::default(),
+            targets: Vec::new(),
+            source: None,
+            wanted: Vec::new(),
+            activity: Vec::new(),
+        }
+    }
+
     pub(crate) fn configure(&mut self, configuration: &Configuration) {
         self.readiness.configure(configuration);
         self.queue.configure(configuration);
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -83,6 +83,7 @@
     pub(crate) fn new(settings: Settings, me: Instance, clock: Clock, log: Logger) -> Arc<State> {
         let now = clock.now();
         let store = HttpObjectStore::new(settings.platform_address, Default::default());
+        let me_incarnation = me.incarnation.0;
         let coordinator = Coordinator::new(&settings.weight_store);
         Arc::new(State {
             freshness: Mutex::new(Freshness::new(settings.host.clone())),
@@ -102,7 +103,7 @@
             peers: OnceLock::new(),
             members: Mutex::default(),
             gone: Mutex::default(),
-            placement: Mutex::default(),
+            placement: Mutex::new(Placement::new(me_incarnation)),
             coordinator: Mutex::new(coordinator),
             sent_orders: Mutex::default(),
             target_health: Mutex::new(Health::new(now)),
