Test that every caller gets its whole answer or a reason by its deadline

Streams have to go on elsewhere while another engine is well. A fleet of tests keeps its network until the process ends, since its relays go on listening (a second fleet of one process met "address already in use").

Not proved: that a request which has tried every replica is refused before its deadline; it waits ("truncated everywhere").

--- a/crates/lycheefordd/tests/answers.rs
+++ b/crates/lycheefordd/tests/answers.rs
@@ -19,6 +19,8 @@
 /// Far longer than a daemon takes to see that a deadline has passed; ends a hang.
 const SLACK: Duration = Duration::from_secs(3);
 const CALLERS: usize = 12;
+/// Every third caller asks for its answer as a whole.
+const WHOLE_FORM_CALLERS: usize = CALLERS / 3;
 const EARNING_CALLS: usize = 40;
 /// An answer that takes longer than the wait before a kill.
 const LONG_TOKENS: u64 = 300;
@@ -44,17 +46,24 @@
         faults: EngineFaults,
         /// Whether the engines without the model have the fault, too.
         everywhere: bool,
+        /// Whether streams go on elsewhere, at least some of them.
+        resumes: bool,
     }
     let truncated =
         |tokens| EngineFaults { truncate_after_tokens: Some(tokens), ..EngineFaults::default() };
     let silent =
         |tokens| EngineFaults { silent_after_tokens: Some(tokens), ..EngineFaults::default() };
     let cases = [
-        Case { name: "truncated", faults: truncated(5), everywhere: false },
-        Case { name: "truncated at once", faults: truncated(0), everywhere: false },
-        Case { name: "truncated everywhere", faults: truncated(1), everywhere: true },
-        Case { name: "silent", faults: silent(5), everywhere: false },
-        Case { name: "silent everywhere", faults: silent(0), everywhere: true },
+        Case { name: "truncated", faults: truncated(5), everywhere: false, resumes: true },
+        Case { name: "truncated at once", faults: truncated(0), everywhere: false, resumes: true },
+        Case {
+            name: "truncated everywhere",
+            faults: truncated(1),
+            everywhere: true,
+            resumes: false,
+        },
+        Case { name: "silent", faults: silent(5), everywhere: false, resumes: false },
+        Case { name: "silent everywhere", faults: silent(0), everywhere: true, resumes: false },
     ];
     let fleet = Fleet::start("broken-streams").await;
     let callers = Callers::new(&fleet);
@@ -67,7 +76,11 @@
                 fleet.set_faults(engine.address, &case.faults).await;
             }
         }
-        println!("{}: {:?}", case.name, callers.call_all(case.name, 20).await);
+        let outcomes = callers.call_all(case.name, 20).await;
+        println!("{}: {outcomes:?}", case.name);
+        if case.resumes {
+            assert_streams_resumed(&outcomes, case.name);
+        }
         for engine in &fleet.deployment.engines {
             fleet.set_faults(engine.address, &EngineFaults::default()).await;
         }
@@ -93,6 +106,9 @@
         };
         let (outcomes, ()) = join(callers.call_all(name, LONG_TOKENS), kill).await;
         println!("{name}: {outcomes:?}");
+        if name == "one killed" {
+            assert_streams_resumed(&outcomes, name);
+        }
         for index in killed {
             fleet.engines[index].start_stand_in();
         }
@@ -237,6 +253,11 @@
     }
 }
 
+fn assert_streams_resumed(outcomes: &BTreeMap<String, usize>, what: &str) {
+    let whole = outcomes.get("whole").copied().unwrap_or(0);
+    assert!(whole > WHOLE_FORM_CALLERS, "{what}: no stream was resumed: {outcomes:?}");
+}
+
 /// Returns the engine that has the model ready.
 async fn holder(fleet: &Fleet) -> usize {
     let targets = fleet.operator(0).targets().await.expect("the targets can be listed");
--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -90,6 +90,12 @@
         OperatorClient::new(self.deployment.daemons[daemon].operator)
     }
 
+    /// Returns what a daemon has logged so far, in all its lives.
+    pub fn log_of_daemon(&self, daemon: usize) -> String {
+        let name = &self.deployment.daemons[daemon].name;
+        fs::read_to_string(self.folder.join(format!("{name}.log"))).expect("the log can be read")
+    }
+
     /// Cuts a daemon off from the platform, from every other daemon, or mends that.
     pub fn isolate(&self, daemon: usize) {
         let name = self.deployment.daemons[daemon].name.as_str();
