Count every engine's death under a request, and never call one that ran not run

A target that is dying still takes connections for a moment, so that the one question whether it died was answered by a reset and the death not counted; and the life that was named was the one known after the failure, which may be the next one already. Now the target is asked again until it answers or nobody listens, about the life that got the request. Ruled out: the reports to peers (the other daemons refused as soon as one had counted two).

The refusal after a failed attempt said `not_run` if its own reason was one of requests that hadn't run (`crash_suspect`, no replica in time), also with an engine crashed under the request; a repeatable service call forgot an attempt that may have run when the next one found nobody. The service half has no test of its own yet.

--- a/crates/lycheefordd/src/completion.rs
+++ b/crates/lycheefordd/src/completion.rs
@@ -3,13 +3,13 @@
 
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse, Method, chunk_channel};
-use lycheeford_policy::{CrashVerdict, Name, Refusal, RefusalCode, TimeMs};
+use lycheeford_policy::{CrashVerdict, Name, Ran, Refusal, RefusalCode, TimeMs};
 use lycheeford_target::{CompletionEvent, Connection, TargetError, TargetRequest, TargetResponse};
 use serde_json::Value;
 
 use crate::access::Access;
 use crate::call::Call;
-use crate::crash::note_target_failure;
+use crate::crash::{TargetLife, note_target_failure};
 use crate::metrics::{CustomerLabels, Event};
 use crate::placement::PlaceRequest;
 use crate::placement_task::{PlacedRequest, place};
@@ -36,6 +36,8 @@
     pub(crate) deadline: TimeMs,
     /// Targets that failed this request.
     pub(crate) failed: Vec<Name>,
+    /// Whether a byte of it may have reached a target that failed it.
+    pub(crate) may_have_run: bool,
     /// Held until the request ends.
     _alone: Option<RunsAlone>,
 }
@@ -90,6 +92,7 @@
         arrived,
         deadline: arrived + deadline_ms,
         failed: Vec::new(),
+        may_have_run: false,
         _alone: alone,
     };
     let answering = completion.dispatch(0).await?;
@@ -110,6 +113,11 @@
     ///
     /// `from_token` is the number of tokens that the caller has already.
     pub(crate) async fn dispatch(&mut self, from_token: u64) -> Result<Answering, Refusal> {
+        let answering = self.try_targets(from_token).await;
+        answering.map_err(|refusal| self.truthful(refusal))
+    }
+
+    async fn try_targets(&mut self, from_token: u64) -> Result<Answering, Refusal> {
         let mut last_error: Option<TargetError> = None;
         let mut first = true;
         loop {
@@ -141,7 +149,7 @@
                 Ok(response) => return Ok(Answering { placed, response }),
                 Err(error) => {
                     first = false;
-                    self.target_failed(&placed.target, &error).await;
+                    self.target_failed(&placed.life, &error).await;
                     last_error = Some(error);
                 }
             }
@@ -149,12 +157,13 @@
     }
 
     /// Takes in that a target failed this request.
-    pub(crate) async fn target_failed(&mut self, target: &Name, error: &TargetError) {
-        self.failed.push(target.clone());
+    pub(crate) async fn target_failed(&mut self, life: &TargetLife, error: &TargetError) {
+        self.failed.push(life.target.clone());
+        self.may_have_run |= error.may_have_run();
         if error.may_have_run() {
-            note_target_failure(&self.state, target, self.call.fingerprint).await;
+            note_target_failure(&self.state, life, self.call.fingerprint).await;
         } else {
-            self.state.placement().forget_target(target);
+            self.state.placement().forget_target(&life.target);
         }
     }
 
@@ -172,6 +181,18 @@
 
     /// Returns the refusal of a request that no target completed.
     pub(crate) fn failure(&self, error: Option<TargetError>) -> Refusal {
+        self.truthful(self.reason(error))
+    }
+
+    /// Takes "not run" out of a refusal of a request that a target may have run.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        match refusal.ran {
+            Ran::NotRun if self.may_have_run => Refusal { ran: Ran::Unknown, ..refusal },
+            _ => refusal,
+        }
+    }
+
+    fn reason(&self, error: Option<TargetError>) -> Refusal {
         if self.state.suspects().verdict(self.call.fingerprint) == CrashVerdict::Refuse {
             return crash_suspect();
         }
@@ -241,7 +262,7 @@
         loop {
             let cold = answering.placed.waited_ms.is_some();
             let headers = answer_headers(&answering.response);
-            let target = answering.placed.target.clone();
+            let life = answering.placed.life.clone();
             match answering.response.body.whole(ANSWER_BYTES_MAX).await {
                 Ok(body) => {
                     self.access.recheck(&self.state).map_err(ran)?;
@@ -255,7 +276,7 @@
                     });
                 }
                 Err(error) => {
-                    self.target_failed(&target, &error).await;
+                    self.target_failed(&life, &error).await;
                     if !self.may_retry() {
                         return Err(self.failure(Some(error)));
                     }
@@ -324,7 +345,7 @@
 }
 
 fn ran(refusal: Refusal) -> Refusal {
-    Refusal { ran: lycheeford_policy::Ran::Ran, ..refusal }
+    Refusal { ran: Ran::Ran, ..refusal }
 }
 
 fn answer_headers(response: &TargetResponse) -> Vec<(String, String)> {
--- a/crates/lycheefordd/src/crash.rs
+++ b/crates/lycheefordd/src/crash.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
+use std::time::Duration;
 
-use lycheeford_policy::Name;
+use async_std::task;
+use lycheeford_policy::{Incarnation, Name};
 use lycheeford_target::Category;
 use slog::warn;
 
@@ -8,32 +10,57 @@
 use crate::metrics::Event;
 use crate::state::State;
 
+/// Times that a target is asked whether it died.
+const ASKS_MAX: usize = 10;
+/// The pause before a target is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
+/// A target in the life in which it got a request.
+#[derive(Debug, Clone)]
+pub(crate) struct TargetLife {
+    pub(crate) target: Name,
+    incarnation: Option<Incarnation>,
+}
+
+impl TargetLife {
+    /// Returns the life of a target that the placement knows now.
+    pub(crate) fn now(state: &State, target: Name) -> TargetLife {
+        let placement = state.placement();
+        let known = placement.targets().iter().find(|known| known.target == target);
+        TargetLife { incarnation: known.map(|known| known.incarnation), target }
+    }
+}
+
 /// Finds out whether a target died under a request, and remembers the request if so.
 ///
-/// A cut connection alone says nothing: the target is asked on a fresh one. If
-/// nobody listens there, or a new life of it does, the old one died.
-pub(crate) async fn note_target_failure(state: &Arc<State>, target: &Name, fingerprint: u64) {
-    let fleet = state.fleet.load();
-    let Some(host) = fleet.host(target) else { return };
-    let known = known_life(state, target);
-    let died = match state.targets.status(host.address).await {
-        Ok(status) => known.is_some_and(|life| status.incarnation > life),
-        Err(error) => error.category() == Category::NotSent,
-    };
-    if !died {
+/// A cut connection alone says nothing: the target is asked on fresh ones. If
+/// nobody listens there, or a later life of it does, the one that got the
+/// request died.
+pub(crate) async fn note_target_failure(state: &Arc<State>, life: &TargetLife, fingerprint: u64) {
+    if !has_died(state, life).await {
         return;
     }
-    let life = known.map_or(0, |life| life.0);
+    let TargetLife { target, incarnation } = life;
+    let incarnation = incarnation.map_or(0, |incarnation| incarnation.0);
     warn!(state.log, "target died while a request ran";
-        "target" => %target, "incarnation" => life, "fingerprint" => fingerprint);
+        "target" => %target, "incarnation" => incarnation, "fingerprint" => fingerprint);
     state.metrics.event(Event::TargetCrash);
-    state.suspects().crashed(fingerprint, &Name::from(format!("{target}@{life}")));
+    state.suspects().crashed(fingerprint, &Name::from(format!("{target}@{incarnation}")));
     state.placement().forget_target(target);
     share_suspects(state);
 }
 
-fn known_life(state: &State, target: &Name) -> Option<lycheeford_policy::Incarnation> {
-    let placement = state.placement();
-    let known = placement.targets().iter().find(|known| known.target == *target);
-    known.map(|known| known.incarnation)
+async fn has_died(state: &State, life: &TargetLife) -> bool {
+    let Some(address) = state.fleet.load().host(&life.target).map(|host| host.address) else {
+        return false;
+    };
+    for _ in 0..ASKS_MAX {
+        match state.targets.status(address).await {
+            Ok(status) => return life.incarnation.is_some_and(|life| status.incarnation > life),
+            Err(error) if error.category() == Category::NotSent => return true,
+            // A dying target may still take connections.
+            Err(_) => task::sleep(ASK_AGAIN).await,
+        }
+    }
+    false
 }
--- a/crates/lycheefordd/src/placement_task.rs
+++ b/crates/lycheefordd/src/placement_task.rs
@@ -6,6 +6,7 @@
 use lycheeford_policy::{Instance, Name, QueueId, Refusal, RefusalCode, TimeMs};
 use lycheeford_wire::{DemandReport, Message, PlacementReport};
 
+use crate::crash::TargetLife;
 use crate::placement::{Place, PlaceRequest, Placed};
 use crate::planning::take_demand;
 use crate::state::State;
@@ -20,6 +21,8 @@
     state: Arc<State>,
     pub(crate) name: Name,
     pub(crate) target: Name,
+    /// The target's life when the request was placed.
+    pub(crate) life: TargetLife,
     /// How long the request waited for a replica; `None` if one was ready.
     pub(crate) waited_ms: Option<u64>,
 }
@@ -134,7 +137,8 @@
     target: Name,
     waited_ms: Option<u64>,
 ) -> PlacedRequest {
-    PlacedRequest { state: state.clone(), name: request.name.clone(), target, waited_ms }
+    let life = TargetLife::now(state, target.clone());
+    PlacedRequest { state: state.clone(), name: request.name.clone(), target, life, waited_ms }
 }
 
 fn too_late(request: &PlaceRequest, retry_after_ms: u64) -> Refusal {
--- a/crates/lycheefordd/src/relay.rs
+++ b/crates/lycheefordd/src/relay.rs
@@ -49,7 +49,7 @@
         let _running = self.completion.state.request_started();
         let mut answering = answering;
         loop {
-            let target = answering.placed.target.clone();
+            let life = answering.placed.life.clone();
             let end = self.copy(answering).await;
             if self.delivered_tokens > 0 && !matches!(end, End::Broken(_)) {
                 self.charge_prompt(u64::MAX);
@@ -67,9 +67,10 @@
                 End::Refused(refusal) => return self.give_up(&refusal).await,
                 End::Broken(error) => {
                     if let Some(error) = &error {
-                        self.completion.target_failed(&target, error).await;
+                        self.completion.target_failed(&life, error).await;
                     } else {
-                        self.completion.failed.push(target);
+                        self.completion.failed.push(life.target);
+                        self.completion.may_have_run = true;
                     }
                     match self.resume(error).await {
                         Ok(resumed) => answering = resumed,
--- a/crates/lycheefordd/src/service.rs
+++ b/crates/lycheefordd/src/service.rs
@@ -101,7 +101,7 @@
 
 impl ServiceCall {
     async fn run_repeatable(mut self) -> Result<CallerResponse, Refusal> {
-        let mut last_error = None;
+        let mut last_error: Option<TargetError> = None;
         for attempt in 0..ATTEMPTS_MAX {
             if attempt > 0 && !self.may_retry() {
                 break;
@@ -113,7 +113,10 @@
                 Ok(response) => return Ok(response),
                 Err(error) => {
                     self.failed(&place, &error);
-                    last_error = Some(error);
+                    // Once a target may have run it, no later failure takes that back.
+                    if !last_error.as_ref().is_some_and(TargetError::may_have_run) {
+                        last_error = Some(error);
+                    }
                 }
             }
         }
