Draw the verdicts on targets, and test that trouble elsewhere draws none

Nothing in the daemon called `Health::tick`, so that no target was ever held for down. The coordinator calls it in its loop now; a daemon that starts to coordinate counts anew.

tests/health.rs: a stalled store with 60 reconnecting callers at each daemon for 5 s, all daemons paused for 4 s, and an engine stopped by SIGSTOP. Seen red with verdicts by silence alone and clock jumps unnoticed (Down logged for worker-01 after the pause), and with each probe behind a read of the store besides. Without the jump check alone, or with one failed probe enough, the pause test stays green: probes in flight are answered on waking.

--- a/crates/lycheefordd/src/planning.rs
+++ b/crates/lycheefordd/src/planning.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use lycheeford_policy::{
     Activity, Demand, DemandReport, Host, HostRole, Instance, Name, PlanAction, ProbeResult,
-    TargetRecord, Verdict,
+    TargetRecord, Verdict, VerdictChange,
 };
 use lycheeford_target::TargetStatus;
 use lycheeford_wire::{Message, stored::StoredTargetRecord};
@@ -40,6 +40,7 @@
             task::spawn(orders::clean_up(state.clone()));
         }
         poll_due_targets(&state);
+        draw_verdicts(&state);
         let actions = plan(&state);
         for action in actions {
             task::spawn(carry_out(state.clone(), action));
@@ -168,6 +169,18 @@
     state.wake_planner();
 }
 
+/// Draws the verdicts that are due; the first ones after a rest count anew.
+fn draw_verdicts(state: &State) {
+    for change in state.target_health().tick(state.now()) {
+        log_verdict(state, &change);
+    }
+}
+
+fn log_verdict(state: &State, change: &VerdictChange) {
+    info!(state.log, "target's health changed";
+        "target" => %change.host, "verdict" => ?change.verdict);
+}
+
 fn judge(
     state: &State,
     host: &Host,
@@ -176,8 +189,7 @@
 ) -> Verdict {
     let mut health = state.target_health();
     if let Some(change) = health.probed(state.now(), &host.name, sent_at, result) {
-        info!(state.log, "target's health changed";
-            "target" => %change.host, "verdict" => ?change.verdict);
+        log_verdict(state, &change);
     }
     health.verdict(&host.name)
 }
--- /dev/null
+++ b/crates/lycheefordd/tests/health.rs
@@ -0,0 +1,118 @@
+//! A slow store, a burst of callers and pauses of a daemon condemn nobody.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use futures_util::future::join_all;
+use lycheeford_fakes::{Call, CallFault, PlatformFaults};
+
+use crate::support::{Fleet, until};
+
+const MODEL: &str = "model-001";
+/// Connections that callers open at once to each daemon, again and again.
+const BURST_CALLERS: usize = 60;
+const TROUBLE_FOR: Duration = Duration::from_secs(5);
+/// Longer than any silence that a verdict needs.
+const PAUSE: Duration = Duration::from_secs(4);
+
+/// What a daemon logs when it condemns a target.
+const VERDICT_LOGGED: &str = "\"verdict\":\"Down\"";
+
+#[async_std::test]
+async fn a_stalled_store_and_reconnecting_callers_condemn_nobody() {
+    let fleet = Fleet::start("health-load").await;
+    until("every target is well", async || all_well(&fleet).await).await;
+    let stalled = PlatformFaults { calls: CallFault::Stall, ..PlatformFaults::default() };
+    fleet.set_faults(fleet.deployment.platform, &stalled).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let bursts: Vec<_> = (0..fleet.daemons.len())
+        .map(|daemon| {
+            let address = fleet.caller_address(daemon);
+            let (key, stop) = (fleet.keys[0].clone(), stop.clone());
+            task::spawn(async move {
+                let call = Call::completion(&key, MODEL, "p", 1);
+                while !stop.load(Ordering::SeqCst) {
+                    join_all((0..BURST_CALLERS).map(|_| call.send(address))).await;
+                }
+            })
+        })
+        .collect();
+    let start = Instant::now();
+    let mut looks = 0;
+    while start.elapsed() < TROUBLE_FOR {
+        assert!(all_well(&fleet).await, "an engine or peer was condemned");
+        looks += 1;
+        task::sleep(Duration::from_millis(50)).await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    fleet.set_faults(fleet.deployment.platform, &PlatformFaults::default()).await;
+    for burst in bursts {
+        burst.await;
+    }
+    println!("{looks} looks at every daemon");
+    assert_eq!(condemned(&fleet), Vec::<String>::new());
+}
+
+#[async_std::test]
+async fn a_paused_daemon_condemns_nobody_on_waking() {
+    let fleet = Fleet::start("health-pause").await;
+    until("every target is well", async || all_well(&fleet).await).await;
+    let daemons = fleet.daemons.len();
+    // One of them probes the targets.
+    for daemon in &fleet.daemons {
+        daemon.pause();
+    }
+    task::sleep(PAUSE).await;
+    for daemon in &fleet.daemons {
+        daemon.resume();
+    }
+    for daemon in 0..daemons {
+        fleet.await_daemon(daemon).await;
+    }
+    task::sleep(PAUSE).await;
+    assert_eq!(condemned(&fleet), Vec::<String>::new());
+    assert!(all_well(&fleet).await, "an engine or peer was condemned");
+}
+
+#[async_std::test]
+async fn a_silent_engine_is_condemned_until_it_answers() {
+    let fleet = Fleet::start("health-silent").await;
+    until("every target is well", async || all_well(&fleet).await).await;
+    fleet.engines[0].pause();
+    until("the engine is condemned", async || !condemned(&fleet).is_empty()).await;
+    until("every daemon knows", async || !all_well(&fleet).await).await;
+    fleet.engines[0].resume();
+    until("every target is well again", async || all_well(&fleet).await).await;
+    let name = &fleet.deployment.engines[0].name;
+    let verdicts = condemned(&fleet);
+    assert!(verdicts.iter().all(|line| line.contains(name.as_str())), "{verdicts:?}");
+}
+
+/// Tells whether every daemon holds every other daemon and every engine for well.
+async fn all_well(fleet: &Fleet) -> bool {
+    for daemon in 0..fleet.daemons.len() {
+        let operator = fleet.operator(daemon);
+        let hosts = operator.hosts().await.unwrap_or_default();
+        let targets = operator.targets().await.unwrap_or_default();
+        let engines = targets.iter().filter(|target| target.memory_bytes > 0);
+        if hosts.is_empty()
+            || !hosts.iter().all(|host| host.reachable)
+            || engines.filter(|target| target.healthy).count() != fleet.engines.len()
+        {
+            return false;
+        }
+    }
+    true
+}
+
+/// Returns the verdicts that the daemons have logged.
+fn condemned(fleet: &Fleet) -> Vec<String> {
+    let log = |daemon| fleet.log_of_daemon(daemon);
+    let lines = (0..fleet.daemons.len())
+        .flat_map(|daemon| log(daemon).lines().map(str::to_owned).collect::<Vec<_>>());
+    lines.filter(|line| line.contains(VERDICT_LOGGED)).collect()
+}
