--- a/crates/lycheefordd/src/completion.rs
+++ b/crates/lycheefordd/src/completion.rs
@@ -21,8 +21,8 @@
 const ANSWER_BYTES_MAX: usize = 16 << 20;
 /// The HTTP status of an engine that doesn't have the model ready.
 const NOT_LOADED: u16 = 404;
-/// When a caller should come back while a suspect of the same kind runs.
-const SUSPECT_RETRY_MS: u64 = 1_000;
+/// When a caller should come back after a failure that may pass by itself.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 /// A completion on its way, with what it holds until it ends.
 pub(crate) struct Completion {
@@ -36,8 +36,8 @@
     pub(crate) deadline: TimeMs,
     /// Targets that failed this request.
     pub(crate) failed: Vec<Name>,
-    /// Whether a byte of it may have reached a target that failed it.
-    pub(crate) may_have_run: bool,
+    /// Whether an attempt ran, for every refusal from then on.
+    pub(crate) ran: Ran,
     /// Held until the request ends.
     _alone: Option<RunsAlone>,
 }
@@ -92,7 +92,7 @@
         arrived,
         deadline: arrived + deadline_ms,
         failed: Vec::new(),
-        may_have_run: false,
+        ran: Ran::NotRun,
         _alone: alone,
     };
     let answering = completion.dispatch(0).await?;
@@ -112,9 +112,13 @@
     /// Places the request and sends it, to one target after another if need be.
     ///
     /// `from_token` is the number of tokens that the caller has already.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with all that is known of whether an attempt ran.
     pub(crate) async fn dispatch(&mut self, from_token: u64) -> Result<Answering, Refusal> {
-        let answering = self.try_targets(from_token).await;
-        answering.map_err(|refusal| self.truthful(refusal))
+        let dispatched = self.try_targets(from_token).await;
+        dispatched.map_err(|refusal| refusal.after(self.ran))
     }
 
     async fn try_targets(&mut self, from_token: u64) -> Result<Answering, Refusal> {
@@ -146,7 +150,12 @@
                         return Err(self.failure(None));
                     }
                 }
-                Ok(response) => return Ok(Answering { placed, response }),
+                Ok(response) => {
+                    if response.status == 200 {
+                        self.ran = Ran::Ran;
+                    }
+                    return Ok(Answering { placed, response });
+                }
                 Err(error) => {
                     first = false;
                     self.target_failed(&placed.life, &error).await;
@@ -159,8 +168,8 @@
     /// Takes in that a target failed this request.
     pub(crate) async fn target_failed(&mut self, life: &TargetLife, error: &TargetError) {
         self.failed.push(life.target.clone());
-        self.may_have_run |= error.may_have_run();
         if error.may_have_run() {
+            self.ran = self.ran.max(Ran::Unknown);
             note_target_failure(&self.state, life, self.call.fingerprint).await;
         } else {
             self.state.placement().forget_target(&life.target);
@@ -181,33 +190,28 @@
 
     /// Returns the refusal of a request that no target completed.
     pub(crate) fn failure(&self, error: Option<TargetError>) -> Refusal {
-        self.truthful(self.reason(error))
+        self.why_failed(error).after(self.ran)
     }
 
-    /// Takes "not run" out of a refusal of a request that a target may have run.
-    fn truthful(&self, refusal: Refusal) -> Refusal {
-        match refusal.ran {
-            Ran::NotRun if self.may_have_run => Refusal { ran: Ran::Unknown, ..refusal },
-            _ => refusal,
-        }
-    }
-
-    fn reason(&self, error: Option<TargetError>) -> Refusal {
+    fn why_failed(&self, error: Option<TargetError>) -> Refusal {
         if self.state.suspects().verdict(self.call.fingerprint) == CrashVerdict::Refuse {
             return crash_suspect();
         }
         if self.state.now() >= self.deadline {
-            return Refusal::unknown(
+            return Refusal::not_run(
                 RefusalCode::DeadlinePassed,
-                "the deadline passed while the request ran; send it again with a longer one",
+                "the deadline passed before an answer; send the request again with a longer one",
+                None,
             );
         }
         match error {
-            Some(error) => Refusal::unknown(RefusalCode::TargetFailed, error.to_string()),
+            Some(error) => {
+                Refusal::not_run(RefusalCode::TargetFailed, error.to_string(), Some(RETRY_AFTER_MS))
+            }
             None => Refusal::not_run(
                 RefusalCode::NoTarget,
                 "no target has the model ready; send the request again",
-                Some(SUSPECT_RETRY_MS),
+                Some(RETRY_AFTER_MS),
             ),
         }
     }
@@ -263,9 +267,12 @@
             let cold = answering.placed.waited_ms.is_some();
             let headers = answer_headers(&answering.response);
             let life = answering.placed.life.clone();
+            if answering.response.status != 200 {
+                return Ok(engine_answer(answering).await);
+            }
             match answering.response.body.whole(ANSWER_BYTES_MAX).await {
                 Ok(body) => {
-                    self.access.recheck(&self.state).map_err(ran)?;
+                    self.access.recheck(&self.state).map_err(|r| r.after(Ran::Ran))?;
                     self.charge(&body);
                     self.observe_first_token(cold);
                     self.succeeded();
@@ -331,7 +338,7 @@
         CrashVerdict::RunAlone => Err(Refusal::not_run(
             RefusalCode::CrashSuspect,
             "the same request runs already, and a target died while it ran; wait for its answer",
-            Some(SUSPECT_RETRY_MS),
+            Some(RETRY_AFTER_MS),
         )),
     }
 }
@@ -344,10 +351,6 @@
     )
 }
 
-fn ran(refusal: Refusal) -> Refusal {
-    Refusal { ran: Ran::Ran, ..refusal }
-}
-
 fn answer_headers(response: &TargetResponse) -> Vec<(String, String)> {
     let keep = |name: &str| name.eq_ignore_ascii_case("content-type");
     response.headers.iter().filter(|(name, _)| keep(name)).cloned().collect()
--- a/crates/lycheefordd/src/orders.rs
+++ b/crates/lycheefordd/src/orders.rs
@@ -2,10 +2,11 @@
 
 use lycheeford_platform::ObjectStore;
 use lycheeford_policy::{
-    FenceCheck, GoneProofs, Host, HostRole, LoadRequest, LoadedName, Name, OrderReport,
-    RecordFault, Replica, ReplicaFault, ReplicaSet, ResolveEvidence, TargetRecord, resolve,
+    FenceCheck, GoneProofs, Host, HostRole, LoadRequest, Name, OrderAction, OrderOutcome,
+    RecordFault, Replica, ReplicaFault, ReplicaRef, ReplicaSet, ResolveEvidence, TargetRecord,
+    resolve,
 };
-use lycheeford_target::{Action, Order, TargetStatus};
+use lycheeford_target::{Order, TargetStatus};
 use lycheeford_wire::stored::{StoredReplicaSet, StoredTargetRecord};
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
@@ -22,6 +23,8 @@
     Store { source: ObjectError },
     #[snafu(display("replica can't be decided: {fault:?}"))]
     Decide { fault: ReplicaFault },
+    #[snafu(display("the same load is under way"))]
+    UnderWay,
     #[snafu(display("order can't be recorded: {fault:?}"))]
     Record { fault: RecordFault },
     #[snafu(display("target {target} is not listed; wait for the platform's list"))]
@@ -29,7 +32,7 @@
     #[snafu(display("target didn't take the order: {source}"))]
     Target { source: lycheeford_target::TargetError },
     #[snafu(display("target refused the order: {outcome:?}"))]
-    Refused { outcome: lycheeford_target::OrderOutcome },
+    Refused { outcome: OrderOutcome },
 }
 
 /// Decides, reserves, records and sends a load, in this order.
@@ -45,7 +48,9 @@
     target: &Name,
     memory_bytes_needed: u64,
 ) -> Result<(), OrderError> {
-    state.sent_orders().start_load(name, target);
+    if !state.sent_orders().start_load(name, target) {
+        return Err(OrderError::UnderWay);
+    }
     let loaded = decide_and_load(state, name, base, target, memory_bytes_needed).await;
     state.sent_orders().end_load(name, target);
     loaded
@@ -96,7 +101,7 @@
     let order = Order {
         order_id: order_id.clone(),
         fence: record.fence,
-        action: Action::Load,
+        action: OrderAction::Load,
         name: name.clone(),
         base,
         memory_bytes: memory_bytes_needed,
@@ -135,7 +140,7 @@
     let order = Order {
         order_id,
         fence: record.fence,
-        action: Action::Unload,
+        action: OrderAction::Unload,
         name: name.clone(),
         base: None,
         memory_bytes,
@@ -153,10 +158,12 @@
     status: &TargetStatus,
     gone: &GoneProofs,
     sending_over: &[Name],
+    sending_ended: &[Name],
 ) -> Option<Versioned<TargetRecord>> {
-    let evidence = ResolveEvidence { gone, sending_over, fence_check: fence_check(host) };
+    let evidence =
+        ResolveEvidence { gone, sending_over, sending_ended, fence_check: fence_check(host) };
     let mut record = record;
-    if let Some(resolved) = resolve(&record.value, &policy_status(status), &evidence) {
+    if let Some(resolved) = resolve(&record.value, &status.into(), &evidence) {
         record = store_record(state, &host.name, record.version, resolved).await?;
         state.sent_orders().keep_only(&record.value, &host.name);
     }
@@ -300,7 +307,14 @@
     for cancelled in record.value.cancelled.clone() {
         let set =
             remove_replica(state, &cancelled.name, cancelled.replica.id, &record.value).await?;
-        let cleared = record.value.clear_cancelled(&cancelled.name, &set, &state.me, gone);
+        let may_order = |replica: &ReplicaRef| {
+            if replica.decider == state.me {
+                state.sent_orders().is_loading(&cancelled.name, target)
+            } else {
+                !gone.is_gone(&replica.decider)
+            }
+        };
+        let cleared = record.value.clear_cancelled(&cancelled.name, &set, may_order);
         if let Some(cleared) = cleared {
             record = store_record(state, target, record.version, cleared).await?;
         }
@@ -335,8 +349,7 @@
         Ok(outcome) => {
             orders.over(order.order_id.clone(), &host.name);
             match outcome {
-                lycheeford_target::OrderOutcome::Accepted
-                | lycheeford_target::OrderOutcome::Done => Ok(()),
+                OrderOutcome::Accepted | OrderOutcome::Done => Ok(()),
                 outcome => Err(OrderError::Refused { outcome }),
             }
         }
@@ -368,49 +381,3 @@
         _ => FenceCheck::Ignored,
     }
 }
-
-fn policy_status(status: &TargetStatus) -> lycheeford_policy::TargetStatus {
-    lycheeford_policy::TargetStatus {
-        incarnation: status.incarnation,
-        highest_fence: status.highest_fence,
-        loaded: status
-            .loaded
-            .iter()
-            .map(|loaded| LoadedName {
-                name: loaded.name.clone(),
-                memory_bytes: loaded.memory_bytes,
-                state: policy_load_state(loaded.state),
-            })
-            .collect(),
-        orders: status
-            .orders
-            .iter()
-            .map(|order| OrderReport {
-                order_id: order.order_id.clone(),
-                outcome: policy_outcome(order.outcome),
-            })
-            .collect(),
-    }
-}
-
-fn policy_load_state(state: lycheeford_target::LoadState) -> lycheeford_policy::LoadState {
-    match state {
-        lycheeford_target::LoadState::Loading => lycheeford_policy::LoadState::Loading,
-        lycheeford_target::LoadState::Ready => lycheeford_policy::LoadState::Ready,
-        lycheeford_target::LoadState::Unloading => lycheeford_policy::LoadState::Unloading,
-    }
-}
-
-fn policy_outcome(outcome: lycheeford_target::OrderOutcome) -> lycheeford_policy::OrderOutcome {
-    match outcome {
-        lycheeford_target::OrderOutcome::Accepted => lycheeford_policy::OrderOutcome::Accepted,
-        lycheeford_target::OrderOutcome::RefusedStaleFence => {
-            lycheeford_policy::OrderOutcome::RefusedStaleFence
-        }
-        lycheeford_target::OrderOutcome::RefusedMemory => {
-            lycheeford_policy::OrderOutcome::RefusedMemory
-        }
-        lycheeford_target::OrderOutcome::Done => lycheeford_policy::OrderOutcome::Done,
-        lycheeford_target::OrderOutcome::Failed => lycheeford_policy::OrderOutcome::Failed,
-    }
-}
--- a/crates/lycheefordd/src/planning.rs
+++ b/crates/lycheefordd/src/planning.rs
@@ -4,8 +4,8 @@
 use async_std::future::timeout;
 use async_std::task;
 use lycheeford_policy::{
-    Activity, Demand, DemandReport, Host, HostRole, Instance, Name, PlanAction, ProbeResult,
-    TargetRecord, Verdict, VerdictChange,
+    DemandReport, Host, HostRole, Instance, Name, PlanAction, ProbeResult, TargetRecord, Verdict,
+    VerdictChange,
 };
 use lycheeford_target::TargetStatus;
 use lycheeford_wire::{Message, stored::StoredTargetRecord};
@@ -62,23 +62,10 @@
 
 /// Takes a host's demand over, if this daemon coordinates.
 pub(crate) fn take_demand(state: &State, from: &Instance, report: lycheeford_wire::DemandReport) {
-    let demands = report.demands.into_iter().map(|demand| Demand {
-        name: demand.name,
-        customer: demand.customer,
-        class: demand.class,
-        waiting: demand.waiting,
-        deadline_in_ms: demand.deadline_in_ms,
-        waited_ms: demand.waited_ms,
-    });
-    let activity = report.activity.into_iter().map(|activity| Activity {
-        name: activity.name,
-        served: activity.served,
-        running: activity.running,
-    });
     let report = DemandReport {
         host: from.host.clone(),
-        demands: demands.collect(),
-        activity: activity.collect(),
+        demands: report.demands,
+        activity: report.activity,
     };
     state.coordinator().report_demand(state.now(), report);
     state.wake_planner();
@@ -139,7 +126,10 @@
         None => objects::read::<_, StoredTargetRecord>(&state, TARGET_KIND, &host.name).await.ok(),
     };
     let gone = state.gone().clone();
-    let sending_over = state.sent_orders().sending_over();
+    let (sending_over, sending_ended) = {
+        let orders = state.sent_orders();
+        (orders.sending_over(), orders.sending_ended())
+    };
     let sent_at = state.now();
     let status = state.targets.status(host.address).await.ok();
     if let Some(status) = &status {
@@ -149,7 +139,8 @@
     let verdict = judge(&state, &host, sent_at, result);
     let record = match (&status, record) {
         (Some(status), Some(record)) => {
-            orders::settle(&state, &host, record, status, &gone, &sending_over).await
+            orders::settle(&state, &host, record, status, &gone, &sending_over, &sending_ended)
+                .await
         }
         (_, record) => record,
     };
--- a/crates/lycheefordd/tests/rates.rs
+++ b/crates/lycheefordd/tests/rates.rs
@@ -17,7 +17,7 @@
 use lycheeford_fakes::{Call, CallFault, PlatformFaults};
 use serde_json::Value;
 
-use crate::support::{Fleet, until};
+use crate::support::{EngineLinks, Fleet, until};
 
 const MODEL: &str = "model-001";
 const TOKENS: u64 = 60;
@@ -48,7 +48,7 @@
 
 #[async_std::test]
 async fn no_customer_receives_more_than_its_rate_and_burst() {
-    let mut fleet = Fleet::start_with("rates", |deployment| {
+    let mut fleet = Fleet::start_with("rates", EngineLinks::Direct, |deployment| {
         let customer = &mut deployment.base.customers[GREEDY];
         customer.rate_tokens_per_s = Some(RATE_TOKENS_PER_S);
         customer.burst_tokens = Some(BURST_TOKENS);
