--- a/crates/lycheefordd/src/completion.rs
+++ b/crates/lycheefordd/src/completion.rs
@@ -9,7 +9,7 @@
 
 use crate::access::Access;
 use crate::call::Call;
-use crate::crash::note_target_failure;
+use crate::crash::{TargetLife, note_target_failure};
 use crate::metrics::{CustomerLabels, Event};
 use crate::placement::PlaceRequest;
 use crate::placement_task::{PlacedRequest, place};
@@ -158,7 +158,7 @@
                 }
                 Err(error) => {
                     first = false;
-                    self.target_failed(&placed.target, &error).await;
+                    self.target_failed(&placed.life, &error).await;
                     last_error = Some(error);
                 }
             }
@@ -166,13 +166,13 @@
     }
 
     /// Takes in that a target failed this request.
-    pub(crate) async fn target_failed(&mut self, target: &Name, error: &TargetError) {
-        self.failed.push(target.clone());
+    pub(crate) async fn target_failed(&mut self, life: &TargetLife, error: &TargetError) {
+        self.failed.push(life.target.clone());
         if error.may_have_run() {
             self.ran = self.ran.max(Ran::Unknown);
-            note_target_failure(&self.state, target, self.call.fingerprint).await;
+            note_target_failure(&self.state, life, self.call.fingerprint).await;
         } else {
-            self.state.placement().forget_target(target);
+            self.state.placement().forget_target(&life.target);
         }
     }
 
@@ -266,7 +266,7 @@
         loop {
             let cold = answering.placed.waited_ms.is_some();
             let headers = answer_headers(&answering.response);
-            let target = answering.placed.target.clone();
+            let life = answering.placed.life.clone();
             if answering.response.status != 200 {
                 return Ok(engine_answer(answering).await);
             }
@@ -283,7 +283,7 @@
                     });
                 }
                 Err(error) => {
-                    self.target_failed(&target, &error).await;
+                    self.target_failed(&life, &error).await;
                     if !self.may_retry() {
                         return Err(self.failure(Some(error)));
                     }
