Take callers only once this daemon has its shares

Ruled out: not handing it out to callers, which keep its address from before. It now listens, and takes what has connected once it has met its peers and knows its shares, at most 3 s later.

--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -33,6 +33,10 @@
 const REGISTER_PAUSE_MS: u64 = 200;
 /// How long a caller may take to connect to an address that it still keeps.
 const CONNECT_MS: u64 = 200;
+/// How long a daemon that starts waits for its shares at most.
+const SHARES_MS_MAX: u64 = 3_000;
+/// How often it looks.
+const SHARES_TICK_MS: u64 = 10;
 /// How often a draining daemon looks whether it is done.
 const DRAIN_TICK_MS: u64 = 50;
 /// How long a draining daemon waits for its requests at most.
@@ -64,6 +68,7 @@
     connect_peers(&state, peers);
     start_tasks(&state);
 
+    await_shares(&state, &stop).await;
     let front = Front { state: state.clone() };
     let front_stop = Stop::new();
     let serving = task::spawn(lycheeford_caller::serve(callers, bounds, front, front_stop.clone()));
@@ -132,6 +137,21 @@
     task::spawn(plan_loads(state.clone()));
 }
 
+/// Waits until this daemon can serve what it would be asked for.
+///
+/// Callers that connect meanwhile wait a moment; served at once they would be
+/// refused for want of a share, although their customer is within its rate.
+async fn await_shares(state: &State, stop: &Stop) {
+    let started = state.now();
+    while !stop.is_triggered() && state.now().since_ms(started) < SHARES_MS_MAX {
+        let now = state.now();
+        if state.has_met_peers(now) && state.rates().have_tables() {
+            return;
+        }
+        task::sleep(Duration::from_millis(SHARES_TICK_MS)).await;
+    }
+}
+
 async fn wait_for_drain(state: &State, stop: &Stop) {
     while !stop.is_triggered() && !state.is_draining() {
         task::sleep(Duration::from_millis(DRAIN_TICK_MS)).await;
--- a/crates/lycheefordd/src/rates.rs
+++ b/crates/lycheefordd/src/rates.rs
@@ -74,6 +74,11 @@
         Some(&mut self.customers[index])
     }
 
+    /// Tells whether the share table of every customer is known here.
+    pub(crate) fn have_tables(&self) -> bool {
+        self.customers.iter().all(|rate| rate.table.is_some())
+    }
+
     pub(crate) fn customers(&mut self) -> &mut [CustomerRate] {
         &mut self.customers
     }
