lycheefordd: Name the remedy when a stand-in's binary is stale

A test of the daemon alone doesn't rebuild the stand-ins; after a merge two tests failed on an answer of the old service until the workspace was built.

--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -348,7 +348,8 @@
 
 async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> T {
     let answer = Call::get(path).send(address).await.expect("the stand-in answers");
-    serde_json::from_str(&answer.body).expect("the stand-in answers in JSON")
+    serde_json::from_str(&answer.body)
+        .expect("the stand-in is of this build; run `cargo build --workspace`")
 }
 
 /// Returns the address of the relay in front of `address`.
