--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -377,7 +377,12 @@
 fn claim_net() -> u8 {
     static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
     let first = std::process::id() as usize;
-    let claim = |net: u8| TcpListener::bind((Ipv4Addr::new(127, net, 255, 1), 6999)).ok();
+    let claim = |net: u8| {
+        let claim = TcpListener::bind((Ipv4Addr::new(127, net, 255, 1), 6999)).ok()?;
+        // A demonstration or a measurement may run there without a claim.
+        TcpListener::bind(Deployment::new(DeploymentKind::Small, net).platform).ok()?;
+        Some(claim)
+    };
     let (net, listener) = (0..200)
         .map(|step| 20 + ((first * 7 + step) % 200) as u8)
         .find_map(|net| claim(net).map(|listener| (net, listener)))
