--- a/crates/lycheeford-measure/src/control.rs
+++ b/crates/lycheeford-measure/src/control.rs
@@ -2,8 +2,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use lycheeford_policy::{Host, HostRole};
-use snafu::{OptionExt, ResultExt, Whatever};
+use snafu::Whatever;
 
 use crate::fleet::Fleet;
 use crate::platform_calls::PlatformCalls;
@@ -17,7 +16,7 @@
 /// Reports memory and what control costs while no request runs.
 pub(crate) async fn report(fleet: &Fleet, when: &str) -> Result<(), Whatever> {
     task::sleep(SETTLE).await;
-    let peers = peer_addresses(fleet).await?;
+    let peers = fleet.peer_addresses().await?;
     let before = Sample::take(fleet, &peers).await?;
     let start = Instant::now();
     task::sleep(WINDOW).await;
@@ -62,17 +61,3 @@
         })
     }
 }
-
-async fn peer_addresses(fleet: &Fleet) -> Result<Vec<SocketAddr>, Whatever> {
-    let listing = fleet.platform_json("/objects/host").await?;
-    let objects = listing["objects"].as_array().whatever_context("the platform lists no hosts")?;
-    let mut peers = Vec::new();
-    for object in objects {
-        let host: Host = serde_json::from_value(object["value"].clone())
-            .whatever_context("a host can't be read")?;
-        if let HostRole::Entry { peer_address } = host.role {
-            peers.push(peer_address);
-        }
-    }
-    Ok(peers)
-}
--- a/crates/lycheeford-measure/src/fleet.rs
+++ b/crates/lycheeford-measure/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use lycheeford_fakes::Call;
 use lycheeford_operator::OperatorClient;
+use lycheeford_policy::{Host, HostRole};
 use lycheeford_target::{TargetClient, TargetLimits};
 use serde_json::Value;
 use snafu::{OptionExt, ResultExt, Whatever, ensure_whatever};
@@ -75,6 +76,21 @@
         address.parse().whatever_context("the target's address can't be read")
     }
 
+    /// Returns where the daemons listen for each other.
+    pub(crate) async fn peer_addresses(&self) -> Result<Vec<SocketAddr>, Whatever> {
+        let listing = self.platform_json("/objects/host").await?;
+        let objects = listing["objects"].as_array();
+        let mut peers = Vec::new();
+        for object in objects.whatever_context("the platform lists no hosts")? {
+            let host: Host = serde_json::from_value(object["value"].clone())
+                .whatever_context("a host can't be read")?;
+            if let HostRole::Entry { peer_address } = host.role {
+                peers.push(peer_address);
+            }
+        }
+        Ok(peers)
+    }
+
     pub(crate) fn processes(&self) -> impl Iterator<Item = &Process> {
         self.daemons.iter().map(|daemon| &daemon.process)
     }
--- a/crates/lycheeford-measure/src/load.rs
+++ b/crates/lycheeford-measure/src/load.rs
@@ -6,6 +6,7 @@
 
 use crate::fleet::Fleet;
 use crate::process::cpu_ms;
+use crate::sockets::SocketBytes;
 use crate::{MODELS, request, row};
 
 /// Requests that run at once, over all daemons that take them.
@@ -24,7 +25,9 @@
     for model in MODELS {
         engines.push(fleet.engine_with(model).await?);
     }
+    let peers = fleet.peer_addresses().await?;
     let before_ms = cpu_ms(fleet.processes())?;
+    let bytes_before = SocketBytes::to(&peers)?;
     let start = Instant::now();
     let callers = (0..AT_ONCE).map(|caller| {
         let model = caller % MODELS.len();
@@ -36,6 +39,7 @@
     let counts = join_all(callers).await;
     let elapsed = start.elapsed().as_secs_f64();
     let used_ms = cpu_ms(fleet.processes())? - before_ms;
+    let bytes = SocketBytes::to(&peers)?.since(&bytes_before);
     let done: u64 = counts.iter().map(|count| count.done).sum();
     let failed: u64 = counts.iter().map(|count| count.failed).sum();
     if let Some(error) = counts.into_iter().find_map(|count| count.error) {
@@ -43,7 +47,11 @@
     }
     let per_s = done as f64 / elapsed;
     let cpu_us = used_ms as f64 * 1_000.0 / done.max(1) as f64;
-    let value = format!("{per_s:.0} a second, {cpu_us:.0} µs of daemon CPU each, {failed} failed");
+    let bytes_each = bytes / done.max(1);
+    let value = format!(
+        "{per_s:.0} a second, {cpu_us:.0} µs of daemon CPU and {bytes_each} bytes between daemons \
+         each, {failed} failed"
+    );
     row(&format!("requests through {what}, {AT_ONCE} at once"), &value);
     Ok(())
 }
--- a/crates/lycheeford-measure/src/streams.rs
+++ b/crates/lycheeford-measure/src/streams.rs
@@ -10,7 +10,9 @@
 use crate::{MODELS, request, row};
 
 const STREAMS: usize = 1_000;
-/// The streams last this many tokens, with a pause of 250 ms after each.
+/// The pause between tokens that scripts/measure.sh sets.
+const TOKEN_INTERVAL_MS: u64 = 250;
+/// The streams last this many tokens.
 const TOKENS: u64 = 28;
 /// Streams opened at once.
 const BATCH: usize = 50;
@@ -29,7 +31,9 @@
             open.push(response?);
         }
     }
+    let before_ms = daemon.process.cpu_ms()?;
     task::sleep(SETTLE).await;
+    let used_ms = daemon.process.cpu_ms()? - before_ms;
     let during = resident_range([&daemon.process].into_iter())?;
     let ends = join_all(open.into_iter().map(|response| async move {
         let status = response.status;
@@ -40,5 +44,8 @@
     let whole = ends.iter().filter(|whole| **whole).count();
     let value = format!("{during}, {before} before; {whole} of {STREAMS} answers whole");
     row(&format!("memory with {STREAMS} open streams"), &value);
+    let tokens = STREAMS as u64 * SETTLE.as_millis() as u64 / TOKEN_INTERVAL_MS;
+    let cpu_us = used_ms as f64 * 1_000.0 / tokens as f64;
+    row("CPU of a relayed token, checks and beats included", &format!("{cpu_us:.0} µs"));
     Ok(())
 }
--- a/crates/lycheefordd/src/admin.rs
+++ b/crates/lycheefordd/src/admin.rs
@@ -25,7 +25,7 @@
             Ok(ConfigurationReport {
                 revision: stored.committed.head.revision,
                 stamp: stored.committed.head.stamp,
-                document: Document::from(&stored.committed.configuration),
+                document: Document::from(stored.committed.configuration.as_ref()),
             })
         })
     }
--- a/crates/lycheefordd/src/configuration.rs
+++ b/crates/lycheefordd/src/configuration.rs
@@ -35,7 +35,7 @@
 pub(crate) struct Committed {
     pub(crate) head: Head,
     pub(crate) chunks: Vec<Chunk>,
-    pub(crate) configuration: Configuration,
+    pub(crate) configuration: Arc<Configuration>,
 }
 
 impl Committed {
@@ -45,7 +45,7 @@
         let chunks = named
             .filter_map(|name| chunks.iter().find(|chunk| chunk.name == *name).cloned())
             .collect::<Vec<Chunk>>();
-        let configuration = assemble(&head, &chunks).context(AssembleSnafu)?;
+        let configuration = Arc::new(assemble(&head, &chunks).context(AssembleSnafu)?);
         Ok(Committed { head, chunks, configuration })
     }
 }
@@ -109,7 +109,7 @@
     if revision <= state.configuration.load().revision {
         return;
     }
-    state.configuration.store(Arc::new(configuration.clone()));
+    state.configuration.store(configuration.clone());
     state.committed.store(Arc::new(committed));
     info!(state.log, "configuration in force"; "revision" => revision);
     let now = state.now();
--- a/crates/lycheefordd/src/coordinator.rs
+++ b/crates/lycheefordd/src/coordinator.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use lycheeford_config::WeightStoreLimits;
 use lycheeford_policy::{
     Configuration, DemandReport, Host, HostRole, HostState, Incarnation, LoadLimits, LoadState,
@@ -22,7 +24,7 @@
 pub(crate) struct Coordinator {
     limits: LoadLimits,
     planner: Planner,
-    configuration: Configuration,
+    configuration: Arc<Configuration>,
     active: bool,
     sequence: u64,
     /// Sorted by name.
@@ -53,7 +55,7 @@
         Coordinator {
             planner: Planner::new(limits.clone()),
             limits,
-            configuration: Configuration::default(),
+            configuration: Arc::default(),
             active: false,
             sequence: 0,
             targets: Vec::new(),
@@ -62,9 +64,12 @@
         }
     }
 
-    pub(crate) fn configure(&mut self, configuration: &Configuration) {
+    /// Takes over a configuration; the planner of an inactive daemon stays empty.
+    pub(crate) fn configure(&mut self, configuration: &Arc<Configuration>) {
         self.configuration = configuration.clone();
-        self.planner.configure(configuration);
+        if self.active {
+            self.planner.configure(configuration);
+        }
     }
 
     pub(crate) fn is_active(&self) -> bool {
@@ -83,8 +88,14 @@
         true
     }
 
+    /// Stops to coordinate and returns whether this call stopped it.
     pub(crate) fn deactivate(&mut self) -> bool {
-        std::mem::replace(&mut self.active, false)
+        if !self.active {
+            return false;
+        }
+        self.active = false;
+        self.planner = Planner::new(self.limits.clone());
+        true
     }
 
     /// Takes over the list of model workers, sorted by name.
