Drain until no host can still hand this one out

A draining daemon stopped accepting `ADDRESS_KEEP_MS` after its start to drain, but others hand its address out until the beat that tells them has come, and callers keep it from then on. It now serves for `REACHABLE_MS` more, after which a host that heard nothing of it doesn't hand it out either. Ruled out: a crash (the log has a clean drain) and the caller's count (from its question).

--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::configuration::follow_configuration;
 use crate::front::{ADDRESS_KEEP_MS, Front};
 use crate::hosts::follow_hosts;
+use crate::members::REACHABLE_MS;
 use crate::placement_task::report_demand;
 use crate::planning::plan_loads;
 use crate::share_upkeep::{follow_shares, keep_shares};
@@ -139,7 +140,8 @@
 async fn drain(state: &State, front: &Stop) {
     state.start_draining();
     info!(state.log, "draining"; "requests" => state.requests_running());
-    task::sleep(Duration::from_millis(ADDRESS_KEEP_MS)).await;
+    // Others hand this host out until they hear that it drains, or hear nothing.
+    task::sleep(Duration::from_millis(REACHABLE_MS + ADDRESS_KEEP_MS)).await;
     front.trigger();
     let started = state.now();
     while state.requests_running() > 0 && state.now().since_ms(started) < DRAIN_MS_MAX {
--- a/crates/lycheefordd/src/members.rs
+++ b/crates/lycheefordd/src/members.rs
@@ -3,7 +3,7 @@
 use lycheeford_wire::HostReport;
 
 /// How long a member counts as reachable after its last report.
-const REACHABLE_MS: u64 = 1_500;
+pub(crate) const REACHABLE_MS: u64 = 1_500;
 /// The key whose owner coordinates loads.
 const COORDINATOR_KEY: &str = "coordinator";
 
