Show that a woken daemon takes its peers for lost

`Member::is_reachable` compares the last beat with the clock and knows nothing of a pause. Not mended here: counting anew on waking would let the daemon hand out addresses of hosts that drained and ended while it was paused.

--- a/crates/lycheefordd/tests/health.rs
+++ b/crates/lycheefordd/tests/health.rs
@@ -19,6 +19,9 @@
 /// Longer than any silence that a verdict needs.
 const PAUSE: Duration = Duration::from_secs(4);
 
+/// Longer than the silence after which a peer counts as unreachable.
+const PEER_PAUSE: Duration = Duration::from_secs(2);
+
 /// What a daemon logs when it condemns a target.
 const VERDICT_LOGGED: &str = "\"verdict\":\"Down\"";
 
@@ -78,6 +81,19 @@
     assert!(all_well(&fleet).await, "an engine or peer was condemned");
 }
 
+#[async_std::test]
+async fn a_woken_daemon_holds_no_peer_for_lost() {
+    let fleet = Fleet::start("health-peers").await;
+    for daemon in 0..fleet.daemons.len() {
+        fleet.daemons[daemon].pause();
+        task::sleep(PEER_PAUSE).await;
+        fleet.daemons[daemon].resume();
+        let hosts = fleet.operator(daemon).hosts().await.expect("the daemon answers");
+        let lost: Vec<_> = hosts.iter().filter(|host| !host.reachable).collect();
+        assert!(lost.is_empty(), "daemon {daemon} lost {} peers on waking", lost.len());
+    }
+}
+
 #[async_std::test]
 async fn a_silent_engine_is_condemned_until_it_answers() {
     let fleet = Fleet::start("health-silent").await;
