Pass over targets that died, pace retries and bound them

Cause: after an engine died, the coordinator's late view put it back into the routing of each daemon, and requests spent their retries on it; a host with little traffic had no retries at all; and a request whose replicas live and fail went on until its deadline. Seen: 0 of 12 whole after a kill and after truncations (tests/targets), 12 deadline_passed where every answer is truncated. Ruled out: refusing as soon as every ready replica has failed once (tried: 8 to 12 of 12 target_failed where a moment later another replica, or the same, serves), and four failures without a pause (the same). Now a life of a target that died or can't be reached is passed over for 3 s, the pause before a living target is tried again doubles, a request is given up after eight such failures, and the budget starts with 20 retries. A connection that isn't answered in time no longer counts as a death. After: 12 of 12 whole in both, a crashing request is refused after its first answer, 2 engines crashed as before. Silent engines stay as they were: 0 to 12 of 12, each with a clear error. The coordinator's view is sent every 2 s when nothing changed, and every 100 ms while a host waits, rather than every 500 ms; its bytes weren't measured again.

--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -38,6 +38,14 @@
     pub fn may_have_run(&self) -> bool {
         self.category() != Category::NotSent
     }
+
+    /// Returns whether no process listens at the target's address.
+    ///
+    /// A connection that isn't answered in time says less: the way may be cut.
+    pub fn nobody_listens(&self) -> bool {
+        let Code::Connect { source } = &self.code else { return false };
+        source.kind() == std::io::ErrorKind::ConnectionRefused
+    }
 }
 
 impl From<Code> for TargetError {
--- a/crates/lycheefordd/src/call.rs
+++ b/crates/lycheefordd/src/call.rs
@@ -1,5 +1,5 @@
 use lycheeford_caller::CallerRequest;
-use lycheeford_policy::{Configuration, Name, Refusal, RefusalCode};
+use lycheeford_policy::{Configuration, Model, Name, Refusal, RefusalCode};
 use serde_json::{Map, Value, json};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -44,7 +44,7 @@
         let mut body: Map<String, Value> = serde_json::from_slice(&request.body)
             .map_err(|error| bad(&format!("body is not a JSON object: {error}")))?;
         let name = text_field(&body, "model")?;
-        let min_bytes_per_token = check_name(configuration, access, &name)?;
+        let model = check_name(configuration, access, &name)?;
         let prompt = prompt_text(&body)?;
         check_copies(&body)?;
         let limit_field = if body.contains_key("max_completion_tokens") {
@@ -71,7 +71,7 @@
         Ok(Call {
             path: request.path.clone(),
             streams,
-            prompt_tokens_max: prompt_bytes.div_ceil(u64::from(min_bytes_per_token.max(1))),
+            prompt_tokens_max: prompt_bytes.div_ceil(u64::from(model.min_bytes_per_token.max(1))),
             output_tokens_max,
             prefix_hashes: prefix_hashes(&name, &prompt),
             fingerprint: fingerprint(&access.customer.name, &request.path, &request.body),
@@ -92,17 +92,24 @@
     xxh3_64_with_seed(body, seed)
 }
 
-fn check_name(configuration: &Configuration, access: &Access, name: &str) -> Result<u32, Refusal> {
+/// Returns the model that serves `name`, which may be an adapter's.
+fn check_name<'a>(
+    configuration: &'a Configuration,
+    access: &Access,
+    name: &str,
+) -> Result<&'a Model, Refusal> {
     if let Some(model) = configuration.model(name) {
         access.allowed(&model.customers, name)?;
-        return Ok(model.min_bytes_per_token);
+        return Ok(model);
     }
-    let adapter = configuration.adapter(name).ok_or_else(|| {
+    let adapter = configuration.adapter(name);
+    let model = adapter.and_then(|adapter| configuration.model(&adapter.model));
+    let (Some(adapter), Some(model)) = (adapter, model) else {
         let message = format!("no model or adapter {name:?}; GET /v1/models lists them");
-        Refusal::not_run(RefusalCode::NotFound, message, None)
-    })?;
+        return Err(Refusal::not_run(RefusalCode::NotFound, message, None));
+    };
     access.allowed(&adapter.customers, name)?;
-    Ok(configuration.model(&adapter.model).map_or(1, |model| model.min_bytes_per_token))
+    Ok(model)
 }
 
 fn check_copies(body: &Map<String, Value>) -> Result<(), Refusal> {
--- a/crates/lycheefordd/src/completion.rs
+++ b/crates/lycheefordd/src/completion.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse, Method, chunk_channel};
@@ -9,7 +10,7 @@
 
 use crate::access::Access;
 use crate::call::Call;
-use crate::crash::{TargetLife, note_target_failure};
+use crate::crash::{Fate, TargetLife, note_target_failure};
 use crate::metrics::{CustomerLabels, Event};
 use crate::placement::PlaceRequest;
 use crate::placement_task::{PlacedRequest, place};
@@ -21,6 +22,10 @@
 const ANSWER_BYTES_MAX: usize = 16 << 20;
 /// The HTTP status of an engine that doesn't have the model ready.
 const NOT_LOADED: u16 = 404;
+/// Failures at living targets after which a request gets its final answer.
+const FAILURES_MAX: u32 = 8;
+/// The pause after the first of them; it doubles with each one that follows.
+const FAILURE_PAUSE_MS: u64 = 25;
 /// When a caller should come back after a failure that may pass by itself.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -36,6 +41,8 @@
     pub(crate) deadline: TimeMs,
     /// Targets that failed this request.
     pub(crate) failed: Vec<Name>,
+    /// How often a target failed it that lives.
+    failed_alive: u32,
     /// Whether an attempt ran, for every refusal from then on.
     pub(crate) ran: Ran,
     /// Held until the request ends.
@@ -92,6 +99,7 @@
         arrived,
         deadline: arrived + deadline_ms,
         failed: Vec::new(),
+        failed_alive: 0,
         ran: Ran::NotRun,
         _alone: alone,
     };
@@ -128,6 +136,7 @@
             if !first && !self.may_retry() {
                 return Err(self.failure(last_error));
             }
+            self.pause_after_failures().await;
             let placed = place(&self.state, &self.place_request(), &self.failed).await?;
             if let Some(waited_ms) = placed.waited_ms {
                 self.state
@@ -138,7 +147,7 @@
             }
             self.access.recheck(&self.state)?;
             let Some(address) = self.address(&placed.target) else {
-                self.state.placement().forget_target(&placed.target);
+                self.state.placement().forget_target(self.state.now(), &placed.target);
                 self.failed.push(placed.target.clone());
                 continue;
             };
@@ -170,16 +179,28 @@
         self.failed.push(life.target.clone());
         if error.may_have_run() {
             self.ran = self.ran.max(Ran::Unknown);
-            note_target_failure(&self.state, life, self.call.fingerprint).await;
+            let fate = note_target_failure(&self.state, life, self.call.fingerprint).await;
+            self.failed_alive += u32::from(fate == Fate::Lives);
         } else {
-            self.state.placement().forget_target(&life.target);
+            self.state.placement().forget_target(self.state.now(), &life.target);
         }
     }
 
+    /// Lets another replica be loaded before the same target is tried once more.
+    async fn pause_after_failures(&self) {
+        if self.failed_alive == 0 {
+            return;
+        }
+        let left_ms = self.deadline.since_ms(self.state.now());
+        let pause_ms = (FAILURE_PAUSE_MS << self.failed_alive).min(left_ms);
+        task::sleep(Duration::from_millis(pause_ms)).await;
+    }
+
     /// Tells whether the request may be sent to yet another target.
     pub(crate) fn may_retry(&self) -> bool {
         let suspect = self.state.suspects().verdict(self.call.fingerprint);
         let allowed = suspect != CrashVerdict::Refuse
+            && self.failed_alive < FAILURES_MAX
             && self.state.now() < self.deadline
             && self.state.retry_budget().withdraw(self.state.now());
         if allowed {
--- a/crates/lycheefordd/src/coordinator.rs
+++ b/crates/lycheefordd/src/coordinator.rs
@@ -26,6 +26,7 @@
     planner: Planner,
     configuration: Arc<Configuration>,
     active: bool,
+    view_asked: bool,
     sequence: u64,
     /// Sorted by name.
     targets: Vec<Coordinated>,
@@ -57,6 +58,7 @@
             limits,
             configuration: Arc::default(),
             active: false,
+            view_asked: false,
             sequence: 0,
             targets: Vec::new(),
             expected: Vec::new(),
@@ -170,9 +172,15 @@
     }
 
     pub(crate) fn report_demand(&mut self, now: TimeMs, report: DemandReport) {
+        self.view_asked |= !report.demands.is_empty();
         self.planner.report_demand(now, report);
     }
 
+    /// Tells whether a host has reported that it waits for replicas since the last call.
+    pub(crate) fn take_view_asked(&mut self) -> bool {
+        std::mem::take(&mut self.view_asked)
+    }
+
     /// Gives up a planned action that couldn't be carried out.
     pub(crate) fn abandon(&mut self, name: &str, target: &str) {
         self.planner.abandon(name, target);
--- a/crates/lycheefordd/src/crash.rs
+++ b/crates/lycheefordd/src/crash.rs
@@ -3,7 +3,6 @@
 
 use async_std::task;
 use lycheeford_policy::{Incarnation, Name};
-use lycheeford_target::Category;
 use slog::warn;
 
 use crate::inbox::share_suspects;
@@ -31,14 +30,27 @@
     }
 }
 
+/// What became of a target that failed a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// It died.
+    Died,
+    /// It lives, as far as can be told.
+    Lives,
+}
+
 /// Finds out whether a target died under a request, and remembers the request if so.
 ///
 /// A cut connection alone says nothing: the target is asked on fresh ones. If
 /// nobody listens there, or a later life of it does, the one that got the
 /// request died.
-pub(crate) async fn note_target_failure(state: &Arc<State>, life: &TargetLife, fingerprint: u64) {
+pub(crate) async fn note_target_failure(
+    state: &Arc<State>,
+    life: &TargetLife,
+    fingerprint: u64,
+) -> Fate {
     if !has_died(state, life).await {
-        return;
+        return Fate::Lives;
     }
     let TargetLife { target, incarnation } = life;
     let incarnation = incarnation.map_or(0, |incarnation| incarnation.0);
@@ -46,8 +58,9 @@
         "target" => %target, "incarnation" => incarnation, "fingerprint" => fingerprint);
     state.metrics.event(Event::TargetCrash);
     state.suspects().crashed(fingerprint, &Name::from(format!("{target}@{incarnation}")));
-    state.placement().forget_target(target);
+    state.placement().forget_target(state.now(), target);
     share_suspects(state);
+    Fate::Died
 }
 
 async fn has_died(state: &State, life: &TargetLife) -> bool {
@@ -57,7 +70,7 @@
     for _ in 0..ASKS_MAX {
         match state.targets.status(address).await {
             Ok(status) => return life.incarnation.is_some_and(|life| status.incarnation > life),
-            Err(error) if error.category() == Category::NotSent => return true,
+            Err(error) if error.nobody_listens() => return true,
             // A dying target may still take connections.
             Err(_) => task::sleep(ASK_AGAIN).await,
         }
--- a/crates/lycheefordd/src/placement.rs
+++ b/crates/lycheefordd/src/placement.rs
@@ -8,6 +8,8 @@
 /// How long a demand outlives a request that was refused at its arrival, so
 /// that the caller finds the model ready when it comes back.
 const WANTED_GRACE_MS: u64 = 5_000;
+/// How long a life of a target that couldn't be reached is passed over.
+const AVOID_MS: u64 = 3_000;
 
 /// Where replicas are, and the requests of this host that wait for one.
 #[derive(Debug)]
@@ -20,6 +22,7 @@
     /// Who sent the view in force, and its sequence.
     source: Option<(Name, Incarnation, u64)>,
     wanted: Vec<Wanted>,
+    avoided: Vec<Avoided>,
     /// Sorted by name.
     activity: Vec<Activity>,
 }
@@ -65,6 +68,14 @@
     until: TimeMs,
 }
 
+/// A life of a target that is passed over for a while.
+#[derive(Debug)]
+struct Avoided {
+    target: Name,
+    incarnation: Incarnation,
+    until: TimeMs,
+}
+
 impl Placement {
     /// Returns an empty placement; `seed` makes hosts choose apart from each other.
     pub(crate) fn new(seed: u64) -> Placement {
@@ -75,6 +86,7 @@
             targets: Vec::new(),
             source: None,
             wanted: Vec::new(),
+            avoided: Vec::new(),
             activity: Vec::new(),
         }
     }
@@ -139,11 +151,20 @@
         }
     }
 
-    /// Forgets the replicas of a target that failed, until the next report.
-    pub(crate) fn forget_target(&mut self, target: &str) {
+    /// Passes a target over that died or can't be reached.
+    ///
+    /// The coordinator's view may name it for a while; a later life of it is
+    /// used at once, and the same one after a pause.
+    pub(crate) fn forget_target(&mut self, now: TimeMs, target: &str) {
         self.router.remove_target(target);
         if let Ok(index) = self.position(target) {
-            self.targets[index].ready.clear();
+            let known = &mut self.targets[index];
+            known.ready.clear();
+            self.avoided.push(Avoided {
+                target: known.target.clone(),
+                incarnation: known.incarnation,
+                until: now + AVOID_MS,
+            });
         }
     }
 
@@ -251,6 +272,13 @@
 
     fn replace_targets(&mut self, now: TimeMs, mut targets: Vec<TargetPlacement>) {
         targets.sort_by(|a, b| a.target.cmp(&b.target));
+        self.avoided.retain(|avoided| avoided.until > now);
+        for target in &mut targets {
+            let avoided = |avoided: &Avoided| {
+                avoided.target == target.target && avoided.incarnation >= target.incarnation
+            };
+            target.accepts_work &= !self.avoided.iter().any(avoided);
+        }
         for known in std::mem::take(&mut self.targets) {
             let new = targets.binary_search_by(|target| target.target.cmp(&known.target));
             let usable = |index: usize| targets[index].accepts_work;
--- a/crates/lycheefordd/src/planning.rs
+++ b/crates/lycheefordd/src/planning.rs
@@ -20,7 +20,9 @@
 /// The longest pause between two plans.
 const PLAN_MS_MAX: u64 = 20;
 /// How often the view is published though nothing changed.
-const PUBLISH_MS: u64 = 500;
+const PUBLISH_MS: u64 = 2_000;
+/// How often while hosts wait for replicas: one of them may lack the view.
+const PUBLISH_ASKED_MS: u64 = 100;
 
 /// Coordinates loads whenever this daemon is the one to do so.
 pub(crate) async fn plan_loads(state: Arc<State>) {
@@ -46,9 +48,12 @@
             task::spawn(carry_out(state.clone(), action));
         }
         let now = state.now();
+        let asked = state.coordinator().take_view_asked();
         let mut report = state.coordinator().report();
         let sequence = std::mem::take(&mut report.sequence);
-        if published.as_ref() != Some(&report) || now.since_ms(published_at) >= PUBLISH_MS {
+        let age_ms = now.since_ms(published_at);
+        let repeat = age_ms >= if asked { PUBLISH_ASKED_MS } else { PUBLISH_MS };
+        if repeat || published.as_ref() != Some(&report) {
             published = Some(report.clone());
             published_at = now;
             report.sequence = sequence;
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -31,6 +31,8 @@
 const MEET_PEERS_MS_MAX: u64 = 2_000;
 /// Retries that each request earns.
 const RETRIES_PER_REQUEST: f64 = 0.2;
+/// Requests whose retries a daemon may use before it has had any.
+const REQUESTS_AT_START: usize = 100;
 
 /// The tables that all workers of a daemon share.
 ///
@@ -109,7 +111,7 @@
             target_health: Mutex::new(Health::new(now)),
             suspects: Mutex::default(),
             decisions: Mutex::default(),
-            retry_budget: Mutex::new(RetryBudget::new(RETRIES_PER_REQUEST)),
+            retry_budget: Mutex::new(retry_budget()),
             ledger_seen: Mutex::default(),
             service_targets: Mutex::default(),
             started_at: now,
@@ -270,6 +272,15 @@
     }
 }
 
+/// Returns a budget that lets a host that has had little traffic retry, too.
+fn retry_budget() -> RetryBudget {
+    let mut budget = RetryBudget::new(RETRIES_PER_REQUEST);
+    for _ in 0..REQUESTS_AT_START {
+        budget.deposit();
+    }
+    budget
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
