Hold no peer for lost right after waking

Cause: a daemon that was paused judged its peers by answers from before the pause and showed all five as lost, handed out only itself, and could take itself for the coordinator. Seen: a_woken_daemon_holds_no_peer_for_lost failed each time ('daemon 0 lost 5 peers on waking'). Ruled out: counting the paused time in the peers' favour, which would hand out hosts that drained meanwhile. A counter that nothing counted goes, too.

--- a/crates/lycheefordd/src/admin.rs
+++ b/crates/lycheefordd/src/admin.rs
@@ -35,11 +35,17 @@
     }
 
     fn in_force(&self) -> Answer<'_, Vec<HostRevision>> {
-        ready(Ok(self.revisions()))
+        Box::pin(async move {
+            self.state.settle_after_pause().await;
+            Ok(self.revisions())
+        })
     }
 
     fn hosts(&self) -> Answer<'_, Vec<HostReport>> {
-        ready(Ok(self.host_reports()))
+        Box::pin(async move {
+            self.state.settle_after_pause().await;
+            Ok(self.host_reports())
+        })
     }
 
     fn targets(&self) -> Answer<'_, Vec<TargetReport>> {
--- a/crates/lycheefordd/src/front.rs
+++ b/crates/lycheefordd/src/front.rs
@@ -63,7 +63,10 @@
     async fn answer(&self, request: CallerRequest) -> Result<CallerResponse, Refusal> {
         let state = self.state.clone();
         match (request.method, request.path.as_str()) {
-            (Method::Get, "/v1/addresses") => Ok(addresses(&state)),
+            (Method::Get, "/v1/addresses") => {
+                state.settle_after_pause().await;
+                Ok(addresses(&state))
+            }
             (Method::Get, "/v1/models") => Ok(models(&state)),
             (Method::Post, "/v1/completions" | "/v1/chat/completions") => {
                 complete(state, request).await
--- a/crates/lycheefordd/src/main.rs
+++ b/crates/lycheefordd/src/main.rs
@@ -52,6 +52,7 @@
 mod service_targets;
 mod share_upkeep;
 mod state;
+mod wake_watch;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/lycheefordd/src/metrics.rs
+++ b/crates/lycheefordd/src/metrics.rs
@@ -85,7 +85,6 @@
     idle_accelerator_ms: Counter,
     pub(crate) configuration_revision: Gauge<u64, AtomicU64>,
     pub(crate) queued: Gauge,
-    pub(crate) false_verdicts_discarded: Counter,
 }
 
 impl Metrics {
@@ -105,7 +104,6 @@
             idle_accelerator_ms: Counter::default(),
             configuration_revision: Gauge::default(),
             queued: Gauge::default(),
-            false_verdicts_discarded: Counter::default(),
         };
         metrics.register();
         metrics
@@ -178,11 +176,6 @@
             self.configuration_revision.clone(),
         );
         registry.register("queued", "Requests that wait for a replica", self.queued.clone());
-        registry.register(
-            "false_verdicts_discarded",
-            "Health verdicts discarded because this daemon itself was paused",
-            self.false_verdicts_discarded.clone(),
-        );
     }
 }
 
--- a/crates/lycheefordd/src/placement_task.rs
+++ b/crates/lycheefordd/src/placement_task.rs
@@ -85,6 +85,7 @@
     loop {
         let woken = timeout(Duration::from_millis(TICK_MS), state.demand_changed.1.recv()).await;
         let now = state.now();
+        state.wake_watch().tick(now);
         let report = {
             let mut placement = state.placement();
             placement.expire(now);
--- a/crates/lycheefordd/src/planning.rs
+++ b/crates/lycheefordd/src/planning.rs
@@ -31,6 +31,10 @@
     loop {
         // A wake-up and the end of the pause mean the same.
         let _ = timeout(Duration::from_millis(PLAN_MS_MAX), state.plan_due.1.recv()).await;
+        if state.wake_watch().settling_ms(state.now()) > 0 {
+            // Every peer seems lost just now, and another may coordinate.
+            continue;
+        }
         if state.coordinator_host() != state.me.host {
             if state.coordinator().deactivate() {
                 info!(state.log, "no longer coordinates loads");
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -1,8 +1,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_std::channel::{Receiver, Sender, bounded};
+use async_std::task;
 use lycheeford_config::Settings;
 use lycheeford_peer::Peers;
 use lycheeford_platform::HttpObjectStore;
@@ -26,6 +28,7 @@
 use crate::rates::Rates;
 use crate::sent_orders::SentOrders;
 use crate::service_targets::ServiceTargets;
+use crate::wake_watch::WakeWatch;
 
 /// How long a daemon that starts waits for its peers before it serves keyed calls.
 const MEET_PEERS_MS_MAX: u64 = 2_000;
@@ -40,7 +43,7 @@
 /// lock at a time and never across an await. Where two are needed, the order is
 /// the order of the fields: `adopting`, `configuration_spread`, `members`, `gone`, `freshness`, `rates`,
 /// `placement`, `coordinator`, `sent_orders`, `target_health`, `suspects`, `decisions`,
-/// `retry_budget`, `ledger_seen`, `service_targets`.
+/// `wake_watch`, `retry_budget`, `ledger_seen`, `service_targets`.
 pub(crate) struct State {
     pub(crate) settings: Settings,
     pub(crate) me: Instance,
@@ -66,6 +69,7 @@
     target_health: Mutex<Health>,
     suspects: Mutex<CrashSuspects>,
     decisions: Mutex<DecisionLog>,
+    wake_watch: Mutex<WakeWatch>,
     retry_budget: Mutex<RetryBudget>,
     ledger_seen: Mutex<LedgerSeen>,
     service_targets: Mutex<ServiceTargets>,
@@ -111,6 +115,7 @@
             target_health: Mutex::new(Health::new(now)),
             suspects: Mutex::default(),
             decisions: Mutex::default(),
+            wake_watch: Mutex::new(WakeWatch::new(now)),
             retry_budget: Mutex::new(retry_budget()),
             ledger_seen: Mutex::default(),
             service_targets: Mutex::default(),
@@ -182,6 +187,18 @@
         lock(&self.retry_budget)
     }
 
+    pub(crate) fn wake_watch(&self) -> MutexGuard<'_, WakeWatch> {
+        lock(&self.wake_watch)
+    }
+
+    /// Waits, if this process was paused, until its peers had time to answer again.
+    pub(crate) async fn settle_after_pause(&self) {
+        let settling_ms = self.wake_watch().settling_ms(self.now());
+        if settling_ms > 0 {
+            task::sleep(Duration::from_millis(settling_ms)).await;
+        }
+    }
+
     pub(crate) fn ledger_seen(&self) -> MutexGuard<'_, LedgerSeen> {
         lock(&self.ledger_seen)
     }
