Wake an idle daemon less often

Cause: a daemon that plans nothing woke 50 times a second to look whether it should, 20 times for requests that don't wait and 20 times for a drain; a profile of an idle daemon shows timers and wake-ups of threads, hardly any work.

--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task;
 use lycheeford_caller::{Bounds, Stop};
@@ -37,6 +38,8 @@
 const SHARES_MS_MAX: u64 = 3_000;
 /// How often it looks.
 const SHARES_TICK_MS: u64 = 10;
+/// How often a daemon looks whether its operators drain it.
+const DRAIN_LOOK_MS: u64 = 200;
 /// How often a draining daemon looks whether it is done.
 const DRAIN_TICK_MS: u64 = 50;
 /// How long a draining daemon waits for its requests at most.
@@ -154,7 +157,8 @@
 
 async fn wait_for_drain(state: &State, stop: &Stop) {
     while !stop.is_triggered() && !state.is_draining() {
-        task::sleep(Duration::from_millis(DRAIN_TICK_MS)).await;
+        // The end of the pause only has the drain by an operator looked for.
+        let _ = timeout(Duration::from_millis(DRAIN_LOOK_MS), stop.triggered()).await;
     }
 }
 
--- a/crates/lycheefordd/src/placement_task.rs
+++ b/crates/lycheefordd/src/placement_task.rs
@@ -13,6 +13,8 @@
 
 /// The longest pause between two looks at what has expired.
 const TICK_MS: u64 = 50;
+/// The same while nothing waits.
+const QUIET_TICK_MS: u64 = 100;
 /// How often demand is reported though it didn't change.
 const REPORT_MS: u64 = 200;
 
@@ -83,7 +85,8 @@
     let mut reported_at = TimeMs::default();
     let mut quiet = true;
     loop {
-        let woken = timeout(Duration::from_millis(TICK_MS), state.demand_changed.1.recv()).await;
+        let tick_ms = if state.placement().queued() > 0 { TICK_MS } else { QUIET_TICK_MS };
+        let woken = timeout(Duration::from_millis(tick_ms), state.demand_changed.1.recv()).await;
         let now = state.now();
         state.wake_watch().tick(now);
         let report = {
--- a/crates/lycheefordd/src/planning.rs
+++ b/crates/lycheefordd/src/planning.rs
@@ -19,6 +19,8 @@
 
 /// The longest pause between two plans.
 const PLAN_MS_MAX: u64 = 20;
+/// How often a daemon looks whether it is the one to plan.
+const LOOK_MS: u64 = 100;
 /// How often the view is published though nothing changed.
 const PUBLISH_MS: u64 = 2_000;
 /// How often while hosts wait for replicas: one of them may lack the view.
@@ -30,7 +32,8 @@
     let mut published_at = state.now();
     loop {
         // A wake-up and the end of the pause mean the same.
-        let _ = timeout(Duration::from_millis(PLAN_MS_MAX), state.plan_due.1.recv()).await;
+        let pause_ms = if state.coordinator().is_active() { PLAN_MS_MAX } else { LOOK_MS };
+        let _ = timeout(Duration::from_millis(pause_ms), state.plan_due.1.recv()).await;
         if state.wake_watch().settling_ms(state.now()) > 0 {
             // Every peer seems lost just now, and another may coordinate.
             continue;
