Test that a withdrawn key ends its open streams

The mechanism stood without a test. Seen red with the relay's check of the key taken out: the stream of 5,000 tokens came to its whole end. With it the stream ends with bad_key after 38 lines, in two runs.

--- a/crates/lycheefordd/tests/keys.rs
+++ b/crates/lycheefordd/tests/keys.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -31,6 +32,31 @@
     fleet.operator(daemon).withdraw_key(&request).await.expect("the key is withdrawn");
 }
 
+/// Tokens of a stream that goes on for about ten seconds.
+const LONG_STREAM_TOKENS: u64 = 5_000;
+
+#[async_std::test]
+async fn a_withdrawn_key_ends_its_open_streams() {
+    let fleet = Fleet::start("open-streams").await;
+    let key = fleet.keys[0].clone();
+    let events = Arc::new(Mutex::new(Vec::<String>::new()));
+    let stream = {
+        let (events, address) = (events.clone(), fleet.caller_address(1));
+        let call = Call::completion(&key, "model-001", "p", LONG_STREAM_TOKENS);
+        task::spawn(async move {
+            call.send_watched(address, |line| events.lock().unwrap().push(line.to_owned())).await
+        })
+    };
+    until("the stream has begun", async || events.lock().unwrap().len() > 10).await;
+    withdraw(&fleet, 0, &key).await;
+    let ended = stream.await;
+    let events = events.lock().unwrap();
+    println!("{} lines before the end", events.len());
+    assert!(ended.is_err(), "a stream that was ended looks whole");
+    assert!(events.iter().any(|line| line.contains("\"bad_key\"")), "{:?}", events.last());
+    assert!((events.len() as u64) < LONG_STREAM_TOKENS, "the stream wasn't ended");
+}
+
 /// Waits until each daemon gives the verdict, within the promised time.
 async fn assert_soon(fleet: &Fleet, daemons: &[usize], key: &str, wanted: &str, what: &str) {
     let start = Instant::now();
