--- a/crates/lycheeford-caller/src/refusal.rs
+++ b/crates/lycheeford-caller/src/refusal.rs
@@ -47,8 +47,7 @@
         | RefusalCode::Overloaded
         | RefusalCode::NoTarget
         | RefusalCode::PlatformUnavailable
-        | RefusalCode::ConfigurationStale
-        | RefusalCode::Draining => 503,
+        | RefusalCode::ConfigurationStale => 503,
         RefusalCode::DeadlinePassed => 504,
     }
 }
--- a/crates/lycheeford-policy/src/refusal.rs
+++ b/crates/lycheeford-policy/src/refusal.rs
@@ -103,6 +103,4 @@
     OutcomeUnknown,
     /// The idempotency key was used with another request.
     KeyReused,
-    /// This host is shutting down.
-    Draining,
 }
