--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -15,7 +15,7 @@
 use crate::budget::{BodyBudget, Reservation};
 use crate::race::{unless, within};
 use crate::request::bad_request;
-use crate::{Bounds, CallerRequest, CallerResponse, Handler, Stop, refusal_response};
+use crate::{CallerResponse, Service, Stop};
 
 /// How long an idle connection is kept after the stop for a request on its way.
 const DRAIN_IDLE_MS: u64 = 1_000;
@@ -30,15 +30,14 @@
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What all connections share.
-pub(crate) struct Server<H> {
-    pub(crate) bounds: Bounds,
+pub(crate) struct Server<S> {
     pub(crate) budget: Arc<BodyBudget>,
-    pub(crate) handler: H,
+    pub(crate) service: S,
     pub(crate) stop: Stop,
 }
 
 /// Serves one connection until it closes.
-pub(crate) async fn run<H: Handler>(stream: TcpStream, server: Arc<Server<H>>) {
+pub(crate) async fn run<S: Service>(stream: TcpStream, server: Arc<Server<S>>) {
     let mut connection = Connection::new(stream, server);
     let end = loop {
         match connection.serve_one().await {
@@ -52,17 +51,17 @@
 }
 
 /// Tells a caller that there are too many connections.
-pub(crate) async fn turn_away<H: Handler>(stream: TcpStream, server: Arc<Server<H>>) {
+pub(crate) async fn turn_away<S: Service>(stream: TcpStream, server: Arc<Server<S>>) {
     let mut connection = Connection::new(stream, server);
     let refusal = overloaded("there are too many connections; try another host or later");
     connection.refuse(&new_request_id(), &refusal).await;
     connection.linger().await;
 }
 
-struct Connection<H> {
+struct Connection<S> {
     reader: MessageReader<TcpStream>,
     writer: TcpStream,
-    server: Arc<Server<H>>,
+    server: Arc<Server<S>>,
 }
 
 /// What follows a request.
@@ -90,8 +89,8 @@
     Framed(Refusal, Method, Persistence),
 }
 
-impl<H: Handler> Connection<H> {
-    fn new(stream: TcpStream, server: Arc<Server<H>>) -> Connection<H> {
+impl<S: Service> Connection<S> {
+    fn new(stream: TcpStream, server: Arc<Server<S>>) -> Connection<S> {
         // Without it a short chunk could wait for the acknowledgement of the last.
         let _ = stream.set_nodelay(true);
         Connection { reader: MessageReader::new(stream.clone()), writer: stream, server }
@@ -109,14 +108,16 @@
         let id = new_request_id();
         let mut memory = self.server.budget.reservation();
         match self.read_request(&id, &mut memory).await {
-            Ok((request, persistence)) => self.answer(request, persistence).await,
+            Ok((request, method, persistence)) => {
+                self.answer(&id, request, method, persistence).await
+            }
             Err(Rejection::Gone) => Next::End(End::Abandoned),
             Err(Rejection::Unframed(refusal)) => {
                 self.refuse(&id, &refusal).await;
                 Next::End(End::Answered)
             }
             Err(Rejection::Framed(refusal, method, persistence)) => {
-                let response = refusal_response(&id, &refusal);
+                let response = self.server.service.refuse(&id, &refusal);
                 self.write(&id, response, method, persistence).await
             }
         }
@@ -133,7 +134,7 @@
     }
 
     async fn wait_for_request(&mut self) -> bool {
-        let idle_ms_max = self.server.bounds.idle_ms_max;
+        let idle_ms_max = self.server.service.bounds().idle_ms_max;
         let filled =
             unless(self.server.stop.triggered(), within(idle_ms_max, self.reader.fill())).await;
         let filled = match filled {
@@ -147,13 +148,13 @@
         &mut self,
         id: &Name,
         memory: &mut Reservation,
-    ) -> Result<(CallerRequest, Persistence), Rejection> {
-        let bounds = self.server.bounds;
+    ) -> Result<(S::Request, Method, Persistence), Rejection> {
+        let bounds = self.server.service.bounds();
         let Some(head) = within(bounds.head_ms_max, self.reader.head(bounds.head_bytes_max)).await
         else {
             return Err(too_slow("the head took too long; send it at once"));
         };
-        let head = RequestHead::parse(&head.map_err(|error| rejection(&error))?)
+        let head = RequestHead::parse(&head.map_err(|error| head_rejection(&error))?)
             .map_err(|error| rejection(&error))?;
         check_declared_length(&head, bounds.body_bytes_max)?;
         self.confirm_expectation(&head).await?;
@@ -163,8 +164,8 @@
         };
         let body = body?;
         let (method, persistence) = (head.method, head.persistence);
-        match CallerRequest::new(id.clone(), head, body).await {
-            Ok(request) => Ok((request, persistence)),
+        match self.server.service.read(id.clone(), head, body).await {
+            Ok(request) => Ok((request, method, persistence)),
             Err(refusal) => Err(Rejection::Framed(refusal, method, persistence)),
         }
     }
@@ -189,7 +190,7 @@
         framing: Framing,
         memory: &mut Reservation,
     ) -> Result<Vec<u8>, Rejection> {
-        let body_bytes_max = self.server.bounds.body_bytes_max;
+        let body_bytes_max = self.server.service.bounds().body_bytes_max;
         let mut decoder = BodyDecoder::new(framing);
         let mut body = Vec::new();
         while let Some(chunk) =
@@ -207,17 +208,22 @@
         Ok(body)
     }
 
-    async fn answer(&mut self, request: CallerRequest, persistence: Persistence) -> Next {
-        let (id, method) = (request.id.clone(), request.method);
-        let handled = self.server.handler.handle(request);
-        match unless(hang_up(&mut self.reader), handled).await {
-            Some(response) => self.write(&id, response, method, persistence).await,
+    async fn answer(
+        &mut self,
+        id: &Name,
+        request: S::Request,
+        method: Method,
+        persistence: Persistence,
+    ) -> Next {
+        let answered = self.server.service.answer(request);
+        match unless(hang_up(&mut self.reader), answered).await {
+            Some(response) => self.write(id, response, method, persistence).await,
             None => Next::End(End::Abandoned),
         }
     }
 
     async fn refuse(&mut self, id: &Name, refusal: &Refusal) {
-        let response = refusal_response(id, refusal);
+        let response = self.server.service.refuse(id, refusal);
         self.write(id, response, Method::Get, Persistence::Close).await;
     }
 
@@ -262,7 +268,8 @@
     }
 
     async fn write_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let written = within(self.server.bounds.write_ms_max, self.writer.write_all(bytes)).await;
+        let written =
+            within(self.server.service.bounds().write_ms_max, self.writer.write_all(bytes)).await;
         written.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
@@ -302,6 +309,16 @@
     }
 }
 
+fn head_rejection(error: &Error) -> Rejection {
+    match error.category() {
+        Category::TooLarge => {
+            let refusal = Refusal::not_run(RefusalCode::HeadTooLarge, error.to_string(), None);
+            Rejection::Unframed(refusal)
+        }
+        _ => rejection(error),
+    }
+}
+
 fn rejection(error: &Error) -> Rejection {
     let code = match error.category() {
         Category::Closed | Category::Broken => return Rejection::Gone,
--- a/crates/lycheeford-caller/src/lib.rs
+++ b/crates/lycheeford-caller/src/lib.rs
@@ -7,6 +7,7 @@
 //! The main types:
 //!
 //! - [`Handler`]: what the daemon does with a request.
+//! - [`Service`]: the same for callers whose requests have another form.
 //! - [`CallerRequest`]: a checked request, with the caller's key taken out.
 //! - [`CallerResponse`]: an answer; [`refusal_response`] makes one of a refusal.
 //! - [`chunk_channel`]: the two ends of a streamed body.
@@ -31,7 +32,8 @@
 pub use crate::refusal::refusal_response;
 pub use crate::request::CallerRequest;
 pub use crate::response::{CallerBody, CallerResponse};
-pub use crate::serve::{Handler, serve};
+pub use crate::serve::{Handler, Service, serve, serve_service};
 pub use crate::stop::Stop;
 pub use crate::stream::{ChunkReceiver, ChunkSender, HungUp, chunk_channel};
 pub use http_types::Method;
+pub use lycheeford_http::RequestHead;
--- /dev/null
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -0,0 +1,69 @@
+use std::sync::Arc;
+
+use lycheeford_platform::{Change, Object, Update, WatchEvent, follow};
+use slog::{error, info};
+
+use super::follow_limits;
+use crate::state::State;
+
+/// Keeps the declaration up to date until the future is dropped.
+pub(crate) async fn follow_deployment(state: Arc<State>) {
+    let edge = Arc::clone(&state.edges.store);
+    let (kind, _) = edge.deployment_place();
+    let clock = state.clock;
+    follow(
+        edge.objects(),
+        kind,
+        &follow_limits(),
+        || clock.now(),
+        |update| {
+            take_update(&state, update);
+        },
+    )
+    .await;
+}
+
+fn take_update(state: &State, update: Update) {
+    let (_, name) = state.edges.store.deployment_place();
+    let newest = match update.change {
+        Change::Replace(listing) => listing.object(name).cloned(),
+        Change::Apply(events) => events.into_iter().rev().find_map(|event| match event {
+            WatchEvent::Put(object) if object.name.as_str() == name => Some(object),
+            _ => None,
+        }),
+    };
+    if let Some(object) = newest {
+        adopt(state, &object);
+    }
+    // Whatever was stored before the call began is known now.
+    let known = state.deployment.load().as_ref().map_or(0, |deployment| deployment.revision);
+    let mut confirmation = state.confirmation();
+    if known > 0 && confirmation.revision() <= known {
+        confirmation.confirm(known, update.as_of);
+    }
+}
+
+/// Serves by a declaration if it is newer than the one that is known.
+fn adopt(state: &State, object: &Object) {
+    let known = state.deployment.load().as_ref().map_or(0, |deployment| deployment.revision);
+    if object.version <= known {
+        return;
+    }
+    match state.edges.store.deployment(object) {
+        Ok(deployment) => {
+            info!(state.log, "declaration_adopted";
+                "revision" => deployment.revision, "version" => deployment.version,
+                "routes" => deployment.routes.len(), "customers" => deployment.customers.len());
+            state.metrics.revision.set(deployment.revision);
+            state.deployment.store(Some(Arc::new(deployment)));
+            state.dispatch_waiting();
+            state.wake_planner();
+        }
+        Err(message) => {
+            // Serving on by an older one would honour keys that were withdrawn.
+            state.confirmation().superseded_by(object.version);
+            error!(state.log, "declaration_unreadable";
+                "revision" => object.version, "error" => message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -0,0 +1,110 @@
+use async_std::channel::{Receiver, Sender, bounded};
+use lycheeford_policy::{
+    Chosen, Name, ReportedPlacement, TargetTable, TimeMs, Tried, WaitQueue, Waiting, WantedName,
+};
+
+/// The targets, and the requests that wait for one.
+#[derive(Debug, Default)]
+pub(crate) struct Dispatcher {
+    pub(crate) targets: TargetTable,
+    pub(crate) queue: WaitQueue,
+    /// Sorted by the id of the waiting request.
+    waiters: Vec<(u64, Sender<Chosen>)>,
+    /// Up to which version of which holder's token the placements of adapters are known.
+    pub(crate) placements_known: (u64, u64),
+}
+
+impl Dispatcher {
+    /// Adds a request to the queue; the receiver gets its target, which counts as running then.
+    pub(crate) fn submit(&mut self, now: TimeMs, waiting: Waiting) -> Receiver<Chosen> {
+        let (sender, receiver) = bounded(1);
+        let index = self.waiters.partition_point(|(id, _)| *id < waiting.id);
+        self.waiters.insert(index, (waiting.id, sender));
+        self.queue.push(waiting);
+        self.dispatch(now);
+        receiver
+    }
+
+    /// Gives waiting requests the places that are free now.
+    pub(crate) fn dispatch(&mut self, now: TimeMs) {
+        if self.queue.waiting().is_empty() {
+            return;
+        }
+        for (id, chosen) in self.queue.dispatch(now, &mut self.targets) {
+            let Ok(index) = self.waiters.binary_search_by_key(&id, |(id, _)| *id) else {
+                continue;
+            };
+            let (_, sender) = self.waiters.remove(index);
+            // The receiver lives as long as the request is in the queue.
+            let _ = sender.try_send(chosen);
+        }
+    }
+
+    /// Takes a request out of the queue; one that has a target already isn't in it any more.
+    pub(crate) fn withdraw(&mut self, id: u64) {
+        self.queue.remove(id);
+        if let Ok(index) = self.waiters.binary_search_by_key(&id, |(id, _)| *id) {
+            self.waiters.remove(index);
+        }
+    }
+
+    /// Returns the models and adapters that requests wait for.
+    pub(crate) fn wanted(&mut self, now: TimeMs) -> Vec<WantedName> {
+        let mut wanted: Vec<WantedName> = Vec::new();
+        for waiting in self.queue.waiting() {
+            let Some(model) = &waiting.need.model else { continue };
+            let same = |name: &&mut WantedName| {
+                name.model == *model
+                    && name.adapter == waiting.need.adapter
+                    && name.service == waiting.need.service
+            };
+            let waited_ms = now.since_ms(waiting.arrived_at);
+            match wanted.iter_mut().find(same) {
+                Some(name) => {
+                    name.waiting += 1;
+                    name.oldest_ms = name.oldest_ms.max(waited_ms);
+                    name.priority = name.priority.min(waiting.priority);
+                }
+                None => wanted.push(WantedName {
+                    service: waiting.need.service.clone(),
+                    model: model.clone(),
+                    adapter: waiting.need.adapter.clone(),
+                    waiting: 1,
+                    oldest_ms: waited_ms,
+                    priority: waiting.priority,
+                }),
+            }
+        }
+        wanted
+    }
+
+    /// Takes in the placements that the holder of orders reports, oldest first.
+    pub(crate) fn take_placements(&mut self, token: u64, placements: &[ReportedPlacement]) {
+        if token > self.placements_known.0 {
+            self.placements_known = (token, 0);
+            self.targets.clear_adapters();
+        }
+        if token < self.placements_known.0 {
+            return;
+        }
+        for placement in placements {
+            if placement.version > self.placements_known.1 {
+                self.targets.set_adapter(placement.target, placement.adapter, placement.is_ready);
+                self.placements_known.1 = placement.version;
+            }
+        }
+    }
+
+    /// Returns what choosing a target for a request would find now.
+    pub(crate) fn look(&mut self, now: TimeMs, waiting: &Waiting) -> Tried {
+        self.targets.choose(now, &waiting.need)
+    }
+
+    /// Returns the places of the ready targets of a service, and how many are taken.
+    pub(crate) fn places(&self, service: &Name) -> (u32, u32) {
+        let ready = self.targets.of_service(service).filter(|target| target.is_ready());
+        ready.fold((0, 0), |(slots, running), target| {
+            (slots + target.entry.slots, running + target.running().min(target.entry.slots))
+        })
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -0,0 +1,102 @@
+use std::sync::Arc;
+
+use lycheeford_platform::{Change, Object, Update, WatchEvent, follow};
+use lycheeford_policy::{TargetEntry, TimeMs};
+use slog::{info, warn};
+
+use super::follow_limits;
+use crate::state::State;
+
+/// Beyond this time without an answer the store counts as having been away.
+const AWAY_AFTER_MS: u64 = 2_600;
+
+/// Keeps the targets up to date until the future is dropped.
+pub(crate) async fn follow_targets(state: Arc<State>) {
+    let edge = Arc::clone(&state.edges.store);
+    let clock = state.clock;
+    let mut absence = Absence::default();
+    follow(
+        edge.objects(),
+        edge.target_kind(),
+        &follow_limits(),
+        || clock.now(),
+        |update| {
+            let grace_ms = absence.grace_ms(state.now(), state.settings.entry_return_ms);
+            take_update(&state, update, grace_ms);
+        },
+    )
+    .await;
+}
+
+/// How long the store was away, and since when it is back.
+///
+/// Entries expire while their targets can't reach the store, and are back soon
+/// after it. Dropping them at once would leave a service without targets.
+#[derive(Debug, Default)]
+struct Absence {
+    heard_at: Option<TimeMs>,
+    back_at: Option<TimeMs>,
+}
+
+impl Absence {
+    /// Returns how long a target whose entry is gone is still used.
+    fn grace_ms(&mut self, now: TimeMs, entry_return_ms: u64) -> u64 {
+        if self.heard_at.is_some_and(|at| now.since_ms(at) > AWAY_AFTER_MS) {
+            self.back_at = Some(now);
+        }
+        self.heard_at = Some(now);
+        let back_ms = self.back_at.map(|at| now.since_ms(at));
+        back_ms.map_or(0, |back_ms| entry_return_ms.saturating_sub(back_ms))
+    }
+}
+
+fn take_update(state: &State, update: Update, grace_ms: u64) {
+    let now = state.now();
+    match update.change {
+        Change::Replace(listing) => {
+            let entries = listing.objects.iter().filter_map(|object| read(state, object));
+            let entries: Vec<TargetEntry> = entries.collect();
+            info!(state.log, "targets_listed"; "targets" => entries.len(), "grace_ms" => grace_ms);
+            state.dispatcher().targets.replace(now, entries, grace_ms);
+        }
+        Change::Apply(events) => {
+            for event in events {
+                apply(state, now, &event, grace_ms);
+            }
+        }
+    }
+    state.set_knows_targets();
+    {
+        let mut dispatcher = state.dispatcher();
+        dispatcher.targets.expire(now);
+        state.orders().refresh(&dispatcher.targets);
+    }
+    state.dispatch_waiting();
+    state.wake_planner();
+}
+
+fn apply(state: &State, now: TimeMs, event: &WatchEvent, grace_ms: u64) {
+    match event {
+        WatchEvent::Put(object) => {
+            if let Some(entry) = read(state, object) {
+                state.dispatcher().targets.put(entry);
+            }
+        }
+        WatchEvent::Deleted { name, .. } => {
+            info!(state.log, "target_gone"; "target" => name.as_str(), "grace_ms" => grace_ms);
+            state.dispatcher().targets.gone(now, name, grace_ms);
+        }
+    }
+}
+
+/// Reads an entry; one that names no target is logged and passed over.
+fn read(state: &State, object: &Object) -> Option<TargetEntry> {
+    match state.edges.store.target(object) {
+        Ok(entry) => Some(entry),
+        Err(message) => {
+            warn!(state.log, "target_unreadable";
+                "target" => object.name.as_str(), "revision" => object.version, "error" => message);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -0,0 +1,139 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use lycheeford_platform::{Category, Expect, Listing, Object, PlatformError};
+use lycheeford_policy::{Name, TimeMs};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+
+use crate::state::State;
+
+/// The kind of the objects by which hosts find each other.
+const HOST_KIND: &str = "lycheeford-hosts";
+/// The pause before the next try to register.
+const REGISTER_PAUSE_MS: u64 = 150;
+/// How often the list is read while hosts start.
+const LIST_EARLY_MS: u64 = 700;
+/// How long that goes on.
+const EARLY_MS: u64 = 4_000;
+/// How often the list is read later.
+const LIST_MS: u64 = 5_000;
+/// How long a host must have been silent for its object to be deleted.
+const COLLECT_AFTER_MS: u64 = 20_000;
+
+/// A host as it is stored; nothing in the store expires by itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct StoredHost {
+    incarnation: u64,
+    peer_address: SocketAddr,
+}
+
+/// Registers this host, finds the others and deletes those that are gone.
+pub(crate) async fn keep_hosts(state: Arc<State>) {
+    while let Err(error) = register(&state).await {
+        warn!(state.log, "host_unregistered"; "error" => %error);
+        task::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
+    }
+    info!(state.log, "host_registered"; "incarnation" => state.incarnation);
+    state.set_registered();
+    let started_at = state.now();
+    let mut silent = Silent::default();
+    loop {
+        let listed = state.edges.store.objects().list(HOST_KIND).await;
+        match listed {
+            Ok(listing) => {
+                let strangers = silent.take_listing(&state, &listing);
+                state.set_strangers(strangers);
+                silent.collect(&state, &listing).await;
+            }
+            Err(error) => warn!(state.log, "hosts_unlisted"; "error" => %error),
+        }
+        let is_early = state.now().since_ms(started_at) < EARLY_MS;
+        task::sleep(Duration::from_millis(if is_early { LIST_EARLY_MS } else { LIST_MS })).await;
+    }
+}
+
+async fn register(state: &State) -> Result<(), PlatformError> {
+    let objects = state.edges.store.objects();
+    let stored =
+        StoredHost { incarnation: state.incarnation, peer_address: state.settings.peer_address };
+    let found = objects.get(HOST_KIND, &state.settings.host).await?;
+    let expect = match &found {
+        Some(object) if decode(object).as_ref() == Some(&stored) => return Ok(()),
+        Some(object) => Expect::Version(object.version),
+        None => Expect::Absent,
+    };
+    let value = serde_json::to_value(&stored)
+        .map_err(|error| PlatformError::new(Category::Malformed, error.to_string()))?;
+    objects.put(HOST_KIND, &state.settings.host, value, expect).await.map(|_| ())
+}
+
+/// Deletes this host's object, so that the others needn't find out.
+pub(crate) async fn forget_own_host(state: &State) {
+    let objects = state.edges.store.objects();
+    let Ok(Some(object)) = objects.get(HOST_KIND, &state.settings.host).await else { return };
+    let is_own = decode(&object).is_some_and(|stored| stored.incarnation == state.incarnation);
+    if is_own && let Err(error) = objects.delete(HOST_KIND, &object.name, object.version).await {
+        warn!(state.log, "host_undeleted"; "error" => %error);
+    }
+}
+
+fn decode(object: &Object) -> Option<StoredHost> {
+    serde_json::from_value(object.value.clone()).ok()
+}
+
+/// Since when each listed host has been silent, as far as this host can tell.
+#[derive(Debug, Default)]
+struct Silent {
+    /// The host, the version of its object, and the first listing without a sign of life.
+    since: Vec<(Name, u64, TimeMs)>,
+}
+
+impl Silent {
+    /// Returns where the listed hosts take reports that haven't been heard.
+    fn take_listing(&mut self, state: &State, listing: &Listing) -> Vec<SocketAddr> {
+        let now = state.now();
+        let peers = state.peers();
+        let is_heard = |name: &Name| peers.peer(name).is_some_and(|peer| peer.is_alive(now));
+        let silent: Vec<&Object> = listing
+            .objects
+            .iter()
+            .filter(|object| object.name != state.settings.host && !is_heard(&object.name))
+            .collect();
+        self.since.retain(|(name, version, _)| {
+            silent.iter().any(|object| object.name == *name && object.version == *version)
+        });
+        for object in &silent {
+            let is_known = |(name, _, _): &(Name, u64, TimeMs)| *name == object.name;
+            if !self.since.iter().any(is_known) {
+                self.since.push((object.name.clone(), object.version, now));
+            }
+        }
+        silent.iter().filter_map(|object| decode(object)).map(|host| host.peer_address).collect()
+    }
+
+    /// Deletes the objects of hosts that have been silent for long, if this host gives orders.
+    async fn collect(&mut self, state: &State, listing: &Listing) {
+        let now = state.now();
+        if state.orders().lease.token(now).is_none() {
+            return;
+        }
+        for (name, version, since) in &self.since {
+            let is_listed = listing.object(name).is_some_and(|object| object.version == *version);
+            if !is_listed || now.since_ms(*since) < COLLECT_AFTER_MS {
+                continue;
+            }
+            match state.edges.store.objects().delete(HOST_KIND, name, *version).await {
+                Ok(()) => {
+                    info!(state.log, "host_collected"; "peer" => name.as_str());
+                    state.peers().forget(name);
+                }
+                Err(error) => {
+                    warn!(state.log, "host_undeleted"; "error" => %error);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -0,0 +1,134 @@
+use std::sync::Arc;
+
+use lycheeford_caller::{Bounds, CallerBody, CallerResponse, RequestHead, Service};
+use lycheeford_policy::{Name, PeerState, Refusal, RefusalCode};
+
+use crate::AddressQuestion;
+use crate::state::State;
+
+/// Connections at once to each of these pages.
+const CONNECTIONS_MAX: usize = 256;
+/// The least hosts of a caller's own failure domain that it is sent to alone.
+const NEAR_HOSTS_MIN: usize = 2;
+
+/// Tells callers which addresses to use.
+#[derive(Clone)]
+pub(crate) struct Directory {
+    pub(crate) state: Arc<State>,
+}
+
+impl Service for Directory {
+    type Request = AddressQuestion;
+
+    fn bounds(&self) -> Bounds {
+        small_bounds()
+    }
+
+    async fn read(
+        &self,
+        _id: Name,
+        head: RequestHead,
+        _body: Vec<u8>,
+    ) -> Result<AddressQuestion, Refusal> {
+        self.state.edges.directory.question(&head).ok_or_else(no_page)
+    }
+
+    async fn answer(&self, question: AddressQuestion) -> CallerResponse {
+        let addresses = addresses(&self.state, &question);
+        if addresses.is_empty() {
+            let message = "no host takes callers yet; ask again soon";
+            let refusal = Refusal::not_run(RefusalCode::PlatformUnavailable, message, None);
+            return self.state.edges.caller.refusal(&Name::from(""), &refusal);
+        }
+        self.state.edges.directory.answer(&addresses, self.state.settings.address_keep_ms)
+    }
+
+    fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
+        self.state.edges.caller.refusal(id, refusal)
+    }
+}
+
+/// Returns the addresses of the hosts that take callers, those near the caller if there are some.
+fn addresses(state: &State, question: &AddressQuestion) -> Vec<String> {
+    let now = state.now();
+    let mut hosts: Vec<(Name, String)> = state
+        .peers()
+        .alive(now)
+        .filter(|peer| peer.report.state == PeerState::Ready)
+        .map(|peer| (peer.report.failure_domain.clone(), peer.report.caller_address.to_string()))
+        .collect();
+    if state.standing(now) == PeerState::Ready {
+        let settings = &state.settings;
+        hosts.push((settings.failure_domain.clone(), settings.caller_address.to_string()));
+    }
+    let is_near = |domain: &Name| question.failure_domain.as_ref() == Some(domain);
+    let near = hosts.iter().filter(|(domain, _)| is_near(domain)).count();
+    if near >= NEAR_HOSTS_MIN {
+        hosts.retain(|(domain, _)| is_near(domain));
+    }
+    hosts.into_iter().map(|(_, address)| address).collect()
+}
+
+/// Tells the platform whether this host takes callers.
+#[derive(Clone)]
+pub(crate) struct Readiness {
+    pub(crate) state: Arc<State>,
+}
+
+impl Service for Readiness {
+    type Request = ();
+
+    fn bounds(&self) -> Bounds {
+        small_bounds()
+    }
+
+    async fn read(&self, _id: Name, head: RequestHead, _body: Vec<u8>) -> Result<(), Refusal> {
+        if self.state.edges.directory.asks_readiness(&head) { Ok(()) } else { Err(no_page()) }
+    }
+
+    async fn answer(&self, (): ()) -> CallerResponse {
+        let is_ready = self.state.standing(self.state.now()) == PeerState::Ready;
+        let status = if is_ready { 200 } else { 503 };
+        CallerResponse { status, headers: Vec::new(), body: CallerBody::Whole(Vec::new()) }
+    }
+
+    fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
+        self.state.edges.caller.refusal(id, refusal)
+    }
+}
+
+/// Shows the metrics.
+#[derive(Clone)]
+pub(crate) struct MetricsPage {
+    pub(crate) state: Arc<State>,
+}
+
+impl Service for MetricsPage {
+    type Request = ();
+
+    fn bounds(&self) -> Bounds {
+        small_bounds()
+    }
+
+    async fn read(&self, _id: Name, _head: RequestHead, _body: Vec<u8>) -> Result<(), Refusal> {
+        Ok(())
+    }
+
+    async fn answer(&self, (): ()) -> CallerResponse {
+        let headers = vec![("content-type".to_owned(), "text/plain".to_owned())];
+        let text = self.state.metrics.text();
+        CallerResponse { status: 200, headers, body: CallerBody::Whole(text.into_bytes()) }
+    }
+
+    fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
+        self.state.edges.caller.refusal(id, refusal)
+    }
+}
+
+fn small_bounds() -> Bounds {
+    Bounds { connections_max: CONNECTIONS_MAX, ..Bounds::default() }
+}
+
+fn no_page() -> Refusal {
+    Refusal::not_run(RefusalCode::NotFound, "no such page; correct the URL", None)
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -0,0 +1,133 @@
+use std::sync::atomic::AtomicU64;
+
+use lycheeford_policy::{Name, RefusalCode};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::OrderedName;
+
+/// The smallest bucket of every histogram, in milliseconds.
+const BUCKET_MS_MIN: f64 = 4.0;
+/// The ratio of one bucket to the one before.
+const BUCKET_RATIO: f64 = 2.0;
+/// Buckets of every histogram, up to half a minute.
+const BUCKETS: u16 = 14;
+
+/// A customer and the rank of its requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CustomerLabels {
+    customer: String,
+    priority: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderLabels {
+    order: &'static str,
+    outcome: &'static str,
+}
+
+type Histograms = Family<CustomerLabels, Histogram, fn() -> Histogram>;
+
+/// Everything that the metrics page shows; docs/OPERATIONS.md explains each.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    answered: Histograms,
+    first_event: Histograms,
+    refused: Family<ReasonLabels, Counter>,
+    attempts: Family<OutcomeLabels, Counter>,
+    orders: Family<OrderLabels, Counter>,
+    pub(crate) revision: Gauge<u64, AtomicU64>,
+    pub(crate) holds_orders: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("lycheeford_gateway"),
+            answered: Family::new_with_constructor(histogram),
+            first_event: Family::new_with_constructor(histogram),
+            refused: Family::default(),
+            attempts: Family::default(),
+            orders: Family::default(),
+            revision: Gauge::default(),
+            holds_orders: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Returns the metrics in the text format of Prometheus.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    pub(crate) fn answered(&self, customer: Option<&Name>, priority: u8, total_ms: u64) {
+        self.answered.get_or_create(&labels(customer, priority)).observe(total_ms as f64);
+    }
+
+    pub(crate) fn first_event(&self, customer: Option<&Name>, priority: u8, first_ms: u64) {
+        self.first_event.get_or_create(&labels(customer, priority)).observe(first_ms as f64);
+    }
+
+    pub(crate) fn refused(&self, code: RefusalCode) {
+        let reason = serde_json::to_value(code).unwrap_or_default();
+        let reason = reason.as_str().unwrap_or("unknown").to_owned();
+        self.refused.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    pub(crate) fn attempt(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    pub(crate) fn order(&self, name: &OrderedName, is_accepted: bool) {
+        let order = match name {
+            OrderedName::Load(_) => "load",
+            OrderedName::Unload(_) => "unload",
+        };
+        let outcome = if is_accepted { "accepted" } else { "other" };
+        self.orders.get_or_create(&OrderLabels { order, outcome }).inc();
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answered_ms", "Time to the end of an answer", self.answered.clone());
+        registry.register("first_event_ms", "Time to the first event", self.first_event.clone());
+        registry.register("refused", "Refusals by reason", self.refused.clone());
+        registry.register("attempts", "Attempts that gave no answer", self.attempts.clone());
+        registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register("revision", "The declaration in force", self.revision.clone());
+        registry.register(
+            "holds_orders",
+            "Whether this host gives orders to engines",
+            self.holds_orders.clone(),
+        );
+    }
+}
+
+fn labels(customer: Option<&Name>, priority: u8) -> CustomerLabels {
+    let customer = customer.map_or("", |name| name.as_str()).to_owned();
+    CustomerLabels { customer, priority: u32::from(priority) }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(BUCKET_MS_MIN, BUCKET_RATIO, BUCKETS))
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -0,0 +1,129 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use lycheeford_platform::{Category, Expect, Object};
+use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, Name, PeerState, rendezvous_rank};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+
+use crate::state::State;
+
+/// The kind and the name of the lease in the store.
+const LEASE_KIND: &str = "lycheeford-leases";
+const LEASE_NAME: &str = "engine-orders";
+/// How often the lease is looked at.
+const TICK_MS: u64 = 40;
+
+/// The lease as it is stored.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredLease {
+    holder: Name,
+    incarnation: u64,
+    renewals: u64,
+    is_settled: bool,
+}
+
+impl From<LeaseRecord> for StoredLease {
+    fn from(record: LeaseRecord) -> StoredLease {
+        let LeaseRecord { holder, incarnation, renewals, is_settled } = record;
+        StoredLease { holder, incarnation, renewals, is_settled }
+    }
+}
+
+impl From<StoredLease> for LeaseRecord {
+    fn from(stored: StoredLease) -> LeaseRecord {
+        let StoredLease { holder, incarnation, renewals, is_settled } = stored;
+        LeaseRecord { holder, incarnation, renewals, is_settled }
+    }
+}
+
+/// Takes, keeps and gives up the lease on orders until the future is dropped.
+pub(crate) async fn keep_lease(state: Arc<State>) {
+    let mut held = false;
+    loop {
+        task::sleep(Duration::from_millis(TICK_MS)).await;
+        let now = state.now();
+        if state.is_draining() {
+            continue;
+        }
+        let rank = rank(&state);
+        let step = {
+            let mut orders = state.orders();
+            let step = orders.lease.next(now, rank);
+            orders.lease.asked(now, &step);
+            step
+        };
+        match step {
+            LeaseStep::Idle => {}
+            LeaseStep::Read => read(&state).await,
+            LeaseStep::Write { expect, record } => write(&state, expect, record).await,
+        }
+        let holds = state.orders().lease.token(state.now()).is_some();
+        if holds != held {
+            held = holds;
+            info!(state.log, "orders_held"; "holds" => holds);
+            state.metrics.holds_orders.set(i64::from(holds));
+            state.wake_planner();
+        }
+    }
+}
+
+/// Returns this host's place among those that could take the lease over.
+fn rank(state: &State) -> u64 {
+    let now = state.now();
+    let mut hosts: Vec<Name> = state
+        .peers()
+        .alive(now)
+        .filter(|peer| peer.report.state == PeerState::Ready)
+        .map(|peer| peer.report.host.clone())
+        .collect();
+    hosts.push(state.settings.host.clone());
+    let ranked = rendezvous_rank(LEASE_NAME, &hosts);
+    ranked.iter().position(|host| **host == state.settings.host).unwrap_or_default() as u64
+}
+
+async fn read(state: &State) {
+    let found = state.edges.store.objects().get(LEASE_KIND, LEASE_NAME).await;
+    let now = state.now();
+    match found {
+        Ok(None) => state.orders().lease.read_found(now, None),
+        Ok(Some(object)) => match decode(&object) {
+            Some(record) => {
+                state.orders().lease.read_found(now, Some((object.version, record)));
+            }
+            None => warn!(state.log, "lease_unreadable"; "revision" => object.version),
+        },
+        Err(error) => warn!(state.log, "lease_unread"; "error" => %error),
+    }
+}
+
+async fn write(state: &State, expect: LeaseExpect, record: LeaseRecord) {
+    let expect = match expect {
+        LeaseExpect::Absent => Expect::Absent,
+        LeaseExpect::Revision(revision) => Expect::Version(revision),
+    };
+    let value = match serde_json::to_value(StoredLease::from(record)) {
+        Ok(value) => value,
+        Err(error) => {
+            warn!(state.log, "lease_unwritten"; "error" => %error);
+            return state.orders().lease.not_written();
+        }
+    };
+    let written = state.edges.store.objects().put(LEASE_KIND, LEASE_NAME, value, expect).await;
+    let now = state.now();
+    let mut orders = state.orders();
+    match written {
+        Ok(revision) => orders.lease.written(now, revision),
+        Err(error) => {
+            if error.category() != Category::Conflict {
+                warn!(state.log, "lease_unwritten"; "error" => %error);
+            }
+            orders.lease.not_written();
+        }
+    }
+}
+
+fn decode(object: &Object) -> Option<LeaseRecord> {
+    serde_json::from_value::<StoredLease>(object.value.clone()).ok().map(LeaseRecord::from)
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/orders/mod.rs
@@ -0,0 +1,10 @@
+//! Which host gives orders to the engines, what it orders, and what became of each order.
+
+mod book;
+mod lease_task;
+mod plan_task;
+mod send;
+
+pub(crate) use self::book::Orders;
+pub(crate) use self::lease_task::keep_lease;
+pub(crate) use self::plan_task::plan_orders;
--- /dev/null
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -0,0 +1,286 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use lycheeford_policy::{
+    AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, EngineLimits, EngineModel,
+    EngineOperation, EngineView, ModelDemand, Name, ResidentView, ShortKey, SwapAction, SwapOrder,
+    Target, TargetEntry, TargetService, TimeMs, WantedName,
+};
+
+use super::send::{Planned, ask, send};
+use crate::state::State;
+use crate::{ModelName, OrderedName};
+
+/// How often orders are planned without a reason.
+const PLAN_MS: u64 = 60;
+/// How much longer than planned a load may take before the engine is asked.
+const LOAD_SLACK_MS: u64 = 700;
+/// How long an unload may take before the engine is asked; it waits for its runs.
+const UNLOAD_MS_MAX: u64 = 1_500;
+
+/// Plans and gives orders while this host may, until the future is dropped.
+pub(crate) async fn plan_orders(state: Arc<State>) {
+    loop {
+        // Either way it is time to plan.
+        let _ = timeout(Duration::from_millis(PLAN_MS), state.plan_due.1.recv()).await;
+        plan(&state);
+    }
+}
+
+fn plan(state: &Arc<State>) {
+    let now = state.now();
+    if state.orders().token(now).is_none() {
+        return;
+    }
+    let Some(deployment) = state.deployment.load_full() else { return };
+    for service in &deployment.services {
+        if let Some(limits) = &service.engine {
+            plan_service(state, now, service, limits);
+        }
+    }
+    if state.orders().adapters.announce(now) {
+        // Waiting requests can go on where the adapter is ready.
+        crate::membership::apply_own_placements(state);
+        state.wake_wants();
+    }
+}
+
+fn plan_service(state: &Arc<State>, now: TimeMs, service: &TargetService, limits: &EngineLimits) {
+    let wanted = wanted(state, now, service, limits);
+    let (planned, questions) = {
+        let dispatcher = state.dispatcher();
+        let mut orders = state.orders();
+        let engines: Vec<&Target> = dispatcher.targets.of_service(&service.name).collect();
+        let mut questions = Vec::new();
+        let mut views = Vec::new();
+        for target in &engines {
+            let held_mb = adapters_mb(&orders.adapters, limits, &target.entry.id);
+            let book = orders.book(now, &target.entry.id, target.entry.life);
+            if book.is_question_due(now) && target.is_usable(now) {
+                book.is_busy_here = true;
+                questions.push(Planned::question(&target.entry));
+            }
+            let operation = book.planned_operation();
+            views.push(engine_view(now, limits, target, operation, held_mb));
+        }
+        let running = dispatcher.targets.running_by_model(&service.name);
+        let demands = demands(state, now, limits, &wanted, &running, &views);
+        let slots = engines.iter().map(|target| target.entry.slots).min().unwrap_or(1);
+        let swaps = orders.planner(now, &service.name).plan(now, limits, slots, &views, &demands);
+        let mut planned = Vec::new();
+        for swap in swaps {
+            let entry = dispatcher.targets.target(&swap.engine).map(|target| &target.entry);
+            let Some(entry) = entry else { continue };
+            let book = orders.book(now, &swap.engine, entry.life);
+            book.is_busy_here = true;
+            planned.push(swap_order(now, entry, &swap));
+        }
+        for want in wanted.iter().filter_map(adapter_want) {
+            let Some(model) = limits.model(&want.model) else { continue };
+            let usable = adapter_engines(&mut orders, now, &engines, &views, &want);
+            let step =
+                orders.adapters.plan(now, &want, &usable, limits.adapters_max, model.adapter_mb);
+            let Some((engine, step)) = step else { continue };
+            let entry = dispatcher.targets.target(&engine).map(|target| &target.entry);
+            let Some(entry) = entry else { continue };
+            orders.book(now, &engine, entry.life).is_busy_here = true;
+            planned.push(adapter_order(entry, want, step));
+        }
+        (planned, questions)
+    };
+    for question in questions {
+        task::spawn(ask(Arc::clone(state), question));
+    }
+    for order in planned {
+        task::spawn(send(Arc::clone(state), order));
+    }
+}
+
+/// Returns what requests wait for here and at the other hosts.
+fn wanted(
+    state: &State,
+    now: TimeMs,
+    service: &TargetService,
+    limits: &EngineLimits,
+) -> Vec<WantedName> {
+    let mut wanted = state.dispatcher().wanted(now);
+    for peer in state.peers().alive(now) {
+        let late_ms = now.since_ms(peer.heard_at);
+        for name in &peer.report.wanted {
+            let name = WantedName { oldest_ms: name.oldest_ms + late_ms, ..name.clone() };
+            merge(&mut wanted, name);
+        }
+    }
+    wanted.retain(|name| {
+        name.service == service.name
+            && limits.model(&name.model).is_some_and(|model| has_adapter(model, name))
+    });
+    wanted.sort_by_key(|name| (name.priority, std::cmp::Reverse(name.oldest_ms)));
+    wanted
+}
+
+fn merge(wanted: &mut Vec<WantedName>, name: WantedName) {
+    let same = |other: &&mut WantedName| {
+        other.service == name.service && other.model == name.model && other.adapter == name.adapter
+    };
+    match wanted.iter_mut().find(same) {
+        Some(known) => {
+            known.waiting += name.waiting;
+            known.oldest_ms = known.oldest_ms.max(name.oldest_ms);
+            known.priority = known.priority.min(name.priority);
+        }
+        None => wanted.push(name),
+    }
+}
+
+/// Returns whether the adapter that is wanted exists, if one is.
+fn has_adapter(model: &EngineModel, name: &WantedName) -> bool {
+    name.adapter.is_none() || model.adapters > 0
+}
+
+fn engine_view(
+    now: TimeMs,
+    limits: &EngineLimits,
+    target: &Target,
+    operation: Option<EngineOperation>,
+    adapters_mb: u64,
+) -> EngineView {
+    let size_mb = |name: &Name| match limits.model(name) {
+        Some(model) => model.weights_mb,
+        // A model that is no longer declared takes at most as much as the largest.
+        None => limits.models.iter().map(|model| model.weights_mb).max().unwrap_or_default(),
+    };
+    let residents: Vec<ResidentView> = target
+        .entry
+        .residency
+        .models
+        .iter()
+        .map(|resident| ResidentView {
+            model: resident.name.clone(),
+            weights_mb: size_mb(&resident.name),
+            running: target.running_model(ShortKey::of(&resident.name)),
+        })
+        .collect();
+    let resident_mb: u64 = residents.iter().map(|resident| resident.weights_mb).sum();
+    let coming_mb = match &operation {
+        Some(EngineOperation::Load(model)) if target.entry.residency.model(model).is_none() => {
+            size_mb(model)
+        }
+        _ => 0,
+    };
+    EngineView {
+        id: target.entry.id.clone(),
+        is_ready: target.is_ready() && target.is_usable(now),
+        free_mb: limits.weights_mb.saturating_sub(resident_mb + coming_mb + adapters_mb),
+        crowd: target.crowd(),
+        residents,
+        in_memory: target.entry.residency.in_memory.clone(),
+        on_disk: target.entry.residency.on_disk.clone(),
+        operation,
+    }
+}
+
+/// Returns the memory that the adapters at an engine take.
+fn adapters_mb(adapters: &AdapterPlanner, limits: &EngineLimits, engine: &Name) -> u64 {
+    let size_mb =
+        |want: &AdapterWant| limits.model(&want.model).map_or(0, |model| model.adapter_mb);
+    adapters.held_at(engine).map(size_mb).sum()
+}
+
+fn demands(
+    state: &State,
+    now: TimeMs,
+    limits: &EngineLimits,
+    wanted: &[WantedName],
+    running: &[(ShortKey, u32)],
+    views: &[EngineView],
+) -> Vec<ModelDemand> {
+    let demand = state.demand();
+    let is_held = |model: &EngineModel| {
+        views.iter().any(|view| view.residents.iter().any(|held| held.model == model.name))
+    };
+    let of_model = |model: &EngineModel| {
+        let key = ShortKey::of(&model.name);
+        let names = wanted.iter().filter(|name| name.model == model.name);
+        let (waiting, oldest_ms, priority) =
+            names.fold((0, 0, u8::MAX), |(waiting, oldest_ms, priority), name| {
+                (waiting + name.waiting, oldest_ms.max(name.oldest_ms), priority.min(name.priority))
+            });
+        let asked_at = demand.asked_at(key);
+        if waiting == 0 && asked_at.is_none() && !is_held(model) {
+            return None;
+        }
+        let found = running.binary_search_by_key(&key, |(key, _)| *key);
+        Some(ModelDemand {
+            model: model.name.clone(),
+            waiting,
+            oldest_ms,
+            priority,
+            rate_per_s: demand.rate_per_s(now, key),
+            running: found.map_or(0, |index| running[index].1),
+            asked_at: asked_at.unwrap_or_default(),
+        })
+    };
+    limits.models.iter().filter_map(of_model).collect()
+}
+
+fn swap_order(now: TimeMs, entry: &TargetEntry, swap: &SwapOrder) -> Planned {
+    match &swap.action {
+        SwapAction::Load { model, load_ms } => {
+            let name = ModelName { model: model.clone(), adapter: None };
+            let operation = EngineOperation::Load(model.clone());
+            let due_at = now + *load_ms + load_ms / 2 + LOAD_SLACK_MS;
+            Planned::order(entry, OrderedName::Load(name), Some((operation, due_at)))
+        }
+        SwapAction::Unload { model, room_for } => {
+            let name = ModelName { model: model.clone(), adapter: None };
+            let operation =
+                EngineOperation::Unload { model: model.clone(), room_for: room_for.clone() };
+            let due_at = now + UNLOAD_MS_MAX;
+            Planned::order(entry, OrderedName::Unload(name), Some((operation, due_at)))
+        }
+    }
+}
+
+fn adapter_want(name: &WantedName) -> Option<AdapterWant> {
+    let adapter = name.adapter.clone()?;
+    Some(AdapterWant { model: name.model.clone(), adapter })
+}
+
+/// Returns the engines that hold the model of an adapter and may get an order.
+fn adapter_engines(
+    orders: &mut super::Orders,
+    now: TimeMs,
+    engines: &[&Target],
+    views: &[EngineView],
+    want: &AdapterWant,
+) -> Vec<AdapterEngine> {
+    let mut usable = Vec::new();
+    for (target, view) in engines.iter().zip(views) {
+        let holds = target.entry.residency.model(&want.model).is_some();
+        let book = orders.book(now, &target.entry.id, target.entry.life);
+        let is_going = matches!(
+            &book.operation,
+            Some((EngineOperation::Unload { model, .. }, _)) if *model == want.model
+        );
+        let may_order = !book.is_busy_here && book.ask_at.is_none();
+        if view.is_ready && holds && may_order && !is_going {
+            usable.push(AdapterEngine {
+                id: view.id.clone(),
+                free_mb: view.free_mb,
+                crowd: view.crowd,
+            });
+        }
+    }
+    usable
+}
+
+fn adapter_order(entry: &TargetEntry, want: AdapterWant, step: AdapterStep) -> Planned {
+    let name = |want: AdapterWant| ModelName { model: want.model, adapter: Some(want.adapter) };
+    match step {
+        AdapterStep::Load => Planned::order(entry, OrderedName::Load(name(want)), None),
+        AdapterStep::Unload(other) => Planned::order(entry, OrderedName::Unload(name(other)), None),
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -0,0 +1,207 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use lycheeford_policy::{
+    AdapterWant, Chosen, EngineOperation, Name, TargetEntry, TargetFailure, TimeMs,
+};
+use lycheeford_target::{TargetError, TargetRequest};
+use slog::{info, warn};
+
+use crate::state::{ANSWER_BYTES_MAX, State};
+use crate::{EngineOrder, EngineReport, OrderAnswer, OrderedName};
+
+/// How long an engine may take to answer an order or a question.
+const ANSWER_MS_MAX: u64 = 900;
+/// How much an engine's report lags behind what it has done.
+const REPORT_LAG_MS: u64 = 300;
+/// The pause before an engine that doesn't answer is asked again.
+const SILENT_PAUSE_MS: u64 = 600;
+
+/// An order or a question for one life of an engine.
+#[derive(Debug)]
+pub(super) struct Planned {
+    engine: Name,
+    life: u64,
+    address: SocketAddr,
+    name: Option<OrderedName>,
+    operation: Option<(EngineOperation, TimeMs)>,
+}
+
+impl Planned {
+    pub(super) fn order(
+        entry: &TargetEntry,
+        name: OrderedName,
+        operation: Option<(EngineOperation, TimeMs)>,
+    ) -> Planned {
+        Planned { name: Some(name), operation, ..Planned::question(entry) }
+    }
+
+    pub(super) fn question(entry: &TargetEntry) -> Planned {
+        Planned {
+            engine: entry.id.clone(),
+            life: entry.life,
+            address: entry.address,
+            name: None,
+            operation: None,
+        }
+    }
+
+    fn chosen(&self) -> Chosen {
+        Chosen { id: self.engine.clone(), life: self.life, address: self.address, running: 0 }
+    }
+}
+
+/// How an order ended as far as its sender can tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Answered(OrderAnswer),
+    /// It wasn't sent.
+    NotSent,
+    /// It may be carried out, now or later.
+    Unknown,
+}
+
+/// Sends an order once and notes what came of it.
+pub(super) async fn send(state: Arc<State>, planned: Planned) {
+    let Some(name) = planned.name.clone() else { return };
+    let outcome = send_once(&state, &planned, &name).await;
+    info!(state.log, "order";
+        "target" => planned.engine.as_str(), "order" => ?name, "outcome" => ?outcome);
+    state.metrics.order(&name, outcome == Outcome::Answered(OrderAnswer::Accepted));
+    note(&state, planned, name, outcome);
+    state.wake_planner();
+}
+
+async fn send_once(state: &State, planned: &Planned, name: &OrderedName) -> Outcome {
+    let order = {
+        // The lease is checked last, since a suspended host may wake up anywhere.
+        let mut orders = state.orders();
+        let Some(token) = orders.token(state.now()) else { return Outcome::NotSent };
+        let Some(book) = orders.known(&planned.engine, planned.life) else {
+            return Outcome::NotSent;
+        };
+        EngineOrder {
+            target: planned.engine.clone(),
+            name: name.clone(),
+            expected_sequence: book.sequence,
+            holder: state.settings.host.clone(),
+            token,
+        }
+    };
+    let request = state.edges.target.order(&order);
+    match call(state, planned.address, &request).await {
+        Ok((status, _)) => Outcome::Answered(state.edges.target.order_answer(status)),
+        Err(Some(error)) if !error.may_have_run() => {
+            let failure = TargetFailure::Unreachable;
+            state.dispatcher().targets.failed(state.now(), &planned.chosen(), failure);
+            Outcome::NotSent
+        }
+        Err(_) => Outcome::Unknown,
+    }
+}
+
+fn note(state: &State, planned: Planned, name: OrderedName, outcome: Outcome) {
+    let now = state.now();
+    if outcome == Outcome::Answered(OrderAnswer::OtherTarget) {
+        state.dispatcher().targets.misdirected(&planned.chosen());
+    }
+    let mut orders = state.orders();
+    let Some(book) = orders.known(&planned.engine, planned.life) else { return };
+    book.is_busy_here = false;
+    match outcome {
+        Outcome::Answered(OrderAnswer::Accepted) => {
+            book.sequence += 1;
+            book.operation = planned.operation;
+        }
+        Outcome::Answered(OrderAnswer::Holds) => {
+            // Whether it counted isn't known; a wrong guess is answered by a conflict.
+            if matches!(&name, OrderedName::Unload(unloaded) if unloaded.adapter.is_some()) {
+                book.sequence += 1;
+            }
+        }
+        Outcome::NotSent => return,
+        Outcome::Answered(_) | Outcome::Unknown => {
+            book.ask_at = Some(now + REPORT_LAG_MS);
+            return;
+        }
+    }
+    match &name {
+        OrderedName::Load(loaded) => {
+            if let Some(adapter) = &loaded.adapter {
+                let want = AdapterWant { model: loaded.model.clone(), adapter: adapter.clone() };
+                orders.adapters.ordered(now, &planned.engine, &want);
+            }
+        }
+        OrderedName::Unload(unloaded) => {
+            if let Some(adapter) = &unloaded.adapter {
+                let want = AdapterWant { model: unloaded.model.clone(), adapter: adapter.clone() };
+                orders.adapters.dropped(&planned.engine, &want);
+            }
+        }
+    }
+}
+
+/// Asks an engine what it does and holds.
+pub(super) async fn ask(state: Arc<State>, planned: Planned) {
+    let request = state.edges.target.report(&planned.engine);
+    let report = match call(&state, planned.address, &request).await {
+        Ok((200, body)) => state.edges.target.read_report(&body),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(Some(error)) => Err(error.to_string()),
+        Err(None) => Err("no answer in time".to_owned()),
+    };
+    let now = state.now();
+    let mut orders = state.orders();
+    let Some(book) = orders.known(&planned.engine, planned.life) else { return };
+    book.is_busy_here = false;
+    match report {
+        Err(message) => {
+            warn!(state.log, "engine_unreported";
+                "target" => planned.engine.as_str(), "error" => message);
+            book.ask_at = Some(now + SILENT_PAUSE_MS);
+        }
+        Ok(report) if report.sequence < book.sequence => {
+            // The report is older than the last order that the engine took.
+            book.ask_at = Some(now + REPORT_LAG_MS);
+        }
+        Ok(report) => {
+            book.sequence = report.sequence;
+            book.ask_at = report.is_busy.then_some(now + REPORT_LAG_MS);
+            book.operation = None;
+            orders.adapters.reported(now, &planned.engine, &held_adapters(&report));
+        }
+    }
+    drop(orders);
+    state.wake_planner();
+}
+
+fn held_adapters(report: &EngineReport) -> Vec<AdapterWant> {
+    let of_model = |model: &lycheeford_policy::ResidentModel| {
+        let name = model.name.clone();
+        let wants = model
+            .adapters
+            .iter()
+            .map(move |adapter| AdapterWant { model: name.clone(), adapter: adapter.clone() });
+        wants.collect::<Vec<_>>()
+    };
+    report.residency.models.iter().flat_map(of_model).collect()
+}
+
+/// Calls an engine and reads the whole answer, or fails after a short time.
+async fn call(
+    state: &State,
+    address: SocketAddr,
+    request: &TargetRequest,
+) -> Result<(u16, Vec<u8>), Option<TargetError>> {
+    let exchange = async {
+        let response = state.targets.call(address, request).await?;
+        let status = response.status;
+        Ok((status, response.body.whole(ANSWER_BYTES_MAX).await?))
+    };
+    match timeout(Duration::from_millis(ANSWER_MS_MAX), exchange).await {
+        Ok(result) => result.map_err(Some),
+        Err(_) => Err(None),
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -0,0 +1,206 @@
+use std::sync::Arc;
+
+use lycheeford_policy::{
+    CrashVerdict, Deployment, Name, Need, RatedCustomer, Refusal, RefusalCode, ServiceRoute,
+    ShortKey, TimeMs,
+};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::rates::Charge;
+use crate::GatewayRequest;
+use crate::state::State;
+
+/// When a caller should come back to a host that doesn't know enough yet.
+const STARTING_RETRY_MS: u64 = 500;
+/// The longest wait that a customer over its rate is told.
+const OVER_RATE_RETRY_MS_MAX: u64 = 5_000;
+/// Prompt tokens that an engine reads in a millisecond, for what a cached prompt saves.
+const PROMPT_TOKENS_PER_MS: u64 = 38;
+/// Shared tokens below which no target is preferred for them.
+const SHARED_TOKENS_MIN: u64 = 512;
+
+/// A request that may run, with all that decides how.
+pub(super) struct Admitted {
+    pub(super) request: GatewayRequest,
+    pub(super) route: ServiceRoute,
+    pub(super) customer: Option<Name>,
+    pub(super) priority: u8,
+    pub(super) need: Need,
+    pub(super) charge: Option<Charge>,
+    /// Tells the same request of the same customer again.
+    pub(super) fingerprint: u64,
+    pub(super) arrived_at: TimeMs,
+    /// When the caller stops waiting.
+    pub(super) deadline_at: TimeMs,
+    /// When the request gets its final answer, whatever it is.
+    pub(super) final_at: TimeMs,
+    /// The revision of the declaration that admitted it.
+    pub(super) revision: u64,
+}
+
+/// Decides whether a request may run and what it needs.
+///
+/// # Errors
+///
+/// Refuses a request without a route, without a good key, over its customer's
+/// rate, or that has crashed targets.
+pub(super) fn admit(
+    state: &Arc<State>,
+    request: GatewayRequest,
+    arrived_at: TimeMs,
+) -> Result<Admitted, Refusal> {
+    let Some(deployment) = state.deployment.load_full() else {
+        return Err(starting("this host has no declaration yet; come back soon"));
+    };
+    let host = host_without_port(&request.host);
+    let Some(route) = deployment.route(&host, &request.path).cloned() else {
+        return Err(not_found(&request));
+    };
+    let customer = customer(state, &deployment, &route, &request, arrived_at)?;
+    let fingerprint = fingerprint(&request, customer.map(|customer| &customer.name));
+    refuse_suspect(state, fingerprint)?;
+    let Some(service) = route.service(xxh3_64(request.id.as_bytes())).cloned() else {
+        return Err(not_found(&request));
+    };
+    let tokens = request.tokens.map(|(prompt, output)| prompt + output);
+    let rate = customer.and_then(|customer| customer.rate.as_ref().map(|rate| (customer, rate)));
+    let charge = match rate {
+        Some((customer, rate)) => Some(
+            Charge::take(state, &customer.name, rate, tokens)
+                .map_err(|wait_ms| over_rate(wait_ms))?,
+        ),
+        None => None,
+    };
+    let engine = deployment.service(&service).and_then(|service| service.engine.as_ref());
+    let need = Need {
+        service,
+        model: request.model.as_ref().filter(|_| engine.is_some()).map(|name| name.model.clone()),
+        adapter: request
+            .model
+            .as_ref()
+            .filter(|_| engine.is_some())
+            .and_then(|name| name.adapter.clone()),
+        tokens: tokens.unwrap_or_default(),
+        cache_tokens_max: engine.map(|engine| engine.cache_tokens),
+        failure_domain: state.settings.failure_domain.clone(),
+        affinity: affinity(&request),
+        objective_ms: route.objective_ms,
+        excluded: Vec::new(),
+    };
+    count_demand(state, arrived_at, &need);
+    let deadline_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
+    let customer_priority = customer.and_then(|customer| customer.priority);
+    Ok(Admitted {
+        priority: customer_priority.unwrap_or(route.priority),
+        customer: customer.map(|customer| customer.name.clone()),
+        need,
+        charge,
+        fingerprint,
+        arrived_at,
+        deadline_at: arrived_at + deadline_ms,
+        final_at: arrived_at + deadline_ms.min(route.timeout_ms),
+        revision: deployment.revision,
+        request,
+        route,
+    })
+}
+
+impl Admitted {
+    /// Refuses a request whose key was withdrawn while it waited, or can't be judged any more.
+    pub(super) fn recheck(&mut self, state: &State) -> Result<(), Refusal> {
+        let Some(deployment) = state.deployment.load_full() else { return Ok(()) };
+        if deployment.revision == self.revision || self.route.is_open {
+            return Ok(());
+        }
+        self.revision = deployment.revision;
+        customer(state, &deployment, &self.route, &self.request, state.now()).map(|_| ())
+    }
+}
+
+fn customer<'a>(
+    state: &State,
+    deployment: &'a Deployment,
+    route: &ServiceRoute,
+    request: &GatewayRequest,
+    now: TimeMs,
+) -> Result<Option<&'a RatedCustomer>, Refusal> {
+    if route.is_open || (deployment.customers.is_empty() && deployment.keys.is_empty()) {
+        return Ok(None);
+    }
+    if !state.is_confirmed(now) {
+        return Err(Refusal::not_run(
+            RefusalCode::ConfigurationStale,
+            "this host can't confirm that keys are current; try another host",
+            Some(STARTING_RETRY_MS),
+        ));
+    }
+    let holder = request.key.as_ref().and_then(|key| deployment.key_holder(key.as_str()));
+    holder.map(Some).ok_or_else(|| {
+        let message = "the key is missing, unknown or withdrawn; ask for a new one";
+        Refusal::not_run(RefusalCode::BadKey, message, None)
+    })
+}
+
+fn refuse_suspect(state: &State, fingerprint: u64) -> Result<(), Refusal> {
+    if state.suspects().verdict(fingerprint) != CrashVerdict::Refuse {
+        return Ok(());
+    }
+    let message = "targets died each time this request ran; change the request";
+    Err(Refusal::not_run(RefusalCode::CrashSuspect, message, None))
+}
+
+fn host_without_port(host: &str) -> String {
+    let host = host.split_once(':').map_or(host, |(host, _)| host);
+    host.to_ascii_lowercase()
+}
+
+fn fingerprint(request: &GatewayRequest, customer: Option<&Name>) -> u64 {
+    let customer = customer.map_or(0, |customer| xxh3_64(customer.as_bytes()));
+    let path = xxh3_64_with_seed(request.path_and_query.as_bytes(), customer);
+    xxh3_64_with_seed(&request.body, path)
+}
+
+/// Returns a hash of the prompt's shared parts, and what having read them saves.
+fn affinity(request: &GatewayRequest) -> Option<(u64, u64)> {
+    let (_, shared) = request.prompt.split_last()?;
+    let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
+    if tokens < SHARED_TOKENS_MIN {
+        return None;
+    }
+    let hash = shared.iter().fold(0, |hash, part| xxh3_64_with_seed(&part.id.to_le_bytes(), hash));
+    Some((hash, tokens / PROMPT_TOKENS_PER_MS))
+}
+
+fn count_demand(state: &State, now: TimeMs, need: &Need) {
+    let Some(model) = &need.model else { return };
+    let model_key = ShortKey::of(model);
+    let adapter_key = need.adapter.as_ref().map(|adapter| ShortKey::of_adapter(model, adapter));
+    {
+        let mut demand = state.demand();
+        demand.asked(now, model_key, 1);
+    }
+    let mut rates = state.rates();
+    rates.ask(now, model_key);
+    if let Some(adapter_key) = adapter_key {
+        rates.ask(now, adapter_key);
+    }
+    drop(rates);
+    if let Some(adapter_key) = adapter_key {
+        state.orders().adapters.used(now, adapter_key);
+    }
+}
+
+fn starting(message: &str) -> Refusal {
+    Refusal::not_run(RefusalCode::PlatformUnavailable, message, Some(STARTING_RETRY_MS))
+}
+
+fn not_found(request: &GatewayRequest) -> Refusal {
+    let message = format!("no route for {} at {}; correct the URL", request.path, request.host);
+    Refusal::not_run(RefusalCode::NotFound, message, None)
+}
+
+fn over_rate(wait_ms: u64) -> Refusal {
+    let message = "the customer is over its rate; send less or come back later";
+    let wait_ms = wait_ms.min(OVER_RATE_RETRY_MS_MAX);
+    Refusal::not_run(RefusalCode::OverRate, message, Some(wait_ms))
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -0,0 +1,80 @@
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use lycheeford_caller::{CallerBody, CallerResponse, chunk_channel};
+use lycheeford_policy::Refusal;
+use lycheeford_target::TargetError;
+use slog::info;
+
+use super::attempt::{Answering, Attempts};
+use super::relay::Relay;
+use crate::Reply;
+use crate::state::ANSWER_BYTES_MAX;
+
+/// Sends a request and returns its answer; a stream goes on after its first events.
+///
+/// # Errors
+///
+/// Refuses a request that no target answered.
+pub(super) async fn answer(mut attempts: Attempts) -> Result<CallerResponse, Refusal> {
+    let resume_after = attempts.admitted.request.resume_after.clone();
+    loop {
+        let answering = attempts.send(resume_after.as_deref()).await?;
+        let is_stream = attempts.admitted.route.kind.is_stream();
+        if is_stream && answering.response.status == 200 && answering.reply == Reply::Ran {
+            return Ok(stream(attempts, answering));
+        }
+        match whole(&attempts, answering).await {
+            Ok(response) => return Ok(response),
+            Err((chosen, error)) => {
+                attempts.may_have_run(&chosen, &error);
+                if !attempts.may_repeat() {
+                    return Err(attempts.failed(&error));
+                }
+                attempts.exclude(&chosen);
+            }
+        }
+    }
+}
+
+/// Reads a whole answer and returns it unchanged.
+async fn whole(
+    attempts: &Attempts,
+    answering: Answering,
+) -> Result<CallerResponse, (lycheeford_policy::Chosen, TargetError)> {
+    let Answering { place, response, reply, sent_at } = answering;
+    let state = &attempts.state;
+    let (status, headers) = (response.status, response.headers);
+    let left_ms = attempts.admitted.final_at.since_ms(state.now()).max(1);
+    let read = timeout(Duration::from_millis(left_ms), response.body.whole(ANSWER_BYTES_MAX));
+    let body = match read.await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return Err((place.chosen.clone(), error)),
+        Err(_) => return Err((place.chosen.clone(), TargetError::out_of_time(left_ms))),
+    };
+    let now = state.now();
+    if reply == Reply::Ran {
+        state.dispatcher().targets.succeeded(now, &place.chosen, now.since_ms(sent_at));
+    }
+    log_answer(attempts, status, &place.chosen.id, body.len());
+    Ok(CallerResponse { status, headers, body: CallerBody::Whole(body) })
+}
+
+fn stream(attempts: Attempts, answering: Answering) -> CallerResponse {
+    let (sender, receiver) = chunk_channel();
+    let status = answering.response.status;
+    let headers = answering.response.headers.clone();
+    task::spawn(Relay::new(attempts, sender).run(answering));
+    CallerResponse { status, headers, body: CallerBody::Stream(receiver) }
+}
+
+/// Writes the line of a request that was answered.
+pub(super) fn log_answer(attempts: &Attempts, status: u16, target: &str, body_bytes: usize) {
+    let admitted = &attempts.admitted;
+    let total_ms = attempts.state.now().since_ms(admitted.arrived_at);
+    attempts.state.metrics.answered(admitted.customer.as_ref(), admitted.priority, total_ms);
+    info!(attempts.state.log, "answered";
+        "id" => admitted.request.id.as_str(), "route" => admitted.route.name.as_str(),
+        "status" => status, "target" => target, "bytes" => body_bytes, "total_ms" => total_ms);
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -0,0 +1,290 @@
+use std::sync::Arc;
+
+use lycheeford_policy::{Chosen, Ran, Refusal, RefusalCode, TargetFailure, TimeMs};
+use lycheeford_target::{Category, Connection, TargetError, TargetRequest, TargetResponse};
+use slog::info;
+
+use super::admission::Admitted;
+use super::place::{Place, take_place};
+use crate::state::State;
+use crate::{Dispatch, NotRun, Reply};
+
+/// How often a request is sent at most, counting targets that didn't run it.
+const SENDS_MAX: u32 = 5;
+/// How long a target that refused a model gets no request for it.
+const NOT_HELD_PAUSE_MS: u64 = 150;
+/// How long a repeatable request waits for its first byte, as a multiple of its objective.
+const FIRST_BYTE_FACTOR: f64 = 1.5;
+const FIRST_BYTE_MS_MIN: u64 = 500;
+/// When a caller should come back whose request failed but may be repeated.
+const RETRY_MS: u64 = 250;
+/// The rank at a target of requests with the best priority.
+const URGENCY_BASE: u8 = 3;
+const URGENCY_PER_PRIORITY: u8 = 2;
+const URGENCY_MAX: u8 = 9;
+/// The prompt from which a request goes after others of its priority.
+const LONG_PROMPT_TOKENS: u64 = 4_000;
+
+/// A request with what its attempts have come to.
+pub(super) struct Attempts {
+    pub(super) state: Arc<State>,
+    pub(super) admitted: Admitted,
+    /// Whether any attempt ran.
+    pub(super) ran: Ran,
+    /// The targets that ran it, or may have.
+    runs: u32,
+    sends: u32,
+}
+
+/// A target's answer whose head has come.
+pub(super) struct Answering {
+    pub(super) place: Place,
+    pub(super) response: TargetResponse,
+    pub(super) reply: Reply,
+    pub(super) sent_at: TimeMs,
+}
+
+impl Attempts {
+    pub(super) fn new(state: Arc<State>, admitted: Admitted) -> Attempts {
+        Attempts { state, admitted, ran: Ran::NotRun, runs: 0, sends: 0 }
+    }
+
+    /// Sends the request, to one target after another if need be, until one answers.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with all that is known of whether an attempt ran.
+    pub(super) async fn send(&mut self, resume_after: Option<&str>) -> Result<Answering, Refusal> {
+        let sent = self.try_targets(resume_after).await;
+        sent.map_err(|refusal| refusal.after(self.ran))
+    }
+
+    async fn try_targets(&mut self, resume_after: Option<&str>) -> Result<Answering, Refusal> {
+        let service = self.admitted.need.service.clone();
+        if self.sends == 0 {
+            self.state.retries().requested(self.state.now(), &service);
+        }
+        loop {
+            let place = take_place(&self.state, &self.admitted).await?;
+            self.admitted.recheck(&self.state)?;
+            let now = self.state.now();
+            if now >= self.admitted.final_at {
+                return Err(self.out_of_time());
+            }
+            self.sends += 1;
+            let request = self.target_request(&place.chosen, now, resume_after);
+            let called = self.state.targets.call(place.chosen.address, &request).await;
+            match called {
+                Err(error) => self.call_failed(place, &error)?,
+                Ok(response) => {
+                    let reply = self.state.edges.target.reply(
+                        &place.chosen.id,
+                        response.status,
+                        &response.headers,
+                    );
+                    if let Reply::NotRun(cause) = reply {
+                        self.not_run(place, cause)?;
+                        continue;
+                    }
+                    self.ran = Ran::Ran;
+                    self.runs += 1;
+                    if let Some(charge) = &mut self.admitted.charge {
+                        charge.spend();
+                    }
+                    let answering = Answering { place, response, reply, sent_at: now };
+                    if answering.reply == Reply::Failed {
+                        self.note_failure(&answering.place.chosen, TargetFailure::Error);
+                        if self.may_repeat() {
+                            self.exclude(&answering.place.chosen);
+                            continue;
+                        }
+                    }
+                    return Ok(answering);
+                }
+            }
+        }
+    }
+
+    /// Decides what follows a call without an answer.
+    fn call_failed(&mut self, place: Place, error: &TargetError) -> Result<(), Refusal> {
+        let chosen = place.chosen.clone();
+        drop(place);
+        info!(self.state.log, "attempt_failed";
+            "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
+            "error" => %error);
+        self.state.metrics.attempt("failed");
+        if !error.may_have_run() {
+            self.note_failure(&chosen, TargetFailure::Unreachable);
+            self.exclude(&chosen);
+            if self.sends < SENDS_MAX {
+                return Ok(());
+            }
+            return Err(no_target());
+        }
+        self.may_have_run(&chosen, error);
+        if self.may_repeat() {
+            self.exclude(&chosen);
+            return Ok(());
+        }
+        Err(self.failed(error))
+    }
+
+    /// Decides what follows when a target didn't run the request.
+    fn not_run(&mut self, place: Place, cause: NotRun) -> Result<(), Refusal> {
+        let chosen = place.chosen.clone();
+        drop(place);
+        let now = self.state.now();
+        info!(self.state.log, "attempt_not_run";
+            "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
+            "cause" => ?cause);
+        self.state.metrics.attempt("not_run");
+        {
+            let mut dispatcher = self.state.dispatcher();
+            let targets = &mut dispatcher.targets;
+            match cause {
+                NotRun::Full => targets.was_full(now, &chosen),
+                NotRun::NotHeld => {
+                    targets.refused(now, &chosen, &self.admitted.need, NOT_HELD_PAUSE_MS);
+                }
+                NotRun::OtherTarget => targets.misdirected(&chosen),
+                NotRun::Rejected => {}
+            }
+        }
+        if cause == NotRun::NotHeld {
+            self.forget_adapter(&chosen);
+        }
+        let may_send = cause != NotRun::Rejected
+            && self.sends < SENDS_MAX
+            && now < self.admitted.final_at
+            && self.take_repeat();
+        if may_send {
+            return Ok(());
+        }
+        Err(Refusal::not_run(
+            RefusalCode::Overloaded,
+            "the targets turned the request away; come back later",
+            Some(RETRY_MS),
+        ))
+    }
+
+    /// Lets the holder of orders know that an adapter isn't where it should be.
+    fn forget_adapter(&self, chosen: &Chosen) {
+        let need = &self.admitted.need;
+        let (Some(model), Some(adapter)) = (&need.model, &need.adapter) else { return };
+        let want =
+            lycheeford_policy::AdapterWant { model: model.clone(), adapter: adapter.clone() };
+        self.state.orders().adapters.dropped(&chosen.id, &want);
+    }
+
+    /// Notes that a target may have run the request and gave no whole answer.
+    pub(super) fn may_have_run(&mut self, chosen: &Chosen, error: &TargetError) {
+        self.ran = self.ran.max(Ran::Unknown);
+        self.runs += 1;
+        if let Some(charge) = &mut self.admitted.charge {
+            charge.spend();
+        }
+        self.note_failure(chosen, TargetFailure::Broken);
+        if matches!(error.category(), Category::Broken | Category::Truncated) {
+            let life = format!("{}@{}", chosen.id, chosen.life);
+            self.state.suspects().crashed(self.admitted.fingerprint, &life.into());
+        }
+    }
+
+    pub(super) fn note_failure(&self, chosen: &Chosen, failure: TargetFailure) {
+        self.state.dispatcher().targets.failed(self.state.now(), chosen, failure);
+    }
+
+    /// Returns whether the request may run once more, and takes it out of the budget.
+    pub(super) fn may_repeat(&self) -> bool {
+        self.admitted.route.kind.is_repeatable()
+            && self.runs < self.admitted.route.attempts_max
+            && self.sends < SENDS_MAX
+            && self.state.now() < self.admitted.final_at
+            && !self.is_suspect()
+            && self.take_repeat()
+    }
+
+    pub(super) fn exclude(&mut self, chosen: &Chosen) {
+        self.admitted.need.excluded.push(chosen.id.clone());
+    }
+
+    fn is_suspect(&self) -> bool {
+        let verdict = self.state.suspects().verdict(self.admitted.fingerprint);
+        verdict == lycheeford_policy::CrashVerdict::Refuse
+    }
+
+    fn take_repeat(&self) -> bool {
+        let now = self.state.now();
+        let hosts = 1 + self.state.peers().peers().len();
+        self.state.retries().take_repeat(now, &self.admitted.need.service, hosts)
+    }
+
+    fn target_request(
+        &self,
+        chosen: &Chosen,
+        now: TimeMs,
+        resume_after: Option<&str>,
+    ) -> TargetRequest {
+        let admitted = &self.admitted;
+        let left_ms = admitted.deadline_at.since_ms(now).max(1);
+        let dispatch = Dispatch {
+            target: &chosen.id,
+            deadline_ms: left_ms,
+            customer: admitted.customer.as_ref(),
+            urgency: self.urgency(),
+            resume_after,
+        };
+        let mut request = admitted_request(&self.state, admitted, &dispatch);
+        request.first_byte_ms_max = Some(self.first_byte_ms_max(now));
+        if !admitted.need.excluded.is_empty() {
+            request.connection = Connection::Fresh;
+        }
+        request
+    }
+
+    /// Returns how long to wait for the first byte of an answer.
+    pub(super) fn first_byte_ms_max(&self, now: TimeMs) -> u64 {
+        let admitted = &self.admitted;
+        let left_ms = admitted.final_at.since_ms(now).max(1);
+        let may_repeat =
+            admitted.route.kind.is_repeatable() && self.runs + 1 < admitted.route.attempts_max;
+        if !may_repeat {
+            return left_ms;
+        }
+        let patience_ms = (admitted.route.objective_ms as f64 * FIRST_BYTE_FACTOR) as u64;
+        patience_ms.max(FIRST_BYTE_MS_MIN).min(left_ms)
+    }
+
+    fn urgency(&self) -> u8 {
+        let prompt_tokens = self.admitted.request.tokens.map_or(0, |(prompt, _)| prompt);
+        let base = URGENCY_BASE + URGENCY_PER_PRIORITY.saturating_mul(self.admitted.priority);
+        (base + u8::from(prompt_tokens >= LONG_PROMPT_TOKENS)).min(URGENCY_MAX)
+    }
+
+    /// Returns the refusal of a request that no target completed.
+    pub(super) fn failed(&self, error: &TargetError) -> Refusal {
+        if self.state.now() >= self.admitted.final_at {
+            return self.out_of_time();
+        }
+        let message = error.to_string();
+        Refusal::not_run(RefusalCode::TargetFailed, message, Some(RETRY_MS)).after(self.ran)
+    }
+
+    pub(super) fn out_of_time(&self) -> Refusal {
+        let message = "the time for the request is up; send it with a longer deadline";
+        let code = match self.ran {
+            Ran::NotRun => RefusalCode::Overloaded,
+            Ran::Unknown | Ran::Ran => RefusalCode::DeadlinePassed,
+        };
+        Refusal::not_run(code, message, Some(RETRY_MS)).after(self.ran)
+    }
+}
+
+fn admitted_request(state: &State, admitted: &Admitted, dispatch: &Dispatch<'_>) -> TargetRequest {
+    state.edges.target.forward(&admitted.request, dispatch)
+}
+
+fn no_target() -> Refusal {
+    let message = "no target can be reached; come back soon";
+    Refusal::not_run(RefusalCode::NoTarget, message, Some(RETRY_MS))
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -0,0 +1,82 @@
+use std::sync::Arc;
+
+use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
+use lycheeford_policy::{Name, Refusal};
+use slog::info;
+
+use super::admission::admit;
+use super::answer::answer;
+use super::attempt::Attempts;
+use crate::GatewayRequest;
+use crate::state::State;
+
+/// Answers callers.
+#[derive(Clone)]
+pub(crate) struct Front {
+    pub(crate) state: Arc<State>,
+}
+
+impl Service for Front {
+    type Request = GatewayRequest;
+
+    fn bounds(&self) -> Bounds {
+        let limits = self.state.deployment.load().as_ref().map(|known| known.caller_limits);
+        let limits = limits.unwrap_or_default();
+        Bounds {
+            head_bytes_max: limits.head_bytes_max,
+            head_ms_max: limits.head_ms_max,
+            body_bytes_max: limits.body_bytes_max,
+            idle_ms_max: limits.idle_ms_max,
+            connections_max: self.state.settings.caller_connections_max,
+            ..Bounds::default()
+        }
+    }
+
+    async fn read(
+        &self,
+        id: Name,
+        head: RequestHead,
+        body: Vec<u8>,
+    ) -> Result<GatewayRequest, Refusal> {
+        self.state.edges.caller.request(id, head, body)
+    }
+
+    async fn answer(&self, request: GatewayRequest) -> CallerResponse {
+        let state = &self.state;
+        let _running = state.request_started();
+        let arrived_at = state.now();
+        let id = request.id.clone();
+        let mut response = match self.serve(request, arrived_at).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                state.metrics.refused(refusal.code);
+                info!(state.log, "refused";
+                    "id" => id.as_str(), "code" => ?refusal.code, "ran" => ?refusal.ran,
+                    "message" => &refusal.message, "retry_after_ms" => refusal.retry_after_ms,
+                    "total_ms" => state.now().since_ms(arrived_at));
+                state.edges.caller.refusal(&id, &refusal)
+            }
+        };
+        if state.is_draining() {
+            // Moves the caller to another host before this one is gone.
+            response.headers.push(("connection".to_owned(), "close".to_owned()));
+        }
+        response
+    }
+
+    fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
+        self.state.metrics.refused(refusal.code);
+        self.state.edges.caller.refusal(id, refusal)
+    }
+}
+
+impl Front {
+    async fn serve(
+        &self,
+        request: GatewayRequest,
+        arrived_at: lycheeford_policy::TimeMs,
+    ) -> Result<CallerResponse, Refusal> {
+        let admitted = admit(&self.state, request, arrived_at)?;
+        answer(Attempts::new(Arc::clone(&self.state), admitted)).await
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -0,0 +1,11 @@
+//! A request on its way: admission, waiting for a place, attempts and answers.
+
+mod admission;
+mod answer;
+mod attempt;
+mod front;
+mod place;
+pub(crate) mod rates;
+mod relay;
+
+pub(crate) use self::front::Front;
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/place.rs
@@ -0,0 +1,169 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel::Receiver;
+use async_std::future::timeout;
+use lycheeford_policy::{Chosen, Name, Refusal, RefusalCode, TimeMs, Tried, Waiting};
+use rand::random_range;
+
+use super::admission::Admitted;
+use crate::state::State;
+
+/// What must be left of a request's time for a target to answer it.
+const ANSWER_MS_MIN: u64 = 60;
+/// The part of its time that a request waits for a place at most.
+const WAIT_PART: f64 = 0.6;
+/// How long a request waits for a model to be loaded, as a multiple of its objective.
+const LOAD_PATIENCE_FACTOR: u64 = 2;
+/// The least and the most time until a refused caller should come back.
+const RETRY_MS_MIN: u64 = 200;
+const RETRY_MS_MAX: u64 = 1_200;
+
+/// A place at a target, which is free again when this is dropped.
+pub(super) struct Place {
+    state: Arc<State>,
+    pub(super) chosen: Chosen,
+    model: Option<Name>,
+    tokens: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let mut dispatcher = self.state.dispatcher();
+        dispatcher.targets.ended(&self.chosen, self.model.as_ref(), self.tokens);
+        dispatcher.dispatch(now);
+    }
+}
+
+/// A request in the queue; it leaves the queue when this is dropped.
+struct InQueue {
+    state: Arc<State>,
+    id: u64,
+    receiver: Receiver<Chosen>,
+    model: Option<Name>,
+    tokens: u64,
+}
+
+impl InQueue {
+    /// Returns the place of a target that was given.
+    fn place(&self, chosen: Chosen) -> Place {
+        Place {
+            state: Arc::clone(&self.state),
+            chosen,
+            model: self.model.clone(),
+            tokens: self.tokens,
+        }
+    }
+}
+
+impl Drop for InQueue {
+    fn drop(&mut self) {
+        self.state.dispatcher().withdraw(self.id);
+        // A target that was given meanwhile has to be given back.
+        if let Ok(chosen) = self.receiver.try_recv() {
+            drop(self.place(chosen));
+        }
+    }
+}
+
+/// Waits until a target has a place for the request.
+///
+/// # Errors
+///
+/// Refuses a request that can't have one in time, at once where that is known.
+pub(super) async fn take_place(state: &Arc<State>, admitted: &Admitted) -> Result<Place, Refusal> {
+    let now = state.now();
+    let waiting = Waiting {
+        id: state.next_number(),
+        need: admitted.need.clone(),
+        priority: admitted.priority,
+        arrived_at: admitted.arrived_at,
+    };
+    let (in_queue, tried) = {
+        let mut dispatcher = state.dispatcher();
+        let receiver = dispatcher.submit(now, waiting.clone());
+        let tried = if receiver.is_empty() { Some(dispatcher.look(now, &waiting)) } else { None };
+        let in_queue = InQueue {
+            state: Arc::clone(state),
+            id: waiting.id,
+            receiver,
+            model: waiting.need.model.clone(),
+            tokens: waiting.need.tokens,
+        };
+        (in_queue, tried)
+    };
+    let Some(tried) = tried else {
+        return match in_queue.receiver.try_recv() {
+            Ok(chosen) => Ok(in_queue.place(chosen)),
+            Err(_) => Err(overloaded(RETRY_MS_MIN)),
+        };
+    };
+    let patience_ms = patience_ms(state, admitted, now, &tried)?;
+    if waiting.need.model.is_some() {
+        state.wake_wants();
+        state.wake_planner();
+    }
+    match timeout(Duration::from_millis(patience_ms), in_queue.receiver.recv()).await {
+        Ok(Ok(chosen)) => Ok(in_queue.place(chosen)),
+        _ => Err(match tried {
+            Tried::NotResident => not_loaded(),
+            _ => overloaded(patience_ms),
+        }),
+    }
+}
+
+/// Returns how long a request may wait, which no place is free for now.
+fn patience_ms(
+    state: &State,
+    admitted: &Admitted,
+    now: TimeMs,
+    tried: &Tried,
+) -> Result<u64, Refusal> {
+    let left_ms = admitted.final_at.since_ms(now);
+    if left_ms <= ANSWER_MS_MIN {
+        return Err(overloaded(RETRY_MS_MIN));
+    }
+    let share_ms = (left_ms as f64 * WAIT_PART) as u64;
+    let objective_ms = admitted.route.objective_ms;
+    match tried {
+        Tried::NoTarget => Err(Refusal::not_run(
+            RefusalCode::NoTarget,
+            "the service has no target now; come back soon",
+            Some(retry_ms(RETRY_MS_MAX)),
+        )),
+        Tried::NotResident => Ok(share_ms.min(LOAD_PATIENCE_FACTOR * objective_ms.max(1_000))),
+        Tried::Full | Tried::Chosen(_) => {
+            let expected_ms = expected_wait_ms(state, admitted, now);
+            if expected_ms > share_ms {
+                return Err(overloaded(expected_ms - share_ms));
+            }
+            Ok(share_ms)
+        }
+    }
+}
+
+/// Returns how long a new request waits for those before it, at the pace of the last ones.
+fn expected_wait_ms(state: &State, admitted: &Admitted, now: TimeMs) -> u64 {
+    let dispatcher = state.dispatcher();
+    let service = &admitted.need.service;
+    let ahead = dispatcher.queue.ahead(service, admitted.priority, now) as u64;
+    let (slots, _) = dispatcher.places(service);
+    ahead * admitted.route.objective_ms / u64::from(slots.max(1))
+}
+
+fn overloaded(wait_ms: u64) -> Refusal {
+    let message = "every target is busy; come back later";
+    Refusal::not_run(RefusalCode::Overloaded, message, Some(retry_ms(wait_ms)))
+}
+
+fn not_loaded() -> Refusal {
+    let message = "the model couldn't be loaded in time; come back later";
+    Refusal::not_run(RefusalCode::DeadlineUnreachable, message, Some(retry_ms(RETRY_MS_MAX)))
+}
+
+/// Spreads the callers that were refused together, so that they don't come back together.
+fn retry_ms(wait_ms: u64) -> u64 {
+    let wait_ms = wait_ms.clamp(RETRY_MS_MIN, RETRY_MS_MAX);
+    random_range(wait_ms / 2..=wait_ms)
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/rates.rs
@@ -0,0 +1,110 @@
+use std::sync::Arc;
+
+use lycheeford_policy::{CustomerRate, Name, SharedBucket, ShortKey, TimeMs};
+
+use crate::state::State;
+
+/// What customers spend, and what they ask for.
+#[derive(Debug, Default)]
+pub(crate) struct Rates {
+    /// Sorted by key.
+    buckets: Vec<(ShortKey, SharedBucket)>,
+    /// Sorted by key; how often each name was asked for here, and when last.
+    asked: Vec<(ShortKey, u64, TimeMs)>,
+}
+
+impl Rates {
+    /// Returns the bucket of a customer.
+    pub(crate) fn bucket(&mut self, now: TimeMs, customer: &Name) -> &mut SharedBucket {
+        let key = ShortKey::of(customer);
+        let found = self.buckets.binary_search_by_key(&key, |(key, _)| *key);
+        let index = found.unwrap_or_else(|index| {
+            self.buckets.insert(index, (key, SharedBucket::new(now)));
+            index
+        });
+        &mut self.buckets[index].1
+    }
+
+    /// Takes in what a customer spent through another host.
+    pub(crate) fn spent_elsewhere(&mut self, customer: ShortKey, units: f64) {
+        if let Ok(index) = self.buckets.binary_search_by_key(&customer, |(key, _)| *key) {
+            self.buckets[index].1.spent_elsewhere(units);
+        }
+    }
+
+    /// Returns what each customer spent through this host since it started.
+    pub(crate) fn spent(&self) -> Vec<(ShortKey, f64)> {
+        self.buckets.iter().map(|(key, bucket)| (*key, bucket.spent_here())).collect()
+    }
+
+    /// Counts that a name was asked for.
+    pub(crate) fn ask(&mut self, now: TimeMs, name: ShortKey) {
+        match self.asked.binary_search_by_key(&name, |(key, ..)| *key) {
+            Ok(index) => {
+                self.asked[index].1 += 1;
+                self.asked[index].2 = now;
+            }
+            Err(index) => self.asked.insert(index, (name, 1, now)),
+        }
+    }
+
+    /// Returns how often the names were asked for that were asked for lately.
+    pub(crate) fn asked(&self, now: TimeMs, lately_ms: u64) -> Vec<(ShortKey, u64)> {
+        let is_late = |at: TimeMs| now.since_ms(at) < lately_ms;
+        self.asked
+            .iter()
+            .filter(|(_, _, at)| is_late(*at))
+            .map(|(key, count, _)| (*key, *count))
+            .collect()
+    }
+}
+
+/// What a request took out of its customer's rate; given back unless it ran.
+pub(super) struct Charge {
+    state: Arc<State>,
+    customer: Name,
+    rate: CustomerRate,
+    units: f64,
+    has_run: bool,
+}
+
+impl Charge {
+    /// Takes what a request costs, or returns after how long it may be there.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the wait if the customer is over its rate.
+    pub(super) fn take(
+        state: &Arc<State>,
+        customer: &Name,
+        rate: &CustomerRate,
+        tokens: Option<u64>,
+    ) -> Result<Charge, u64> {
+        let now = state.now();
+        let units = rate.unit.cost(tokens);
+        let part = state.peers().heard_part(now);
+        state.rates().bucket(now, customer).take(now, rate, part, units)?;
+        Ok(Charge {
+            state: Arc::clone(state),
+            customer: customer.clone(),
+            rate: rate.clone(),
+            units,
+            has_run: false,
+        })
+    }
+
+    /// Notes that the request ran, or may have run.
+    pub(super) fn spend(&mut self) {
+        self.has_run = true;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.has_run {
+            let now = self.state.now();
+            let mut rates = self.state.rates();
+            rates.bucket(now, &self.customer).give_back(&self.rate, self.units);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -0,0 +1,202 @@
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::prelude::FutureExt;
+use lycheeford_caller::ChunkSender;
+use lycheeford_policy::{EventBoundary, TimeMs};
+use lycheeford_target::{TargetBody, TargetError};
+use slog::info;
+
+use super::answer::log_answer;
+use super::attempt::{Answering, Attempts};
+use crate::Reply;
+
+/// The pause between events after which a resumable stream goes on elsewhere,
+/// as a multiple of the longest pause that is on time.
+const STALL_FACTOR: u64 = 3;
+const STALL_MS_MIN: u64 = 1_000;
+
+/// Passes a stream on, event by event.
+///
+/// Only whole events are passed on, so that a resumable stream that breaks can
+/// go on at another target after the last one that the caller has.
+pub(super) struct Relay {
+    attempts: Attempts,
+    sender: ChunkSender,
+    boundary: EventBoundary,
+    /// The last event that the caller has.
+    resume_after: Option<String>,
+    first_at: Option<TimeMs>,
+    sent_bytes: usize,
+}
+
+/// How a stream ended at one target.
+enum End {
+    Done,
+    HungUp,
+    OutOfTime,
+    Broken(TargetError),
+}
+
+/// What came next of a stream.
+enum Next {
+    Chunk(Result<Option<Vec<u8>>, TargetError>),
+    HungUp,
+}
+
+impl Relay {
+    pub(super) fn new(attempts: Attempts, sender: ChunkSender) -> Relay {
+        let resume_after = attempts.admitted.request.resume_after.clone();
+        Relay {
+            attempts,
+            sender,
+            boundary: EventBoundary::default(),
+            resume_after,
+            first_at: None,
+            sent_bytes: 0,
+        }
+    }
+
+    pub(super) async fn run(mut self, answering: Answering) {
+        let _running = self.attempts.state.request_started();
+        let mut answering = answering;
+        loop {
+            let chosen = answering.place.chosen.clone();
+            let end = self.copy(answering).await;
+            match end {
+                End::Done => {
+                    log_answer(&self.attempts, 200, &chosen.id, self.sent_bytes);
+                    return self.sender.finish();
+                }
+                End::HungUp => return self.log_cut("caller left", &chosen.id),
+                End::OutOfTime => return self.log_cut("out of time", &chosen.id),
+                End::Broken(error) => {
+                    let is_done = self.is_caller_gone();
+                    self.attempts.may_have_run(&chosen, &error);
+                    self.log_cut(&error.to_string(), &chosen.id);
+                    if is_done || !self.attempts.may_repeat() {
+                        return;
+                    }
+                    self.attempts.exclude(&chosen);
+                }
+            }
+            match self.resume().await {
+                Some(resumed) => answering = resumed,
+                None => return,
+            }
+        }
+    }
+
+    fn is_caller_gone(&self) -> bool {
+        self.attempts.state.now() >= self.attempts.admitted.deadline_at
+    }
+
+    /// Lets another target go on after the last event that the caller has.
+    async fn resume(&mut self) -> Option<Answering> {
+        let resume_after = self.resume_after.clone();
+        // The bytes of an event that isn't whole come again from the next target.
+        self.boundary = EventBoundary::default();
+        let sending = async { self.attempts.send(resume_after.as_deref()).await.ok() };
+        let hung_up = async {
+            self.sender.hung_up().await;
+            None
+        };
+        let resumed = sending.race(hung_up).await?;
+        if resumed.response.status != 200 || resumed.reply != Reply::Ran {
+            return None;
+        }
+        info!(self.attempts.state.log, "stream_resumed";
+            "id" => self.attempts.admitted.request.id.as_str(),
+            "target" => resumed.place.chosen.id.as_str(), "after" => resume_after);
+        Some(resumed)
+    }
+
+    async fn copy(&mut self, answering: Answering) -> End {
+        let Answering { place, response, sent_at, .. } = answering;
+        let mut body = response.body;
+        let mut is_first = true;
+        loop {
+            let now = self.attempts.state.now();
+            let final_at = self.attempts.admitted.final_at;
+            if now >= final_at {
+                return End::OutOfTime;
+            }
+            let left_ms = final_at.since_ms(now);
+            let patience_ms = self.patience_ms(is_first, now).min(left_ms);
+            let next = timeout(Duration::from_millis(patience_ms), self.next(&mut body)).await;
+            let chunk = match next {
+                Err(_) if patience_ms >= left_ms => return End::OutOfTime,
+                Err(_) => return End::Broken(TargetError::out_of_time(patience_ms)),
+                Ok(Next::HungUp) => return End::HungUp,
+                Ok(Next::Chunk(Err(error))) => return End::Broken(error),
+                Ok(Next::Chunk(Ok(None))) => {
+                    let rest = self.boundary.take_rest();
+                    let sent = self.send(rest).await;
+                    return if sent { End::Done } else { End::HungUp };
+                }
+                Ok(Next::Chunk(Ok(Some(chunk)))) => chunk,
+            };
+            let whole = self.boundary.push(&chunk);
+            if whole.is_empty() {
+                continue;
+            }
+            if is_first {
+                is_first = false;
+                self.note_first(&place.chosen, sent_at);
+            }
+            if let Some(id) = self.boundary.last_id() {
+                self.resume_after = Some(id.to_owned());
+            }
+            if !self.send(whole).await {
+                return End::HungUp;
+            }
+        }
+    }
+
+    fn note_first(&mut self, chosen: &lycheeford_policy::Chosen, sent_at: TimeMs) {
+        let state = &self.attempts.state;
+        let now = state.now();
+        state.dispatcher().targets.succeeded(now, chosen, now.since_ms(sent_at));
+        if self.first_at.is_none() {
+            self.first_at = Some(now);
+            let admitted = &self.attempts.admitted;
+            let first_ms = now.since_ms(admitted.arrived_at);
+            state.metrics.first_event(admitted.customer.as_ref(), admitted.priority, first_ms);
+        }
+    }
+
+    async fn send(&mut self, bytes: Vec<u8>) -> bool {
+        self.sent_bytes += bytes.len();
+        self.sender.send(bytes).await.is_ok()
+    }
+
+    /// Returns how long to wait for the next bytes.
+    fn patience_ms(&self, is_first: bool, now: TimeMs) -> u64 {
+        let admitted = &self.attempts.admitted;
+        if !admitted.route.kind.is_repeatable() {
+            return admitted.final_at.since_ms(now);
+        }
+        if is_first {
+            return self.attempts.first_byte_ms_max(now);
+        }
+        (admitted.route.pause_ms_max * STALL_FACTOR).max(STALL_MS_MIN)
+    }
+
+    async fn next(&self, body: &mut TargetBody) -> Next {
+        let chunk = async { Next::Chunk(body.next_chunk().await) };
+        let hung_up = async {
+            self.sender.hung_up().await;
+            Next::HungUp
+        };
+        chunk.race(hung_up).await
+    }
+
+    fn log_cut(&self, cause: &str, target: &str) {
+        let admitted = &self.attempts.admitted;
+        info!(self.attempts.state.log, "stream_cut";
+            "id" => admitted.request.id.as_str(), "route" => admitted.route.name.as_str(),
+            "target" => target, "cause" => cause, "events" => self.boundary.events(),
+            "bytes" => self.sent_bytes,
+            "total_ms" => self.attempts.state.now().since_ms(admitted.arrived_at));
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -0,0 +1,134 @@
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::{TcpListener, UdpSocket};
+use async_std::task;
+use lycheeford_caller::{Service, Stop, serve_service};
+use slog::{Logger, info};
+use snafu::{ResultExt, Snafu};
+
+use crate::fleet::{follow_deployment, follow_targets};
+use crate::membership::{forget_own_host, keep_hosts, receive_reports, send_reports, send_wants};
+use crate::operation::{Directory, MetricsPage, Readiness};
+use crate::orders::{keep_lease, plan_orders};
+use crate::request::Front;
+use crate::state::State;
+use crate::{Edges, GatewaySettings};
+
+/// How often waiting requests are looked at without a reason.
+const DISPATCH_MS: u64 = 40;
+/// The part of the grace for which a stopping host goes on taking callers.
+const TAKE_PART: f64 = 0.55;
+/// What is left of the grace when a stopping host ends whatever still runs.
+const END_MS: u64 = 400;
+/// How long the last calls to the store may take.
+const FORGET_MS_MAX: u64 = 200;
+
+/// Why a gateway can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be had.
+    #[snafu(display("can't listen at {field} {address}: {source}; free the address or change it"))]
+    Listen {
+        /// The setting.
+        field: &'static str,
+        /// The address.
+        address: String,
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
+/// Runs a gateway until it is stopped, and drains it then.
+///
+/// # Errors
+///
+/// Fails if one of its addresses can't be had.
+pub async fn run(
+    settings: GatewaySettings,
+    edges: Edges,
+    log: Logger,
+    stop: Stop,
+) -> Result<(), StartError> {
+    let callers = listen("caller_address", settings.caller_address).await?;
+    let readiness = listen("readiness_address", settings.readiness_address).await?;
+    let metrics = listen("metrics_address", settings.metrics_address).await?;
+    let directory = match settings.directory_address {
+        Some(address) => Some(listen("directory_address", address).await?),
+        None => None,
+    };
+    let peer_address = settings.peer_address;
+    let peers = UdpSocket::bind(peer_address)
+        .await
+        .context(ListenSnafu { field: "peer_address", address: peer_address.to_string() })?;
+    let state = State::new(settings, edges, log);
+    info!(state.log, "started"; "incarnation" => state.incarnation);
+    start_tasks(&state, Arc::new(peers));
+
+    let pages_stop = Stop::new();
+    serve_page(readiness, Readiness { state: Arc::clone(&state) }, &pages_stop);
+    serve_page(metrics, MetricsPage { state: Arc::clone(&state) }, &pages_stop);
+    if let Some(directory) = directory {
+        serve_page(directory, Directory { state: Arc::clone(&state) }, &pages_stop);
+    }
+    let front_stop = Stop::new();
+    let front = Front { state: Arc::clone(&state) };
+    let serving = task::spawn(serve_service(callers, front, front_stop.clone()));
+
+    stop.triggered().await;
+    drain(&state, &front_stop, serving).await;
+    info!(state.log, "ended"; "requests_running" => state.requests_running());
+    Ok(())
+}
+
+fn start_tasks(state: &Arc<State>, socket: Arc<UdpSocket>) {
+    task::spawn(follow_deployment(Arc::clone(state)));
+    task::spawn(follow_targets(Arc::clone(state)));
+    task::spawn(receive_reports(Arc::clone(state), Arc::clone(&socket)));
+    task::spawn(send_reports(Arc::clone(state), Arc::clone(&socket)));
+    task::spawn(send_wants(Arc::clone(state), socket));
+    task::spawn(keep_hosts(Arc::clone(state)));
+    task::spawn(keep_lease(Arc::clone(state)));
+    task::spawn(plan_orders(Arc::clone(state)));
+    task::spawn(dispatch(Arc::clone(state)));
+}
+
+/// Looks at waiting requests again and again, since targets become usable with time alone.
+async fn dispatch(state: Arc<State>) {
+    loop {
+        task::sleep(Duration::from_millis(DISPATCH_MS)).await;
+        let now = state.now();
+        let mut dispatcher = state.dispatcher();
+        dispatcher.targets.expire(now);
+        dispatcher.dispatch(now);
+        drop(dispatcher);
+        state.demand().expire(now);
+    }
+}
+
+/// Goes on serving until callers have heard that this host goes, then finishes what runs.
+async fn drain(state: &Arc<State>, front_stop: &Stop, serving: task::JoinHandle<()>) {
+    state.start_draining();
+    info!(state.log, "draining"; "requests_running" => state.requests_running());
+    let grace_ms = state.settings.stop_grace_ms;
+    let take_ms = (grace_ms as f64 * TAKE_PART) as u64;
+    task::sleep(Duration::from_millis(take_ms)).await;
+    front_stop.trigger();
+    let left_ms = grace_ms.saturating_sub(take_ms + END_MS);
+    // What still runs then is cut; the process would be killed otherwise.
+    let _ = timeout(Duration::from_millis(left_ms), serving).await;
+    let _ = timeout(Duration::from_millis(FORGET_MS_MAX), forget_own_host(state)).await;
+}
+
+fn serve_page<S: Service>(listener: TcpListener, page: S, stop: &Stop) {
+    task::spawn(serve_service(listener, page, stop.clone()));
+}
+
+async fn listen(
+    field: &'static str,
+    address: std::net::SocketAddr,
+) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(ListenSnafu { field, address: address.to_string() })
+}
--- /dev/null
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -0,0 +1,234 @@
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use async_std::channel::{Receiver, Sender, bounded};
+use lycheeford_policy::{
+    Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, PeerTable, RetryShare, TimeMs,
+};
+use lycheeford_target::{TargetClient, TargetLimits, Unframed};
+use slog::Logger;
+
+use crate::fleet::Dispatcher;
+use crate::operation::metrics::Metrics;
+use crate::orders::Orders;
+use crate::request::rates::Rates;
+use crate::{Clock, Edges, GatewaySettings};
+
+/// The part of the time until a withdrawn key must be dead for which a confirmation holds.
+///
+/// The rest covers watches that hear late of a change.
+const CONFIRMATION_PART: f64 = 0.7;
+/// How long a connection to a target may take to open.
+const CONNECT_MS_MAX: u64 = 400;
+/// How long a connection to a target may stay without a sign of life.
+const SILENT_MS_MAX: u32 = 2_000;
+/// How long an unused connection to a target is kept.
+const POOL_IDLE_MS_MAX: u64 = 8_000;
+/// The longest answer of a target that isn't a stream.
+pub(crate) const ANSWER_BYTES_MAX: usize = 16 << 20;
+
+/// The tables that all tasks of a gateway share.
+///
+/// A task holds one lock at a time and never across an await. Where two are
+/// needed, the order is the order of the fields: `dispatcher`, `peers`,
+/// `orders`, `demand`, `rates`, `retries`, `suspects`, `confirmation`, `strangers`.
+pub(crate) struct State {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) edges: Edges,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) incarnation: u64,
+    pub(crate) targets: TargetClient,
+    pub(crate) deployment: ArcSwapOption<Deployment>,
+    dispatcher: Mutex<Dispatcher>,
+    peers: Mutex<PeerTable>,
+    orders: Mutex<Orders>,
+    demand: Mutex<DemandTable>,
+    rates: Mutex<Rates>,
+    retries: Mutex<RetryShare>,
+    suspects: Mutex<CrashSuspects>,
+    confirmation: Mutex<Confirmation>,
+    /// Where the hosts take reports that are listed but weren't heard lately.
+    strangers: Mutex<Vec<SocketAddr>>,
+    is_registered: AtomicBool,
+    knows_targets: AtomicBool,
+    is_draining: AtomicBool,
+    requests_running: AtomicU64,
+    last_number: AtomicU64,
+    /// Wakes the task that tells the holder of orders what requests wait for.
+    pub(crate) want_changed: (Sender<()>, Receiver<()>),
+    /// Wakes the task that plans orders.
+    pub(crate) plan_due: (Sender<()>, Receiver<()>),
+}
+
+impl State {
+    pub(crate) fn new(settings: GatewaySettings, edges: Edges, log: Logger) -> Arc<State> {
+        let clock = Clock;
+        let incarnation = rand::random::<u64>() >> 1;
+        let limits = TargetLimits {
+            connect_ms_max: CONNECT_MS_MAX,
+            pool_idle_ms_max: POOL_IDLE_MS_MAX,
+            unframed: Unframed::EndWithConnection,
+            silent_ms_max: Some(SILENT_MS_MAX),
+            ..TargetLimits::default()
+        };
+        let retries = settings.retries;
+        Arc::new(State {
+            orders: Mutex::new(Orders::new(&settings, incarnation, clock.now())),
+            retries: Mutex::new(RetryShare::new(
+                retries.window_ms,
+                retries.repeats_per_request,
+                retries.slack,
+            )),
+            settings,
+            edges,
+            clock,
+            log,
+            metrics: Metrics::new(),
+            incarnation,
+            targets: TargetClient::new(limits),
+            deployment: ArcSwapOption::empty(),
+            dispatcher: Mutex::default(),
+            peers: Mutex::default(),
+            demand: Mutex::default(),
+            rates: Mutex::default(),
+            suspects: Mutex::default(),
+            confirmation: Mutex::default(),
+            strangers: Mutex::default(),
+            is_registered: AtomicBool::new(false),
+            knows_targets: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            requests_running: AtomicU64::new(0),
+            last_number: AtomicU64::new(0),
+            want_changed: bounded(1),
+            plan_due: bounded(1),
+        })
+    }
+
+    pub(crate) fn now(&self) -> TimeMs {
+        self.clock.now()
+    }
+
+    pub(crate) fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
+        lock(&self.dispatcher)
+    }
+
+    pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
+    }
+
+    pub(crate) fn orders(&self) -> MutexGuard<'_, Orders> {
+        lock(&self.orders)
+    }
+
+    pub(crate) fn demand(&self) -> MutexGuard<'_, DemandTable> {
+        lock(&self.demand)
+    }
+
+    pub(crate) fn rates(&self) -> MutexGuard<'_, Rates> {
+        lock(&self.rates)
+    }
+
+    pub(crate) fn retries(&self) -> MutexGuard<'_, RetryShare> {
+        lock(&self.retries)
+    }
+
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, CrashSuspects> {
+        lock(&self.suspects)
+    }
+
+    pub(crate) fn confirmation(&self) -> MutexGuard<'_, Confirmation> {
+        lock(&self.confirmation)
+    }
+
+    pub(crate) fn strangers(&self) -> Vec<SocketAddr> {
+        lock(&self.strangers).clone()
+    }
+
+    pub(crate) fn set_strangers(&self, addresses: Vec<SocketAddr>) {
+        *lock(&self.strangers) = addresses;
+    }
+
+    /// Returns whether keys may be judged by the declaration that is known here.
+    pub(crate) fn is_confirmed(&self, now: TimeMs) -> bool {
+        let age_ms_max = (self.settings.key_revoke_ms as f64 * CONFIRMATION_PART) as u64;
+        let confirmation = *self.confirmation();
+        let revision = self.deployment.load().as_ref().map_or(0, |known| known.revision);
+        confirmation.revision() == revision && confirmation.is_younger_than(age_ms_max, now)
+    }
+
+    /// Returns whether this host takes callers.
+    pub(crate) fn standing(&self, now: TimeMs) -> PeerState {
+        if self.is_draining() {
+            return PeerState::Draining;
+        }
+        let knows_enough = self.is_registered.load(Ordering::Acquire)
+            && self.knows_targets.load(Ordering::Acquire)
+            && self.is_confirmed(now);
+        if knows_enough { PeerState::Ready } else { PeerState::Starting }
+    }
+
+    pub(crate) fn set_registered(&self) {
+        self.is_registered.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn set_knows_targets(&self) {
+        self.knows_targets.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn start_draining(&self) {
+        self.is_draining.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as running until the guard is dropped.
+    pub(crate) fn request_started(self: &Arc<State>) -> RunningRequest {
+        self.requests_running.fetch_add(1, Ordering::AcqRel);
+        RunningRequest { state: Arc::clone(self) }
+    }
+
+    pub(crate) fn requests_running(&self) -> u64 {
+        self.requests_running.load(Ordering::Acquire)
+    }
+
+    /// Returns a number that this life of the process gives once.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.last_number.fetch_add(1, Ordering::AcqRel) + 1
+    }
+
+    /// Gives waiting requests the places that are free now.
+    pub(crate) fn dispatch_waiting(&self) {
+        self.dispatcher().dispatch(self.now());
+    }
+
+    pub(crate) fn wake_wants(&self) {
+        // A full channel has a wake-up in it already.
+        let _ = self.want_changed.0.try_send(());
+    }
+
+    pub(crate) fn wake_planner(&self) {
+        // A full channel has a wake-up in it already.
+        let _ = self.plan_due.0.try_send(());
+    }
+}
+
+/// Counts a request as running while it lives.
+pub(crate) struct RunningRequest {
+    state: Arc<State>,
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.state.requests_running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/lycheeford-http/src/body.rs
+++ b/crates/lycheeford-http/src/body.rs
@@ -35,6 +35,7 @@
     ChunkData { remaining_bytes: u64 },
     ChunkEnd,
     Trailers,
+    UntilClose,
     Complete,
 }
 
@@ -45,6 +46,7 @@
             Framing::Empty | Framing::Length(0) => State::Complete,
             Framing::Length(remaining_bytes) => State::Fixed { remaining_bytes },
             Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
         };
         BodyDecoder { state, line: Vec::new() }
     }
@@ -68,6 +70,22 @@
         Ok(used_bytes)
     }
 
+    /// Takes in that the stream ended in order, not by a reset.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body has a declared end that wasn't reached.
+    pub fn end_of_stream(&mut self) -> Result<(), Error> {
+        match self.state {
+            State::Complete => Ok(()),
+            State::UntilClose => {
+                self.state = State::Complete;
+                Ok(())
+            }
+            _ => Err(Code::Truncated.into()),
+        }
+    }
+
     fn step(&mut self, input: &[u8], output: &mut Vec<u8>) -> Result<usize, Error> {
         match self.state {
             State::Fixed { remaining_bytes } => {
@@ -86,6 +104,7 @@
                 };
                 Ok(taken)
             }
+            State::UntilClose => Ok(take(input, u64::MAX, output)),
             State::ChunkSize | State::ChunkEnd | State::Trailers => self.step_line(input),
             State::Complete => Ok(0),
         }
--- a/crates/lycheeford-http/src/head.rs
+++ b/crates/lycheeford-http/src/head.rs
@@ -21,6 +21,18 @@
     Length(u64),
     /// The body is a series of chunks.
     Chunked,
+    /// The body ends with its connection; only an answer may have it.
+    UntilClose,
+}
+
+/// Whether an answer without a length and without chunks is read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Unframed {
+    /// It is refused, since one that was cut looks like a whole one.
+    #[default]
+    Refuse,
+    /// It ends with its connection, and is cut if the connection is reset.
+    EndWithConnection,
 }
 
 /// Whether the connection may carry another message.
@@ -108,6 +120,19 @@
     /// Fails if the head is malformed, or if its body has neither a length nor
     /// chunks, so that a cut answer couldn't be told from a whole one.
     pub fn parse(bytes: &[u8], method: Method) -> Result<ResponseHead, Error> {
+        ResponseHead::parse_with(bytes, method, Unframed::Refuse)
+    }
+
+    /// Reads the head of an answer to a request with `method`, as `unframed` says.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ResponseHead::parse`] does, less what `unframed` lets pass.
+    pub fn parse_with(
+        bytes: &[u8],
+        method: Method,
+        unframed: Unframed,
+    ) -> Result<ResponseHead, Error> {
         check_line_ends(bytes)?;
         let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
         let mut parsed = httparse::Response::new(&mut slots);
@@ -124,9 +149,13 @@
         let framing = match declared {
             _ if is_bodiless(status, method) => Framing::Empty,
             Some(framing) => framing,
+            None if unframed == Unframed::EndWithConnection => Framing::UntilClose,
             None => return Err(malformed("the body has no length and no chunks; send either")),
         };
-        let persistence = persistence(&headers);
+        let persistence = match framing {
+            Framing::UntilClose => Persistence::Close,
+            _ => persistence(&headers),
+        };
         Ok(ResponseHead { status, headers, framing, persistence })
     }
 
--- a/crates/lycheeford-http/src/lib.rs
+++ b/crates/lycheeford-http/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use crate::body::BodyDecoder;
 pub use crate::error::{Category, Error};
-pub use crate::head::{Framing, Persistence, RequestHead, ResponseHead};
+pub use crate::head::{Framing, Persistence, RequestHead, ResponseHead, Unframed};
 pub use crate::header::{Header, is_sendable, strip_connection_headers};
 pub use crate::reader::{MessageReader, read_some};
 pub use http_types::Method;
--- a/crates/lycheeford-http/src/reader.rs
+++ b/crates/lycheeford-http/src/reader.rs
@@ -129,7 +129,7 @@
                 break;
             }
             if self.fill().await.map_err(|source| Code::Read { source })? == 0 {
-                return Err(Code::Truncated.into());
+                decoder.end_of_stream()?;
             }
         }
         Ok(None)
--- a/crates/lycheeford-measure/src/request.rs
+++ b/crates/lycheeford-measure/src/request.rs
@@ -34,6 +34,8 @@
         headers: headers.map(|(name, value)| (name.to_owned(), value)).to_vec(),
         body: body.to_string().into_bytes(),
         connection,
+        host: None,
+        echo: None,
         first_byte_ms_max: None,
     };
     let response = fleet.client.call(address, &request).await;
--- a/crates/lycheeford-platform/src/connection.rs
+++ b/crates/lycheeford-platform/src/connection.rs
@@ -12,14 +12,16 @@
 
 /// An answer that was read whole.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) body: Vec<u8>,
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Vec<u8>,
 }
 
 /// Why no whole answer came, and whether the request can have been seen.
 #[derive(Debug)]
-pub(crate) enum ExchangeError {
+pub enum ExchangeError {
     /// No connection was opened, so that no byte was sent.
     NotSent(String),
     /// The request may have been seen.
@@ -27,8 +29,10 @@
 }
 
 /// Connections to the platform, reused for a short while.
+///
+/// For object APIs that spell the same operations in another way.
 #[derive(Debug)]
-pub(crate) struct Connections {
+pub struct Connections {
     address: SocketAddr,
     limits: PlatformLimits,
     idle: Mutex<Vec<IdleConnection>>,
@@ -41,18 +45,23 @@
 }
 
 impl Connections {
-    pub(crate) fn new(address: SocketAddr, limits: PlatformLimits) -> Connections {
+    /// Returns connections to `address`; opens the first one when it is needed.
+    pub fn new(address: SocketAddr, limits: PlatformLimits) -> Connections {
         Connections { address, limits, idle: Mutex::new(Vec::new()) }
     }
 
     /// Sends on an idle connection, or returns `None` if there is none or it fails.
-    pub(crate) async fn exchange_reused(&self, request: Request, wait_ms: u64) -> Option<Answer> {
+    pub async fn exchange_reused(&self, request: Request, wait_ms: u64) -> Option<Answer> {
         let stream = self.take_idle()?;
         self.exchange_on(stream, request, wait_ms).await.ok()
     }
 
-    /// Sends on a fresh connection.
-    pub(crate) async fn exchange_fresh(
+    /// Sends on a fresh connection; an answer may take `wait_ms` longer than others.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer comes; the error says whether the call may have been seen.
+    pub async fn exchange_fresh(
         &self,
         request: Request,
         wait_ms: u64,
--- a/crates/lycheeford-platform/src/lib.rs
+++ b/crates/lycheeford-platform/src/lib.rs
@@ -41,6 +41,7 @@
 mod wire;
 
 pub use crate::calls::{CallCounters, Calls};
+pub use crate::connection::{Answer, Connections, ExchangeError};
 pub use crate::error::{Category, PlatformError};
 pub use crate::follow::{Change, FollowLimits, Update, follow};
 pub use crate::http::HttpObjectStore;
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -0,0 +1,81 @@
+/// Finds where whole events of a stream end, without changing a byte.
+///
+/// A target may stop in the middle of an event. Only whole events are passed
+/// on, so that a stream can go on at another target after the last of them.
+///
+/// ```
+/// use lycheeford_policy::EventBoundary;
+///
+/// let mut boundary = EventBoundary::default();
+/// let whole = boundary.push(b"id: 3\ndata: lead\n\nid: 4\nda");
+/// assert_eq!(whole, b"id: 3\ndata: lead\n\n");
+/// assert_eq!(boundary.last_id(), Some("3"));
+/// ```
+#[derive(Debug, Default)]
+pub struct EventBoundary {
+    /// Bytes of the event that isn't whole yet.
+    pending: Vec<u8>,
+    /// How many of them are scanned.
+    scanned: usize,
+    line_start: usize,
+    pending_id: Option<String>,
+    last_id: Option<String>,
+    events: u64,
+}
+
+impl EventBoundary {
+    /// Takes the next bytes and returns those of the events that are now whole.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.pending.extend_from_slice(bytes);
+        let mut whole_bytes = 0;
+        while let Some(offset) = self.pending[self.scanned..].iter().position(|&byte| byte == b'\n')
+        {
+            let end = self.scanned + offset;
+            let line = trim_carriage_return(&self.pending[self.line_start..end]);
+            if line.is_empty() {
+                whole_bytes = end + 1;
+                self.events += 1;
+                if self.pending_id.is_some() {
+                    self.last_id = self.pending_id.take();
+                }
+            } else if let Some(id) = event_id(line) {
+                self.pending_id = Some(id);
+            }
+            self.scanned = end + 1;
+            self.line_start = end + 1;
+        }
+        self.scanned = self.pending.len();
+        let rest = self.pending.split_off(whole_bytes);
+        self.scanned -= whole_bytes;
+        self.line_start -= whole_bytes;
+        std::mem::replace(&mut self.pending, rest)
+    }
+
+    /// Returns the bytes after the last whole event and forgets them.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        self.scanned = 0;
+        self.line_start = 0;
+        self.pending_id = None;
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Returns the id of the last whole event that had one.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Returns how many whole events there were.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+}
+
+fn trim_carriage_return(line: &[u8]) -> &[u8] {
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+fn event_id(line: &[u8]) -> Option<String> {
+    let value = line.strip_prefix(b"id:")?;
+    let value = value.strip_prefix(b" ").unwrap_or(value);
+    std::str::from_utf8(value).ok().map(str::to_owned)
+}
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -0,0 +1,60 @@
+//! Decisions of a gateway: any HTTP route to the targets of a service.
+//!
+//! A gateway is one of many equal hosts before the same targets. It shares
+//! nothing with the others but what they tell each other several times a
+//! second ([`PeerReport`]) and what lies in the platform's store. Each decision
+//! is in the file of the load pattern or failure that it answers:
+//!
+//! - `deployment`: what operators declared; the longest prefix wins.
+//! - `target_entry`, `target_table`: what targets say of themselves, and which
+//!   one takes a request, also while some are slow, failing or leaving.
+//! - `wait_queue`: who goes next when all places are taken.
+//! - `shared_bucket`: a customer that sends many times its rate to every host.
+//! - `retry_share`: targets that fail together, so that retries multiply load.
+//! - `confirmation`: a key that is withdrawn while this host is cut off.
+//! - `peer_table`: hosts that die, freeze, leave or can't hear each other.
+//! - `order_lease`: which host gives orders to engines, while holders freeze.
+//! - `demand_table`: demand that moves to other models.
+//! - `swap_planner`: rare models that are asked for at once on few engines.
+//! - `adapter_planner`: many adapters on few places.
+//! - `event_boundary`: streams that break in the middle of an event.
+
+mod adapter_planner;
+mod confirmation;
+mod demand_table;
+mod deployment;
+mod event_boundary;
+mod order_lease;
+mod peer_table;
+mod retry_share;
+mod shared_bucket;
+mod short_key;
+mod swap_planner;
+mod target_entry;
+mod target_health;
+mod target_table;
+mod wait_queue;
+
+pub use self::adapter_planner::{AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant};
+pub use self::confirmation::Confirmation;
+pub use self::demand_table::DemandTable;
+pub use self::deployment::{
+    CallerLimits, CustomerKey, CustomerRate, Deployment, EngineLimits, EngineModel, KeyDigest,
+    RateUnit, RatedCustomer, RouteKind, ServiceRoute, TargetService, WeightedService,
+};
+pub use self::event_boundary::EventBoundary;
+pub use self::order_lease::{LeaseExpect, LeaseRecord, LeaseStep, OrderLease};
+pub use self::peer_table::{
+    Peer, PeerNews, PeerReport, PeerState, PeerTable, ReportedLease, ReportedPlacement, RunningAt,
+    WantedName,
+};
+pub use self::retry_share::RetryShare;
+pub use self::shared_bucket::SharedBucket;
+pub use self::short_key::ShortKey;
+pub use self::swap_planner::{
+    EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlanner,
+};
+pub use self::target_entry::{Residency, ResidentModel, TargetEntry, TargetState};
+pub use self::target_health::{TargetFailure, TargetHealth};
+pub use self::target_table::{Chosen, Need, Target, TargetTable, Tried};
+pub use self::wait_queue::{WaitQueue, Waiting};
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/retry_share.rs
@@ -0,0 +1,83 @@
+use std::collections::VecDeque;
+
+use crate::{Name, TimeMs};
+
+/// The part of the bound that one host uses, so that late counts don't exceed it.
+const USED_PART: f64 = 0.8;
+
+/// This host's part of the repeats that a service may get in a window.
+///
+/// When targets fail together, repeats multiply the load on the rest. The
+/// bound holds over all hosts, which don't ask each other: each takes the
+/// fraction of its own requests and an equal part of the slack.
+#[derive(Debug, Clone)]
+pub struct RetryShare {
+    window_ms: u64,
+    repeats_per_request: f64,
+    slack: f64,
+    /// Sorted by name.
+    services: Vec<ServiceCounts>,
+}
+
+#[derive(Debug, Clone)]
+struct ServiceCounts {
+    service: Name,
+    requests: VecDeque<TimeMs>,
+    repeats: VecDeque<TimeMs>,
+}
+
+impl RetryShare {
+    /// Returns a share without counts of a bound over `window_ms`.
+    pub fn new(window_ms: u64, repeats_per_request: f64, slack: f64) -> RetryShare {
+        RetryShare { window_ms, repeats_per_request, slack, services: Vec::new() }
+    }
+
+    /// Counts a request for `service`.
+    pub fn requested(&mut self, now: TimeMs, service: &Name) {
+        let window_ms = self.window_ms;
+        let counts = self.counts(service);
+        counts.expire(now, window_ms);
+        counts.requests.push_back(now);
+    }
+
+    /// Takes one repeat for `service`, or returns false if none is left.
+    ///
+    /// `hosts` is how many hosts share the bound.
+    pub fn take_repeat(&mut self, now: TimeMs, service: &Name, hosts: usize) -> bool {
+        let (window_ms, ratio, slack) = (self.window_ms, self.repeats_per_request, self.slack);
+        let counts = self.counts(service);
+        counts.expire(now, window_ms);
+        let allowed = ratio * counts.requests.len() as f64 + slack / hosts.max(1) as f64;
+        if (counts.repeats.len() + 1) as f64 > USED_PART * allowed {
+            return false;
+        }
+        counts.repeats.push_back(now);
+        true
+    }
+
+    fn counts(&mut self, service: &Name) -> &mut ServiceCounts {
+        let found = self.services.binary_search_by(|counts| counts.service.cmp(service));
+        let index = found.unwrap_or_else(|index| {
+            let counts = ServiceCounts {
+                service: service.clone(),
+                requests: VecDeque::new(),
+                repeats: VecDeque::new(),
+            };
+            self.services.insert(index, counts);
+            index
+        });
+        &mut self.services[index]
+    }
+}
+
+impl ServiceCounts {
+    fn expire(&mut self, now: TimeMs, window_ms: u64) {
+        let is_old = |at: &TimeMs| now.since_ms(*at) >= window_ms;
+        while self.requests.front().is_some_and(is_old) {
+            self.requests.pop_front();
+        }
+        while self.repeats.front().is_some_and(is_old) {
+            self.repeats.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -0,0 +1,88 @@
+use crate::{CustomerRate, TimeMs};
+
+const MS_PER_S: f64 = 1_000.0;
+/// The part of the burst that a host has before it has heard what others spent.
+const START_PART: f64 = 0.25;
+
+/// One host's view of a customer's rate and burst over all hosts.
+///
+/// Every host refills the whole bucket and takes out what itself and, some
+/// hundred milliseconds late, the others spent. A host that doesn't hear some
+/// of the others refills only its part, since those may go on spending unseen:
+/// two halves of a fleet that is cut in two then spend one rate together.
+///
+/// ```
+/// use lycheeford_policy::{CustomerRate, RateUnit, SharedBucket, TimeMs};
+///
+/// let rate = CustomerRate { units_per_s: 10.0, burst_units: 20.0, unit: RateUnit::Requests };
+/// let mut bucket = SharedBucket::new(TimeMs::from_ms(0));
+/// assert!(bucket.take(TimeMs::from_ms(0), &rate, 1.0, 5.0).is_ok());
+/// assert_eq!(bucket.take(TimeMs::from_ms(0), &rate, 1.0, 1.0), Err(100));
+/// ```
+#[derive(Debug, Clone)]
+pub struct SharedBucket {
+    level: Option<f64>,
+    refilled_at: TimeMs,
+    spent_here: f64,
+}
+
+impl SharedBucket {
+    /// Returns a bucket of a host that has just started.
+    pub fn new(now: TimeMs) -> SharedBucket {
+        SharedBucket { level: None, refilled_at: now, spent_here: 0.0 }
+    }
+
+    /// Takes `units`, or returns after how many milliseconds they may be there.
+    ///
+    /// `part` is the part of the hosts that are heard, this one included. The
+    /// level may fall below zero by one request, so that one larger than the
+    /// burst isn't refused for ever.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the wait if the customer is over its rate.
+    pub fn take(
+        &mut self,
+        now: TimeMs,
+        rate: &CustomerRate,
+        part: f64,
+        units: f64,
+    ) -> Result<(), u64> {
+        self.refill(now, rate, part);
+        let level = self.level.unwrap_or_default();
+        if level <= 0.0 {
+            let missing = 1.0 - level;
+            let refill_per_ms = (rate.units_per_s * part / MS_PER_S).max(f64::MIN_POSITIVE);
+            return Err((missing / refill_per_ms).min(60_000.0).ceil() as u64);
+        }
+        self.level = Some(level - units);
+        self.spent_here += units;
+        Ok(())
+    }
+
+    /// Gives back what a request took that never ran.
+    pub fn give_back(&mut self, rate: &CustomerRate, units: f64) {
+        self.level = self.level.map(|level| (level + units).min(rate.burst_units));
+        self.spent_here -= units;
+    }
+
+    /// Takes out what other hosts spent.
+    pub fn spent_elsewhere(&mut self, units: f64) {
+        self.level = self.level.map(|level| level - units);
+    }
+
+    /// Returns all that this host spent since it started, for the others.
+    pub fn spent_here(&self) -> f64 {
+        self.spent_here
+    }
+
+    fn refill(&mut self, now: TimeMs, rate: &CustomerRate, part: f64) {
+        let elapsed_ms = now.since_ms(self.refilled_at) as f64;
+        self.refilled_at = now;
+        let start = rate.burst_units * START_PART;
+        let refilled =
+            self.level.unwrap_or(start) + rate.units_per_s * part * elapsed_ms / MS_PER_S;
+        // Long silence of the others must not leave a debt that outlasts a window.
+        self.level = Some(refilled.min(rate.burst_units).max(-rate.burst_units));
+    }
+}
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/target_table.rs
@@ -0,0 +1,489 @@
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::peer_table::RunningAt;
+use super::short_key::ShortKey;
+use super::target_entry::{TargetEntry, TargetState};
+use super::target_health::{TargetFailure, TargetHealth};
+use crate::{Name, TimeMs};
+
+/// What a target in another failure domain costs, as a part of the objective.
+const FAR_PART: f64 = 0.08;
+/// What a target that fails all requests costs, as a multiple of the objective.
+const FAILING_FACTOR: f64 = 3.0;
+/// The part of the latency by which equal targets are told apart at random, so
+/// that hosts with the same view don't all choose the same one.
+const SPREAD_PART: f64 = 0.15;
+/// The latency of a service of which nothing is known.
+const USUAL_MS: f64 = 50.0;
+/// How much of a new sample enters the usual latency of a service.
+const USUAL_SAMPLE_PART: f64 = 0.05;
+/// The part of an engine's memory for tokens that requests may take.
+const CACHE_PART: f64 = 0.9;
+/// How long a target that said it is full gets nothing more.
+const FULL_PAUSE_MS: u64 = 60;
+
+/// What a request needs of a target.
+#[derive(Debug, Clone)]
+pub struct Need {
+    /// The service.
+    pub service: Name,
+    /// The model, if the service runs engines.
+    pub model: Option<Name>,
+    /// The adapter on it.
+    pub adapter: Option<Name>,
+    /// The tokens that it reads and writes at most.
+    pub tokens: u64,
+    /// The memory for tokens at one target, if the service runs engines.
+    pub cache_tokens_max: Option<u64>,
+    /// The host's own failure domain.
+    pub failure_domain: Name,
+    /// A hash of the shared part of the prompt, and what reading it again costs.
+    pub affinity: Option<(u64, u64)>,
+    /// The time within which the answer is wanted.
+    pub objective_ms: u64,
+    /// Targets that failed the request.
+    pub excluded: Vec<Name>,
+}
+
+/// A target that was chosen, with the life that is meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Chosen {
+    /// The id.
+    pub id: Name,
+    /// Its life.
+    pub life: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The requests that ran there when it was chosen.
+    pub running: u32,
+}
+
+/// What came of looking for a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Tried {
+    /// This one takes the request.
+    Chosen(Chosen),
+    /// There are targets, but none has a place now.
+    Full,
+    /// No target holds the model or adapter.
+    NotResident,
+    /// The service has no target.
+    NoTarget,
+}
+
+/// The targets of all services, with what is known of their load and health.
+#[derive(Debug, Default)]
+pub struct TargetTable {
+    /// Sorted by id.
+    targets: Vec<Target>,
+    /// Sorted by service.
+    usual_latency_ms: Vec<(Name, f64)>,
+    choices: u64,
+}
+
+/// One target as this host knows it.
+#[derive(Debug)]
+pub struct Target {
+    /// What it says of itself.
+    pub entry: TargetEntry,
+    key: ShortKey,
+    health: TargetHealth,
+    here: Vec<Running>,
+    elsewhere: Vec<(Name, RunningAt)>,
+    /// The adapters that the holder of orders announced, sorted.
+    adapters: Vec<ShortKey>,
+    full_until: TimeMs,
+    /// When it is forgotten, if its entry is gone from the store.
+    forget_at: Option<TimeMs>,
+    /// Models that it refused although its entry lists them.
+    refused: Vec<(Name, TimeMs)>,
+}
+
+#[derive(Debug)]
+struct Running {
+    model: ShortKey,
+    requests: u32,
+    tokens: u64,
+}
+
+impl Target {
+    /// Returns the requests that run there, as far as is known.
+    pub fn running(&self) -> u32 {
+        let here: u32 = self.here.iter().map(|running| running.requests).sum();
+        let elsewhere: u32 = self.elsewhere.iter().map(|(_, at)| at.running).sum();
+        here + elsewhere
+    }
+
+    /// Returns the requests for `model` that run there.
+    pub fn running_model(&self, model: ShortKey) -> u32 {
+        let here = self.here.iter().filter(|running| running.model == model);
+        let elsewhere = self.elsewhere.iter().filter(|(_, at)| at.model == model);
+        here.map(|running| running.requests).sum::<u32>()
+            + elsewhere.map(|(_, at)| at.running).sum::<u32>()
+    }
+
+    /// Returns whether it may get new work as far as the store says.
+    pub fn is_ready(&self) -> bool {
+        self.entry.state == TargetState::Ready
+    }
+
+    /// Returns whether requests that were sent to it came to nothing lately.
+    pub fn is_usable(&self, now: TimeMs) -> bool {
+        self.health.is_usable(now)
+    }
+
+    /// Returns the part of its places that is taken.
+    pub fn crowd(&self) -> f64 {
+        f64::from(self.running()) / f64::from(self.entry.slots.max(1))
+    }
+
+    fn tokens(&self) -> u64 {
+        let here: u64 = self.here.iter().map(|running| running.tokens).sum();
+        here + self.elsewhere.iter().map(|(_, at)| at.tokens).sum::<u64>()
+    }
+
+    fn holds(&self, now: TimeMs, need: &Need) -> bool {
+        let Some(model) = &need.model else { return true };
+        let is_refused = |(name, until): &(Name, TimeMs)| name == model && now < *until;
+        if self.refused.iter().any(is_refused) {
+            return false;
+        }
+        let Some(resident) = self.entry.residency.model(model) else { return false };
+        let Some(adapter) = &need.adapter else { return true };
+        let key = ShortKey::of_adapter(model, adapter);
+        self.adapters.binary_search(&key).is_ok() || resident.adapters.contains(adapter)
+    }
+
+    fn has_place(&self, now: TimeMs, need: &Need) -> bool {
+        let running = self.running();
+        if running >= self.entry.slots || now < self.full_until {
+            return false;
+        }
+        let Some(cache_tokens_max) = need.cache_tokens_max else { return true };
+        let usable_tokens = (cache_tokens_max as f64 * CACHE_PART) as u64;
+        running == 0 || self.tokens() + need.tokens <= usable_tokens
+    }
+}
+
+impl TargetTable {
+    /// Takes over an entry; a new life starts without a history.
+    pub fn put(&mut self, entry: TargetEntry) {
+        let key = ShortKey::of(&entry.id);
+        match self.position(&entry.id) {
+            Ok(index) => {
+                let target = &mut self.targets[index];
+                let same = target.entry.life == entry.life
+                    && target.entry.address == entry.address
+                    && target.entry.service == entry.service;
+                if same {
+                    target.forget_at = None;
+                    target.refused.clear();
+                    target.entry = entry;
+                } else {
+                    *target = Target::new(entry, key);
+                }
+            }
+            Err(index) => self.targets.insert(index, Target::new(entry, key)),
+        }
+    }
+
+    /// Takes in that an entry is gone; the target is forgotten after `grace_ms`.
+    pub fn gone(&mut self, now: TimeMs, id: &str, grace_ms: u64) {
+        let Ok(index) = self.position(id) else { return };
+        if grace_ms == 0 {
+            self.targets.remove(index);
+        } else {
+            self.targets[index].forget_at.get_or_insert(now + grace_ms);
+        }
+    }
+
+    /// Takes over the whole list; targets that aren't in it are gone.
+    pub fn replace(&mut self, now: TimeMs, entries: Vec<TargetEntry>, grace_ms: u64) {
+        let listed: Vec<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
+        for entry in entries {
+            self.put(entry);
+        }
+        let missing: Vec<Name> = self
+            .targets
+            .iter()
+            .map(|target| target.entry.id.clone())
+            .filter(|id| !listed.contains(id))
+            .collect();
+        for id in missing {
+            self.gone(now, &id, grace_ms);
+        }
+    }
+
+    /// Forgets the targets whose entries have been gone for long enough.
+    pub fn expire(&mut self, now: TimeMs) {
+        self.targets.retain(|target| target.forget_at.is_none_or(|at| now < at));
+    }
+
+    /// Returns the target called `id`.
+    pub fn target(&self, id: &str) -> Option<&Target> {
+        self.position(id).ok().map(|index| &self.targets[index])
+    }
+
+    /// Returns whether `life` of the target called `id` is still listed.
+    pub fn is_listed(&self, id: &str, life: u64) -> bool {
+        self.target(id).is_some_and(|target| target.entry.life == life)
+    }
+
+    /// Returns the targets of `service`.
+    pub fn of_service<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Target> {
+        self.targets.iter().filter(move |target| target.entry.service == *service)
+    }
+
+    /// Returns every target, sorted by id.
+    pub fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    /// Chooses the target for a request.
+    ///
+    /// Counts what this host runs itself exactly, and what the others run as
+    /// they last said. Weighs latency under load, failures, the way between
+    /// failure domains and the prompt that the target has read before.
+    pub fn choose(&mut self, now: TimeMs, need: &Need) -> Tried {
+        self.choices = self.choices.wrapping_add(1);
+        let usual_ms = self.usual_latency_ms(&need.service);
+        let mut tried = Tried::NoTarget;
+        let mut best: Option<(f64, usize)> = None;
+        let favourite = need.affinity.and_then(|(hash, _)| self.favourite(now, need, hash));
+        for (index, target) in self.targets.iter().enumerate() {
+            if target.entry.service != need.service
+                || !target.is_ready()
+                || need.excluded.contains(&target.entry.id)
+            {
+                continue;
+            }
+            if !target.holds(now, need) {
+                if tried == Tried::NoTarget {
+                    tried = Tried::NotResident;
+                }
+                continue;
+            }
+            tried = Tried::Full;
+            if !target.health.is_usable(now) || !target.has_place(now, need) {
+                continue;
+            }
+            let mut cost_ms = self.cost_ms(now, need, target, usual_ms);
+            if favourite == Some(index) {
+                cost_ms -= need.affinity.map_or(0.0, |(_, gain_ms)| gain_ms as f64);
+            }
+            if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
+                best = Some((cost_ms, index));
+            }
+        }
+        best.map_or(tried, |(_, index)| {
+            let target = &self.targets[index];
+            Tried::Chosen(Chosen {
+                id: target.entry.id.clone(),
+                life: target.entry.life,
+                address: target.entry.address,
+                running: target.running(),
+            })
+        })
+    }
+
+    /// Counts a request as running at a target.
+    pub fn started(&mut self, chosen: &Chosen, model: Option<&Name>, tokens: u64) {
+        let model = model.map_or(ShortKey(0), |name| ShortKey::of(name));
+        let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
+        match target.here.iter_mut().find(|running| running.model == model) {
+            Some(running) => {
+                running.requests += 1;
+                running.tokens += tokens;
+            }
+            None => target.here.push(Running { model, requests: 1, tokens }),
+        }
+    }
+
+    /// Counts a request at a target as ended.
+    pub fn ended(&mut self, chosen: &Chosen, model: Option<&Name>, tokens: u64) {
+        let model = model.map_or(ShortKey(0), |name| ShortKey::of(name));
+        let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
+        if let Some(running) = target.here.iter_mut().find(|running| running.model == model) {
+            running.requests = running.requests.saturating_sub(1);
+            running.tokens = running.tokens.saturating_sub(tokens);
+        }
+        target.here.retain(|running| running.requests > 0);
+    }
+
+    /// Takes in that a target began to answer after `latency_ms`.
+    pub fn succeeded(&mut self, now: TimeMs, chosen: &Chosen, latency_ms: u64) {
+        let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
+        target.health.succeeded(now, latency_ms);
+        let service = target.entry.service.clone();
+        let usual_ms = self.usual_latency_ms(&service);
+        let usual_ms = usual_ms + USUAL_SAMPLE_PART * (latency_ms as f64 - usual_ms);
+        match self.usual_latency_ms.binary_search_by(|(name, _)| name.cmp(&service)) {
+            Ok(index) => self.usual_latency_ms[index].1 = usual_ms,
+            Err(index) => self.usual_latency_ms.insert(index, (service, usual_ms)),
+        }
+    }
+
+    /// Takes in that a request failed at a target.
+    pub fn failed(&mut self, now: TimeMs, chosen: &Chosen, failure: TargetFailure) {
+        if let Some(target) = self.life_mut(&chosen.id, chosen.life) {
+            target.health.failed(now, failure);
+        }
+    }
+
+    /// Takes in that a target had no place although it seemed to.
+    pub fn was_full(&mut self, now: TimeMs, chosen: &Chosen) {
+        if let Some(target) = self.life_mut(&chosen.id, chosen.life) {
+            target.full_until = now + FULL_PAUSE_MS;
+        }
+    }
+
+    /// Takes in that a target refused a model or adapter that it seemed to hold.
+    pub fn refused(&mut self, now: TimeMs, chosen: &Chosen, need: &Need, pause_ms: u64) {
+        let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
+        let Some(model) = &need.model else { return };
+        match &need.adapter {
+            Some(adapter) => {
+                let key = ShortKey::of_adapter(model, adapter);
+                target.adapters.retain(|held| *held != key);
+                target.remove_listed_adapter(model, adapter);
+            }
+            None => {
+                target.refused.retain(|(_, until)| now < *until);
+                target.refused.push((model.clone(), now + pause_ms));
+            }
+        }
+    }
+
+    /// Forgets a target whose address has been taken over by another process.
+    pub fn misdirected(&mut self, chosen: &Chosen) {
+        if let Ok(index) = self.position(&chosen.id)
+            && self.targets[index].entry.life == chosen.life
+        {
+            self.targets.remove(index);
+        }
+    }
+
+    /// Takes over what another host runs at each target.
+    pub fn runs_elsewhere(&mut self, host: &Name, running: &[RunningAt]) {
+        for target in &mut self.targets {
+            target.elsewhere.retain(|(name, _)| name != host);
+            let at_target = running.iter().filter(|at| at.target == target.key);
+            target.elsewhere.extend(at_target.map(|at| (host.clone(), *at)));
+        }
+    }
+
+    /// Returns what this host runs at each target, for the others.
+    pub fn runs_here(&self) -> Vec<RunningAt> {
+        let at = |target: &Target| {
+            let target_key = target.key;
+            let here = target.here.iter().map(move |running| RunningAt {
+                target: target_key,
+                model: running.model,
+                running: running.requests,
+                tokens: running.tokens,
+            });
+            here.collect::<Vec<_>>()
+        };
+        self.targets.iter().flat_map(at).collect()
+    }
+
+    /// Returns the requests that run for each model at the targets of a service, sorted by model.
+    pub fn running_by_model(&self, service: &Name) -> Vec<(ShortKey, u32)> {
+        let mut running: Vec<(ShortKey, u32)> = Vec::new();
+        let at_targets = self.of_service(service).flat_map(|target| {
+            let here = target.here.iter().map(|running| (running.model, running.requests));
+            here.chain(target.elsewhere.iter().map(|(_, at)| (at.model, at.running)))
+        });
+        for (model, requests) in at_targets {
+            match running.binary_search_by_key(&model, |(key, _)| *key) {
+                Ok(index) => running[index].1 += requests,
+                Err(index) => running.insert(index, (model, requests)),
+            }
+        }
+        running
+    }
+
+    /// Forgets which adapters can run where, since another host keeps account of them now.
+    pub fn clear_adapters(&mut self) {
+        for target in &mut self.targets {
+            target.adapters.clear();
+        }
+    }
+
+    /// Takes in whether an adapter can run at a target.
+    pub fn set_adapter(&mut self, target: ShortKey, adapter: ShortKey, is_ready: bool) {
+        let Some(target) = self.targets.iter_mut().find(|known| known.key == target) else {
+            return;
+        };
+        match (target.adapters.binary_search(&adapter), is_ready) {
+            (Err(index), true) => target.adapters.insert(index, adapter),
+            (Ok(index), false) => {
+                target.adapters.remove(index);
+            }
+            _ => {}
+        }
+    }
+
+    fn cost_ms(&self, now: TimeMs, need: &Need, target: &Target, usual_ms: f64) -> f64 {
+        let objective_ms = need.objective_ms as f64;
+        let mut cost_ms = target.health.latency_ms(now, usual_ms) * (1.0 + 2.0 * target.crowd());
+        cost_ms += objective_ms * FAILING_FACTOR * target.health.failed_part(now);
+        if target.entry.failure_domain != need.failure_domain {
+            cost_ms += objective_ms * FAR_PART;
+        }
+        let spread = xxh3_64_with_seed(&self.choices.to_le_bytes(), u64::from(target.key.0));
+        cost_ms + usual_ms * SPREAD_PART * (spread as f64 / u64::MAX as f64)
+    }
+
+    /// Returns the target that all hosts prefer for a prompt.
+    fn favourite(&self, now: TimeMs, need: &Need, hash: u64) -> Option<usize> {
+        let holders = self.targets.iter().enumerate().filter(|(_, target)| {
+            target.entry.service == need.service && target.is_ready() && target.holds(now, need)
+        });
+        holders
+            .max_by_key(|(_, target)| {
+                xxh3_64_with_seed(&hash.to_le_bytes(), u64::from(target.key.0))
+            })
+            .map(|(index, _)| index)
+    }
+
+    fn usual_latency_ms(&self, service: &Name) -> f64 {
+        let found = self.usual_latency_ms.binary_search_by(|(name, _)| name.cmp(service));
+        found.map_or(USUAL_MS, |index| self.usual_latency_ms[index].1)
+    }
+
+    fn life_mut(&mut self, id: &str, life: u64) -> Option<&mut Target> {
+        let index = self.position(id).ok()?;
+        let target = &mut self.targets[index];
+        (target.entry.life == life).then_some(target)
+    }
+
+    fn position(&self, id: &str) -> Result<usize, usize> {
+        self.targets.binary_search_by(|target| target.entry.id.as_str().cmp(id))
+    }
+}
+
+impl Target {
+    fn new(entry: TargetEntry, key: ShortKey) -> Target {
+        Target {
+            entry,
+            key,
+            health: TargetHealth::default(),
+            here: Vec::new(),
+            elsewhere: Vec::new(),
+            adapters: Vec::new(),
+            full_until: TimeMs::default(),
+            forget_at: None,
+            refused: Vec::new(),
+        }
+    }
+
+    fn remove_listed_adapter(&mut self, model: &Name, adapter: &Name) {
+        let models = &mut self.entry.residency.models;
+        if let Ok(index) = models.binary_search_by(|resident| resident.name.cmp(model)) {
+            models[index].adapters.retain(|held| held != adapter);
+        }
+    }
+}
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -22,10 +22,13 @@
 //! - [`FairQueue`]: the requests that wait at one host, and who goes next.
 //! - [`Readiness`]: when a model is expected to be ready, for refusal at arrival.
 //! - [`RetryBudget`]: how much of the load may be retries.
+//! - [`Deployment`], [`TargetTable`], [`WaitQueue`], [`OrderLease`], [`SwapPlanner`]: a gateway,
+//!   which serves any HTTP route; see the module `gateway`.
 mod configuration;
 mod crash_suspect;
 mod fair_queue;
 mod freshness;
+mod gateway;
 mod gone;
 mod health;
 mod host;
@@ -60,6 +63,16 @@
 };
 pub use crate::fair_queue::{FairQueue, QueueDepth, QueueId, QueuedRequest};
 pub use crate::freshness::{ConfigurationState, Freshness, KEY_STALENESS_MS_MAX};
+pub use crate::gateway::{
+    AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, CallerLimits, Chosen, Confirmation,
+    CustomerKey, CustomerRate, DemandTable, Deployment, EngineLimits, EngineModel, EngineOperation,
+    EngineView, EventBoundary, KeyDigest, LeaseExpect, LeaseRecord, LeaseStep, ModelDemand, Need,
+    OrderLease, Peer, PeerNews, PeerReport, PeerState, PeerTable, RateUnit, RatedCustomer,
+    ReportedLease, ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare,
+    RouteKind, RunningAt, ServiceRoute, SharedBucket, ShortKey, SwapAction, SwapOrder, SwapPlanner,
+    Target, TargetEntry, TargetFailure, TargetHealth, TargetService, TargetState, TargetTable,
+    Tried, WaitQueue, Waiting, WantedName, WeightedService,
+};
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
     CLOCK_JUMP_MS, DOWN_AFTER_MS, HEALTH_TICK_MS, Health, MIN_FAILED_PROBES, ProbeResult,
--- a/crates/lycheeford-policy/src/refusal.rs
+++ b/crates/lycheeford-policy/src/refusal.rs
@@ -71,6 +71,8 @@
 pub enum RefusalCode {
     /// The request is malformed.
     BadRequest,
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The head or body is larger than allowed.
     TooLarge,
     /// The caller sent its request too slowly.
--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -4,11 +4,11 @@
 
 use async_std::future::timeout;
 use http_types::Method;
-use lycheeford_http::{BodyDecoder, Persistence, strip_connection_headers};
+use lycheeford_http::{BodyDecoder, Persistence, ResponseHead, strip_connection_headers};
 use lycheeford_policy::OrderOutcome;
 
 use crate::error::Code;
-use crate::link::Link;
+use crate::link::{Awaited, Link, Sent};
 use crate::pool::Pool;
 use crate::response::Home;
 use crate::wire::WireOrder;
@@ -20,6 +20,9 @@
 /// How long a status may take altogether; health must be known soon.
 const STATUS_MS_MAX: u64 = 2_000;
 const STATUS_BYTES_MAX: usize = 4 * 1024 * 1024;
+const MS_PER_S: u64 = 1_000;
+/// By how much an unused connection is given up before the target closes it.
+const KEEP_ALIVE_MARGIN_MS: u64 = 500;
 /// How long an engine may take to accept an order.
 const ORDER_MS_MAX: u64 = 5_000;
 
@@ -53,13 +56,16 @@
     ) -> Result<TargetResponse, TargetError> {
         let encoded = request.to_http(address)?;
         let mut link = self.link(address, request.connection).await?;
-        link.send(encoded, &self.limits).await?;
         let first_byte_ms_max = request.first_byte_ms_max.unwrap_or(self.limits.first_byte_ms_max);
-        let between_bytes_ms_max = self.limits.between_bytes_ms_max;
-        let mut head =
-            link.receive_head(request.method, first_byte_ms_max, between_bytes_ms_max).await?;
-        let home = match (request.connection, head.persistence) {
-            (Connection::Pooled, Persistence::KeepAlive) => Home::Pool(self.pool.clone(), address),
+        let awaited = Awaited { method: request.method, echo: request.echo.as_ref() };
+        let (mut head, sent) =
+            link.exchange(encoded, &awaited, first_byte_ms_max, &self.limits).await?;
+        let home = match (request.connection, head.persistence, sent) {
+            (Connection::Pooled, Persistence::KeepAlive, Sent::Whole) => Home::Pool {
+                pool: self.pool.clone(),
+                address,
+                idle_ms_max: keep_alive_ms(&head).unwrap_or(self.limits.pool_idle_ms_max),
+            },
             _ => Home::Nowhere,
         };
         strip_connection_headers(&mut head.headers);
@@ -76,6 +82,8 @@
         let request = TargetRequest {
             method: Method::Get,
             path_and_query: "/status".to_owned(),
+            host: None,
+            echo: None,
             headers: Vec::new(),
             body: Vec::new(),
             connection: Connection::Fresh,
@@ -110,6 +118,8 @@
         let request = TargetRequest {
             method: Method::Post,
             path_and_query: "/orders".to_owned(),
+            host: None,
+            echo: None,
             headers: vec![("content-type".to_owned(), "application/json".to_owned())],
             body,
             connection: Connection::Fresh,
@@ -131,7 +141,15 @@
         };
         match pooled {
             Some(link) => Ok(link),
-            None => Link::open(address, self.limits.connect_ms_max).await,
+            None => Link::open(address, &self.limits).await,
         }
     }
 }
+
+/// Returns how long the target lets the connection stay unused, less a margin for the way.
+fn keep_alive_ms(head: &ResponseHead) -> Option<u64> {
+    let value = head.headers.iter().find(|(name, _)| name == "keep-alive")?.1.as_str();
+    let parameter = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let timeout_s: u64 = parameter.trim().parse().ok()?;
+    Some((timeout_s * MS_PER_S).saturating_sub(KEEP_ALIVE_MARGIN_MS))
+}
--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -24,6 +24,7 @@
             Code::Head { .. }
             | Code::Body { .. }
             | Code::Interim
+            | Code::Foreign
             | Code::TooLarge { .. }
             | Code::Json { .. }
             | Code::Field { .. }
@@ -48,6 +49,13 @@
     }
 }
 
+impl TargetError {
+    /// Returns the failure of a call whose caller gave up after `limit_ms`.
+    pub fn out_of_time(limit_ms: u64) -> TargetError {
+        Code::BetweenBytesTimeout { limit_ms }.into()
+    }
+}
+
 impl From<Code> for TargetError {
     fn from(code: Code) -> TargetError {
         TargetError { code }
@@ -112,6 +120,8 @@
     Body { source: lycheeford_http::Error },
     #[snafu(display("the target answered 101 or too many interim heads; mend the target"))]
     Interim,
+    #[snafu(display("the connection carries answers to other requests; mend the target"))]
+    Foreign,
     #[snafu(display("the answer is over {limit_bytes} bytes; raise the limit or mend the target"))]
     TooLarge { limit_bytes: usize },
     #[snafu(display("the answer isn't the expected JSON: {source}; mend the target"))]
--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -31,3 +31,4 @@
 pub use crate::response::{TargetBody, TargetResponse};
 pub use crate::status::{Checkpoint, Loaded, TargetStatus};
 pub use http_types::Method;
+pub use lycheeford_http::Unframed;
--- a/crates/lycheeford-target/src/limits.rs
+++ b/crates/lycheeford-target/src/limits.rs
@@ -1,3 +1,5 @@
+use lycheeford_http::Unframed;
+
 /// Limits on how long a target may take and how much it may send.
 #[derive(Debug, Clone, Copy)]
 pub struct TargetLimits {
@@ -13,6 +15,14 @@
     pub pool_per_target_max: usize,
     /// The longest answer body.
     pub answer_bytes_max: usize,
+    /// Whether an answer may end with its connection instead of a length.
+    pub unframed: Unframed,
+    /// How long a connection may stay without a sign of life from the other end.
+    ///
+    /// It bounds the time until unacknowledged bytes fail the connection, and
+    /// that between keep-alive probes; something between the two ends can lose
+    /// track of a connection without either end noticing.
+    pub silent_ms_max: Option<u32>,
 }
 
 impl Default for TargetLimits {
@@ -24,6 +34,8 @@
             pool_idle_ms_max: 15_000,
             pool_per_target_max: 16,
             answer_bytes_max: 64 * 1024 * 1024,
+            unframed: Unframed::Refuse,
+            silent_ms_max: None,
         }
     }
 }
--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -1,14 +1,17 @@
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use async_h1::client::Encoder;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_util::FutureExt;
+use futures_util::future::{Either, select};
 use futures_util::io::AsyncWriteExt;
 use http_types::{Method, Request};
 use lycheeford_http::{BodyDecoder, Category, MessageReader, ResponseHead, read_some};
+use rustix::net::sockopt;
 
 use crate::error::Code;
 use crate::{TargetError, TargetLimits};
@@ -20,6 +23,37 @@
 /// Bytes gathered for one write.
 const WRITE_BYTES: usize = 16 * 1024;
 
+/// Answers to earlier requests that may stand before the awaited one.
+const FOREIGN_ANSWERS_MAX: usize = 2;
+/// The pause before and between keep-alive probes; the kernel takes whole seconds.
+const KEEP_ALIVE_PAUSE_S: u64 = 1;
+
+/// Which answer is awaited on a connection.
+#[derive(Debug)]
+pub(crate) struct Awaited<'a> {
+    pub(crate) method: Method,
+    /// The header that the answer repeats.
+    pub(crate) echo: Option<&'a (String, String)>,
+}
+
+impl Awaited<'_> {
+    /// Returns whether the answer doesn't say that it belongs to another request.
+    fn is_answered_by(&self, head: &ResponseHead) -> bool {
+        let Some((name, value)) = self.echo else { return true };
+        let echoed = head.headers.iter().find(|(header, _)| header.eq_ignore_ascii_case(name));
+        echoed.is_none_or(|(_, echoed)| echoed == value)
+    }
+}
+
+/// How much of a request was sent when its answer came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// All of it.
+    Whole,
+    /// A part; the connection can't be used again.
+    Partly,
+}
+
 /// One connection to a target; dropping it closes it.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -29,13 +63,20 @@
 
 impl Link {
     /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr, limit_ms: u64) -> Result<Link, TargetError> {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limits: &TargetLimits,
+    ) -> Result<Link, TargetError> {
+        let limit_ms = limits.connect_ms_max;
         let stream = timeout(Duration::from_millis(limit_ms), TcpStream::connect(address))
             .await
             .map_err(|_| Code::ConnectTimeout { limit_ms })?
             .map_err(|source| Code::Connect { source })?;
         // Without it the last part of a request could wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
+        if let Some(silent_ms_max) = limits.silent_ms_max {
+            bound_silence(&stream, silent_ms_max).map_err(|source| Code::Connect { source })?;
+        }
         Ok(Link { reader: MessageReader::new(stream.clone()), writer: stream })
     }
 
@@ -45,89 +86,34 @@
         self.reader.surplus_bytes() == 0 && self.reader.fill().now_or_never().is_none()
     }
 
-    /// Sends a request.
-    pub(crate) async fn send(
+    /// Sends a request and receives the final head of its answer.
+    ///
+    /// A target may answer before it has read the whole request, so both go on
+    /// at once. A failure to send is reported only if no answer is there.
+    pub(crate) async fn exchange(
         &mut self,
         request: Request,
-        limits: &TargetLimits,
-    ) -> Result<(), TargetError> {
-        let mut encoder = Encoder::new(request);
-        let mut buffer = Vec::new();
-        let mut sent_bytes = 0;
-        loop {
-            buffer.clear();
-            while buffer.len() < WRITE_BYTES {
-                match read_some(&mut encoder, &mut buffer).await {
-                    Ok(1..) => {}
-                    Ok(0) if buffer.is_empty() => return Ok(()),
-                    Ok(0) => break,
-                    Err(source) => return Err(write_error(sent_bytes, source)),
-                }
-            }
-            self.send_all(&buffer, &mut sent_bytes, limits.between_bytes_ms_max).await?;
-        }
-    }
-
-    async fn send_all(
-        &mut self,
-        mut bytes: &[u8],
-        sent_bytes: &mut u64,
-        limit_ms: u64,
-    ) -> Result<(), TargetError> {
-        while !bytes.is_empty() {
-            let length_bytes = timeout(Duration::from_millis(limit_ms), self.writer.write(bytes))
-                .await
-                .map_err(|_| write_timeout(*sent_bytes, limit_ms))?
-                .map_err(|source| write_error(*sent_bytes, source))?;
-            *sent_bytes += length_bytes as u64;
-            bytes = &bytes[length_bytes..];
-        }
-        Ok(())
-    }
-
-    /// Receives the final head of the answer to a request with `method`.
-    pub(crate) async fn receive_head(
-        &mut self,
-        method: Method,
+        awaited: &Awaited<'_>,
         first_byte_ms_max: u64,
-        between_bytes_ms_max: u64,
-    ) -> Result<ResponseHead, TargetError> {
-        for _ in 0..=INTERIM_HEADS_MAX {
-            if self.reader.surplus_bytes() == 0 {
-                self.wait_for_head(first_byte_ms_max).await?;
-            }
-            let head = self.read_head(method, between_bytes_ms_max).await?;
-            if head.status == STATUS_SWITCHING_PROTOCOLS {
-                break;
-            }
-            if !head.is_interim() {
-                return Ok(head);
+        limits: &TargetLimits,
+    ) -> Result<(ResponseHead, Sent), TargetError> {
+        let Link { reader, writer } = self;
+        let sending = pin!(send(writer, request, limits.between_bytes_ms_max));
+        let receiving = pin!(receive_head(reader, awaited, first_byte_ms_max, limits));
+        match select(sending, receiving).await {
+            Either::Left((Ok(()), receiving)) => Ok((receiving.await?, Sent::Whole)),
+            Either::Left((Err(error), receiving)) => match receiving.now_or_never() {
+                Some(Ok(head)) => Ok((head, Sent::Partly)),
+                _ => Err(error),
+            },
+            Either::Right((head, sending)) => {
+                let sent = match sending.now_or_never() {
+                    Some(Ok(())) => Sent::Whole,
+                    _ => Sent::Partly,
+                };
+                Ok((head?, sent))
             }
         }
-        Err(Code::Interim.into())
-    }
-
-    async fn wait_for_head(&mut self, limit_ms: u64) -> Result<(), TargetError> {
-        let length_bytes = timeout(Duration::from_millis(limit_ms), self.reader.fill())
-            .await
-            .map_err(|_| Code::FirstByteTimeout { limit_ms })?
-            .map_err(|source| Code::Read { source })?;
-        if length_bytes == 0 { Err(Code::Closed.into()) } else { Ok(()) }
-    }
-
-    async fn read_head(
-        &mut self,
-        method: Method,
-        limit_ms: u64,
-    ) -> Result<ResponseHead, TargetError> {
-        let bytes = timeout(Duration::from_millis(limit_ms), self.reader.head(HEAD_BYTES_MAX))
-            .await
-            .map_err(|_| Code::BetweenBytesTimeout { limit_ms })?
-            .map_err(|source| match source.category() {
-                Category::Closed | Category::Truncated | Category::Broken => Code::Closed,
-                Category::TooLarge | Category::Malformed => Code::Head { source },
-            })?;
-        ResponseHead::parse(&bytes, method).map_err(|source| Code::Head { source }.into())
     }
 
     /// Receives the next bytes of the body, or `None` after its end.
@@ -153,6 +139,140 @@
     }
 }
 
+/// Sends a request.
+async fn send(
+    writer: &mut TcpStream,
+    request: Request,
+    between_bytes_ms_max: u64,
+) -> Result<(), TargetError> {
+    let mut encoder = Encoder::new(request);
+    let mut buffer = Vec::new();
+    let mut sent_bytes = 0;
+    loop {
+        buffer.clear();
+        while buffer.len() < WRITE_BYTES {
+            match read_some(&mut encoder, &mut buffer).await {
+                Ok(1..) => {}
+                Ok(0) if buffer.is_empty() => return Ok(()),
+                Ok(0) => break,
+                Err(source) => return Err(write_error(sent_bytes, source)),
+            }
+        }
+        send_all(writer, &buffer, &mut sent_bytes, between_bytes_ms_max).await?;
+    }
+}
+
+async fn send_all(
+    writer: &mut TcpStream,
+    mut bytes: &[u8],
+    sent_bytes: &mut u64,
+    limit_ms: u64,
+) -> Result<(), TargetError> {
+    while !bytes.is_empty() {
+        let length_bytes = timeout(Duration::from_millis(limit_ms), writer.write(bytes))
+            .await
+            .map_err(|_| write_timeout(*sent_bytes, limit_ms))?
+            .map_err(|source| write_error(*sent_bytes, source))?;
+        *sent_bytes += length_bytes as u64;
+        bytes = &bytes[length_bytes..];
+    }
+    Ok(())
+}
+
+/// Receives the head of the answer that is awaited.
+async fn receive_head(
+    reader: &mut MessageReader<TcpStream>,
+    awaited: &Awaited<'_>,
+    first_byte_ms_max: u64,
+    limits: &TargetLimits,
+) -> Result<ResponseHead, TargetError> {
+    for _ in 0..=FOREIGN_ANSWERS_MAX {
+        let head = receive_final_head(reader, awaited.method, first_byte_ms_max, limits).await?;
+        if awaited.is_answered_by(&head) {
+            return Ok(head);
+        }
+        skip_body(reader, &head, limits).await?;
+    }
+    Err(Code::Foreign.into())
+}
+
+/// Reads over the body of an answer to an earlier request.
+async fn skip_body(
+    reader: &mut MessageReader<TcpStream>,
+    head: &ResponseHead,
+    limits: &TargetLimits,
+) -> Result<(), TargetError> {
+    let mut decoder = BodyDecoder::new(head.framing);
+    let skip = async {
+        while reader.body_chunk(&mut decoder).await?.is_some() {}
+        Ok(())
+    };
+    timeout(Duration::from_millis(limits.between_bytes_ms_max), skip)
+        .await
+        .map_err(|_| Code::Foreign)?
+        .map_err(|source| Code::Body { source })?;
+    Ok(())
+}
+
+async fn receive_final_head(
+    reader: &mut MessageReader<TcpStream>,
+    method: Method,
+    first_byte_ms_max: u64,
+    limits: &TargetLimits,
+) -> Result<ResponseHead, TargetError> {
+    for _ in 0..=INTERIM_HEADS_MAX {
+        if reader.surplus_bytes() == 0 {
+            wait_for_head(reader, first_byte_ms_max).await?;
+        }
+        let head = read_head(reader, method, limits).await?;
+        if head.status == STATUS_SWITCHING_PROTOCOLS {
+            break;
+        }
+        if !head.is_interim() {
+            return Ok(head);
+        }
+    }
+    Err(Code::Interim.into())
+}
+
+async fn wait_for_head(
+    reader: &mut MessageReader<TcpStream>,
+    limit_ms: u64,
+) -> Result<(), TargetError> {
+    let length_bytes = timeout(Duration::from_millis(limit_ms), reader.fill())
+        .await
+        .map_err(|_| Code::FirstByteTimeout { limit_ms })?
+        .map_err(|source| Code::Read { source })?;
+    if length_bytes == 0 { Err(Code::Closed.into()) } else { Ok(()) }
+}
+
+async fn read_head(
+    reader: &mut MessageReader<TcpStream>,
+    method: Method,
+    limits: &TargetLimits,
+) -> Result<ResponseHead, TargetError> {
+    let limit_ms = limits.between_bytes_ms_max;
+    let bytes = timeout(Duration::from_millis(limit_ms), reader.head(HEAD_BYTES_MAX))
+        .await
+        .map_err(|_| Code::BetweenBytesTimeout { limit_ms })?
+        .map_err(|source| match source.category() {
+            Category::Closed | Category::Truncated | Category::Broken => Code::Closed,
+            Category::TooLarge | Category::Malformed => Code::Head { source },
+        })?;
+    ResponseHead::parse_with(&bytes, method, limits.unframed)
+        .map_err(|source| Code::Head { source }.into())
+}
+
+/// Lets the kernel fail a connection whose other end gives no sign of life.
+fn bound_silence(stream: &TcpStream, silent_ms_max: u32) -> io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, silent_ms_max)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    let pause = Duration::from_secs(KEEP_ALIVE_PAUSE_S);
+    sockopt::set_tcp_keepidle(stream, pause)?;
+    sockopt::set_tcp_keepintvl(stream, pause)?;
+    Ok(())
+}
+
 fn write_error(sent_bytes: u64, source: io::Error) -> TargetError {
     match sent_bytes {
         0 => Code::WriteNothing { source }.into(),
--- a/crates/lycheeford-target/src/pool.rs
+++ b/crates/lycheeford-target/src/pool.rs
@@ -36,6 +36,13 @@
 struct Idle {
     link: Link,
     since: Instant,
+    idle_max: Duration,
+}
+
+impl Idle {
+    fn is_young(&self) -> bool {
+        self.since.elapsed() < self.idle_max
+    }
 }
 
 /// Whether a task closes the connections that are too old.
@@ -61,17 +68,18 @@
     /// connection with any is closed.
     pub(crate) fn take(&self, address: SocketAddr) -> Option<Link> {
         loop {
-            let Idle { mut link, since } = self.pop(address)?;
-            if since.elapsed() < self.idle_max && link.is_quiet() {
-                return Some(link);
+            let mut idle = self.pop(address)?;
+            if idle.is_young() && idle.link.is_quiet() {
+                return Some(idle.link);
             }
         }
     }
 
-    /// Keeps a connection whose last answer was read whole.
-    pub(crate) fn put(&self, address: SocketAddr, link: Link) {
+    /// Keeps a connection whose last answer was read whole, for `idle_ms_max` at most.
+    pub(crate) fn put(&self, address: SocketAddr, link: Link, idle_ms_max: u64) {
         let mut table = lock(&self.table);
-        let idle = Idle { link, since: Instant::now() };
+        let idle_max = self.idle_max.min(Duration::from_millis(idle_ms_max));
+        let idle = Idle { link, since: Instant::now(), idle_max };
         match table.position(address) {
             Ok(index) if table.shelves[index].idle.len() >= self.per_target_max => return,
             Ok(index) => table.shelves[index].idle.push(idle),
@@ -100,11 +108,10 @@
     }
 
     /// Takes out the connections that are too old.
-    fn remove_old(&mut self, idle_max: Duration) -> Vec<Idle> {
+    fn remove_old(&mut self) -> Vec<Idle> {
         let mut old = Vec::new();
         for shelf in &mut self.shelves {
-            let young = shelf.idle.iter().position(|idle| idle.since.elapsed() < idle_max);
-            old.extend(shelf.idle.drain(..young.unwrap_or(shelf.idle.len())));
+            old.extend(shelf.idle.extract_if(.., |idle| !idle.is_young()));
         }
         self.shelves.retain(|shelf| !shelf.idle.is_empty());
         old
@@ -117,7 +124,7 @@
         task::sleep(idle_max).await;
         let Some(table) = table.upgrade() else { return };
         let mut table = lock(&table);
-        let old = table.remove_old(idle_max);
+        let old = table.remove_old();
         if table.shelves.is_empty() {
             table.sweeper = Sweeper::Stopped;
             return;
--- a/crates/lycheeford-target/src/request.rs
+++ b/crates/lycheeford-target/src/request.rs
@@ -14,8 +14,15 @@
     pub method: Method,
     /// The path with the query, normalised and percent-encoded, starting with a slash.
     pub path_and_query: String,
+    /// The host that the request names, or `None` for the target's address.
+    pub host: Option<String>,
     /// The headers; those that concern the connection are set by the client.
     pub headers: Vec<(String, String)>,
+    /// The header that the target repeats in its answer, if it does.
+    ///
+    /// An answer with another value belongs to an earlier request on the same
+    /// connection and is passed over.
+    pub echo: Option<(String, String)>,
     /// The whole body.
     pub body: Vec<u8>,
     /// Which connection carries the call.
@@ -50,6 +57,12 @@
             }
             request.append_header(name.as_str(), value.as_str());
         }
+        if let Some(host) = &self.host {
+            if !is_sendable("host", host) {
+                return Err(Code::Request { what: "the host isn't plain ASCII" }.into());
+            }
+            request.insert_header("host", host.as_str());
+        }
         if self.connection == Connection::Fresh {
             request.insert_header("connection", "close");
         }
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -43,7 +43,12 @@
 #[derive(Debug)]
 pub(crate) enum Home {
     /// Back to the pool.
-    Pool(Pool, SocketAddr),
+    Pool {
+        pool: Pool,
+        address: SocketAddr,
+        /// How long it may stay unused there.
+        idle_ms_max: u64,
+    },
     /// Nowhere; it is closed.
     Nowhere,
 }
@@ -122,8 +127,8 @@
             return;
         }
         let state = mem::replace(&mut self.state, State::Whole);
-        if let State::Open { link, home: Home::Pool(pool, address), .. } = state {
-            pool.put(address, link);
+        if let State::Open { link, home: Home::Pool { pool, address, idle_ms_max }, .. } = state {
+            pool.put(address, link, idle_ms_max);
         }
     }
 }
--- a/crates/lycheeford-target/tests/common/mod.rs
+++ b/crates/lycheeford-target/tests/common/mod.rs
@@ -55,6 +55,8 @@
         headers: vec![("x-priority".to_owned(), "0".to_owned())],
         body: Vec::new(),
         connection,
+        host: None,
+        echo: None,
         first_byte_ms_max: None,
     }
 }
--- a/crates/lycheefordd/src/completion.rs
+++ b/crates/lycheefordd/src/completion.rs
@@ -262,6 +262,8 @@
             headers,
             body: self.call.body.clone(),
             connection: if self.failed.is_empty() { Connection::Pooled } else { Connection::Fresh },
+            host: None,
+            echo: None,
             first_byte_ms_max: Some(self.deadline.since_ms(self.state.now()).max(1)),
         };
         self.state.targets.call(address, &request).await
--- a/crates/lycheefordd/src/service.rs
+++ b/crates/lycheefordd/src/service.rs
@@ -202,6 +202,8 @@
             headers,
             body: self.request.body.clone(),
             connection,
+            host: None,
+            echo: None,
             first_byte_ms_max: Some(self.deadline.since_ms(self.state.now()).max(1)),
         };
         let response = self.state.targets.call(place.address, &request).await?;
