Count orders by the engines' own reports, and tell residency between hosts

Cause: the store's entry carries a heartbeat counter, not the orders' count, so every order met a conflict (9 of 9). Ruled out: fencing tokens (the conflicts were of the expected count), stale reports (0 of 9). Change: the count comes from reports; what an engine may hold is the union of its entry, its report and the orders it took; loads and unloads travel in the holder's reports, other hosts watch with a pause after changes.

--- a/crates/lycheeford-gateway/src/fleet/dispatcher.rs
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -10,7 +10,7 @@
     pub(crate) queue: WaitQueue,
     /// Sorted by the id of the waiting request.
     waiters: Vec<(u64, Sender<Chosen>)>,
-    /// Up to which version of which holder's token the placements of adapters are known.
+    /// Up to which version of which holder's token the placements are known.
     pub(crate) placements_known: (u64, u64),
 }
 
@@ -82,14 +82,14 @@
     pub(crate) fn take_placements(&mut self, token: u64, placements: &[ReportedPlacement]) {
         if token > self.placements_known.0 {
             self.placements_known = (token, 0);
-            self.targets.clear_adapters();
+            self.targets.clear_announced();
         }
         if token < self.placements_known.0 {
             return;
         }
         for placement in placements {
             if placement.version > self.placements_known.1 {
-                self.targets.set_adapter(placement.target, placement.adapter, placement.is_ready);
+                self.targets.announce(placement.target, placement.name, placement.is_ready);
                 self.placements_known.1 = placement.version;
             }
         }
--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -15,5 +15,11 @@
 /// The wait bounds how old a confirmation gets, the grace how long a connection
 /// that went silent is taken for one on which nothing changes.
 fn follow_limits() -> FollowLimits {
-    FollowLimits { wait_ms: 1_500, grace_ms: 700, backoff_ms_min: 40, backoff_ms_max: 400 }
+    FollowLimits {
+        wait_ms: 1_500,
+        grace_ms: 700,
+        backoff_ms_min: 40,
+        backoff_ms_max: 400,
+        ..FollowLimits::default()
+    }
 }
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -1,12 +1,17 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use lycheeford_platform::{Change, Object, Update, WatchEvent, follow};
 use lycheeford_policy::{TargetEntry, TimeMs};
 use slog::{info, warn};
 
 use super::follow_limits;
+use crate::membership::apply_own_placements;
 use crate::state::State;
 
+/// The pause after changes of targets, at the holder of orders and elsewhere.
+const HOLDER_PAUSE_MS: u64 = 5;
+const CHANGE_PAUSE_MS: u64 = 400;
 /// Beyond this time without an answer the store counts as having been away.
 const AWAY_AFTER_MS: u64 = 2_600;
 
@@ -15,14 +20,20 @@
     let edge = Arc::clone(&state.edges.store);
     let clock = state.clock;
     let mut absence = Absence::default();
+    let limits = follow_limits();
     follow(
         edge.objects(),
         edge.target_kind(),
-        &follow_limits(),
+        &limits,
         || clock.now(),
         |update| {
-            let grace_ms = absence.grace_ms(state.now(), state.settings.entry_return_ms);
+            let now = state.now();
+            let grace_ms = absence.grace_ms(now, state.settings.entry_return_ms);
             take_update(&state, update, grace_ms);
+            // The others hear of loads and unloads from the holder of orders.
+            let is_holder = state.orders().lease.held(now).is_some();
+            let pause_ms = if is_holder { HOLDER_PAUSE_MS } else { CHANGE_PAUSE_MS };
+            limits.change_pause_ms.store(pause_ms, Ordering::Relaxed);
         },
     )
     .await;
@@ -66,10 +77,14 @@
         }
     }
     state.set_knows_targets();
-    {
+    let has_news = {
         let mut dispatcher = state.dispatcher();
         dispatcher.targets.expire(now);
-        state.orders().refresh(&dispatcher.targets);
+        state.orders().refresh(&dispatcher.targets)
+    };
+    if has_news {
+        apply_own_placements(state);
+        state.wake_wants();
     }
     state.dispatch_waiting();
     state.wake_planner();
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -81,7 +81,7 @@
         if let Some(lease) = &report.lease {
             let (token, version) = peer.report.placements_known;
             let version = if token == lease.token { version } else { 0 };
-            report.placements = state.orders().adapters.changes_since(version).to_vec();
+            report.placements = state.orders().placements.changes_since(version).to_vec();
         }
         report
     }
@@ -173,7 +173,7 @@
     let (token, placements) = {
         let orders = state.orders();
         let Some((token, _, _)) = orders.lease.held(now) else { return };
-        (token, orders.adapters.changes_since(0).to_vec())
+        (token, orders.placements.changes_since(0).to_vec())
     };
     let mut dispatcher = state.dispatcher();
     dispatcher.take_placements(token, &placements);
--- a/crates/lycheeford-gateway/src/membership/wire.rs
+++ b/crates/lycheeford-gateway/src/membership/wire.rs
@@ -130,7 +130,7 @@
     #[prost(fixed32, tag = "1")]
     target: u32,
     #[prost(fixed32, tag = "2")]
-    adapter: u32,
+    name: u32,
     #[prost(uint64, tag = "3")]
     version: u64,
     #[prost(bool, tag = "4")]
@@ -303,7 +303,7 @@
     fn from(placement: ReportedPlacement) -> WirePlacement {
         WirePlacement {
             target: placement.target.0,
-            adapter: placement.adapter.0,
+            name: placement.name.0,
             version: placement.version,
             is_ready: placement.is_ready,
         }
@@ -314,7 +314,7 @@
     fn from(wire: WirePlacement) -> ReportedPlacement {
         ReportedPlacement {
             target: ShortKey(wire.target),
-            adapter: ShortKey(wire.adapter),
+            name: ShortKey(wire.name),
             version: wire.version,
             is_ready: wire.is_ready,
         }
--- a/crates/lycheeford-gateway/src/orders/book.rs
+++ b/crates/lycheeford-gateway/src/orders/book.rs
@@ -1,5 +1,6 @@
 use lycheeford_policy::{
-    AdapterPlanner, EngineOperation, Name, OrderLease, SwapPlanner, TargetTable, TimeMs,
+    AdapterPlanner, AdapterWant, EngineOperation, Name, OrderLease, PlacementLog, ShortKey,
+    SwapPlanner, TargetTable, TimeMs,
 };
 
 use crate::GatewaySettings;
@@ -9,6 +10,7 @@
 pub(crate) struct Orders {
     pub(crate) lease: OrderLease,
     pub(crate) adapters: AdapterPlanner,
+    pub(crate) placements: PlacementLog,
     /// Sorted by service.
     planners: Vec<(Name, SwapPlanner)>,
     /// Sorted by engine.
@@ -30,6 +32,10 @@
     pub(crate) is_busy_here: bool,
     /// When the engine must be asked what it does before it gets another order.
     pub(crate) ask_at: Option<TimeMs>,
+    /// The models that it holds or may hold as far as its orders and reports tell.
+    ///
+    /// Its entry in the store may be older, above all while the store is away.
+    pub(crate) believed: Vec<Name>,
 }
 
 impl Orders {
@@ -38,6 +44,7 @@
         Orders {
             lease,
             adapters: AdapterPlanner::default(),
+            placements: PlacementLog::default(),
             planners: Vec::new(),
             books: Vec::new(),
             token: None,
@@ -51,6 +58,7 @@
             self.token = Some(token);
             self.books.clear();
             self.adapters = AdapterPlanner::default();
+            self.placements = PlacementLog::default();
         }
         Some(token)
     }
@@ -83,32 +91,71 @@
     }
 
     /// Takes in what the engines' entries say of the orders that they carry out.
-    pub(crate) fn refresh(&mut self, targets: &TargetTable) {
-        let mut gone: Vec<(Name, Option<Name>)> = Vec::new();
-        self.books.retain_mut(|book| {
-            let Some(target) = targets.target(&book.engine) else {
-                gone.push((book.engine.clone(), None));
-                return false;
-            };
-            if target.entry.life != book.life {
-                gone.push((book.engine.clone(), None));
-                return false;
+    ///
+    /// Returns whether there is news for the other hosts.
+    pub(crate) fn refresh(&mut self, targets: &TargetTable) -> bool {
+        let mut done = Vec::new();
+        self.books.retain_mut(|book| match targets.target(&book.engine) {
+            Some(target) if target.entry.life == book.life => {
+                let holds = |model: &Name| target.entry.residency.model(model).is_some();
+                let operation = book.finish_operation(holds);
+                done.extend(operation.map(|operation| (book.engine.clone(), Some(operation))));
+                true
             }
-            book.sequence = book.sequence.max(target.entry.sequence);
-            let holds = |model: &Name| target.entry.residency.model(model).is_some();
-            match &book.operation {
-                Some((EngineOperation::Load(model), _)) if holds(model) => book.operation = None,
-                Some((EngineOperation::Unload { model, .. }, _)) if !holds(model) => {
-                    gone.push((book.engine.clone(), Some(model.clone())));
-                    book.operation = None;
-                }
-                _ => {}
+            _ => {
+                done.push((book.engine.clone(), None));
+                false
             }
-            true
         });
-        for (engine, model) in gone {
-            self.adapters.dropped_all(&engine, model.as_ref());
+        let mut has_news = false;
+        for (engine, operation) in done {
+            has_news |= self.finished(&engine, operation);
         }
+        has_news
+    }
+
+    /// Takes in that an engine finished an operation, or began a new life.
+    fn finished(&mut self, engine: &Name, operation: Option<EngineOperation>) -> bool {
+        let Orders { adapters, placements, .. } = self;
+        match operation {
+            Some(EngineOperation::Load(model)) => {
+                placements.note(engine, ShortKey::of(&model), true)
+            }
+            Some(EngineOperation::Unload { model, .. }) => {
+                adapters.dropped_all(engine, Some(&model), placements);
+                placements.note(engine, ShortKey::of(&model), false)
+            }
+            Some(EngineOperation::Unknown) => false,
+            None => {
+                adapters.dropped_all(engine, None, placements);
+                false
+            }
+        }
+    }
+
+    /// Takes in that an engine took an order to unload a model: it takes no new request for it.
+    pub(crate) fn leaving(&mut self, engine: &Name, model: &Name) {
+        self.placements.note(engine, ShortKey::of(model), false);
+    }
+
+    /// Takes in that an adapter isn't where it should be.
+    pub(crate) fn adapter_dropped(&mut self, engine: &Name, want: &AdapterWant) {
+        self.adapters.dropped(engine, want, &mut self.placements);
+    }
+
+    /// Takes over the adapters that an engine reports.
+    pub(crate) fn adapters_reported(
+        &mut self,
+        now: TimeMs,
+        engine: &Name,
+        adapters: &[AdapterWant],
+    ) {
+        self.adapters.reported(now, engine, adapters, &mut self.placements);
+    }
+
+    /// Notes the adapters that are ready by now; returns whether there are any.
+    pub(crate) fn announce_adapters(&mut self, now: TimeMs) -> bool {
+        self.adapters.announce(now, &mut self.placements)
     }
 }
 
@@ -121,7 +168,22 @@
             operation: None,
             is_busy_here: false,
             ask_at: Some(now),
+            believed: Vec::new(),
+        }
+    }
+
+    /// Returns the operation if its entry shows that it is done.
+    fn finish_operation(&mut self, holds: impl Fn(&Name) -> bool) -> Option<EngineOperation> {
+        let is_done = match &self.operation {
+            Some((EngineOperation::Load(model), _)) => holds(model),
+            Some((EngineOperation::Unload { model, .. }, _)) => !holds(model),
+            _ => false,
+        };
+        let (operation, _) = self.operation.take_if(|_| is_done)?;
+        if let EngineOperation::Unload { model, .. } = &operation {
+            self.believed.retain(|held| held != model);
         }
+        Some(operation)
     }
 
     /// Returns what the planner must take the engine to be doing.
--- a/crates/lycheeford-gateway/src/orders/plan_task.rs
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -40,7 +40,7 @@
             plan_service(state, now, service, limits);
         }
     }
-    if state.orders().adapters.announce(now) {
+    if state.orders().announce_adapters(now) {
         // Waiting requests can go on where the adapter is ready.
         crate::membership::apply_own_placements(state);
         state.wake_wants();
@@ -63,7 +63,7 @@
                 questions.push(Planned::question(&target.entry));
             }
             let operation = book.planned_operation();
-            views.push(engine_view(now, limits, target, operation, held_mb));
+            views.push(engine_view(now, limits, target, operation, &book.believed, held_mb));
         }
         let running = dispatcher.targets.running_by_model(&service.name);
         let demands = demands(state, now, limits, &wanted, &running, &views);
@@ -145,6 +145,7 @@
     limits: &EngineLimits,
     target: &Target,
     operation: Option<EngineOperation>,
+    believed: &[Name],
     adapters_mb: u64,
 ) -> EngineView {
     let size_mb = |name: &Name| match limits.model(name) {
@@ -152,24 +153,25 @@
         // A model that is no longer declared takes at most as much as the largest.
         None => limits.models.iter().map(|model| model.weights_mb).max().unwrap_or_default(),
     };
-    let residents: Vec<ResidentView> = target
-        .entry
-        .residency
-        .models
-        .iter()
-        .map(|resident| ResidentView {
-            model: resident.name.clone(),
-            weights_mb: size_mb(&resident.name),
-            running: target.running_model(ShortKey::of(&resident.name)),
+    let coming = match &operation {
+        Some(EngineOperation::Load(model)) => Some(model),
+        _ => None,
+    };
+    let listed = target.entry.residency.models.iter().map(|resident| &resident.name);
+    let mut held: Vec<&Name> =
+        listed.chain(believed).filter(|name| Some(*name) != coming).collect();
+    held.sort();
+    held.dedup();
+    let residents: Vec<ResidentView> = held
+        .into_iter()
+        .map(|model| ResidentView {
+            model: model.clone(),
+            weights_mb: size_mb(model),
+            running: target.running_model(ShortKey::of(model)),
         })
         .collect();
     let resident_mb: u64 = residents.iter().map(|resident| resident.weights_mb).sum();
-    let coming_mb = match &operation {
-        Some(EngineOperation::Load(model)) if target.entry.residency.model(model).is_none() => {
-            size_mb(model)
-        }
-        _ => 0,
-    };
+    let coming_mb = coming.map_or(0, size_mb);
     EngineView {
         id: target.entry.id.clone(),
         is_ready: target.is_ready() && target.is_usable(now),
--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -114,6 +114,15 @@
         Outcome::Answered(OrderAnswer::Accepted) => {
             book.sequence += 1;
             book.operation = planned.operation;
+            match &name {
+                OrderedName::Load(loaded) if loaded.adapter.is_none() => {
+                    book.believed.push(loaded.model.clone());
+                }
+                OrderedName::Unload(unloaded) if unloaded.adapter.is_none() => {
+                    orders.leaving(&planned.engine, &unloaded.model);
+                }
+                _ => {}
+            }
         }
         Outcome::Answered(OrderAnswer::Holds) => {
             // Whether it counted isn't known; a wrong guess is answered by a conflict.
@@ -137,7 +146,7 @@
         OrderedName::Unload(unloaded) => {
             if let Some(adapter) = &unloaded.adapter {
                 let want = AdapterWant { model: unloaded.model.clone(), adapter: adapter.clone() };
-                orders.adapters.dropped(&planned.engine, &want);
+                orders.adapter_dropped(&planned.engine, &want);
             }
         }
     }
@@ -152,6 +161,11 @@
         Err(Some(error)) => Err(error.to_string()),
         Err(None) => Err("no answer in time".to_owned()),
     };
+    take_report(&state, &planned, report);
+    state.wake_planner();
+}
+
+fn take_report(state: &State, planned: &Planned, report: Result<EngineReport, String>) {
     let now = state.now();
     let mut orders = state.orders();
     let Some(book) = orders.known(&planned.engine, planned.life) else { return };
@@ -170,11 +184,14 @@
             book.sequence = report.sequence;
             book.ask_at = report.is_busy.then_some(now + REPORT_LAG_MS);
             book.operation = None;
-            orders.adapters.reported(now, &planned.engine, &held_adapters(&report));
+            let models = &report.residency.models;
+            book.believed = models.iter().map(|model| model.name.clone()).collect();
+            orders.adapters_reported(now, &planned.engine, &held_adapters(&report));
+            drop(orders);
+            let mut dispatcher = state.dispatcher();
+            dispatcher.targets.reported(&planned.engine, planned.life, report.residency);
         }
     }
-    drop(orders);
-    state.wake_planner();
 }
 
 fn held_adapters(report: &EngineReport) -> Vec<AdapterWant> {
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -173,7 +173,7 @@
         let (Some(model), Some(adapter)) = (&need.model, &need.adapter) else { return };
         let want =
             lycheeford_policy::AdapterWant { model: model.clone(), adapter: adapter.clone() };
-        self.state.orders().adapters.dropped(&chosen.id, &want);
+        self.state.orders().adapter_dropped(&chosen.id, &want);
     }
 
     /// Notes that a target may have run the request and gave no whole answer.
--- a/crates/lycheeford-platform/src/follow.rs
+++ b/crates/lycheeford-platform/src/follow.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -18,11 +20,22 @@
     pub backoff_ms_min: u64,
     /// The longest delay after a failure.
     pub backoff_ms_max: u64,
+    /// How long to wait after changes before asking for more.
+    ///
+    /// A watch ends with the first change, so that a busy kind would cost a
+    /// call for each. Shared, so that it can be changed while following.
+    pub change_pause_ms: Arc<AtomicU64>,
 }
 
 impl Default for FollowLimits {
     fn default() -> FollowLimits {
-        FollowLimits { wait_ms: 1_500, grace_ms: 1_000, backoff_ms_min: 50, backoff_ms_max: 1_000 }
+        FollowLimits {
+            wait_ms: 1_500,
+            grace_ms: 1_000,
+            backoff_ms_min: 50,
+            backoff_ms_max: 1_000,
+            change_pause_ms: Arc::default(),
+        }
     }
 }
 
@@ -69,7 +82,12 @@
             Outcome::Current(change) => {
                 backoff.reset();
                 next = Step::Watch;
+                let is_change = !matches!(&change, Change::Apply(events) if events.is_empty());
                 on_update(Update { as_of, revision: follower.revision, change });
+                let pause_ms = limits.change_pause_ms.load(Ordering::Relaxed);
+                if is_change && pause_ms > 0 {
+                    task::sleep(Duration::from_millis(pause_ms)).await;
+                }
             }
             Outcome::ListNow => next = Step::List,
             Outcome::Failed => {
--- a/crates/lycheeford-policy/src/gateway/adapter_planner.rs
+++ b/crates/lycheeford-policy/src/gateway/adapter_planner.rs
@@ -1,4 +1,4 @@
-use super::peer_table::ReportedPlacement;
+use super::placement_log::PlacementLog;
 use super::short_key::ShortKey;
 use crate::{Name, TimeMs};
 
@@ -10,8 +10,6 @@
 const COMING_MS: u64 = 15;
 /// How long an adapter must have been idle to make way while others are older.
 const IDLE_MS: u64 = 300;
-/// Changes that are kept for hosts that know an older version.
-const CHANGES_MAX: usize = 2_048;
 
 /// An adapter that requests wait for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,6 +20,13 @@
     pub adapter: Name,
 }
 
+impl AdapterWant {
+    /// Returns the key under which hosts tell each other of it.
+    pub fn key(&self) -> ShortKey {
+        ShortKey::of_adapter(&self.model, &self.adapter)
+    }
+}
+
 /// An engine as far as adapters go.
 #[derive(Debug, Clone)]
 pub struct AdapterEngine {
@@ -42,16 +47,14 @@
     Unload(AdapterWant),
 }
 
-/// Decides which adapters are held where, and tells the other hosts.
+/// Decides which adapters are held where.
 ///
 /// There are more adapters than places, a load takes milliseconds, and engines
-/// don't announce it in the store. So the holder of orders keeps the table, and
-/// each change has a version, by which the others ask for what they lack.
+/// don't announce it in the store. So the holder of orders keeps the table and
+/// tells the others by a [`PlacementLog`].
 #[derive(Debug, Default)]
 pub struct AdapterPlanner {
     held: Vec<HeldAdapter>,
-    changes: Vec<ReportedPlacement>,
-    version: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -114,38 +117,23 @@
         self.held.push(HeldAdapter { engine, want, ready_at, used_at: now });
     }
 
-    /// Announces the adapters that are ready since the last call; returns whether there are any.
-    pub fn announce(&mut self, now: TimeMs) -> bool {
-        let mut changed = false;
-        for index in 0..self.held.len() {
-            let held = &self.held[index];
-            let (target, adapter) = keys(&held.engine, &held.want);
-            let is_known = self
-                .changes
-                .iter()
-                .rev()
-                .find(|change| change.target == target && change.adapter == adapter)
-                .is_some_and(|change| change.is_ready);
-            if now >= held.ready_at && !is_known {
-                self.change(target, adapter, true);
-                changed = true;
-            }
-        }
-        changed
+    /// Notes the adapters that are ready since the last call; returns whether there are any.
+    pub fn announce(&self, now: TimeMs, log: &mut PlacementLog) -> bool {
+        let ready = self.held.iter().filter(|held| now >= held.ready_at);
+        ready.fold(false, |changed, held| log.note(&held.engine, held.want.key(), true) || changed)
     }
 
     /// Takes in that an adapter is gone from an engine, or isn't there although it should be.
-    pub fn dropped(&mut self, engine: &Name, want: &AdapterWant) {
+    pub fn dropped(&mut self, engine: &Name, want: &AdapterWant, log: &mut PlacementLog) {
         let before = self.held.len();
         self.held.retain(|held| held.engine != *engine || held.want != *want);
         if self.held.len() < before {
-            let (target, adapter) = keys(engine, want);
-            self.change(target, adapter, false);
+            log.note(engine, want.key(), false);
         }
     }
 
     /// Takes in that an engine dropped a model, or everything, with its adapters.
-    pub fn dropped_all(&mut self, engine: &Name, model: Option<&Name>) {
+    pub fn dropped_all(&mut self, engine: &Name, model: Option<&Name>, log: &mut PlacementLog) {
         let gone: Vec<AdapterWant> = self
             .held
             .iter()
@@ -155,13 +143,19 @@
             .map(|held| held.want.clone())
             .collect();
         for want in gone {
-            self.dropped(engine, &want);
+            self.dropped(engine, &want, log);
         }
     }
 
     /// Takes over what an engine reports that it holds.
-    pub fn reported(&mut self, now: TimeMs, engine: &Name, adapters: &[AdapterWant]) {
-        self.dropped_all(engine, None);
+    pub fn reported(
+        &mut self,
+        now: TimeMs,
+        engine: &Name,
+        adapters: &[AdapterWant],
+        log: &mut PlacementLog,
+    ) {
+        self.dropped_all(engine, None, log);
         for want in adapters {
             let (engine, want) = (engine.clone(), want.clone());
             self.held.push(HeldAdapter { engine, want, ready_at: now, used_at: now });
@@ -171,7 +165,7 @@
     /// Takes in that an adapter was asked for.
     pub fn used(&mut self, now: TimeMs, adapter: ShortKey) {
         for held in &mut self.held {
-            if ShortKey::of_adapter(&held.want.model, &held.want.adapter) == adapter {
+            if held.want.key() == adapter {
                 held.used_at = now;
             }
         }
@@ -182,28 +176,7 @@
         self.held.iter().filter(move |held| held.engine == *engine).map(|held| &held.want)
     }
 
-    /// Returns the changes after `version`, or all of them if it is unknown.
-    pub fn changes_since(&self, version: u64) -> &[ReportedPlacement] {
-        let index = self.changes.partition_point(|change| change.version <= version);
-        &self.changes[index..]
-    }
-
     fn count(&self, engine: &Name) -> usize {
         self.held.iter().filter(|held| held.engine == *engine).count()
     }
-
-    fn change(&mut self, target: ShortKey, adapter: ShortKey, is_ready: bool) {
-        self.version += 1;
-        // Only the last change of a pair matters.
-        self.changes.retain(|change| change.target != target || change.adapter != adapter);
-        if self.changes.len() >= CHANGES_MAX {
-            self.changes.remove(0);
-        }
-        let version = self.version;
-        self.changes.push(ReportedPlacement { target, adapter, version, is_ready });
-    }
-}
-
-fn keys(engine: &Name, want: &AdapterWant) -> (ShortKey, ShortKey) {
-    (ShortKey::of(engine), ShortKey::of_adapter(&want.model, &want.adapter))
 }
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //! - `demand_table`: demand that moves to other models.
 //! - `swap_planner`: rare models that are asked for at once on few engines.
 //! - `adapter_planner`: many adapters on few places.
+//! - `placement_log`: hosts that would all ask the store for the same changes.
 //! - `event_boundary`: streams that break in the middle of an event.
 
 mod adapter_planner;
@@ -26,6 +27,7 @@
 mod event_boundary;
 mod order_lease;
 mod peer_table;
+mod placement_log;
 mod retry_share;
 mod shared_bucket;
 mod short_key;
@@ -48,6 +50,7 @@
     Peer, PeerNews, PeerReport, PeerState, PeerTable, ReportedLease, ReportedPlacement, RunningAt,
     WantedName,
 };
+pub use self::placement_log::PlacementLog;
 pub use self::retry_share::RetryShare;
 pub use self::shared_bucket::SharedBucket;
 pub use self::short_key::ShortKey;
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -45,7 +45,7 @@
     pub suspects: Vec<(u64, Vec<Name>)>,
     /// The lease on giving orders, if it holds it.
     pub lease: Option<ReportedLease>,
-    /// Adapters that came or went, told by the holder of the lease.
+    /// Models and adapters that came or went, told by the holder of the lease.
     pub placements: Vec<ReportedPlacement>,
     /// Up to which version of the placements the sender knows them, and of which token.
     pub placements_known: (u64, u64),
@@ -103,13 +103,13 @@
     pub renewed_age_ms: u64,
 }
 
-/// An adapter that came or went at a target.
+/// A model or adapter that came or went at a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedPlacement {
     /// The target.
     pub target: ShortKey,
-    /// The adapter with its model.
-    pub adapter: ShortKey,
+    /// The model, or the adapter with its model.
+    pub name: ShortKey,
     /// Orders the changes of one holder.
     pub version: u64,
     /// Whether requests for it can run there.
--- a/crates/lycheeford-policy/src/gateway/target_entry.rs
+++ b/crates/lycheeford-policy/src/gateway/target_entry.rs
@@ -19,8 +19,6 @@
     pub state: TargetState,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// How many orders it has taken.
-    pub sequence: u64,
     /// What it holds, if it is a model engine.
     pub residency: Residency,
 }
--- a/crates/lycheeford-policy/src/gateway/target_table.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table.rs
@@ -4,7 +4,7 @@
 
 use super::peer_table::RunningAt;
 use super::short_key::ShortKey;
-use super::target_entry::{TargetEntry, TargetState};
+use super::target_entry::{Residency, TargetEntry, TargetState};
 use super::target_health::{TargetFailure, TargetHealth};
 use crate::{Name, TimeMs};
 
@@ -92,8 +92,8 @@
     health: TargetHealth,
     here: Vec<Running>,
     elsewhere: Vec<(Name, RunningAt)>,
-    /// The adapters that the holder of orders announced, sorted.
-    adapters: Vec<ShortKey>,
+    /// What the holder of orders said of models and adapters there, sorted by key.
+    announced: Vec<(ShortKey, bool)>,
     full_until: TimeMs,
     /// When it is forgotten, if its entry is gone from the store.
     forget_at: Option<TimeMs>,
@@ -150,10 +150,26 @@
         if self.refused.iter().any(is_refused) {
             return false;
         }
-        let Some(resident) = self.entry.residency.model(model) else { return false };
-        let Some(adapter) = &need.adapter else { return true };
-        let key = ShortKey::of_adapter(model, adapter);
-        self.adapters.binary_search(&key).is_ok() || resident.adapters.contains(adapter)
+        let resident = self.entry.residency.model(model);
+        let holds_model = self.announced(ShortKey::of(model)).unwrap_or(resident.is_some());
+        let Some(adapter) = need.adapter.as_ref().filter(|_| holds_model) else {
+            return holds_model;
+        };
+        let is_listed = || resident.is_some_and(|resident| resident.adapters.contains(adapter));
+        self.announced(ShortKey::of_adapter(model, adapter)).unwrap_or_else(is_listed)
+    }
+
+    /// Returns what the holder of orders said of a model or adapter.
+    fn announced(&self, name: ShortKey) -> Option<bool> {
+        let found = self.announced.binary_search_by_key(&name, |(key, _)| *key).ok()?;
+        Some(self.announced[found].1)
+    }
+
+    fn announce(&mut self, name: ShortKey, is_ready: bool) {
+        match self.announced.binary_search_by_key(&name, |(key, _)| *key) {
+            Ok(index) => self.announced[index].1 = is_ready,
+            Err(index) => self.announced.insert(index, (name, is_ready)),
+        }
     }
 
     fn has_place(&self, now: TimeMs, need: &Need) -> bool {
@@ -345,9 +361,7 @@
         let Some(model) = &need.model else { return };
         match &need.adapter {
             Some(adapter) => {
-                let key = ShortKey::of_adapter(model, adapter);
-                target.adapters.retain(|held| *held != key);
-                target.remove_listed_adapter(model, adapter);
+                target.announce(ShortKey::of_adapter(model, adapter), false);
             }
             None => {
                 target.refused.retain(|(_, until)| now < *until);
@@ -405,24 +419,24 @@
         running
     }
 
-    /// Forgets which adapters can run where, since another host keeps account of them now.
-    pub fn clear_adapters(&mut self) {
+    /// Takes over what an engine reported of itself, which is newer than its entry.
+    pub fn reported(&mut self, id: &str, life: u64, residency: Residency) {
+        if let Some(target) = self.life_mut(id, life) {
+            target.entry.residency = residency;
+        }
+    }
+
+    /// Forgets what was announced, since another host keeps account of it now.
+    pub fn clear_announced(&mut self) {
         for target in &mut self.targets {
-            target.adapters.clear();
+            target.announced.clear();
         }
     }
 
-    /// Takes in whether an adapter can run at a target.
-    pub fn set_adapter(&mut self, target: ShortKey, adapter: ShortKey, is_ready: bool) {
-        let Some(target) = self.targets.iter_mut().find(|known| known.key == target) else {
-            return;
-        };
-        match (target.adapters.binary_search(&adapter), is_ready) {
-            (Err(index), true) => target.adapters.insert(index, adapter),
-            (Ok(index), false) => {
-                target.adapters.remove(index);
-            }
-            _ => {}
+    /// Takes in whether requests for a model or adapter can run at a target.
+    pub fn announce(&mut self, target: ShortKey, name: ShortKey, is_ready: bool) {
+        if let Some(target) = self.targets.iter_mut().find(|known| known.key == target) {
+            target.announce(name, is_ready);
         }
     }
 
@@ -473,17 +487,10 @@
             health: TargetHealth::default(),
             here: Vec::new(),
             elsewhere: Vec::new(),
-            adapters: Vec::new(),
+            announced: Vec::new(),
             full_until: TimeMs::default(),
             forget_at: None,
             refused: Vec::new(),
         }
     }
-
-    fn remove_listed_adapter(&mut self, model: &Name, adapter: &Name) {
-        let models = &mut self.entry.residency.models;
-        if let Ok(index) = models.binary_search_by(|resident| resident.name.cmp(model)) {
-            models[index].adapters.retain(|held| held != adapter);
-        }
-    }
 }
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -67,11 +67,11 @@
     AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, CallerLimits, Chosen, Confirmation,
     CustomerKey, CustomerRate, DemandTable, Deployment, EngineLimits, EngineModel, EngineOperation,
     EngineView, EventBoundary, KeyDigest, LeaseExpect, LeaseRecord, LeaseStep, ModelDemand, Need,
-    OrderLease, Peer, PeerNews, PeerReport, PeerState, PeerTable, RateUnit, RatedCustomer,
-    ReportedLease, ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare,
-    RouteKind, RunningAt, ServiceRoute, SharedBucket, ShortKey, SwapAction, SwapOrder, SwapPlanner,
-    Target, TargetEntry, TargetFailure, TargetHealth, TargetService, TargetState, TargetTable,
-    Tried, WaitQueue, Waiting, WantedName, WeightedService,
+    OrderLease, Peer, PeerNews, PeerReport, PeerState, PeerTable, PlacementLog, RateUnit,
+    RatedCustomer, ReportedLease, ReportedPlacement, Residency, ResidentModel, ResidentView,
+    RetryShare, RouteKind, RunningAt, ServiceRoute, SharedBucket, ShortKey, SwapAction, SwapOrder,
+    SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth, TargetService, TargetState,
+    TargetTable, Tried, WaitQueue, Waiting, WantedName, WeightedService,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
