Load by weight of what waits, refuse what can't be loaded in time, agree on what customers have left

Ruled out: too few places (27 of 27 were free after the replacement), the declared rate (the sum spent was below it). Change: needs are weighed by requests that wait and the rate; models that only leaving engines hold are loaded before those are gone; the holder of orders tells how long a load still takes, and what can't make it is refused at once; reports carry levels, and hosts move towards them.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -3,7 +3,7 @@
 use lycheeford_platform::{Change, Object, Update, WatchEvent, follow};
 use slog::{error, info};
 
-use super::follow_limits;
+use super::{DEPLOYMENT_WAIT_MS, follow_limits};
 use crate::state::State;
 
 /// Keeps the declaration up to date until the future is dropped.
@@ -14,7 +14,7 @@
     follow(
         edge.objects(),
         kind,
-        &follow_limits(),
+        &follow_limits(DEPLOYMENT_WAIT_MS),
         || clock.now(),
         |update| {
             take_update(&state, update);
--- a/crates/lycheeford-gateway/src/fleet/dispatcher.rs
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -1,8 +1,12 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use lycheeford_policy::{
-    Chosen, Name, ReportedPlacement, TargetTable, TimeMs, Tried, WaitQueue, Waiting, WantedName,
+    Chosen, Name, ReportedPlacement, ShortKey, TargetTable, TimeMs, Tried, WaitQueue, Waiting,
+    WantedName,
 };
 
+/// How long a model may be late before what was said of it is forgotten.
+const READY_SLACK_MS: u64 = 1_000;
+
 /// The targets, and the requests that wait for one.
 #[derive(Debug, Default)]
 pub(crate) struct Dispatcher {
@@ -12,6 +16,8 @@
     waiters: Vec<(u64, Sender<Chosen>)>,
     /// Up to which version of which holder's token the placements are known.
     pub(crate) placements_known: (u64, u64),
+    /// When requests for a model should be able to run, as the holder of orders last said.
+    ready_at: Vec<(ShortKey, TimeMs)>,
 }
 
 impl Dispatcher {
@@ -95,6 +101,20 @@
         }
     }
 
+    /// Takes in how long requests for models will still wait.
+    pub(crate) fn take_waits(&mut self, now: TimeMs, waits: &[(ShortKey, u64)]) {
+        self.ready_at.retain(|(model, at)| {
+            now < *at + READY_SLACK_MS && !waits.iter().any(|(other, _)| other == model)
+        });
+        self.ready_at.extend(waits.iter().map(|(model, wait_ms)| (*model, now + *wait_ms)));
+    }
+
+    /// Returns when requests for a model should be able to run, if that is known.
+    pub(crate) fn ready_at(&self, model: &Name) -> Option<TimeMs> {
+        let key = ShortKey::of(model);
+        self.ready_at.iter().find(|(model, _)| *model == key).map(|(_, at)| *at)
+    }
+
     /// Returns what choosing a target for a request would find now.
     pub(crate) fn look(&mut self, now: TimeMs, waiting: &Waiting) -> Tried {
         self.targets.choose(now, &waiting.need)
--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -10,13 +10,20 @@
 
 use lycheeford_platform::FollowLimits;
 
-/// How the kinds in the store are followed.
+/// How long a watch of the declaration waits.
 ///
-/// The wait bounds how old a confirmation gets, the grace how long a connection
-/// that went silent is taken for one on which nothing changes.
-fn follow_limits() -> FollowLimits {
+/// The confirmation of one watch must last until the end of the next one.
+const DEPLOYMENT_WAIT_MS: u64 = 1_400;
+/// How long a watch of the targets waits.
+const TARGETS_WAIT_MS: u64 = 2_000;
+
+/// How a kind in the store is followed by watches of `wait_ms`.
+///
+/// The grace is how long a connection that went silent is taken for one on
+/// which nothing changes.
+fn follow_limits(wait_ms: u64) -> FollowLimits {
     FollowLimits {
-        wait_ms: 1_500,
+        wait_ms,
         grace_ms: 700,
         backoff_ms_min: 40,
         backoff_ms_max: 400,
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -5,13 +5,13 @@
 use lycheeford_policy::{TargetEntry, TimeMs};
 use slog::{info, warn};
 
-use super::follow_limits;
+use super::{TARGETS_WAIT_MS, follow_limits};
 use crate::membership::apply_own_placements;
 use crate::state::State;
 
 /// The pause after changes of targets, at the holder of orders and elsewhere.
-const HOLDER_PAUSE_MS: u64 = 5;
-const CHANGE_PAUSE_MS: u64 = 400;
+const HOLDER_PAUSE_MS: u64 = 25;
+const CHANGE_PAUSE_MS: u64 = 700;
 /// Beyond this time without an answer the store counts as having been away.
 const AWAY_AFTER_MS: u64 = 2_600;
 
@@ -20,7 +20,7 @@
     let edge = Arc::clone(&state.edges.store);
     let clock = state.clock;
     let mut absence = Absence::default();
-    let limits = follow_limits();
+    let limits = follow_limits(TARGETS_WAIT_MS);
     follow(
         edge.objects(),
         edge.target_kind(),
@@ -94,7 +94,7 @@
     match event {
         WatchEvent::Put(object) => {
             if let Some(entry) = read(state, object) {
-                state.dispatcher().targets.put(entry);
+                state.dispatcher().targets.put(now, entry);
             }
         }
         WatchEvent::Deleted { name, .. } => {
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -31,9 +31,9 @@
             revision,
             renewed_age_ms,
         });
-        let (spent, asked) = {
+        let (spent, levels, asked) = {
             let rates = state.rates();
-            (rates.spent(), rates.asked(now, ASKED_MS))
+            (rates.spent(), rates.levels(now), rates.asked(now, ASKED_MS))
         };
         let suspects = state.suspects();
         let suspects: Vec<(u64, Vec<Name>)> = suspects
@@ -56,11 +56,13 @@
             confirmed_age_ms: confirmation.age_ms(now),
             running,
             spent,
+            levels,
             asked,
             wanted: Vec::new(),
             suspects,
             lease,
             placements: Vec::new(),
+            waits: Vec::new(),
             placements_known,
         };
         Common { report, wanted }
@@ -81,7 +83,11 @@
         if let Some(lease) = &report.lease {
             let (token, version) = peer.report.placements_known;
             let version = if token == lease.token { version } else { 0 };
-            report.placements = state.orders().placements.changes_since(version).to_vec();
+            let orders = state.orders();
+            report.placements = orders.placements.changes_since(version).to_vec();
+            if !peer.report.wanted.is_empty() {
+                report.waits = orders.waits();
+            }
         }
         report
     }
@@ -112,6 +118,9 @@
         for (customer, units) in news.spent {
             rates.spent_elsewhere(customer, units);
         }
+        for (customer, level) in &report.levels {
+            rates.level_elsewhere(now, *customer, *level);
+        }
     }
     take_asked(state, &news.asked);
     for (fingerprint, crashes) in &report.suspects {
@@ -128,6 +137,7 @@
             .runs_elsewhere(&report.host, if is_running { &report.running } else { &[] });
         if let Some(lease) = report.lease {
             dispatcher.take_placements(lease.token, &report.placements);
+            dispatcher.take_waits(now, &report.waits);
         }
         dispatcher.dispatch(now);
     }
@@ -170,12 +180,13 @@
 /// Applies the placements that this host decided itself.
 pub(crate) fn apply_own_placements(state: &State) {
     let now = state.now();
-    let (token, placements) = {
+    let (token, placements, waits) = {
         let orders = state.orders();
         let Some((token, _, _)) = orders.lease.held(now) else { return };
-        (token, orders.placements.changes_since(0).to_vec())
+        (token, orders.placements.changes_since(0).to_vec(), orders.waits())
     };
     let mut dispatcher = state.dispatcher();
+    dispatcher.take_waits(now, &waits);
     dispatcher.take_placements(token, &placements);
     dispatcher.dispatch(now);
 }
--- a/crates/lycheeford-gateway/src/membership/wire.rs
+++ b/crates/lycheeford-gateway/src/membership/wire.rs
@@ -61,6 +61,10 @@
     placements_token: u64,
     #[prost(uint64, tag = "19")]
     placements_version: u64,
+    #[prost(message, repeated, tag = "20")]
+    waits: Vec<WireAsked>,
+    #[prost(message, repeated, tag = "21")]
+    levels: Vec<WireSpent>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -169,16 +173,10 @@
             revision: report.revision,
             confirmed_age_ms: report.confirmed_age_ms,
             running: report.running.into_iter().map(WireRunning::from).collect(),
-            spent: report
-                .spent
-                .into_iter()
-                .map(|(customer, units)| WireSpent { customer: customer.0, units })
-                .collect(),
-            asked: report
-                .asked
-                .into_iter()
-                .map(|(name, count)| WireAsked { name: name.0, count })
-                .collect(),
+            spent: report.spent.into_iter().map(WireSpent::from).collect(),
+            levels: report.levels.into_iter().map(WireSpent::from).collect(),
+            asked: report.asked.into_iter().map(WireAsked::from).collect(),
+            waits: report.waits.into_iter().map(WireAsked::from).collect(),
             wanted: report.wanted.into_iter().map(WireWanted::from).collect(),
             suspects: report
                 .suspects
@@ -226,16 +224,10 @@
             revision: wire.revision,
             confirmed_age_ms: wire.confirmed_age_ms,
             running: wire.running.into_iter().map(RunningAt::from).collect(),
-            spent: wire
-                .spent
-                .into_iter()
-                .map(|spent| (ShortKey(spent.customer), spent.units))
-                .collect(),
-            asked: wire
-                .asked
-                .into_iter()
-                .map(|asked| (ShortKey(asked.name), asked.count))
-                .collect(),
+            spent: wire.spent.into_iter().map(<(ShortKey, f64)>::from).collect(),
+            levels: wire.levels.into_iter().map(<(ShortKey, f64)>::from).collect(),
+            asked: wire.asked.into_iter().map(<(ShortKey, u64)>::from).collect(),
+            waits: wire.waits.into_iter().map(<(ShortKey, u64)>::from).collect(),
             wanted: wire.wanted.into_iter().map(WantedName::from).collect(),
             suspects: wire
                 .suspects
@@ -273,6 +265,30 @@
     }
 }
 
+impl From<(ShortKey, f64)> for WireSpent {
+    fn from((customer, units): (ShortKey, f64)) -> WireSpent {
+        WireSpent { customer: customer.0, units }
+    }
+}
+
+impl From<WireSpent> for (ShortKey, f64) {
+    fn from(wire: WireSpent) -> (ShortKey, f64) {
+        (ShortKey(wire.customer), wire.units)
+    }
+}
+
+impl From<(ShortKey, u64)> for WireAsked {
+    fn from((name, count): (ShortKey, u64)) -> WireAsked {
+        WireAsked { name: name.0, count }
+    }
+}
+
+impl From<WireAsked> for (ShortKey, u64) {
+    fn from(wire: WireAsked) -> (ShortKey, u64) {
+        (ShortKey(wire.name), wire.count)
+    }
+}
+
 impl From<WantedName> for WireWanted {
     fn from(name: WantedName) -> WireWanted {
         WireWanted {
--- a/crates/lycheeford-gateway/src/orders/book.rs
+++ b/crates/lycheeford-gateway/src/orders/book.rs
@@ -3,7 +3,7 @@
     SwapPlanner, TargetTable, TimeMs,
 };
 
-use crate::GatewaySettings;
+use crate::{Clock, GatewaySettings};
 
 /// The lease, the planners, and what each engine is doing.
 #[derive(Debug)]
@@ -15,6 +15,8 @@
     planners: Vec<(Name, SwapPlanner)>,
     /// Sorted by engine.
     books: Vec<EngineBook>,
+    /// When requests for a model should be able to run.
+    ready_at: Vec<(Name, TimeMs)>,
     /// The token under which the books were kept.
     token: Option<u64>,
 }
@@ -26,7 +28,7 @@
     life: u64,
     /// How many orders it has taken.
     pub(crate) sequence: u64,
-    /// The order that it carries out, and when it should be done.
+    /// The order that it carries out, and when it is asked about it.
     pub(crate) operation: Option<(EngineOperation, TimeMs)>,
     /// Whether an order or a question is on its way.
     pub(crate) is_busy_here: bool,
@@ -47,6 +49,7 @@
             placements: PlacementLog::default(),
             planners: Vec::new(),
             books: Vec::new(),
+            ready_at: Vec::new(),
             token: None,
         }
     }
@@ -63,6 +66,19 @@
         Some(token)
     }
 
+    /// Takes in when requests for a model should be able to run.
+    pub(crate) fn expect(&mut self, model: &Name, at: TimeMs) {
+        self.ready_at.retain(|(known, _)| known != model);
+        self.ready_at.push((model.clone(), at));
+    }
+
+    /// Returns how long requests for models will still wait.
+    pub(crate) fn waits(&self) -> Vec<(ShortKey, u64)> {
+        let now = Clock.now();
+        let wait = |(model, at): &(Name, TimeMs)| (ShortKey::of(model), at.since_ms(now));
+        self.ready_at.iter().filter(|(_, at)| now < *at).map(wait).collect()
+    }
+
     /// Returns the planner of a service.
     pub(crate) fn planner(&mut self, now: TimeMs, service: &Name) -> &mut SwapPlanner {
         let found = self.planners.binary_search_by(|(name, _)| name.cmp(service));
--- a/crates/lycheeford-gateway/src/orders/plan_task.rs
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -17,6 +17,8 @@
 const PLAN_MS: u64 = 60;
 /// How much longer than planned a load may take before the engine is asked.
 const LOAD_SLACK_MS: u64 = 700;
+/// How long an unload usually takes.
+const UNLOAD_MS: u64 = 150;
 /// How long an unload may take before the engine is asked; it waits for its runs.
 const UNLOAD_MS_MAX: u64 = 1_500;
 
@@ -68,9 +70,13 @@
         let running = dispatcher.targets.running_by_model(&service.name);
         let demands = demands(state, now, limits, &wanted, &running, &views);
         let slots = engines.iter().map(|target| target.entry.slots).min().unwrap_or(1);
-        let swaps = orders.planner(now, &service.name).plan(now, limits, slots, &views, &demands);
+        let plan = orders.planner(now, &service.name).plan(now, limits, slots, &views, &demands);
+        for (model, wait_ms) in &plan.waits {
+            orders.expect(model, now + *wait_ms);
+        }
         let mut planned = Vec::new();
-        for swap in swaps {
+        for swap in plan.orders {
+            expect_ready(&mut orders, now, limits, &swap);
             let entry = dispatcher.targets.target(&swap.engine).map(|target| &target.entry);
             let Some(entry) = entry else { continue };
             let book = orders.book(now, &swap.engine, entry.life);
@@ -228,6 +234,17 @@
     limits.models.iter().filter_map(of_model).collect()
 }
 
+/// Notes when the model should be ready that an order brings nearer.
+fn expect_ready(orders: &mut super::Orders, now: TimeMs, limits: &EngineLimits, swap: &SwapOrder) {
+    match &swap.action {
+        SwapAction::Load { model, load_ms } => orders.expect(model, now + *load_ms),
+        SwapAction::Unload { room_for, .. } => {
+            let load_ms = limits.model(room_for).map_or(0, |model| model.load_disk_ms);
+            orders.expect(room_for, now + UNLOAD_MS + load_ms);
+        }
+    }
+}
+
 fn swap_order(now: TimeMs, entry: &TargetEntry, swap: &SwapOrder) -> Planned {
     match &swap.action {
         SwapAction::Load { model, load_ms } => {
--- a/crates/lycheeford-gateway/src/request/place.rs
+++ b/crates/lycheeford-gateway/src/request/place.rs
@@ -9,6 +9,10 @@
 use super::admission::Admitted;
 use crate::state::State;
 
+/// How much later than expected a model may be ready.
+const LOAD_SLACK_MS: u64 = 500;
+/// How often a request that waits for a model looks at what is known of the load.
+const LOOK_MS: u64 = 50;
 /// What must be left of a request's time for a target to answer it.
 const ANSWER_MS_MIN: u64 = 60;
 /// The part of its time that a request waits for a place at most.
@@ -104,15 +108,40 @@
         state.wake_wants();
         state.wake_planner();
     }
-    match timeout(Duration::from_millis(patience_ms), in_queue.receiver.recv()).await {
-        Ok(Ok(chosen)) => Ok(in_queue.place(chosen)),
-        _ => Err(match tried {
-            Tried::NotResident => not_loaded(),
-            _ => overloaded(patience_ms),
-        }),
+    let mut give_up_at = now + patience_ms;
+    loop {
+        let slice_ms = give_up_at.since_ms(state.now()).min(LOOK_MS);
+        match timeout(Duration::from_millis(slice_ms), in_queue.receiver.recv()).await {
+            Ok(Ok(chosen)) => return Ok(in_queue.place(chosen)),
+            Ok(Err(_)) => return Err(overloaded(patience_ms)),
+            Err(_) => {}
+        }
+        let now = state.now();
+        if tried != Tried::NotResident {
+            if now >= give_up_at {
+                return Err(overloaded(patience_ms));
+            }
+            continue;
+        }
+        if let Some(ready_at) = ready_at(state, admitted) {
+            if ready_at + ANSWER_MS_MIN >= admitted.final_at {
+                return Err(not_loaded(ready_at.since_ms(now)));
+            }
+            // The load is under way or has its turn, so that waiting is worth it.
+            let expected_at = ready_at + LOAD_SLACK_MS;
+            give_up_at = give_up_at.max(expected_at.min(admitted.final_at - ANSWER_MS_MIN));
+        }
+        if now >= give_up_at {
+            return Err(not_loaded(RETRY_MS_MAX));
+        }
     }
 }
 
+/// Returns when the holder of orders expects that the model is ready.
+fn ready_at(state: &State, admitted: &Admitted) -> Option<TimeMs> {
+    state.dispatcher().ready_at(admitted.need.model.as_ref()?)
+}
+
 /// Returns how long a request may wait, which no place is free for now.
 fn patience_ms(
     state: &State,
@@ -157,9 +186,10 @@
     Refusal::not_run(RefusalCode::Overloaded, message, Some(retry_ms(wait_ms)))
 }
 
-fn not_loaded() -> Refusal {
-    let message = "the model couldn't be loaded in time; come back later";
-    Refusal::not_run(RefusalCode::DeadlineUnreachable, message, Some(retry_ms(RETRY_MS_MAX)))
+fn not_loaded(wait_ms: u64) -> Refusal {
+    let message = "the model can't be loaded in time; come back later";
+    let retry_after_ms = retry_ms(wait_ms);
+    Refusal::not_run(RefusalCode::DeadlineUnreachable, message, Some(retry_after_ms))
 }
 
 /// Spreads the callers that were refused together, so that they don't come back together.
--- a/crates/lycheeford-gateway/src/request/rates.rs
+++ b/crates/lycheeford-gateway/src/request/rates.rs
@@ -3,6 +3,7 @@
 use lycheeford_policy::{CustomerRate, Name, SharedBucket, ShortKey, TimeMs};
 
 use crate::state::State;
+use slog::info;
 
 /// What customers spend, and what they ask for.
 #[derive(Debug, Default)]
@@ -32,6 +33,22 @@
         }
     }
 
+    /// Takes in what is left for a customer as far as another host knows.
+    pub(crate) fn level_elsewhere(&mut self, now: TimeMs, customer: ShortKey, level: f64) {
+        let found = self.buckets.binary_search_by_key(&customer, |(key, _)| *key);
+        let index = found.unwrap_or_else(|index| {
+            self.buckets.insert(index, (customer, SharedBucket::new(now)));
+            index
+        });
+        self.buckets[index].1.level_elsewhere(level);
+    }
+
+    /// Returns what is left for each customer that spent something through this host.
+    pub(crate) fn levels(&self, now: TimeMs) -> Vec<(ShortKey, f64)> {
+        let level = |(key, bucket): &(ShortKey, SharedBucket)| Some((*key, bucket.level(now)?));
+        self.buckets.iter().filter_map(level).collect()
+    }
+
     /// Returns what each customer spent through this host since it started.
     pub(crate) fn spent(&self) -> Vec<(ShortKey, f64)> {
         self.buckets.iter().map(|(key, bucket)| (*key, bucket.spent_here())).collect()
@@ -83,7 +100,16 @@
         let now = state.now();
         let units = rate.unit.cost(tokens);
         let part = state.peers().heard_part(now);
-        state.rates().bucket(now, customer).take(now, rate, part, units)?;
+        let mut rates = state.rates();
+        let bucket = rates.bucket(now, customer);
+        if let Err(wait_ms) = bucket.take(now, rate, part, units) {
+            info!(state.log, "over_rate";
+                "customer" => customer.as_str(), "units" => units, "level_units" => bucket.level(now),
+                "burst_units" => rate.burst_units, "units_per_s" => rate.units_per_s,
+                "heard_part" => part, "spent_here_units" => bucket.spent_here());
+            return Err(wait_ms);
+        }
+        drop(rates);
         Ok(Charge {
             state: Arc::clone(state),
             customer: customer.clone(),
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -55,7 +55,8 @@
 pub use self::shared_bucket::SharedBucket;
 pub use self::short_key::ShortKey;
 pub use self::swap_planner::{
-    EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlanner,
+    EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlan,
+    SwapPlanner,
 };
 pub use self::target_entry::{Residency, ResidentModel, TargetEntry, TargetState};
 pub use self::target_health::{TargetFailure, TargetHealth};
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -37,6 +37,8 @@
     pub running: Vec<RunningAt>,
     /// What each customer spent through it since it started.
     pub spent: Vec<(ShortKey, f64)>,
+    /// What is left for each customer as far as it knows.
+    pub levels: Vec<(ShortKey, f64)>,
     /// How often each model or adapter was asked for since it started.
     pub asked: Vec<(ShortKey, u64)>,
     /// What its waiting requests need that no target holds.
@@ -47,6 +49,8 @@
     pub lease: Option<ReportedLease>,
     /// Models and adapters that came or went, told by the holder of the lease.
     pub placements: Vec<ReportedPlacement>,
+    /// How long requests for a model will still wait, told by the holder of the lease.
+    pub waits: Vec<(ShortKey, u64)>,
     /// Up to which version of the placements the sender knows them, and of which token.
     pub placements_known: (u64, u64),
 }
--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -3,6 +3,8 @@
 const MS_PER_S: f64 = 1_000.0;
 /// The part of the burst that a host has before it has heard what others spent.
 const START_PART: f64 = 0.25;
+/// How far a host moves towards the level that another one reports.
+const AGREE_PART: f64 = 0.1;
 
 /// One host's view of a customer's rate and burst over all hosts.
 ///
@@ -24,12 +26,21 @@
     level: Option<f64>,
     refilled_at: TimeMs,
     spent_here: f64,
+    /// The rate and burst of the last refill.
+    refill_per_ms: f64,
+    burst_units: f64,
 }
 
 impl SharedBucket {
     /// Returns a bucket of a host that has just started.
     pub fn new(now: TimeMs) -> SharedBucket {
-        SharedBucket { level: None, refilled_at: now, spent_here: 0.0 }
+        SharedBucket {
+            level: None,
+            refilled_at: now,
+            spent_here: 0.0,
+            refill_per_ms: 0.0,
+            burst_units: 0.0,
+        }
     }
 
     /// Takes `units`, or returns after how many milliseconds they may be there.
@@ -71,6 +82,21 @@
         self.level = self.level.map(|level| level - units);
     }
 
+    /// Moves the level towards what another host knows.
+    ///
+    /// Views drift apart by what each host misses while it starts or is cut
+    /// off; a customer would then be refused at one host and not at the next.
+    pub fn level_elsewhere(&mut self, level: f64) {
+        let own = self.level.unwrap_or(level);
+        self.level = Some(own + (level - own) * AGREE_PART);
+    }
+
+    /// Returns the level at `now`, if the customer has spent anything here.
+    pub fn level(&self, now: TimeMs) -> Option<f64> {
+        let elapsed_ms = now.since_ms(self.refilled_at) as f64;
+        self.level.map(|level| (level + self.refill_per_ms * elapsed_ms).min(self.burst_units))
+    }
+
     /// Returns all that this host spent since it started, for the others.
     pub fn spent_here(&self) -> f64 {
         self.spent_here
@@ -80,8 +106,9 @@
         let elapsed_ms = now.since_ms(self.refilled_at) as f64;
         self.refilled_at = now;
         let start = rate.burst_units * START_PART;
-        let refilled =
-            self.level.unwrap_or(start) + rate.units_per_s * part * elapsed_ms / MS_PER_S;
+        self.refill_per_ms = rate.units_per_s * part / MS_PER_S;
+        self.burst_units = rate.burst_units;
+        let refilled = self.level.unwrap_or(start) + self.refill_per_ms * elapsed_ms;
         // Long silence of the others must not leave a debt that outlasts a window.
         self.level = Some(refilled.min(rate.burst_units).max(-rate.burst_units));
     }
--- a/crates/lycheeford-policy/src/gateway/swap_planner.rs
+++ b/crates/lycheeford-policy/src/gateway/swap_planner.rs
@@ -31,6 +31,14 @@
 const SPARE_IDLE_MS: u64 = 4_000;
 /// How long ago a model may have been asked for to be moved off a leaving engine.
 const RESCUE_MS: u64 = 8_000;
+/// The seconds of its rate that a model without a ready engine counts for.
+const RATE_WEIGHT_S: f64 = 2.0;
+/// The seconds of its rate that one more engine for a busy model counts for.
+const SPARE_WEIGHT_S: f64 = 0.3;
+/// The wait that counts as much as one more waiting request.
+const AGE_WEIGHT_MS: f64 = 500.0;
+/// How long requests wait for an engine near the weights that has other work.
+const NEAR_WAIT_MS: u64 = 900;
 const MS_PER_S: f64 = 1_000.0;
 
 /// An engine as the planner sees it.
@@ -100,6 +108,15 @@
     pub asked_at: TimeMs,
 }
 
+/// What a round of planning came to.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SwapPlan {
+    /// The orders that should be given now, at most one for each engine.
+    pub orders: Vec<SwapOrder>,
+    /// The models that get no order yet, and how long they will still wait.
+    pub waits: Vec<(Name, u64)>,
+}
+
 /// An order for an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SwapOrder {
@@ -155,7 +172,11 @@
         }
     }
 
-    /// Returns the orders that should be given now, at most one for each engine.
+    /// Decides which orders should be given now.
+    ///
+    /// Models go in the order of what waits for them: a model that many ask for
+    /// and no engine holds goes before one with a single request, also when the
+    /// weight store is what everybody waits for.
     pub fn plan(
         &mut self,
         now: TimeMs,
@@ -163,33 +184,34 @@
         slots: u32,
         engines: &[EngineView],
         demands: &[ModelDemand],
-    ) -> Vec<SwapOrder> {
+    ) -> SwapPlan {
         self.refill(now, limits);
-        let mut round = Round { now, limits, slots, engines, demands, taken: Vec::new() };
-        let mut orders = Vec::new();
-        for demand in round.waiting() {
+        let mut round = Round { now, slots, engines, demands, taken: Vec::new() };
+        let mut plan = SwapPlan::default();
+        let mut waits_for_store = 0;
+        for (demand, urgency) in round.needs() {
             let Some(model) = limits.model(&demand.model) else { continue };
-            if !round.needs_replica(demand) {
+            if urgency == Urgency::Spare && now.since_ms(self.spare_at) < SPARE_PAUSE_MS {
                 continue;
             }
-            if let Some(order) = self.choose(&round, model, demand.oldest_ms, Urgency::Waiting) {
+            if let Some(order) = self.choose(&round, model, demand.oldest_ms, urgency) {
+                if urgency == Urgency::Spare {
+                    self.spare_at = now;
+                }
                 round.taken.push(order.engine.clone());
-                orders.push(order);
+                plan.orders.push(order);
+            } else if demand.waiting > 0 {
+                let wait_ms = if round.lies_near(&model.name) {
+                    NEAR_WAIT_MS
+                } else {
+                    waits_for_store += 1;
+                    let turns = waits_for_store / STORE_LOADS_MAX as u64 + 1;
+                    model.load_store_ms * turns
+                };
+                plan.waits.push((demand.model.clone(), wait_ms));
             }
         }
-        if orders.is_empty() && now.since_ms(self.spare_at) >= SPARE_PAUSE_MS {
-            orders.extend(self.plan_spare(&round));
-        }
-        orders
-    }
-
-    /// Returns an order for a replica that nobody waits for yet.
-    fn plan_spare(&mut self, round: &Round<'_>) -> Option<SwapOrder> {
-        let demand = round.demands.iter().find(|demand| round.wants_spare(demand))?;
-        let model = round.limits.model(&demand.model)?;
-        let order = self.choose(round, model, 0, Urgency::Spare)?;
-        self.spare_at = round.now;
-        Some(order)
+        plan
     }
 
     fn choose(
@@ -284,7 +306,6 @@
 /// What one round of planning looks at.
 struct Round<'a> {
     now: TimeMs,
-    limits: &'a EngineLimits,
     slots: u32,
     engines: &'a [EngineView],
     demands: &'a [ModelDemand],
@@ -293,32 +314,53 @@
 }
 
 impl<'a> Round<'a> {
-    /// Returns the models that requests wait for, the most urgent first.
-    fn waiting(&self) -> Vec<&'a ModelDemand> {
-        let mut waiting: Vec<_> = self.demands.iter().filter(|demand| demand.waiting > 0).collect();
-        waiting.sort_by_key(|demand| (demand.priority, std::cmp::Reverse(demand.oldest_ms)));
-        waiting
+    /// Returns the models that need one more engine, the heaviest need first.
+    fn needs(&self) -> Vec<(&'a ModelDemand, Urgency)> {
+        let weigh = |demand: &'a ModelDemand| {
+            let (weight, urgency) = self.need(demand)?;
+            Some((weight / (1.0 + f64::from(demand.priority.min(9)) / 2.0), demand, urgency))
+        };
+        let mut needs: Vec<_> = self.demands.iter().filter_map(weigh).collect();
+        needs.sort_by(|left, right| right.0.total_cmp(&left.0));
+        needs.into_iter().map(|(_, demand, urgency)| (demand, urgency)).collect()
     }
 
-    /// Returns whether requests that wait for a model need one more replica of it.
-    fn needs_replica(&self, demand: &ModelDemand) -> bool {
+    /// Returns how much weighs that a model needs one more engine, if it does.
+    fn need(&self, demand: &ModelDemand) -> Option<(f64, Urgency)> {
         if self.coming(&demand.model) > 0 {
-            return false;
+            return None;
         }
+        let waiting = f64::from(demand.waiting) + demand.oldest_ms as f64 / AGE_WEIGHT_MS;
         let replicas = self.replicas(&demand.model);
+        if replicas == 0 {
+            let lasting = demand.rate_per_s * RATE_WEIGHT_S;
+            if demand.waiting > 0 {
+                return Some((waiting + lasting, Urgency::Waiting));
+            }
+            let urgency =
+                if demand.rate_per_s >= BUSY_PER_S { Urgency::Waiting } else { Urgency::Spare };
+            return self.is_leaving(demand).then_some((lasting, urgency));
+        }
         let places = (f64::from(self.slots) * FULL_PART).max(1.0);
         let wanted = f64::from(demand.running + demand.waiting) / places;
-        replicas == 0 || wanted > replicas as f64
+        if demand.waiting > 0 && wanted > replicas as f64 {
+            return Some((waiting, Urgency::Waiting));
+        }
+        let is_short = replicas < self.replicas_wanted(demand);
+        is_short.then_some((demand.rate_per_s * SPARE_WEIGHT_S, Urgency::Spare))
     }
 
-    fn wants_spare(&self, demand: &ModelDemand) -> bool {
-        let replicas = self.replicas(&demand.model) + self.coming(&demand.model);
-        if replicas == 0 {
-            let is_leaving =
-                self.engines.iter().any(|engine| !engine.is_ready && holds(engine, &demand.model));
-            return is_leaving && self.now.since_ms(demand.asked_at) < RESCUE_MS;
-        }
-        replicas < self.replicas_wanted(demand)
+    /// Returns whether only engines that leave hold a model that was asked for lately.
+    fn is_leaving(&self, demand: &ModelDemand) -> bool {
+        let is_held =
+            self.engines.iter().any(|engine| !engine.is_ready && holds(engine, &demand.model));
+        is_held && self.now.since_ms(demand.asked_at) < RESCUE_MS
+    }
+
+    fn lies_near(&self, model: &Name) -> bool {
+        let lies_at =
+            |engine: &EngineView| engine.is_ready && Tier::of(engine, model) != Tier::Store;
+        self.engines.iter().any(lies_at)
     }
 
     /// Returns at how many engines a model should be for the load that it has.
--- a/crates/lycheeford-policy/src/gateway/target_table.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table.rs
@@ -12,6 +12,12 @@
 const FAR_PART: f64 = 0.08;
 /// What a target that fails all requests costs, as a multiple of the objective.
 const FAILING_FACTOR: f64 = 3.0;
+/// How long a target that leaves still gets requests that no other can take.
+const LEAVING_USE_MS: u64 = 700;
+/// What a target must have left of its notice for that.
+const LEAVING_LEFT_MS_MIN: u64 = 2_000;
+/// What a leaving target costs, as a multiple of the objective.
+const LEAVING_FACTOR: f64 = 50.0;
 /// The part of the latency by which equal targets are told apart at random, so
 /// that hosts with the same view don't all choose the same one.
 const SPREAD_PART: f64 = 0.15;
@@ -95,6 +101,8 @@
     /// What the holder of orders said of models and adapters there, sorted by key.
     announced: Vec<(ShortKey, bool)>,
     full_until: TimeMs,
+    /// Since when it says that it leaves.
+    leaving_since: Option<TimeMs>,
     /// When it is forgotten, if its entry is gone from the store.
     forget_at: Option<TimeMs>,
     /// Models that it refused although its entry lists them.
@@ -129,6 +137,21 @@
         self.entry.state == TargetState::Ready
     }
 
+    /// Returns whether it may get a request: it is ready, or said only just that it leaves.
+    fn may_take(&self, now: TimeMs) -> bool {
+        self.is_ready() || self.is_last_resort(now)
+    }
+
+    fn is_last_resort(&self, now: TimeMs) -> bool {
+        let has_time = match self.entry.state {
+            TargetState::Ready => return false,
+            TargetState::Leaving { remaining_ms } => {
+                remaining_ms.is_none_or(|ms| ms >= LEAVING_LEFT_MS_MIN)
+            }
+        };
+        has_time && self.leaving_since.is_some_and(|at| now.since_ms(at) < LEAVING_USE_MS)
+    }
+
     /// Returns whether requests that were sent to it came to nothing lately.
     pub fn is_usable(&self, now: TimeMs) -> bool {
         self.health.is_usable(now)
@@ -185,8 +208,9 @@
 
 impl TargetTable {
     /// Takes over an entry; a new life starts without a history.
-    pub fn put(&mut self, entry: TargetEntry) {
+    pub fn put(&mut self, now: TimeMs, entry: TargetEntry) {
         let key = ShortKey::of(&entry.id);
+        let is_leaving = entry.state != TargetState::Ready;
         match self.position(&entry.id) {
             Ok(index) => {
                 let target = &mut self.targets[index];
@@ -200,8 +224,14 @@
                 } else {
                     *target = Target::new(entry, key);
                 }
+                let target = &mut self.targets[index];
+                target.leaving_since = is_leaving.then(|| target.leaving_since.unwrap_or(now));
+            }
+            Err(index) => {
+                let mut target = Target::new(entry, key);
+                target.leaving_since = is_leaving.then_some(now);
+                self.targets.insert(index, target);
             }
-            Err(index) => self.targets.insert(index, Target::new(entry, key)),
         }
     }
 
@@ -219,7 +249,7 @@
     pub fn replace(&mut self, now: TimeMs, entries: Vec<TargetEntry>, grace_ms: u64) {
         let listed: Vec<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
-            self.put(entry);
+            self.put(now, entry);
         }
         let missing: Vec<Name> = self
             .targets
@@ -270,7 +300,7 @@
         let favourite = need.affinity.and_then(|(hash, _)| self.favourite(now, need, hash));
         for (index, target) in self.targets.iter().enumerate() {
             if target.entry.service != need.service
-                || !target.is_ready()
+                || !target.may_take(now)
                 || need.excluded.contains(&target.entry.id)
             {
                 continue;
@@ -447,6 +477,9 @@
         if target.entry.failure_domain != need.failure_domain {
             cost_ms += objective_ms * FAR_PART;
         }
+        if !target.is_ready() {
+            cost_ms += objective_ms * LEAVING_FACTOR;
+        }
         let spread = xxh3_64_with_seed(&self.choices.to_le_bytes(), u64::from(target.key.0));
         cost_ms + usual_ms * SPREAD_PART * (spread as f64 / u64::MAX as f64)
     }
@@ -489,6 +522,7 @@
             elsewhere: Vec::new(),
             announced: Vec::new(),
             full_until: TimeMs::default(),
+            leaving_since: None,
             forget_at: None,
             refused: Vec::new(),
         }
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -70,8 +70,8 @@
     OrderLease, Peer, PeerNews, PeerReport, PeerState, PeerTable, PlacementLog, RateUnit,
     RatedCustomer, ReportedLease, ReportedPlacement, Residency, ResidentModel, ResidentView,
     RetryShare, RouteKind, RunningAt, ServiceRoute, SharedBucket, ShortKey, SwapAction, SwapOrder,
-    SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth, TargetService, TargetState,
-    TargetTable, Tried, WaitQueue, Waiting, WantedName, WeightedService,
+    SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth, TargetService,
+    TargetState, TargetTable, Tried, WaitQueue, Waiting, WantedName, WeightedService,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
