--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -14,8 +14,8 @@
 /// How long a target that refused a model gets no request for it.
 const NOT_HELD_PAUSE_MS: u64 = 150;
 /// How long a repeatable request waits for its first byte, as a multiple of its objective.
-const FIRST_BYTE_FACTOR: f64 = 1.5;
-const FIRST_BYTE_MS_MIN: u64 = 500;
+const FIRST_BYTE_FACTOR: f64 = 2.5;
+const FIRST_BYTE_MS_MIN: u64 = 800;
 /// When a caller should come back whose request failed but may be repeated.
 const RETRY_MS: u64 = 250;
 /// The rank at a target of requests with the best priority.
--- a/crates/lycheeford-gateway/src/request/place.rs
+++ b/crates/lycheeford-gateway/src/request/place.rs
@@ -109,6 +109,7 @@
         state.wake_planner();
     }
     let mut give_up_at = now + patience_ms;
+    let mut is_promised = false;
     loop {
         let slice_ms = give_up_at.since_ms(state.now()).min(LOOK_MS);
         match timeout(Duration::from_millis(slice_ms), in_queue.receiver.recv()).await {
@@ -127,9 +128,13 @@
             if ready_at + ANSWER_MS_MIN >= admitted.final_at {
                 return Err(not_loaded(ready_at.since_ms(now)));
             }
-            // The load is under way or has its turn, so that waiting is worth it.
-            let expected_at = ready_at + LOAD_SLACK_MS;
-            give_up_at = give_up_at.max(expected_at.min(admitted.final_at - ANSWER_MS_MIN));
+            // The load is under way or has its turn, so that waiting is worth it; a time that
+            // is put off again isn't waited for.
+            if !is_promised {
+                is_promised = true;
+                let expected_at = ready_at + LOAD_SLACK_MS;
+                give_up_at = give_up_at.max(expected_at.min(admitted.final_at - ANSWER_MS_MIN));
+            }
         }
         if now >= give_up_at {
             return Err(not_loaded(RETRY_MS_MAX));
--- a/crates/lycheeford-policy/src/gateway/swap_planner.rs
+++ b/crates/lycheeford-policy/src/gateway/swap_planner.rs
@@ -205,8 +205,7 @@
                     NEAR_WAIT_MS
                 } else {
                     waits_for_store += 1;
-                    let turns = waits_for_store / STORE_LOADS_MAX as u64 + 1;
-                    model.load_store_ms * turns
+                    self.store_turn_ms(now, waits_for_store - 1, model.load_store_ms)
                 };
                 plan.waits.push((demand.model.clone(), wait_ms));
             }
@@ -258,6 +257,16 @@
         Some(order)
     }
 
+    /// Returns how long a model waits for its load from the store, after `ahead` others.
+    fn store_turn_ms(&self, now: TimeMs, ahead: usize, load_ms: u64) -> u64 {
+        let mut free_at = self.store_loads_until.clone();
+        free_at.resize(free_at.len().max(STORE_LOADS_MAX), now);
+        free_at.sort();
+        let first_at = free_at[ahead % STORE_LOADS_MAX];
+        let rounds = (ahead / STORE_LOADS_MAX) as u64;
+        first_at.since_ms(now) + load_ms * (rounds + 1)
+    }
+
     fn refill(&mut self, now: TimeMs, limits: &EngineLimits) {
         let elapsed_s = now.since_ms(self.refilled_at) as f64 / MS_PER_S;
         self.refilled_at = now;
