Tell a request's story and count refusals from the logs; bound what new hosts spend

Change: a host starts with 0.03 of the burst, takes an eighth of the rate until it hears others, and keeps back what the others spend between two reports.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -114,7 +114,7 @@
     {
         let mut rates = state.rates();
         for (customer, units) in news.spent {
-            rates.spent_elsewhere(customer, units);
+            rates.spent_elsewhere(now, customer, units);
         }
         for (customer, level) in &report.levels {
             rates.level_elsewhere(now, *customer, *level);
--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -4,7 +4,7 @@
 
 use async_std::future::timeout;
 use lycheeford_policy::{
-    AdapterWant, Chosen, EngineOperation, Name, TargetEntry, TargetFailure, TimeMs,
+    AdapterWant, Chosen, EngineOperation, Name, ResidentModel, TargetEntry, TargetFailure, TimeMs,
 };
 use lycheeford_target::{TargetError, TargetRequest};
 use slog::{info, warn};
@@ -201,7 +201,7 @@
 }
 
 fn held_adapters(report: &EngineReport) -> Vec<AdapterWant> {
-    let of_model = |model: &lycheeford_policy::ResidentModel| {
+    let of_model = |model: &ResidentModel| {
         let name = model.name.clone();
         let wants = model
             .adapters
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -3,7 +3,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerResponse, chunk_channel};
-use lycheeford_policy::Refusal;
+use lycheeford_policy::{Chosen, Name, Refusal};
 use lycheeford_target::TargetError;
 use slog::info;
 
@@ -42,7 +42,7 @@
 async fn whole(
     attempts: &Attempts,
     answering: Answering,
-) -> Result<CallerResponse, (lycheeford_policy::Chosen, TargetError)> {
+) -> Result<CallerResponse, (Chosen, TargetError)> {
     let Answering { place, response, reply, sent_at } = answering;
     let state = &attempts.state;
     let (status, headers) = (response.status, response.headers);
@@ -76,5 +76,8 @@
     attempts.state.metrics.answered(admitted.customer.as_ref(), admitted.priority, total_ms);
     info!(attempts.state.log, "answered";
         "id" => admitted.request.id.as_str(), "route" => admitted.route.name.as_str(),
-        "status" => status, "target" => target, "bytes" => body_bytes, "total_ms" => total_ms);
+        "customer" => admitted.customer.as_ref().map(Name::as_str),
+        "model" => admitted.need.model.as_ref().map(Name::as_str),
+        "status" => status, "target" => target, "sends" => attempts.sends(),
+        "bytes" => body_bytes, "total_ms" => total_ms);
 }
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 
-use lycheeford_policy::{Chosen, Ran, Refusal, RefusalCode, TargetFailure, TimeMs};
+use lycheeford_policy::{
+    AdapterWant, Chosen, CrashVerdict, Ran, Refusal, RefusalCode, TargetFailure, TimeMs,
+};
 use lycheeford_target::{Category, Connection, TargetError, TargetRequest, TargetResponse};
 use slog::info;
 
@@ -49,6 +51,11 @@
         Attempts { state, admitted, ran: Ran::NotRun, runs: 0, sends: 0 }
     }
 
+    /// Returns how often the request was sent.
+    pub(super) fn sends(&self) -> u32 {
+        self.sends
+    }
+
     /// Sends the request, to one target after another if need be, until one answers.
     ///
     /// # Errors
@@ -175,8 +182,7 @@
     fn forget_adapter(&self, chosen: &Chosen) {
         let need = &self.admitted.need;
         let (Some(model), Some(adapter)) = (&need.model, &need.adapter) else { return };
-        let want =
-            lycheeford_policy::AdapterWant { model: model.clone(), adapter: adapter.clone() };
+        let want = AdapterWant { model: model.clone(), adapter: adapter.clone() };
         self.state.orders().adapter_dropped(&chosen.id, &want);
     }
 
@@ -210,7 +216,7 @@
 
     fn is_suspect(&self) -> bool {
         let verdict = self.state.suspects().verdict(self.admitted.fingerprint);
-        verdict == lycheeford_policy::CrashVerdict::Refuse
+        verdict == CrashVerdict::Refuse
     }
 
     fn take_repeat(&self) -> bool {
@@ -234,7 +240,7 @@
             urgency: self.urgency(),
             resume_after,
         };
-        let mut request = admitted_request(&self.state, admitted, &dispatch);
+        let mut request = self.state.edges.target.forward(&admitted.request, &dispatch);
         request.first_byte_ms_max = Some(self.first_byte_ms_max(now));
         if !admitted.need.excluded.is_empty() {
             request.connection = Connection::Fresh;
@@ -280,10 +286,6 @@
     }
 }
 
-fn admitted_request(state: &State, admitted: &Admitted, dispatch: &Dispatch<'_>) -> TargetRequest {
-    state.edges.target.forward(&admitted.request, dispatch)
-}
-
 fn no_target() -> Refusal {
     let message = "no target can be reached; come back soon";
     Refusal::not_run(RefusalCode::NoTarget, message, Some(RETRY_MS))
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
-use lycheeford_policy::{Name, Refusal};
+use lycheeford_policy::{Name, Refusal, TimeMs};
 use slog::info;
 
 use super::admission::admit;
@@ -74,7 +74,7 @@
     async fn serve(
         &self,
         request: GatewayRequest,
-        arrived_at: lycheeford_policy::TimeMs,
+        arrived_at: TimeMs,
     ) -> Result<CallerResponse, Refusal> {
         let admitted = admit(&self.state, request, arrived_at)?;
         answer(Attempts::new(Arc::clone(&self.state), admitted)).await
--- a/crates/lycheeford-gateway/src/request/rates.rs
+++ b/crates/lycheeford-gateway/src/request/rates.rs
@@ -5,6 +5,11 @@
 use crate::state::State;
 use slog::info;
 
+/// How long a host that has just started waits for the reports of others.
+const MEET_PEERS_MS: u64 = 1_000;
+/// The part of a rate that it takes meanwhile.
+const ALONE_PART: f64 = 0.125;
+
 /// What customers spend, and what they ask for.
 #[derive(Debug, Default)]
 pub(crate) struct Rates {
@@ -27,9 +32,9 @@
     }
 
     /// Takes in what a customer spent through another host.
-    pub(crate) fn spent_elsewhere(&mut self, customer: ShortKey, units: f64) {
+    pub(crate) fn spent_elsewhere(&mut self, now: TimeMs, customer: ShortKey, units: f64) {
         if let Ok(index) = self.buckets.binary_search_by_key(&customer, |(key, _)| *key) {
-            self.buckets[index].1.spent_elsewhere(units);
+            self.buckets[index].1.spent_elsewhere(now, units);
         }
     }
 
@@ -76,6 +81,17 @@
     }
 }
 
+/// Returns the part of the hosts that this one hears, itself included.
+///
+/// A host that has just started counts as one of many until it has heard the others.
+fn heard_part(state: &State, now: TimeMs) -> f64 {
+    let peers = state.peers();
+    if peers.peers().is_empty() && now.since_ms(state.started_at) < MEET_PEERS_MS {
+        return ALONE_PART;
+    }
+    peers.heard_part(now)
+}
+
 /// What a request took out of its customer's rate; given back unless it ran.
 pub(super) struct Charge {
     state: Arc<State>,
@@ -99,7 +115,7 @@
     ) -> Result<Charge, u64> {
         let now = state.now();
         let units = rate.unit.cost(tokens);
-        let part = state.peers().heard_part(now);
+        let part = heard_part(state, now);
         let mut rates = state.rates();
         let bucket = rates.bucket(now, customer);
         if let Err(wait_ms) = bucket.take(now, rate, part, units) {
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -3,7 +3,7 @@
 use async_std::future::timeout;
 use async_std::prelude::FutureExt;
 use lycheeford_caller::ChunkSender;
-use lycheeford_policy::{EventBoundary, TimeMs};
+use lycheeford_policy::{Chosen, EventBoundary, TimeMs};
 use lycheeford_target::{TargetBody, TargetError};
 use slog::info;
 
@@ -153,7 +153,7 @@
         }
     }
 
-    fn note_first(&mut self, chosen: &lycheeford_policy::Chosen, sent_at: TimeMs) {
+    fn note_first(&mut self, chosen: &Chosen, sent_at: TimeMs) {
         let state = &self.attempts.state;
         let now = state.now();
         state.dispatcher().targets.succeeded(now, chosen, now.since_ms(sent_at));
--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -2,7 +2,13 @@
 
 const MS_PER_S: f64 = 1_000.0;
 /// The part of the burst that a host has before it has heard what others spent.
-const START_PART: f64 = 0.25;
+///
+/// Many hosts may start at once, each without a memory of what was spent.
+const START_PART: f64 = 0.03;
+/// The time over which the spending of the others is averaged.
+const AVERAGE_MS: f64 = 500.0;
+/// How much of the others' spending hasn't been heard yet, by its usual age.
+const UNHEARD_MS: f64 = 200.0;
 /// How far a host moves towards the level that another one reports.
 const AGREE_PART: f64 = 0.1;
 
@@ -18,7 +24,7 @@
 ///
 /// let rate = CustomerRate { units_per_s: 10.0, burst_units: 20.0, unit: RateUnit::Requests };
 /// let mut bucket = SharedBucket::new(TimeMs::from_ms(0));
-/// assert!(bucket.take(TimeMs::from_ms(0), &rate, 1.0, 5.0).is_ok());
+/// assert!(bucket.take(TimeMs::from_ms(0), &rate, 1.0, 0.6).is_ok());
 /// assert_eq!(bucket.take(TimeMs::from_ms(0), &rate, 1.0, 1.0), Err(100));
 /// ```
 #[derive(Debug, Clone)]
@@ -26,6 +32,9 @@
     level: Option<f64>,
     refilled_at: TimeMs,
     spent_here: f64,
+    /// What the others spend in a millisecond, and when that was last known.
+    elsewhere_per_ms: f64,
+    elsewhere_at: TimeMs,
     /// The rate and burst of the last refill.
     refill_per_ms: f64,
     burst_units: f64,
@@ -38,6 +47,8 @@
             level: None,
             refilled_at: now,
             spent_here: 0.0,
+            elsewhere_per_ms: 0.0,
+            elsewhere_at: now,
             refill_per_ms: 0.0,
             burst_units: 0.0,
         }
@@ -61,8 +72,10 @@
     ) -> Result<(), u64> {
         self.refill(now, rate, part);
         let level = self.level.unwrap_or_default();
-        if level <= 0.0 {
-            let missing = 1.0 - level;
+        // At several times the rate, all hosts would spend the same refill before they hear.
+        let unheard = self.elsewhere_faded(now) * UNHEARD_MS;
+        if level <= unheard {
+            let missing = 1.0 + unheard - level;
             let refill_per_ms = (rate.units_per_s * part / MS_PER_S).max(f64::MIN_POSITIVE);
             return Err((missing / refill_per_ms).min(60_000.0).ceil() as u64);
         }
@@ -78,8 +91,15 @@
     }
 
     /// Takes out what other hosts spent.
-    pub fn spent_elsewhere(&mut self, units: f64) {
+    pub fn spent_elsewhere(&mut self, now: TimeMs, units: f64) {
         self.level = self.level.map(|level| level - units);
+        self.elsewhere_per_ms = (self.elsewhere_faded(now) + units / AVERAGE_MS).max(0.0);
+        self.elsewhere_at = now;
+    }
+
+    fn elsewhere_faded(&self, now: TimeMs) -> f64 {
+        let age_ms = now.since_ms(self.elsewhere_at) as f64;
+        self.elsewhere_per_ms * (-age_ms / AVERAGE_MS).exp()
     }
 
     /// Moves the level towards what another host knows.
--- a/crates/lycheeford/src/args.rs
+++ b/crates/lycheeford/src/args.rs
@@ -39,6 +39,30 @@
     Customers(Customers),
     Drain(Drain),
     Explain(Explain),
+    Trace(Trace),
+    WhyRefused(WhyRefused),
+}
+
+/// Tell the story of one request from the logs of gateways.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub(crate) struct Trace {
+    /// the request's id, as in the logs
+    #[argh(positional)]
+    pub(crate) id: String,
+
+    /// a log; repeat it for the logs of more hosts, standard input by default
+    #[argh(option, arg_name = "file")]
+    pub(crate) log: Vec<PathBuf>,
+}
+
+/// Count refusals and cut streams in the logs of gateways by cause.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "why-refused")]
+pub(crate) struct WhyRefused {
+    /// a log; repeat it for the logs of more hosts, standard input by default
+    #[argh(option, arg_name = "file")]
+    pub(crate) log: Vec<PathBuf>,
 }
 
 /// Check, compare, apply or show the fleet's configuration.
--- /dev/null
+++ b/crates/lycheeford/src/log_command.rs
@@ -0,0 +1,184 @@
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use serde_json::{Map, Value};
+
+use crate::args::{Trace, WhyRefused};
+use crate::failure::{Exit, Failure};
+use crate::output;
+
+/// Events of a host that explain what happened to the requests that it had then.
+const HOST_EVENTS: [&str; 12] = [
+    "started",
+    "draining",
+    "ended",
+    "orders_held",
+    "lease_unread",
+    "lease_unwritten",
+    "hosts_unlisted",
+    "host_unregistered",
+    "declaration_adopted",
+    "declaration_unreadable",
+    "target_gone",
+    "targets_listed",
+];
+/// The events that end a request.
+const ENDS: [&str; 3] = ["answered", "refused", "stream_cut"];
+/// Fields that every line has, or that the story shows in a place of their own.
+const PLAIN_FIELDS: [&str; 6] = ["msg", "level", "ts", "host", "id", "version"];
+const MS_PER_DAY: u64 = 24 * 60 * 60 * 1_000;
+
+/// One line of a gateway's log.
+#[derive(Debug, Clone)]
+struct Line {
+    /// The time of day; lines of one host are in order, those of several nearly so.
+    ts: String,
+    host: String,
+    event: String,
+    id: Option<String>,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    /// Reads a line, which may have a prefix of whoever gathered it.
+    fn read(text: &str) -> Option<Line> {
+        let json = &text[text.find('{')?..];
+        let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+        let field = |name: &str| fields.get(name)?.as_str().map(str::to_owned);
+        Some(Line {
+            ts: field("ts")?,
+            host: field("host")?,
+            event: field("msg")?,
+            id: field("id"),
+            fields,
+        })
+    }
+
+    /// Returns the fields that are particular to the event.
+    fn details(&self) -> String {
+        let details = self.fields.iter().filter(|(name, _)| !PLAIN_FIELDS.contains(&name.as_str()));
+        let details: Vec<String> = details.map(|(name, value)| format!("{name}={value}")).collect();
+        details.join(" ")
+    }
+
+    /// Returns the time of day in milliseconds, for the differences within a story.
+    fn time_ms(&self) -> Option<u64> {
+        let time = self.ts.split_once('T')?.1.trim_end_matches('Z');
+        let mut parts = time.split(':');
+        let hours: u64 = parts.next()?.parse().ok()?;
+        let minutes: u64 = parts.next()?.parse().ok()?;
+        let seconds: f64 = parts.next()?.parse().ok()?;
+        Some((hours * 60 + minutes) * 60_000 + (seconds * 1_000.0) as u64)
+    }
+}
+
+/// Prints the story of one request from the logs of its hosts.
+pub(crate) fn trace(command: &Trace) -> Result<(), Failure> {
+    let lines = read_all(&command.log)?;
+    let own: Vec<&Line> =
+        lines.iter().filter(|line| line.id.as_deref() == Some(&command.id)).collect();
+    let Some(last) = own.last() else {
+        let message = format!(
+            "no line about {}; give the logs of all hosts, and look whether lines were left out",
+            command.id
+        );
+        return Err(Failure::new(Exit::Refused, message));
+    };
+    let last_ms = last.time_ms().unwrap_or_default();
+    let total_ms = last.fields.get("total_ms").and_then(Value::as_u64).unwrap_or_default();
+    let hosts: Vec<&str> = own.iter().map(|line| line.host.as_str()).collect();
+    let is_meanwhile = |line: &Line| {
+        let since_ms = (last_ms + MS_PER_DAY).saturating_sub(line.time_ms().unwrap_or_default());
+        hosts.contains(&line.host.as_str())
+            && HOST_EVENTS.contains(&line.event.as_str())
+            && since_ms % MS_PER_DAY <= total_ms + 1_000
+    };
+    for line in &lines {
+        if line.id.as_deref() == Some(&command.id) {
+            output::print(&format!(
+                "{} {} {} {}\n",
+                line.ts,
+                line.host,
+                line.event,
+                line.details()
+            ));
+        } else if is_meanwhile(line) {
+            output::print(&format!(
+                "{} {}   meanwhile {} {}\n",
+                line.ts,
+                line.host,
+                line.event,
+                line.details()
+            ));
+        }
+    }
+    let ending = own.iter().rev().find(|line| ENDS.contains(&line.event.as_str()));
+    output::print(&match ending {
+        Some(line) => format!("ended after {total_ms} ms: {}\n", cause(line)),
+        None => "no end is on record: the host died, or lines were left out\n".to_owned(),
+    });
+    Ok(())
+}
+
+/// Counts refusals and cut streams by cause.
+pub(crate) fn why_refused(command: &WhyRefused) -> Result<(), Failure> {
+    let mut counts: Vec<(String, u64)> = Vec::new();
+    for line in read_all(&command.log)? {
+        if !matches!(line.event.as_str(), "refused" | "stream_cut") {
+            continue;
+        }
+        let cause = cause(&line);
+        match counts.iter_mut().find(|(known, _)| *known == cause) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((cause, 1)),
+        }
+    }
+    counts.sort_by(|left, right| (right.1, &left.0).cmp(&(left.1, &right.0)));
+    for (cause, count) in counts {
+        output::print(&format!("{count:>8} {cause}\n"));
+    }
+    Ok(())
+}
+
+/// Says in a few words how a request ended.
+fn cause(line: &Line) -> String {
+    let text = |name: &str| line.fields.get(name).and_then(Value::as_str).unwrap_or("unknown");
+    let customer = line.fields.get("customer").and_then(Value::as_str);
+    let customer = customer.map(|name| format!(" of {name}")).unwrap_or_default();
+    match line.event.as_str() {
+        "refused" => {
+            format!("refused{customer}: {}: {} ({})", text("code"), text("message"), text("ran"))
+        }
+        "stream_cut" => format!("cut{customer}: {}", text("cause")),
+        _ => format!("answered by {}", text("target")),
+    }
+}
+
+/// Reads the lines of all logs in the order of their time.
+fn read_all(logs: &[PathBuf]) -> Result<Vec<Line>, Failure> {
+    let mut lines = Vec::new();
+    if logs.is_empty() {
+        read_into(&mut lines, io::stdin().lock(), Path::new("standard input"))?;
+    }
+    for path in logs {
+        let file = File::open(path).map_err(|error| unreadable(path, &error))?;
+        read_into(&mut lines, BufReader::new(file), path)?;
+    }
+    lines.sort_by(|left, right| left.ts.cmp(&right.ts));
+    Ok(lines)
+}
+
+fn read_into(lines: &mut Vec<Line>, reader: impl BufRead, path: &Path) -> Result<(), Failure> {
+    for text in reader.lines() {
+        let text = text.map_err(|error| unreadable(path, &error))?;
+        // Logs hold lines of other programs, too.
+        lines.extend(Line::read(&text));
+    }
+    Ok(())
+}
+
+fn unreadable(path: &Path, error: &io::Error) -> Failure {
+    let message = format!("{}: {error}; give readable logs with --log", path.display());
+    Failure::new(Exit::Usage, message)
+}
--- a/crates/lycheeford/src/main.rs
+++ b/crates/lycheeford/src/main.rs
@@ -10,6 +10,7 @@
 mod files;
 mod key_command;
 mod list_command;
+mod log_command;
 mod output;
 mod table;
 
@@ -63,5 +64,7 @@
         Command::Customers(_) => list_command::customers(&daemons, output).await,
         Command::Drain(_) => list_command::drain(&daemons, output).await,
         Command::Explain(explain) => list_command::explain(explain.subject, &daemons, output).await,
+        Command::Trace(trace) => log_command::trace(&trace),
+        Command::WhyRefused(why) => log_command::why_refused(&why),
     }
 }
--- /dev/null
+++ b/crates/lycheeford/tests/logs.rs
@@ -0,0 +1,79 @@
+//! What the tool tells from the logs of two gateways.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn log(file_name: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/logs").join(file_name);
+    path.to_str().unwrap().to_owned()
+}
+
+fn run(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lycheeford"));
+    command.args(words);
+    command.args(["--log", &log("host-a.log"), "--log", &log("host-b.log")]);
+    command.output().unwrap()
+}
+
+struct LogCase {
+    words: &'static [&'static str],
+    exit: i32,
+    /// What the output holds, in this order.
+    parts: &'static [&'static str],
+    absent: &'static str,
+}
+
+#[test]
+fn a_request_is_followed_over_two_hosts_to_its_cause() {
+    let cases = [
+        LogCase {
+            words: &["trace", "aa01"],
+            exit: 0,
+            parts: &[
+                "attempt_failed",
+                "meanwhile orders_held holds=false",
+                "host-b   meanwhile target_gone",
+                "stream_resumed",
+                "refused",
+                "ended after 700 ms: refused: TargetFailed: the target closed the connection (Unknown)",
+            ],
+            absent: "aa02",
+        },
+        LogCase {
+            words: &["trace", "bb03"],
+            exit: 0,
+            parts: &["attempt_not_run", "no end is on record"],
+            absent: "ended after",
+        },
+        LogCase {
+            words: &["trace", "cc01"],
+            exit: 1,
+            parts: &["no line about cc01; give the logs of all hosts"],
+            absent: "ended",
+        },
+        LogCase {
+            words: &["why-refused"],
+            exit: 0,
+            parts: &["       2 refused: OverRate", "       1 refused: TargetFailed"],
+            absent: "answered",
+        },
+        LogCase {
+            words: &["trace", "aa01", "--log", "/nowhere/host.log"],
+            exit: 2,
+            parts: &["give readable logs with --log"],
+            absent: "ended",
+        },
+    ];
+    for case in cases {
+        let output = run(case.words);
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8_lossy(&text).into_owned();
+        assert_eq!(output.status.code(), Some(case.exit), "{text}");
+        let mut rest = text.as_str();
+        for part in case.parts {
+            let found = rest.find(part).unwrap_or_else(|| panic!("lacks {part:?}: {text}"));
+            rest = &rest[found + part.len()..];
+        }
+        assert!(!text.contains(case.absent), "{text}");
+    }
+}
