--- a/crates/lycheeford-policy/tests/gateway/rates.rs
+++ b/crates/lycheeford-policy/tests/gateway/rates.rs
@@ -72,7 +72,9 @@
                 let level = buckets[host].level(at(ms));
                 for other in (0..8).filter(|other| *other != host) {
                     buckets[other].spent_elsewhere(at(ms), spent);
-                    level.map(|level| buckets[other].level_elsewhere(at(ms), level));
+                    if let Some(level) = level {
+                        buckets[other].level_elsewhere(at(ms), level);
+                    }
                 }
             }
         }
@@ -93,7 +95,7 @@
     let mut told = [0.0; HOSTS];
     let mut taken: Vec<(u64, f64)> = Vec::new();
     for ms in 0..30_000 {
-        let is_noticed = CUT.start + NOTICED_MS <= ms && ms < CUT.end;
+        let is_noticed = (CUT.start + NOTICED_MS..CUT.end).contains(&ms);
         // Nothing is asked for before the cut, so that every bucket is full.
         let is_asked = ms >= 9_800 && ms % 2 == 0;
         let host = (ms / 2) as usize % HOSTS;
@@ -115,7 +117,9 @@
                 for other in (0..HOSTS).filter(|other| side(*other, ms) == side(host, ms)) {
                     if other != host {
                         buckets[other].spent_elsewhere(at(ms), spent);
-                        level.map(|level| buckets[other].level_elsewhere(at(ms), level));
+                        if let Some(level) = level {
+                            buckets[other].level_elsewhere(at(ms), level);
+                        }
                     }
                 }
             }
