--- a/crates/lycheeford-gateway/src/orders/book.rs
+++ b/crates/lycheeford-gateway/src/orders/book.rs
@@ -43,7 +43,7 @@
 }
 
 impl Orders {
-    pub(crate) fn new(settings: &GatewaySettings, incarnation: u64, _now: TimeMs) -> Orders {
+    pub(crate) fn new(settings: &GatewaySettings, incarnation: u64) -> Orders {
         let lease = OrderLease::new(settings.host.clone(), incarnation, settings.order_lease_ms);
         Orders {
             lease,
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -46,6 +46,7 @@
         let _running = state.request_started();
         let arrived_at = state.now();
         let id = request.id.clone();
+        let mut unanswered = Unanswered { state, id: &id, arrived_at, is_over: false };
         let mut response = match self.serve(request, arrived_at).await {
             Ok(response) => response,
             Err(refusal) => {
@@ -57,6 +58,7 @@
                 state.edges.caller.refusal(&id, &refusal)
             }
         };
+        unanswered.is_over = true;
         if state.is_draining() {
             // Moves the caller to another host before this one is gone.
             response.headers.push(("connection".to_owned(), "close".to_owned()));
@@ -80,3 +82,21 @@
         answer(Attempts::new(Arc::clone(&self.state), admitted)).await
     }
 }
+
+/// Writes a line when a caller leaves before its answer, so that no request ends without one.
+struct Unanswered<'a> {
+    state: &'a State,
+    id: &'a Name,
+    arrived_at: TimeMs,
+    is_over: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            info!(self.state.log, "caller_left";
+                "id" => self.id.as_str(),
+                "total_ms" => self.state.now().since_ms(self.arrived_at));
+        }
+    }
+}
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -24,6 +24,8 @@
 const CONNECT_MS_MAX: u64 = 400;
 /// How long a connection to a target may stay without a sign of life.
 const SILENT_MS_MAX: u32 = 2_000;
+/// Unused connections that are kept to each target, since all hosts share what it accepts.
+const POOL_PER_TARGET_MAX: usize = 4;
 /// How long an unused connection to a target is kept.
 const POOL_IDLE_MS_MAX: u64 = 8_000;
 /// The longest answer of a target that isn't a stream.
@@ -72,13 +74,14 @@
         let limits = TargetLimits {
             connect_ms_max: CONNECT_MS_MAX,
             pool_idle_ms_max: POOL_IDLE_MS_MAX,
+            pool_per_target_max: POOL_PER_TARGET_MAX,
             unframed: Unframed::EndWithConnection,
             silent_ms_max: Some(SILENT_MS_MAX),
             ..TargetLimits::default()
         };
         let retries = settings.retries;
         Arc::new(State {
-            orders: Mutex::new(Orders::new(&settings, incarnation, clock.now())),
+            orders: Mutex::new(Orders::new(&settings, incarnation)),
             retries: Mutex::new(RetryShare::new(
                 retries.window_ms,
                 retries.repeats_per_request,
--- a/crates/lycheeford-policy/src/gateway/deployment.rs
+++ b/crates/lycheeford-policy/src/gateway/deployment.rs
@@ -149,8 +149,6 @@
 pub struct TargetService {
     /// The name that targets give with themselves.
     pub name: Name,
-    /// The connections that one target accepts from all callers together.
-    pub connections_max: u32,
     /// What its targets load, if they are model engines.
     pub engine: Option<EngineLimits>,
 }
--- a/crates/lycheeford/src/log_command.rs
+++ b/crates/lycheeford/src/log_command.rs
@@ -24,7 +24,7 @@
     "targets_listed",
 ];
 /// The events that end a request.
-const ENDS: [&str; 3] = ["answered", "refused", "stream_cut"];
+const ENDS: [&str; 4] = ["answered", "refused", "stream_cut", "caller_left"];
 /// Fields that every line has, or that the story shows in a place of their own.
 const PLAIN_FIELDS: [&str; 6] = ["msg", "level", "ts", "host", "id", "version"];
 const MS_PER_DAY: u64 = 24 * 60 * 60 * 1_000;
@@ -151,6 +151,7 @@
             format!("refused{customer}: {}: {} ({})", text("code"), text("message"), text("ran"))
         }
         "stream_cut" => format!("cut{customer}: {}", text("cause")),
+        "caller_left" => "the caller left before an answer".to_owned(),
         _ => format!("answered by {}", text("target")),
     }
 }
