--- a/crates/lycheeford-gateway/src/clock.rs
+++ b/crates/lycheeford-gateway/src/clock.rs
@@ -14,6 +14,7 @@
 impl Clock {
     /// Returns the reading now.
     pub fn now(self) -> TimeMs {
+        // Counts from the host's start, so that neither part is ever negative.
         let reading = clock_gettime(ClockId::Boottime);
         let seconds = u64::try_from(reading.tv_sec).unwrap_or_default();
         let nanoseconds = u64::try_from(reading.tv_nsec).unwrap_or_default();
--- a/crates/lycheeford-gateway/src/orders/lease_task.rs
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -78,6 +78,7 @@
         .map(|peer| peer.report.host.clone())
         .collect();
     hosts.push(state.settings.host.clone());
+    // This host is in the list, so that its place is always found.
     let ranked = rendezvous_rank(LEASE_NAME, &hosts);
     ranked.iter().position(|host| **host == state.settings.host).unwrap_or_default() as u64
 }
--- a/crates/lycheeford-gateway/src/orders/plan_task.rs
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -230,6 +230,7 @@
             priority,
             rate_per_s: demand.rate_per_s(now, key),
             running: found.map_or(0, |index| running[index].1),
+            // A model that nobody asked for counts as asked for longest ago.
             asked_at: asked_at.unwrap_or_default(),
         })
     };
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -79,6 +79,7 @@
             .as_ref()
             .filter(|_| engine.is_some())
             .and_then(|name| name.adapter.clone()),
+        // A request that names no tokens takes a place, and no memory that could be counted.
         tokens: tokens.unwrap_or_default(),
         cache_tokens_max: engine.map(|engine| engine.cache_tokens),
         failure_domain: state.settings.failure_domain.clone(),
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -96,13 +96,25 @@
         let resume_after = self.resume_after.clone();
         // The bytes of an event that isn't whole come again from the next target.
         self.boundary = EventBoundary::default();
-        let sending = async { self.attempts.send(resume_after.as_deref()).await.ok() };
+        let sending = async { Some(self.attempts.send(resume_after.as_deref()).await) };
         let hung_up = async {
             self.sender.hung_up().await;
             None
         };
-        let resumed = sending.race(hung_up).await?;
+        let resumed = match sending.race(hung_up).await {
+            Some(Ok(resumed)) => resumed,
+            Some(Err(refusal)) => {
+                self.log_cut(&format!("no other target goes on: {}", refusal.message), "");
+                return None;
+            }
+            None => {
+                self.log_cut("caller left", "");
+                return None;
+            }
+        };
         if resumed.response.status != 200 || resumed.reply != Reply::Ran {
+            let cause = format!("the next target answered {}", resumed.response.status);
+            self.log_cut(&cause, &resumed.place.chosen.id);
             return None;
         }
         info!(self.attempts.state.log, "stream_resumed";
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -251,6 +251,7 @@
     new: &[(ShortKey, T)],
     less: impl Fn(T, T) -> T,
 ) -> Vec<(ShortKey, T)> {
+    // What an older report doesn't name was nothing then.
     let known = |key: ShortKey| {
         old.iter().find(|(other, _)| *other == key).map(|(_, value)| *value).unwrap_or_default()
     };
--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -87,6 +87,7 @@
         units: f64,
     ) -> Result<(), u64> {
         self.refill(now, rate, part);
+        // The refill has set the level.
         let level = self.level.unwrap_or_default();
         // At several times the rate, all hosts would spend the same refill before they hear.
         let unheard = self.elsewhere_faded(now) * UNHEARD_MS;
--- a/crates/lycheeford/src/log_command.rs
+++ b/crates/lycheeford/src/log_command.rs
@@ -85,6 +85,7 @@
         );
         return Err(Failure::new(Exit::Refused, message));
     };
+    // A line without a readable time or length shows nothing else of its host.
     let last_ms = last.time_ms().unwrap_or_default();
     let total_ms = last.fields.get("total_ms").and_then(Value::as_u64).unwrap_or_default();
     let hosts: Vec<&str> = own.iter().map(|line| line.host.as_str()).collect();
