--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -22,11 +22,5 @@
 /// The grace is how long a connection that went silent is taken for one on
 /// which nothing changes.
 fn follow_limits(wait_ms: u64) -> FollowLimits {
-    FollowLimits {
-        wait_ms,
-        grace_ms: 700,
-        backoff_ms_min: 40,
-        backoff_ms_max: 400,
-        ..FollowLimits::default()
-    }
+    FollowLimits { wait_ms, grace_ms: 700, backoff_ms_min: 40, backoff_ms_max: 400 }
 }
--- a/crates/lycheeford-gateway/src/membership/spread.rs
+++ b/crates/lycheeford-gateway/src/membership/spread.rs
@@ -28,7 +28,11 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length_bytes, _)) => match wire::decode(&buffer[..length_bytes]) {
                 Ok(Message::Report(report)) => take_report(&state, &report),
-                Ok(Message::Wants(wants)) => take_wants(&state, wants),
+                Ok(Message::Wants(wants)) => {
+                    if let Some((news, address)) = take_wants(&state, wants) {
+                        send(&socket, Message::News(news), address).await;
+                    }
+                }
                 Ok(Message::News(news)) => take_news(&state, &news),
                 Err(error) => warn!(state.log, "report_unreadable"; "error" => %error),
             },
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use lycheeford_policy::{
     HostRecord, HostTable, Name, PartnerRole, PeerState, PeerTable, ReportedLease, TimeMs,
     WantedName, rendezvous_rank,
@@ -7,6 +9,8 @@
 
 /// How long what a host wants stands without being told again.
 const WANTS_MS: u64 = 1_500;
+/// How often a host whose requests wait is told how long they will, without other news.
+const TELL_MS: u64 = 200;
 /// How old a lease that was told may be before nobody is taken for its holder.
 const LEASE_MS_MAX: u64 = 10_000;
 /// How many hosts watch the store for the others, where each hears every other one.
@@ -19,7 +23,23 @@
     pub(crate) peers: PeerTable,
     /// The lease with the last moment at which it may have been renewed.
     lease: Option<(ReportedLease, TimeMs)>,
-    wants: Vec<(Wants, TimeMs)>,
+    wants: Vec<Asker>,
+}
+
+/// A host whose requests wait for orders.
+#[derive(Debug)]
+pub(super) struct Asker {
+    wants: Wants,
+    asked_at: TimeMs,
+    told_at: TimeMs,
+}
+
+impl Asker {
+    /// Notes that the host is told now; returns where, and what placements it knows.
+    pub(super) fn told(&mut self, now: TimeMs) -> (SocketAddr, (u64, u64)) {
+        self.told_at = now;
+        (self.wants.sender.peer_address, self.wants.placements_known)
+    }
 }
 
 impl Membership {
@@ -54,30 +74,36 @@
         (renewed_age_ms < LEASE_MS_MAX).then(|| ReportedLease { renewed_age_ms, ..lease.clone() })
     }
 
-    /// Takes in what a host's requests wait for.
-    pub(super) fn take_wants(&mut self, now: TimeMs, wants: Wants) {
-        self.wants.retain(|(known, at)| {
-            known.sender.host != wants.sender.host && now.since_ms(*at) < WANTS_MS
-        });
-        if !wants.names.is_empty() {
-            self.wants.push((wants, now));
+    /// Takes in what a host's requests wait for; returns whether it is due to be told something.
+    pub(super) fn take_wants(&mut self, now: TimeMs, wants: Wants) -> bool {
+        self.wants.retain(|asker| now.since_ms(asker.asked_at) < WANTS_MS);
+        let known =
+            self.wants.iter().position(|asker| asker.wants.sender.host == wants.sender.host);
+        let told_at = known.map(|index| self.wants.swap_remove(index).told_at);
+        if wants.names.is_empty() {
+            return false;
         }
+        let is_due = told_at.is_none_or(|at| now.since_ms(at) >= TELL_MS);
+        let told_at = if is_due { now } else { told_at.unwrap_or(now) };
+        self.wants.push(Asker { wants, asked_at: now, told_at });
+        is_due
     }
 
-    /// Returns the hosts whose requests wait, with what for and for how much longer than they said.
-    pub(super) fn wants(&self, now: TimeMs) -> impl Iterator<Item = (&Wants, u64)> {
-        let wants = self.wants.iter().map(move |(wants, at)| (wants, now.since_ms(*at)));
-        wants.filter(|(_, age_ms)| *age_ms < WANTS_MS)
+    /// Returns the hosts whose requests wait.
+    pub(super) fn askers(&mut self, now: TimeMs) -> impl Iterator<Item = &mut Asker> {
+        self.wants.iter_mut().filter(move |asker| now.since_ms(asker.asked_at) < WANTS_MS)
     }
 
     /// Returns what requests at other hosts wait for.
     pub(crate) fn wanted(&self, now: TimeMs) -> Vec<WantedName> {
-        let names = self.wants(now).flat_map(|(wants, age_ms)| {
+        let asking = self.wants.iter().filter(|asker| now.since_ms(asker.asked_at) < WANTS_MS);
+        let names = asking.flat_map(|asker| {
+            let age_ms = now.since_ms(asker.asked_at);
             let older = move |name: &WantedName| WantedName {
                 oldest_ms: name.oldest_ms + age_ms,
                 ..name.clone()
             };
-            wants.names.iter().map(older)
+            asker.wants.names.iter().map(older)
         });
         names.collect()
     }
--- a/crates/lycheeford-gateway/src/membership/wants.rs
+++ b/crates/lycheeford-gateway/src/membership/wants.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,8 +30,8 @@
         let mut dispatcher = state.dispatcher();
         (dispatcher.wanted(now), dispatcher.placements_known())
     };
-    let waits = !names.is_empty();
-    if !state.told_wants.swap(waits, Ordering::AcqRel) && !waits {
+    let wants_some = !names.is_empty();
+    if !state.told_wants.swap(wants_some, Ordering::AcqRel) && !wants_some {
         return;
     }
     if state.orders().lease.held(now).is_some() {
@@ -50,36 +51,40 @@
 /// Tells the hosts whose requests wait what has been placed, if this host gives orders.
 async fn tell_waiting(state: &State, socket: &UdpSocket) {
     let now = state.now();
-    let Some((token, _, _)) = state.orders().lease.held(now) else { return };
-    let waiting: Vec<_> = {
-        let membership = state.membership();
-        let waiting = membership
-            .wants(now)
-            .map(|(wants, _)| (wants.sender.peer_address, wants.placements_known));
-        waiting.collect()
+    let askers: Vec<_> = {
+        let mut membership = state.membership();
+        membership.askers(now).map(|asker| asker.told(now)).collect()
     };
-    for (address, (known_token, known_version)) in waiting {
-        let news = {
-            let orders = state.orders();
-            let version = if known_token == token { known_version } else { 0 };
-            let placements = orders.placements.changes_since(version).to_vec();
-            let waits = orders.waits();
-            let waits = waits.into_iter().map(|(model, wait_ms)| (model, wait_ms as f64));
-            News { token, placements, waits: waits.collect() }
-        };
+    for (address, known) in askers {
+        let Some(news) = news_for(state, known) else { return };
         send(socket, Message::News(news), address).await;
     }
 }
 
-/// Takes in what another host's requests wait for.
-pub(super) fn take_wants(state: &State, wants: Wants) {
-    let waits = !wants.names.is_empty();
-    state.membership().take_wants(state.now(), wants);
-    if waits {
-        state.wake_planner();
-        // What was decided before may already help.
-        state.wake_wants();
+/// Returns what a host that knows the placements up to `known` is told, if this host gives orders.
+fn news_for(state: &State, known: (u64, u64)) -> Option<News> {
+    let orders = state.orders();
+    let (token, _, _) = orders.lease.held(state.now())?;
+    let version = if known.0 == token { known.1 } else { 0 };
+    let placements = orders.placements.changes_since(version).to_vec();
+    let waits = orders.waits().into_iter().map(|(model, wait_ms)| (model, wait_ms as f64));
+    Some(News { token, placements, waits: waits.collect() })
+}
+
+/// Takes in what another host's requests wait for; returns what it is told, and where.
+pub(super) fn take_wants(state: &State, wants: Wants) -> Option<(News, SocketAddr)> {
+    let now = state.now();
+    let wants_some = !wants.names.is_empty();
+    let known = wants.placements_known;
+    let address = wants.sender.peer_address;
+    let is_due = state.membership().take_wants(now, wants);
+    if !wants_some {
+        return None;
     }
+    state.wake_planner();
+    let news = news_for(state, known)?;
+    // What was decided before may already help.
+    (is_due || !news.placements.is_empty()).then_some((news, address))
 }
 
 /// Takes in what the holder of orders has placed.
--- a/crates/lycheeford-gateway/src/membership/wire/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/mod.rs
@@ -45,8 +45,8 @@
 
 #[derive(Clone, PartialEq, Oneof)]
 enum WireBody {
-    #[prost(message, tag = "1")]
-    Report(WireReport),
+    #[prost(message, boxed, tag = "1")]
+    Report(Box<WireReport>),
     #[prost(message, tag = "2")]
     Wants(WireWants),
     #[prost(message, tag = "3")]
@@ -56,7 +56,7 @@
 /// Returns the datagram that holds a message.
 pub(super) fn encode(message: Message) -> Vec<u8> {
     let body = match message {
-        Message::Report(report) => WireBody::Report(WireReport::from(*report)),
+        Message::Report(report) => WireBody::Report(Box::new(WireReport::from(*report))),
         Message::Wants(wants) => WireBody::Wants(WireWants::from(wants)),
         Message::News(news) => WireBody::News(WireNews::from(news)),
     };
@@ -71,7 +71,7 @@
 pub(super) fn decode(datagram: &[u8]) -> Result<Message, DecodeError> {
     let message = WireMessage::decode(datagram).context(FrameSnafu)?;
     Ok(match message.body.context(FieldSnafu { field: "body" })? {
-        WireBody::Report(report) => Message::Report(Box::new(PeerReport::try_from(report)?)),
+        WireBody::Report(report) => Message::Report(Box::new(PeerReport::try_from(*report)?)),
         WireBody::Wants(wants) => Message::Wants(Wants::try_from(wants)?),
         WireBody::News(news) => Message::News(News::from(news)),
     })
--- a/crates/lycheeford-platform/tests/follow.rs
+++ b/crates/lycheeford-platform/tests/follow.rs
@@ -30,7 +30,6 @@
         grace_ms: 100,
         backoff_ms_min: 5,
         backoff_ms_max: 20,
-        ..FollowLimits::default()
     }
 }
 
