Carry every scope of a report over the wire, and test each field of each message

The test in virtual time passed reports without the wire. A report now tells 500 placements at most, since a datagram has a bound. The new table test of the wire fails before.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -5,6 +5,9 @@
 
 use crate::state::State;
 
+/// Placements that one report tells at most.
+const PLACEMENTS_MAX: usize = 500;
+
 /// What is the same in all reports that are sent at one time.
 #[derive(Debug, Clone)]
 pub(super) struct Common {
@@ -83,7 +86,9 @@
         if token <= report.placements_known.0 {
             let version = if token == report.placements_known.0 { version } else { 0 };
             let dispatcher = state.dispatcher();
-            report.placements = dispatcher.placements.changes_since(version).to_vec();
+            let changes = dispatcher.placements.changes_since(version);
+            // The rest follows with the next reports; a datagram has a bound.
+            report.placements = changes[..changes.len().min(PLACEMENTS_MAX)].to_vec();
         }
         report
     }
--- a/crates/lycheeford-gateway/src/membership/wants.rs
+++ b/crates/lycheeford-gateway/src/membership/wants.rs
@@ -13,6 +13,9 @@
 /// The pause between two messages of what requests wait for.
 const WANT_PAUSE_MS: u64 = 8;
 
+/// Placements that one message tells at most; the reports tell the rest.
+const PLACEMENTS_MAX: usize = 500;
+
 /// Tells the holder of orders at once what requests wait for, and those who
 /// wait what this host as the holder has placed.
 pub(crate) async fn send_wants(state: Arc<State>, socket: Arc<UdpSocket>) {
@@ -66,7 +69,8 @@
     let orders = state.orders();
     let (token, _, _) = orders.lease.held(state.now())?;
     let version = if known.0 == token { known.1 } else { 0 };
-    let placements = orders.placements.changes_since(version).to_vec();
+    let changes = orders.placements.changes_since(version);
+    let placements = changes[..changes.len().min(PLACEMENTS_MAX)].to_vec();
     let waits = orders.waits().into_iter().map(|(model, wait_ms)| (model, wait_ms as f64));
     Some(News { token, placements, waits: waits.collect() })
 }
--- a/crates/lycheeford-gateway/src/membership/wire/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/mod.rs
@@ -7,6 +7,8 @@
 mod host;
 mod orders;
 mod report;
+#[cfg(test)]
+mod tests;
 
 use lycheeford_policy::PeerReport;
 use prost::{Message as _, Oneof};
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -21,9 +21,8 @@
     echo_ms: Option<u64>,
     #[prost(uint32, tag = "5")]
     state: u32,
-    /// Whether the sums are those of all hosts but the receiver.
-    #[prost(bool, tag = "6")]
-    is_rest: bool,
+    #[prost(uint32, tag = "6")]
+    scope: u32,
     #[prost(message, repeated, tag = "7")]
     running: Vec<WireRunning>,
     #[prost(message, repeated, tag = "8")]
@@ -72,7 +71,7 @@
             sent_at_ms: report.sent_at.as_ms(),
             echo_ms: report.echo.map(TimeMs::as_ms),
             state: state_to_wire(report.state),
-            is_rest: report.scope == Scope::Rest,
+            scope: scope_to_wire(report.scope),
             running: report.sums.running.into_iter().map(WireRunning::from).collect(),
             spent: counts_to_wire(report.sums.spent),
             asked: counts_to_wire(report.sums.asked),
@@ -104,7 +103,7 @@
             sent_at: TimeMs::from_ms(wire.sent_at_ms),
             echo: wire.echo_ms.map(TimeMs::from_ms),
             state: state_from_wire(wire.state)?,
-            scope: if wire.is_rest { Scope::Rest } else { Scope::Cell },
+            scope: scope_from_wire(wire.scope)?,
             sums: Sums {
                 running: wire.running.into_iter().map(RunningAt::from).collect(),
                 spent: counts_from_wire(wire.spent),
@@ -138,6 +137,23 @@
     }
 }
 
+fn scope_to_wire(scope: Scope) -> u32 {
+    match scope {
+        Scope::Cell => 0,
+        Scope::Rest => 1,
+        Scope::Nobody => 2,
+    }
+}
+
+fn scope_from_wire(scope: u32) -> Result<Scope, DecodeError> {
+    match scope {
+        0 => Ok(Scope::Cell),
+        1 => Ok(Scope::Rest),
+        2 => Ok(Scope::Nobody),
+        _ => FieldSnafu { field: "scope" }.fail(),
+    }
+}
+
 fn counts_to_wire(counts: Vec<(ShortKey, f64)>) -> Vec<WireCount> {
     counts.into_iter().map(WireCount::from).collect()
 }
--- /dev/null
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -0,0 +1,104 @@
+//! What one host says must be what the other one understands, field by field.
+
+use std::net::SocketAddr;
+
+use assert_matches::assert_matches;
+use lycheeford_policy::{
+    HostRecord, HostSign, Name, PeerReport, PeerState, ReportedLease, ReportedPlacement, RunningAt,
+    Scope, ShortKey, Sums, TimeMs, WantedName,
+};
+
+use super::{DecodeError, Message, News, Wants, decode, encode};
+
+fn record(name: &str) -> HostRecord {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    HostRecord {
+        host: Name::from(name),
+        peer_address: address(7_600),
+        caller_address: address(8_000),
+        failure_domain: Name::from("a"),
+    }
+}
+
+fn placement(version: u64) -> ReportedPlacement {
+    ReportedPlacement { target: ShortKey(1), name: ShortKey(2), version, is_ready: true }
+}
+
+/// Returns a report in which no field has the value that a missing one would have.
+fn report(scope: Scope, state: PeerState) -> PeerReport {
+    let sign = |record| HostSign { key: ShortKey(9), state, age_ms: 120, record };
+    PeerReport {
+        sender: record("host-1"),
+        incarnation: 7,
+        sent_at: TimeMs::from_ms(5_000),
+        echo: Some(TimeMs::from_ms(4_000)),
+        state,
+        scope,
+        sums: Sums {
+            running: vec![RunningAt {
+                target: ShortKey(1),
+                model: ShortKey(2),
+                running: 3,
+                tokens: 400,
+            }],
+            spent: vec![(ShortKey(3), 12.5)],
+            asked: vec![(ShortKey(4), 6.0)],
+        },
+        levels: vec![(ShortKey(3), -8.25)],
+        heard: vec![(ShortKey(3), 11.0)],
+        signs: vec![sign(None), sign(Some(record("host-2")))],
+        suspects: vec![(77, vec![Name::from("i-1/4")])],
+        revision: 12,
+        confirmed_age_ms: Some(0),
+        targets_changed: 31,
+        targets_age_ms: Some(0),
+        lease: Some(ReportedLease {
+            holder: Name::from("host-3"),
+            token: 5,
+            revision: 6,
+            renewed_age_ms: 70,
+        }),
+        placements: vec![placement(8)],
+        placements_known: (5, 8),
+    }
+}
+
+#[test]
+fn what_is_said_is_understood() {
+    let wanted = WantedName {
+        service: Name::from("models"),
+        model: Name::from("m1"),
+        adapter: Some(Name::from("a1")),
+        waiting: 2,
+        oldest_ms: 300,
+        priority: 1,
+    };
+    let scopes = [Scope::Cell, Scope::Rest, Scope::Nobody];
+    let states = [PeerState::Starting, PeerState::Ready, PeerState::Draining];
+    let reports = scopes.into_iter().zip(states).map(|(scope, state)| report(scope, state));
+    let mut messages: Vec<Message> =
+        reports.map(|report| Message::Report(Box::new(report))).collect();
+    messages.push(Message::Wants(Wants {
+        sender: record("host-1"),
+        names: vec![wanted],
+        placements_known: (5, 8),
+    }));
+    messages.push(Message::News(News {
+        token: 5,
+        placements: vec![placement(9)],
+        waits: vec![(ShortKey(2), 450.0)],
+    }));
+    for message in messages {
+        assert_eq!(decode(&encode(message.clone())).unwrap(), message);
+    }
+}
+
+#[test]
+fn what_makes_no_sense_is_refused() {
+    assert_matches!(decode(&[0xff; 40]), Err(DecodeError::Frame { .. }));
+    assert_matches!(decode(&[]), Err(DecodeError::Field { field: "body" }));
+    let mut nameless = report(Scope::Cell, PeerState::Ready);
+    nameless.sender.host = Name::from("");
+    let datagram = encode(Message::Report(Box::new(nameless)));
+    assert_matches!(decode(&datagram), Err(DecodeError::Field { field: "host" }));
+}
--- a/crates/lycheeford-platform/tests/follow.rs
+++ b/crates/lycheeford-platform/tests/follow.rs
@@ -25,12 +25,7 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn limits() -> FollowLimits {
-    FollowLimits {
-        wait_ms: 100,
-        grace_ms: 100,
-        backoff_ms_min: 5,
-        backoff_ms_max: 20,
-    }
+    FollowLimits { wait_ms: 100, grace_ms: 100, backoff_ms_min: 5, backoff_ms_max: 20 }
 }
 
 fn store_at(platform: &FakePlatform) -> HttpObjectStore {
