Ask the store before a target that leaves must be left alone, also when nobody is heard

Cause: a host that doesn't watch the store itself relied on the others' news for 2.5 s, which is longer than the 2 s after which a leaving target must get no request. Ruled out: the way of the hint (reports carry it within 250 ms) and the holder's own watch. The new test fails before.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -8,8 +8,8 @@
 
 /// The part of the life of a confirmation for which a host relies on others to renew it.
 ///
-/// The rest is time enough to ask the store, also when the first call fails.
-const RELY_PART: f64 = 0.65;
+/// A host that others can't reach must hear of a change from the store in time.
+const RELY_PART: f64 = 0.45;
 
 /// Keeps the declaration up to date until the future is dropped.
 pub(crate) async fn follow_deployment(state: Arc<State>) {
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -14,7 +14,7 @@
 /// The rest of a host that hears from others when there is news.
 const LISTENER_REST_MS: u64 = 5_000;
 /// How often such a host looks whether the others still ask.
-const LISTENER_LOOK_MS: u64 = 500;
+const LISTENER_LOOK_MS: u64 = 200;
 /// Beyond this time without an answer the store counts as having been away.
 const AWAY_AFTER_MS: u64 = 2_600;
 
--- a/crates/lycheeford-policy/src/gateway/shared_watch.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_watch.rs
@@ -1,7 +1,10 @@
 use crate::TimeMs;
 
 /// How old the news of the others may be before a host asks the store itself.
-const NEWS_MS_MAX: u64 = 2_500;
+///
+/// A target that leaves must get no new request two seconds after the store
+/// said so, also from a host that hears the store alone.
+const NEWS_MS_MAX: u64 = 1_300;
 
 /// What the hosts tell each other of changes in the store, so that few must ask for them.
 ///
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -4,7 +4,7 @@
 
 use lycheeford_policy::{
     HostRecord, HostTable, Name, OwnCounts, PartnerRole, PeerReport, PeerState, PeerTable,
-    RunningAt, Scope, ShortKey, Sums,
+    RunningAt, Scope, SharedWatch, ShortKey, Sums,
 };
 use proptest::prelude::*;
 
@@ -431,3 +431,19 @@
         }
     }
 }
+
+/// Traced on zmiana-sprzedawcy mix 1088826777745: a host that heard nobody but the store relied on
+/// the others for two and a half seconds, and sent a request to a target that had long said it leaves.
+#[test]
+fn a_host_that_hears_nobody_asks_the_store_before_a_target_must_be_left_alone() {
+    const DRAIN_MS: u64 = 2_000;
+    /// The pause between two looks, a call that fails and one that doesn't.
+    const ASK_MS: u64 = 200 + 300;
+    let mut watch = SharedWatch::default();
+    watch.asked(at(0), 5, 5);
+    watch.heard(5, Some(at(1_000)));
+    // Nothing is heard after that.
+    let asks_at = (1_000..10_000).find(|ms| !watch.may_rest(at(*ms))).expect("it asks one day");
+    assert!(asks_at - 1_000 + ASK_MS < DRAIN_MS, "{asks_at}");
+    assert!(watch.may_rest(at(1_000 + 800 + 250)), "watchers' news get as old as that");
+}
