--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -8,6 +8,7 @@
 
 mod hosts;
 mod report;
+mod send;
 mod spread;
 mod table;
 mod wants;
--- a/crates/lycheeford-gateway/src/membership/spread.rs
+++ b/crates/lycheeford-gateway/src/membership/spread.rs
@@ -8,6 +8,7 @@
 use slog::warn;
 
 use super::report::{Common, take_report};
+use super::send::send;
 use super::wants::{take_news, take_wants, tell_holder};
 use super::wire::{self, Message};
 use crate::state::State;
@@ -91,8 +92,3 @@
     }
     partners
 }
-
-pub(super) async fn send(socket: &UdpSocket, message: Message, address: SocketAddr) {
-    // A message that can't be sent is like one that is lost; the next one follows.
-    let _ = socket.send_to(&wire::encode(message), address).await;
-}
--- a/crates/lycheeford-gateway/src/membership/wants.rs
+++ b/crates/lycheeford-gateway/src/membership/wants.rs
@@ -6,7 +6,7 @@
 use async_std::net::UdpSocket;
 use async_std::task;
 
-use super::spread::send;
+use super::send::send;
 use super::wire::{Message, News, Wants};
 use crate::state::State;
 
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -6,7 +6,7 @@
 };
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::rates::Charge;
+use super::charge::Charge;
 use crate::GatewayRequest;
 use crate::state::State;
 
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -3,9 +3,8 @@
 use async_std::future::timeout;
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerResponse, chunk_channel};
-use lycheeford_policy::{Chosen, Name, Refusal};
+use lycheeford_policy::{Chosen, Refusal};
 use lycheeford_target::TargetError;
-use slog::info;
 
 use super::attempt::{Answering, Attempts};
 use super::relay::Relay;
@@ -57,7 +56,7 @@
     if reply == Reply::Ran {
         state.dispatcher().targets.succeeded(now, &place.chosen, now.since_ms(sent_at));
     }
-    log_answer(attempts, status, &place.chosen.id, body.len());
+    attempts.log_answered(status, &place.chosen.id, body.len());
     Ok(CallerResponse { status, headers, body: CallerBody::Whole(body) })
 }
 
@@ -68,16 +67,3 @@
     task::spawn(Relay::new(attempts, sender).run(answering));
     CallerResponse { status, headers, body: CallerBody::Stream(receiver) }
 }
-
-/// Writes the line of a request that was answered.
-pub(super) fn log_answer(attempts: &Attempts, status: u16, target: &str, body_bytes: usize) {
-    let admitted = &attempts.admitted;
-    let total_ms = attempts.state.now().since_ms(admitted.arrived_at);
-    attempts.state.metrics.answered(admitted.customer.as_ref(), admitted.priority, total_ms);
-    info!(attempts.state.log, "answered";
-        "id" => admitted.request.id.as_str(), "route" => admitted.route.name.as_str(),
-        "customer" => admitted.customer.as_ref().map(Name::as_str),
-        "model" => admitted.need.model.as_ref().map(Name::as_str),
-        "status" => status, "target" => target, "sends" => attempts.sends(),
-        "bytes" => body_bytes, "total_ms" => total_ms);
-}
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use lycheeford_policy::{
-    AdapterWant, Chosen, CrashVerdict, Ran, Refusal, RefusalCode, TargetFailure, TimeMs,
+    AdapterWant, Chosen, CrashVerdict, Name, Ran, Refusal, RefusalCode, TargetFailure, TimeMs,
 };
 use lycheeford_target::{Category, Connection, TargetError, TargetRequest, TargetResponse};
 use slog::info;
@@ -210,6 +210,19 @@
             && self.take_repeat()
     }
 
+    /// Writes the line of a request that was answered.
+    pub(super) fn log_answered(&self, status: u16, target: &str, body_bytes: usize) {
+        let admitted = &self.admitted;
+        let total_ms = self.state.now().since_ms(admitted.arrived_at);
+        self.state.metrics.answered(admitted.customer.as_ref(), admitted.priority, total_ms);
+        info!(self.state.log, "answered";
+            "id" => admitted.request.id.as_str(), "route" => admitted.route.name.as_str(),
+            "customer" => admitted.customer.as_ref().map(Name::as_str),
+            "model" => admitted.need.model.as_ref().map(Name::as_str),
+            "status" => status, "target" => target, "sends" => self.sends(),
+            "bytes" => body_bytes, "total_ms" => total_ms);
+    }
+
     pub(super) fn exclude(&mut self, chosen: &Chosen) {
         self.admitted.need.excluded.push(chosen.id.clone());
     }
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/charge.rs
@@ -0,0 +1,85 @@
+use std::sync::Arc;
+
+use lycheeford_policy::{CustomerRate, Hearing, Name, TimeMs};
+use slog::info;
+
+use crate::state::State;
+
+/// How long a host that has just started waits for the reports of others.
+const MEET_PEERS_MS: u64 = 1_000;
+/// The part of a rate that it takes meanwhile.
+const ALONE_PART: f64 = 0.125;
+
+/// Returns how well this host hears the others.
+///
+/// One that has just started counts as one of many until it has heard them.
+fn hearing(state: &State, now: TimeMs) -> Hearing {
+    let membership = state.membership();
+    let is_new_fleet = state.orders().lease.began_with_fleet();
+    let mut hearing = membership.hosts.hearing(now);
+    if membership.hosts.alive(now).next().is_none()
+        && now.since_ms(state.started_at) < MEET_PEERS_MS
+    {
+        hearing.part = ALONE_PART.min(1.0 / hearing.hosts as f64);
+    }
+    Hearing { is_new_fleet, ..hearing }
+}
+
+/// What a request took out of its customer's rate; given back unless it ran.
+pub(super) struct Charge {
+    state: Arc<State>,
+    customer: Name,
+    rate: CustomerRate,
+    units: f64,
+    has_run: bool,
+}
+
+impl Charge {
+    /// Takes what a request costs, or returns after how long it may be there.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the wait if the customer is over its rate.
+    pub(super) fn take(
+        state: &Arc<State>,
+        customer: &Name,
+        rate: &CustomerRate,
+        tokens: Option<u64>,
+    ) -> Result<Charge, u64> {
+        let now = state.now();
+        let units = rate.unit.cost(tokens);
+        let hearing = hearing(state, now);
+        let mut rates = state.rates();
+        let bucket = rates.bucket(now, customer);
+        if let Err(wait_ms) = bucket.take(now, rate, &hearing, units) {
+            info!(state.log, "over_rate";
+                "customer" => customer.as_str(), "units" => units, "level_units" => bucket.level(now),
+                "burst_units" => rate.burst_units, "units_per_s" => rate.units_per_s,
+                "heard_part" => hearing.part, "spent_here_units" => bucket.spent_here());
+            return Err(wait_ms);
+        }
+        drop(rates);
+        Ok(Charge {
+            state: Arc::clone(state),
+            customer: customer.clone(),
+            rate: rate.clone(),
+            units,
+            has_run: false,
+        })
+    }
+
+    /// Notes that the request ran, or may have run.
+    pub(super) fn spend(&mut self) {
+        self.has_run = true;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.has_run {
+            let now = self.state.now();
+            let mut rates = self.state.rates();
+            rates.bucket(now, &self.customer).give_back(&self.rate, self.units);
+        }
+    }
+}
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answer;
 mod attempt;
+mod charge;
 mod front;
 mod place;
 pub(crate) mod rates;
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -7,7 +7,6 @@
 use lycheeford_target::{TargetBody, TargetError};
 use slog::info;
 
-use super::answer::log_answer;
 use super::attempt::{Answering, Attempts};
 use crate::Reply;
 
@@ -65,7 +64,7 @@
             let end = self.copy(answering).await;
             match end {
                 End::Done => {
-                    log_answer(&self.attempts, 200, &chosen.id, self.sent_bytes);
+                    self.attempts.log_answered(200, &chosen.id, self.sent_bytes);
                     return self.sender.finish();
                 }
                 End::HungUp => return self.log_cut("caller left", &chosen.id),
--- a/crates/lycheefordd/src/configuration/adopt.rs
+++ b/crates/lycheefordd/src/configuration/adopt.rs
@@ -4,52 +4,18 @@
 use async_std::channel::{Receiver, unbounded};
 use async_std::future::timeout;
 use async_std::task;
-use lycheeford_config::{CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head, assemble};
-use lycheeford_platform::{Change, FollowLimits, Object, ObjectStore, WatchEvent, follow};
-use lycheeford_policy::{Configuration, TimeMs};
+use lycheeford_config::{CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head};
+use lycheeford_platform::{Change, FollowLimits, ObjectStore, WatchEvent, follow};
+use lycheeford_policy::TimeMs;
 use slog::{info, warn};
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
+use super::committed::{Committed, PlatformSnafu, ReadError, head_of};
 use crate::state::State;
 
 /// The pause before the chunks of a head are read again after a failure.
 const RETRY_MS: u64 = 200;
 
-/// Why the configuration that a head names can't be read.
-#[derive(Debug, Snafu)]
-pub(crate) enum ReadError {
-    #[snafu(display("platform didn't give the configuration: {source}"))]
-    Platform { source: lycheeford_platform::PlatformError },
-    #[snafu(display("stored configuration lacks chunk {name}; apply the configuration again"))]
-    MissingChunk { name: String },
-    #[snafu(display("stored chunk {name} isn't text; apply the configuration again"))]
-    BadChunk { name: String },
-    #[snafu(display("stored head isn't readable: {source}; apply the configuration again"))]
-    BadHead { source: serde_json::Error },
-    #[snafu(display("stored configuration is wrong: {source}"))]
-    Assemble { source: lycheeford_config::AssembleError },
-}
-
-/// A committed configuration with the objects that it was read from.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Committed {
-    pub(crate) head: Head,
-    pub(crate) chunks: Vec<Chunk>,
-    pub(crate) configuration: Arc<Configuration>,
-}
-
-impl Committed {
-    /// Assembles what `head` names out of `chunks`, which may hold more.
-    pub(crate) fn assemble(head: Head, chunks: &[Chunk]) -> Result<Committed, ReadError> {
-        let named = head.declared.iter().chain(&head.keys);
-        let chunks = named
-            .filter_map(|name| chunks.iter().find(|chunk| chunk.name == *name).cloned())
-            .collect::<Vec<Chunk>>();
-        let configuration = Arc::new(assemble(&head, &chunks).context(AssembleSnafu)?);
-        Ok(Committed { head, chunks, configuration })
-    }
-}
-
 /// Follows the head object and puts each newer configuration in force.
 ///
 /// The chunks are read outside of the follower, so that a slow read doesn't
@@ -95,17 +61,12 @@
     Committed::assemble(head, &chunks)
 }
 
-/// Reads a head from its object.
-pub(crate) fn head_of(object: &Object) -> Result<Head, ReadError> {
-    serde_json::from_value(object.value.clone()).context(BadHeadSnafu)
-}
-
 /// Puts a configuration in force unless a newer one is.
 pub(crate) fn adopt(state: &State, committed: Committed) {
     let configuration = committed.configuration.clone();
     let revision = configuration.revision;
     // Held to the end, so that two revisions can't be taken over in the wrong order.
-    let _adopting = state.adopting();
+    let _adopting = state.adopting.lock();
     if revision <= state.configuration.load().revision {
         return;
     }
@@ -114,11 +75,11 @@
     info!(state.log, "configuration in force"; "revision" => revision);
     let now = state.now();
     state.metrics.configuration_revision.set(revision);
-    state.freshness().in_force(revision);
-    state.rates().configure(now, &configuration);
-    state.placement().configure(&configuration);
-    state.coordinator().configure(&configuration);
-    state.wake_planner();
+    state.freshness.lock().in_force(revision);
+    state.rates.lock().configure(now, &configuration);
+    state.placement.lock().configure(&configuration);
+    state.coordinator.lock().configure(&configuration);
+    state.plan_due.wake();
 }
 
 /// Reads each head's configuration; one that can't be read is tried again until a newer comes.
@@ -142,7 +103,7 @@
             wanted = None;
         }
         if let Some(as_of) = as_of {
-            state.freshness().confirm(as_of, shown_revision);
+            state.freshness.lock().confirm(as_of, shown_revision);
         }
     }
 }
--- a/crates/lycheefordd/src/configuration/change.rs
+++ b/crates/lycheefordd/src/configuration/change.rs
@@ -8,7 +8,8 @@
 };
 use lycheeford_platform::{Category, Expect, ObjectStore, PlatformError, put_settled};
 
-use crate::configuration::{Committed, ReadError, adopt, head_of, read_configuration};
+use super::adopt::{adopt, read_configuration};
+use super::committed::{Committed, ReadError, head_of};
 use crate::state::State;
 
 /// How long a change may take until its outcome is definite.
--- /dev/null
+++ b/crates/lycheefordd/src/configuration/committed.rs
@@ -0,0 +1,47 @@
+use std::sync::Arc;
+
+use lycheeford_config::{Chunk, Head, assemble};
+use lycheeford_platform::Object;
+use lycheeford_policy::Configuration;
+use snafu::{ResultExt, Snafu};
+
+/// Why the configuration that a head names can't be read.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub(crate) enum ReadError {
+    #[snafu(display("platform didn't give the configuration: {source}"))]
+    Platform { source: lycheeford_platform::PlatformError },
+    #[snafu(display("stored configuration lacks chunk {name}; apply the configuration again"))]
+    MissingChunk { name: String },
+    #[snafu(display("stored chunk {name} isn't text; apply the configuration again"))]
+    BadChunk { name: String },
+    #[snafu(display("stored head isn't readable: {source}; apply the configuration again"))]
+    BadHead { source: serde_json::Error },
+    #[snafu(display("stored configuration is wrong: {source}"))]
+    Assemble { source: lycheeford_config::AssembleError },
+}
+
+/// A committed configuration with the objects that it was read from.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Committed {
+    pub(crate) head: Head,
+    pub(crate) chunks: Vec<Chunk>,
+    pub(crate) configuration: Arc<Configuration>,
+}
+
+impl Committed {
+    /// Assembles what `head` names out of `chunks`, which may hold more.
+    pub(crate) fn assemble(head: Head, chunks: &[Chunk]) -> Result<Committed, ReadError> {
+        let named = head.declared.iter().chain(&head.keys);
+        let chunks = named
+            .filter_map(|name| chunks.iter().find(|chunk| chunk.name == *name).cloned())
+            .collect::<Vec<Chunk>>();
+        let configuration = Arc::new(assemble(&head, &chunks).context(AssembleSnafu)?);
+        Ok(Committed { head, chunks, configuration })
+    }
+}
+
+/// Reads a head from its object.
+pub(crate) fn head_of(object: &Object) -> Result<Head, ReadError> {
+    serde_json::from_value(object.value.clone()).context(BadHeadSnafu)
+}
--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -15,15 +15,16 @@
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 
-use crate::admin::Admin;
 use crate::clock::Clock;
-use crate::configuration::follow_configuration;
-use crate::front::{ADDRESS_KEEP_MS, Front};
-use crate::hosts::follow_hosts;
-use crate::members::REACHABLE_MS;
-use crate::placement_task::report_demand;
-use crate::planning::plan_loads;
-use crate::share_upkeep::{follow_shares, keep_shares};
+use crate::configuration::adopt::follow_configuration;
+use crate::loads::planning::plan_loads;
+use crate::membership::hosts::follow_hosts;
+use crate::membership::members::REACHABLE_MS;
+use crate::membership::standing::has_met_peers;
+use crate::operation::admin::Admin;
+use crate::placement::demand_report::report_demand;
+use crate::rates::share_upkeep::{follow_shares, keep_shares};
+use crate::request::front::{ADDRESS_KEEP_MS, Front};
 use crate::state::State;
 
 /// The kind of the objects that count the lives of daemons.
@@ -148,7 +149,7 @@
     let started = state.now();
     while !stop.is_triggered() && state.now().since_ms(started) < SHARES_MS_MAX {
         let now = state.now();
-        if state.has_met_peers(now) && state.rates().have_tables() {
+        if has_met_peers(state, now) && state.rates.lock().have_tables() {
             return;
         }
         task::sleep(Duration::from_millis(SHARES_TICK_MS)).await;
@@ -156,7 +157,7 @@
 }
 
 async fn wait_for_drain(state: &State, stop: &Stop) {
-    while !stop.is_triggered() && !state.is_draining() {
+    while !stop.is_triggered() && !state.running.is_draining() {
         // The end of the pause only has the drain by an operator looked for.
         let _ = timeout(Duration::from_millis(DRAIN_LOOK_MS), stop.triggered()).await;
     }
@@ -167,12 +168,12 @@
 /// A peer hands this host out for as long as an answer from before the drain
 /// counts there, by the peer's own clock; a caller keeps what it was given.
 async fn drain(state: &State, front: &Stop) {
-    state.start_draining();
-    info!(state.log, "draining"; "requests" => state.requests_running());
+    state.running.start_draining();
+    info!(state.log, "draining"; "requests" => state.running.requests());
     task::sleep(Duration::from_millis(REACHABLE_MS + ADDRESS_KEEP_MS + CONNECT_MS)).await;
     front.trigger();
     let started = state.now();
-    while state.requests_running() > 0 && state.now().since_ms(started) < DRAIN_MS_MAX {
+    while state.running.requests() > 0 && state.now().since_ms(started) < DRAIN_MS_MAX {
         task::sleep(Duration::from_millis(DRAIN_TICK_MS)).await;
     }
     task::sleep(Duration::from_millis(SETTLE_MS)).await;
--- a/crates/lycheefordd/src/loads/coordinator.rs
+++ b/crates/lycheefordd/src/loads/coordinator.rs
@@ -9,7 +9,7 @@
 use lycheeford_target::{self as target, TargetStatus};
 use lycheeford_wire::{Expected, PlacementReport, Refused, TargetPlacement};
 
-use crate::objects::Versioned;
+use crate::versioned::Versioned;
 
 /// How often a target is asked for its status while nothing changes on it.
 const POLL_MS: u64 = 250;
--- /dev/null
+++ b/crates/lycheefordd/src/loads/memory.rs
@@ -0,0 +1,9 @@
+use lycheeford_policy::{Host, HostRole};
+
+/// Returns the memory of a model worker.
+pub(crate) fn memory_bytes(host: &Host) -> u64 {
+    match host.role {
+        HostRole::ModelWorker { memory_bytes, .. } => memory_bytes,
+        HostRole::Entry { .. } | HostRole::ApplicationWorker { .. } => 0,
+    }
+}
--- a/crates/lycheefordd/src/loads/orders.rs
+++ b/crates/lycheefordd/src/loads/orders.rs
@@ -11,10 +11,11 @@
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
 
-use crate::metrics::Event;
-use crate::objects::{self, ObjectError, REPLICA_KIND, TARGET_KIND, Versioned};
-use crate::planning::memory_bytes;
+use super::memory::memory_bytes;
+use crate::objects::{self, ObjectError, REPLICA_KIND, TARGET_KIND};
+use crate::operation::metrics::Event;
 use crate::state::State;
+use crate::versioned::Versioned;
 
 /// Why an order was not sent, or not taken.
 #[derive(Debug, Snafu)]
@@ -48,11 +49,11 @@
     target: &Name,
     memory_bytes_needed: u64,
 ) -> Result<(), OrderError> {
-    if !state.sent_orders().start_load(name, target) {
+    if !state.sent_orders.lock().start_load(name, target) {
         return Err(OrderError::UnderWay);
     }
     let loaded = decide_and_load(state, name, base, target, memory_bytes_needed).await;
-    state.sent_orders().end_load(name, target);
+    state.sent_orders.lock().end_load(name, target);
     loaded
 }
 
@@ -94,7 +95,7 @@
                 give_up(state, name, &replica).await;
             }
             // An order that may be recorded is never sent, which frees it later.
-            state.sent_orders().over(order_id, target);
+            state.sent_orders.lock().over(order_id, target);
             return Err(OrderError::Store { source });
         }
     };
@@ -132,7 +133,7 @@
         Ok(Ok((record, ()))) => record.value,
         Ok(Err(fault)) => return Err(OrderError::Record { fault }),
         Err(source) => {
-            state.sent_orders().over(order_id, target);
+            state.sent_orders.lock().over(order_id, target);
             return Err(OrderError::Store { source });
         }
     };
@@ -165,10 +166,10 @@
     let mut record = record;
     if let Some(resolved) = resolve(&record.value, &status.into(), &evidence) {
         record = store_record(state, &host.name, record.version, resolved).await?;
-        state.sent_orders().keep_only(&record.value, &host.name);
+        state.sent_orders.lock().keep_only(&record.value, &host.name);
     }
     if let Some(order) = record.value.order.clone()
-        && state.sent_orders().is_overdue(state.now(), &order.id)
+        && state.sent_orders.lock().is_overdue(state.now(), &order.id)
         && let Ok(aside) = record.value.set_aside(&order.id)
     {
         info!(state.log, "unresolved order set aside";
@@ -249,7 +250,7 @@
 }
 
 async fn cancel_unreserved(state: &State, name: &Name, replica: &Replica) {
-    if replica.decider == state.me && state.sent_orders().is_loading(name, &replica.target) {
+    if replica.decider == state.me && state.sent_orders.lock().is_loading(name, &replica.target) {
         return;
     }
     let read =
@@ -271,7 +272,7 @@
     .await;
     if let Ok(Ok((record, ()))) = cancelled {
         remove_replica(state, name, replica.id, &record.value).await;
-        state.coordinator().poll_soon(state.now(), &replica.target);
+        state.coordinator.lock().poll_soon(state.now(), &replica.target);
     }
 }
 
@@ -309,7 +310,7 @@
             remove_replica(state, &cancelled.name, cancelled.replica.id, &record.value).await?;
         let may_order = |replica: &ReplicaRef| {
             if replica.decider == state.me {
-                state.sent_orders().is_loading(&cancelled.name, target)
+                state.sent_orders.lock().is_loading(&cancelled.name, target)
             } else {
                 !gone.is_gone(&replica.decider)
             }
@@ -342,9 +343,9 @@
 
 /// Sends a recorded order, once.
 async fn send(state: &State, host: &Host, order: &Order) -> Result<(), OrderError> {
-    let incarnation = state.coordinator().target_incarnation(&host.name);
+    let incarnation = state.coordinator.lock().target_incarnation(&host.name);
     let sent = state.targets.order(host.address, order).await;
-    let mut orders = state.sent_orders();
+    let mut orders = state.sent_orders.lock();
     match sent {
         Ok(outcome) => {
             orders.over(order.order_id.clone(), &host.name);
--- a/crates/lycheefordd/src/loads/planning.rs
+++ b/crates/lycheefordd/src/loads/planning.rs
@@ -4,18 +4,20 @@
 use async_std::future::timeout;
 use async_std::task;
 use lycheeford_policy::{
-    DemandReport, Host, HostRole, Instance, Name, PlanAction, ProbeResult, TargetRecord, Verdict,
-    VerdictChange,
+    Host, Name, PlanAction, ProbeResult, TargetRecord, Verdict, VerdictChange,
 };
 use lycheeford_target::TargetStatus;
 use lycheeford_wire::{Message, stored::StoredTargetRecord};
 use slog::{debug, info, warn};
 
-use crate::metrics::Event;
-use crate::objects::{self, TARGET_KIND, Versioned};
-use crate::orders;
-use crate::placement_task;
+use crate::loads::orders;
+use crate::membership::outbox::send_all;
+use crate::membership::standing::coordinator_host;
+use crate::objects::{self, TARGET_KIND};
+use crate::operation::metrics::Event;
+use crate::placement::adopt::adopt;
 use crate::state::State;
+use crate::versioned::Versioned;
 
 /// The longest pause between two plans.
 const PLAN_MS_MAX: u64 = 20;
@@ -32,19 +34,19 @@
     let mut published_at = state.now();
     loop {
         // A wake-up and the end of the pause mean the same.
-        let pause_ms = if state.coordinator().is_active() { PLAN_MS_MAX } else { LOOK_MS };
-        let _ = timeout(Duration::from_millis(pause_ms), state.plan_due.1.recv()).await;
-        if state.wake_watch().settling_ms(state.now()) > 0 {
+        let pause_ms = if state.coordinator.lock().is_active() { PLAN_MS_MAX } else { LOOK_MS };
+        let _ = timeout(Duration::from_millis(pause_ms), state.plan_due.woken()).await;
+        if state.wake_watch.lock().settling_ms(state.now()) > 0 {
             // Every peer seems lost just now, and another may coordinate.
             continue;
         }
-        if state.coordinator_host() != state.me.host {
-            if state.coordinator().deactivate() {
+        if coordinator_host(&state) != state.me.host {
+            if state.coordinator.lock().deactivate() {
                 info!(state.log, "no longer coordinates loads");
             }
             continue;
         }
-        if state.coordinator().activate() {
+        if state.coordinator.lock().activate() {
             info!(state.log, "coordinates loads");
             task::spawn(orders::clean_up(state.clone()));
         }
@@ -55,8 +57,8 @@
             task::spawn(carry_out(state.clone(), action));
         }
         let now = state.now();
-        let asked = state.coordinator().take_view_asked();
-        let mut report = state.coordinator().report();
+        let asked = state.coordinator.lock().take_view_asked();
+        let mut report = state.coordinator.lock().report();
         let sequence = std::mem::take(&mut report.sequence);
         let age_ms = now.since_ms(published_at);
         let repeat = age_ms >= if asked { PUBLISH_ASKED_MS } else { PUBLISH_MS };
@@ -64,28 +66,15 @@
             published = Some(report.clone());
             published_at = now;
             report.sequence = sequence;
-            if let Some(peers) = state.peers.get() {
-                peers.send_all(&Message::PlacementReport(report.clone()));
-            }
-            placement_task::adopt(&state, &state.me, report);
+            send_all(&state, &Message::PlacementReport(report.clone()));
+            adopt(&state, &state.me, report);
         }
     }
 }
 
-/// Takes a host's demand over, if this daemon coordinates.
-pub(crate) fn take_demand(state: &State, from: &Instance, report: lycheeford_wire::DemandReport) {
-    let report = DemandReport {
-        host: from.host.clone(),
-        demands: report.demands,
-        activity: report.activity,
-    };
-    state.coordinator().report_demand(state.now(), report);
-    state.wake_planner();
-}
-
 fn plan(state: &State) -> Vec<PlanAction> {
     let hosts = state.fleet.load().model_workers().cloned().collect();
-    let mut coordinator = state.coordinator();
+    let mut coordinator = state.coordinator.lock();
     let now = state.now();
     coordinator.set_hosts(now, hosts);
     coordinator.plan(now)
@@ -114,18 +103,18 @@
             "name" => %name, "target" => %target, "error" => %error);
         let what = format!("order for {name} on {target} not carried out: {error}");
         note(&state, &name, &target, what);
-        state.coordinator().abandon(&name, &target);
+        state.coordinator.lock().abandon(&name, &target);
     }
-    state.coordinator().poll_soon(state.now(), &target);
-    state.wake_planner();
+    state.coordinator.lock().poll_soon(state.now(), &target);
+    state.plan_due.wake();
 }
 
 fn note(state: &State, name: &Name, target: &Name, what: String) {
-    state.decisions().record(state.now(), &[name, target], what);
+    state.decisions.lock().record(state.now(), &[name, target], what);
 }
 
 fn poll_due_targets(state: &Arc<State>) {
-    let due = state.coordinator().due(state.now());
+    let due = state.coordinator.lock().due(state.now());
     for (host, record) in due {
         task::spawn(poll(state.clone(), host, record));
     }
@@ -137,15 +126,15 @@
         Some(record) => Some(record),
         None => objects::read::<_, StoredTargetRecord>(&state, TARGET_KIND, &host.name).await.ok(),
     };
-    let gone = state.gone().clone();
+    let gone = state.gone.lock().clone();
     let (sending_over, sending_ended) = {
-        let orders = state.sent_orders();
+        let orders = state.sent_orders.lock();
         (orders.sending_over(), orders.sending_ended())
     };
     let sent_at = state.now();
     let status = state.targets.status(host.address).await.ok();
     if let Some(status) = &status {
-        state.sent_orders().target_lives(&host.name, status.incarnation);
+        state.sent_orders.lock().target_lives(&host.name, status.incarnation);
     }
     let result = if status.is_some() { ProbeResult::Answered } else { ProbeResult::Failed };
     let verdict = judge(&state, &host, sent_at, result);
@@ -167,14 +156,14 @@
     verdict: Verdict,
 ) {
     let now = state.now();
-    let idle_ms = state.coordinator().polled(now, &host.name, status, record, verdict);
+    let idle_ms = state.coordinator.lock().polled(now, &host.name, status, record, verdict);
     state.metrics.idle_accelerators(idle_ms);
-    state.wake_planner();
+    state.plan_due.wake();
 }
 
 /// Draws the verdicts that are due; the first ones after a rest count anew.
 fn draw_verdicts(state: &State) {
-    for change in state.target_health().tick(state.now()) {
+    for change in state.target_health.lock().tick(state.now()) {
         log_verdict(state, &change);
     }
 }
@@ -190,17 +179,9 @@
     sent_at: lycheeford_policy::TimeMs,
     result: ProbeResult,
 ) -> Verdict {
-    let mut health = state.target_health();
+    let mut health = state.target_health.lock();
     if let Some(change) = health.probed(state.now(), &host.name, sent_at, result) {
         log_verdict(state, &change);
     }
     health.verdict(&host.name)
 }
-
-/// Returns the memory of a model worker.
-pub(crate) fn memory_bytes(host: &Host) -> u64 {
-    match host.role {
-        HostRole::ModelWorker { memory_bytes, .. } => memory_bytes,
-        HostRole::Entry { .. } | HostRole::ApplicationWorker { .. } => 0,
-    }
-}
--- a/crates/lycheefordd/src/main.rs
+++ b/crates/lycheefordd/src/main.rs
@@ -3,56 +3,37 @@
 //! All daemons are equal. Each takes callers, checks keys, keeps its part of
 //! every customer's rate, routes requests to targets and does a share of the
 //! control work. docs/DESIGN.md explains how they agree; docs/OPERATING.md how
-//! to run them. The modules, in the order in which a request meets them:
+//! to run them. Each folder is one concern and owns its tables:
 //!
-//! - `front`, `access`, `call`: who asks for what.
-//! - `reservation`, `rates`, `share_upkeep`: the customer's tokens.
-//! - `placement`, `placement_task`: a target with the model ready, or a wait.
-//! - `completion`, `relay`, `crash`: the answer of an engine.
-//! - `service`, `service_targets`, `ledger`: the answer of a plain service.
-//! - `coordinator`, `planning`, `orders`, `sent_orders`: loads and unloads.
-//! - `configuration`, `configuration_spread`, `change`, `hosts`, `fleet`, `members`, `inbox`: what the
-//!   daemons know of the fleet and of each other.
-//! - `admin`, `explain`, `decisions`, `metrics`, `log`: what operators see.
-//! - `state`: the tables that all of them share, with their lock order.
+//! - `request`: who asks for what, and the answer of an engine.
+//! - `service`: the answer of a plain service, and the ledger.
+//! - `rates`: the customer's tokens.
+//! - `placement`: a target with the model ready, or a wait.
+//! - `loads`: loads and unloads.
+//! - `configuration`, `membership`: what the daemons know of what is declared, of the fleet and
+//!   of each other.
+//! - `operation`: what operators see.
+//!
+//! `state` holds the tables, with their lock order; files import each other in one direction.
 
 #![allow(clippy::default_trait_access, reason = "limits read better without their type")]
 
-mod access;
-mod admin;
-mod call;
-mod change;
 mod clock;
-mod completion;
 mod configuration;
-mod configuration_spread;
-mod coordinator;
-mod crash;
 mod daemon;
-mod decisions;
-mod explain;
-mod fleet;
-mod front;
-mod hosts;
-mod inbox;
-mod ledger;
-mod log;
-mod members;
-mod metrics;
+mod loads;
+mod membership;
 mod objects;
-mod orders;
+mod operation;
 mod placement;
-mod placement_task;
-mod planning;
 mod rates;
-mod relay;
-mod reservation;
-mod sent_orders;
+mod request;
+mod running;
 mod service;
-mod service_targets;
-mod share_upkeep;
 mod state;
-mod wake_watch;
+mod table;
+mod versioned;
+mod wake;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -92,7 +73,7 @@
         println!("settings are good");
         return ExitCode::SUCCESS;
     }
-    let log = log::logger(settings.log_level, &settings.host);
+    let log = operation::log::logger(settings.log_level, &settings.host);
     match task::block_on(run(settings, log)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
--- a/crates/lycheefordd/src/membership/hosts.rs
+++ b/crates/lycheefordd/src/membership/hosts.rs
@@ -6,7 +6,7 @@
 use lycheeford_wire::stored::StoredHost;
 use slog::{info, warn};
 
-use crate::fleet::Fleet;
+use crate::membership::fleet::Fleet;
 use crate::objects;
 use crate::state::State;
 
@@ -26,7 +26,7 @@
             if let Some(hosts) = changed_hosts(&state, update.change) {
                 adopt(&state, Fleet { revision: update.revision, hosts });
             }
-            state.set_fleet_revision(update.revision);
+            state.presence.set_fleet_revision(update.revision);
         },
     )
     .await;
@@ -98,16 +98,16 @@
     info!(state.log, "list of hosts changed";
         "revision" => fleet.revision, "entries" => entries.len(), "workers" => workers.len());
 
-    state.members().set_hosts(others);
-    state.gone().list(&listed);
-    state.freshness().set_entry_hosts(&entries);
-    state.target_health().set_hosts(state.now(), &workers);
+    state.members.lock().set_hosts(others);
+    state.gone.lock().list(&listed);
+    state.freshness.lock().set_entry_hosts(&entries);
+    state.target_health.lock().set_hosts(state.now(), &workers);
     state.fleet.store(Arc::new(fleet));
     if let Some(peers) = state.peers.get() {
         peers.set_members(members);
     }
-    state.wake_planner();
-    if me_leaving && state.start_draining() {
+    state.plan_due.wake();
+    if me_leaving && state.running.start_draining() {
         info!(state.log, "draining, since the platform lists this host as leaving");
     }
 }
--- a/crates/lycheefordd/src/objects.rs
+++ b/crates/lycheefordd/src/objects.rs
@@ -6,6 +6,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
+use crate::versioned::Versioned;
 
 /// The kinds of objects that daemons write beside the configuration.
 pub(crate) const REPLICA_KIND: &str = "replica";
@@ -39,14 +40,6 @@
     }
 }
 
-/// An object as it was read or written.
-#[derive(Debug, Clone)]
-pub(crate) struct Versioned<T> {
-    /// `None` if the object doesn't exist.
-    pub(crate) version: Option<u64>,
-    pub(crate) value: T,
-}
-
 /// Reads an object; one that doesn't exist has its default value.
 ///
 /// # Errors
--- a/crates/lycheefordd/src/operation/admin.rs
+++ b/crates/lycheefordd/src/operation/admin.rs
@@ -4,13 +4,15 @@
 use lycheeford_operator::{
     Answer, ApplyReport, ApplyRequest, ConfigurationReport, CustomerReport, DrainReport,
     ExplainRequest, Explanation, GrantReport, GrantRequest, HealthReport, HealthState, HostReport,
-    HostRevision, KeyReport, ModelReport, Operator, OperatorError, ReplicaReport, ReplicaState,
-    TargetReport, WithdrawRequest,
+    HostRevision, KeyReport, ModelReport, Operator, OperatorError, TargetReport, WithdrawRequest,
 };
-use lycheeford_policy::{ConfigurationState, HostRole, LoadState, Name, TimeMs};
+use lycheeford_policy::{ConfigurationState, HostRole, Name};
 
-use crate::change;
-use crate::explain::explain;
+use super::explain::explain;
+use super::facts::replicas;
+use crate::configuration::change;
+use crate::loads::memory::memory_bytes;
+use crate::membership::standing::settle_after_pause;
 use crate::state::State;
 
 /// Answers operators.
@@ -36,14 +38,14 @@
 
     fn in_force(&self) -> Answer<'_, Vec<HostRevision>> {
         Box::pin(async move {
-            self.state.settle_after_pause().await;
+            settle_after_pause(&self.state).await;
             Ok(self.revisions())
         })
     }
 
     fn hosts(&self) -> Answer<'_, Vec<HostReport>> {
         Box::pin(async move {
-            self.state.settle_after_pause().await;
+            settle_after_pause(&self.state).await;
             Ok(self.host_reports())
         })
     }
@@ -80,10 +82,10 @@
     }
 
     fn drain(&self) -> Answer<'_, DrainReport> {
-        self.state.start_draining();
+        self.state.running.start_draining();
         ready(Ok(DrainReport {
             host: self.state.me.host.clone(),
-            requests_running: self.state.requests_running(),
+            requests_running: self.state.running.requests(),
         }))
     }
 
@@ -98,8 +100,8 @@
     fn health(&self) -> Answer<'_, HealthReport> {
         let state = &self.state;
         let now = state.now();
-        let freshness = state.freshness();
-        let health = if state.is_draining() {
+        let freshness = state.freshness.lock();
+        let health = if state.running.is_draining() {
             HealthState::Draining
         } else if freshness.state(now) == ConfigurationState::Fresh {
             HealthState::Serving
@@ -119,9 +121,9 @@
     fn revisions(&self) -> Vec<HostRevision> {
         let state = &self.state;
         let now = state.now();
-        let own_age_ms = state.freshness().confirmed_age_ms(now);
+        let own_age_ms = state.freshness.lock().confirmed_age_ms(now);
         let fleet = state.fleet.load();
-        let members = state.members();
+        let members = state.members.lock();
         let revision = |name: &Name| {
             if *name == state.me.host {
                 let revision = state.configuration.load().revision;
@@ -146,7 +148,7 @@
         let state = &self.state;
         let now = state.now();
         let fleet = state.fleet.load();
-        let members = state.members();
+        let members = state.members.lock();
         let entries = fleet.entries().map(|(host, _)| HostReport {
             host: host.clone(),
             reachable: host.name == state.me.host
@@ -159,7 +161,7 @@
     fn target_reports(&self) -> Vec<TargetReport> {
         let state = &self.state;
         let fleet = state.fleet.load();
-        let placement = state.placement();
+        let placement = state.placement.lock();
         let report = |host: &lycheeford_policy::Host| {
             let known = placement.targets().iter().find(|target| target.target == host.name);
             TargetReport {
@@ -167,7 +169,7 @@
                 failure_domain: host.failure_domain.clone(),
                 state: host.state,
                 healthy: known.is_some_and(|target| target.accepts_work),
-                memory_bytes: crate::planning::memory_bytes(host),
+                memory_bytes: memory_bytes(host),
                 memory_reserved_bytes: 0,
                 requests_running: known.map_or(0, |target| u64::from(target.running)),
                 ready: known.map_or_else(Vec::new, |target| target.ready.clone()),
@@ -180,7 +182,7 @@
             .map(report)
             .collect();
         drop(placement);
-        for target in state.coordinator().targets() {
+        for target in state.coordinator.lock().targets() {
             let reserved = target.record.as_ref().map_or(0, |record| record.value.reserved_bytes());
             if let Some(report) = reports.iter_mut().find(|report| report.name == target.host.name)
             {
@@ -205,7 +207,7 @@
                     base: base.cloned(),
                     replicas_max: model.map_or(0, |model| model.replicas_max),
                     replicas: replicas(state, name),
-                    requests_waiting: state.placement().waiting(name),
+                    requests_waiting: state.placement.lock().waiting(name),
                 }
             })
             .collect()
@@ -215,7 +217,7 @@
         let state = &self.state;
         let now = state.now();
         let configuration = state.configuration.load();
-        let mut rates = state.rates();
+        let mut rates = state.rates.lock();
         let mut report = |customer: &lycheeford_policy::Customer| {
             let rate = rates.customer(&customer.name);
             let (share_ppm, available_tokens, admitted, refused) =
@@ -237,30 +239,6 @@
     }
 }
 
-/// Returns the replicas that this host knows of; the coordinator also knows unready ones.
-pub(crate) fn replicas(state: &State, name: &Name) -> Vec<ReplicaReport> {
-    let mut replicas: Vec<ReplicaReport> = state
-        .placement()
-        .targets()
-        .iter()
-        .filter(|target| target.ready.binary_search(name).is_ok())
-        .map(|target| ReplicaReport { target: target.target.clone(), state: ReplicaState::Ready })
-        .collect();
-    for target in state.coordinator().targets() {
-        let loaded = target.status.as_ref().and_then(|status| status.loaded(name));
-        let Some(loaded) = loaded else { continue };
-        let state = match loaded.state {
-            LoadState::Loading => ReplicaState::Loading,
-            LoadState::Ready => ReplicaState::Ready,
-            LoadState::Unloading => ReplicaState::Unloading,
-        };
-        if !replicas.iter().any(|replica| replica.target == target.host.name) {
-            replicas.push(ReplicaReport { target: target.host.name.clone(), state });
-        }
-    }
-    replicas
-}
-
 fn host_revision(
     host: &Name,
     revision: u64,
@@ -278,8 +256,3 @@
 fn ready<'a, T: Send + 'a>(result: Result<T, OperatorError>) -> Answer<'a, T> {
     Box::pin(std::future::ready(result))
 }
-
-/// Returns the age of a decision as text.
-pub(crate) fn age(now: TimeMs, at: TimeMs) -> String {
-    format!("{} ms ago", now.since_ms(at))
-}
--- a/crates/lycheefordd/src/operation/explain.rs
+++ b/crates/lycheefordd/src/operation/explain.rs
@@ -1,7 +1,7 @@
 use lycheeford_operator::{Explanation, Fact, OperatorError, OperatorErrorCode, SubjectKind};
 use lycheeford_policy::Name;
 
-use crate::admin::{age, replicas};
+use super::facts::{age, replicas};
 use crate::state::State;
 
 /// Decisions that one explanation shows at most.
@@ -23,7 +23,7 @@
         (SubjectKind::Request, Vec::new())
     };
     let now = state.now();
-    let decisions = state.decisions();
+    let decisions = state.decisions.lock();
     for decision in decisions.about(subject).take(DECISIONS_SHOWN_MAX) {
         facts.push(Fact { about: age(now, decision.at), finding: decision.what.clone() });
     }
@@ -40,7 +40,7 @@
 
 fn customer_facts(state: &State, name: &Name) -> Vec<Fact> {
     let now = state.now();
-    let mut rates = state.rates();
+    let mut rates = state.rates.lock();
     let Some(rate) = rates.customer(name) else { return Vec::new() };
     let finding = format!(
         "this host holds {} ppm of the rate and {} tokens; {} admitted, {} refused for the rate",
--- a/crates/lycheefordd/src/operation/metrics.rs
+++ b/crates/lycheefordd/src/operation/metrics.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::AtomicU64;
 
-use lycheeford_policy::{Name, RefusalCode};
+use lycheeford_policy::{Configuration, Name, RefusalCode};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -23,6 +23,13 @@
     pub(crate) class: u32,
 }
 
+impl CustomerLabels {
+    pub(crate) fn of(configuration: &Configuration, customer: &Name) -> CustomerLabels {
+        let class = configuration.customer(customer).map_or(0, |customer| customer.class);
+        CustomerLabels { customer: customer.as_str().to_owned(), class: u32::from(class) }
+    }
+}
+
 /// Why a customer's request was refused.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RefusalLabels {
--- a/crates/lycheefordd/src/placement/place.rs
+++ b/crates/lycheefordd/src/placement/place.rs
@@ -1,23 +1,13 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_std::channel::Receiver;
-use async_std::future::timeout;
-use lycheeford_policy::{Instance, Name, QueueId, Refusal, RefusalCode, TimeMs};
-use lycheeford_wire::{DemandReport, Message, PlacementReport};
+use lycheeford_policy::{Name, QueueId, Refusal, RefusalCode};
 
-use crate::crash::TargetLife;
-use crate::placement::{Place, PlaceRequest, Placed};
-use crate::planning::take_demand;
+use super::demand_report::REPORT_MS;
+use super::table::{Place, PlaceRequest, Placed};
+use super::target_life::TargetLife;
 use crate::state::State;
 
-/// The longest pause between two looks at what has expired.
-const TICK_MS: u64 = 50;
-/// The same while nothing waits.
-const QUIET_TICK_MS: u64 = 100;
-/// How often demand is reported though it didn't change.
-const REPORT_MS: u64 = 200;
-
 /// A target that a request runs on, until it is dropped.
 pub(crate) struct PlacedRequest {
     state: Arc<State>,
@@ -31,7 +21,7 @@
 
 impl Drop for PlacedRequest {
     fn drop(&mut self) {
-        self.state.placement().finished(&self.name, &self.target);
+        self.state.placement.lock().finished(&self.name, &self.target);
     }
 }
 
@@ -47,16 +37,16 @@
     excluded: &[Name],
 ) -> Result<PlacedRequest, Refusal> {
     let arrived = state.now();
-    let place = state.placement().place(arrived, request, excluded);
+    let place = state.placement.lock().place(arrived, request, excluded);
     let (id, receiver) = match place {
         Place::Now(target) => return Ok(placed(state, request, target, None)),
         Place::TooLate(retry_after_ms) => {
-            state.wake_demand();
+            state.demand_changed.wake();
             return Err(too_late(request, retry_after_ms));
         }
         Place::Queued(id, receiver) => (id, receiver),
     };
-    state.wake_demand();
+    state.demand_changed.wake();
     let waiting = Waiting { state, request, id, receiver };
     match waiting.receiver.recv().await {
         Ok(Placed::Target(target)) => {
@@ -72,51 +62,6 @@
     }
 }
 
-/// Takes over a coordinator's view of replicas.
-pub(crate) fn adopt(state: &State, from: &Instance, report: PlacementReport) {
-    let now = state.now();
-    let mut placement = state.placement();
-    placement.adopt(now, (&from.host, from.incarnation), report);
-    state.metrics.queued.set(i64::try_from(placement.queued()).unwrap_or(i64::MAX));
-}
-
-/// Reports demand to the coordinator and refuses what has expired.
-pub(crate) async fn report_demand(state: Arc<State>) {
-    let mut reported_at = TimeMs::default();
-    let mut quiet = true;
-    loop {
-        let tick_ms = if state.placement().queued() > 0 { TICK_MS } else { QUIET_TICK_MS };
-        let woken = timeout(Duration::from_millis(tick_ms), state.demand_changed.1.recv()).await;
-        let now = state.now();
-        state.wake_watch().tick(now);
-        let report = {
-            let mut placement = state.placement();
-            placement.expire(now);
-            if woken.is_err() && now.since_ms(reported_at) < REPORT_MS {
-                continue;
-            }
-            placement.report(now)
-        };
-        let empty = report == DemandReport::default();
-        if empty && quiet {
-            continue;
-        }
-        quiet = empty;
-        reported_at = now;
-        send(&state, report);
-    }
-}
-
-fn send(state: &State, report: DemandReport) {
-    let coordinator = state.coordinator_host();
-    if coordinator == state.me.host {
-        take_demand(state, &state.me, report);
-    } else if let Some(peers) = state.peers.get() {
-        // A lost report is replaced by the next one.
-        let _ = peers.send(&coordinator, Message::DemandReport(report));
-    }
-}
-
 /// A queued request, which leaves the queue when its future is dropped.
 struct Waiting<'a> {
     state: &'a Arc<State>,
@@ -127,7 +72,7 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let mut placement = self.state.placement();
+        let mut placement = self.state.placement.lock();
         placement.cancel(self.id);
         if let Ok(Placed::Target(target)) = self.receiver.try_recv() {
             placement.finished(&self.request.name, &target);
--- a/crates/lycheefordd/src/rates/reservation.rs
+++ b/crates/lycheefordd/src/rates/reservation.rs
@@ -7,8 +7,9 @@
 };
 use lycheeford_wire::{CustomerLoanReport, LoanAsk, Message};
 
-use crate::metrics::Event;
-use crate::rates::{CustomerRate, LoanSearch};
+use crate::operation::metrics::CustomerLabels;
+use crate::operation::metrics::Event;
+use crate::rates::table::{CustomerRate, LoanSearch};
 use crate::state::State;
 
 /// How long a request waits for loans; peers are a few milliseconds away.
@@ -37,7 +38,7 @@
         tokens: u64,
     ) -> Result<Reserved, Refusal> {
         let shortage = {
-            let mut rates = state.rates();
+            let mut rates = state.rates.lock();
             let rate = rates.customer(customer).ok_or_else(no_rate)?;
             check_possible(rate, tokens)?;
             match rate.reserve(state.now(), tokens) {
@@ -55,7 +56,7 @@
     /// Fails if the reservation holds less; nothing may be delivered then.
     pub(crate) fn consume(&self, tokens: u64) -> Result<(), Overdrawn> {
         let now = self.state.now();
-        match self.state.rates().customer(&self.customer) {
+        match self.state.rates.lock().customer(&self.customer) {
             Some(rate) => rate.consume(now, self.id, tokens),
             None => Err(Overdrawn { left_tokens: 0 }),
         }
@@ -69,7 +70,7 @@
 impl Drop for Reserved {
     fn drop(&mut self) {
         let now = self.state.now();
-        let reports = match self.state.rates().customer(&self.customer) {
+        let reports = match self.state.rates.lock().customer(&self.customer) {
             Some(rate) => rate.share.finish(now, self.id),
             None => Vec::new(),
         };
@@ -95,7 +96,7 @@
     shortage: Shortage,
 ) -> Result<Reserved, Refusal> {
     let (id, mut missing_tokens) = {
-        let mut rates = state.rates();
+        let mut rates = state.rates.lock();
         let rate = rates.customer(customer).ok_or_else(no_rate)?;
         rate.begin(state.now(), tokens)
     };
@@ -104,7 +105,7 @@
     let mut asked = Vec::new();
     for _ in 0..LOAN_ROUNDS_MAX {
         let search = {
-            let mut rates = state.rates();
+            let mut rates = state.rates.lock();
             let rate = rates.customer(customer).ok_or_else(no_rate)?;
             rate.search_loans(id, missing_tokens, &asked)
         };
@@ -135,7 +136,7 @@
         }
     }
     let _ = timeout(Duration::from_millis(LOAN_MS_MAX), all_answers(search)).await;
-    let mut rates = state.rates();
+    let mut rates = state.rates.lock();
     let rate = rates.customer(customer).ok_or_else(no_rate)?;
     let missing_tokens = rate.end_search(state.now(), id, search);
     if missing_tokens == 0 {
@@ -152,14 +153,16 @@
     missing_tokens: u64,
 ) -> Refusal {
     let (within_rate, retry_after_ms) = {
-        let mut rates = state.rates();
+        let mut rates = state.rates.lock();
         let Some(rate) = rates.customer(customer) else { return no_rate() };
         rate.refused += 1;
         let within_rate = rate.is_within_rate(state.now(), tokens);
         (within_rate, rate.retry_after_ms(shortage, missing_tokens))
     };
     if within_rate {
-        state.metrics.refusal_within_rate(&state.customer_labels(customer));
+        state
+            .metrics
+            .refusal_within_rate(&CustomerLabels::of(&state.configuration.load(), customer));
     }
     let message =
         format!("{tokens} tokens are over the customer's rate and burst; send less or later");
--- a/crates/lycheefordd/src/rates/share_upkeep.rs
+++ b/crates/lycheefordd/src/rates/share_upkeep.rs
@@ -8,8 +8,9 @@
 use lycheeford_wire::{FormerHolder, LoanOffer, Message};
 use slog::{debug, warn};
 
-use crate::objects::{self, SHARE_KIND, Versioned};
+use crate::objects::{self, SHARE_KIND};
 use crate::state::State;
+use crate::versioned::Versioned;
 
 /// The pause between two rounds of upkeep.
 const UPKEEP_MS: u64 = 250;
@@ -45,7 +46,7 @@
 pub(crate) async fn keep_shares(state: Arc<State>) {
     loop {
         task::sleep(Duration::from_millis(UPKEEP_MS)).await;
-        if state.is_draining() || state.fleet.load().host(&state.me.host).is_none() {
+        if state.running.is_draining() || state.fleet.load().host(&state.me.host).is_none() {
             continue;
         }
         ask_for_loans(&state);
@@ -66,13 +67,13 @@
     let Some(version) = table.version else { return };
     let entry = table.value.entry(&state.me.host);
     let inherits = entry.is_some_and(|entry| !entry.taken.is_empty());
-    if inherits && state.fleet_revision() < version {
+    if inherits && state.presence.fleet_revision() < version {
         // Former holders may have lent to hosts that an older list lacks.
         return;
     }
     let hosts = entry_hosts(state);
     let now = state.now();
-    let mut rates = state.rates();
+    let mut rates = state.rates.lock();
     let Some(rate) = rates.customer(customer) else { return };
     if rate.table.as_ref().is_some_and(|known| known.version >= Some(version)) {
         return;
@@ -91,10 +92,10 @@
 }
 
 async fn keep_share(state: &State, customer: &Name) -> Result<(), objects::ObjectError> {
-    let known = state.rates().customer(customer).and_then(|rate| rate.table.clone());
+    let known = state.rates.lock().customer(customer).and_then(|rate| rate.table.clone());
     let Some(known) = known else { return start_table(state, customer).await };
     let has_pending_give =
-        state.rates().customer(customer).is_some_and(|rate| rate.share.has_pending_give());
+        state.rates.lock().customer(customer).is_some_and(|rate| rate.share.has_pending_give());
     if has_pending_give {
         // Written unchanged, so that a give with a lost answer fails for certain.
         return write(state, customer, known.version, known.value).await;
@@ -127,7 +128,7 @@
 }
 
 fn claimed(state: &State, customer: &Name, known: &Versioned<ShareTable>) -> Option<ShareTable> {
-    let gone = state.gone().clone();
+    let gone = state.gone.lock().clone();
     known.value.claim(customer, &state.me, &live_hosts(state), &gone)
 }
 
@@ -138,10 +139,10 @@
 
 /// Counts hosts that are gone as holding no loans, and returns the former holders cleared.
 fn clear_gone_holders(state: &State, customer: &Name) -> Vec<Instance> {
-    let gone = state.gone().clone();
+    let gone = state.gone.lock().clone();
     let fleet = state.fleet.load();
     let now = state.now();
-    let mut rates = state.rates();
+    let mut rates = state.rates.lock();
     let Some(rate) = rates.customer(customer) else { return Vec::new() };
     for (host, former) in rate.share.inherited_queries() {
         let left = fleet.host(&host).is_none();
@@ -164,7 +165,7 @@
 ) -> Result<(), objects::ObjectError> {
     let prepared = {
         let now = state.now();
-        let mut rates = state.rates();
+        let mut rates = state.rates.lock();
         let Some(rate) = rates.customer(customer) else { return Ok(()) };
         let Some((host, ppm)) = rate.rebalance(now) else { return Ok(()) };
         let Some(entry) = known.value.entry(&host) else { return Ok(()) };
@@ -185,7 +186,7 @@
 
 fn abort_give(state: &State, customer: &Name, given_ppm: u32) {
     let now = state.now();
-    if let Some(rate) = state.rates().customer(customer) {
+    if let Some(rate) = state.rates.lock().customer(customer) {
         rate.share.abort_give(now, given_ppm);
     }
 }
@@ -214,10 +215,10 @@
 }
 
 fn ask_for_loans(state: &State) {
-    let gone = state.gone().clone();
+    let gone = state.gone.lock().clone();
     let now = state.now();
     let mut questions: Vec<(Name, Message)> = Vec::new();
-    let mut rates = state.rates();
+    let mut rates = state.rates.lock();
     rates.settle_gone(now, &gone);
     for rate in rates.customers() {
         let customer = rate.name.clone();
--- a/crates/lycheefordd/src/rates/table.rs
+++ b/crates/lycheefordd/src/rates/table.rs
@@ -6,7 +6,7 @@
 };
 use lycheeford_wire::SpareTokens;
 
-use crate::objects::Versioned;
+use crate::versioned::Versioned;
 
 /// This daemon's part in every customer's rate and burst.
 #[derive(Debug)]
--- a/crates/lycheefordd/src/request/access.rs
+++ b/crates/lycheefordd/src/request/access.rs
@@ -3,6 +3,7 @@
     ConfigurationState, Customer, KEY_STALENESS_MS_MAX, Name, Refusal, RefusalCode, check_key,
 };
 
+use crate::membership::standing::has_met_peers;
 use crate::state::State;
 
 /// Whose request it is, by the key that came with it.
@@ -73,7 +74,7 @@
 /// Refuses while the host can't tell.
 pub(crate) fn check_fresh(state: &State) -> Result<(), Refusal> {
     let now = state.now();
-    if state.has_met_peers(now) && state.freshness().state(now) == ConfigurationState::Fresh {
+    if has_met_peers(state, now) && state.freshness.lock().state(now) == ConfigurationState::Fresh {
         return Ok(());
     }
     Err(Refusal::not_run(
--- a/crates/lycheefordd/src/request/call.rs
+++ b/crates/lycheefordd/src/request/call.rs
@@ -3,7 +3,7 @@
 use serde_json::{Map, Value, json};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::access::Access;
+use crate::request::access::Access;
 
 /// Tokens that a request may generate if it doesn't say.
 const DEFAULT_MAX_TOKENS: u64 = 256;
--- a/crates/lycheefordd/src/request/completion.rs
+++ b/crates/lycheefordd/src/request/completion.rs
@@ -3,19 +3,20 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse, Method, chunk_channel};
+use lycheeford_caller::{CallerBody, CallerResponse, Method};
 use lycheeford_policy::{CrashVerdict, Name, Ran, Refusal, RefusalCode, TimeMs};
 use lycheeford_target::{CompletionEvent, Connection, TargetError, TargetRequest, TargetResponse};
 use serde_json::Value;
 
-use crate::access::Access;
-use crate::call::Call;
-use crate::crash::{Fate, TargetLife, note_target_failure};
-use crate::metrics::{CustomerLabels, Event};
-use crate::placement::PlaceRequest;
-use crate::placement_task::{PlacedRequest, place};
-use crate::relay::Relay;
-use crate::reservation::Reserved;
+use super::crash::{Fate, note_target_failure};
+use super::run_alone::{RunsAlone, crash_suspect};
+use crate::operation::metrics::{CustomerLabels, Event};
+use crate::placement::place::{PlacedRequest, place};
+use crate::placement::table::PlaceRequest;
+use crate::placement::target_life::TargetLife;
+use crate::rates::reservation::Reserved;
+use crate::request::access::Access;
+use crate::request::call::Call;
 use crate::state::State;
 
 /// The largest answer that is kept whole.
@@ -42,11 +43,12 @@
     /// Targets that failed this request.
     pub(crate) failed: Vec<Name>,
     /// How often a target failed it that lives.
-    failed_alive: u32,
+    pub(super) failed_alive: u32,
     /// Whether an attempt ran, for every refusal from then on.
     pub(crate) ran: Ran,
     /// Held until the request ends.
-    _alone: Option<RunsAlone>,
+    #[expect(dead_code, reason = "held for its end")]
+    pub(super) alone: Option<RunsAlone>,
 }
 
 /// An engine that answers a completion.
@@ -55,67 +57,6 @@
     pub(crate) response: TargetResponse,
 }
 
-/// Serves a completion.
-///
-/// # Errors
-///
-/// Refuses a request that may not run, can't run in time, or failed everywhere.
-pub(crate) async fn complete(
-    state: Arc<State>,
-    request: CallerRequest,
-) -> Result<CallerResponse, Refusal> {
-    let arrived = state.now();
-    let access = Access::check(&state, &request)?;
-    let labels = state.customer_labels(&access.customer.name);
-    state.metrics.request(&labels);
-    let served = serve(&state, request, access.clone(), labels, arrived).await;
-    if let Err(refusal) = &served {
-        state.metrics.refusal(Some(&access.customer.name), refusal.code);
-        let what = format!("request refused: {:?}: {}", refusal.code, refusal.message);
-        state.decisions().record(state.now(), &[&access.customer.name], what);
-    }
-    served
-}
-
-async fn serve(
-    state: &Arc<State>,
-    request: CallerRequest,
-    access: Access,
-    labels: CustomerLabels,
-    arrived: TimeMs,
-) -> Result<CallerResponse, Refusal> {
-    let call = Call::check(&state.configuration.load(), &access, &request)?;
-    let alone = run_alone(state, call.fingerprint)?;
-    let deadline_ms =
-        request.deadline_ms.unwrap_or(state.settings.caller_limits.deadline_ms_default);
-    let reserved = Reserved::new(state, &access.customer.name, call.tokens_max()).await?;
-    let mut completion = Completion {
-        state: state.clone(),
-        id: request.id,
-        access,
-        labels,
-        call,
-        reserved,
-        arrived,
-        deadline: arrived + deadline_ms,
-        failed: Vec::new(),
-        failed_alive: 0,
-        ran: Ran::NotRun,
-        _alone: alone,
-    };
-    let answering = completion.dispatch(0).await?;
-    if answering.response.status != 200 {
-        return Ok(engine_answer(answering).await);
-    }
-    if completion.call.streams {
-        let (sender, receiver) = chunk_channel();
-        let headers = answer_headers(&answering.response);
-        task::spawn(Relay::new(completion, sender).run(answering));
-        return Ok(CallerResponse { status: 200, headers, body: CallerBody::Stream(receiver) });
-    }
-    completion.whole_answer(answering).await
-}
-
 impl Completion {
     /// Places the request and sends it, to one target after another if need be.
     ///
@@ -147,14 +88,14 @@
             }
             self.access.recheck(&self.state)?;
             let Some(address) = self.address(&placed.target) else {
-                self.state.placement().forget_target(self.state.now(), &placed.target);
+                self.state.placement.lock().forget_target(self.state.now(), &placed.target);
                 self.failed.push(placed.target.clone());
                 continue;
             };
             match self.send(address, from_token).await {
                 Ok(response) if response.status == NOT_LOADED => {
                     // The view was late: the model isn't there any more, and nothing ran.
-                    self.state.placement().forget_replica(&self.call.name, &placed.target);
+                    self.state.placement.lock().forget_replica(&self.call.name, &placed.target);
                     if self.state.now() > self.deadline {
                         return Err(self.failure(None));
                     }
@@ -182,7 +123,7 @@
             let fate = note_target_failure(&self.state, life, self.call.fingerprint).await;
             self.failed_alive += u32::from(fate == Fate::Lives);
         } else {
-            self.state.placement().forget_target(self.state.now(), &life.target);
+            self.state.placement.lock().forget_target(self.state.now(), &life.target);
         }
     }
 
@@ -198,11 +139,11 @@
 
     /// Tells whether the request may be sent to yet another target.
     pub(crate) fn may_retry(&self) -> bool {
-        let suspect = self.state.suspects().verdict(self.call.fingerprint);
+        let suspect = self.state.suspects.lock().verdict(self.call.fingerprint);
         let allowed = suspect != CrashVerdict::Refuse
             && self.failed_alive < FAILURES_MAX
             && self.state.now() < self.deadline
-            && self.state.retry_budget().withdraw(self.state.now());
+            && self.state.retry_budget.lock().withdraw(self.state.now());
         if allowed {
             self.state.metrics.event(Event::Retry);
         }
@@ -215,7 +156,7 @@
     }
 
     fn why_failed(&self, error: Option<TargetError>) -> Refusal {
-        if self.state.suspects().verdict(self.call.fingerprint) == CrashVerdict::Refuse {
+        if self.state.suspects.lock().verdict(self.call.fingerprint) == CrashVerdict::Refuse {
             return crash_suspect();
         }
         if self.state.now() >= self.deadline {
@@ -247,7 +188,7 @@
         address: SocketAddr,
         from_token: u64,
     ) -> Result<TargetResponse, TargetError> {
-        self.state.retry_budget().deposit();
+        self.state.retry_budget.lock().deposit();
         let mut headers = vec![
             ("content-type".to_owned(), "application/json".to_owned()),
             ("x-request-id".to_owned(), self.id.as_str().to_owned()),
@@ -284,7 +225,10 @@
         }
     }
 
-    async fn whole_answer(mut self, answering: Answering) -> Result<CallerResponse, Refusal> {
+    pub(super) async fn whole_answer(
+        mut self,
+        answering: Answering,
+    ) -> Result<CallerResponse, Refusal> {
         let mut answering = answering;
         loop {
             let cold = answering.placed.waited_ms.is_some();
@@ -338,49 +282,13 @@
     }
 }
 
-/// Keeps a suspect from running twice at once, while it lives.
-struct RunsAlone {
-    state: Arc<State>,
-    fingerprint: u64,
-}
-
-impl Drop for RunsAlone {
-    fn drop(&mut self) {
-        self.state.suspects().end_alone(self.fingerprint);
-    }
-}
-
-fn run_alone(state: &Arc<State>, fingerprint: u64) -> Result<Option<RunsAlone>, Refusal> {
-    let mut suspects = state.suspects();
-    match suspects.verdict(fingerprint) {
-        CrashVerdict::Clear => Ok(None),
-        CrashVerdict::Refuse => Err(crash_suspect()),
-        CrashVerdict::RunAlone if suspects.start_alone(fingerprint) => {
-            Ok(Some(RunsAlone { state: state.clone(), fingerprint }))
-        }
-        CrashVerdict::RunAlone => Err(Refusal::not_run(
-            RefusalCode::CrashSuspect,
-            "the same request runs already, and a target died while it ran; wait for its answer",
-            Some(RETRY_AFTER_MS),
-        )),
-    }
-}
-
-fn crash_suspect() -> Refusal {
-    Refusal::not_run(
-        RefusalCode::CrashSuspect,
-        "targets died each time this request ran; change the request",
-        None,
-    )
-}
-
-fn answer_headers(response: &TargetResponse) -> Vec<(String, String)> {
+pub(super) fn answer_headers(response: &TargetResponse) -> Vec<(String, String)> {
     let keep = |name: &str| name.eq_ignore_ascii_case("content-type");
     response.headers.iter().filter(|(name, _)| keep(name)).cloned().collect()
 }
 
 /// Passes on what an engine says of a request that it won't run.
-async fn engine_answer(answering: Answering) -> CallerResponse {
+pub(super) async fn engine_answer(answering: Answering) -> CallerResponse {
     let status = answering.response.status;
     let headers = answer_headers(&answering.response);
     let body = answering
--- a/crates/lycheefordd/src/request/crash.rs
+++ b/crates/lycheefordd/src/request/crash.rs
@@ -2,11 +2,13 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_policy::{Incarnation, Name};
+use lycheeford_policy::Name;
+use lycheeford_wire::Message;
 use slog::warn;
 
-use crate::inbox::share_suspects;
-use crate::metrics::Event;
+use crate::membership::outbox::send_all;
+use crate::operation::metrics::Event;
+use crate::placement::target_life::TargetLife;
 use crate::state::State;
 
 /// Times that a target is asked whether it died.
@@ -14,22 +16,6 @@
 /// The pause before a target is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
-/// A target in the life in which it got a request.
-#[derive(Debug, Clone)]
-pub(crate) struct TargetLife {
-    pub(crate) target: Name,
-    incarnation: Option<Incarnation>,
-}
-
-impl TargetLife {
-    /// Returns the life of a target that the placement knows now.
-    pub(crate) fn now(state: &State, target: Name) -> TargetLife {
-        let placement = state.placement();
-        let known = placement.targets().iter().find(|known| known.target == target);
-        TargetLife { incarnation: known.map(|known| known.incarnation), target }
-    }
-}
-
 /// What became of a target that failed a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fate {
@@ -57,8 +43,8 @@
     warn!(state.log, "target died while a request ran";
         "target" => %target, "incarnation" => incarnation, "fingerprint" => fingerprint);
     state.metrics.event(Event::TargetCrash);
-    state.suspects().crashed(fingerprint, &Name::from(format!("{target}@{incarnation}")));
-    state.placement().forget_target(state.now(), target);
+    state.suspects.lock().crashed(fingerprint, &Name::from(format!("{target}@{incarnation}")));
+    state.placement.lock().forget_target(state.now(), target);
     share_suspects(state);
     Fate::Died
 }
@@ -77,3 +63,12 @@
     }
     false
 }
+
+/// Shares crash suspects with every peer.
+fn share_suspects(state: &Arc<State>) {
+    let state = state.clone();
+    task::spawn(async move {
+        let suspects = state.suspects.lock().reports().to_vec();
+        send_all(&state, &Message::CrashReport(suspects));
+    });
+}
--- a/crates/lycheefordd/src/request/front.rs
+++ b/crates/lycheefordd/src/request/front.rs
@@ -6,8 +6,9 @@
 use lycheeford_policy::{HostState, Name, Refusal, RefusalCode};
 use serde::Serialize;
 
-use crate::completion::complete;
-use crate::service::call_service;
+use crate::membership::standing::settle_after_pause;
+use crate::request::complete::complete;
+use crate::service::serve::call_service;
 use crate::state::State;
 
 /// How long a caller may keep the addresses that it was given.
@@ -46,13 +47,13 @@
 
 impl Handler for Front {
     async fn handle(&self, request: CallerRequest) -> CallerResponse {
-        let _running = self.state.request_started();
+        let _running = self.state.running.request_started();
         let id = request.id.clone();
         match self.answer(request).await {
             Ok(response) => response,
             Err(refusal) => {
                 let what = format!("refused: {:?}: {}", refusal.code, refusal.message);
-                self.state.decisions().record(self.state.now(), &[&id], what);
+                self.state.decisions.lock().record(self.state.now(), &[&id], what);
                 refusal_response(&id, &refusal)
             }
         }
@@ -64,7 +65,7 @@
         let state = self.state.clone();
         match (request.method, request.path.as_str()) {
             (Method::Get, "/v1/addresses") => {
-                state.settle_after_pause().await;
+                settle_after_pause(&state).await;
                 Ok(addresses(&state))
             }
             (Method::Get, "/v1/models") => Ok(models(&state)),
@@ -83,13 +84,13 @@
 fn addresses(state: &State) -> CallerResponse {
     let now = state.now();
     let fleet = state.fleet.load();
-    let members = state.members();
+    let members = state.members.lock();
     let usable = fleet.entries().map(|(host, _)| host).filter(|host| {
         if host.state == HostState::Leaving {
             return false;
         }
         if host.name == state.me.host {
-            return !state.is_draining();
+            return !state.running.is_draining();
         }
         let member = members.member(&host.name);
         member.is_some_and(|member| member.is_reachable(now) && !member.is_draining())
--- a/crates/lycheefordd/src/request/relay.rs
+++ b/crates/lycheefordd/src/request/relay.rs
@@ -7,8 +7,8 @@
 use lycheeford_target::{CompletionEvent, Event, EventSplitter, TargetBody, TargetError};
 use serde_json::json;
 
-use crate::completion::{Answering, Completion};
-use crate::metrics;
+use crate::operation::metrics;
+use crate::request::completion::{Answering, Completion};
 
 /// The longest event that an engine may send.
 const EVENT_BYTES_MAX: usize = 1 << 20;
@@ -54,7 +54,7 @@
     }
 
     pub(crate) async fn run(mut self, answering: Answering) {
-        let _running = self.completion.state.request_started();
+        let _running = self.completion.state.running.request_started();
         let mut answering = answering;
         loop {
             let life = answering.placed.life.clone();
@@ -202,7 +202,7 @@
         let state = &self.completion.state;
         state.metrics.refusal(Some(&self.completion.access.customer.name), refusal.code);
         let what = format!("stream ended early: {:?}: {}", refusal.code, refusal.message);
-        state.decisions().record(
+        state.decisions.lock().record(
             state.now(),
             &[&self.completion.id, &self.completion.access.customer.name],
             what,
--- a/crates/lycheefordd/src/service/ledger.rs
+++ b/crates/lycheefordd/src/service/ledger.rs
@@ -1,13 +1,12 @@
 use std::sync::Arc;
 
-use lycheeford_policy::{
-    AttemptId, ClaimOutcome, LedgerBucket, LedgerClaim, Name, TimeMs, ledger_bucket,
-};
+use lycheeford_policy::{AttemptId, ClaimOutcome, LedgerBucket, LedgerClaim, Name, ledger_bucket};
 use lycheeford_wire::stored::StoredLedgerBucket;
 use slog::warn;
 
-use crate::objects::{self, LEDGER_KIND, ObjectError, Versioned};
+use crate::objects::{self, LEDGER_KIND, ObjectError};
 use crate::state::State;
+use crate::versioned::Versioned;
 
 /// Updates of one bucket that lose to another writer this often are given up.
 const CONFLICTS_MAX: usize = 16;
@@ -40,7 +39,7 @@
     let attempt = AttemptId { sender: state.me.clone(), number: state.next_number() };
     let claim = LedgerClaim { customer: customer.clone(), key: key.clone(), fingerprint, attempt };
     let entry = LedgerEntry { state: state.clone(), claim };
-    let gone = state.gone().clone();
+    let gone = state.gone.lock().clone();
     let outcome = entry
         .change(|bucket, elapsed_ms| {
             let (changed, mut outcomes) =
@@ -115,7 +114,8 @@
         let name = ledger_bucket(&self.claim.customer, &self.claim.key).to_string();
         for _ in 0..CONFLICTS_MAX {
             let read = self.read(&name).await?;
-            let elapsed_ms = self.state.ledger_seen().elapsed_ms(self.state.now(), &name, &read);
+            let elapsed_ms =
+                self.state.ledger_seen.lock().elapsed_ms(self.state.now(), &name, &read);
             let Some((changed, result)) = change(&read.value, elapsed_ms) else { return Ok(None) };
             let Some(changed) = changed else { return Ok(Some(result)) };
             match objects::write::<_, StoredLedgerBucket>(
@@ -128,7 +128,7 @@
             .await
             {
                 Ok(written) => {
-                    self.state.ledger_seen().saw(self.state.now(), &name, written.version);
+                    self.state.ledger_seen.lock().saw(self.state.now(), &name, written.version);
                     return Ok(Some(result));
                 }
                 Err(error) if objects::is_conflict(&error) => {}
@@ -142,47 +142,3 @@
         objects::read::<LedgerBucket, StoredLedgerBucket>(&self.state, LEDGER_KIND, name).await
     }
 }
-
-/// When this daemon first saw the version of each bucket that it last saw.
-///
-/// A bucket's clock advances by the time that one process has known a version,
-/// which is at most the time that the version has been stored.
-#[derive(Debug, Default)]
-pub(crate) struct LedgerSeen {
-    /// Sorted by bucket.
-    buckets: Vec<SeenBucket>,
-}
-
-#[derive(Debug)]
-struct SeenBucket {
-    name: String,
-    version: Option<u64>,
-    seen_at: TimeMs,
-}
-
-impl LedgerSeen {
-    /// Returns how long the version that was read has been known here.
-    fn elapsed_ms(&mut self, now: TimeMs, name: &str, read: &Versioned<LedgerBucket>) -> u64 {
-        match self.position(name) {
-            Ok(index) if self.buckets[index].version == read.version => {
-                now.since_ms(self.buckets[index].seen_at)
-            }
-            _ => {
-                self.saw(now, name, read.version);
-                0
-            }
-        }
-    }
-
-    fn saw(&mut self, now: TimeMs, name: &str, version: Option<u64>) {
-        let seen = SeenBucket { name: name.to_owned(), version, seen_at: now };
-        match self.position(name) {
-            Ok(index) => self.buckets[index] = seen,
-            Err(index) => self.buckets.insert(index, seen),
-        }
-    }
-
-    fn position(&self, name: &str) -> Result<usize, usize> {
-        self.buckets.binary_search_by(|bucket| bucket.name.as_str().cmp(name))
-    }
-}
--- a/crates/lycheefordd/src/service/serve.rs
+++ b/crates/lycheefordd/src/service/serve.rs
@@ -8,10 +8,10 @@
 };
 use lycheeford_target::{Connection, TargetError, TargetRequest};
 
-use crate::access::{Access, check_fresh};
-use crate::call::fingerprint;
-use crate::ledger::{Claimed, LedgerEntry, claim};
-use crate::metrics::Event;
+use crate::operation::metrics::{CustomerLabels, Event};
+use crate::request::access::{Access, check_fresh};
+use crate::request::call::fingerprint;
+use crate::service::ledger::{Claimed, LedgerEntry, claim};
 use crate::state::State;
 
 /// The largest answer of a service.
@@ -44,7 +44,7 @@
 
 impl Drop for ServicePlace {
     fn drop(&mut self) {
-        self.state.service_targets().finished(&self.target);
+        self.state.service_targets.lock().finished(&self.target);
     }
 }
 
@@ -67,7 +67,7 @@
     let access = check_access(&state, &request, route)?;
     let customer = access.as_ref().map(|access| access.customer.name.clone());
     if let Some(customer) = &customer {
-        state.metrics.request(&state.customer_labels(customer));
+        state.metrics.request(&CustomerLabels::of(&state.configuration.load(), customer));
     }
     let timeout_ms = configuration
         .services
@@ -91,7 +91,9 @@
     match &served {
         Ok(_) => {
             if let Some(customer) = &customer {
-                state.metrics.good_answer(&state.customer_labels(customer));
+                state
+                    .metrics
+                    .good_answer(&CustomerLabels::of(&state.configuration.load(), customer));
             }
         }
         Err(refusal) => state.metrics.refusal(customer.as_ref(), refusal.code),
@@ -176,7 +178,7 @@
         let fleet = self.state.fleet.load();
         let hosts = fleet.service_targets(&self.route.service);
         let now = self.state.now();
-        let host = self.state.service_targets().choose(now, hosts, &self.tried)?;
+        let host = self.state.service_targets.lock().choose(now, hosts, &self.tried)?;
         self.tried.push(host.name.clone());
         Some(ServicePlace {
             state: self.state.clone(),
@@ -190,7 +192,7 @@
         place: &ServicePlace,
         connection: Connection,
     ) -> Result<CallerResponse, TargetError> {
-        self.state.retry_budget().deposit();
+        self.state.retry_budget.lock().deposit();
         let mut headers = self.request.headers.clone();
         headers.push(("x-request-id".to_owned(), self.request.id.as_str().to_owned()));
         if let Some(key) = &self.request.idempotency_key {
@@ -229,7 +231,7 @@
 
     fn may_retry(&self) -> bool {
         let now = self.state.now();
-        let allowed = now < self.deadline && self.state.retry_budget().withdraw(now);
+        let allowed = now < self.deadline && self.state.retry_budget.lock().withdraw(now);
         if allowed {
             self.state.metrics.event(Event::Retry);
         }
@@ -238,7 +240,7 @@
 
     fn failed(&self, place: &ServicePlace, error: &TargetError) {
         if !error.may_have_run() {
-            self.state.service_targets().avoid(self.state.now(), &place.target);
+            self.state.service_targets.lock().avoid(self.state.now(), &place.target);
         }
     }
 
@@ -283,7 +285,7 @@
 
 /// Settles a ledger entry without letting the caller wait for the platform.
 fn settle(state: &Arc<State>, settling: impl Future<Output = ()> + Send + 'static) {
-    let running = state.request_started();
+    let running = state.running.request_started();
     task::spawn(async move {
         settling.await;
         drop(running);
--- a/crates/lycheefordd/tests/at_most_once.rs
+++ b/crates/lycheefordd/tests/at_most_once.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant};
 
 use async_std::task::{self, JoinHandle};
-use lycheeford_fakes::{Answer, Call, CallError, LostWrites, PlatformFaults, ServiceFaults};
+use lycheeford_fakes::{
+    Answer, Call, CallError, CallFault, LostWrites, PlatformFaults, ServiceFaults,
+};
 use serde_json::json;
 
 use crate::support::{Fleet, until};
@@ -18,6 +20,10 @@
 const CALLERS: usize = 12;
 const ATTEMPTS: usize = 4;
 const FAULTS_FOR: Duration = Duration::from_secs(7);
+/// How long the store refuses every call at the end, so that charges are surely refused, too.
+///
+/// A daemon goes on for three seconds with a write that it has begun.
+const STORE_REFUSES_FOR: Duration = Duration::from_millis(3_500);
 
 /// Long enough that a kill falls on either side of every step.
 const STORE_DELAY_MS: u64 = 10;
@@ -142,6 +148,9 @@
         task::sleep(Duration::from_millis(next(&mut random) as u64 % 150)).await;
         fleet.daemons[daemon].start();
     }
+    let refusing = PlatformFaults { calls: CallFault::Refuse, ..PlatformFaults::default() };
+    fleet.set_faults(fleet.deployment.platform, &refusing).await;
+    task::sleep(STORE_REFUSES_FOR).await;
     fleet.set_faults(fleet.deployment.platform, &PlatformFaults::default()).await;
     for service in &fleet.deployment.services {
         fleet.set_faults(service.address, &ServiceFaults::default()).await;
