Let those who watch the store ask often enough for the others to rely on them

Now 200 and 500 ms: at most 1.2 s with two reports. The holder of orders looks every 50 ms instead of 25.

--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 /// The confirmation of one watch must last until the end of the next one.
 const DEPLOYMENT_WAIT_PART: f64 = 0.25;
 /// How long a watch of the targets waits; others rely on how young its answers are.
-const TARGETS_WAIT_MS: u64 = 800;
+const TARGETS_WAIT_MS: u64 = 500;
 
 /// How a kind in the store is followed by watches of `wait_ms`.
 ///
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -9,8 +9,8 @@
 use crate::state::State;
 
 /// The rest after changes of targets at the holder of orders, and at hosts that watch for others.
-const HOLDER_REST_MS: u64 = 25;
-const WATCHER_REST_MS: u64 = 700;
+const HOLDER_REST_MS: u64 = 50;
+const WATCHER_REST_MS: u64 = 200;
 /// The rest of a host that hears from others when there is news.
 const LISTENER_REST_MS: u64 = 5_000;
 /// How often such a host looks whether the others still ask.
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -514,7 +514,9 @@
     // Nothing is heard after that.
     let asks_at = (1_000..10_000).find(|ms| !watch.may_rest(at(*ms))).expect("it asks one day");
     assert!(asks_at - 1_000 + ASK_MS < DRAIN_MS, "{asks_at}");
-    assert!(watch.may_rest(at(1_000 + 800 + 250)), "watchers' news get as old as that");
+    // A rest, a watch, the pause between two reports, and the one before, which is answered.
+    let oldest_ms = 200 + 500 + 250 + 250;
+    assert!(watch.may_rest(at(1_000 + oldest_ms)), "news get as old as that");
 }
 
 /// Traced on zmiana-sprzedawcy-grown quiet-1: the level of a host that had just become a partner
