Ask for news of targets at a bounded pace, and of the declaration by three hosts

Change: three hosts watch the declaration for all, half a second at a time; a host that hears of news of targets asks at most every 600 ms.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -9,7 +9,7 @@
 /// The part of the life of a confirmation for which a host relies on others to renew it.
 ///
 /// A host that others can't reach must hear of a change from the store in time.
-const RELY_PART: f64 = 0.45;
+const RELY_PART: f64 = 0.62;
 
 /// Keeps the declaration up to date until the future is dropped.
 pub(crate) async fn follow_deployment(state: Arc<State>) {
@@ -35,7 +35,7 @@
 /// Returns how much longer others may be relied on to ask whether the declaration is the newest.
 fn rest_ms(state: &State) -> u64 {
     let now = state.now();
-    if state.membership().is_watcher(now, &state.settings.host) {
+    if state.membership().watches_declaration(now, &state.settings.host) {
         return 0;
     }
     let rely_ms = (state.confirmation_ms_max() as f64 * RELY_PART) as u64;
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -11,10 +11,12 @@
 /// The rest after changes of targets at the holder of orders, and at hosts that watch for others.
 const HOLDER_REST_MS: u64 = 50;
 const WATCHER_REST_MS: u64 = 200;
-/// The rest of a host that hears from others when there is news.
+/// The rest of a host that hears from others when there is news, and the least one before it asks
+/// for them: many targets may come or go at once.
 const LISTENER_REST_MS: u64 = 5_000;
-/// How often such a host looks whether the others still ask.
-const LISTENER_LOOK_MS: u64 = 200;
+const LISTENER_REST_MS_MIN: u64 = 600;
+/// How often such a host looks whether there is news, or the others no longer ask.
+const LISTENER_LOOK_MS: u64 = 150;
 
 /// Keeps the targets up to date until the future is dropped.
 pub(crate) async fn follow_targets(state: Arc<State>) {
@@ -49,11 +51,12 @@
     if state.orders().lease.held(now).is_some() {
         return after_change_ms(HOLDER_REST_MS).saturating_sub(rest.rested_ms);
     }
-    let is_watcher = state.membership().is_watcher(now, &state.settings.host);
-    if is_watcher || !state.target_watch().may_rest(now) {
+    if state.membership().watches_targets(now, &state.settings.host) {
         return after_change_ms(WATCHER_REST_MS).saturating_sub(rest.rested_ms);
     }
-    LISTENER_REST_MS.saturating_sub(rest.rested_ms).min(LISTENER_LOOK_MS)
+    let may_rest = state.target_watch().may_rest(now);
+    let rest_ms = if may_rest { LISTENER_REST_MS } else { after_change_ms(LISTENER_REST_MS_MIN) };
+    rest_ms.saturating_sub(rest.rested_ms).min(LISTENER_LOOK_MS)
 }
 
 fn take_update(state: &State, update: Update, grace_ms: u64) {
--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -77,7 +77,7 @@
     let holds_orders = state.orders().lease.held(now).is_some();
     if now.since_ms(started_at) < EARLY_MS {
         LIST_EARLY_MS
-    } else if holds_orders || state.membership().is_watcher(now, &state.settings.host) {
+    } else if holds_orders || state.membership().watches_declaration(now, &state.settings.host) {
         LIST_MS
     } else {
         LIST_SELDOM_MS
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -203,9 +203,7 @@
         (Some(echo), Some(age_ms)) => Some(echo - age_ms),
         _ => None,
     };
-    if state.target_watch().heard(report.targets_changed, as_of) {
-        state.target_pace.wake();
-    }
+    state.target_watch().heard(report.targets_changed, as_of);
 }
 
 fn take_asked(state: &State, asked: &[(ShortKey, f64)]) {
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -123,11 +123,18 @@
         ranked.iter().position(|host| *host == me).unwrap_or_default()
     }
 
-    /// Returns whether this host watches the store closely for others.
-    pub(crate) fn is_watcher(&self, now: TimeMs, me: &Name) -> bool {
+    /// Returns whether this host asks the store for others whether a newer declaration exists.
+    pub(crate) fn watches_declaration(&self, now: TimeMs, me: &Name) -> bool {
+        self.rank(now, "watch", me) < WATCHERS
+    }
+
+    /// Returns whether this host watches the targets closely for others.
+    ///
+    /// News of targets must come sooner than through several hosts, so that each relay asks.
+    pub(crate) fn watches_targets(&self, now: TimeMs, me: &Name) -> bool {
         let layout = self.peers.layout();
         let passes_on = layout.partners().iter().any(|(_, role)| *role == PartnerRole::Member);
-        passes_on || (layout.is_relay() && self.rank(now, "watch", me) < WATCHERS)
+        passes_on || (layout.is_relay() && self.watches_declaration(now, me))
     }
 
     /// Forgets a host that is known to be gone.
--- a/crates/lycheeford-policy/src/gateway/shared_watch.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_watch.rs
@@ -20,7 +20,7 @@
 /// let mut watch = SharedWatch::default();
 /// watch.asked(TimeMs::from_ms(100), 7, 7);
 /// assert!(watch.may_rest(TimeMs::from_ms(200)));
-/// assert!(watch.heard(9, Some(TimeMs::from_ms(280))), "9 is news");
+/// watch.heard(9, Some(TimeMs::from_ms(280)));
 /// assert!(!watch.may_rest(TimeMs::from_ms(300)));
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
@@ -41,13 +41,12 @@
         self.asked_at = self.asked_at.max(Some(as_of));
     }
 
-    /// Takes in what another host knows; returns whether this host should ask the store.
+    /// Takes in what another host knows.
     ///
     /// `as_of` is a moment before which the other one surely had asked, by this host's clock.
-    pub fn heard(&mut self, changed: u64, as_of: Option<TimeMs>) -> bool {
+    pub fn heard(&mut self, changed: u64, as_of: Option<TimeMs>) {
         self.changed = self.changed.max(changed);
         self.asked_at = self.asked_at.max(as_of);
-        self.changed > self.known
     }
 
     /// Returns whether this host knows all that matters, and others ask for more.
