Write why a target was chosen, bound the log, and show ages, holder and left-out lines

- sent: one line an attempt with the target's load and cost, how many could have taken the request and the best of the others with its cost.
- Metrics: age of what the store last said of declaration and targets, hosts alive, holder of orders with the age of its lease, lines left out.
- One way to read from the store, used by both clients.

--- a/crates/lycheeford-gateway/src/lib.rs
+++ b/crates/lycheeford-gateway/src/lib.rs
@@ -40,6 +40,6 @@
     GatewayRequest, ModelName, NotRun, OrderAnswer, OrderedName, PromptPart, Reply, StoreEdge,
     TargetEdge,
 };
-pub use crate::operation::log::logger;
+pub use crate::operation::log::GatewayLog;
 pub use crate::run::{StartError, run};
 pub use crate::settings::{GatewaySettings, RetryBounds};
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns the lease as it is told to others.
-    pub(super) fn lease(&self, now: TimeMs) -> Option<ReportedLease> {
+    pub(crate) fn lease(&self, now: TimeMs) -> Option<ReportedLease> {
         let (lease, renewed_at) = self.lease.as_ref()?;
         let renewed_age_ms = now.since_ms(*renewed_at);
         (renewed_age_ms < LEASE_MS_MAX).then(|| ReportedLease { renewed_age_ms, ..lease.clone() })
--- a/crates/lycheeford-gateway/src/operation/directory.rs
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -3,6 +3,7 @@
 use lycheeford_caller::{Bounds, CallerBody, CallerResponse, RequestHead, Service};
 use lycheeford_policy::{Name, PeerState, Refusal, RefusalCode};
 
+use super::metrics::Known;
 use crate::AddressQuestion;
 use crate::state::State;
 
@@ -115,7 +116,7 @@
 
     async fn answer(&self, (): ()) -> CallerResponse {
         let headers = vec![("content-type".to_owned(), "text/plain".to_owned())];
-        let text = self.state.metrics.text();
+        let text = self.state.metrics.text(&known(&self.state));
         CallerResponse { status: 200, headers, body: CallerBody::Whole(text.into_bytes()) }
     }
 
@@ -124,6 +125,26 @@
     }
 }
 
+fn known(state: &State) -> Known {
+    let now = state.now();
+    let own = state.orders().lease.held(now);
+    let own = own.map(|(_, _, age_ms)| (state.settings.host.clone(), age_ms));
+    let (hosts_alive, told) = {
+        let membership = state.membership();
+        let told = membership.lease(now).map(|lease| (lease.holder, lease.renewed_age_ms));
+        (membership.hosts.alive(now).count(), told)
+    };
+    let declaration_age_ms = state.confirmation().age_ms(now);
+    let targets_age_ms = state.target_watch().age_ms(now);
+    Known {
+        declaration_age_ms,
+        targets_age_ms,
+        hosts_alive,
+        holder: own.or(told),
+        lines_left_out: state.left_out.left_out(),
+    }
+}
+
 fn small_bounds() -> Bounds {
     Bounds { connections_max: CONNECTIONS_MAX, ..Bounds::default() }
 }
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -41,6 +41,16 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SourceLabels {
+    source: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HolderLabels {
+    host: String,
+}
+
 type Histograms = Family<CustomerLabels, Histogram, fn() -> Histogram>;
 
 /// Everything that the metrics page shows; docs/OPERATIONS.md explains each.
@@ -54,6 +64,22 @@
     orders: Family<OrderLabels, Counter>,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
+    ages: Family<SourceLabels, Gauge>,
+    hosts_alive: Gauge,
+    holder: Family<HolderLabels, Gauge>,
+    lines_left_out: Gauge,
+}
+
+/// What a host knows when its metrics are read.
+#[derive(Debug)]
+pub(crate) struct Known {
+    /// How old the last word of the store on the declaration and on targets is.
+    pub(crate) declaration_age_ms: Option<u64>,
+    pub(crate) targets_age_ms: Option<u64>,
+    pub(crate) hosts_alive: usize,
+    /// The host that gives orders, with the age of its lease.
+    pub(crate) holder: Option<(Name, u64)>,
+    pub(crate) lines_left_out: u64,
 }
 
 impl Metrics {
@@ -67,19 +93,42 @@
             orders: Family::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
+            ages: Family::default(),
+            hosts_alive: Gauge::default(),
+            holder: Family::default(),
+            lines_left_out: Gauge::default(),
         };
         metrics.register();
         metrics
     }
 
     /// Returns the metrics in the text format of Prometheus.
-    pub(crate) fn text(&self) -> String {
+    pub(crate) fn text(&self, known: &Known) -> String {
+        self.take(known);
         let mut text = String::new();
         // Writing to a string can't fail.
         let _ = encode(&mut text, &self.registry);
         text
     }
 
+    fn take(&self, known: &Known) {
+        let gauge = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        let sources =
+            [("declaration", known.declaration_age_ms), ("targets", known.targets_age_ms)];
+        for (source, age_ms) in sources {
+            // What was never heard is older than anything.
+            let age_ms = age_ms.map_or(i64::MAX, gauge);
+            self.ages.get_or_create(&SourceLabels { source }).set(age_ms);
+        }
+        self.hosts_alive.set(gauge(known.hosts_alive as u64));
+        self.holder.clear();
+        if let Some((holder, age_ms)) = &known.holder {
+            let labels = HolderLabels { host: holder.as_str().to_owned() };
+            self.holder.get_or_create(&labels).set(gauge(*age_ms));
+        }
+        self.lines_left_out.set(gauge(known.lines_left_out));
+    }
+
     pub(crate) fn answered(&self, customer: Option<&Name>, priority: u8, total_ms: u64) {
         self.answered.get_or_create(&labels(customer, priority)).observe(total_ms as f64);
     }
@@ -120,6 +169,14 @@
             "Whether this host gives orders to engines",
             self.holds_orders.clone(),
         );
+        registry.register("age_ms", "Age of what the store last said", self.ages.clone());
+        registry.register("hosts_alive", "Other hosts that report", self.hosts_alive.clone());
+        registry.register("orders_holder", "Age of the lease by its holder", self.holder.clone());
+        registry.register(
+            "lines_left_out",
+            "Lines that the log left out",
+            self.lines_left_out.clone(),
+        );
     }
 }
 
--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -4,7 +4,8 @@
 
 use async_std::future::timeout;
 use lycheeford_policy::{
-    AdapterWant, Chosen, EngineOperation, Name, ResidentModel, TargetEntry, TargetFailure, TimeMs,
+    AdapterWant, Choice, Chosen, EngineOperation, Name, ResidentModel, TargetEntry, TargetFailure,
+    TimeMs,
 };
 use lycheeford_target::{TargetError, TargetRequest};
 use slog::{info, warn};
@@ -54,7 +55,13 @@
     }
 
     fn chosen(&self) -> Chosen {
-        Chosen { id: self.engine.clone(), life: self.life, address: self.address, running: 0 }
+        Chosen {
+            id: self.engine.clone(),
+            life: self.life,
+            address: self.address,
+            running: 0,
+            choice: Choice::default(),
+        }
     }
 }
 
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -79,6 +79,7 @@
                 return Err(self.out_of_time());
             }
             self.sends += 1;
+            self.log_sent(&place.chosen, now);
             let request = self.target_request(&place.chosen, now, resume_after);
             let called = self.state.targets.call(place.chosen.address, &request).await;
             match called {
@@ -210,6 +211,18 @@
             && self.take_repeat()
     }
 
+    /// Writes the line of the choice of a target.
+    fn log_sent(&self, chosen: &Chosen, now: TimeMs) {
+        let choice = &chosen.choice;
+        let waited_ms = now.since_ms(self.admitted.arrived_at);
+        info!(self.state.log, "sent";
+            "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
+            "running" => chosen.running, "cost_ms" => choice.cost_ms, "usable" => choice.usable,
+            "runner_up" => choice.runner_up.as_ref().map(|(name, _)| name.as_str()),
+            "runner_up_cost_ms" => choice.runner_up.as_ref().map(|(_, cost_ms)| *cost_ms),
+            "waited_ms" => waited_ms);
+    }
+
     /// Writes the line of a request that was answered.
     pub(super) fn log_answered(&self, status: u16, target: &str, body_bytes: usize) {
         let admitted = &self.admitted;
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -6,7 +6,7 @@
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
 use lycheeford_caller::{Service, Stop, serve_service};
-use slog::{Logger, info};
+use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
 
 use crate::fleet::{follow_deployment, follow_targets};
@@ -15,10 +15,12 @@
 use crate::orders::{keep_lease, plan_orders};
 use crate::request::Front;
 use crate::state::State;
-use crate::{Edges, GatewaySettings};
+use crate::{Edges, GatewayLog, GatewaySettings};
 
 /// How often waiting requests are looked at without a reason.
 const DISPATCH_MS: u64 = 40;
+/// How often lines that were left out are counted in the log.
+const LEFT_OUT_MS: u64 = 1_000;
 /// The part of the grace for which a stopping host goes on taking callers.
 const TAKE_PART: f64 = 0.55;
 /// What is left of the grace when a stopping host ends whatever still runs.
@@ -49,7 +51,7 @@
 pub async fn run(
     settings: GatewaySettings,
     edges: Edges,
-    log: Logger,
+    log: GatewayLog,
     stop: Stop,
 ) -> Result<(), StartError> {
     let callers = listen("caller_address", settings.caller_address).await?;
@@ -93,6 +95,7 @@
     task::spawn(keep_lease(Arc::clone(state)));
     task::spawn(plan_orders(Arc::clone(state)));
     task::spawn(dispatch(Arc::clone(state)));
+    task::spawn(tell_left_out(Arc::clone(state)));
 }
 
 /// Looks at waiting requests again and again, since targets become usable with time alone.
@@ -108,6 +111,19 @@
     }
 }
 
+/// Writes how many lines were left out, if any were.
+async fn tell_left_out(state: Arc<State>) {
+    let mut told = 0;
+    loop {
+        task::sleep(Duration::from_millis(LEFT_OUT_MS)).await;
+        let left_out = state.left_out.left_out();
+        if left_out > told {
+            warn!(state.log, "lines_left_out"; "lines" => left_out - told, "since_start" => left_out);
+            told = left_out;
+        }
+    }
+}
+
 /// Goes on serving until callers have heard that this host goes, then finishes what runs.
 async fn drain(state: &Arc<State>, front_stop: &Stop, serving: task::JoinHandle<()>) {
     state.start_draining();
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -16,7 +16,7 @@
 use crate::operation::metrics::Metrics;
 use crate::orders::Orders;
 use crate::request::rates::Rates;
-use crate::{Clock, Edges, GatewaySettings};
+use crate::{Clock, Edges, GatewayLog, GatewaySettings};
 
 /// The part of the time until a withdrawn key must be dead for which a confirmation holds.
 ///
@@ -43,6 +43,8 @@
     pub(crate) edges: Edges,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
+    /// Counts the lines that the log left out.
+    pub(crate) left_out: GatewayLog,
     pub(crate) metrics: Metrics,
     pub(crate) incarnation: u64,
     pub(crate) started_at: TimeMs,
@@ -74,7 +76,7 @@
 }
 
 impl State {
-    pub(crate) fn new(settings: GatewaySettings, edges: Edges, log: Logger) -> Arc<State> {
+    pub(crate) fn new(settings: GatewaySettings, edges: Edges, log: GatewayLog) -> Arc<State> {
         let clock = Clock;
         let incarnation = rand::random::<u64>() >> 1;
         let limits = TargetLimits {
@@ -97,7 +99,8 @@
             settings,
             edges,
             clock,
-            log,
+            log: log.logger.clone(),
+            left_out: log,
             metrics: Metrics::new(),
             incarnation,
             started_at: clock.now(),
--- a/crates/lycheeford-platform/src/connection.rs
+++ b/crates/lycheeford-platform/src/connection.rs
@@ -75,6 +75,18 @@
         self.exchange_on(stream, request, wait_ms).await.map_err(ExchangeError::MaybeSent)
     }
 
+    /// Makes a call that changes nothing: on a used connection, or on a fresh one if that fails.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer comes on the fresh one either.
+    pub async fn read(&self, request: Request, wait_ms: u64) -> Result<Answer, ExchangeError> {
+        match self.exchange_reused(request.clone(), wait_ms).await {
+            Some(answer) => Ok(answer),
+            None => self.exchange_fresh(request, wait_ms).await,
+        }
+    }
+
     async fn exchange_on(
         &self,
         stream: TcpStream,
--- a/crates/lycheeford-platform/src/http.rs
+++ b/crates/lycheeford-platform/src/http.rs
@@ -52,12 +52,11 @@
         wait_ms: u64,
     ) -> Result<Answer, PlatformError> {
         self.counters.count(operation);
-        if !operation.changes_state()
-            && let Some(answer) = self.connections.exchange_reused(request.clone(), wait_ms).await
-        {
-            return Ok(answer);
-        }
-        let answer = self.connections.exchange_fresh(request, wait_ms).await;
+        let answer = if operation.changes_state() {
+            self.connections.exchange_fresh(request, wait_ms).await
+        } else {
+            self.connections.read(request, wait_ms).await
+        };
         answer.map_err(|error| {
             self.counters.count_failure();
             exchange_error(operation, error)
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -76,5 +76,5 @@
 };
 pub use self::target_entry::{Residency, ResidentModel, TargetEntry, TargetState};
 pub use self::target_health::{TargetFailure, TargetHealth};
-pub use self::target_table::{Chosen, Need, Target, TargetTable, Tried};
+pub use self::target_table::{Choice, Chosen, Need, Target, TargetTable, Tried};
 pub use self::wait_queue::{WaitQueue, Waiting};
--- a/crates/lycheeford-policy/src/gateway/target_table.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table.rs
@@ -64,6 +64,19 @@
     pub address: SocketAddr,
     /// The requests that ran there when it was chosen.
     pub running: u32,
+    /// Why it was chosen.
+    pub choice: Choice,
+}
+
+/// What a target was compared with when it was chosen, for whoever asks why afterwards.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Choice {
+    /// How many targets could have taken the request.
+    pub usable: u32,
+    /// What the target seemed to cost, in milliseconds; less with a prompt that it knows.
+    pub cost_ms: i64,
+    /// The best of the others with its cost.
+    pub runner_up: Option<(Name, i64)>,
 }
 
 /// What came of looking for a target.
@@ -297,6 +310,8 @@
         let usual_ms = self.usual_latency_ms(&need.service);
         let mut tried = Tried::NoTarget;
         let mut best: Option<(f64, usize)> = None;
+        let mut runner_up: Option<(f64, usize)> = None;
+        let mut usable = 0;
         let favourite = need.affinity.and_then(|(hash, _)| self.favourite(now, need, hash));
         for (index, target) in self.targets.iter().enumerate() {
             if target.entry.service != need.service
@@ -319,17 +334,25 @@
             if favourite == Some(index) {
                 cost_ms -= need.affinity.map_or(0.0, |(_, gain_ms)| gain_ms as f64);
             }
+            usable += 1;
             if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
+                runner_up = best;
                 best = Some((cost_ms, index));
+            } else if runner_up.is_none_or(|(second_ms, _)| cost_ms < second_ms) {
+                runner_up = Some((cost_ms, index));
             }
         }
-        best.map_or(tried, |(_, index)| {
+        best.map_or(tried, |(cost_ms, index)| {
             let target = &self.targets[index];
+            let named = |(cost_ms, index): (f64, usize)| {
+                (self.targets[index].entry.id.clone(), cost_ms as i64)
+            };
             Tried::Chosen(Chosen {
                 id: target.entry.id.clone(),
                 life: target.entry.life,
                 address: target.entry.address,
                 running: target.running(),
+                choice: Choice { usable, cost_ms: cost_ms as i64, runner_up: runner_up.map(named) },
             })
         })
     }
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -64,16 +64,17 @@
 pub use crate::fair_queue::{FairQueue, QueueDepth, QueueId, QueuedRequest};
 pub use crate::freshness::{ConfigurationState, Freshness, KEY_STALENESS_MS_MAX};
 pub use crate::gateway::{
-    AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, CallerLimits, Chosen, Confirmation,
-    Counters, CustomerKey, CustomerRate, DemandTable, Deployment, EngineLimits, EngineModel,
-    EngineOperation, EngineView, EventBoundary, Hearing, HostRecord, HostSign, HostTable,
-    KeyDigest, KnownHost, LeaseExpect, LeaseRecord, LeaseStep, ModelDemand, Need, OrderLease,
-    OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer, PeerNews, PeerReport, PeerState, PeerTable,
-    PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportedLease, ReportedPlacement,
-    Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunningAt, Scope, ServiceRoute,
-    SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums, SwapAction, SwapOrder, SwapPlan,
-    SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth, TargetService, TargetState,
-    TargetTable, Tried, WaitQueue, Waiting, WantedName, WeightedService,
+    AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, CallerLimits, Choice, Chosen,
+    Confirmation, Counters, CustomerKey, CustomerRate, DemandTable, Deployment, EngineLimits,
+    EngineModel, EngineOperation, EngineView, EventBoundary, Hearing, HostRecord, HostSign,
+    HostTable, KeyDigest, KnownHost, LeaseExpect, LeaseRecord, LeaseStep, ModelDemand, Need,
+    OrderLease, OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer, PeerNews, PeerReport, PeerState,
+    PeerTable, PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportedLease,
+    ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunningAt,
+    Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums, SwapAction,
+    SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth,
+    TargetService, TargetState, TargetTable, Tried, WaitQueue, Waiting, WantedName,
+    WeightedService,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -1,8 +1,8 @@
 //! Which target takes a request, and who waits.
 
 use lycheeford_policy::{
-    Chosen, Name, Need, RunningAt, ShortKey, TargetEntry, TargetFailure, TargetState, TargetTable,
-    Tried, WaitQueue, Waiting,
+    Choice, Chosen, Name, Need, RunningAt, ShortKey, TargetEntry, TargetFailure, TargetState,
+    TargetTable, Tried, WaitQueue, Waiting,
 };
 
 use crate::world::{at, entry, name, need};
@@ -97,6 +97,21 @@
     assert!(again || chosen(&mut targets, 20_000, &need("m1")).is_some());
 }
 
+#[test]
+fn a_choice_tells_what_it_was_made_among() {
+    let mut targets = table(&[entry("a", &["m1"]), entry("b", &["m1"]), entry("c", &["m2"])]);
+    let busy = the(&mut targets, 0, &need("m1"));
+    for _ in 0..3 {
+        targets.started(&busy, Some(&name("m1")), 100);
+    }
+    let free = the(&mut targets, 0, &need("m1"));
+    assert_ne!(free.id, busy.id);
+    assert_eq!(free.choice.usable, 2, "c doesn't hold the model");
+    let (runner_up, cost_ms) = free.choice.runner_up.clone().unwrap();
+    assert_eq!(runner_up, busy.id);
+    assert!(free.choice.cost_ms <= cost_ms, "{:?}", free.choice);
+}
+
 #[test]
 fn a_target_that_fails_part_of_its_requests_gets_few() {
     let mut targets = table(&[entry("good", &["m1"]), entry("grey", &["m1"])]);
@@ -105,6 +120,7 @@
         life: 1,
         address: ([127, 0, 0, 1], 9_000).into(),
         running: 0,
+        choice: Choice::default(),
     };
     for ms in 0..40 {
         targets.succeeded(at(ms), &at_target("good"), 50);
