--- a/crates/lycheeford-policy/src/gateway/report_layout.rs
+++ b/crates/lycheeford-policy/src/gateway/report_layout.rs
@@ -21,7 +21,7 @@
 /// domain form cells of about the root of their number. Each cell has a relay;
 /// members report to it, and relays to each other. All hosts work this out by
 /// themselves from what they see; where two see it differently, what they
-/// count isn't passed on until they agree. See docs/DESIGN-GATEWAY.md.
+/// count isn't passed on until they agree. See docs/PLATFORM.md.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ReportLayout {
     /// Sorted by host.
