Soak gateways in processes of their own with faults from outside them

Checked from what callers and targets see: at most once, true 'not run', whole answers, no key passed on, withdrawn keys dead in time, an end within the grace, recovery. Not yet: a proxy that delays or cuts one way, clocks, engines' memory, rates.

--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,32 @@
+#!/bin/sh
+# Runs gateways in processes of their own against stand-ins, with faults from outside them, and
+# checks the promises by what callers and targets see (platform/tests/soak.rs).
+#
+#   scripts/soak.sh --seed N [--minutes M] [--hosts H]
+#
+# The seed fixes the plan of faults; the hosts' lines are kept on failure.
+set -eu
+
+seed=
+seconds=60
+hosts=3
+while [ $# -ge 2 ]; do
+    case "$1" in
+        --seed) seed=$2 ;;
+        --minutes) seconds=$(($2 * 60)) ;;
+        --hosts) hosts=$2 ;;
+        *)
+            echo "soak.sh: unknown argument $1; use --seed, --minutes or --hosts" >&2
+            exit 2
+            ;;
+    esac
+    shift 2
+done
+if [ -z "$seed" ] || [ $# -ne 0 ]; then
+    echo "soak.sh: give a seed: scripts/soak.sh --seed N [--minutes M] [--hosts H]" >&2
+    exit 2
+fi
+
+cd "$(dirname "$0")/.."
+SOAK_SEED=$seed SOAK_SECONDS=$seconds SOAK_HOSTS=$hosts \
+    exec cargo test --quiet --locked -p lycheeford-site --test soak -- --nocapture
