--- a/crates/lycheeford-policy/src/gateway/report_layout.rs
+++ b/crates/lycheeford-policy/src/gateway/report_layout.rs
@@ -17,7 +17,7 @@
 /// Who reports to whom.
 ///
 /// If every host reported to every other one, what each of them costs would
-/// grow with the fleet. So beyond [`DIRECT_HOSTS_MAX`] the hosts of a failure
+/// grow with the fleet. So beyond 16 hosts those of a failure
 /// domain form cells of about the root of their number. Each cell has a relay;
 /// members report to it, and relays to each other. All hosts work this out by
 /// themselves from what they see; where two see it differently, what they
