--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -16,6 +16,10 @@
 const HEARD_PAUSES: f64 = 1.6;
 /// The pauses after which a silent host isn't alive.
 const ALIVE_PAUSES: u64 = 4;
+/// The pauses after which a silent relay is replaced; it counts as dead only later.
+const RELAY_PAUSES: u64 = 4;
+/// How much later than unheard a host counts as dead.
+const ALIVE_HEARD: u64 = 2;
 /// The reports that a sign passes through in a fleet that reports by relays.
 const RELAYED_HOPS: u64 = 3;
 /// How long a silent host still counts among those that may spend a rate.
@@ -240,9 +244,9 @@
 
     /// Returns who reports to whom, as this host sees it.
     pub fn layout(&self, now: TimeMs) -> ReportLayout {
-        // A relay that is silent for some reports is replaced before it counts as dead.
-        let is_fresh =
-            |host: &KnownHost| is_seen(host, now, self.heard_ms().max(self.report_ms() * 4));
+        let is_fresh = |host: &KnownHost| {
+            is_seen(host, now, self.heard_ms().max(self.report_ms() * RELAY_PAUSES))
+        };
         // Hosts that are listed count also while they are silent, so that all form the same cells.
         let others: Vec<(&Name, &Name, bool)> = self
             .hosts
@@ -296,7 +300,7 @@
     }
 
     fn alive_ms(&self) -> u64 {
-        PEER_ALIVE_MS.max(ALIVE_PAUSES * self.report_ms()).max(2 * self.heard_ms())
+        PEER_ALIVE_MS.max(ALIVE_PAUSES * self.report_ms()).max(ALIVE_HEARD * self.heard_ms())
     }
 
     fn position(&self, name: &str) -> Result<usize, usize> {
