Log connections that can't be accepted and orders without an answer

Cause: the front slept after a failed accept and told nobody, so that a host out of file descriptors showed nothing in its log; an order that may have arrived dropped its error. Both write a line now; the Service and Handler traits make each front say what it does. Elsewhere in the gateway the places that drop an error or take a default got the reason that was missing. The traits' other implementor, a test's probe, fails on it. Ruled out: failing the host, since accepting goes on as soon as descriptors are free. Not tested: a real lack of descriptors.

--- a/crates/lycheeford-caller/src/serve.rs
+++ b/crates/lycheeford-caller/src/serve.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
     ///
     /// The future is dropped if the caller hangs up before it is ready.
     fn handle(&self, request: CallerRequest) -> impl Future<Output = CallerResponse> + Send;
+
+    /// Takes in that a connection couldn't be accepted, as for lack of file descriptors.
+    fn accept_failed(&self, error: &io::Error);
 }
 
 /// Reads requests in a form of its own and answers them.
@@ -59,6 +63,9 @@
 
     /// Returns the answer that tells a caller of a refusal.
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse;
+
+    /// Takes in that a connection couldn't be accepted, as for lack of file descriptors.
+    fn accept_failed(&self, error: &io::Error);
 }
 
 /// The product's own form of requests, within fixed bounds.
@@ -91,6 +98,10 @@
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
         refusal_response(id, refusal)
     }
+
+    fn accept_failed(&self, error: &io::Error) {
+        self.handler.accept_failed(error);
+    }
 }
 
 /// Serves callers of the product's own interface on `listener` until `stop` is triggered.
@@ -117,7 +128,10 @@
         };
         match accepted {
             Ok((stream, _)) => start(stream, &server, &open, &turned_away),
-            Err(_) => task::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await,
+            Err(error) => {
+                server.service.accept_failed(&error);
+                task::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
         }
     }
     // These connections are open in the eyes of their callers already.
--- a/crates/lycheeford-caller/tests/common/mod.rs
+++ b/crates/lycheeford-caller/tests/common/mod.rs
@@ -104,6 +104,10 @@
             _ => whole(&describe(&request)),
         }
     }
+
+    fn accept_failed(&self, error: &std::io::Error) {
+        panic!("a connection isn't accepted: {error}");
+    }
 }
 
 impl Probe {
--- a/crates/lycheeford-gateway/src/operation/directory.rs
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -2,6 +2,7 @@
 
 use lycheeford_caller::{Bounds, CallerBody, CallerResponse, RequestHead, Service};
 use lycheeford_policy::{Name, PeerState, Refusal, RefusalCode};
+use slog::warn;
 
 use super::metrics::Known;
 use crate::AddressQuestion;
@@ -47,6 +48,10 @@
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
         self.state.edges.caller.refusal(id, refusal)
     }
+
+    fn accept_failed(&self, error: &std::io::Error) {
+        warn!(self.state.log, "accept_failed"; "error" => %error);
+    }
 }
 
 /// Returns the addresses of the hosts that take callers, those near the caller if there are some.
@@ -95,6 +100,10 @@
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
         self.state.edges.caller.refusal(id, refusal)
     }
+
+    fn accept_failed(&self, error: &std::io::Error) {
+        warn!(self.state.log, "accept_failed"; "error" => %error);
+    }
 }
 
 /// Shows the metrics.
@@ -123,6 +132,10 @@
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
         self.state.edges.caller.refusal(id, refusal)
     }
+
+    fn accept_failed(&self, error: &std::io::Error) {
+        warn!(self.state.log, "accept_failed"; "error" => %error);
+    }
 }
 
 fn known(state: &State) -> Known {
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -138,6 +138,7 @@
     }
 
     pub(crate) fn refused(&self, code: RefusalCode) {
+        // A code without a name would only lose its label.
         let reason = serde_json::to_value(code).unwrap_or_default();
         let reason = reason.as_str().unwrap_or("unknown").to_owned();
         self.refused.get_or_create(&ReasonLabels { reason }).inc();
--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -110,7 +110,12 @@
             state.dispatcher().targets.failed(state.now(), &planned.chosen(), failure);
             Outcome::NotSent
         }
-        Err(_) => Outcome::Unknown,
+        Err(error) => {
+            let error =
+                error.map_or_else(|| "no answer in time".to_owned(), |error| error.to_string());
+            warn!(state.log, "order_unanswered"; "target" => planned.engine.as_str(), "error" => error);
+            Outcome::Unknown
+        }
     }
 }
 
@@ -232,6 +237,7 @@
     };
     match timeout(Duration::from_millis(ANSWER_MS_MAX), exchange).await {
         Ok(result) => result.map_err(Some),
+        // The time is up; there is no error to tell.
         Err(_) => Err(None),
     }
 }
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -2,7 +2,7 @@
 
 use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
 use lycheeford_policy::{Name, Refusal, TimeMs};
-use slog::info;
+use slog::{info, warn};
 
 use super::admission::admit;
 use super::answer::answer;
@@ -70,6 +70,10 @@
         self.state.metrics.refused(refusal.code);
         self.state.edges.caller.refusal(id, refusal)
     }
+
+    fn accept_failed(&self, error: &std::io::Error) {
+        warn!(self.state.log, "accept_failed"; "error" => %error);
+    }
 }
 
 impl Front {
--- a/crates/lycheeford-gateway/src/request/place.rs
+++ b/crates/lycheeford-gateway/src/request/place.rs
@@ -115,6 +115,7 @@
         match timeout(Duration::from_millis(slice_ms), in_queue.receiver.recv()).await {
             Ok(Ok(chosen)) => return Ok(in_queue.place(chosen)),
             Ok(Err(_)) => return Err(overloaded(patience_ms)),
+            // The slice is over; what is known of the load is looked at again.
             Err(_) => {}
         }
         let now = state.now();
--- a/crates/lycheefordd/src/request/front.rs
+++ b/crates/lycheefordd/src/request/front.rs
@@ -5,6 +5,7 @@
 };
 use lycheeford_policy::{HostState, Name, Refusal, RefusalCode};
 use serde::Serialize;
+use slog::warn;
 
 use crate::membership::standing::settle_after_pause;
 use crate::request::complete::complete;
@@ -58,6 +59,10 @@
             }
         }
     }
+
+    fn accept_failed(&self, error: &std::io::Error) {
+        warn!(self.state.log, "accept_failed"; "error" => %error);
+    }
 }
 
 impl Front {
