Write the last lines of a gateway's log before its process ends

Cause: a thread writes the lines, and the process ended without waiting for it. Change: the process asks for what waits to be written, for at most 100 ms, so that a reader that stands still doesn't keep it. Test: the_last_lines_of_a_process_are_written_before_it_ends failed before (no whole last line).

--- a/crates/lycheeford-gateway/src/operation/log.rs
+++ b/crates/lycheeford-gateway/src/operation/log.rs
@@ -1,11 +1,12 @@
-use std::sync::Arc;
-use std::sync::Mutex;
+use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use lycheeford_policy::Name;
 use slog::{Discard, Drain, Logger, Never, OwnedKVList, Record, o};
-use slog_async::AsyncCore;
+use slog_async::{AsyncCore, AsyncGuard};
 use slog_json::Json;
 
 /// Lines that may wait for the reader of standard output.
@@ -14,12 +15,15 @@
 const LINES_PER_S_MAX: u64 = 2_000;
 /// The time over which that is counted.
 const WINDOW: Duration = Duration::from_secs(1);
+/// How long the last lines may take to be written when the process ends.
+const FLUSH_MAX: Duration = Duration::from_millis(100);
 
 /// Where a gateway writes its lines, and how many it left out.
 #[derive(Debug, Clone)]
 pub struct GatewayLog {
     pub(crate) logger: Logger,
     left_out: Arc<AtomicU64>,
+    writer: Writer,
 }
 
 impl GatewayLog {
@@ -31,16 +35,17 @@
     pub fn to_stdout(host: &Name) -> GatewayLog {
         // A reader that is gone is no reason to stop.
         let json = Json::default(std::io::stdout()).ignore_res();
-        let core = AsyncCore::custom(json).chan_size(LINES_MAX).build();
+        let (core, guard) = AsyncCore::custom(json).chan_size(LINES_MAX).build_with_guard();
         let left_out = Arc::new(AtomicU64::new(0));
         let bounded = Bounded { core, left_out: Arc::clone(&left_out), window: Mutex::default() };
         let logger = Logger::root(bounded.fuse(), o!("host" => host.as_str().to_owned()));
-        GatewayLog { logger, left_out }
+        GatewayLog { logger, left_out, writer: Writer(Arc::new(Mutex::new(Some(guard)))) }
     }
 
     /// Returns a log that keeps nothing.
     pub fn discard() -> GatewayLog {
-        GatewayLog { logger: Logger::root(Discard, o!()), left_out: Arc::default() }
+        let logger = Logger::root(Discard, o!());
+        GatewayLog { logger, left_out: Arc::default(), writer: Writer::default() }
     }
 
     /// Returns a logger for the lines of the process itself.
@@ -48,12 +53,42 @@
         &self.logger
     }
 
+    /// Writes the lines that wait, and takes no more of them.
+    ///
+    /// A process that is about to end calls it, since its last lines would be
+    /// lost. A reader that stands still doesn't keep the process from ending.
+    pub fn finish(&self) {
+        let Some(guard) = lock(&self.writer.0).take() else { return };
+        let (sender, written) = mpsc::channel();
+        thread::spawn(move || {
+            drop(guard);
+            // Nobody listens any more if the reader stood still.
+            let _ = sender.send(());
+        });
+        // The lines that are left after the wait are lost with the process.
+        let _ = written.recv_timeout(FLUSH_MAX);
+    }
+
     /// Returns how many lines were left out since the start.
     pub(crate) fn left_out(&self) -> u64 {
         self.left_out.load(Ordering::Relaxed)
     }
 }
 
+/// The thread that writes, which ends when its guard is dropped.
+#[derive(Clone, Default)]
+struct Writer(Arc<Mutex<Option<AsyncGuard>>>);
+
+impl fmt::Debug for Writer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_tuple("Writer").field(&lock(&self.0).is_some()).finish()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Leaves lines out rather than let anybody wait.
 struct Bounded {
     core: AsyncCore,
@@ -63,7 +98,7 @@
 
 impl Bounded {
     fn has_room(&self) -> bool {
-        let mut window = self.window.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut window = lock(&self.window);
         let (since, lines) = window.get_or_insert((Instant::now(), 0));
         if since.elapsed() >= WINDOW {
             (*since, *lines) = (Instant::now(), 0);
