Log the requests that the end of a gateway cuts

`cut_at_stop` names a request without an answer, which waited if it has no `sent` line, and `stream_cut` has the cause "this host ends".

--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -1,5 +1,7 @@
+use std::future;
 use std::sync::Arc;
 
+use async_std::prelude::FutureExt;
 use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
 use lycheeford_policy::{Name, Refusal, TimeMs};
 use slog::{info, warn};
@@ -47,7 +49,18 @@
         let arrived_at = state.now();
         let id = request.id.clone();
         let mut unanswered = Unanswered { state, id: &id, arrived_at, is_over: false };
-        let mut response = match self.serve(request, arrived_at).await {
+        let served = async { Some(self.serve(request, arrived_at).await) };
+        let ending = async {
+            state.ending.triggered().await;
+            None
+        };
+        let Some(served) = served.race(ending).await else {
+            unanswered.is_over = true;
+            info!(state.log, "cut_at_stop";
+                "id" => id.as_str(), "total_ms" => state.now().since_ms(arrived_at));
+            return future::pending().await;
+        };
+        let mut response = match served {
             Ok(response) => response,
             Err(refusal) => {
                 state.metrics.refused(refusal.code);
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -34,6 +34,7 @@
     Done,
     HungUp,
     OutOfTime,
+    HostEnds,
     Broken(TargetError),
 }
 
@@ -41,6 +42,7 @@
 enum Next {
     Chunk(Result<Option<Vec<u8>>, TargetError>),
     HungUp,
+    HostEnds,
 }
 
 impl Relay {
@@ -69,6 +71,7 @@
                 }
                 End::HungUp => return self.log_cut("caller left", &chosen.id),
                 End::OutOfTime => return self.log_cut("out of time", &chosen.id),
+                End::HostEnds => return self.log_cut("this host ends", &chosen.id),
                 End::Broken(error) => {
                     let is_done = self.is_caller_gone();
                     self.attempts.broke_off(&chosen, &error);
@@ -139,6 +142,7 @@
                 Err(_) if patience_ms >= left_ms => return End::OutOfTime,
                 Err(_) => return End::Broken(TargetError::out_of_time(patience_ms)),
                 Ok(Next::HungUp) => return End::HungUp,
+                Ok(Next::HostEnds) => return End::HostEnds,
                 Ok(Next::Chunk(Err(error))) => return End::Broken(error),
                 Ok(Next::Chunk(Ok(None))) => {
                     let rest = self.boundary.take_rest();
@@ -199,7 +203,11 @@
             self.sender.hung_up().await;
             Next::HungUp
         };
-        chunk.race(hung_up).await
+        let host_ends = async {
+            self.attempts.state.ending.triggered().await;
+            Next::HostEnds
+        };
+        chunk.race(hung_up).race(host_ends).await
     }
 
     fn log_cut(&self, cause: &str, target: &str) {
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -135,6 +135,7 @@
     let left_ms = grace_ms.saturating_sub(take_ms + END_MS);
     // What still runs then is cut; the process would be killed otherwise.
     let _ = timeout(Duration::from_millis(left_ms), serving).await;
+    state.ending.trigger();
     // An object that stays is deleted later by the holder of orders.
     let _ = timeout(Duration::from_millis(FORGET_MS_MAX), forget_own_host(state)).await;
 }
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -3,6 +3,7 @@
 
 use arc_swap::ArcSwapOption;
 use async_std::channel::{Receiver, Sender, bounded};
+use lycheeford_caller::Stop;
 use lycheeford_platform::FollowPace;
 use lycheeford_policy::{
     Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, RetryShare, SharedWatch,
@@ -67,6 +68,8 @@
     is_registered: AtomicBool,
     knows_targets: AtomicBool,
     is_draining: AtomicBool,
+    /// Triggered when the process is about to end, whatever still runs.
+    pub(crate) ending: Stop,
     requests_running: AtomicU64,
     last_number: AtomicU64,
     /// Wakes the task that tells the holder of orders what requests wait for.
@@ -118,6 +121,7 @@
             is_registered: AtomicBool::new(false),
             knows_targets: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            ending: Stop::new(),
             requests_running: AtomicU64::new(0),
             last_number: AtomicU64::new(0),
             want_changed: bounded(1),
