Answer what a stopping gateway has taken before it ends, and begin only what ends in time

Cause: waits and runs were bounded by the caller's deadline alone. A request for a model that wasn't loaded could wait twice its objective (4 s) at a host with 3.9 s left; nothing answered what still waited or ran when the process ended. The failing cases of the test show the same for a request that waits for a place, one that runs at its target and a stream. Change: StopPlan says when a stopping host begins no more requests of a service, by how long its last ones ran (RunTimes), and when those without an answer get a final one. A request that can't begin by then is refused at once as not run, with when to come back, also when it waits already; another host can serve it. What may have run is told so.

--- a/crates/lycheeford-caller/src/refusal.rs
+++ b/crates/lycheeford-caller/src/refusal.rs
@@ -55,7 +55,8 @@
         | RefusalCode::Overloaded
         | RefusalCode::NoTarget
         | RefusalCode::PlatformUnavailable
-        | RefusalCode::ConfigurationStale => 503,
+        | RefusalCode::ConfigurationStale
+        | RefusalCode::HostStopping => 503,
         RefusalCode::DeadlinePassed => 504,
     }
 }
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -11,21 +11,28 @@
 use crate::Reply;
 use crate::state::ANSWER_BYTES_MAX;
 
-/// Sends a request and returns its answer; a stream goes on after its first events.
+/// What came of a request.
+pub(super) enum Answered {
+    Whole(CallerResponse),
+    /// The head of a stream, whose events are still to come.
+    Stream(Box<Answering>),
+}
+
+/// Sends a request and returns its answer, or that of its stream which has begun.
 ///
 /// # Errors
 ///
 /// Refuses a request that no target answered.
-pub(super) async fn answer(mut attempts: Attempts) -> Result<CallerResponse, Refusal> {
+pub(super) async fn answer(attempts: &mut Attempts) -> Result<Answered, Refusal> {
     let resume_after = attempts.admitted.request.resume_after.clone();
     loop {
         let answering = attempts.send(resume_after.as_deref()).await?;
         let is_stream = attempts.admitted.route.kind.is_stream();
         if is_stream && answering.response.status == 200 && answering.reply == Reply::Ran {
-            return Ok(stream(attempts, answering));
+            return Ok(Answered::Stream(Box::new(answering)));
         }
-        match whole(&attempts, answering).await {
-            Ok(response) => return Ok(response),
+        match whole(attempts, answering).await {
+            Ok(response) => return Ok(Answered::Whole(response)),
             Err((chosen, error)) => {
                 attempts.broke_off(&chosen, &error);
                 if !attempts.may_repeat() {
@@ -37,6 +44,15 @@
     }
 }
 
+/// Passes on a stream that has begun, in a task of its own.
+pub(super) fn stream(attempts: Attempts, answering: Answering) -> CallerResponse {
+    let (sender, receiver) = chunk_channel();
+    let status = answering.response.status;
+    let headers = answering.response.headers.clone();
+    task::spawn(Relay::new(attempts, sender).run(answering));
+    CallerResponse { status, headers, body: CallerBody::Stream(receiver) }
+}
+
 /// Reads a whole answer and returns it unchanged.
 async fn whole(
     attempts: &Attempts,
@@ -59,11 +75,3 @@
     attempts.log_answered(status, &place.chosen.id, body.len());
     Ok(CallerResponse { status, headers, body: CallerBody::Whole(body) })
 }
-
-fn stream(attempts: Attempts, answering: Answering) -> CallerResponse {
-    let (sender, receiver) = chunk_channel();
-    let status = answering.response.status;
-    let headers = answering.response.headers.clone();
-    task::spawn(Relay::new(attempts, sender).run(answering));
-    CallerResponse { status, headers, body: CallerBody::Stream(receiver) }
-}
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -7,7 +7,7 @@
 use slog::info;
 
 use super::admission::Admitted;
-use super::place::{Place, take_place};
+use super::place::{Place, host_stopping, take_place};
 use crate::state::State;
 use crate::{Dispatch, NotRun, Reply};
 
@@ -36,6 +36,9 @@
     /// The targets that ran it, or may have.
     runs: u32,
     sends: u32,
+    first_sent_at: Option<TimeMs>,
+    /// Whether a target has the request and has said nothing of it yet.
+    is_at_target: bool,
 }
 
 /// A target's answer whose head has come.
@@ -48,7 +51,15 @@
 
 impl Attempts {
     pub(super) fn new(state: Arc<State>, admitted: Admitted) -> Attempts {
-        Attempts { state, admitted, ran: Ran::NotRun, runs: 0, sends: 0 }
+        Attempts {
+            state,
+            admitted,
+            ran: Ran::NotRun,
+            runs: 0,
+            sends: 0,
+            first_sent_at: None,
+            is_at_target: false,
+        }
     }
 
     /// Returns how often the request was sent.
@@ -79,9 +90,12 @@
                 return Err(self.out_of_time());
             }
             self.sends += 1;
+            self.first_sent_at.get_or_insert(now);
             self.log_sent(&place.chosen, now);
             let request = self.target_request(&place.chosen, now, resume_after);
+            self.is_at_target = true;
             let called = self.state.targets.call(place.chosen.address, &request).await;
+            self.is_at_target = false;
             match called {
                 Err(error) => self.call_failed(place, &error)?,
                 Ok(response) => {
@@ -226,7 +240,11 @@
     /// Writes the line of a request that was answered.
     pub(super) fn log_answered(&self, status: u16, target: &str, body_bytes: usize) {
         let admitted = &self.admitted;
-        let total_ms = self.state.now().since_ms(admitted.arrived_at);
+        let now = self.state.now();
+        let total_ms = now.since_ms(admitted.arrived_at);
+        if let Some(first_sent_at) = self.first_sent_at {
+            self.state.run_times().ended(&admitted.need.service, now.since_ms(first_sent_at));
+        }
         self.state.metrics.answered(admitted.customer.as_ref(), admitted.priority, total_ms);
         info!(self.state.log, "answered";
             "id" => admitted.request.id.as_str(), "route" => admitted.route.name.as_str(),
@@ -302,6 +320,21 @@
         Refusal::not_run(RefusalCode::TargetFailed, message, Some(RETRY_MS)).after(self.ran)
     }
 
+    /// Returns the refusal of a request that has no answer when this host ends.
+    pub(super) fn host_stops(&mut self) -> Refusal {
+        if self.is_at_target {
+            self.ran = self.ran.max(Ran::Unknown);
+            if let Some(charge) = &mut self.admitted.charge {
+                charge.spend();
+            }
+        }
+        if self.ran == Ran::NotRun {
+            return host_stopping();
+        }
+        let message = "this host ends before the target has answered; ask what became of it";
+        Refusal::not_run(RefusalCode::TargetFailed, message, Some(RETRY_MS)).after(self.ran)
+    }
+
     pub(super) fn out_of_time(&self) -> Refusal {
         let message = "the time for the request is up; send it with a longer deadline";
         let code = match self.ran {
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -1,4 +1,3 @@
-use std::future;
 use std::sync::Arc;
 
 use async_std::prelude::FutureExt;
@@ -7,7 +6,7 @@
 use slog::{info, warn};
 
 use super::admission::admit;
-use super::answer::answer;
+use super::answer::{Answered, answer, stream};
 use super::attempt::Attempts;
 use crate::GatewayRequest;
 use crate::state::State;
@@ -49,18 +48,7 @@
         let arrived_at = state.now();
         let id = request.id.clone();
         let mut unanswered = Unanswered { state, id: &id, arrived_at, is_over: false };
-        let served = async { Some(self.serve(request, arrived_at).await) };
-        let ending = async {
-            state.ending.triggered().await;
-            None
-        };
-        let Some(served) = served.race(ending).await else {
-            unanswered.is_over = true;
-            info!(state.log, "cut_at_stop";
-                "id" => id.as_str(), "total_ms" => state.now().since_ms(arrived_at));
-            return future::pending().await;
-        };
-        let mut response = match served {
+        let mut response = match self.serve(request, arrived_at).await {
             Ok(response) => response,
             Err(refusal) => {
                 state.metrics.refused(refusal.code);
@@ -96,7 +84,17 @@
         arrived_at: TimeMs,
     ) -> Result<CallerResponse, Refusal> {
         let admitted = admit(&self.state, request, arrived_at)?;
-        answer(Attempts::new(Arc::clone(&self.state), admitted)).await
+        let mut attempts = Attempts::new(Arc::clone(&self.state), admitted);
+        let answered = async { Some(answer(&mut attempts).await) };
+        let answers_due = async {
+            self.state.answers_due.triggered().await;
+            None
+        };
+        let answered = answered.race(answers_due).await;
+        match answered.unwrap_or_else(|| Err(attempts.host_stops()))? {
+            Answered::Whole(response) => Ok(response),
+            Answered::Stream(answering) => Ok(stream(attempts, *answering)),
+        }
     }
 }
 
--- a/crates/lycheeford-gateway/src/request/place.rs
+++ b/crates/lycheeford-gateway/src/request/place.rs
@@ -19,6 +19,8 @@
 const WAIT_PART: f64 = 0.6;
 /// How long a request waits for a model to be loaded, as a multiple of its objective.
 const LOAD_PATIENCE_FACTOR: u64 = 2;
+/// When the caller of a host that stops should ask another one.
+const STOPPING_RETRY_MS: u64 = 50;
 /// The least and the most time until a refused caller should come back.
 const RETRY_MS_MIN: u64 = 200;
 const RETRY_MS_MAX: u64 = 1_200;
@@ -78,6 +80,9 @@
 /// Refuses a request that can't have one in time, at once where that is known.
 pub(super) async fn take_place(state: &Arc<State>, admitted: &Admitted) -> Result<Place, Refusal> {
     let now = state.now();
+    if must_not_begin(state, admitted, now) {
+        return Err(host_stopping());
+    }
     let waiting = Waiting {
         id: state.next_number(),
         need: admitted.need.clone(),
@@ -111,7 +116,11 @@
     let mut give_up_at = now + patience_ms;
     let mut is_promised = false;
     loop {
-        let slice_ms = give_up_at.since_ms(state.now()).min(LOOK_MS);
+        let now = state.now();
+        if must_not_begin(state, admitted, now) {
+            return Err(host_stopping());
+        }
+        let slice_ms = give_up_at.since_ms(now).min(LOOK_MS);
         match timeout(Duration::from_millis(slice_ms), in_queue.receiver.recv()).await {
             Ok(Ok(chosen)) => return Ok(in_queue.place(chosen)),
             Ok(Err(_)) => return Err(overloaded(patience_ms)),
@@ -129,6 +138,9 @@
             if ready_at + ANSWER_MS_MIN >= admitted.final_at {
                 return Err(not_loaded(ready_at.since_ms(now)));
             }
+            if must_not_begin(state, admitted, ready_at) {
+                return Err(host_stopping());
+            }
             // The load is under way or has its turn, so that waiting is worth it; a time that
             // is put off again isn't waited for.
             if !is_promised {
@@ -143,6 +155,17 @@
     }
 }
 
+/// Returns whether this host stops, and ends too soon for a request that is sent at `sent_at`.
+fn must_not_begin(state: &State, admitted: &Admitted, sent_at: TimeMs) -> bool {
+    state.begin_by(&admitted.need.service).is_some_and(|begin_by| sent_at > begin_by)
+}
+
+/// Returns the refusal of a request that another host can still serve.
+pub(super) fn host_stopping() -> Refusal {
+    let message = "this host stops; send the request to another address";
+    Refusal::not_run(RefusalCode::HostStopping, message, Some(STOPPING_RETRY_MS))
+}
+
 /// Returns when the holder of orders expects that the model is ready.
 fn ready_at(state: &State, admitted: &Admitted) -> Option<TimeMs> {
     state.dispatcher().ready_at(admitted.need.model.as_ref()?)
@@ -173,6 +196,9 @@
             if expected_ms > share_ms {
                 return Err(overloaded(expected_ms - share_ms));
             }
+            if must_not_begin(state, admitted, now + expected_ms) {
+                return Err(host_stopping());
+            }
             Ok(share_ms)
         }
     }
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -4,8 +4,10 @@
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, UdpSocket};
+use async_std::prelude::FutureExt;
 use async_std::task;
 use lycheeford_caller::{Service, Stop, serve_service};
+use lycheeford_policy::TimeMs;
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
 
@@ -21,10 +23,6 @@
 const DISPATCH_MS: u64 = 40;
 /// How often lines that were left out are counted in the log.
 const LEFT_OUT_MS: u64 = 1_000;
-/// The part of the grace for which a stopping host goes on taking callers.
-const TAKE_PART: f64 = 0.55;
-/// What is left of the grace when a stopping host ends whatever still runs.
-const END_MS: u64 = 400;
 /// How long the last calls to the store may take.
 const FORGET_MS_MAX: u64 = 200;
 
@@ -126,20 +124,25 @@
 
 /// Goes on serving until callers have heard that this host goes, then finishes what runs.
 async fn drain(state: &Arc<State>, front_stop: &Stop, serving: task::JoinHandle<()>) {
-    state.start_draining();
+    let plan = state.start_draining();
     info!(state.log, "draining"; "requests_running" => state.requests_running());
-    let grace_ms = state.settings.stop_grace_ms;
-    let take_ms = (grace_ms as f64 * TAKE_PART) as u64;
-    task::sleep(Duration::from_millis(take_ms)).await;
+    sleep_until(state, plan.accept_until()).await;
     front_stop.trigger();
-    let left_ms = grace_ms.saturating_sub(take_ms + END_MS);
-    // What still runs then is cut; the process would be killed otherwise.
-    let _ = timeout(Duration::from_millis(left_ms), serving).await;
+    let out_of_grace = async {
+        sleep_until(state, plan.answer_by()).await;
+        state.answers_due.trigger();
+        sleep_until(state, plan.end_by()).await;
+    };
+    serving.race(out_of_grace).await;
     state.ending.trigger();
     // An object that stays is deleted later by the holder of orders.
     let _ = timeout(Duration::from_millis(FORGET_MS_MAX), forget_own_host(state)).await;
 }
 
+async fn sleep_until(state: &State, at: TimeMs) {
+    task::sleep(Duration::from_millis(at.since_ms(state.now()))).await;
+}
+
 fn serve_page<S: Service>(listener: TcpListener, page: S, stop: &Stop) {
     task::spawn(serve_service(listener, page, stop.clone()));
 }
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -1,13 +1,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use async_std::channel::{Receiver, Sender, bounded};
 use lycheeford_caller::Stop;
 use lycheeford_platform::FollowPace;
 use lycheeford_policy::{
-    Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, RetryShare, SharedWatch,
-    TimeMs,
+    Confirmation, CrashSuspects, DemandTable, Deployment, Name, PeerState, RetryShare, RunTimes,
+    SharedWatch, StopPlan, TimeMs,
 };
 use lycheeford_target::{TargetClient, TargetLimits, Unframed};
 use slog::Logger;
@@ -38,7 +38,7 @@
 ///
 /// A task holds one lock at a time and never across an await. Where two are
 /// needed, the order is the order of the fields: `dispatcher`, `membership`,
-/// `orders`, `demand`, `rates`, `retries`, `suspects`, `confirmation`, `target_watch`.
+/// `orders`, `demand`, `rates`, `retries`, `run_times`, `suspects`, `confirmation`, `target_watch`.
 pub(crate) struct State {
     pub(crate) settings: GatewaySettings,
     pub(crate) edges: Edges,
@@ -57,6 +57,7 @@
     demand: Mutex<DemandTable>,
     rates: Mutex<Rates>,
     retries: Mutex<RetryShare>,
+    run_times: Mutex<RunTimes>,
     suspects: Mutex<CrashSuspects>,
     confirmation: Mutex<Confirmation>,
     target_watch: Mutex<SharedWatch>,
@@ -67,7 +68,9 @@
     pub(crate) told_wants: AtomicBool,
     is_registered: AtomicBool,
     knows_targets: AtomicBool,
-    is_draining: AtomicBool,
+    stop_plan: OnceLock<StopPlan>,
+    /// Triggered when requests that still have no answer get a final one.
+    pub(crate) answers_due: Stop,
     /// Triggered when the process is about to end, whatever still runs.
     pub(crate) ending: Stop,
     requests_running: AtomicU64,
@@ -112,6 +115,7 @@
             dispatcher: Mutex::default(),
             demand: Mutex::default(),
             rates: Mutex::default(),
+            run_times: Mutex::default(),
             suspects: Mutex::default(),
             confirmation: Mutex::default(),
             target_watch: Mutex::default(),
@@ -120,7 +124,8 @@
             told_wants: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
             knows_targets: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
+            stop_plan: OnceLock::new(),
+            answers_due: Stop::new(),
             ending: Stop::new(),
             requests_running: AtomicU64::new(0),
             last_number: AtomicU64::new(0),
@@ -157,6 +162,10 @@
         lock(&self.retries)
     }
 
+    pub(crate) fn run_times(&self) -> MutexGuard<'_, RunTimes> {
+        lock(&self.run_times)
+    }
+
     pub(crate) fn suspects(&self) -> MutexGuard<'_, CrashSuspects> {
         lock(&self.suspects)
     }
@@ -201,12 +210,20 @@
         self.knows_targets.store(true, Ordering::Release);
     }
 
-    pub(crate) fn start_draining(&self) {
-        self.is_draining.store(true, Ordering::Release);
+    /// Returns when this host, which was told to stop now, does what.
+    pub(crate) fn start_draining(&self) -> StopPlan {
+        let plan = || StopPlan::new(self.now(), self.settings.stop_grace_ms);
+        *self.stop_plan.get_or_init(plan)
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Acquire)
+        self.stop_plan.get().is_some()
+    }
+
+    /// Returns until when a request of `service` may be sent to a target, if this host stops.
+    pub(crate) fn begin_by(&self, service: &Name) -> Option<TimeMs> {
+        let plan = self.stop_plan.get()?;
+        Some(plan.begin_by(self.run_times().most_ms(service)))
     }
 
     /// Counts a request as running until the guard is dropped.
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 //! - `swap_planner`: rare models that are asked for at once on few engines.
 //! - `adapter_planner`: many adapters on few places.
 //! - `placement_log`: hosts that would all ask the store for the same changes.
+//! - `stop_plan`, `run_times`: requests that come while the host is being restarted.
 //! - `event_boundary`: streams that break in the middle of an event.
 
 mod adapter_planner;
@@ -37,9 +38,11 @@
 mod placement_log;
 mod report_layout;
 mod retry_share;
+mod run_times;
 mod shared_bucket;
 mod shared_watch;
 mod short_key;
+mod stop_plan;
 mod store_absence;
 mod swap_planner;
 mod target_entry;
@@ -66,9 +69,11 @@
 pub use self::placement_log::PlacementLog;
 pub use self::report_layout::{PartnerRole, ReportLayout};
 pub use self::retry_share::RetryShare;
+pub use self::run_times::RunTimes;
 pub use self::shared_bucket::SharedBucket;
 pub use self::shared_watch::SharedWatch;
 pub use self::short_key::ShortKey;
+pub use self::stop_plan::StopPlan;
 pub use self::store_absence::StoreAbsence;
 pub use self::swap_planner::{
     EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlan,
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -70,10 +70,10 @@
     HostTable, KeyDigest, KnownHost, LeaseExpect, LeaseRecord, LeaseStep, ModelDemand, Need,
     OrderLease, OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer, PeerNews, PeerReport, PeerState,
     PeerTable, PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportedLease,
-    ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunningAt,
-    Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums, SwapAction,
-    SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth,
-    TargetService, TargetState, TargetTable, Tried, WaitQueue, Waiting, WantedName,
+    ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes,
+    RunningAt, Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StopPlan, StoreAbsence,
+    Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure,
+    TargetHealth, TargetService, TargetState, TargetTable, Tried, WaitQueue, Waiting, WantedName,
     WeightedService,
 };
 pub use crate::gone::GoneProofs;
--- a/crates/lycheeford-policy/src/refusal.rs
+++ b/crates/lycheeford-policy/src/refusal.rs
@@ -101,6 +101,8 @@
     PlatformUnavailable,
     /// This host can't confirm that its configuration is current.
     ConfigurationStale,
+    /// The host stops before the request could be answered.
+    HostStopping,
     /// A request with this idempotency key has been dispatched and its outcome isn't known.
     OutcomeUnknown,
     /// The idempotency key was used with another request.
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod order_lease;
 mod placement;
 mod rates;
+mod stopping;
 mod streams;
 mod targets;
 mod world;
