Leave a stream that pauses only for a target that can go on with it

Cause: a pause was taken for a broken stream. Giving up the target that has the stream came before knowing whether anybody else can have it. Ruled out: the end of the host (it ended 4 s later), a target that broke off (it ran until we closed). Change: after a pause the stream stays where it is, and is left only when another target has a place for it and the retry budget has a repeat; `stream_paused` tells it. Test: a_stream_that_pauses_is_cut_only_for_a_target_that_goes_on failed before in its first case (the answer was cut after one event); the case with a second target that holds the model moves, as before.

--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -73,17 +73,38 @@
     ///
     /// Refuses with all that is known of whether an attempt ran.
     pub(super) async fn send(&mut self, resume_after: Option<&str>) -> Result<Answering, Refusal> {
-        let sent = self.try_targets(resume_after).await;
+        let sent = self.try_targets(None, resume_after).await;
         sent.map_err(|refusal| refusal.after(self.ran))
     }
 
-    async fn try_targets(&mut self, resume_after: Option<&str>) -> Result<Answering, Refusal> {
+    /// Does the same, beginning at a target that has a place for the request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with all that is known of whether an attempt ran.
+    pub(super) async fn send_to(
+        &mut self,
+        place: Place,
+        resume_after: Option<&str>,
+    ) -> Result<Answering, Refusal> {
+        let sent = self.try_targets(Some(place), resume_after).await;
+        sent.map_err(|refusal| refusal.after(self.ran))
+    }
+
+    async fn try_targets(
+        &mut self,
+        mut first: Option<Place>,
+        resume_after: Option<&str>,
+    ) -> Result<Answering, Refusal> {
         let service = self.admitted.need.service.clone();
         if self.sends == 0 {
             self.state.retries().requested(self.state.now(), &service);
         }
         loop {
-            let place = take_place(&self.state, &self.admitted).await?;
+            let place = match first.take() {
+                Some(place) => place,
+                None => take_place(&self.state, &self.admitted).await?,
+            };
             self.admitted.recheck(&self.state)?;
             let now = self.state.now();
             if now >= self.admitted.final_at {
@@ -217,12 +238,16 @@
 
     /// Returns whether the request may run once more, and takes it out of the budget.
     pub(super) fn may_repeat(&self) -> bool {
+        self.could_repeat() && self.take_repeat()
+    }
+
+    /// Returns whether the request may run once more if the budget allows it.
+    pub(super) fn could_repeat(&self) -> bool {
         self.admitted.route.kind.is_repeatable()
             && self.runs < self.admitted.route.attempts_max
             && self.sends < SENDS_MAX
             && self.state.now() < self.admitted.final_at
             && !self.is_suspect()
-            && self.take_repeat()
     }
 
     /// Writes the line of the choice of a target.
@@ -258,6 +283,11 @@
         self.admitted.need.excluded.push(chosen.id.clone());
     }
 
+    /// Lets the target that was excluded last be chosen again.
+    pub(super) fn readmit_last(&mut self) {
+        self.admitted.need.excluded.pop();
+    }
+
     fn is_suspect(&self) -> bool {
         let verdict = self.state.suspects().verdict(self.admitted.fingerprint);
         verdict == CrashVerdict::Refuse
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -1,3 +1,4 @@
+use std::future::{self, Future};
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -8,10 +9,11 @@
 use slog::info;
 
 use super::attempt::{Answering, Attempts};
+use super::place::{Place, take_place};
 use crate::Reply;
 
-/// The pause between events after which a resumable stream goes on elsewhere,
-/// as a multiple of the longest pause that is on time.
+/// The pause between events after which a resumable stream is taken over by another
+/// target that can, as a multiple of the longest pause that is on time.
 const STALL_FACTOR: u64 = 3;
 const STALL_MS_MIN: u64 = 1_000;
 
@@ -36,6 +38,8 @@
     OutOfTime,
     HostEnds,
     Broken(TargetError),
+    /// It paused, and another target has a place for it.
+    Moves(TargetError, Place),
 }
 
 /// What came next of a stream.
@@ -45,6 +49,13 @@
     HostEnds,
 }
 
+/// What came first after a stream had paused for too long.
+enum AfterPause {
+    Next(Next),
+    Elsewhere(Place),
+    OutOfTime,
+}
+
 impl Relay {
     pub(super) fn new(attempts: Attempts, sender: ChunkSender) -> Relay {
         let resume_after = attempts.admitted.request.resume_after.clone();
@@ -63,8 +74,7 @@
         let mut answering = answering;
         loop {
             let chosen = answering.place.chosen.clone();
-            let end = self.copy(answering).await;
-            match end {
+            let next_place = match self.copy(answering).await {
                 End::Done => {
                     self.attempts.log_answered(200, &chosen.id, self.sent_bytes);
                     return self.sender.finish();
@@ -80,9 +90,15 @@
                         return;
                     }
                     self.attempts.exclude(&chosen);
+                    None
                 }
-            }
-            match self.resume().await {
+                End::Moves(error, place) => {
+                    self.attempts.broke_off(&chosen, &error);
+                    self.log_cut(&error.to_string(), &chosen.id);
+                    Some(place)
+                }
+            };
+            match self.resume(next_place).await {
                 Some(resumed) => answering = resumed,
                 None => return,
             }
@@ -94,11 +110,17 @@
     }
 
     /// Lets another target go on after the last event that the caller has.
-    async fn resume(&mut self) -> Option<Answering> {
+    async fn resume(&mut self, place: Option<Place>) -> Option<Answering> {
         let resume_after = self.resume_after.clone();
         // The bytes of an event that isn't whole come again from the next target.
         self.boundary = EventBoundary::default();
-        let sending = async { Some(self.attempts.send(resume_after.as_deref()).await) };
+        let sending = async {
+            let resume_after = resume_after.as_deref();
+            Some(match place {
+                Some(place) => self.attempts.send_to(place, resume_after).await,
+                None => self.attempts.send(resume_after).await,
+            })
+        };
         let hung_up = async {
             self.sender.hung_up().await;
             None
@@ -138,18 +160,27 @@
             let left_ms = final_at.since_ms(now);
             let patience_ms = self.patience_ms(is_first, now).min(left_ms);
             let next = timeout(Duration::from_millis(patience_ms), self.next(&mut body)).await;
-            let chunk = match next {
+            let next = match next {
+                Ok(next) => next,
                 Err(_) if patience_ms >= left_ms => return End::OutOfTime,
-                Err(_) => return End::Broken(TargetError::out_of_time(patience_ms)),
-                Ok(Next::HungUp) => return End::HungUp,
-                Ok(Next::HostEnds) => return End::HostEnds,
-                Ok(Next::Chunk(Err(error))) => return End::Broken(error),
-                Ok(Next::Chunk(Ok(None))) => {
+                Err(_) => match self.wait_on(&place.chosen, &mut body).await {
+                    AfterPause::Next(next) => next,
+                    AfterPause::Elsewhere(place) => {
+                        return End::Moves(TargetError::out_of_time(patience_ms), place);
+                    }
+                    AfterPause::OutOfTime => return End::OutOfTime,
+                },
+            };
+            let chunk = match next {
+                Next::HungUp => return End::HungUp,
+                Next::HostEnds => return End::HostEnds,
+                Next::Chunk(Err(error)) => return End::Broken(error),
+                Next::Chunk(Ok(None)) => {
                     let rest = self.boundary.take_rest();
                     let sent = self.send(rest).await;
                     return if sent { End::Done } else { End::HungUp };
                 }
-                Ok(Next::Chunk(Ok(Some(chunk)))) => chunk,
+                Next::Chunk(Ok(Some(chunk))) => chunk,
             };
             let whole = self.boundary.push(&chunk);
             if whole.is_empty() {
@@ -168,6 +199,50 @@
         }
     }
 
+    /// Waits on for a stream that has paused, until another target can take it over.
+    ///
+    /// A target that is only busy goes on later; a stream that nobody else can
+    /// go on with would be lost if it were cut for its silence.
+    async fn wait_on(&mut self, chosen: &Chosen, body: &mut TargetBody) -> AfterPause {
+        info!(self.attempts.state.log, "stream_paused";
+            "id" => self.attempts.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
+            "events" => self.boundary.events());
+        if self.attempts.could_repeat() {
+            self.attempts.exclude(chosen);
+            match self.next_or_place(body).await {
+                AfterPause::Elsewhere(place) if self.attempts.may_repeat() => {
+                    return AfterPause::Elsewhere(place);
+                }
+                // The place is given back: there are no repeats left.
+                AfterPause::Elsewhere(_) => self.attempts.readmit_last(),
+                after_pause => {
+                    self.attempts.readmit_last();
+                    return after_pause;
+                }
+            }
+        }
+        self.within_time(async { AfterPause::Next(self.next(body).await) }).await
+    }
+
+    async fn next_or_place(&self, body: &mut TargetBody) -> AfterPause {
+        let attempts = &self.attempts;
+        let next = async { AfterPause::Next(self.next(body).await) };
+        let elsewhere = async {
+            match take_place(&attempts.state, &attempts.admitted).await {
+                Ok(place) => AfterPause::Elsewhere(place),
+                Err(_) => future::pending().await,
+            }
+        };
+        self.within_time(next.race(elsewhere)).await
+    }
+
+    async fn within_time(&self, after_pause: impl Future<Output = AfterPause>) -> AfterPause {
+        let admitted = &self.attempts.admitted;
+        let left_ms = admitted.final_at.since_ms(self.attempts.state.now());
+        let in_time = timeout(Duration::from_millis(left_ms), after_pause).await;
+        in_time.unwrap_or(AfterPause::OutOfTime)
+    }
+
     fn note_first(&mut self, chosen: &Chosen, sent_at: TimeMs) {
         let state = &self.attempts.state;
         let now = state.now();
