Answer every request before a stopping daemon ends, and end it within its grace

Callers saw: a daemon that was told to stop and killed 8 s later closed every connection that waited or ran without an answer: a request that waited for a load, a stream, a whole completion, an idempotent call, an at-most-once call and a request whose body hadn't come whole, and also one taken 1 s after the signal for a load declared with 30 s (7 of 7 closed, each 8.0 s after SIGTERM).

Cause: the drain had no end that requests knew of. So the daemon never ended by itself while a request was open, and whoever stopped it cut what was left.

Ruled out: that the daemon closes connections itself at the end of the drain (it was still running at 130 s), and that connections are closed as idle (`DRAIN_IDLE_MS` counts only without a request).

Change: `stop_grace_ms` is a setting, 120 s as the bound was meant to be and 6 s at least, so that the addresses that callers keep age out first. `StopPlan` is made from the moment of the stop and the grace; 2 s before its end whatever is left is answered. One race in the front covers all places where a request waits. `Handover` settles whether a request was sent before it was ended: not sent is refused as not run with when to come back and can't be sent any more, sent is answered as unknown; a stream gets that as its last event. A load that ends too late, by what the coordinator expects or what is declared, is refused when the drain begins or at arrival. `Stop::hurry` refuses requests that haven't come whole. At-most-once calls go on after their callers hung up; they now count as running, and the ledger is told when they are given up.

Not done: how long a target will run isn't estimated, so that work whose run alone outlasts the grace is begun and gets the answer `unknown` (or `ran`).

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -107,7 +107,9 @@
         }
         let id = new_request_id();
         let mut memory = self.server.budget.reservation();
-        match self.read_request(&id, &mut memory).await {
+        let stop = self.server.stop.clone();
+        let read = unless(stop.hurried(), self.read_request(&id, &mut memory)).await;
+        match read.unwrap_or_else(|| Err(Rejection::Unframed(stopping()))) {
             Ok((request, method, persistence)) => {
                 self.answer(&id, request, method, persistence).await
             }
@@ -337,6 +339,10 @@
     Rejection::Unframed(Refusal::not_run(RefusalCode::TooSlow, message, None))
 }
 
+fn stopping() -> Refusal {
+    overloaded("the host shuts down; use another host, or come back later")
+}
+
 fn overloaded(message: &str) -> Refusal {
     Refusal::not_run(RefusalCode::Overloaded, message, Some(RETRY_AFTER_MS))
 }
--- a/crates/lycheeford-caller/src/serve.rs
+++ b/crates/lycheeford-caller/src/serve.rs
@@ -116,6 +116,7 @@
 /// Then it accepts no further connection, closes each one after the answers
 /// that it owes, and returns when all are closed. A connection without a
 /// request is kept for a last moment, since one may already be on its way.
+/// One that hasn't come whole when the stop is hurried is refused.
 pub async fn serve_service<S: Service>(listener: TcpListener, service: S, stop: Stop) {
     let budget = Arc::new(BodyBudget::new(BODIES_BYTES_MAX));
     let server = Arc::new(Server { budget, service, stop });
--- a/crates/lycheeford-caller/src/stop.rs
+++ b/crates/lycheeford-caller/src/stop.rs
@@ -2,7 +2,8 @@
 
 /// Tells a server to stop accepting and to finish what it has.
 ///
-/// Clones share one state; once triggered it stays so.
+/// Clones share one state; once triggered it stays so. A server that must end
+/// soon is hurried besides.
 ///
 /// ```
 /// use lycheeford_caller::Stop;
@@ -15,13 +16,16 @@
 pub struct Stop {
     sender: Sender<()>,
     receiver: Receiver<()>,
+    hurry_sender: Sender<()>,
+    hurry_receiver: Receiver<()>,
 }
 
 impl Stop {
     /// Returns a stop that isn't triggered.
     pub fn new() -> Stop {
         let (sender, receiver) = channel::bounded(1);
-        Stop { sender, receiver }
+        let (hurry_sender, hurry_receiver) = channel::bounded(1);
+        Stop { sender, receiver, hurry_sender, hurry_receiver }
     }
 
     /// Triggers the stop for every clone.
@@ -39,6 +43,18 @@
         // Nothing is ever sent, so this returns only when the channel is closed.
         let _ = self.receiver.recv().await;
     }
+
+    /// Triggers the stop and has requests refused that haven't come whole.
+    pub fn hurry(&self) {
+        self.trigger();
+        self.hurry_sender.close();
+    }
+
+    /// Waits until the server is hurried.
+    pub(crate) async fn hurried(&self) {
+        // As in `triggered`.
+        let _ = self.hurry_receiver.recv().await;
+    }
 }
 
 impl Default for Stop {
--- a/crates/lycheeford-config/src/lib.rs
+++ b/crates/lycheeford-config/src/lib.rs
@@ -56,7 +56,9 @@
 pub use crate::fault::{Category, Fault, Faults};
 pub use crate::grant::{GRANT_BYTES, grant};
 pub use crate::merge::merge;
-pub use crate::settings::{CallerLimits, LogLevel, Settings, SettingsError, WeightStoreLimits};
+pub use crate::settings::{
+    CallerLimits, LogLevel, STOP_GRACE_MS_MIN, Settings, SettingsError, WeightStoreLimits,
+};
 pub use crate::stored::{
     CHUNK_BYTES_MAX, CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head, assemble, encode,
     encode_declared, encode_keys, missing_chunks,
--- a/crates/lycheeford-config/src/settings.rs
+++ b/crates/lycheeford-config/src/settings.rs
@@ -6,6 +6,10 @@
 use crate::section::Section;
 use crate::value;
 
+/// The shortest grace, within which the addresses that callers keep age out.
+pub const STOP_GRACE_MS_MIN: u64 = 6_000;
+/// The grace of a daemon whose settings state none.
+const STOP_GRACE_MS: u64 = 120_000;
 /// The fields that hold an address, in the order of the file.
 const ADDRESS_FIELDS: [&str; 4] =
     ["caller_address", "peer_address", "operator_address", "platform_address"];
@@ -32,6 +36,8 @@
     pub weight_store: WeightStoreLimits,
     /// The bounds on what a caller may send.
     pub caller_limits: CallerLimits,
+    /// How long the daemon has from the signal to stop until its end.
+    pub stop_grace_ms: u64,
     /// The least severe log line that is written.
     pub log_level: LogLevel,
 }
@@ -124,6 +130,8 @@
     check_overlap(root, &addresses);
     let weight_store = read_weight_store(root);
     let caller_limits = read_caller_limits(root);
+    let stop_grace_ms =
+        root.optional("stop_grace_ms", value::stop_grace_ms).unwrap_or(STOP_GRACE_MS);
     let log_level = root.optional("log_level", value::log_level).unwrap_or(LogLevel::Info);
     let [caller_address, peer_address, operator_address, platform_address] = addresses;
     Some(Settings {
@@ -135,6 +143,7 @@
         platform_address: platform_address?,
         weight_store: weight_store?,
         caller_limits,
+        stop_grace_ms,
         log_level,
     })
 }
--- a/crates/lycheeford-config/src/value.rs
+++ b/crates/lycheeford-config/src/value.rs
@@ -4,7 +4,7 @@
 
 use lycheeford_policy::{Access, Name, Repeat};
 
-use crate::LogLevel;
+use crate::{LogLevel, STOP_GRACE_MS_MIN};
 
 /// Why a value was refused, and what to write instead.
 #[derive(Debug)]
@@ -105,6 +105,18 @@
     above_zero(duration_ms(value)?)
 }
 
+/// Reads a grace in which callers can move on; see [`duration_ms`].
+pub(crate) fn stop_grace_ms(value: &Value) -> Result<u64, Problem> {
+    let grace_ms = duration_ms(value)?;
+    if grace_ms < STOP_GRACE_MS_MIN {
+        return Err(Problem::new(
+            "is too short for callers to move on",
+            format!("allow {STOP_GRACE_MS_MIN} ms or more"),
+        ));
+    }
+    Ok(grace_ms)
+}
+
 /// Reads a size above zero; see [`size_bytes`].
 pub(crate) fn positive_size_bytes(value: &Value) -> Result<u64, Problem> {
     above_zero(size_bytes(value)?)
--- a/crates/lycheeford-config/tests/examples.rs
+++ b/crates/lycheeford-config/tests/examples.rs
@@ -14,6 +14,7 @@
 fn the_settings_state_the_defaults() {
     let settings = Settings::from_yaml(&example("settings.yaml"), "settings.yaml").unwrap();
     assert_eq!(settings.caller_limits, CallerLimits::default());
+    assert_eq!(settings.stop_grace_ms, 120_000);
 }
 
 #[test]
--- a/crates/lycheeford-config/tests/settings.rs
+++ b/crates/lycheeford-config/tests/settings.rs
@@ -25,6 +25,7 @@
     assert_eq!(settings.caller_limits.head_ms_max, 2_000);
     assert_eq!(settings.caller_limits.body_bytes_max, 1 << 20);
     assert_eq!(settings.caller_limits.body_ms_max, 30_000);
+    assert_eq!(settings.stop_grace_ms, 120_000);
     assert_eq!(settings.log_level, LogLevel::Warning);
 }
 
@@ -88,6 +89,11 @@
         edit: ("log_level: warning", "caller_limits: { idle_ms_max: 0 s }"),
         faults: &["settings.yaml: line 8: caller_limits: idle_ms_max: is zero"],
     },
+    Case {
+        name: "a grace in which callers can't move on",
+        edit: ("log_level", "stop_grace_ms: 5 s\nlog_level"),
+        faults: &["settings.yaml: line 8: stop_grace_ms: is too short for callers to move on"],
+    },
     Case {
         name: "zero rate",
         edit: ("8.0", "0"),
--- a/crates/lycheeford-fakes/src/deployment/mod.rs
+++ b/crates/lycheeford-fakes/src/deployment/mod.rs
@@ -33,6 +33,8 @@
     pub base: Document,
     /// The site's overlay.
     pub overlay: Document,
+    /// How long each daemon has to stop; without it, the settings' default.
+    pub stop_grace_ms: Option<u64>,
     kind: DeploymentKind,
     net: u8,
 }
@@ -73,6 +75,7 @@
             services: (0..sizes.services).map(|index| ServicePlan::new(net, index)).collect(),
             base: declared_base(&sizes),
             overlay: declared_overlay(kind),
+            stop_grace_ms: None,
             kind,
             net,
         }
@@ -125,6 +128,9 @@
             // Writing to a string can't fail.
             let _ = writeln!(yaml, "{field}: {value}");
         }
+        if let Some(stop_grace_ms) = self.stop_grace_ms {
+            let _ = writeln!(yaml, "stop_grace_ms: {stop_grace_ms}");
+        }
         let _ = writeln!(yaml, "weight_store:");
         let _ = writeln!(yaml, "  loads_at_once: 4");
         let _ = writeln!(yaml, "  loads_per_s: {loads_per_s}");
--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -4,12 +4,12 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpListener;
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use lycheeford_caller::{Bounds, Stop};
-use lycheeford_config::Settings;
+use lycheeford_config::{STOP_GRACE_MS_MIN, Settings};
 use lycheeford_peer::{Member, PeerLimits, Peers};
 use lycheeford_platform::{Expect, ObjectStore, PlatformError, put_settled};
-use lycheeford_policy::Instance;
+use lycheeford_policy::{Instance, TimeMs};
 use lycheeford_wire::Hello;
 use serde_json::json;
 use slog::{Logger, info, warn};
@@ -26,6 +26,7 @@
 use crate::rates::share_upkeep::{follow_shares, keep_shares};
 use crate::request::front::{ADDRESS_KEEP_MS, Front};
 use crate::state::State;
+use crate::stop_plan::END_MS;
 
 /// The kind of the objects that count the lives of daemons.
 const INCARNATION_KIND: &str = "incarnation";
@@ -43,8 +44,10 @@
 const DRAIN_LOOK_MS: u64 = 200;
 /// How often a draining daemon looks whether it is done.
 const DRAIN_TICK_MS: u64 = 50;
-/// How long a draining daemon waits for its requests at most.
-const DRAIN_MS_MAX: u64 = 120_000;
+/// How long a draining daemon takes callers: a peer hands its address out for as long as an
+/// answer from before the drain counts there, and a caller keeps what it was given.
+const ADDRESSES_AGE_MS: u64 = REACHABLE_MS + ADDRESS_KEEP_MS + CONNECT_MS;
+const _: () = assert!(ADDRESSES_AGE_MS + END_MS <= STOP_GRACE_MS_MIN);
 /// How long it goes on after its last request, so that peers' loans settle.
 const SETTLE_MS: u64 = 300;
 
@@ -84,8 +87,7 @@
     }));
 
     wait_for_drain(&state, &stop).await;
-    drain(&state, &front_stop).await;
-    serving.await;
+    drain(&state, &front_stop, serving).await;
     admin_stop.trigger();
     administering.await;
     info!(state.log, "ended");
@@ -165,20 +167,35 @@
 
 /// Lets the addresses that callers were given age out, then finishes every request.
 ///
-/// A peer hands this host out for as long as an answer from before the drain
-/// counts there, by the peer's own clock; a caller keeps what it was given.
-async fn drain(state: &State, front: &Stop) {
-    state.running.start_draining();
-    info!(state.log, "draining"; "requests" => state.running.requests());
-    task::sleep(Duration::from_millis(REACHABLE_MS + ADDRESS_KEEP_MS + CONNECT_MS)).await;
+/// What isn't finished when the grace runs out is answered with all that is known of it.
+async fn drain(state: &State, front: &Stop, serving: JoinHandle<()>) {
+    state.start_draining();
+    let Some(plan) = state.running.plan() else { return };
+    info!(state.log, "draining";
+        "requests" => state.running.requests(), "grace_ms" => state.settings.stop_grace_ms);
+    task::sleep(Duration::from_millis(ADDRESSES_AGE_MS)).await;
     front.trigger();
-    let started = state.now();
-    while state.running.requests() > 0 && state.now().since_ms(started) < DRAIN_MS_MAX {
-        task::sleep(Duration::from_millis(DRAIN_TICK_MS)).await;
+    let mut finished = Box::pin(finish(state, serving));
+    let left = |until: TimeMs| Duration::from_millis(until.since_ms(state.now()));
+    if timeout(left(plan.answer_by()), finished.as_mut()).await.is_err() {
+        warn!(state.log, "answers what the stop leaves no time for";
+            "requests" => state.running.requests());
+        front.hurry();
+        if timeout(left(plan.ends_at() - SETTLE_MS), finished).await.is_err() {
+            warn!(state.log, "ends with requests open"; "requests" => state.running.requests());
+        }
     }
     task::sleep(Duration::from_millis(SETTLE_MS)).await;
 }
 
+/// Waits until every connection is closed and every request has ended.
+async fn finish(state: &State, serving: JoinHandle<()>) {
+    serving.await;
+    while state.running.requests() > 0 {
+        task::sleep(Duration::from_millis(DRAIN_TICK_MS)).await;
+    }
+}
+
 fn bounds(settings: &Settings) -> Bounds {
     let limits = &settings.caller_limits;
     Bounds {
--- a/crates/lycheefordd/src/main.rs
+++ b/crates/lycheefordd/src/main.rs
@@ -21,6 +21,7 @@
 mod clock;
 mod configuration;
 mod daemon;
+mod handover;
 mod loads;
 mod membership;
 mod objects;
@@ -31,6 +32,7 @@
 mod running;
 mod service;
 mod state;
+mod stop_plan;
 mod table;
 mod versioned;
 mod wake;
--- a/crates/lycheefordd/src/membership/hosts.rs
+++ b/crates/lycheefordd/src/membership/hosts.rs
@@ -107,7 +107,7 @@
         peers.set_members(members);
     }
     state.plan_due.wake();
-    if me_leaving && state.running.start_draining() {
+    if me_leaving && state.start_draining() {
         info!(state.log, "draining, since the platform lists this host as leaving");
     }
 }
--- a/crates/lycheefordd/src/operation/admin.rs
+++ b/crates/lycheefordd/src/operation/admin.rs
@@ -82,7 +82,7 @@
     }
 
     fn drain(&self) -> Answer<'_, DrainReport> {
-        self.state.running.start_draining();
+        self.state.start_draining();
         ready(Ok(DrainReport {
             host: self.state.me.host.clone(),
             requests_running: self.state.running.requests(),
--- a/crates/lycheefordd/src/placement/place.rs
+++ b/crates/lycheefordd/src/placement/place.rs
@@ -1,11 +1,14 @@
+use std::future;
 use std::sync::Arc;
 
 use async_std::channel::Receiver;
+use async_std::prelude::FutureExt;
 use lycheeford_policy::{Name, QueueId, Refusal, RefusalCode};
 
 use super::demand_report::REPORT_MS;
 use super::table::{Place, PlaceRequest, Placed};
 use super::target_life::TargetLife;
+use crate::handover::stopping;
 use crate::state::State;
 
 /// A target that a request runs on, until it is dropped.
@@ -29,8 +32,8 @@
 ///
 /// # Errors
 ///
-/// Refuses at once if that can't be before the deadline, and as soon as the
-/// coordinator finds that it can't.
+/// Refuses at once if that can't be before the deadline or the end of this
+/// host, and as soon as the coordinator finds that it can't.
 pub(crate) async fn place(
     state: &Arc<State>,
     request: &PlaceRequest,
@@ -48,7 +51,15 @@
     };
     state.demand_changed.wake();
     let waiting = Waiting { state, request, id, receiver };
-    match waiting.receiver.recv().await {
+    let placed_in_time = async { Some(waiting.receiver.recv().await) };
+    let too_late_for_stop = async {
+        waiting.outlasts_stop().await;
+        None
+    };
+    let Some(answer) = placed_in_time.race(too_late_for_stop).await else {
+        return Err(stopping());
+    };
+    match answer {
         Ok(Placed::Target(target)) => {
             let waited_ms = state.now().since_ms(arrived);
             Ok(placed(state, request, target, Some(waited_ms)))
@@ -70,6 +81,18 @@
     receiver: Receiver<Placed>,
 }
 
+impl Waiting<'_> {
+    /// Waits until this host drains, and for ever if the load ends in time for that.
+    async fn outlasts_stop(&self) {
+        self.state.running.draining().await;
+        let now = self.state.now();
+        let ready_in_ms = self.state.placement.lock().ready_in_ms(now, &self.request.name);
+        if self.state.running.may_begin(now, ready_in_ms) {
+            future::pending::<()>().await;
+        }
+    }
+}
+
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let mut placement = self.state.placement.lock();
--- a/crates/lycheefordd/src/placement/table.rs
+++ b/crates/lycheefordd/src/placement/table.rs
@@ -108,7 +108,7 @@
             self.started(&request.name, &target);
             return Place::Now(target);
         }
-        let ready_in_ms = self.readiness.ready_in_ms(now, &request.name).unwrap_or(0);
+        let ready_in_ms = self.ready_in_ms(now, &request.name);
         if now + ready_in_ms > request.deadline {
             self.want(now, request, ready_in_ms);
             return Place::TooLate(ready_in_ms);
@@ -124,6 +124,11 @@
         Place::Queued(self.queue.push(now, queued), receiver)
     }
 
+    /// Returns when a model or adapter without a ready replica has one, as far as is known.
+    pub(crate) fn ready_in_ms(&self, now: TimeMs, name: &str) -> u64 {
+        self.readiness.ready_in_ms(now, name).unwrap_or(0)
+    }
+
     pub(crate) fn cancel(&mut self, id: QueueId) {
         self.queue.cancel(id);
     }
--- a/crates/lycheefordd/src/request/complete.rs
+++ b/crates/lycheefordd/src/request/complete.rs
@@ -9,6 +9,7 @@
 use super::completion::{Completion, answer_headers, engine_answer};
 use super::relay::Relay;
 use super::run_alone::run_alone;
+use crate::handover::Handover;
 use crate::operation::metrics::CustomerLabels;
 use crate::rates::reservation::Reserved;
 use crate::state::State;
@@ -21,12 +22,13 @@
 pub(crate) async fn complete(
     state: Arc<State>,
     request: CallerRequest,
+    handover: Arc<Handover>,
 ) -> Result<CallerResponse, Refusal> {
     let arrived = state.now();
     let access = Access::check(&state, &request)?;
     let labels = CustomerLabels::of(&state.configuration.load(), &access.customer.name);
     state.metrics.request(&labels);
-    let served = serve(&state, request, access.clone(), labels, arrived).await;
+    let served = serve(&state, request, handover, access.clone(), labels, arrived).await;
     if let Err(refusal) = &served {
         state.metrics.refusal(Some(&access.customer.name), refusal.code);
         let what = format!("request refused: {:?}: {}", refusal.code, refusal.message);
@@ -38,6 +40,7 @@
 async fn serve(
     state: &Arc<State>,
     request: CallerRequest,
+    handover: Arc<Handover>,
     access: Access,
     labels: CustomerLabels,
     arrived: TimeMs,
@@ -50,6 +53,7 @@
     let mut completion = Completion {
         state: state.clone(),
         id: request.id,
+        handover,
         access,
         labels,
         call,
--- a/crates/lycheefordd/src/request/completion.rs
+++ b/crates/lycheefordd/src/request/completion.rs
@@ -10,6 +10,7 @@
 
 use super::crash::{Fate, note_target_failure};
 use super::run_alone::{RunsAlone, crash_suspect};
+use crate::handover::Handover;
 use crate::operation::metrics::{CustomerLabels, Event};
 use crate::placement::place::{PlacedRequest, place};
 use crate::placement::table::PlaceRequest;
@@ -34,6 +35,7 @@
 pub(crate) struct Completion {
     pub(crate) state: Arc<State>,
     pub(crate) id: Name,
+    pub(super) handover: Arc<Handover>,
     pub(crate) access: Access,
     pub(crate) labels: CustomerLabels,
     pub(crate) call: Call,
@@ -92,9 +94,11 @@
                 self.failed.push(placed.target.clone());
                 continue;
             };
+            self.handover.begin()?;
             match self.send(address, from_token).await {
                 Ok(response) if response.status == NOT_LOADED => {
                     // The view was late: the model isn't there any more, and nothing ran.
+                    self.handover.take_back();
                     self.state.placement.lock().forget_replica(&self.call.name, &placed.target);
                     if self.state.now() > self.deadline {
                         return Err(self.failure(None));
@@ -123,6 +127,7 @@
             let fate = note_target_failure(&self.state, life, self.call.fingerprint).await;
             self.failed_alive += u32::from(fate == Fate::Lives);
         } else {
+            self.handover.take_back();
             self.state.placement.lock().forget_target(self.state.now(), &life.target);
         }
     }
--- a/crates/lycheefordd/src/request/front.rs
+++ b/crates/lycheefordd/src/request/front.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use slog::warn;
 
+use crate::handover::Handover;
 use crate::membership::standing::settle_after_pause;
 use crate::request::complete::complete;
 use crate::service::serve::call_service;
@@ -50,7 +51,9 @@
     async fn handle(&self, request: CallerRequest) -> CallerResponse {
         let _running = self.state.running.request_started();
         let id = request.id.clone();
-        match self.answer(request).await {
+        let handover = Arc::new(Handover::default());
+        let answered = self.state.before_end(self.answer(request, &handover)).await;
+        match answered.unwrap_or_else(|| Err(self.end(&handover))) {
             Ok(response) => response,
             Err(refusal) => {
                 let what = format!("refused: {:?}: {}", refusal.code, refusal.message);
@@ -66,7 +69,18 @@
 }
 
 impl Front {
-    async fn answer(&self, request: CallerRequest) -> Result<CallerResponse, Refusal> {
+    /// Ends a request that the stop leaves no time for.
+    fn end(&self, handover: &Handover) -> Refusal {
+        let refusal = handover.end();
+        self.state.metrics.refusal(None, refusal.code);
+        refusal
+    }
+
+    async fn answer(
+        &self,
+        request: CallerRequest,
+        handover: &Arc<Handover>,
+    ) -> Result<CallerResponse, Refusal> {
         let state = self.state.clone();
         match (request.method, request.path.as_str()) {
             (Method::Get, "/v1/addresses") => {
@@ -75,12 +89,12 @@
             }
             (Method::Get, "/v1/models") => Ok(models(&state)),
             (Method::Post, "/v1/completions" | "/v1/chat/completions") => {
-                complete(state, request).await
+                complete(state, request, handover.clone()).await
             }
             (_, path) if path == "/v1" || path.starts_with("/v1/") => {
                 Err(not_found(&format!("no {} {path}", request.method)))
             }
-            _ => call_service(state, request).await,
+            _ => call_service(state, request, handover.clone()).await,
         }
     }
 }
--- a/crates/lycheefordd/src/request/relay.rs
+++ b/crates/lycheefordd/src/request/relay.rs
@@ -7,6 +7,7 @@
 use lycheeford_target::{CompletionEvent, Event, EventSplitter, TargetBody, TargetError};
 use serde_json::json;
 
+use crate::handover::stopped_while_running;
 use crate::operation::metrics;
 use crate::request::completion::{Answering, Completion};
 
@@ -79,7 +80,9 @@
                     } else {
                         self.completion.failed.push(life.target);
                     }
-                    match self.resume(error).await {
+                    let state = self.completion.state.clone();
+                    let resumed = state.before_end(self.resume(error)).await;
+                    match resumed.unwrap_or_else(|| Err(stopped_while_streaming())) {
                         Ok(resumed) => answering = resumed,
                         Err(refusal) => return self.give_up(&refusal).await,
                     }
@@ -185,7 +188,11 @@
     }
 
     fn check(&self) -> Result<(), Refusal> {
-        if self.completion.state.now() > self.completion.deadline {
+        let now = self.completion.state.now();
+        if !self.completion.state.running.may_begin(now, 0) {
+            return Err(stopped_while_streaming());
+        }
+        if now > self.completion.deadline {
             return Err(Refusal {
                 code: RefusalCode::DeadlinePassed,
                 ran: Ran::Ran,
@@ -220,6 +227,10 @@
     }
 }
 
+fn stopped_while_streaming() -> Refusal {
+    stopped_while_running().after(Ran::Ran)
+}
+
 fn over_reservation() -> Refusal {
     Refusal {
         code: RefusalCode::TargetFailed,
--- a/crates/lycheefordd/src/running.rs
+++ b/crates/lycheefordd/src/running.rs
@@ -1,10 +1,16 @@
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
-/// The requests that run, and whether the daemon takes new ones.
+use lycheeford_caller::Stop;
+use lycheeford_policy::TimeMs;
+
+use crate::stop_plan::StopPlan;
+
+/// The requests that run, and how long there is for them once the daemon drains.
 #[derive(Debug, Default)]
 pub(crate) struct Running {
-    draining: AtomicBool,
+    plan: OnceLock<StopPlan>,
+    drain: Stop,
     requests: Arc<AtomicU64>,
 }
 
@@ -14,12 +20,29 @@
 
 impl Running {
     /// Starts to drain and returns whether this call started it.
-    pub(crate) fn start_draining(&self) -> bool {
-        !self.draining.swap(true, Ordering::AcqRel)
+    pub(crate) fn start_draining(&self, plan: StopPlan) -> bool {
+        let is_first = self.plan.set(plan).is_ok();
+        self.drain.trigger();
+        is_first
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.plan.get().is_some()
+    }
+
+    /// Returns how the daemon stops, once it drains.
+    pub(crate) fn plan(&self) -> Option<&StopPlan> {
+        self.plan.get()
+    }
+
+    /// Waits until the daemon drains.
+    pub(crate) async fn draining(&self) {
+        self.drain.triggered().await;
+    }
+
+    /// Returns whether work that takes `run_ms` can be answered before the daemon ends.
+    pub(crate) fn may_begin(&self, now: TimeMs, run_ms: u64) -> bool {
+        self.plan.get().is_none_or(|plan| plan.may_begin(now, run_ms))
     }
 
     /// Counts a request as running until the guard is dropped.
--- a/crates/lycheefordd/src/service/serve.rs
+++ b/crates/lycheefordd/src/service/serve.rs
@@ -8,6 +8,7 @@
 };
 use lycheeford_target::{Connection, TargetError, TargetRequest};
 
+use crate::handover::{Handover, stopped_while_running, stopping};
 use crate::operation::metrics::{CustomerLabels, Event};
 use crate::request::access::{Access, check_fresh};
 use crate::request::call::fingerprint;
@@ -29,6 +30,7 @@
 struct ServiceCall {
     state: Arc<State>,
     request: CallerRequest,
+    handover: Arc<Handover>,
     access: Option<Access>,
     route: Route,
     deadline: TimeMs,
@@ -56,6 +58,7 @@
 pub(crate) async fn call_service(
     state: Arc<State>,
     request: CallerRequest,
+    handover: Arc<Handover>,
 ) -> Result<CallerResponse, Refusal> {
     let configuration = state.configuration.load_full();
     let Some(route) = configuration.route(&request.path) else {
@@ -79,6 +82,7 @@
         deadline: state.now() + deadline_ms,
         state: state.clone(),
         request,
+        handover,
         access,
         route: route.clone(),
         tried: Vec::new(),
@@ -86,7 +90,15 @@
     let served = match route.repeat {
         Repeat::Idempotent => call.run_repeatable().await,
         // Goes on after the caller hung up, so that its answer is kept.
-        Repeat::AtMostOnce => task::spawn(call.run_once()).await,
+        Repeat::AtMostOnce => {
+            let running = state.running.request_started();
+            task::spawn(async move {
+                let answer = call.run_once().await;
+                drop(running);
+                answer
+            })
+            .await
+        }
     };
     match &served {
         Ok(_) => {
@@ -111,6 +123,7 @@
             }
             let Some(place) = self.place() else { break };
             self.recheck().map_err(|refusal| refusal.after(ran))?;
+            self.handover.begin().map_err(|refusal| refusal.after(ran))?;
             let connection = if attempt == 0 { Connection::Pooled } else { Connection::Fresh };
             match self.send(&place, connection).await {
                 Ok(response) => return Ok(response),
@@ -145,7 +158,16 @@
                 entry.release().await;
                 return Err(self.failure(None));
             };
-            match self.send(&place, Connection::Fresh).await {
+            if let Err(refusal) = self.handover.begin() {
+                entry.release().await;
+                return Err(refusal);
+            }
+            let sent = self.send(&place, Connection::Fresh);
+            let Some(sent) = self.state.before_end(sent).await else {
+                settle(&self.state, entry.give_up());
+                return Err(stopped_while_running());
+            };
+            match sent {
                 Ok(response) => {
                     keep_answer(&self.state, entry, &response);
                     return Ok(response);
@@ -226,6 +248,9 @@
             let message = "the deadline passed before the call could be sent; allow more time";
             return Err(Refusal::not_run(RefusalCode::DeadlinePassed, message, None));
         }
+        if !self.state.running.may_begin(self.state.now(), 0) {
+            return Err(stopping());
+        }
         self.access.as_ref().map_or(Ok(()), |access| access.recheck(&self.state))
     }
 
@@ -240,6 +265,7 @@
 
     fn failed(&self, place: &ServicePlace, error: &TargetError) {
         if !error.may_have_run() {
+            self.handover.take_back();
             self.state.service_targets.lock().avoid(self.state.now(), &place.target);
         }
     }
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -1,7 +1,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use async_std::prelude::FutureExt;
+use async_std::task;
 use lycheeford_config::Settings;
 use lycheeford_peer::Peers;
 use lycheeford_platform::HttpObjectStore;
@@ -27,6 +30,7 @@
 use crate::running::Running;
 use crate::service::ledger_seen::LedgerSeen;
 use crate::service::targets::ServiceTargets;
+use crate::stop_plan::StopPlan;
 use crate::table::Table;
 use crate::wake::Wake;
 
@@ -124,6 +128,40 @@
         self.clock.now()
     }
 
+    /// Starts to drain and returns whether this call started it.
+    pub(crate) fn start_draining(&self) -> bool {
+        self.running.start_draining(StopPlan::new(self.now(), self.settings.stop_grace_ms))
+    }
+
+    /// Returns the output of `work`, or `None` once whatever is left must be answered.
+    pub(crate) fn before_end<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> impl Future<Output = Option<T>> {
+        // Work on a request is large, and moved by the race.
+        let work = Box::pin(work);
+        async {
+            if !self.running.may_begin(self.now(), 0) {
+                return None;
+            }
+            let work = async { Some(work.await) };
+            let end = async {
+                self.answers_due().await;
+                None
+            };
+            work.race(end).await
+        }
+    }
+
+    /// Waits until the daemon drains and its last answers are due.
+    async fn answers_due(&self) {
+        self.running.draining().await;
+        if let Some(plan) = self.running.plan() {
+            let left_ms = plan.answer_by().since_ms(self.now());
+            task::sleep(Duration::from_millis(left_ms)).await;
+        }
+    }
+
     /// Returns a number that this life of the daemon gives once.
     pub(crate) fn next_number(&self) -> u64 {
         self.last_number.fetch_add(1, Ordering::AcqRel) + 1
--- /dev/null
+++ b/crates/lycheefordd/tests/stop_grace.rs
@@ -0,0 +1,196 @@
+//! A daemon that stops answers every caller before its grace ends.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpStream;
+use async_std::task::{self, JoinHandle};
+use lycheeford_fakes::{Call, EngineFaults, ServiceFaults, WeightStoreFaults};
+use serde_json::{Value, json};
+
+use crate::support::{EngineLinks, Fleet, PATIENCE, until};
+
+const STOP_GRACE_MS: u64 = 8_000;
+/// Far beyond the grace, for deadlines, loads and delays.
+const LONG_MS: u64 = 60_000;
+/// Given to requests to get to where they wait.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+/// After the signal, while the daemon still takes callers.
+const INTO_DRAIN: Duration = Duration::from_secs(1);
+
+/// Ready at an engine that goes silent.
+const READY_MODEL: &str = "model-001";
+/// Loads far more slowly than declared.
+const LOADING_MODEL: &str = "model-003";
+/// Declared with a load that takes far longer than the grace.
+const SLOW_MODEL: &str = "model-005";
+
+/// When a caller sends its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    BeforeStop,
+    WhileDraining,
+}
+
+struct Case {
+    name: &'static str,
+    sent: Sent,
+    call: Call,
+    status: u16,
+    ran: &'static str,
+}
+
+/// What a caller got, and how long after the signal.
+#[derive(Debug)]
+struct Got {
+    status: u16,
+    error: Value,
+    after: Duration,
+}
+
+#[async_std::test]
+async fn no_request_is_closed_without_an_answer_at_the_end_of_the_grace() {
+    let mut fleet = start().await;
+    let key = fleet.keys[0].clone();
+    let completion = |model: &str, stream: bool| {
+        let body = json!({ "model": model, "prompt": "p", "max_tokens": 40, "stream": stream });
+        Call::post("/v1/completions", &key, &body)
+    };
+    let service = |path: &str| {
+        let id = format!("stopped {path}");
+        Call::post(path, &key, &json!({ "id": id })).header("idempotency-key", &id)
+    };
+    let case = |name, sent, call: Call, status, ran| {
+        let call = call.header("x-deadline-ms", &LONG_MS.to_string());
+        Case { name, sent, call, status, ran }
+    };
+    let waits = "waits for a load";
+    let too_late = ["waits for a load that ends too late", "taken while draining, for such a load"];
+    let cases = [
+        case(waits, Sent::BeforeStop, completion(LOADING_MODEL, true), 503, "not_run"),
+        case("streams", Sent::BeforeStop, completion(READY_MODEL, true), 200, "ran"),
+        case("runs", Sent::BeforeStop, completion(READY_MODEL, false), 502, "unknown"),
+        case("idempotent call", Sent::BeforeStop, service("/notes"), 502, "unknown"),
+        case("at-most-once call", Sent::BeforeStop, service("/charges"), 502, "unknown"),
+        case(too_late[0], Sent::BeforeStop, completion(SLOW_MODEL, true), 503, "not_run"),
+        case(too_late[1], Sent::WhileDraining, completion(SLOW_MODEL, true), 503, "not_run"),
+    ];
+    let address = fleet.caller_address(0);
+    let start_callers = |sent: Sent, signal: Instant| -> Vec<(usize, JoinHandle<Got>)> {
+        let due = cases.iter().enumerate().filter(|(_, case)| case.sent == sent);
+        due.map(|(index, case)| (index, task::spawn(call(case.call.clone(), address, signal))))
+            .collect()
+    };
+
+    let signal = Instant::now() + UNDER_WAY;
+    let mut callers = start_callers(Sent::BeforeStop, signal);
+    let half_sent = task::spawn(send_half_a_body(address));
+    task::sleep(signal.saturating_duration_since(Instant::now())).await;
+    fleet.daemons[0].terminate();
+    task::sleep(INTO_DRAIN).await;
+    callers.extend(start_callers(Sent::WhileDraining, signal));
+
+    // Whoever stops the daemon ends it after the grace.
+    let grace = Duration::from_millis(STOP_GRACE_MS).saturating_sub(signal.elapsed());
+    let status = fleet.daemons[0].ended(grace).await;
+    println!("{status:?} after {:?}", signal.elapsed());
+    fleet.daemons[0].kill();
+
+    let mut waited = Vec::new();
+    let mut faults = Vec::new();
+    for (index, caller) in callers {
+        let case = &cases[index];
+        let got = caller.await;
+        println!("{}: {got:?}", case.name);
+        if (got.status, got.error["ran"].as_str()) != (case.status, Some(case.ran)) {
+            faults.push(format!("{}: {got:?}", case.name));
+        }
+        if case.ran == "not_run" && got.error["retry_after_ms"].as_u64().is_none() {
+            faults.push(format!("{}: not told when to come back: {got:?}", case.name));
+        }
+        waited.push((case.name, got.after));
+    }
+    let half_sent = half_sent.await;
+    println!("sent half a body: {half_sent:?}");
+    if !half_sent.starts_with("HTTP/1.1 503 ") || !half_sent.contains("\"ran\":\"not_run\"") {
+        faults.push(format!("sent half a body: {half_sent:?}"));
+    }
+    if !status.is_some_and(|status| status.success()) {
+        faults.push(format!("the daemon didn't end in its grace: {status:?}"));
+    }
+    let after = |name| waited.iter().find(|(of, _)| *of == name).map(|(_, after)| *after);
+    for name in too_late {
+        if after(name) >= after(waits) {
+            faults.push(format!("{name}: not refused at once"));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Starts a fleet in which nothing ends within the grace of the first daemon.
+async fn start() -> Fleet {
+    let fleet = Fleet::start_with("stop-grace", EngineLinks::Direct, |deployment| {
+        deployment.stop_grace_ms = Some(STOP_GRACE_MS);
+        for service in &mut deployment.base.services {
+            service.timeout_ms = Some(LONG_MS);
+        }
+        let models = &mut deployment.base.models;
+        let slow = models.iter_mut().find(|model| model.name.as_str() == SLOW_MODEL);
+        slow.expect("the model is declared").load_remote_ms = Some(LONG_MS / 2);
+    })
+    .await;
+    let warm = Call::completion(&fleet.keys[0], READY_MODEL, "warm", 1);
+    until("the model is ready", async || {
+        warm.send(fleet.caller_address(0)).await.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    let silent = EngineFaults { silent_after_tokens: Some(5), ..EngineFaults::default() };
+    for engine in &fleet.deployment.engines {
+        fleet.set_faults(engine.address, &silent).await;
+    }
+    let delayed = ServiceFaults { answer_delay_ms: LONG_MS, ..ServiceFaults::default() };
+    for service in &fleet.deployment.services {
+        fleet.set_faults(service.address, &delayed).await;
+    }
+    let slow = WeightStoreFaults { slowdown: 1_000 };
+    fleet.set_faults(fleet.deployment.weight_store, &slow).await;
+    fleet
+}
+
+async fn call(call: Call, address: std::net::SocketAddr, signal: Instant) -> Got {
+    let mut error = Value::Null;
+    let answer = call
+        .send_watched(address, |line| {
+            let json = line.strip_prefix("data: ").unwrap_or(line);
+            let json: Value = serde_json::from_str(json).unwrap_or_default();
+            if !json["error"].is_null() {
+                error = json["error"].clone();
+            }
+        })
+        .await;
+    let after = signal.elapsed();
+    // A stream that ends early is cut after its error.
+    let status = match answer {
+        Ok(answer) => answer.status,
+        Err(_) if error["ran"] == "ran" => 200,
+        Err(failure) => {
+            error = failure.to_string().into();
+            0
+        }
+    };
+    Got { status, error, after }
+}
+
+/// Sends a request without the end of its body and returns all that comes back.
+async fn send_half_a_body(address: std::net::SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("the daemon listens");
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: h\r\ncontent-length: 100\r\n\r\n{";
+    stream.write_all(head.as_bytes()).await.expect("the daemon reads");
+    let mut answer = Vec::new();
+    // What came before a reset counts.
+    let _ = timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
