Share one plan for hosts that stop between the daemon and the gateway

The daemon's plan and the gateway's said the same with other margins; StopPlan takes them as StopTimes now. What to set aside for the next run is RunTimes' to say. A stopping gateway refuses requests that haven't come whole, as the daemon does, and both call the reason `host_stopping`. The tests stopping, stalls, stop_grace and rolling_restart pass as before.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -340,7 +340,8 @@
 }
 
 fn stopping() -> Refusal {
-    overloaded("the host shuts down; use another host, or come back later")
+    let message = "the host shuts down; use another host, or come back later";
+    Refusal::not_run(RefusalCode::HostStopping, message, Some(RETRY_AFTER_MS))
 }
 
 fn overloaded(message: &str) -> Refusal {
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -23,6 +23,8 @@
 const DISPATCH_MS: u64 = 40;
 /// How often lines that were left out are counted in the log.
 const LEFT_OUT_MS: u64 = 1_000;
+/// The part of the grace for which a stopping host accepts connections.
+const ACCEPT_PART: f64 = 0.55;
 /// How long the last calls to the store may take.
 const FORGET_MS_MAX: u64 = 200;
 
@@ -126,11 +128,13 @@
 async fn drain(state: &Arc<State>, front_stop: &Stop, serving: task::JoinHandle<()>) {
     let plan = state.start_draining();
     info!(state.log, "draining"; "requests_running" => state.requests_running());
-    sleep_until(state, plan.accept_until()).await;
+    let accept_ms = (state.settings.stop_grace_ms as f64 * ACCEPT_PART) as u64;
+    task::sleep(Duration::from_millis(accept_ms)).await;
     front_stop.trigger();
     let out_of_grace = async {
         sleep_until(state, plan.answer_by()).await;
         state.answers_due.trigger();
+        front_stop.hurry();
         sleep_until(state, plan.end_by()).await;
     };
     serving.race(out_of_grace).await;
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -7,7 +7,7 @@
 use lycheeford_platform::FollowPace;
 use lycheeford_policy::{
     Confirmation, CrashSuspects, DemandTable, Deployment, Name, PeerState, RetryShare, RunTimes,
-    SharedWatch, StopPlan, TimeMs,
+    SharedWatch, StopPlan, StopTimes, TimeMs,
 };
 use lycheeford_target::{TargetClient, TargetLimits, Unframed};
 use slog::Logger;
@@ -31,6 +31,10 @@
 const POOL_PER_TARGET_MAX: usize = 4;
 /// How long an unused connection to a target is kept.
 const POOL_IDLE_MS_MAX: u64 = 8_000;
+/// What is left of the grace when requests without an answer get a final one.
+const STOP_ANSWER_MS: u64 = 600;
+/// What is left of the grace when a stopping host ends whatever still runs.
+const STOP_END_MS: u64 = 400;
 /// The longest answer of a target that isn't a stream.
 pub(crate) const ANSWER_BYTES_MAX: usize = 16 << 20;
 
@@ -212,18 +216,24 @@
 
     /// Returns when this host, which was told to stop now, does what.
     pub(crate) fn start_draining(&self) -> StopPlan {
-        let plan = || StopPlan::new(self.now(), self.settings.stop_grace_ms);
-        *self.stop_plan.get_or_init(plan)
+        let times = StopTimes {
+            grace_ms: self.settings.stop_grace_ms,
+            answer_ms: STOP_ANSWER_MS,
+            end_ms: STOP_END_MS,
+        };
+        *self.stop_plan.get_or_init(|| StopPlan::new(self.now(), times))
     }
 
     pub(crate) fn is_draining(&self) -> bool {
         self.stop_plan.get().is_some()
     }
 
-    /// Returns until when a request of `service` may be sent to a target, if this host stops.
-    pub(crate) fn begin_by(&self, service: &Name) -> Option<TimeMs> {
-        let plan = self.stop_plan.get()?;
-        Some(plan.begin_by(self.run_times().most_ms(service)))
+    /// Returns whether a request of `service` that is sent to a target at `sent_at` ends before
+    /// this host does.
+    pub(crate) fn may_begin(&self, service: &Name, sent_at: TimeMs) -> bool {
+        self.stop_plan
+            .get()
+            .is_none_or(|plan| plan.may_begin(sent_at, self.run_times().reserve_ms(service)))
     }
 
     /// Counts a request as running until the guard is dropped.
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 //! - `swap_planner`: rare models that are asked for at once on few engines.
 //! - `adapter_planner`: many adapters on few places.
 //! - `placement_log`: hosts that would all ask the store for the same changes.
-//! - `stop_plan`, `run_times`: requests that come while the host is being restarted.
+//! - `run_times`: requests that come while the host is being restarted.
 //! - `event_boundary`: streams that break in the middle of an event.
 
 mod adapter_planner;
@@ -42,7 +42,6 @@
 mod shared_bucket;
 mod shared_watch;
 mod short_key;
-mod stop_plan;
 mod store_absence;
 mod swap_planner;
 mod target_entry;
@@ -73,7 +72,6 @@
 pub use self::shared_bucket::SharedBucket;
 pub use self::shared_watch::SharedWatch;
 pub use self::short_key::ShortKey;
-pub use self::stop_plan::StopPlan;
 pub use self::store_absence::StoreAbsence;
 pub use self::swap_planner::{
     EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlan,
--- a/crates/lycheeford-policy/src/gateway/run_times.rs
+++ b/crates/lycheeford-policy/src/gateway/run_times.rs
@@ -4,9 +4,11 @@
 
 /// The last requests of a service that are looked at.
 const RUNS_MAX: usize = 256;
-/// The part of them that took no longer than what is returned.
+/// The part of them that took no longer than what the next one is expected to take.
 const MOST: f64 = 0.98;
-/// What a request of a service takes of which none has ended here.
+/// How much longer than that the next one may run.
+const MARGIN: f64 = 1.5;
+/// What a request of a service is expected to take of which none has ended here.
 const UNKNOWN_MS: u64 = 1_000;
 
 /// How long requests of each service ran lately, from the first send to the end of the answer.
@@ -41,8 +43,14 @@
         last.push_back(run_ms);
     }
 
-    /// Returns the time that nearly all of the last requests of `service` took at most.
-    pub fn most_ms(&self, service: &Name) -> u64 {
+    /// Returns the time to set aside for the next request of `service`.
+    ///
+    /// A few that were stuck don't count, or they would keep all others out.
+    pub fn reserve_ms(&self, service: &Name) -> u64 {
+        (self.most_ms(service) as f64 * MARGIN) as u64
+    }
+
+    fn most_ms(&self, service: &Name) -> u64 {
         let Ok(index) = self.index(service) else { return UNKNOWN_MS };
         let mut sorted: Vec<u64> = self.services[index].last_ms.iter().copied().collect();
         sorted.sort_unstable();
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`FairQueue`]: the requests that wait at one host, and who goes next.
 //! - [`Readiness`]: when a model is expected to be ready, for refusal at arrival.
 //! - [`RetryBudget`]: how much of the load may be retries.
+//! - [`StopPlan`]: what a host that was told to stop still begins.
 //! - [`Deployment`], [`TargetTable`], [`WaitQueue`], [`OrderLease`], [`SwapPlanner`]: a gateway,
 //!   which serves any HTTP route; see the module `gateway`.
 mod configuration;
@@ -51,6 +52,7 @@
 mod retry_budget;
 mod router;
 mod share;
+mod stop_plan;
 mod target_record;
 mod time;
 mod token_bucket;
@@ -71,9 +73,9 @@
     OrderLease, OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer, PeerNews, PeerReport, PeerState,
     PeerTable, PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportedLease,
     ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes,
-    RunningAt, Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StopPlan, StoreAbsence,
-    Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure,
-    TargetHealth, TargetService, TargetState, TargetTable, Tried, WaitQueue, Waiting, WantedName,
+    RunningAt, Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums,
+    SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth,
+    TargetService, TargetState, TargetTable, Tried, WaitQueue, Waiting, WantedName,
     WeightedService,
 };
 pub use crate::gone::GoneProofs;
@@ -110,6 +112,7 @@
 pub use crate::retry_budget::RetryBudget;
 pub use crate::router::Router;
 pub use crate::share::{MAX_SHARE_HOLDERS, ShareEntry, ShareFault, ShareTable, TakenShare};
+pub use crate::stop_plan::{StopPlan, StopTimes};
 pub use crate::target_record::{
     CancelledReplica, LoadRequest, MAX_CANCELLED_REPLICAS, MAX_ORDERS_SET_ASIDE, MemoryReservation,
     ORDER_SET_ASIDE_MS, OrderAction, RecordFault, ReplicaRef, TargetOrder, TargetRecord,
--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -25,8 +25,7 @@
 use crate::placement::demand_report::report_demand;
 use crate::rates::share_upkeep::{follow_shares, keep_shares};
 use crate::request::front::{ADDRESS_KEEP_MS, Front};
-use crate::state::State;
-use crate::stop_plan::END_MS;
+use crate::state::{STOP_ANSWER_MS, STOP_END_MS, State};
 
 /// The kind of the objects that count the lives of daemons.
 const INCARNATION_KIND: &str = "incarnation";
@@ -47,9 +46,7 @@
 /// How long a draining daemon takes callers: a peer hands its address out for as long as an
 /// answer from before the drain counts there, and a caller keeps what it was given.
 const ADDRESSES_AGE_MS: u64 = REACHABLE_MS + ADDRESS_KEEP_MS + CONNECT_MS;
-const _: () = assert!(ADDRESSES_AGE_MS + END_MS <= STOP_GRACE_MS_MIN);
-/// How long it goes on after its last request, so that peers' loans settle.
-const SETTLE_MS: u64 = 300;
+const _: () = assert!(ADDRESSES_AGE_MS + STOP_ANSWER_MS <= STOP_GRACE_MS_MIN);
 
 /// Why the daemon can't start.
 #[derive(Debug, Snafu)]
@@ -181,11 +178,11 @@
         warn!(state.log, "answers what the stop leaves no time for";
             "requests" => state.running.requests());
         front.hurry();
-        if timeout(left(plan.ends_at() - SETTLE_MS), finished).await.is_err() {
+        if timeout(left(plan.end_by()), finished).await.is_err() {
             warn!(state.log, "ends with requests open"; "requests" => state.running.requests());
         }
     }
-    task::sleep(Duration::from_millis(SETTLE_MS)).await;
+    task::sleep(Duration::from_millis(STOP_END_MS)).await;
 }
 
 /// Waits until every connection is closed and every request has ended.
--- a/crates/lycheefordd/src/handover.rs
+++ b/crates/lycheefordd/src/handover.rs
@@ -48,7 +48,7 @@
 /// Returns the refusal of a request that this host has no time left for.
 pub(crate) fn stopping() -> Refusal {
     Refusal::not_run(
-        RefusalCode::Overloaded,
+        RefusalCode::HostStopping,
         "this host shuts down before an answer could come; use another host",
         Some(RETRY_AFTER_MS),
     )
--- a/crates/lycheefordd/src/main.rs
+++ b/crates/lycheefordd/src/main.rs
@@ -32,7 +32,6 @@
 mod running;
 mod service;
 mod state;
-mod stop_plan;
 mod table;
 mod versioned;
 mod wake;
--- a/crates/lycheefordd/src/running.rs
+++ b/crates/lycheefordd/src/running.rs
@@ -2,9 +2,7 @@
 use std::sync::{Arc, OnceLock};
 
 use lycheeford_caller::Stop;
-use lycheeford_policy::TimeMs;
-
-use crate::stop_plan::StopPlan;
+use lycheeford_policy::{StopPlan, TimeMs};
 
 /// The requests that run, and how long there is for them once the daemon drains.
 #[derive(Debug, Default)]
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -9,7 +9,8 @@
 use lycheeford_peer::Peers;
 use lycheeford_platform::HttpObjectStore;
 use lycheeford_policy::{
-    Configuration, CrashSuspects, Freshness, GoneProofs, Health, Instance, RetryBudget, TimeMs,
+    Configuration, CrashSuspects, Freshness, GoneProofs, Health, Instance, RetryBudget, StopPlan,
+    StopTimes, TimeMs,
 };
 use lycheeford_target::TargetClient;
 use slog::Logger;
@@ -30,10 +31,15 @@
 use crate::running::Running;
 use crate::service::ledger_seen::LedgerSeen;
 use crate::service::targets::ServiceTargets;
-use crate::stop_plan::StopPlan;
 use crate::table::Table;
 use crate::wake::Wake;
 
+/// What is left of the grace when requests without an answer get a final one: the time to write
+/// it, to close connections and to let loans settle.
+pub(crate) const STOP_ANSWER_MS: u64 = 2_000;
+/// What is left of it when the daemon waits for its connections no longer, so that loans settle.
+pub(crate) const STOP_END_MS: u64 = 300;
+
 /// Retries that each request earns.
 const RETRIES_PER_REQUEST: f64 = 0.2;
 /// Requests whose retries a daemon may use before it has had any.
@@ -130,7 +136,9 @@
 
     /// Starts to drain and returns whether this call started it.
     pub(crate) fn start_draining(&self) -> bool {
-        self.running.start_draining(StopPlan::new(self.now(), self.settings.stop_grace_ms))
+        let grace_ms = self.settings.stop_grace_ms;
+        let times = StopTimes { grace_ms, answer_ms: STOP_ANSWER_MS, end_ms: STOP_END_MS };
+        self.running.start_draining(StopPlan::new(self.now(), times))
     }
 
     /// Returns the output of `work`, or `None` once whatever is left must be answered.
