Refuse heads over a bound with 431 and bytes that begin no request at once

Callers saw: at the daemon a head over its bytes got 413 (`too_large`); at both fronts one with 101 headers within its bytes got 400. Bytes that begin a TLS handshake, the first line of the preface of HTTP/2 and other protocols waited for the end of the time for a head (5 s unless set) and got 408.

Cause: the daemon published `HeadTooLarge` under the code and status of bodies, although the shared connection told them apart. Too many headers were an error of the form, not of the size. And nothing looked at a head before its empty line had come, which such callers never send.

The cases for 400 never end a head, so that a 400 can't come after the time-out.

Change, in the shared layer: too many headers is an error of the size; `MessageReader::request_head` checks each time bytes come whether they can still become a request: a method that is served, of at most the bytes of the longest one, before its first space. Answers are read as before.

Two expectations in tests/hostile.rs change from 413 `too_large` to 431 `head_too_large`, since they held the fault; they are as strict as before. Callers that looked for `too_large` after a long head have to look for the new code.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -152,12 +152,12 @@
         memory: &mut Reservation,
     ) -> Result<(S::Request, Method, Persistence), Rejection> {
         let bounds = self.server.service.bounds();
-        let Some(head) = within(bounds.head_ms_max, self.reader.head(bounds.head_bytes_max)).await
-        else {
+        let head = self.reader.request_head(bounds.head_bytes_max);
+        let Some(head) = within(bounds.head_ms_max, head).await else {
             return Err(too_slow("the head took too long; send it at once"));
         };
-        let head = RequestHead::parse(&head.map_err(|error| head_rejection(&error))?)
-            .map_err(|error| rejection(&error))?;
+        let head = head.and_then(|bytes| RequestHead::parse(&bytes));
+        let head = head.map_err(|error| head_rejection(&error))?;
         check_declared_length(&head, bounds.body_bytes_max)?;
         self.confirm_expectation(&head).await?;
         let Some(body) = within(bounds.body_ms_max, self.read_body(head.framing, memory)).await
--- a/crates/lycheeford-caller/src/refusal.rs
+++ b/crates/lycheeford-caller/src/refusal.rs
@@ -12,7 +12,7 @@
 pub fn refusal_response(id: &Name, refusal: &Refusal) -> CallerResponse {
     let wire = WireRefusal {
         error: WireError {
-            code: published_code(refusal.code),
+            code: refusal.code,
             message: &refusal.message,
             ran: refusal.ran,
             request_id: id,
@@ -31,14 +31,6 @@
     CallerResponse { status: status(refusal.code), headers, body: CallerBody::Whole(body) }
 }
 
-/// Returns the code that callers are told; docs/CALLERS.md has one for heads and bodies.
-fn published_code(code: RefusalCode) -> RefusalCode {
-    match code {
-        RefusalCode::HeadTooLarge => RefusalCode::TooLarge,
-        code => code,
-    }
-}
-
 fn status(code: RefusalCode) -> u16 {
     match code {
         RefusalCode::BadRequest => 400,
@@ -47,9 +39,10 @@
         RefusalCode::NotFound => 404,
         RefusalCode::TooSlow => 408,
         RefusalCode::OutcomeUnknown => 409,
-        RefusalCode::HeadTooLarge | RefusalCode::TooLarge => 413,
+        RefusalCode::TooLarge => 413,
         RefusalCode::CrashSuspect | RefusalCode::KeyReused => 422,
         RefusalCode::OverRate => 429,
+        RefusalCode::HeadTooLarge => 431,
         RefusalCode::TargetFailed => 502,
         RefusalCode::DeadlineUnreachable
         | RefusalCode::Overloaded
--- a/crates/lycheeford-caller/tests/hostile.rs
+++ b/crates/lycheeford-caller/tests/hostile.rs
@@ -34,9 +34,22 @@
 #[test]
 fn hostile_requests_get_the_documented_refusal() {
     let long = "a".repeat(2_000);
+    let headers = |count| "x: y\r\n".repeat(count);
     let secret = "id-of-key.secret-of-key";
     let cases = [
         case("nonsense\r\n\r\n", 400, "bad_request"),
+        // None of these ever ends a head.
+        case("\u{16}\u{3}\u{1}\u{2}\0\u{1}\0\u{1}", 400, "bad_request"),
+        case("PRI * HTTP/2.0\r\n", 400, "bad_request"),
+        case("SSH-2.0-client\r\n", 400, "bad_request"),
+        case("\0\0\0\u{1}", 400, "bad_request"),
+        case(" GET / HTTP/1.1\r\n", 400, "bad_request"),
+        case("FETCH / HTTP/1.1\r\n", 400, "bad_request"),
+        case("a".repeat(18), 400, "bad_request"),
+        case("\r\n\u{16}\u{3}\u{1}", 400, "bad_request"),
+        case("GE", 408, "too_slow"),
+        case("\r", 408, "too_slow"),
+        case("UPDATEREDIRECTREF", 408, "too_slow"),
         case("GET / HTTP/1.1\r\n\r\n", 400, "bad_request"),
         case("GET / HTTP/1.1\r\nhost: h\r\nx: a\r\n b\r\n\r\n", 400, "bad_request"),
         case("GET / HTTP/1.1\r\nhost: h\r\nx: \u{e9}\r\n\r\n", 400, "bad_request"),
@@ -62,8 +75,11 @@
             413,
             "too_large",
         ),
-        case(format!("GET /{long} HTTP/1.1\r\nhost: h\r\n\r\n"), 413, "too_large"),
-        case(format!("GET / HTTP/1.1\r\nhost: h\r\nx: {long}"), 413, "too_large"),
+        case(format!("GET /{long} HTTP/1.1\r\nhost: h\r\n\r\n"), 431, "head_too_large"),
+        case(format!("GET / HTTP/1.1\r\nhost: h\r\nx: {long}"), 431, "head_too_large"),
+        case(get(&format!("x: {}", "a".repeat(1 << 20))), 431, "head_too_large"),
+        case(format!("GET / HTTP/1.1\r\n{}\r\n", headers(101)), 431, "head_too_large"),
+        case(format!("GET / HTTP/1.1\r\n{}\r\n", headers(10_000)), 431, "head_too_large"),
         case("GET / HTTP/1.1\r\nhost: h\r\nx: a", 408, "too_slow"),
         case(post("content-length: 2", "a"), 408, "too_slow"),
         case(post("transfer-encoding: chunked", "2\r\na"), 408, "too_slow"),
--- a/crates/lycheeford-http/src/error.rs
+++ b/crates/lycheeford-http/src/error.rs
@@ -15,7 +15,7 @@
         match self.code {
             Code::Closed => Category::Closed,
             Code::Truncated => Category::Truncated,
-            Code::TooLarge { .. } => Category::TooLarge,
+            Code::TooLarge { .. } | Code::TooManyHeaders { .. } => Category::TooLarge,
             Code::Malformed { .. } => Category::Malformed,
             Code::Read { .. } => Category::Broken,
         }
@@ -63,6 +63,8 @@
     Truncated,
     #[snafu(display("the {part} is over {limit_bytes} bytes; send less"))]
     TooLarge { part: &'static str, limit_bytes: usize },
+    #[snafu(display("there are over {headers_max} headers; send fewer"))]
+    TooManyHeaders { headers_max: usize },
     #[snafu(display("{what}"))]
     Malformed { what: &'static str },
     #[snafu(display("reading failed: {source}; open a new connection"))]
--- a/crates/lycheeford-http/src/head.rs
+++ b/crates/lycheeford-http/src/head.rs
@@ -2,13 +2,15 @@
 
 use http_types::Method;
 
-use crate::error::malformed;
+use crate::error::{Code, malformed};
 use crate::{Error, Header, is_sendable};
 
 /// Headers that one head may hold; async-h1 takes no more than 128.
 const HEADERS_MAX: usize = 100;
 /// The digits of a length that can't overflow.
 const LENGTH_DIGITS_MAX: usize = 18;
+/// The bytes of the longest method, `UPDATEREDIRECTREF`.
+const METHOD_BYTES_MAX: usize = 17;
 const STATUS_NO_CONTENT: u16 = 204;
 const STATUS_NOT_MODIFIED: u16 = 304;
 
@@ -74,12 +76,7 @@
         if parsed.version != Some(1) {
             return Err(malformed("the version isn't HTTP/1.1; send HTTP/1.1"));
         }
-        let method = parsed.method.unwrap_or_default();
-        let method = Method::from_str(method)
-            .map_err(|_| malformed("the method is unknown; use one of HTTP's"))?;
-        if matches!(method, Method::Connect | Method::Trace) {
-            return Err(malformed("the method isn't served; use another one"));
-        }
+        let method = served_method(parsed.method.unwrap_or_default())?;
         let target = parsed.path.unwrap_or_default().to_owned();
         if !target.is_ascii() {
             return Err(malformed("the request target isn't ASCII; percent-encode it"));
@@ -165,6 +162,38 @@
     }
 }
 
+/// Checks what has come of a request's head, which may not be whole.
+///
+/// What can't become a request is refused at once: its sender may wait for an
+/// answer in another protocol, and never send the end of a head.
+pub(crate) fn check_request_start(bytes: &[u8]) -> Result<(), Error> {
+    let method_bytes = bytes.iter().position(|byte| !is_token_byte(*byte));
+    match method_bytes.map(|length_bytes| bytes.split_at(length_bytes)) {
+        None if bytes.len() <= METHOD_BYTES_MAX => Ok(()),
+        // It may be the begin of an empty line.
+        Some((b"", b"\r")) => Ok(()),
+        Some((method, [b' ', ..])) if !method.is_empty() => {
+            served_method(&String::from_utf8_lossy(method)).map(|_| ())
+        }
+        _ => Err(malformed("the bytes don't begin a request; send HTTP/1.1 without encryption")),
+    }
+}
+
+/// Returns whether a method may have the byte, by RFC 9110, section 5.6.2.
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+fn served_method(name: &str) -> Result<Method, Error> {
+    let method = Method::from_str(name)
+        .map_err(|_| malformed("the method is unknown; use one of HTTP's"))?;
+    // `PRI` begins the preface of HTTP/2.
+    if matches!(method, Method::Connect | Method::Trace | Method::Pri) {
+        return Err(malformed("the method isn't served; use another one"));
+    }
+    Ok(method)
+}
+
 fn is_bodiless(status: u16, method: Method) -> bool {
     method == Method::Head
         || status < 200
@@ -192,7 +221,7 @@
             Err(malformed("a header value is invalid or folded; send it on one line"))
         }
         Err(httparse::Error::TooManyHeaders) => {
-            Err(malformed("there are over 100 headers; send fewer"))
+            Err(Code::TooManyHeaders { headers_max: HEADERS_MAX }.into())
         }
         Err(_) => Err(malformed("the first line is invalid; send it by the protocol")),
     }
--- a/crates/lycheeford-http/src/reader.rs
+++ b/crates/lycheeford-http/src/reader.rs
@@ -6,6 +6,7 @@
 use futures_util::io::AsyncRead;
 
 use crate::error::Code;
+use crate::head::check_request_start;
 use crate::{BodyDecoder, Error};
 
 /// Bytes that one read takes at most.
@@ -78,7 +79,7 @@
         self.buffer.len() < kept_bytes
     }
 
-    /// Reads a head of at most `head_bytes_max` bytes, with its empty line.
+    /// Reads the head of an answer of at most `head_bytes_max` bytes, with its empty line.
     ///
     /// Empty lines before the head are skipped.
     ///
@@ -86,11 +87,30 @@
     ///
     /// Fails if the stream ends or fails, or if the head is larger.
     pub async fn head(&mut self, head_bytes_max: usize) -> Result<Vec<u8>, Error> {
+        self.head_checked(head_bytes_max, |_| Ok(())).await
+    }
+
+    /// Reads the head of a request as [`MessageReader::head`] does.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`MessageReader::head`] does, and as soon as the first bytes
+    /// can't begin a request.
+    pub async fn request_head(&mut self, head_bytes_max: usize) -> Result<Vec<u8>, Error> {
+        self.head_checked(head_bytes_max, check_request_start).await
+    }
+
+    async fn head_checked(
+        &mut self,
+        head_bytes_max: usize,
+        check_start: fn(&[u8]) -> Result<(), Error>,
+    ) -> Result<Vec<u8>, Error> {
         let mut searched_bytes = 0;
         loop {
             if self.skip_empty_lines() {
                 searched_bytes = 0;
             }
+            check_start(&self.buffer)?;
             if let Some(length_bytes) = head_length(&self.buffer, searched_bytes) {
                 if length_bytes > head_bytes_max {
                     return Err(too_large(head_bytes_max));
--- a/crates/lycheeford-policy/src/refusal.rs
+++ b/crates/lycheeford-policy/src/refusal.rs
@@ -71,9 +71,9 @@
 pub enum RefusalCode {
     /// The request is malformed.
     BadRequest,
-    /// The head is larger than allowed.
+    /// The head is larger than allowed, or has too many headers.
     HeadTooLarge,
-    /// The head or body is larger than allowed.
+    /// The target or body is larger than allowed.
     TooLarge,
     /// The caller sent its request too slowly.
     TooSlow,
