Tell suspects of crashing targets in parts, and only to hosts that don't know them

A list that only grows went out whole in every report.

Cause: reports carried all suspects, up to 1,024 (about 40 KB, over 64 KB once each has two crashes, which no datagram holds), four times a second to every partner, for the life of the process. A real crash of many engines makes hundreds of suspects, as every request that ran there is one.

Change: reports carry a digest of the suspects and, only to a partner whose digest differs, 32 of them at most: the 8 noted last, so that news travel with the next report, and 24 of the others in turn. A host that starts later learns the rest the same way. Not changed: fleets that know more than 1,024 suspects forget different ones and go on telling parts, 1.3 KB a report.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -16,8 +16,8 @@
 }
 
 impl Common {
-    /// Gathers what this host tells its partners now.
-    pub(super) fn gather(state: &State) -> Common {
+    /// Gathers what this host tells its partners in a round of reports.
+    pub(super) fn gather(state: &State, round: usize) -> Common {
         let now = state.now();
         apply_own_placements(state);
         let (running, placements_known) = {
@@ -28,12 +28,12 @@
             let rates = state.rates();
             (rates.spent(), rates.levels(now), rates.asked().clone())
         };
-        let suspects: Vec<(u64, Vec<Name>)> = state
-            .suspects()
-            .reports()
-            .iter()
-            .map(|suspect| (suspect.fingerprint, suspect.crashes.clone()))
-            .collect();
+        let (suspects, suspects_digest) = {
+            let suspects = state.suspects();
+            let told = suspects.excerpt(round).into_iter();
+            let told = told.map(|suspect| (suspect.fingerprint, suspect.crashes.clone()));
+            (told.collect::<Vec<_>>(), suspects.digest())
+        };
         let confirmation = *state.confirmation();
         let watch = *state.target_watch();
         let report = PeerReport {
@@ -48,6 +48,7 @@
             heard: Vec::new(),
             signs: Vec::new(),
             suspects,
+            suspects_digest,
             revision: confirmation.revision(),
             confirmed_age_ms: confirmation.age_ms(now),
             targets_changed: watch.changed(),
@@ -79,6 +80,9 @@
             if let Some(peer) = membership.peers.peer(host) {
                 report.echo = Some(peer.report.sent_at);
                 report.heard.clone_from(&peer.report.sums.spent);
+                if peer.report.suspects_digest == report.suspects_digest {
+                    report.suspects.clear();
+                }
                 placements_known = peer.report.placements_known;
             }
         }
--- a/crates/lycheeford-gateway/src/membership/spread.rs
+++ b/crates/lycheeford-gateway/src/membership/spread.rs
@@ -47,20 +47,20 @@
 
 /// Reports to this host's partners until the future is dropped.
 pub(crate) async fn send_reports(state: Arc<State>, socket: Arc<UdpSocket>) {
-    let mut turn = 0;
+    let mut round = 0;
     loop {
         let partners = lay_out(&state);
-        let common = Common::gather(&state);
+        let common = Common::gather(&state, round);
         for (host, role, address) in partners {
             let report = common.for_host(&state, &host, role);
             send(&socket, Message::Report(Box::new(report)), address).await;
         }
         let strangers = state.membership().hosts.strangers(state.now());
         for index in 0..strangers.len().min(STRANGERS_MAX) {
-            let address = strangers[(turn + index) % strangers.len()];
+            let address = strangers[(round * STRANGERS_MAX + index) % strangers.len()];
             send(&socket, Message::Report(Box::new(common.for_stranger())), address).await;
         }
-        turn += STRANGERS_MAX;
+        round += 1;
         tell_holder(&state, &socket).await;
         let pause_ms = state.membership().hosts.report_ms();
         task::sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -53,6 +53,8 @@
     placements_token: u64,
     #[prost(uint64, tag = "21")]
     placements_version: u64,
+    #[prost(fixed64, tag = "22")]
+    suspects_digest: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -87,6 +89,7 @@
             placements: report.placements.into_iter().map(WirePlacement::from).collect(),
             placements_token: report.placements_known.0,
             placements_version: report.placements_known.1,
+            suspects_digest: report.suspects_digest,
         }
     }
 }
@@ -120,6 +123,7 @@
             lease: wire.lease.map(ReportedLease::from),
             placements: wire.placements.into_iter().map(ReportedPlacement::from).collect(),
             placements_known: (wire.placements_token, wire.placements_version),
+            suspects_digest: wire.suspects_digest,
         })
     }
 }
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -48,6 +48,7 @@
         heard: vec![(ShortKey(3), 11.0)],
         signs: vec![sign(None), sign(Some(record("host-2")))],
         suspects: vec![(77, vec![Name::from("i-1/4")])],
+        suspects_digest: 78,
         revision: 12,
         confirmed_age_ms: Some(0),
         targets_changed: 31,
--- a/crates/lycheeford-policy/src/crash_suspect.rs
+++ b/crates/lycheeford-policy/src/crash_suspect.rs
@@ -1,3 +1,7 @@
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::Name;
 
 /// The targets that one request may crash before it is refused.
@@ -6,6 +10,11 @@
 /// The fingerprints that are remembered; the oldest go first.
 pub const MAX_CRASH_SUSPECTS: usize = 1_024;
 
+/// The suspects of an excerpt that were noted last.
+const NEWEST_TOLD: usize = 8;
+/// The other suspects of an excerpt.
+const OTHERS_TOLD: usize = 24;
+
 /// Whether a request may run, by what it did to targets before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashVerdict {
@@ -28,6 +37,22 @@
     pub noted: u64,
 }
 
+impl CrashSuspect {
+    fn is_refused(&self) -> bool {
+        self.crashes.len() >= MAX_TARGET_CRASHES as usize
+    }
+
+    /// Which targets died doesn't count any more for a request that is refused.
+    fn digest(&self) -> u64 {
+        let seed = self.fingerprint;
+        if self.is_refused() {
+            return xxh3_64_with_seed(&[], seed);
+        }
+        let hashes = self.crashes.iter().map(|life| xxh3_64_with_seed(life.as_bytes(), seed));
+        hashes.fold(0, |digest, hash| digest ^ hash)
+    }
+}
+
 /// What a daemon and its peers know of requests that crash their targets.
 ///
 /// A crash is named after the target and the life that it ended, so that a
@@ -86,10 +111,31 @@
         &self.suspects
     }
 
+    /// Returns a digest of what is known.
+    ///
+    /// Sets that refuse the same requests and know the same crashes of the
+    /// others have the same digest, and needn't tell each other anything.
+    pub fn digest(&self) -> u64 {
+        self.suspects.iter().fold(0, |digest, suspect| digest ^ suspect.digest())
+    }
+
+    /// Returns a part of what peers should know, small enough for a datagram.
+    ///
+    /// The suspects that were noted last are in each part. The others take
+    /// turns, so that all of them are told after a few of consecutive `turn`s.
+    pub fn excerpt(&self, turn: usize) -> Vec<&CrashSuspect> {
+        let mut by_age: Vec<&CrashSuspect> = self.suspects.iter().collect();
+        by_age.sort_unstable_by_key(|suspect| Reverse(suspect.noted));
+        let others = by_age.split_off(by_age.len().min(NEWEST_TOLD));
+        let turns = others.len().div_ceil(OTHERS_TOLD).max(1);
+        by_age.extend(others.chunks(OTHERS_TOLD).nth(turn % turns).unwrap_or_default());
+        by_age
+    }
+
     /// Says whether a request may run.
     pub fn verdict(&self, fingerprint: u64) -> CrashVerdict {
         let Ok(index) = self.position(fingerprint) else { return CrashVerdict::Clear };
-        if self.suspects[index].crashes.len() as u32 >= MAX_TARGET_CRASHES {
+        if self.suspects[index].is_refused() {
             CrashVerdict::Refuse
         } else {
             CrashVerdict::RunAlone
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -34,8 +34,10 @@
     pub heard: Vec<(ShortKey, f64)>,
     /// The hosts that the sender knows to live.
     pub signs: Vec<HostSign>,
-    /// The requests that crashed targets, with the targets' lives.
+    /// The requests that crashed targets, with the targets' lives; a part of those that are known.
     pub suspects: Vec<(u64, Vec<Name>)>,
+    /// The digest of all such requests that the sender knows.
+    pub suspects_digest: u64,
     /// The revision of the declaration that the sender serves by.
     pub revision: u64,
     /// How long ago it asked for the confirmation that this is the newest.
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -214,6 +214,7 @@
         heard: Vec::new(),
         signs: Vec::new(),
         suspects: Vec::new(),
+        suspects_digest: 0,
         revision: 1,
         confirmed_age_ms: None,
         targets_changed: 0,
