Judge by the route how long a request runs at a host that stops

A review showed streams that a stopping host still began and cut: a route with long streams in a service whose other routes run shortly, and a host of which no stream had ended yet (1 s was assumed). Cause: runs were kept by service, of which a rare route is less than the 2 in 100 that may be longer. Change: by route; one that has no run yet counts as the slowest of its service, and a service without any as 3 s. Routes that aren't declared any more are forgotten. A short grace never accepts beyond the time to answer.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -74,6 +74,7 @@
                 "revision" => deployment.revision, "version" => deployment.version,
                 "routes" => deployment.routes.len(), "customers" => deployment.customers.len());
             state.metrics.revision.set(deployment.revision);
+            state.run_times().keep_declared(&deployment);
             state.deployment.store(Some(Arc::new(deployment)));
             state.dispatch_waiting();
             state.wake_planner();
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -106,6 +106,11 @@
 }
 
 impl Admitted {
+    /// Returns whether the request ends before this host does if it is sent at `sent_at`.
+    pub(super) fn may_begin(&self, state: &State, sent_at: TimeMs) -> bool {
+        state.may_begin(&self.need.service, &self.route.name, sent_at)
+    }
+
     /// Refuses a request whose key was withdrawn while it waited, or can't be judged any more.
     pub(super) fn recheck(&mut self, state: &State) -> Result<(), Refusal> {
         let Some(deployment) = state.deployment.load_full() else { return Ok(()) };
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -270,7 +270,8 @@
         let now = self.state.now();
         let total_ms = now.since_ms(admitted.arrived_at);
         if let Some(first_sent_at) = self.first_sent_at {
-            self.state.run_times().ended(&admitted.need.service, now.since_ms(first_sent_at));
+            let run_ms = now.since_ms(first_sent_at);
+            self.state.run_times().ended(&admitted.need.service, &admitted.route.name, run_ms);
         }
         self.state.metrics.answered(admitted.customer.as_ref(), admitted.priority, total_ms);
         info!(self.state.log, "answered";
--- a/crates/lycheeford-gateway/src/request/place.rs
+++ b/crates/lycheeford-gateway/src/request/place.rs
@@ -80,7 +80,7 @@
 /// Refuses a request that can't have one in time, at once where that is known.
 pub(super) async fn take_place(state: &Arc<State>, admitted: &Admitted) -> Result<Place, Refusal> {
     let now = state.now();
-    if !state.may_begin(&admitted.need.service, now) {
+    if !admitted.may_begin(state, now) {
         return Err(host_stopping());
     }
     let waiting = Waiting {
@@ -117,7 +117,7 @@
     let mut is_promised = false;
     loop {
         let now = state.now();
-        if !state.may_begin(&admitted.need.service, now) {
+        if !admitted.may_begin(state, now) {
             return Err(host_stopping());
         }
         let slice_ms = give_up_at.since_ms(now).min(LOOK_MS);
@@ -138,7 +138,7 @@
             if ready_at + ANSWER_MS_MIN >= admitted.final_at {
                 return Err(not_loaded(ready_at.since_ms(now)));
             }
-            if !state.may_begin(&admitted.need.service, ready_at) {
+            if !admitted.may_begin(state, ready_at) {
                 return Err(host_stopping());
             }
             // The load is under way or has its turn, so that waiting is worth it; a time that
@@ -191,7 +191,7 @@
             if expected_ms > share_ms {
                 return Err(overloaded(expected_ms - share_ms));
             }
-            if !state.may_begin(&admitted.need.service, now + expected_ms) {
+            if !admitted.may_begin(state, now + expected_ms) {
                 return Err(host_stopping());
             }
             Ok(share_ms)
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -129,7 +129,7 @@
     let plan = state.start_draining();
     info!(state.log, "draining"; "requests_running" => state.requests_running());
     let accept_ms = (state.settings.stop_grace_ms as f64 * ACCEPT_PART) as u64;
-    task::sleep(Duration::from_millis(accept_ms)).await;
+    sleep_until(state, plan.answer_by().min(state.now() + accept_ms)).await;
     front_stop.trigger();
     let out_of_grace = async {
         sleep_until(state, plan.answer_by()).await;
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -228,12 +228,12 @@
         self.stop_plan.get().is_some()
     }
 
-    /// Returns whether a request of `service` that is sent to a target at `sent_at` ends before
-    /// this host does.
-    pub(crate) fn may_begin(&self, service: &Name, sent_at: TimeMs) -> bool {
+    /// Returns whether a request of a route that is sent to a target of `service` at `sent_at`
+    /// ends before this host does.
+    pub(crate) fn may_begin(&self, service: &Name, route: &Name, sent_at: TimeMs) -> bool {
         self.stop_plan
             .get()
-            .is_none_or(|plan| plan.may_begin(sent_at, self.run_times().reserve_ms(service)))
+            .is_none_or(|plan| plan.may_begin(sent_at, self.run_times().reserve_ms(service, route)))
     }
 
     /// Counts a request as running until the guard is dropped.
--- a/crates/lycheeford-policy/src/gateway/run_times.rs
+++ b/crates/lycheeford-policy/src/gateway/run_times.rs
@@ -1,64 +1,85 @@
 use std::collections::VecDeque;
 
-use crate::Name;
+use crate::{Deployment, Name};
 
-/// The last requests of a service that are looked at.
-const RUNS_MAX: usize = 256;
+/// The last requests of a route that are looked at.
+const RUNS_MAX: usize = 128;
 /// The part of them that took no longer than what the next one is expected to take.
 const MOST: f64 = 0.98;
 /// How much longer than that the next one may run.
 const MARGIN: f64 = 1.5;
 /// What a request of a service is expected to take of which none has ended here.
-const UNKNOWN_MS: u64 = 1_000;
+const UNKNOWN_MS: u64 = 3_000;
 
-/// How long requests of each service ran lately, from the first send to the end of the answer.
+/// How long requests of each route ran lately, from the first send to the end of the answer.
 #[derive(Debug, Clone, Default)]
 pub struct RunTimes {
-    /// Sorted by name.
-    services: Vec<ServiceRuns>,
+    /// Sorted by service and route.
+    routes: Vec<RouteRuns>,
 }
 
 #[derive(Debug, Clone)]
-struct ServiceRuns {
+struct RouteRuns {
     service: Name,
+    route: Name,
     /// Oldest first.
     last_ms: VecDeque<u64>,
 }
 
 impl RunTimes {
-    /// Takes in a request of `service` that was answered whole.
-    pub fn ended(&mut self, service: &Name, run_ms: u64) {
-        let index = match self.index(service) {
+    /// Takes in a request that was answered whole.
+    pub fn ended(&mut self, service: &Name, route: &Name, run_ms: u64) {
+        let index = match self.index(service, route) {
             Ok(index) => index,
             Err(index) => {
-                let runs = ServiceRuns { service: service.clone(), last_ms: VecDeque::new() };
-                self.services.insert(index, runs);
+                let (service, route) = (service.clone(), route.clone());
+                self.routes.insert(index, RouteRuns { service, route, last_ms: VecDeque::new() });
                 index
             }
         };
-        let last = &mut self.services[index].last_ms;
+        let last = &mut self.routes[index].last_ms;
         if last.len() >= RUNS_MAX {
             last.pop_front();
         }
         last.push_back(run_ms);
     }
 
-    /// Returns the time to set aside for the next request of `service`.
+    /// Returns the time to set aside for the next request of a route.
     ///
-    /// A few that were stuck don't count, or they would keep all others out.
-    pub fn reserve_ms(&self, service: &Name) -> u64 {
-        (self.most_ms(service) as f64 * MARGIN) as u64
+    /// A few that were stuck don't count, or they would keep all others out. A
+    /// route of which none has ended here may be like the slowest one of its service.
+    pub fn reserve_ms(&self, service: &Name, route: &Name) -> u64 {
+        let most_ms = match self.index(service, route) {
+            Ok(index) => self.routes[index].most_ms(),
+            Err(_) => self.slowest_ms(service).unwrap_or(UNKNOWN_MS),
+        };
+        (most_ms as f64 * MARGIN) as u64
+    }
+
+    /// Forgets routes that aren't declared any more.
+    pub fn keep_declared(&mut self, deployment: &Deployment) {
+        let mut names: Vec<&Name> = deployment.routes.iter().map(|route| &route.name).collect();
+        names.sort_unstable();
+        self.routes.retain(|runs| names.binary_search(&&runs.route).is_ok());
+    }
+
+    fn slowest_ms(&self, service: &Name) -> Option<u64> {
+        let first = self.routes.partition_point(|runs| runs.service < *service);
+        let of_service = self.routes[first..].iter().take_while(|runs| runs.service == *service);
+        of_service.map(RouteRuns::most_ms).max()
     }
 
-    fn most_ms(&self, service: &Name) -> u64 {
-        let Ok(index) = self.index(service) else { return UNKNOWN_MS };
-        let mut sorted: Vec<u64> = self.services[index].last_ms.iter().copied().collect();
+    fn index(&self, service: &Name, route: &Name) -> Result<usize, usize> {
+        self.routes.binary_search_by(|runs| (&runs.service, &runs.route).cmp(&(service, route)))
+    }
+}
+
+impl RouteRuns {
+    /// Returns the time that nearly all of the last runs took at most.
+    fn most_ms(&self) -> u64 {
+        let mut sorted: Vec<u64> = self.last_ms.iter().copied().collect();
         sorted.sort_unstable();
         let rank = ((sorted.len() as f64 * MOST) as usize).min(sorted.len().saturating_sub(1));
         sorted.get(rank).copied().unwrap_or(UNKNOWN_MS)
     }
-
-    fn index(&self, service: &Name) -> Result<usize, usize> {
-        self.services.binary_search_by(|runs| runs.service.cmp(service))
-    }
 }
--- a/crates/lycheeford-policy/tests/gateway/stopping.rs
+++ b/crates/lycheeford-policy/tests/gateway/stopping.rs
@@ -7,8 +7,8 @@
 struct BeginCase {
     name: &'static str,
     grace_ms: u64,
-    /// Runs of the service that ended before.
-    runs_ms: &'static [u64],
+    /// Runs that ended before, with their routes.
+    runs_ms: &'static [(&'static str, u64)],
     /// The first moment after the stop at which a request must not be sent to a target.
     refuses_from_ms: u64,
 }
@@ -16,34 +16,58 @@
 #[test]
 fn a_stopping_host_begins_what_ends_before_it() {
     let cases = [
-        BeginCase { name: "short runs", grace_ms: 8_000, runs_ms: &[20], refuses_from_ms: 7_370 },
+        BeginCase {
+            name: "short runs",
+            grace_ms: 8_000,
+            runs_ms: &[("brief", 20)],
+            refuses_from_ms: 7_370,
+        },
         BeginCase {
             name: "long runs",
             grace_ms: 8_000,
-            runs_ms: &[2_000, 200],
+            runs_ms: &[("brief", 2_000), ("brief", 200)],
+            refuses_from_ms: 4_400,
+        },
+        BeginCase {
+            name: "another route of the service has long runs",
+            grace_ms: 8_000,
+            runs_ms: &[("brief", 20), ("review", 2_000)],
+            refuses_from_ms: 7_370,
+        },
+        BeginCase {
+            name: "only other routes have run",
+            grace_ms: 8_000,
+            runs_ms: &[("order", 20), ("review", 2_000)],
             refuses_from_ms: 4_400,
         },
         BeginCase {
             name: "no run is known",
             grace_ms: 8_000,
             runs_ms: &[],
-            refuses_from_ms: 5_900,
+            refuses_from_ms: 2_900,
         },
         BeginCase {
             name: "runs that outlast the grace",
             grace_ms: 2_000,
-            runs_ms: &[3_000],
+            runs_ms: &[("brief", 3_000)],
+            refuses_from_ms: 0,
+        },
+        BeginCase {
+            name: "hardly a grace",
+            grace_ms: 300,
+            runs_ms: &[("brief", 10)],
             refuses_from_ms: 0,
         },
-        BeginCase { name: "hardly a grace", grace_ms: 300, runs_ms: &[10], refuses_from_ms: 0 },
     ];
     for case in cases {
-        let service = Name::from("models");
+        let (service, route) = (Name::from("models"), Name::from("brief"));
         let mut runs = RunTimes::default();
-        case.runs_ms.iter().for_each(|run_ms| runs.ended(&service, *run_ms));
+        for (route, run_ms) in case.runs_ms {
+            runs.ended(&service, &Name::from(*route), *run_ms);
+        }
         let times = StopTimes { grace_ms: case.grace_ms, answer_ms: 600, end_ms: 400 };
         let plan = StopPlan::new(STOPPED_AT, times);
-        let run_ms = runs.reserve_ms(&service);
+        let run_ms = runs.reserve_ms(&service, &route);
         let refuses_from = (0..=case.grace_ms)
             .find(|after_ms| !plan.may_begin(STOPPED_AT + *after_ms, run_ms))
             .expect("nothing begins when the grace is used up");
@@ -55,12 +79,12 @@
 
 #[test]
 fn one_stuck_run_does_not_make_a_stopping_host_refuse_everything() {
-    let service = Name::from("models");
+    let (service, route) = (Name::from("models"), Name::from("brief"));
     let mut runs = RunTimes::default();
-    runs.ended(&service, 8_000);
-    (0..200).for_each(|_| runs.ended(&service, 300));
-    assert_eq!(runs.reserve_ms(&service), 450);
+    runs.ended(&service, &route, 8_000);
+    (0..100).for_each(|_| runs.ended(&service, &route, 300));
+    assert_eq!(runs.reserve_ms(&service, &route), 450);
     // Long runs of late are believed, however many short ones came before.
-    (0..20).for_each(|_| runs.ended(&service, 2_500));
-    assert_eq!(runs.reserve_ms(&service), 3_750);
+    (0..20).for_each(|_| runs.ended(&service, &route, 2_500));
+    assert_eq!(runs.reserve_ms(&service, &route), 3_750);
 }
