Look again for a target while a stream pauses

A review showed that a paused stream looked for another target only once; one that came later in the pause was never taken. Now it looks again every 0.5 s. Test: the case "another target comes late in the pause" of stalls.rs failed before (the stream's second event came from the first engine after 4.5 s).

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -1,8 +1,9 @@
-use std::future::{self, Future};
+use std::future::Future;
 use std::time::Duration;
 
 use async_std::future::timeout;
 use async_std::prelude::FutureExt;
+use async_std::task;
 use lycheeford_caller::ChunkSender;
 use lycheeford_policy::{Chosen, EventBoundary, TimeMs};
 use lycheeford_target::{TargetBody, TargetError};
@@ -16,6 +17,8 @@
 /// target that can, as a multiple of the longest pause that is on time.
 const STALL_FACTOR: u64 = 3;
 const STALL_MS_MIN: u64 = 1_000;
+/// The pause before another target is looked for again.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
 
 /// Passes a stream on, event by event.
 ///
@@ -228,9 +231,12 @@
         let attempts = &self.attempts;
         let next = async { AfterPause::Next(self.next(body).await) };
         let elsewhere = async {
-            match take_place(&attempts.state, &attempts.admitted).await {
-                Ok(place) => AfterPause::Elsewhere(place),
-                Err(_) => future::pending().await,
+            loop {
+                if let Ok(place) = take_place(&attempts.state, &attempts.admitted).await {
+                    return AfterPause::Elsewhere(place);
+                }
+                // Nobody else can go on now; one may come.
+                task::sleep(LOOK_AGAIN).await;
             }
         };
         self.within_time(next.race(elsewhere)).await
