Let a request that may not go back to a target keep no other from it

Callers see requests for a model wait up to seconds while its target has free places. Cause: the queue takes a need that can't be met for the answer to all of the same lane, also where the request may not go to targets that it has tried. Since paused streams wait for another target, it happens more often. Test: a_request_that_may_not_go_back_to_a_target_keeps_no_other_from_it failed before.

--- a/crates/lycheeford-policy/src/gateway/wait_queue.rs
+++ b/crates/lycheeford-policy/src/gateway/wait_queue.rs
@@ -63,7 +63,10 @@
                 return true;
             }
             let Tried::Chosen(chosen) = targets.choose(now, &waiting.need) else {
-                unmet.push(lane);
+                // One that has tried targets already says nothing of those that others may have.
+                if waiting.need.excluded.is_empty() {
+                    unmet.push(lane);
+                }
                 return true;
             };
             targets.started(&chosen, waiting.need.model.as_ref(), waiting.need.tokens);
--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -219,3 +219,16 @@
     assert!(queue.remove(4));
     assert!(!queue.remove(4));
 }
+
+#[test]
+fn a_request_that_may_not_go_back_to_a_target_keeps_no_other_from_it() {
+    let mut targets = table(&[entry("t1", &["m1"])]);
+    let mut queue = WaitQueue::default();
+    let mut repeated = waiting(1, "m1", 0, 0);
+    repeated.need.excluded = vec![name("t1")];
+    queue.push(repeated);
+    queue.push(waiting(2, "m1", 0, 10));
+    let dispatched = queue.dispatch(at(20), &mut targets);
+    let ids: Vec<u64> = dispatched.iter().map(|(id, _)| *id).collect();
+    assert_eq!(ids, [2]);
+}
