Have requests paid for whose callers left while they ran

A customer could run far more than its rate: 3,120 units where 1,673 were there, by callers that leave as soon as a target has their request. Cause: the charge is kept when a call has an answer or fails; a call that is dropped, since its caller closed the connection, gave its units back though the target had it. Test: requests_whose_callers_left_while_they_ran_are_paid_for failed before with these figures.

--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -51,6 +51,17 @@
     pub(super) sent_at: TimeMs,
 }
 
+impl Drop for Attempts {
+    /// Has a request paid for whose caller left while a target had it.
+    fn drop(&mut self) {
+        if self.is_at_target
+            && let Some(charge) = &mut self.admitted.charge
+        {
+            charge.spend();
+        }
+    }
+}
+
 impl Attempts {
     pub(super) fn new(state: Arc<State>, admitted: Admitted) -> Attempts {
         Attempts {
@@ -357,9 +368,6 @@
     pub(super) fn host_stops(&mut self) -> Refusal {
         if self.is_at_target {
             self.ran = self.ran.max(Ran::Unknown);
-            if let Some(charge) = &mut self.admitted.charge {
-                charge.spend();
-            }
         }
         if self.ran == Ran::NotRun {
             return host_stopping();
