Spread the reports of a round, so that a relay's link drops none

Cause: a relay sent its whole round at once. With models shifting, its reports had grown from 1 KB to 5 and more (14 KB at most: placements, names asked for, what runs, suspects), times 15 partners. That is more than the queue of a link of 10 Mbit/s holds, and what doesn't fit is dropped: always the partners that came last by name. They heard nobody, took the relay for silent, became relays of their own and sent large rounds too.

Rounds were never over 291 ms apart, so hosts were neither stalled nor short of processor time (cpu_peak 0.0275). In second 2 every host with no report received in half a second was among the last names of its cell or of the relays (c-6 to c-9, c-22, c-21, c-16, b-8), and only at relays with 5.2 KB a report and more; relays with 4.7 KB lost next to none.

Ruled out for this: restarts (the only host gone before 13 s is the replaced holder of orders) and requests that run uncharged.

Fix: 12 KB, then a pause that keeps 4 Mbit/s; each round begins with another partner; counts and levels are gathered anew after a pause, since what the receiver is told to have been heard must not be newer than the levels.

--- a/crates/lycheeford-gateway/src/membership/spread.rs
+++ b/crates/lycheeford-gateway/src/membership/spread.rs
@@ -4,7 +4,7 @@
 
 use async_std::net::UdpSocket;
 use async_std::task;
-use lycheeford_policy::{Name, PartnerRole};
+use lycheeford_policy::{Name, PartnerRole, ReportPace};
 use slog::warn;
 
 use super::report::{Common, take_report};
@@ -48,21 +48,33 @@
 /// Reports to this host's partners until the future is dropped.
 pub(crate) async fn send_reports(state: Arc<State>, socket: Arc<UdpSocket>) {
     let mut round = 0;
+    let mut pace = ReportPace::default();
     loop {
+        let started_at = state.now();
         let partners = lay_out(&state);
-        let common = Common::gather(&state, round);
-        for (host, role, address) in partners {
-            let report = common.for_host(&state, &host, role);
-            send(&socket, Message::Report(Box::new(report)), address).await;
+        let mut common = Common::gather(&state, round);
+        // What a link drops shouldn't always be meant for the same partner.
+        let first = round % partners.len().max(1);
+        for (host, role, address) in partners[first..].iter().chain(&partners[..first]) {
+            let report = common.for_host(&state, host, *role);
+            let sent_bytes = send(&socket, Message::Report(Box::new(report)), *address).await;
+            if let Some(pause_ms) = pace.sent(sent_bytes) {
+                task::sleep(Duration::from_millis(pause_ms)).await;
+                common = Common::gather(&state, round);
+            }
         }
         let strangers = state.membership().hosts.strangers(state.now());
         for index in 0..strangers.len().min(STRANGERS_MAX) {
             let address = strangers[(round * STRANGERS_MAX + index) % strangers.len()];
-            send(&socket, Message::Report(Box::new(common.for_stranger())), address).await;
+            let report = Message::Report(Box::new(common.for_stranger()));
+            if let Some(pause_ms) = pace.sent(send(&socket, report, address).await) {
+                task::sleep(Duration::from_millis(pause_ms)).await;
+            }
         }
         round += 1;
         tell_holder(&state, &socket).await;
-        let pause_ms = state.membership().hosts.report_ms();
+        let report_ms = state.membership().hosts.report_ms();
+        let pause_ms = report_ms.saturating_sub(state.now().since_ms(started_at)).max(1);
         task::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 //! - `confirmation`: a key that is withdrawn while this host is cut off.
 //! - `host_table`, `report_layout`: hosts that die, freeze, leave or can't hear each other, and
 //!   fleets in which not every host can report to every other one.
+//! - `report_pace`: reports that together are more than the queue of a link holds.
 //! - `peer_table`, `counters`: what all hosts run and spend together, passed on by some.
 //! - `store_absence`: entries that expire while the store is away.
 //! - `shared_watch`: many hosts that would all ask the store for the same news.
@@ -37,6 +38,7 @@
 mod peer_table;
 mod placement_log;
 mod report_layout;
+mod report_pace;
 mod retry_share;
 mod run_times;
 mod shared_bucket;
@@ -67,6 +69,7 @@
 };
 pub use self::placement_log::PlacementLog;
 pub use self::report_layout::{PartnerRole, ReportLayout};
+pub use self::report_pace::ReportPace;
 pub use self::retry_share::RetryShare;
 pub use self::run_times::RunTimes;
 pub use self::shared_bucket::SharedBucket;
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -71,7 +71,7 @@
     EngineModel, EngineOperation, EngineView, EventBoundary, Hearing, HostRecord, HostSign,
     HostTable, KeyDigest, KnownHost, LeaseExpect, LeaseRecord, LeaseStep, ModelDemand, Need,
     OrderLease, OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer, PeerNews, PeerReport, PeerState,
-    PeerTable, PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportedLease,
+    PeerTable, PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportPace, ReportedLease,
     ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes,
     RunningAt, Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums,
     SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth,
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -4,7 +4,7 @@
 
 use lycheeford_policy::{
     CustomerRate, HostRecord, HostTable, Name, OwnCounts, PartnerRole, PeerReport, PeerState,
-    PeerTable, RateUnit, RunningAt, Scope, SharedBucket, SharedWatch, ShortKey, Sums,
+    PeerTable, RateUnit, ReportPace, RunningAt, Scope, SharedBucket, SharedWatch, ShortKey, Sums,
 };
 use proptest::prelude::*;
 
@@ -15,12 +15,17 @@
     CustomerRate { units_per_s: 1_000.0, burst_units: 2_000.0, unit: RateUnit::Requests };
 /// How long a report is under way.
 const WAY_MS: u64 = 5;
+/// A host's link of 10 Mbit/s, and what waits there before more is dropped.
+const LINK_BYTES_PER_MS: f64 = 1_250.0;
+const LINK_QUEUE_BYTES: f64 = 64_000.0;
 
 /// Hosts that report to each other, in virtual time.
 struct Fleet {
     hosts: Vec<Host>,
     /// Reports under way: when they come, to whom, and what they say.
     under_way: Vec<(u64, usize, PeerReport)>,
+    /// The size of each report; without one, links hold anything.
+    report_bytes: usize,
     ms: u64,
 }
 
@@ -37,6 +42,9 @@
     next_ms: u64,
     /// Reports that it sent.
     sent: u64,
+    pace: ReportPace,
+    /// When its link has sent all that waits there.
+    link_free_ms: f64,
 }
 
 impl Host {
@@ -52,6 +60,8 @@
             bucket: SharedBucket::new(at(ms)),
             heard_units: 0.0,
             sent: 0,
+            pace: ReportPace::default(),
+            link_free_ms: 0.0,
             next_ms: ms + 1 + index as u64 * 7 % 250,
         }
     }
@@ -76,6 +86,17 @@
         self.own.spent.first().map_or(0.0, |(_, units)| *units)
     }
 
+    /// Puts a report on the host's link; returns when it has left, unless the link is full.
+    fn transmit(&mut self, ms: u64, bytes: usize) -> Option<u64> {
+        let (now_ms, bytes) = (ms as f64, bytes as f64);
+        let waiting_bytes = (self.link_free_ms - now_ms).max(0.0) * LINK_BYTES_PER_MS;
+        if waiting_bytes + bytes > LINK_QUEUE_BYTES {
+            return None;
+        }
+        self.link_free_ms = self.link_free_ms.max(now_ms) + bytes / LINK_BYTES_PER_MS;
+        Some(self.link_free_ms.ceil() as u64)
+    }
+
     fn report(&self, ms: u64, to: &Name, role: Option<PartnerRole>) -> PeerReport {
         let (scope, sums) = match role {
             Some(_) => self.peers.sums_for(at(ms), to, &self.own),
@@ -119,8 +140,12 @@
     /// Starts hosts that the store lists, and lets them find each other.
     fn start(hosts: usize, domains: usize) -> Fleet {
         let start = |index| Host::start(index, domains, 1, 0);
-        let mut fleet =
-            Fleet { hosts: (0..hosts).map(start).collect(), under_way: Vec::new(), ms: 0 };
+        let mut fleet = Fleet {
+            hosts: (0..hosts).map(start).collect(),
+            under_way: Vec::new(),
+            report_bytes: 0,
+            ms: 0,
+        };
         fleet.list();
         fleet.run(4_000, |_, _| true);
         fleet
@@ -176,9 +201,17 @@
             let report = PeerReport { sums, ..report(&host.record, host.incarnation, ms, 0.0) };
             reports.push((usize::from(address.port()), report));
         }
-        self.hosts[from].sent += reports.len() as u64;
-        let arriving = reports.into_iter().filter(|(to, _)| arrives(from, *to));
-        self.under_way.extend(arriving.map(|(to, report)| (ms + WAY_MS, to, report)));
+        let host = &mut self.hosts[from];
+        host.sent += reports.len() as u64;
+        let mut sent_ms = ms;
+        for (to, report) in reports {
+            let left_ms = host.transmit(sent_ms, self.report_bytes);
+            if let Some(left_ms) = left_ms.filter(|_| arrives(from, to)) {
+                self.under_way.push((left_ms + WAY_MS, to, report));
+            }
+            sent_ms += host.pace.sent(self.report_bytes).unwrap_or_default();
+        }
+        host.next_ms = host.next_ms.max(sent_ms);
     }
 
     /// Returns what all hosts spent, with what the host knows of it: its own and what it heard.
@@ -262,6 +295,24 @@
     }
 }
 
+/// Traced on northpass-ops-grown trouble-3: a relay sent its round at once, its link dropped the last
+/// of it each time, and those partners heard nobody for as long as the reports stayed large.
+#[test]
+fn a_round_of_large_reports_reaches_every_partner() {
+    for report_bytes in [1_000, 6_000, 12_000] {
+        let mut fleet = Fleet::start(73, 3);
+        fleet.report_bytes = report_bytes;
+        for _ in 0..20 {
+            fleet.run(500, |_, _| true);
+            let deaf: Vec<(usize, f64)> = (0..73)
+                .map(|host| (host, fleet.hosts[host].table.hearing(at(fleet.ms)).part))
+                .filter(|(_, part)| *part < 1.0)
+                .collect();
+            assert!(deaf.is_empty(), "{report_bytes} bytes, {} ms: {deaf:?}", fleet.ms);
+        }
+    }
+}
+
 /// What is heard comes through relays, three reports old.
 #[test]
 fn a_customer_gets_its_rate_over_many_hosts_and_no_more() {
