Let a host that hears a minority leave the others their part while they are listed

Seen in a model, not in a play: a host that hears nobody counted a silent one as possibly alive for 12 s, and one that it never heard since its own start not at all. So a host that is cut off for longer than 12 s, or that restarts behind the cut, took the whole rate of every customer for its own.

Cause: HostTable::hearing can't tell the death of all others from a cut by their silence alone.

Fix: who hears less than half of the known hosts divides by all of them until the store doesn't list them any more; who hears half or more goes on as before after 12 s. The price: where more than half of a fleet is lost for good, the rest refill a customer's rate in part only until the objects of the lost hosts are collected (20 s of silence and the pause between two listings), not for 12 s.

--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -261,7 +261,9 @@
         let seen_within =
             |limit_ms: u64| self.hosts.iter().filter(|host| is_seen(host, now, limit_ms)).count();
         let heard = 1 + seen_within(self.heard_ms());
-        let may_live = 1 + seen_within(PEER_MAY_LIVE_MS);
+        // Who hears only a few is rather cut off than one of the few that are left.
+        let may_live =
+            if heard * 2 < self.count() { self.count() } else { 1 + seen_within(PEER_MAY_LIVE_MS) };
         Hearing {
             part: heard as f64 / may_live as f64,
             hosts: self.count(),
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -374,7 +374,8 @@
 }
 
 /// Traced on northpass-ops-grown scale-2: a customer of many times its rate overspent by more than a
-/// burst while reports were under way, and what lay beyond the burst was forgiven each time.
+/// burst while reports were under way, and what lay beyond the burst was forgiven each time; and hosts
+/// that were cut off for longer than a silent host counts as alive took the whole rate for theirs.
 #[test]
 fn no_cut_restart_or_burst_of_requests_gives_a_customer_more_than_its_tolerance() {
     const DOMAINS: usize = 3;
@@ -389,8 +390,9 @@
         /// From when to when hosts hear only those whose number leaves the same remainder.
         cut_ms: (u64, u64),
         cut_in: usize,
-        /// How many hear nobody meanwhile.
+        /// How many hear nobody meanwhile, and when they restart.
         isolated: usize,
+        isolated_restart_ms: Option<u64>,
         all_restart_ms: Option<u64>,
     }
     let base = Case {
@@ -402,6 +404,7 @@
         cut_ms: (0, 0),
         cut_in: 1,
         isolated: 0,
+        isolated_restart_ms: None,
         all_restart_ms: None,
     };
     let twice = Case { demand_per_ms: 2.0, ..base };
@@ -420,6 +423,13 @@
         Case { what: "in 8 pieces", cut_ms: (6_000, 12_000), cut_in: 8, ..twice },
         Case { what: "in 8 pieces for a moment", cut_ms: (6_000, 7_500), cut_in: 8, ..twice },
         Case { what: "a third cut off", cut_ms: (2_000, 13_500), ..isolated },
+        Case { what: "a third cut off for long", cut_ms: (2_000, 24_000), ..isolated },
+        Case {
+            what: "a third cut off that restart",
+            cut_ms: (2_000, 14_000),
+            isolated_restart_ms: Some(5_000),
+            ..isolated
+        },
         Case { what: "all restart", all_restart_ms: Some(11_000), ..base },
     ];
     // The users' rule: a tenth over, and the tolerance that a declared rate of 102,012 has beside it.
@@ -443,6 +453,9 @@
             };
             fleet.run(1, |from, to| !is_cut || is_heard(from, to));
             let ms = fleet.ms;
+            if case.isolated_restart_ms == Some(past_ms) {
+                restart(&mut fleet, case.isolated);
+            }
             if case.all_restart_ms == Some(past_ms) {
                 restart(&mut fleet, case.hosts);
             }
