Tell a host that waits each placement once, and at once only what it waits for

Cause: the holder of orders told each host whose requests wait all placements that the host lacked when it last asked, up to 500, at every change, and how long every model takes. At a takeover, each host lacks all. A holder with 10 Mbit/s can send 1.25 MB/s; it sent up to 1.6 MB/s, and the next one 4.1 MB/s (trial, a line that counted the bytes, not kept). Its calls to the store timed out, it lost the lease after 3 s, and the next holder went the same way.

Ruled out: reports (0.2 to 0.5 MB/s of it until 25 s), its processor (orders went out until the link was full), the store (other hosts reached it).

Change: what was told counts as known for 0.2 s (ToldLog); news say after which version they follow, and a host that lacks more passes them over; only the waits of the models that the host asks for are told, and nothing at once that its requests don't wait for. The rest comes within 0.2 s or with the reports.

Test: many_changes_are_not_told_many_times_over; fails if what is under way isn't counted (6,210 placements told where 1,500 are allowed).

--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 
 use lycheeford_policy::{
-    HostRecord, HostTable, Name, PartnerRole, PeerState, PeerTable, ReportedLease, TimeMs,
-    WantedName, rendezvous_rank,
+    HostRecord, HostTable, Name, PartnerRole, PeerState, PeerTable, ReportedLease, ShortKey,
+    TimeMs, ToldLog, WantedName, rendezvous_rank,
 };
 
 use super::wire::Wants;
@@ -28,17 +28,48 @@
 
 /// A host whose requests wait for orders.
 #[derive(Debug)]
-pub(super) struct Asker {
+struct Asker {
     wants: Wants,
     asked_at: TimeMs,
-    told_at: TimeMs,
+    /// When it was told something last.
+    told_at: Option<TimeMs>,
+    placements: ToldLog,
+    /// The models of which it was told last how long they take.
+    waits: Vec<ShortKey>,
+}
+
+/// What a host whose requests wait is to be told.
+#[derive(Debug)]
+pub(super) struct Due {
+    pub(super) host: Name,
+    pub(super) address: SocketAddr,
+    /// The token and the version after which it lacks placements.
+    pub(super) placements_after: (u64, u64),
+    /// The models and adapters for which its requests wait.
+    pub(super) names: Vec<ShortKey>,
+    /// The models of which it was told last how long they take.
+    pub(super) waits: Vec<ShortKey>,
+    /// Whether it was told nothing for a while.
+    pub(super) was_left: bool,
 }
 
 impl Asker {
-    /// Notes that the host is told now; returns where, and what placements it knows.
-    pub(super) fn told(&mut self, now: TimeMs) -> (SocketAddr, (u64, u64)) {
-        self.told_at = now;
-        (self.wants.sender.peer_address, self.wants.placements_known)
+    fn due(&self, now: TimeMs) -> Due {
+        let Wants { sender, names, .. } = &self.wants;
+        let key = |name: &WantedName| match &name.adapter {
+            Some(adapter) => {
+                [ShortKey::of(&name.model), ShortKey::of_adapter(&name.model, adapter)]
+            }
+            None => [ShortKey::of(&name.model); 2],
+        };
+        Due {
+            host: sender.host.clone(),
+            address: sender.peer_address,
+            placements_after: self.placements.after(now),
+            names: names.iter().flat_map(key).collect(),
+            waits: self.waits.clone(),
+            was_left: self.told_at.is_none_or(|at| now.since_ms(at) >= TELL_MS),
+        }
     }
 }
 
@@ -74,24 +105,54 @@
         (renewed_age_ms < LEASE_MS_MAX).then(|| ReportedLease { renewed_age_ms, ..lease.clone() })
     }
 
-    /// Takes in what a host's requests wait for; returns whether it is due to be told something.
-    pub(super) fn take_wants(&mut self, now: TimeMs, wants: Wants) -> bool {
+    /// Takes in what a host's requests wait for; returns what it is to be told, if they wait.
+    pub(super) fn take_wants(&mut self, now: TimeMs, wants: Wants) -> Option<Due> {
         self.wants.retain(|asker| now.since_ms(asker.asked_at) < WANTS_MS);
-        let known =
+        let index =
             self.wants.iter().position(|asker| asker.wants.sender.host == wants.sender.host);
-        let told_at = known.map(|index| self.wants.swap_remove(index).told_at);
         if wants.names.is_empty() {
-            return false;
+            if let Some(index) = index {
+                self.wants.swap_remove(index);
+            }
+            return None;
         }
-        let is_due = told_at.is_none_or(|at| now.since_ms(at) >= TELL_MS);
-        let told_at = if is_due { now } else { told_at.unwrap_or(now) };
-        self.wants.push(Asker { wants, asked_at: now, told_at });
-        is_due
+        let index = index.unwrap_or_else(|| {
+            self.wants.push(Asker {
+                wants: wants.clone(),
+                asked_at: now,
+                told_at: None,
+                placements: ToldLog::default(),
+                waits: Vec::new(),
+            });
+            self.wants.len() - 1
+        });
+        let asker = &mut self.wants[index];
+        asker.placements.heard(wants.placements_known);
+        asker.asked_at = now;
+        asker.wants = wants;
+        Some(asker.due(now))
     }
 
-    /// Returns the hosts whose requests wait.
-    pub(super) fn askers(&mut self, now: TimeMs) -> impl Iterator<Item = &mut Asker> {
-        self.wants.iter_mut().filter(move |asker| now.since_ms(asker.asked_at) < WANTS_MS)
+    /// Returns what the hosts whose requests wait are to be told.
+    pub(super) fn due(&self, now: TimeMs) -> Vec<Due> {
+        let asking = self.wants.iter().filter(|asker| now.since_ms(asker.asked_at) < WANTS_MS);
+        asking.map(|asker| asker.due(now)).collect()
+    }
+
+    /// Notes that a host is told the placements up to a token and a version, and some waits.
+    pub(super) fn told(
+        &mut self,
+        now: TimeMs,
+        host: &Name,
+        up_to: (u64, u64),
+        waits: Vec<ShortKey>,
+    ) {
+        let asker = self.wants.iter_mut().find(|asker| asker.wants.sender.host == *host);
+        if let Some(asker) = asker {
+            asker.told_at = Some(now);
+            asker.placements.tell(now, up_to);
+            asker.waits = waits;
+        }
     }
 
     /// Returns what requests at other hosts wait for.
--- a/crates/lycheeford-gateway/src/membership/wants.rs
+++ b/crates/lycheeford-gateway/src/membership/wants.rs
@@ -5,8 +5,10 @@
 
 use async_std::net::UdpSocket;
 use async_std::task;
+use lycheeford_policy::ShortKey;
 
 use super::send::send;
+use super::table::Due;
 use super::wire::{Message, News, Wants};
 use crate::state::State;
 
@@ -53,42 +55,52 @@
 
 /// Tells the hosts whose requests wait what has been placed, if this host gives orders.
 async fn tell_waiting(state: &State, socket: &UdpSocket) {
-    let now = state.now();
-    let askers: Vec<_> = {
-        let mut membership = state.membership();
-        membership.askers(now).map(|asker| asker.told(now)).collect()
-    };
-    for (address, known) in askers {
-        let Some(news) = news_for(state, known) else { return };
-        send(socket, Message::News(news), address).await;
+    let due = state.membership().due(state.now());
+    for due in due {
+        if let Some(news) = news_for(state, &due) {
+            send(socket, Message::News(news), due.address).await;
+        }
     }
 }
 
-/// Returns what a host that knows the placements up to `known` is told, if this host gives orders.
-fn news_for(state: &State, known: (u64, u64)) -> Option<News> {
-    let orders = state.orders();
-    let (token, _, _) = orders.lease.held(state.now())?;
-    let version = if known.0 == token { known.1 } else { 0 };
-    let changes = orders.placements.changes_since(version);
-    let placements = changes[..changes.len().min(PLACEMENTS_MAX)].to_vec();
-    let waits = orders.waits().into_iter().map(|(model, wait_ms)| (model, wait_ms as f64));
-    Some(News { token, placements, waits: waits.collect() })
+/// Returns what a host is told, if this host gives orders and there is something that helps it.
+///
+/// The rest follows with the reports. Telling everybody everything at once
+/// would fill the link of a small host.
+fn news_for(state: &State, due: &Due) -> Option<News> {
+    let now = state.now();
+    let (token, after, up_to, placements, waits) = {
+        let orders = state.orders();
+        let (token, _, _) = orders.lease.held(now)?;
+        let (known_token, known_version) = due.placements_after;
+        let after = if known_token == token { known_version } else { 0 };
+        let changes = orders.placements.changes_since(after);
+        let placements = changes[..changes.len().min(PLACEMENTS_MAX)].to_vec();
+        let up_to = placements.last().map_or(after, |last| last.version);
+        (token, after, up_to, placements, orders.waits())
+    };
+    let waits: Vec<(ShortKey, f64)> = waits
+        .into_iter()
+        .filter(|(model, _)| due.names.contains(model))
+        .map(|(model, wait_ms)| (model, wait_ms as f64))
+        .collect();
+    let helps = due.was_left
+        || placements.iter().any(|placement| due.names.contains(&placement.name))
+        || waits.iter().any(|(model, _)| !due.waits.contains(model));
+    if !helps {
+        return None;
+    }
+    let told_waits = waits.iter().map(|(model, _)| *model).collect();
+    state.membership().told(now, &due.host, (token, up_to), told_waits);
+    Some(News { token, placements, placements_after: after, waits })
 }
 
 /// Takes in what another host's requests wait for; returns what it is told, and where.
 pub(super) fn take_wants(state: &State, wants: Wants) -> Option<(News, SocketAddr)> {
-    let now = state.now();
-    let wants_some = !wants.names.is_empty();
-    let known = wants.placements_known;
-    let address = wants.sender.peer_address;
-    let is_due = state.membership().take_wants(now, wants);
-    if !wants_some {
-        return None;
-    }
+    let due = state.membership().take_wants(state.now(), wants)?;
     state.wake_planner();
-    let news = news_for(state, known)?;
-    // What was decided before may already help.
-    (is_due || !news.placements.is_empty()).then_some((news, address))
+    let news = news_for(state, &due)?;
+    Some((news, due.address))
 }
 
 /// Takes in what the holder of orders has placed.
@@ -97,7 +109,11 @@
     let waits: Vec<_> =
         news.waits.iter().map(|(model, wait_ms)| (*model, *wait_ms as u64)).collect();
     let mut dispatcher = state.dispatcher();
-    dispatcher.take_placements(news.token, &news.placements);
+    let (known_token, known_version) = dispatcher.placements_known();
+    let version = if known_token == news.token { known_version } else { 0 };
+    if news.placements_after <= version {
+        dispatcher.take_placements(news.token, &news.placements);
+    }
     dispatcher.take_waits(now, &waits);
     dispatcher.dispatch(now);
 }
--- a/crates/lycheeford-gateway/src/membership/wire/orders.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/orders.rs
@@ -23,6 +23,8 @@
     pub(in super::super) token: u64,
     /// Models and adapters that came or went.
     pub(in super::super) placements: Vec<ReportedPlacement>,
+    /// The version after which those are all; without it they would leave a gap.
+    pub(in super::super) placements_after: u64,
     /// How long requests for a model will still wait, in milliseconds.
     pub(in super::super) waits: Vec<(ShortKey, f64)>,
 }
@@ -47,6 +49,8 @@
     placements: Vec<WirePlacement>,
     #[prost(message, repeated, tag = "3")]
     waits: Vec<WireCount>,
+    #[prost(uint64, tag = "4")]
+    placements_after: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -118,6 +122,7 @@
             token: news.token,
             placements: news.placements.into_iter().map(WirePlacement::from).collect(),
             waits: news.waits.into_iter().map(WireCount::from).collect(),
+            placements_after: news.placements_after,
         }
     }
 }
@@ -128,6 +133,7 @@
             token: wire.token,
             placements: wire.placements.into_iter().map(ReportedPlacement::from).collect(),
             waits: wire.waits.into_iter().map(<(ShortKey, f64)>::from).collect(),
+            placements_after: wire.placements_after,
         }
     }
 }
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -87,6 +87,7 @@
     messages.push(Message::News(News {
         token: 5,
         placements: vec![placement(9)],
+        placements_after: 8,
         waits: vec![(ShortKey(2), 450.0)],
     }));
     for message in messages {
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! - `adapter_planner`: many adapters on few places.
 //! - `placement_log`: hosts that would all ask the store for the same changes.
 //! - `run_times`: requests that come while the host is being restarted.
+//! - `told_log`: many hosts that are told of the same changes at once.
 //! - `event_boundary`: streams that break in the middle of an event.
 
 mod adapter_planner;
@@ -49,6 +50,7 @@
 mod target_entry;
 mod target_health;
 mod target_table;
+mod told_log;
 mod wait_queue;
 
 pub use self::adapter_planner::{AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant};
@@ -83,4 +85,5 @@
 pub use self::target_entry::{Residency, ResidentModel, TargetEntry, TargetState};
 pub use self::target_health::{TargetFailure, TargetHealth};
 pub use self::target_table::{Choice, Chosen, Need, Target, TargetTable, Tried};
+pub use self::told_log::ToldLog;
 pub use self::wait_queue::{WaitQueue, Waiting};
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -75,7 +75,7 @@
     ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes,
     RunningAt, Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums,
     SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth,
-    TargetService, TargetState, TargetTable, Tried, WaitQueue, Waiting, WantedName,
+    TargetService, TargetState, TargetTable, ToldLog, Tried, WaitQueue, Waiting, WantedName,
     WeightedService,
 };
 pub use crate::gone::GoneProofs;
--- a/crates/lycheeford-policy/tests/gateway/placement.rs
+++ b/crates/lycheeford-policy/tests/gateway/placement.rs
@@ -2,7 +2,8 @@
 
 use lycheeford_policy::{
     AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, EngineOperation, EngineView,
-    ModelDemand, PlacementLog, ShortKey, SwapAction, SwapOrder, SwapPlanner,
+    ModelDemand, PlacementLog, ReportedPlacement, ShortKey, SwapAction, SwapOrder, SwapPlanner,
+    ToldLog,
 };
 use proptest::prelude::*;
 
@@ -236,3 +237,78 @@
     assert_eq!(versions(2), [3]);
     assert_eq!(versions(3), [0_u64; 0]);
 }
+
+struct TellCase {
+    what: &'static str,
+    /// How long a message is on its way.
+    way_ms: u64,
+    /// Until when all that is told is lost.
+    lost_until_ms: u64,
+    /// Placements that may be told in all.
+    told_max: usize,
+}
+
+/// Placements of a host that takes the orders over, and changes after that.
+const TAKEN_OVER: u32 = 900;
+const CHANGES: u32 = 200;
+const CHANGE_PAUSE_MS: u64 = 10;
+/// Placements in one message, and the pauses between messages.
+const IN_MESSAGE_MAX: usize = 500;
+const TELL_PAUSE_MS: u64 = 8;
+const ASK_PAUSE_MS: u64 = 50;
+const TOKEN: u64 = 7;
+
+#[test]
+fn many_changes_are_not_told_many_times_over() {
+    let cases = [
+        TellCase { what: "a free way", way_ms: 1, lost_until_ms: 0, told_max: 1_500 },
+        TellCase { what: "a slow way", way_ms: 60, lost_until_ms: 0, told_max: 2_500 },
+        TellCase { what: "a choked way", way_ms: 400, lost_until_ms: 0, told_max: 9_000 },
+        TellCase { what: "losses", way_ms: 1, lost_until_ms: 1_000, told_max: 7_000 },
+    ];
+    for case in cases {
+        let mut log = PlacementLog::default();
+        for index in 0..TAKEN_OVER {
+            log.note(&name("engine"), ShortKey(index), true);
+        }
+        let (mut told_log, mut asker) = (ToldLog::default(), PlacementLog::default());
+        let mut to_asker: Vec<(u64, u64, Vec<ReportedPlacement>)> = Vec::new();
+        let mut to_holder: Vec<(u64, u64)> = Vec::new();
+        let mut names = TAKEN_OVER..TAKEN_OVER + CHANGES;
+        let mut told = 0;
+        for ms in 1..=5_000 {
+            if ms % CHANGE_PAUSE_MS == 0
+                && let Some(index) = names.next()
+            {
+                log.note(&name("engine"), ShortKey(index), true);
+            }
+            if ms % ASK_PAUSE_MS == 0 {
+                to_holder.push((ms + case.way_ms, asker.version()));
+            }
+            for (_, version) in to_holder.extract_if(.., |(at, _)| *at <= ms) {
+                told_log.heard((TOKEN, version));
+            }
+            if ms % TELL_PAUSE_MS == 0 {
+                let (token, version) = told_log.after(at(ms));
+                let version = if token == TOKEN { version } else { 0 };
+                let changes = log.changes_since(version);
+                let changes = changes[..changes.len().min(IN_MESSAGE_MAX)].to_vec();
+                if let Some(last) = changes.last() {
+                    told += changes.len();
+                    told_log.tell(at(ms), (TOKEN, last.version));
+                    if ms > case.lost_until_ms {
+                        to_asker.push((ms + case.way_ms, version, changes));
+                    }
+                }
+            }
+            for (_, after, changes) in to_asker.extract_if(.., |(at, _, _)| *at <= ms) {
+                // What follows on something that was lost would leave a gap.
+                if after <= asker.version() {
+                    asker.take(&changes);
+                }
+            }
+        }
+        assert_eq!(asker.changes_since(0), log.changes_since(0), "{}", case.what);
+        assert!(told <= case.told_max, "{}: {told} told", case.what);
+    }
+}
