Don't deny a route by a declaration that can't be confirmed

Cause: the route is looked up first, and only keys were checked against the age of the confirmation. Change: without a confirmation a missing route is 503, configuration_stale, with when to come back. Test: a_route_is_not_denied_by_a_declaration_that_cannot_be_confirmed failed before (404 for 503).

--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -54,13 +54,13 @@
     };
     let host = host_without_port(&request.host);
     let Some(route) = deployment.route(&host, &request.path).cloned() else {
-        return Err(not_found(&request));
+        return Err(no_route(state, &request, arrived_at));
     };
     let customer = customer(state, &deployment, &route, &request, arrived_at)?;
     let fingerprint = fingerprint(&request, customer.map(|customer| &customer.name));
     refuse_suspect(state, fingerprint)?;
     let Some(service) = route.service(xxh3_64(request.id.as_bytes())).cloned() else {
-        return Err(not_found(&request));
+        return Err(no_route(state, &request, arrived_at));
     };
     let tokens = request.tokens.map(|(prompt, output)| prompt + output);
     let rate = customer.and_then(|customer| customer.rate.as_ref().map(|rate| (customer, rate)));
@@ -199,6 +199,17 @@
     Refusal::not_run(RefusalCode::PlatformUnavailable, message, Some(STARTING_RETRY_MS))
 }
 
+/// Returns the refusal of a request that the declaration has no route for.
+///
+/// A host that can't confirm its declaration may lack a route that was added.
+fn no_route(state: &State, request: &GatewayRequest, now: TimeMs) -> Refusal {
+    if state.is_confirmed(now) {
+        return not_found(request);
+    }
+    let message = "this host can't confirm that its routes are current; try another host";
+    Refusal::not_run(RefusalCode::ConfigurationStale, message, Some(STARTING_RETRY_MS))
+}
+
 fn not_found(request: &GatewayRequest) -> Refusal {
     let message = format!("no route for {} at {}; correct the URL", request.path, request.host);
     Refusal::not_run(RefusalCode::NotFound, message, None)
