--- /dev/null
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -0,0 +1,261 @@
+//! Hosts that report to each other over links, in virtual time.
+
+use lycheeford_policy::{
+    CustomerRate, HostRecord, HostTable, Name, OwnCounts, PartnerRole, PeerReport, PeerState,
+    PeerTable, RateUnit, ReportPace, Scope, SharedBucket, ShortKey, Sums,
+};
+
+use crate::world::{at, name};
+
+pub(crate) const CUSTOMER: ShortKey = ShortKey(1);
+pub(crate) const RATE: CustomerRate =
+    CustomerRate { units_per_s: 1_000.0, burst_units: 2_000.0, unit: RateUnit::Requests };
+/// How long a report is under way.
+const WAY_MS: u64 = 5;
+/// A host's link of 10 Mbit/s, and what waits there before more is dropped.
+const LINK_BYTES_PER_MS: f64 = 1_250.0;
+const LINK_QUEUE_BYTES: f64 = 64_000.0;
+
+/// Hosts that report to each other, in virtual time.
+pub(crate) struct Fleet {
+    pub(crate) hosts: Vec<Host>,
+    /// Reports under way: when they come, to whom, and what they say.
+    pub(crate) under_way: Vec<(u64, usize, PeerReport)>,
+    /// The size of each report; without one, links hold anything.
+    pub(crate) report_bytes: usize,
+    pub(crate) ms: u64,
+}
+
+pub(crate) struct Host {
+    pub(crate) record: HostRecord,
+    pub(crate) incarnation: u64,
+    pub(crate) is_up: bool,
+    pub(crate) table: HostTable,
+    pub(crate) peers: PeerTable,
+    pub(crate) own: OwnCounts,
+    pub(crate) bucket: SharedBucket,
+    /// What it heard that the customer spent through others.
+    pub(crate) heard_units: f64,
+    pub(crate) next_ms: u64,
+    /// Reports that it sent.
+    pub(crate) sent: u64,
+    pub(crate) pace: ReportPace,
+    /// When its link has sent all that waits there.
+    pub(crate) link_free_ms: f64,
+}
+
+impl Host {
+    pub(crate) fn start(index: usize, domains: usize, incarnation: u64, ms: u64) -> Host {
+        let record = record(index, domains);
+        Host {
+            table: HostTable::new(record.clone()),
+            record,
+            incarnation,
+            is_up: true,
+            peers: PeerTable::default(),
+            own: OwnCounts::default(),
+            bucket: SharedBucket::new(at(ms)),
+            heard_units: 0.0,
+            sent: 0,
+            pace: ReportPace::default(),
+            link_free_ms: 0.0,
+            next_ms: ms + 1 + index as u64 * 7 % 250,
+        }
+    }
+
+    pub(crate) fn spend(&mut self, ms: u64, units: f64) {
+        let before = self.own.spent.first().map_or(0.0, |(_, units)| *units);
+        self.own.spent = vec![(CUSTOMER, before + units)];
+        self.own.asked.add(at(ms), CUSTOMER, 1.0);
+    }
+
+    /// Takes a request of the customer; returns whether its rate allows it.
+    pub(crate) fn admit(&mut self, ms: u64, rate: &CustomerRate, units: f64) -> bool {
+        let hearing = self.table.hearing(at(ms));
+        let is_admitted = self.bucket.take(at(ms), rate, &hearing, units).is_ok();
+        if is_admitted {
+            self.own.spent = vec![(CUSTOMER, self.bucket.spent_here())];
+        }
+        is_admitted
+    }
+
+    pub(crate) fn spent(&self) -> f64 {
+        self.own.spent.first().map_or(0.0, |(_, units)| *units)
+    }
+
+    /// Puts a report on the host's link; returns when it has left, unless the link is full.
+    pub(crate) fn transmit(&mut self, ms: u64, bytes: usize) -> Option<u64> {
+        let (now_ms, bytes) = (ms as f64, bytes as f64);
+        let waiting_bytes = (self.link_free_ms - now_ms).max(0.0) * LINK_BYTES_PER_MS;
+        if waiting_bytes + bytes > LINK_QUEUE_BYTES {
+            return None;
+        }
+        self.link_free_ms = self.link_free_ms.max(now_ms) + bytes / LINK_BYTES_PER_MS;
+        Some(self.link_free_ms.ceil() as u64)
+    }
+
+    pub(crate) fn report(&self, ms: u64, to: &Name, role: Option<PartnerRole>) -> PeerReport {
+        let (scope, sums) = match role {
+            Some(_) => self.peers.sums_for(at(ms), to, &self.own),
+            None => (Scope::Nobody, Sums::default()),
+        };
+        let signs = self.table.signs(at(ms), self.peers.layout(), role);
+        let heard = self.peers.peer(to).map_or(Vec::new(), |peer| peer.report.sums.spent.clone());
+        let levels = self.bucket.level(at(ms)).map(|level| (CUSTOMER, level)).into_iter().collect();
+        PeerReport {
+            scope,
+            sums,
+            signs,
+            heard,
+            levels,
+            ..report(&self.record, self.incarnation, ms, 0.0)
+        }
+    }
+
+    pub(crate) fn take(&mut self, ms: u64, report: &PeerReport) {
+        let long_silence_ms = self.table.long_silence_ms();
+        let Some(news) = self.peers.heard(at(ms), report.clone(), long_silence_ms) else { return };
+        self.table.saw(at(ms), &report.sender, report.state);
+        let role = self.peers.layout().role(&report.sender.host);
+        if report.scope.brings_signs(role) {
+            self.table.take_signs(at(ms), &report.signs);
+        }
+        let heard_units = news.spent.iter().map(|(_, units)| units).sum::<f64>();
+        self.heard_units += heard_units;
+        if news.is_counted {
+            self.bucket.spent_elsewhere(at(ms), heard_units);
+            for (customer, level) in &report.levels {
+                let missing = self.peers.missing_units(report, *customer, self.spent());
+                let Some(missing) = missing else { continue };
+                self.bucket.level_elsewhere(at(ms), *level, missing);
+            }
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts hosts that the store lists, and lets them find each other.
+    pub(crate) fn start(hosts: usize, domains: usize) -> Fleet {
+        let start = |index| Host::start(index, domains, 1, 0);
+        let mut fleet = Fleet {
+            hosts: (0..hosts).map(start).collect(),
+            under_way: Vec::new(),
+            report_bytes: 0,
+            ms: 0,
+        };
+        fleet.list();
+        fleet.run(4_000, |_, _| true);
+        fleet
+    }
+
+    pub(crate) fn list(&mut self) {
+        let records: Vec<HostRecord> = self.hosts.iter().map(|host| host.record.clone()).collect();
+        for host in &mut self.hosts {
+            host.table.listed(at(self.ms), &records);
+        }
+    }
+
+    /// Lets time pass; `arrives` tells which reports do.
+    pub(crate) fn run(&mut self, for_ms: u64, arrives: impl Fn(usize, usize) -> bool) {
+        for ms in self.ms + 1..=self.ms + for_ms {
+            self.ms = ms;
+            for from in 0..self.hosts.len() {
+                if self.hosts[from].is_up && ms >= self.hosts[from].next_ms {
+                    self.send(from, &arrives);
+                }
+            }
+            let mut due = Vec::new();
+            self.under_way.retain(|(when, to, report)| {
+                if *when <= ms {
+                    due.push((*to, report.clone()));
+                }
+                *when > ms
+            });
+            for (to, report) in due {
+                if self.hosts[to].is_up {
+                    self.hosts[to].take(ms, &report);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn send(&mut self, from: usize, arrives: &impl Fn(usize, usize) -> bool) {
+        let ms = self.ms;
+        let host = &mut self.hosts[from];
+        host.next_ms = ms + host.table.report_ms();
+        let layout = host.table.layout(at(ms));
+        host.peers.set_layout(layout);
+        let host = &self.hosts[from];
+        let mut reports = Vec::new();
+        for (to, role) in host.peers.layout().partners() {
+            reports.push((index_of(to), host.report(ms, to, Some(*role))));
+        }
+        for to in host.peers.visitors(at(ms), 2 * host.table.report_ms()) {
+            reports.push((index_of(to), host.report(ms, to, None)));
+        }
+        for address in host.table.strangers(at(ms)).into_iter().take(16) {
+            let sums = Sums { spent: host.own.spent.clone(), ..Sums::default() };
+            let report = PeerReport { sums, ..report(&host.record, host.incarnation, ms, 0.0) };
+            reports.push((usize::from(address.port()), report));
+        }
+        let host = &mut self.hosts[from];
+        host.sent += reports.len() as u64;
+        let mut sent_ms = ms;
+        for (to, report) in reports {
+            let left_ms = host.transmit(sent_ms, self.report_bytes);
+            if let Some(left_ms) = left_ms.filter(|_| arrives(from, to)) {
+                self.under_way.push((left_ms + WAY_MS, to, report));
+            }
+            sent_ms += host.pace.sent(self.report_bytes).unwrap_or_default();
+        }
+        host.next_ms = host.next_ms.max(sent_ms);
+    }
+
+    /// Returns what all hosts spent, with what the host knows of it: its own and what it heard.
+    pub(crate) fn known(&self, host: usize) -> (f64, f64) {
+        let total: f64 = self.hosts.iter().map(Host::spent).sum();
+        (total, self.hosts[host].spent() + self.hosts[host].heard_units)
+    }
+}
+
+pub(crate) fn record(index: usize, domains: usize) -> HostRecord {
+    HostRecord {
+        host: name(&format!("host-{index}")),
+        peer_address: ([127, 0, 0, 1], index as u16).into(),
+        caller_address: ([127, 0, 0, 1], 8_000).into(),
+        failure_domain: name(&format!("domain-{}", index % domains)),
+    }
+}
+
+pub(crate) fn index_of(host: &Name) -> usize {
+    host.as_str().trim_start_matches("host-").parse().unwrap()
+}
+
+pub(crate) fn report(
+    sender: &HostRecord,
+    incarnation: u64,
+    sent_ms: u64,
+    spent: f64,
+) -> PeerReport {
+    PeerReport {
+        sender: sender.clone(),
+        incarnation,
+        sent_at: at(sent_ms),
+        echo: None,
+        state: PeerState::Ready,
+        scope: Scope::Cell,
+        sums: Sums { spent: vec![(CUSTOMER, spent)], ..Sums::default() },
+        levels: Vec::new(),
+        heard: Vec::new(),
+        signs: Vec::new(),
+        suspects: Vec::new(),
+        suspects_digest: 0,
+        revision: 1,
+        confirmed_age_ms: None,
+        targets_changed: 0,
+        targets_age_ms: None,
+        lease: None,
+        placements: Vec::new(),
+        placements_known: (0, 0),
+    }
+}
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of a gateway, as tables of cases and as properties over random histories.
 
 mod deployment;
+mod fleet;
 mod lease_history;
 mod membership;
 mod order_lease;
