Begin a stream at a stopping host only if the longest of its last ones would end

Cause: what is set aside leaves out the longest 2 of 100 of a route's runs. That is right for answers that a final one can replace; a stream that has begun can only be cut. The price: after a stuck one, a stopping host refuses streams of that route at once, and another host serves them.

--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -108,7 +108,14 @@
 impl Admitted {
     /// Returns whether the request ends before this host does if it is sent at `sent_at`.
     pub(super) fn may_begin(&self, state: &State, sent_at: TimeMs) -> bool {
-        state.may_begin(&self.need.service, &self.route.name, sent_at)
+        let Some(plan) = state.stop_plan() else { return true };
+        let (service, route) = (&self.need.service, &self.route.name);
+        let run_ms = if self.route.kind.is_stream() {
+            state.run_times().stream_reserve_ms(service, route)
+        } else {
+            state.run_times().reserve_ms(service, route)
+        };
+        plan.may_begin(sent_at, run_ms)
     }
 
     /// Refuses a request whose key was withdrawn while it waited, or can't be judged any more.
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -6,7 +6,7 @@
 use lycheeford_caller::Stop;
 use lycheeford_platform::FollowPace;
 use lycheeford_policy::{
-    Confirmation, CrashSuspects, DemandTable, Deployment, Name, PeerState, RetryShare, RunTimes,
+    Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, RetryShare, RunTimes,
     SharedWatch, StopPlan, StopTimes, TimeMs,
 };
 use lycheeford_target::{TargetClient, TargetLimits, Unframed};
@@ -228,12 +228,9 @@
         self.stop_plan.get().is_some()
     }
 
-    /// Returns whether a request of a route that is sent to a target of `service` at `sent_at`
-    /// ends before this host does.
-    pub(crate) fn may_begin(&self, service: &Name, route: &Name, sent_at: TimeMs) -> bool {
-        self.stop_plan
-            .get()
-            .is_none_or(|plan| plan.may_begin(sent_at, self.run_times().reserve_ms(service, route)))
+    /// Returns when this host, if it was told to stop, does what.
+    pub(crate) fn stop_plan(&self) -> Option<StopPlan> {
+        self.stop_plan.get().copied()
     }
 
     /// Counts a request as running until the guard is dropped.
--- a/crates/lycheeford-policy/src/gateway/run_times.rs
+++ b/crates/lycheeford-policy/src/gateway/run_times.rs
@@ -44,7 +44,8 @@
         last.push_back(run_ms);
     }
 
-    /// Returns the time to set aside for the next request of a route.
+    /// Returns the time to set aside for the next request of a route that can get a final answer
+    /// at any moment.
     ///
     /// A few that were stuck don't count, or they would keep all others out. A
     /// route of which none has ended here may be like the slowest one of its service.
@@ -56,6 +57,16 @@
         (most_ms as f64 * MARGIN) as u64
     }
 
+    /// Returns the time to set aside for the next stream of a route.
+    ///
+    /// A stream that has begun can only be cut, so that none of the last ones is passed over.
+    pub fn stream_reserve_ms(&self, service: &Name, route: &Name) -> u64 {
+        let longest_ms = self.index(service, route).map_or(0, |index| {
+            self.routes[index].last_ms.iter().copied().max().unwrap_or_default()
+        });
+        self.reserve_ms(service, route).max(longest_ms)
+    }
+
     /// Forgets routes that aren't declared any more.
     pub fn keep_declared(&mut self, deployment: &Deployment) {
         let mut names: Vec<&Name> = deployment.routes.iter().map(|route| &route.name).collect();
--- a/crates/lycheeford-policy/tests/gateway/stopping.rs
+++ b/crates/lycheeford-policy/tests/gateway/stopping.rs
@@ -78,12 +78,14 @@
 }
 
 #[test]
-fn one_stuck_run_does_not_make_a_stopping_host_refuse_everything() {
+fn one_stuck_run_makes_a_stopping_host_refuse_streams_alone() {
     let (service, route) = (Name::from("models"), Name::from("brief"));
     let mut runs = RunTimes::default();
     runs.ended(&service, &route, 8_000);
     (0..100).for_each(|_| runs.ended(&service, &route, 300));
     assert_eq!(runs.reserve_ms(&service, &route), 450);
+    // A stream that has begun gets no other answer: none of the last ones is passed over.
+    assert_eq!(runs.stream_reserve_ms(&service, &route), 8_000);
     // Long runs of late are believed, however many short ones came before.
     (0..20).for_each(|_| runs.ended(&service, &route, 2_500));
     assert_eq!(runs.reserve_ms(&service, &route), 3_750);
