--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Traced on northpass-ops-grown trouble-3: a relay sent its round at once, its link dropped the last
+/// A relay sent its round at once, its link dropped the last
 /// of it each time, and those partners heard nobody for as long as the reports stayed large.
 #[test]
 fn a_round_of_large_reports_reaches_every_partner() {
@@ -156,7 +156,7 @@
     all_restart_ms: None,
 };
 
-/// Traced on northpass-ops-grown scale-2: a customer of many times its rate overspent by more than a
+/// A customer of many times its rate overspent by more than a
 /// burst while reports were under way, and what lay beyond the burst was forgiven each time; and hosts
 /// that were cut off for longer than a silent host counts as alive took the whole rate for theirs.
 #[test]
@@ -299,7 +299,7 @@
     assert_eq!(fleet.hosts[6].table.hearing(at(fleet.ms)).part, 1.0);
 }
 
-/// Traced on zmiana-sprzedawcy-grown quiet-1: reports of 61 hosts came later than the time from
+/// Reports of 61 hosts came later than the time from
 /// which a silence counted as a cut, so that none of what they spent was taken out.
 #[test]
 fn what_was_spent_counts_unless_the_silence_was_long() {
@@ -473,7 +473,7 @@
     assert!(watch.may_rest(at(1_000 + oldest_ms)), "news get as old as that");
 }
 
-/// Traced on zmiana-sprzedawcy-grown quiet-1: the level of a host that had just become a partner
+/// The level of a host that had just become a partner
 /// was taken to lack all that had ever been spent, and a customer's level fell by 250,000 tokens.
 #[test]
 fn a_host_that_has_heard_nothing_says_nothing_of_levels() {
