Hear a restarted host whose incarnation is lower than before

What callers saw: after a restart a host was handed out to nobody for seconds, and what customers spent through it counted for nobody.

Cause: a host's incarnation is a random number, but `PeerTable::heard` compared it with that of the last report as if it only grew. A partner that remembered the earlier life took the reports of a new life with a lower number for overtaken ones and dropped them whole, before the host counted as seen. Up to 16 hosts each of them hears the others by reports alone, so that the host stayed unseen until its entry was collected.

The new test fails on the code before (host 1 of 8 doesn't see host 0 in its second life, 1.5 s after another 1.5 s) and passes now, in fleets of 8 and 61 hosts.

Why it works: a report of another incarnation is that of a new life unless the incarnation is one of the earlier lives that the partner has seen; a datagram of such a life comes too late and is dropped as before.

--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -6,6 +6,8 @@
 
 /// How long a name that was asked for stands in the reports, so that a lost one loses nothing.
 const ASKED_MS: u64 = 3_000;
+/// How many earlier lives of a host are told from its present one.
+const EARLIER_LIVES_MAX: usize = 8;
 /// From this age on what runs behind a silent host is no longer passed on.
 const RUNNING_MS: u64 = 3_000;
 
@@ -16,7 +18,7 @@
 pub struct PeerReport {
     /// The sender.
     pub sender: HostRecord,
-    /// The life of the sender's process.
+    /// The life of the sender's process: a random number, so that a later one may be lower.
     pub incarnation: u64,
     /// The sender's clock when it sent the report.
     pub sent_at: TimeMs,
@@ -163,6 +165,8 @@
     pub report: PeerReport,
     /// When it came.
     pub heard_at: TimeMs,
+    /// The lives before this one, the last one at the end; reports of theirs come too late.
+    earlier_lives: Vec<u64>,
     /// What the host was to this one then, if its counts were taken.
     role: Option<PartnerRole>,
     /// The counts that it last told.
@@ -224,13 +228,15 @@
             }
         };
         let peer = &mut self.peers[index];
-        if (report.incarnation, report.sent_at) <= (peer.report.incarnation, peer.report.sent_at) {
+        if peer.is_overtaken(&report) {
             return None;
         }
         if report.incarnation != peer.report.incarnation || role != peer.role {
             // What was before is in no sum of this one, or in another one.
             let (spent_taken, asked_taken) = peer.take_taken();
-            *peer = Peer { spent_taken, asked_taken, ..Peer::new(now, report, role) };
+            let earlier_lives = peer.lives_before(report.incarnation);
+            *peer =
+                Peer { earlier_lives, spent_taken, asked_taken, ..Peer::new(now, report, role) };
             return Some(PeerNews { is_counted: role.is_some(), ..PeerNews::default() });
         }
         let was_silent = now.since_ms(peer.heard_at) >= long_silence_ms;
@@ -382,6 +388,7 @@
     fn new(now: TimeMs, report: PeerReport, role: Option<PartnerRole>) -> Peer {
         let mut peer = Peer {
             heard_at: now,
+            earlier_lives: Vec::new(),
             role,
             spent_told: Counters::default(),
             asked_told: Counters::default(),
@@ -399,6 +406,25 @@
         &self.report.sender.host
     }
 
+    /// Returns whether a report was sent before the last one that came.
+    fn is_overtaken(&self, report: &PeerReport) -> bool {
+        if report.incarnation == self.report.incarnation {
+            report.sent_at <= self.report.sent_at
+        } else {
+            self.earlier_lives.contains(&report.incarnation)
+        }
+    }
+
+    /// Returns the lives of the host before `incarnation`, which is the present one or a new one.
+    fn lives_before(&mut self, incarnation: u64) -> Vec<u64> {
+        let mut lives = std::mem::take(&mut self.earlier_lives);
+        if incarnation != self.report.incarnation {
+            lives.push(self.report.incarnation);
+            lives.drain(..lives.len().saturating_sub(EARLIER_LIVES_MAX));
+        }
+        lives
+    }
+
     fn take_taken(&mut self) -> (Counters, Counters) {
         (std::mem::take(&mut self.spent_taken), std::mem::take(&mut self.asked_taken))
     }
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -364,6 +364,48 @@
     assert_eq!(spent(30, 1, 30, 150.0), None, "doubled");
     assert_eq!(spent(40, 1, 40, 150.0), Some(0.0));
     assert_eq!(spent(50, 2, 5, 70.0), Some(0.0), "a new life");
+    assert_eq!(spent(60, 1, 50, 160.0), None, "overtaken by a new life");
+    assert_eq!(spent(70, 2, 25, 75.0), Some(5.0));
+}
+
+/// Lives have random numbers. A partner took a new life with a lower number for the old one and
+/// dropped its reports, so that nobody handed the host out and nothing that it spent was counted.
+#[test]
+fn a_host_that_restarts_is_heard_again_whatever_its_incarnation() {
+    struct Case {
+        hosts: usize,
+        domains: usize,
+        incarnations: &'static [u64],
+    }
+    let cases = [
+        Case { hosts: 8, domains: 2, incarnations: &[1_000_002, 1_000_003] },
+        Case { hosts: 8, domains: 2, incarnations: &[500, 70, 900, 30, 20, 10, 9, 8, 7, 6] },
+        Case { hosts: 61, domains: 4, incarnations: &[500, 70] },
+    ];
+    for Case { hosts, domains, incarnations } in cases {
+        for restarted in [0, hosts / 2, hosts - 1] {
+            let mut fleet = Fleet::start(hosts, domains);
+            for (life, incarnation) in incarnations.iter().enumerate() {
+                fleet.hosts[restarted].is_up = false;
+                fleet.run(900, |_, _| true);
+                fleet.hosts[restarted] = Host::start(restarted, domains, *incarnation, fleet.ms);
+                fleet.list();
+                fleet.run(1_500, |_, _| true);
+                let spent_ms = fleet.ms;
+                fleet.hosts[restarted].spend(spent_ms, 40.0);
+                let heard_before: Vec<f64> =
+                    fleet.hosts.iter().map(|host| host.heard_units).collect();
+                fleet.run(1_500, |_, _| true);
+                for other in (0..hosts).filter(|other| *other != restarted) {
+                    let host = &fleet.hosts[other];
+                    let name = record(restarted, domains).host;
+                    let what = format!("host {other} of {hosts}, {restarted} in life {life}");
+                    assert!(host.table.is_alive(at(fleet.ms), &name), "{what}");
+                    assert_eq!(host.heard_units - heard_before[other], 40.0, "{what}");
+                }
+            }
+        }
+    }
 }
 
 /// A rare name that was quiet for longer than it stands in the reports counted again with all
