Keep what peers could lend by host, so that a starting daemon knows whom to ask

What callers saw: a customer far below its rate (64 of 200,000 tokens) got one `over_rate` from a daemon that had just restarted.

Trace, by a log line added for the trial: the daemon that refuses is the one killed and started again (entry-05 in both failed runs, 278 and 291 ms after its start), not one that is cut off or whose peers are gone. Its table of shares still named its earlier life, so that its own share and level were 0 (its claim was in force only 1,783 ms after the start in the one run that went on for as long), and its list of peers to borrow from was empty: it refused without asking anybody.

Cause: what a peer could lend was kept in the part of each customer, which exists only once the configuration is in force. A daemon that restarts hears its peers first, and mostly gets the configuration from them, so the first answer of each was dropped; the next beat came 250 ms later. Callers are taken once peers have answered and the tables of shares are read, which may be sooner.

Ruled out: the daemons that were paused or cut off (all that borrowed did so in 1 to 6 ms); loans lost; a paused daemon's refill; the bound, which had 73 and 122 tokens to spare in the failed runs.

`Lenders` keeps the reports by host, whoever is declared by then, and a search looks there. Nothing about who may lend or spend what changes, so the bound's argument stands as it was; a beat is taken in without a search through all customers.

--- a/crates/lycheeford-policy/src/lenders.rs
+++ b/crates/lycheeford-policy/src/lenders.rs
@@ -19,6 +19,75 @@
     pub spare_tokens: u64,
 }
 
+/// What the peers last said that they could lend, for every customer.
+///
+/// A report counts for customers that are declared only later, too: a daemon
+/// that starts hears its peers before it knows whose requests it serves.
+///
+/// ```
+/// use lycheeford_policy::{Lenders, PeerSpare};
+///
+/// let mut lenders = Lenders::default();
+/// lenders.reported(&"a".into(), vec![("pilots".into(), 100)]);
+/// lenders.reported(&"b".into(), vec![("pilots".into(), 450)]);
+/// lenders.refused(&"b".into(), "pilots", 20);
+/// let spare = |host: &str, spare_tokens| PeerSpare { host: host.into(), spare_tokens };
+/// assert_eq!(lenders.of("pilots"), [spare("a", 100), spare("b", 20)]);
+/// assert_eq!(lenders.of("crews"), [spare("a", 0), spare("b", 0)]);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Lenders {
+    /// Sorted by host.
+    lenders: Vec<Lender>,
+}
+
+#[derive(Debug, Clone)]
+struct Lender {
+    host: Name,
+    /// The tokens for each customer, sorted by customer; for others there are none.
+    spare: Vec<(Name, u64)>,
+}
+
+impl Lenders {
+    /// Takes in what `host` could lend for each customer; for others it has nothing.
+    pub fn reported(&mut self, host: &Name, mut spare: Vec<(Name, u64)>) {
+        spare.sort_unstable();
+        match self.position(host) {
+            Ok(index) => self.lenders[index].spare = spare,
+            Err(index) => self.lenders.insert(index, Lender { host: host.clone(), spare }),
+        }
+    }
+
+    /// Takes in what `host` had for one customer when it refused to lend more.
+    pub fn refused(&mut self, host: &Name, customer: &str, spare_tokens: u64) {
+        let Ok(index) = self.position(host) else { return };
+        let lender = &mut self.lenders[index];
+        match lender.position(customer) {
+            Ok(index) => lender.spare[index].1 = spare_tokens,
+            Err(index) => lender.spare.insert(index, (Name::from(customer), spare_tokens)),
+        }
+    }
+
+    /// Returns each peer with what it could lend for `customer`, sorted by host.
+    pub fn of(&self, customer: &str) -> Vec<PeerSpare> {
+        let peer = |lender: &Lender| PeerSpare {
+            host: lender.host.clone(),
+            spare_tokens: lender.position(customer).map_or(0, |index| lender.spare[index].1),
+        };
+        self.lenders.iter().map(peer).collect()
+    }
+
+    fn position(&self, host: &Name) -> Result<usize, usize> {
+        self.lenders.binary_search_by(|lender| lender.host.cmp(host))
+    }
+}
+
+impl Lender {
+    fn position(&self, customer: &str) -> Result<usize, usize> {
+        self.spare.binary_search_by(|(name, _)| name.as_str().cmp(customer))
+    }
+}
+
 /// Returns whom to ask for how much, so that `missing_tokens` come together.
 ///
 /// Peers with the most known spare go first, so that few are asked. A peer
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -92,7 +92,8 @@
     ledger_bucket,
 };
 pub use crate::lenders::{
-    MAX_LENDERS_ASKED, MIN_GIVE_PPM, PeerSpare, REBALANCE_INTERVAL_MS, ShareDemand, choose_lenders,
+    Lenders, MAX_LENDERS_ASKED, MIN_GIVE_PPM, PeerSpare, REBALANCE_INTERVAL_MS, ShareDemand,
+    choose_lenders,
 };
 pub use crate::loan::{AskId, Loan, LoanArrival, LoanId, LoanReport, LoanState};
 pub use crate::name::Name;
--- a/crates/lycheefordd/src/rates/loans.rs
+++ b/crates/lycheefordd/src/rates/loans.rs
@@ -41,9 +41,12 @@
 
 /// Notes that a host lends nothing.
 pub(crate) fn take_refusal(state: &State, from: &Instance, refusal: &LoanRefusal) {
-    if let Some(rate) = state.rates.lock().customer(&refusal.customer) {
-        rate.refused_loan(&from.host, refusal.ask, refusal.spare_tokens);
-    }
+    state.rates.lock().refused_loan(
+        &refusal.customer,
+        &from.host,
+        refusal.ask,
+        refusal.spare_tokens,
+    );
 }
 
 /// Says what became of a loan.
--- a/crates/lycheefordd/src/rates/reservation.rs
+++ b/crates/lycheefordd/src/rates/reservation.rs
@@ -106,8 +106,7 @@
     for _ in 0..LOAN_ROUNDS_MAX {
         let search = {
             let mut rates = state.rates.lock();
-            let rate = rates.customer(customer).ok_or_else(no_rate)?;
-            rate.search_loans(id, missing_tokens, &asked)
+            rates.search_loans(customer, id, missing_tokens, &asked).ok_or_else(no_rate)?
         };
         if search.asks.is_empty() {
             break;
@@ -154,9 +153,9 @@
 ) -> Refusal {
     let (within_rate, retry_after_ms) = {
         let mut rates = state.rates.lock();
+        let within_rate = rates.is_within_rate(state.now(), customer, tokens);
         let Some(rate) = rates.customer(customer) else { return no_rate() };
         rate.refused += 1;
-        let within_rate = rate.is_within_rate(state.now(), tokens);
         (within_rate, rate.retry_after_ms(shortage, missing_tokens))
     };
     if within_rate {
--- a/crates/lycheefordd/src/rates/table.rs
+++ b/crates/lycheefordd/src/rates/table.rs
@@ -1,8 +1,8 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use lycheeford_policy::{
-    AskId, Configuration, GoneProofs, Instance, Loan, LoanArrival, LoanReport, MAX_LENDERS_ASKED,
-    Name, Overdrawn, PeerSpare, REBALANCE_INTERVAL_MS, RateLimits, RateShare, ReservationId,
-    ShareDemand, ShareTable, Shortage, TimeMs, choose_lenders,
+    AskId, Configuration, GoneProofs, Instance, Lenders, Loan, LoanArrival, LoanReport,
+    MAX_LENDERS_ASKED, Name, Overdrawn, PeerSpare, REBALANCE_INTERVAL_MS, RateLimits, RateShare,
+    ReservationId, ShareDemand, ShareTable, Shortage, TimeMs, choose_lenders,
 };
 use lycheeford_wire::SpareTokens;
 
@@ -15,6 +15,7 @@
     /// Sorted by name. A customer that is declared no more keeps its part,
     /// since its loans may still be out.
     customers: Vec<CustomerRate>,
+    lenders: Lenders,
 }
 
 /// This daemon's part in one customer's rate and burst.
@@ -29,7 +30,6 @@
     limits: RateLimits,
     demand: ShareDemand,
     rebalanced_at: TimeMs,
-    peers: Vec<PeerSpare>,
     questions: Vec<Question>,
 }
 
@@ -50,7 +50,7 @@
 
 impl Rates {
     pub(crate) fn new(me: Instance) -> Rates {
-        Rates { me, customers: Vec::new() }
+        Rates { me, customers: Vec::new(), lenders: Lenders::default() }
     }
 
     pub(crate) fn configure(&mut self, now: TimeMs, configuration: &Configuration) {
@@ -97,12 +97,45 @@
 
     /// Takes in what another host could lend.
     pub(crate) fn peer_spare(&mut self, host: &Name, spare: &[SpareTokens]) {
-        for rate in &mut self.customers {
-            let tokens = spare.iter().find(|spare| spare.customer == rate.name);
-            rate.set_peer(host, tokens.map_or(0, |spare| spare.tokens));
+        let spare = spare.iter().map(|spare| (spare.customer.clone(), spare.tokens)).collect();
+        self.lenders.reported(host, spare);
+    }
+
+    /// Opens questions to peers that weren't asked yet for what a reservation lacks.
+    pub(crate) fn search_loans(
+        &mut self,
+        customer: &Name,
+        reservation: ReservationId,
+        missing_tokens: u64,
+        asked: &[Name],
+    ) -> Option<LoanSearch> {
+        let mut unasked = self.lenders.of(customer);
+        unasked.retain(|peer| !asked.contains(&peer.host));
+        let lenders = choose_lenders(missing_tokens, &unasked);
+        Some(self.customer(customer)?.open_questions(reservation, &lenders))
+    }
+
+    /// Takes in that a peer lends nothing.
+    pub(crate) fn refused_loan(
+        &mut self,
+        customer: &Name,
+        from: &Name,
+        ask: AskId,
+        spare_tokens: u64,
+    ) {
+        self.lenders.refused(from, customer, spare_tokens);
+        if let Some(rate) = self.customer(customer) {
+            rate.answered(ask, u64::MAX);
         }
     }
 
+    /// Tells whether the fleet as far as known has the tokens though the request is refused.
+    pub(crate) fn is_within_rate(&mut self, now: TimeMs, customer: &Name, tokens: u64) -> bool {
+        let peers: u64 = self.lenders.of(customer).iter().map(|peer| peer.spare_tokens).sum();
+        let level = self.customer(customer).map_or(0, |rate| rate.share.level_tokens(now));
+        level.saturating_add(peers) >= tokens
+    }
+
     pub(crate) fn settle_gone(&mut self, now: TimeMs, gone: &GoneProofs) {
         for rate in &mut self.customers {
             rate.share.settle_gone(now, gone);
@@ -125,7 +158,6 @@
             limits,
             demand: ShareDemand::default(),
             rebalanced_at: now,
-            peers: Vec::new(),
             questions: Vec::new(),
         }
     }
@@ -152,21 +184,14 @@
         self.share.begin(now, tokens)
     }
 
-    /// Opens questions to peers that weren't asked yet for what a reservation lacks.
-    pub(crate) fn search_loans(
-        &mut self,
-        reservation: ReservationId,
-        missing_tokens: u64,
-        asked: &[Name],
-    ) -> LoanSearch {
+    /// Opens a question to each lender for what a reservation lacks.
+    fn open_questions(&mut self, reservation: ReservationId, lenders: &[PeerSpare]) -> LoanSearch {
         let (sender, answers) = bounded(MAX_LENDERS_ASKED);
-        let unasked: Vec<PeerSpare> =
-            self.peers.iter().filter(|peer| !asked.contains(&peer.host)).cloned().collect();
         let mut asks = Vec::new();
-        for lender in choose_lenders(missing_tokens, &unasked) {
+        for lender in lenders {
             if let Some(ask) = self.share.open_ask(reservation, &lender.host) {
                 self.questions.push(Question { ask, answers: sender.clone() });
-                asks.push((lender.host, ask, lender.spare_tokens));
+                asks.push((lender.host.clone(), ask, lender.spare_tokens));
             }
         }
         LoanSearch { asks, answers }
@@ -214,12 +239,6 @@
         }
     }
 
-    /// Takes in that a peer lends nothing.
-    pub(crate) fn refused_loan(&mut self, from: &Name, ask: AskId, spare_tokens: u64) {
-        self.set_peer(from, spare_tokens);
-        self.answered(ask, u64::MAX);
-    }
-
     pub(crate) fn consume(
         &mut self,
         now: TimeMs,
@@ -236,12 +255,6 @@
         shortage.ready_in_ms.unwrap_or(fleet_ms).min(fleet_ms)
     }
 
-    /// Tells whether the fleet as far as known has the tokens though the request is refused.
-    pub(crate) fn is_within_rate(&mut self, now: TimeMs, tokens: u64) -> bool {
-        let peers: u64 = self.peers.iter().map(|peer| peer.spare_tokens).sum();
-        self.share.level_tokens(now).saturating_add(peers) >= tokens
-    }
-
     /// Returns what to give to whom, once an interval.
     pub(crate) fn rebalance(&mut self, now: TimeMs) -> Option<(Name, u32)> {
         if now.since_ms(self.rebalanced_at) < REBALANCE_INTERVAL_MS {
@@ -251,15 +264,6 @@
         self.demand.rebalance(self.share.share_ppm())
     }
 
-    fn set_peer(&mut self, host: &Name, spare_tokens: u64) {
-        match self.peers.binary_search_by(|peer| peer.host.cmp(host)) {
-            Ok(index) => self.peers[index].spare_tokens = spare_tokens,
-            Err(index) => {
-                self.peers.insert(index, PeerSpare { host: host.clone(), spare_tokens });
-            }
-        }
-    }
-
     fn answered(&mut self, ask: AskId, missing_tokens: u64) {
         if let Some(index) = self.questions.iter().position(|question| question.ask == ask) {
             let question = self.questions.swap_remove(index);
