Ask no peer for a loan that doesn't answer or left the list

What callers saw: a request within its customer's rate was refused with `over_rate` after 450 ms where three peers were dead, though two others had the tokens.

Cause: a peer's last report stood for good. A dead peer spends nothing, so it ranks before those that work; one peer is asked a round if it has enough, an answer is waited for 150 ms, and there are three rounds. A host that was replaced stayed as well, so the list grew with each.

`Lenders` forgets a peer whose beats failed on a fresh connection too, until it answers again, and hosts that left the list. Ruled out: ranking it last with nothing to spare, since it would then come before working peers whose last word was nothing, and each costs its 150 ms. Until a death is noticed, a question to the dead peer still costs its wait.

Test: `loans` kills the three peers that come first of those with equal tokens, waits until they are missed, and asks for 50 tokens more than the daemon's share.

--- a/crates/lycheeford-policy/src/lenders.rs
+++ b/crates/lycheeford-policy/src/lenders.rs
@@ -68,6 +68,23 @@
         }
     }
 
+    /// Forgets a host that doesn't answer, until it reports again.
+    ///
+    /// Its last report would put it before those that answer, and each question
+    /// to it costs a request its whole wait.
+    pub fn missed(&mut self, host: &Name) {
+        if let Ok(index) = self.position(host) {
+            self.lenders.remove(index);
+        }
+    }
+
+    /// Forgets all hosts but those that are listed.
+    pub fn list(&mut self, hosts: &[Name]) {
+        let mut hosts = hosts.to_vec();
+        hosts.sort_unstable();
+        self.lenders.retain(|lender| hosts.binary_search(&lender.host).is_ok());
+    }
+
     /// Returns each peer with what it could lend for `customer`, sorted by host.
     pub fn of(&self, customer: &str) -> Vec<PeerSpare> {
         let peer = |lender: &Lender| PeerSpare {
--- a/crates/lycheeford-policy/tests/lenders.rs
+++ b/crates/lycheeford-policy/tests/lenders.rs
@@ -2,11 +2,15 @@
 
 use lycheeford_policy::{Lenders, Name, PeerSpare, choose_lenders};
 
-/// What a peer says that it could lend.
+/// What a peer says that it could lend, or that it says nothing.
 #[derive(Debug, Clone, Copy)]
 enum Said {
     Report(&'static str, &'static [(&'static str, u64)]),
     Refusal(&'static str, &'static str, u64),
+    /// It didn't answer.
+    Missed(&'static str),
+    /// The platform's list of hosts.
+    List(&'static [&'static str]),
 }
 
 struct Case {
@@ -57,6 +61,37 @@
         customer: "pilots",
         expected: &[],
     },
+    Case {
+        name: "a peer that doesn't answer lends nothing",
+        said: &[
+            Said::Report("a", &[("pilots", 5)]),
+            Said::Report("b", &[("pilots", 7)]),
+            Said::Missed("a"),
+        ],
+        customer: "pilots",
+        expected: &[("b", 7)],
+    },
+    Case {
+        name: "a peer that answers again lends again",
+        said: &[
+            Said::Report("a", &[("pilots", 5)]),
+            Said::Missed("a"),
+            Said::Refusal("a", "pilots", 4),
+            Said::Report("a", &[("pilots", 3)]),
+        ],
+        customer: "pilots",
+        expected: &[("a", 3)],
+    },
+    Case {
+        name: "a peer that left the list lends nothing",
+        said: &[
+            Said::Report("a", &[("pilots", 5)]),
+            Said::Report("b", &[("pilots", 7)]),
+            Said::List(&["c", "b"]),
+        ],
+        customer: "pilots",
+        expected: &[("b", 7)],
+    },
 ];
 
 #[test]
@@ -69,6 +104,11 @@
                 Said::Refusal(host, customer, tokens) => {
                     lenders.refused(&Name::from(*host), customer, *tokens);
                 }
+                Said::Missed(host) => lenders.missed(&Name::from(*host)),
+                Said::List(hosts) => {
+                    let hosts: Vec<Name> = hosts.iter().map(|host| Name::from(*host)).collect();
+                    lenders.list(&hosts);
+                }
             }
         }
         assert_eq!(lenders.of(customer), spare(expected), "{name}");
--- a/crates/lycheefordd/src/membership/hosts.rs
+++ b/crates/lycheefordd/src/membership/hosts.rs
@@ -103,6 +103,7 @@
     state.freshness.lock().set_entry_hosts(&entries);
     state.target_health.lock().set_hosts(state.now(), &workers);
     state.fleet.store(Arc::new(fleet));
+    state.rates.lock().list_peers(&entries);
     if let Some(peers) = state.peers.get() {
         peers.set_members(members);
     }
--- a/crates/lycheefordd/src/membership/inbox.rs
+++ b/crates/lycheefordd/src/membership/inbox.rs
@@ -1,5 +1,5 @@
 use lycheeford_peer::{Inbox, Missed};
-use lycheeford_policy::Instance;
+use lycheeford_policy::{Instance, Name};
 use lycheeford_wire::{Hello, HostReport, Message};
 
 use crate::configuration::spread;
@@ -34,7 +34,7 @@
             report.confirmed_age_ms,
             report.configuration_revision,
         );
-        self.rates.lock().peer_spare(&report.host, &report.spare);
+        self.take_spare(&report);
         self.members.lock().heard(asked_at, report);
     }
 
@@ -46,6 +46,7 @@
 
     fn missed(&self, host: &str, how: Missed) {
         self.members.lock().missed(host, how);
+        self.rates.lock().peer_missed(&Name::from(host));
     }
 
     fn message(&self, from: &Hello, message: Message) {
@@ -78,3 +79,14 @@
         }
     }
 }
+
+impl State {
+    /// Takes in what a listed host could lend.
+    fn take_spare(&self, report: &HostReport) {
+        let mut rates = self.rates.lock();
+        // Looked up under the lock, so that a host that leaves the list meanwhile is forgotten.
+        if self.fleet.load().host(&report.host).is_some() {
+            rates.peer_spare(&report.host, &report.spare);
+        }
+    }
+}
--- a/crates/lycheefordd/src/rates/table.rs
+++ b/crates/lycheefordd/src/rates/table.rs
@@ -101,6 +101,16 @@
         self.lenders.reported(host, spare);
     }
 
+    /// Takes in that a peer doesn't answer.
+    pub(crate) fn peer_missed(&mut self, host: &Name) {
+        self.lenders.missed(host);
+    }
+
+    /// Takes over which hosts may lend.
+    pub(crate) fn list_peers(&mut self, hosts: &[Name]) {
+        self.lenders.list(hosts);
+    }
+
     /// Opens questions to peers that weren't asked yet for what a reservation lacks.
     pub(crate) fn search_loans(
         &mut self,
--- a/crates/lycheefordd/tests/loans.rs
+++ b/crates/lycheefordd/tests/loans.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
+use std::time::Duration;
+
+use async_std::task;
 use lycheeford_fakes::{Answer, Call, CallError};
+use lycheeford_policy::Name;
 
 use crate::support::{EngineLinks, Fleet, until};
 
@@ -13,6 +17,14 @@
 /// Whether the first call comes before a beat of each peer is a matter of
 /// milliseconds, so one restart shows little.
 const RESTARTS: usize = 20;
+/// Tokens that a daemon has to borrow for one request.
+const BORROWED_TOKENS: u64 = 50;
+/// The daemons that are killed, as many as a request asks one after the other.
+const GONE: usize = 3;
+const RATE_TOKENS_PER_S: u64 = 240;
+const BURST_TOKENS: u64 = 1_200;
+/// Two beats between daemons.
+const HEARD: Duration = Duration::from_millis(500);
 
 #[async_std::test]
 async fn a_restarted_daemon_refuses_no_customer_within_its_rate() {
@@ -36,6 +48,33 @@
     assert!(refused.is_empty(), "{} of {RESTARTS}: {refused:?}", refused.len());
 }
 
+#[async_std::test]
+async fn peers_that_are_gone_dont_stand_before_those_that_can_lend() {
+    let mut fleet = Fleet::start_with("gone-lenders", EngineLinks::Direct, |deployment| {
+        let customer = &mut deployment.base.customers[CUSTOMER];
+        customer.rate_tokens_per_s = Some(RATE_TOKENS_PER_S);
+        customer.burst_tokens = Some(BURST_TOKENS);
+    })
+    .await;
+    let daemons = fleet.daemons.len();
+    let gone = 1..=GONE;
+    // More than a daemon's share, less than that of the daemons that are left.
+    let tokens = BURST_TOKENS / daemons as u64 + BORROWED_TOKENS;
+    await_full(&fleet).await;
+    for daemon in gone.clone() {
+        fleet.daemons[daemon].kill();
+    }
+    let names: Vec<Name> =
+        gone.map(|daemon| fleet.deployment.daemons[daemon].name.clone()).collect();
+    until("the dead daemons are missed", async || {
+        let hosts = fleet.operator(0).in_force().await.unwrap_or_default();
+        hosts.iter().filter(|host| !host.reachable && names.contains(&host.host)).count() == GONE
+    })
+    .await;
+    let answer = first_answer(&fleet, 0, tokens).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
 /// Returns the first answer of a daemon that may still be starting.
 async fn first_answer(fleet: &Fleet, daemon: usize, tokens: u64) -> Answer {
     let call = Call::completion(&fleet.keys[CUSTOMER], MODEL, "first", tokens);
@@ -50,3 +89,20 @@
     .await;
     first.expect("it was answered")
 }
+
+/// Waits until the shares of the customer have filled and each daemon has heard of that.
+async fn await_full(fleet: &Fleet) {
+    let customer = fleet.deployment.customers()[CUSTOMER].clone();
+    until("the customer's burst is there", async || {
+        let mut available_tokens = 0;
+        for daemon in 0..fleet.daemons.len() {
+            let reports = fleet.operator(daemon).customers().await.unwrap_or_default();
+            let report = reports.iter().find(|report| report.name == customer);
+            available_tokens += report.map_or(0, |report| report.available_tokens);
+        }
+        // Each share is rounded down.
+        available_tokens + fleet.daemons.len() as u64 >= BURST_TOKENS
+    })
+    .await;
+    task::sleep(HEARD).await;
+}
