Write the last lines of a daemon before it ends

What operators saw: the log of a daemon that was stopped often ended before its last lines: without `ended`, or in the middle of a line. The lines that say what a stop cut (`ends with requests open`) are among them.

Cause: lines are written by a thread of their own, which nobody waited for. The logger waits for it when its last clone is dropped, but tasks of the executor hold clones until the process is gone.

--- a/crates/lycheefordd/src/main.rs
+++ b/crates/lycheefordd/src/main.rs
@@ -74,8 +74,10 @@
         println!("settings are good");
         return ExitCode::SUCCESS;
     }
-    let log = operation::log::logger(settings.log_level, &settings.host);
-    match task::block_on(run(settings, log)) {
+    let (log, guard) = operation::log::logger(settings.log_level, &settings.host);
+    let ended = task::block_on(run(settings, log));
+    operation::log::finish(guard);
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("{message}");
