Go on logging after a line of the daemon couldn't be written

What operators saw: once one line can't be written (nobody reads the pipe for a moment, the disk of the log is full), the daemon logs nothing more until it is restarted, and says so nowhere.

Cause: the JSON writer was fused, which panics on an error. The panic ends the thread that writes all lines; lines sent after that count as left out.

Change: a line that can't be written is lost alone, as in the gateway.

The test lets a reader of a named pipe go away, makes the daemon log, opens the pipe again and stops the daemon.

--- a/crates/lycheefordd/src/operation/log.rs
+++ b/crates/lycheefordd/src/operation/log.rs
@@ -17,7 +17,8 @@
 ///
 /// The guard is for [`finish`].
 pub(crate) fn logger(level: LogLevel, host: &str) -> (Logger, AsyncGuard) {
-    let json = Json::default(std::io::stderr()).fuse();
+    // A line that can't be written is lost; the next one may be.
+    let json = Json::default(std::io::stderr()).ignore_res();
     let (lines, guard) = Async::new(json).build_with_guard();
     let drain = lines.filter_level(slog_level(level)).fuse();
     (Logger::root(drain, o!("host" => host.to_owned())), guard)
--- a/crates/lycheefordd/tests/logs.rs
+++ b/crates/lycheefordd/tests/logs.rs
@@ -2,6 +2,11 @@
 
 mod support;
 
+use std::fs::{self, File};
+use std::path::Path;
+use std::process::Command;
+
+use lycheeford_config::{check, merge};
 use serde_json::Value;
 
 use crate::support::{Fleet, PATIENCE};
@@ -19,6 +24,31 @@
     }
 }
 
+#[async_std::test]
+async fn a_reader_of_the_log_that_was_gone_gets_lines_again() {
+    let mut fleet = Fleet::start("log-reader-gone").await;
+    fleet.daemons[0].terminate();
+    fleet.daemons[0].ended(PATIENCE).await.expect("the daemon drains");
+    let pipe = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("log-{}", std::process::id()));
+    assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+    // Open for both ways, so that nobody waits for the other end.
+    let reader = File::options().read(true).write(true).open(&pipe).unwrap();
+    fleet.daemons[0].start_logging_to(File::options().write(true).open(&pipe).unwrap());
+    fleet.await_daemon(0).await;
+    drop(reader);
+    // Each change is logged; there is nobody to read the line.
+    let merged = merge(&fleet.deployment.base, &fleet.deployment.overlay);
+    let mut declared = check(&merged).expect("the deployment's configuration is good");
+    declared.customers[0].burst_tokens += 1;
+    fleet.apply((&declared).into()).await;
+
+    let reader = File::open(&pipe).unwrap();
+    fs::remove_file(&pipe).unwrap();
+    fleet.daemons[0].terminate();
+    let messages = messages(&std::io::read_to_string(reader).unwrap());
+    assert!(messages.iter().any(|message| message == "ended"), "{messages:?}");
+}
+
 fn messages(log: &str) -> Vec<String> {
     let message = |line: &str| {
         let line: Value = serde_json::from_str(line).expect("a whole line");
--- a/crates/lycheefordd/tests/support/process.rs
+++ b/crates/lycheefordd/tests/support/process.rs
@@ -36,12 +36,17 @@
 
     /// Starts the process again after its end, with the same addresses.
     pub fn start(&mut self) {
-        self.child = Some(self.command(Stdio::from(self.log_file())));
+        self.child = Some(self.command(Stdio::from(self.log_file()), self.log_file().into()));
+    }
+
+    /// Starts the process again after its end; it logs to `log` instead of its file.
+    pub fn start_logging_to(&mut self, log: File) {
+        self.child = Some(self.command(Stdio::from(self.log_file()), log.into()));
     }
 
     /// Starts a stand-in again after its end, and waits for its ready line.
     pub fn start_stand_in(&mut self) {
-        let mut child = self.command(Stdio::piped());
+        let mut child = self.command(Stdio::piped(), self.log_file().into());
         let mut line = String::new();
         let output = child.stdout.take().expect("stdout is piped");
         BufReader::new(output).read_line(&mut line).expect("stdout is readable");
@@ -98,12 +103,12 @@
         self.child.as_ref().map_or(0, Child::id)
     }
 
-    fn command(&self, stdout: Stdio) -> Child {
+    fn command(&self, stdout: Stdio, stderr: Stdio) -> Child {
         let started = Command::new(&self.program)
             .args(&self.arguments)
             .stdin(Stdio::null())
             .stdout(stdout)
-            .stderr(Stdio::from(self.log_file()))
+            .stderr(stderr)
             .spawn();
         started.unwrap_or_else(|error| panic!("can't start {}: {error}", self.program.display()))
     }
