Take no callers before a daemon has registered its life

What callers saw: a daemon that starts while the platform is away lets them connect and answers nothing, for as long as the outage lasts. Stopped meanwhile, it closes their connections without a word.

Cause: the caller address was bound first, so that the kernel took connections, and requests on them, which nothing read before the registration was through.

Change: the address is bound after the registration. Until then connections are refused at once, and the caller asks another address. Ruled out: refusing in HTTP meanwhile, which needs a second server on the same address for a host that can serve nothing. A wrong caller address is now found only once the platform has answered.

The test restarts a daemon without the platform and sends a completion.

--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -61,11 +61,12 @@
 ///
 /// Fails if one of its addresses can't be had.
 pub(crate) async fn run(settings: Settings, log: Logger, stop: Stop) -> Result<(), StartError> {
-    let callers = listen("caller_address", settings.caller_address).await?;
     let peers = listen("peer_address", settings.peer_address).await?;
     let operators = listen("operator_address", settings.operator_address).await?;
 
     let Some(me) = register(&settings, &log, &stop).await else { return Ok(()) };
+    // Callers that could connect before would wait for as long as the platform is away.
+    let callers = listen("caller_address", settings.caller_address).await?;
     info!(log, "started"; "incarnation" => me.incarnation.0);
     let bounds = bounds(&settings);
     let state = State::new(settings, me, Clock::start(), log);
--- a/crates/lycheefordd/tests/store_outage.rs
+++ b/crates/lycheefordd/tests/store_outage.rs
@@ -7,7 +7,7 @@
 use lycheeford_fakes::{Call, CallFault, PlatformFaults, expected_text};
 use serde_json::json;
 
-use crate::support::{Fleet, until};
+use crate::support::{Fleet, PATIENCE, until};
 
 const MODEL: &str = "model-001";
 const PROMPT: &str = "Is the lead still open?";
@@ -15,6 +15,8 @@
 
 /// Longer than any time for which a daemon takes its keys for current.
 const OUTAGE: Duration = Duration::from_secs(6);
+/// How soon a caller must know that a host is of no use to it.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
 
 #[async_std::test]
 async fn warm_requests_go_on_and_charges_are_refused_unrun() {
@@ -63,3 +65,23 @@
         assert_eq!(ran, 1, "{calls:?}");
     }
 }
+
+#[async_std::test]
+async fn a_daemon_that_starts_without_the_platform_keeps_no_caller_waiting() {
+    let mut fleet = Fleet::start("start-in-outage").await;
+    fleet.daemons[0].terminate();
+    fleet.daemons[0].ended(PATIENCE).await.expect("the daemon drains");
+    fleet.platform.kill();
+    fleet.daemons[0].start();
+    until("it waits for the platform", async || {
+        fleet.log_of_daemon(0).contains("waits for the platform")
+    })
+    .await;
+    let completion = Call {
+        timeout: 2 * TOLD_WITHIN,
+        ..Call::completion(&fleet.keys[0], MODEL, PROMPT, TOKENS)
+    };
+    let start = Instant::now();
+    let answer = completion.send(fleet.caller_address(0)).await;
+    assert!(start.elapsed() < TOLD_WITHIN, "told late to go elsewhere: {answer:?}");
+}
