End a daemon within its grace whatever its operators do

What operators saw: a connection to the admin API without a whole call on it kept a stopping daemon up to 5 s beyond `stop_grace_ms`. Whoever stops it kills it then: a call that was accepted is cut without a line, and `ended` is never written.

Cause: the operators' server was told to stop only after the callers' drain had taken what it may of the grace, and waited for its calls up to 5 s without knowing of the plan. Besides, the last pause for loans was as long as all that the plan leaves for the end, so that a drain that uses its grace up ended just after it.

Change: operators' calls are waited for until the plan's end, and cut with a line `ends with calls of operators open`. The plan leaves 500 ms for the end, 300 of them for loans.

--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -46,6 +46,9 @@
 /// How long a draining daemon takes callers: a peer hands its address out for as long as an
 /// answer from before the drain counts there, and a caller keeps what it was given.
 const ADDRESSES_AGE_MS: u64 = REACHABLE_MS + ADDRESS_KEEP_MS + CONNECT_MS;
+/// How long loans that were given back last have to reach their lenders.
+const SETTLE_MS: u64 = 300;
+const _: () = assert!(SETTLE_MS < STOP_END_MS);
 const _: () = assert!(ADDRESSES_AGE_MS + STOP_ANSWER_MS <= STOP_GRACE_MS_MIN);
 
 /// Why the daemon can't start.
@@ -87,7 +90,8 @@
     wait_for_drain(&state, &stop).await;
     drain(&state, &front_stop, serving).await;
     admin_stop.trigger();
-    administering.await;
+    finish_operators(&state, administering).await;
+    task::sleep(Duration::from_millis(SETTLE_MS)).await;
     info!(state.log, "ended");
     Ok(())
 }
@@ -174,16 +178,26 @@
     task::sleep(Duration::from_millis(ADDRESSES_AGE_MS)).await;
     front.trigger();
     let mut finished = Box::pin(finish(state, serving));
-    let left = |until: TimeMs| Duration::from_millis(until.since_ms(state.now()));
-    if timeout(left(plan.answer_by()), finished.as_mut()).await.is_err() {
+    if timeout(left(state, plan.answer_by()), finished.as_mut()).await.is_err() {
         warn!(state.log, "answers what the stop leaves no time for";
             "requests" => state.running.requests());
         front.hurry();
-        if timeout(left(plan.end_by()), finished).await.is_err() {
+        if timeout(left(state, plan.end_by()), finished).await.is_err() {
             warn!(state.log, "ends with requests open"; "requests" => state.running.requests());
         }
     }
-    task::sleep(Duration::from_millis(STOP_END_MS)).await;
+}
+
+/// Waits for the calls of operators that are under way, as long as the grace allows.
+async fn finish_operators(state: &State, administering: JoinHandle<()>) {
+    let Some(plan) = state.running.plan() else { return };
+    if timeout(left(state, plan.end_by()), administering).await.is_err() {
+        warn!(state.log, "ends with calls of operators open");
+    }
+}
+
+fn left(state: &State, until: TimeMs) -> Duration {
+    Duration::from_millis(until.since_ms(state.now()))
 }
 
 /// Waits until every connection is closed and every request has ended.
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -37,8 +37,9 @@
 /// What is left of the grace when requests without an answer get a final one: the time to write
 /// it, to close connections and to let loans settle.
 pub(crate) const STOP_ANSWER_MS: u64 = 2_000;
-/// What is left of it when the daemon waits for its connections no longer, so that loans settle.
-pub(crate) const STOP_END_MS: u64 = 300;
+/// What is left of it when the daemon waits for its connections no longer: the time to let
+/// loans settle and to write the last lines.
+pub(crate) const STOP_END_MS: u64 = 500;
 
 /// Retries that each request earns.
 const RETRIES_PER_REQUEST: f64 = 0.2;
--- a/crates/lycheefordd/tests/stop_grace.rs
+++ b/crates/lycheefordd/tests/stop_grace.rs
@@ -130,6 +130,20 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+#[async_std::test]
+async fn an_unfinished_call_of_an_operator_doesnt_outlast_the_grace() {
+    let mut fleet = Fleet::start_with("stop-operator", EngineLinks::Direct, |deployment| {
+        deployment.stop_grace_ms = Some(STOP_GRACE_MS);
+    })
+    .await;
+    let half_sent = TcpStream::connect(fleet.deployment.daemons[0].operator).await.unwrap();
+    task::sleep(UNDER_WAY).await;
+    fleet.daemons[0].terminate();
+    let status = fleet.daemons[0].ended(Duration::from_millis(STOP_GRACE_MS)).await;
+    drop(half_sent);
+    assert!(status.is_some_and(|status| status.success()), "it didn't end in its grace");
+}
+
 /// Starts a fleet in which nothing ends within the grace of the first daemon.
 async fn start() -> Fleet {
     let fleet = Fleet::start_with("stop-grace", EngineLinks::Direct, |deployment| {
