Log requests that a gateway refuses before it has read them whole

What operators saw: a caller that sends a bad head, a body that is too large or too slow, or a body that a stopping host no longer waits for, gets its refusal, and the log of the host has no line about it. Only a counter moves.

Cause: `refused` was written where an admitted request is answered, and not in the second place where refusals are made.

Change: that one writes the line, too. The id is the host's own where the caller's hasn't been read.

--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -69,6 +69,9 @@
 
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
         self.state.metrics.refused(refusal.code);
+        info!(self.state.log, "refused";
+            "id" => id.as_str(), "code" => ?refusal.code, "ran" => ?refusal.ran,
+            "message" => &refusal.message, "retry_after_ms" => refusal.retry_after_ms);
         self.state.edges.caller.refusal(id, refusal)
     }
 
