Log when a gateway loses the declaration or the targets in the store

What operators saw: keyed requests are refused with `ConfigurationStale` and no line says why this host can't confirm its declaration. The list of hosts and the lease have lines of their own; a listing of one kind that can't be read, or is refused for that kind alone, showed only as a growing age in the metrics.

Cause: the follower threw every error away and tried again.

Change: it hands the first error after a success on; the gateway writes `store_lost` with the kind and the error, and `store_regained` at the next answer.

The daemon follows by the same code and still writes no such line.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -3,6 +3,7 @@
 use lycheeford_platform::{Change, Object, Update, WatchEvent, follow_at_pace};
 use slog::{error, info};
 
+use super::store_loss::StoreLoss;
 use super::{DEPLOYMENT_WAIT_PART, follow_limits};
 use crate::state::State;
 
@@ -18,14 +19,17 @@
     let clock = state.clock;
     let wait_ms = state.confirmation_ms_max() as f64 * DEPLOYMENT_WAIT_PART;
     let limits = follow_limits(wait_ms as u64);
+    let loss = StoreLoss::new(&state, kind);
     follow_at_pace(
         edge.objects(),
         kind,
         &limits,
         || clock.now(),
         |update| {
+            loss.answered();
             take_update(&state, update);
         },
+        |error| loss.failed(error),
         &state.declaration_pace,
         |_| rest_ms(&state),
     )
--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod deployment_follow;
 mod dispatcher;
+mod store_loss;
 mod target_follow;
 
 pub(crate) use self::deployment_follow::follow_deployment;
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -4,6 +4,7 @@
 use lycheeford_policy::{StoreAbsence, TargetEntry, TimeMs};
 use slog::{info, warn};
 
+use super::store_loss::StoreLoss;
 use super::{TARGETS_WAIT_MS, follow_limits};
 use crate::membership::apply_own_placements;
 use crate::state::State;
@@ -24,17 +25,20 @@
     let clock = state.clock;
     let mut absence = StoreAbsence::default();
     let limits = follow_limits(TARGETS_WAIT_MS);
+    let loss = StoreLoss::new(&state, edge.target_kind());
     follow_at_pace(
         edge.objects(),
         edge.target_kind(),
         &limits,
         || clock.now(),
         |update| {
+            loss.answered();
             let now = state.now();
             let grace_ms =
                 absence.grace_ms(now, update.failing_since, state.settings.entry_return_ms);
             take_update(&state, update, grace_ms);
         },
+        |error| loss.failed(error),
         &state.target_pace,
         |rest| rest_ms(&state, rest),
     )
--- a/crates/lycheeford-platform/src/follow.rs
+++ b/crates/lycheeford-platform/src/follow.rs
@@ -106,7 +106,8 @@
     clock: impl Fn() -> TimeMs + Send,
     on_update: impl FnMut(Update) + Send,
 ) {
-    follow_at_pace(store, kind, limits, clock, on_update, &FollowPace::default(), |_| 0).await;
+    let pace = FollowPace::default();
+    follow_at_pace(store, kind, limits, clock, on_update, |_| {}, &pace, |_| 0).await;
 }
 
 /// Follows like [`follow`], and rests between two questions.
@@ -114,13 +115,15 @@
 /// A watch ends with the first change, so that a busy kind would cost a call
 /// for each, and one for each of many hosts. `rest_ms` says how much longer to
 /// rest; it is asked again when that time is over, until it says 0 or the
-/// pace is woken.
+/// pace is woken. `on_failure` is told why the first of several calls in a row failed.
+#[expect(clippy::too_many_arguments, reason = "each is a concern of its own")]
 pub async fn follow_at_pace(
     store: &dyn ObjectStore,
     kind: &str,
     limits: &FollowLimits,
     clock: impl Fn() -> TimeMs + Send,
     mut on_update: impl FnMut(Update) + Send,
+    mut on_failure: impl FnMut(&str) + Send,
     pace: &FollowPace,
     rest_ms: impl Fn(Rest) -> u64 + Send + Sync,
 ) {
@@ -128,11 +131,13 @@
     let mut backoff = Backoff::new(limits.backoff_ms_min, limits.backoff_ms_max);
     let mut next = Step::List;
     let mut failing_since: Option<TimeMs> = None;
+    let mut has_failed = false;
     loop {
         let as_of = clock();
         match follower.step(next).await {
             Outcome::Current(change) => {
                 backoff.reset();
+                has_failed = false;
                 next = Step::Watch;
                 let is_change = !matches!(&change, Change::Apply(events) if events.is_empty());
                 on_update(Update {
@@ -147,7 +152,10 @@
                 failing_since.get_or_insert(as_of);
                 next = Step::List;
             }
-            Outcome::Failed => {
+            Outcome::Failed(error) => {
+                if !std::mem::replace(&mut has_failed, true) {
+                    on_failure(&error);
+                }
                 failing_since.get_or_insert(as_of);
                 next = Step::List;
                 task::sleep(backoff.next_delay()).await;
@@ -165,7 +173,8 @@
 enum Outcome {
     Current(Change),
     ListNow,
-    Failed,
+    /// With the reason.
+    Failed(String),
 }
 
 struct Follower<'a> {
@@ -180,7 +189,8 @@
         match step {
             Step::List => {
                 let listed = timeout(self.patience(), self.store.list(self.kind)).await;
-                listed.map_or(Outcome::Failed, |listed| self.listed(listed))
+                let silent = |_| Outcome::Failed("no answer in time".to_owned());
+                listed.map_or_else(silent, |listed| self.listed(listed))
             }
             Step::Watch => {
                 let watch = self.store.watch(self.kind, self.revision, self.limits.wait_ms);
@@ -196,7 +206,8 @@
                 self.revision = listing.revision;
                 Outcome::Current(Change::Replace(listing))
             }
-            _ => Outcome::Failed,
+            Ok(listing) => self.outdated(listing.revision),
+            Err(error) => Outcome::Failed(error.to_string()),
         }
     }
 
@@ -209,11 +220,16 @@
                 events.retain(|event| event.version() > after);
                 Outcome::Current(Change::Apply(events))
             }
+            Ok(batch) => self.outdated(batch.revision),
             Err(error) if error.category() == Category::WatchTooOld => Outcome::ListNow,
-            _ => Outcome::Failed,
+            Err(error) => Outcome::Failed(error.to_string()),
         }
     }
 
+    fn outdated(&self, revision: u64) -> Outcome {
+        Outcome::Failed(format!("the answer is of revision {revision}, after {}", self.revision))
+    }
+
     fn patience(&self) -> Duration {
         Duration::from_millis(self.limits.wait_ms.saturating_add(self.limits.grace_ms))
     }
