Show a lost store in the story of a request

`lycheeford trace` shows what happened at the request's hosts meanwhile, from a list of events. It lacks the new `store_lost` and `store_regained`, which tell why a host refuses what it can't confirm.

The logs of the test have such a line; without the change the story lacks it.

--- a/crates/lycheeford/src/log_command.rs
+++ b/crates/lycheeford/src/log_command.rs
@@ -9,7 +9,7 @@
 use crate::output;
 
 /// Events of a host that explain what happened to the requests that it had then.
-const HOST_EVENTS: [&str; 12] = [
+const HOST_EVENTS: [&str; 14] = [
     "started",
     "draining",
     "ended",
@@ -17,6 +17,8 @@
     "lease_unread",
     "lease_unwritten",
     "hosts_unlisted",
+    "store_lost",
+    "store_regained",
     "host_unregistered",
     "declaration_adopted",
     "declaration_unreadable",
--- a/crates/lycheeford/tests/logs.rs
+++ b/crates/lycheeford/tests/logs.rs
@@ -33,6 +33,7 @@
                 "attempt_failed",
                 "meanwhile orders_held holds=false",
                 "host-b   meanwhile target_gone",
+                "host-b   meanwhile store_lost",
                 "stream_resumed",
                 "refused",
                 "ended after 700 ms: refused: TargetFailed: the target closed the connection (Unknown)",
