Refuse questions for addresses that a stopping gateway won't read

What callers saw: a question for addresses that hadn't come whole when a stopping host ended got a closed connection without a word, on a listener that had accepted connections to the end. The same for readiness and metrics.

The callers' front was stopped and hurried at the end; the pages were served by tasks that nobody stopped or waited for, so that the end of the process cut them.

Change: at the end the pages are hurried, as the front is, beside the deletion of the host's object and within the same 200 ms. Connections without a question still just close.

--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -6,6 +6,7 @@
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::prelude::FutureExt;
 use async_std::task;
+use futures_util::future::{join, join_all};
 use lycheeford_caller::{Service, Stop, serve_service};
 use lycheeford_policy::TimeMs;
 use slog::{info, warn};
@@ -27,8 +28,8 @@
 const LOSSES_MS: u64 = 1_000;
 /// The part of the grace for which a stopping host accepts connections.
 const ACCEPT_PART: f64 = 0.55;
-/// How long the last calls to the store may take.
-const FORGET_MS_MAX: u64 = 200;
+/// How long the last calls to the store and the last answers of the pages may take.
+const LAST_MS_MAX: u64 = 200;
 
 /// Why a gateway can't start.
 #[derive(Debug, Snafu)]
@@ -72,10 +73,12 @@
     start_tasks(&state, Arc::new(peers));
 
     let pages_stop = Stop::new();
-    serve_page(readiness, Readiness { state: Arc::clone(&state) }, &pages_stop);
-    serve_page(metrics, MetricsPage { state: Arc::clone(&state) }, &pages_stop);
+    let mut pages = vec![
+        serve_page(readiness, Readiness { state: Arc::clone(&state) }, &pages_stop),
+        serve_page(metrics, MetricsPage { state: Arc::clone(&state) }, &pages_stop),
+    ];
     if let Some(directory) = directory {
-        serve_page(directory, Directory { state: Arc::clone(&state) }, &pages_stop);
+        pages.push(serve_page(directory, Directory { state: Arc::clone(&state) }, &pages_stop));
     }
     let front_stop = Stop::new();
     let front = Front { state: Arc::clone(&state) };
@@ -83,6 +86,14 @@
 
     stop.triggered().await;
     drain(&state, &front_stop, serving).await;
+    let pages_end = async {
+        pages_stop.hurry();
+        join_all(pages).await
+    };
+    // An object that stays is deleted later by the holder of orders, and a page that is
+    // connected without a question needs no answer.
+    let last = join(forget_own_host(&state), pages_end);
+    let _ = timeout(Duration::from_millis(LAST_MS_MAX), last).await;
     info!(state.log, "ended"; "requests_running" => state.requests_running());
     Ok(())
 }
@@ -142,16 +153,14 @@
     };
     serving.race(out_of_grace).await;
     state.ending.trigger();
-    // An object that stays is deleted later by the holder of orders.
-    let _ = timeout(Duration::from_millis(FORGET_MS_MAX), forget_own_host(state)).await;
 }
 
 async fn sleep_until(state: &State, at: TimeMs) {
     task::sleep(Duration::from_millis(at.since_ms(state.now()))).await;
 }
 
-fn serve_page<S: Service>(listener: TcpListener, page: S, stop: &Stop) {
-    task::spawn(serve_service(listener, page, stop.clone()));
+fn serve_page<S: Service>(listener: TcpListener, page: S, stop: &Stop) -> task::JoinHandle<()> {
+    task::spawn(serve_service(listener, page, stop.clone()))
 }
 
 async fn listen(
