Log when a daemon loses the platform, and what it can't read there

What operators saw: a daemon that loses the platform after its start writes no line; its at-most-once calls and loads are refused and the log doesn't say why. An engine whose record can't be read gets no order any more, and decided replicas that can't be read are never cleaned up, both without a line.

Cause: the follower's errors were thrown away, and so were those of two reads.

Change: the follower of the configuration writes `platform doesn't answer` with the error at the first failure, and `platform answers again`. Objects that can't be read have a line at each try; a read that only fails with the platform has none, since the first line says so.

A table of four lines in the daemon's tests; without the change all four are missing.

--- a/crates/lycheefordd/src/configuration/adopt.rs
+++ b/crates/lycheefordd/src/configuration/adopt.rs
@@ -1,11 +1,14 @@
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_std::channel::{Receiver, unbounded};
 use async_std::future::timeout;
 use async_std::task;
 use lycheeford_config::{CHUNK_KIND, Chunk, HEAD_KIND, HEAD_NAME, Head};
-use lycheeford_platform::{Change, FollowLimits, ObjectStore, WatchEvent, follow};
+use lycheeford_platform::{
+    Change, FollowLimits, FollowPace, ObjectStore, WatchEvent, follow_at_pace,
+};
 use lycheeford_policy::TimeMs;
 use slog::{info, warn};
 use snafu::ResultExt;
@@ -25,18 +28,28 @@
     task::spawn(read_heads(state.clone(), receiver));
     let limits = FollowLimits::default();
     let clock = state.clock;
-    follow(
+    let is_lost = AtomicBool::new(false);
+    follow_at_pace(
         &state.store,
         HEAD_KIND,
         &limits,
         move || clock.now(),
         |update| {
+            if is_lost.swap(false, Ordering::Relaxed) {
+                info!(state.log, "platform answers again");
+            }
             // A head that can't be read confirms nothing: it may be a newer one.
             if let Ok(head) = latest_head(&state, &update.change) {
                 // The receiver lives as long as the daemon.
                 let _ = sender.try_send((update.as_of, head));
             }
         },
+        |error| {
+            is_lost.store(true, Ordering::Relaxed);
+            warn!(state.log, "platform doesn't answer"; "error" => error);
+        },
+        &FollowPace::default(),
+        |_| 0,
     )
     .await;
 }
--- a/crates/lycheefordd/src/loads/orders.rs
+++ b/crates/lycheefordd/src/loads/orders.rs
@@ -200,7 +200,13 @@
             &object.name,
             object.value,
         );
-        let Ok(set) = decoded else { continue };
+        let set = match decoded {
+            Ok(set) => set,
+            Err(error) => {
+                warn!(state.log, "decided replicas not readable"; "error" => %error);
+                continue;
+            }
+        };
         for replica in set.replicas.iter().filter(|replica| replica.decider != state.me) {
             cancel_unreserved(&state, &object.name, replica).await;
         }
--- a/crates/lycheefordd/src/loads/planning.rs
+++ b/crates/lycheefordd/src/loads/planning.rs
@@ -13,7 +13,7 @@
 use crate::loads::orders;
 use crate::membership::outbox::send_all;
 use crate::membership::standing::coordinator_host;
-use crate::objects::{self, TARGET_KIND};
+use crate::objects::{self, ObjectError, TARGET_KIND};
 use crate::operation::metrics::Event;
 use crate::placement::adopt::adopt;
 use crate::state::State;
@@ -124,7 +124,7 @@
     // The record has to be older than the status that settles it.
     let record = match known {
         Some(record) => Some(record),
-        None => objects::read::<_, StoredTargetRecord>(&state, TARGET_KIND, &host.name).await.ok(),
+        None => read_record(&state, &host.name).await,
     };
     let gone = state.gone.lock().clone();
     let (sending_over, sending_ended) = {
@@ -148,6 +148,20 @@
     finish_poll(&state, &host, status, record, verdict);
 }
 
+/// Reads the record of a target; without it the target gets no orders.
+async fn read_record(state: &State, target: &Name) -> Option<Versioned<TargetRecord>> {
+    match objects::read::<_, StoredTargetRecord>(state, TARGET_KIND, target).await {
+        Ok(record) => Some(record),
+        // The follower tells once that the platform is away.
+        Err(ObjectError::Platform { .. }) => None,
+        Err(error) => {
+            warn!(state.log, "target's record not readable";
+                "target" => %target, "error" => %error);
+            None
+        }
+    }
+}
+
 fn finish_poll(
     state: &State,
     host: &Host,
--- a/crates/lycheefordd/tests/logs.rs
+++ b/crates/lycheefordd/tests/logs.rs
@@ -6,10 +6,12 @@
 use std::path::Path;
 use std::process::Command;
 
+use http_types::Method;
 use lycheeford_config::{check, merge};
+use lycheeford_fakes::{Call, CallFault, PlatformFaults};
 use serde_json::Value;
 
-use crate::support::{Fleet, PATIENCE};
+use crate::support::{Fleet, PATIENCE, until};
 
 #[async_std::test]
 async fn the_last_lines_of_a_daemon_are_written_before_it_ends() {
@@ -49,6 +51,49 @@
     assert!(messages.iter().any(|message| message == "ended"), "{messages:?}");
 }
 
+/// Something that goes wrong at the platform, and the message by which it is found.
+struct PlatformCase {
+    message: &'static str,
+    faults: PlatformFaults,
+    /// The kind of the objects of the engines and models that are no objects of ours.
+    unreadable: Option<&'static str>,
+}
+
+#[async_std::test]
+async fn what_goes_wrong_at_the_platform_is_found_in_the_log() {
+    let sound = PlatformFaults::default();
+    let away = PlatformFaults { calls: CallFault::Refuse, ..PlatformFaults::default() };
+    let case = |message, faults, unreadable| PlatformCase { message, faults, unreadable };
+    let cases = [
+        case("platform doesn't answer", away, None),
+        case("platform answers again", sound.clone(), None),
+        case("target's record not readable", sound.clone(), Some("target")),
+        case("decided replicas not readable", sound, Some("replica")),
+    ];
+    let mut fleet = Fleet::start("platform-lines").await;
+    let platform = fleet.deployment.platform;
+    for case in cases {
+        fleet.set_faults(platform, &case.faults).await;
+        if let Some(kind) = case.unreadable {
+            let name = &fleet.deployment.engines[0].name;
+            let body = br#"{"odd":1}"#.to_vec();
+            let path = format!("/objects/{kind}/{name}");
+            let put = Call { method: Method::Put, body, ..Call::get(&path) };
+            assert_eq!(put.send(platform).await.expect("the platform answers").status, 200);
+            // Whoever starts to coordinate knows nothing yet.
+            for daemon in &mut fleet.daemons {
+                daemon.kill();
+                daemon.start();
+            }
+        }
+        until(case.message, async || {
+            let logs = (0..fleet.daemons.len()).map(|daemon| fleet.log_of_daemon(daemon));
+            logs.collect::<String>().contains(case.message)
+        })
+        .await;
+    }
+}
+
 fn messages(log: &str) -> Vec<String> {
     let message = |line: &str| {
         let line: Value = serde_json::from_str(line).expect("a whole line");
