Give a customer that asks for more than its rate portions of it

Cause: each host spent what came back of the whole bucket until it heard, up to three reports later, that all others had spent it, too. Ruled out: spending that is never heard (levels fall by what was spent) and hosts that disagree on relays (there were no more than usual).

Change: once a customer asks for more than its rate and less than half of its burst is left, each host spends from a portion that refills by its part of the customer's demand. Demand is what was spent and, new in reports for customers refused lately, what was refused. Portions together refill by the rate, corrected by how far the bucket's level is from a quarter of the burst. A share moves over 4 s, so that a cut that isn't noticed yet leaves the portions as they are.

The new test `a_customer_over_its_rate_is_served_in_each_second` failed before.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -1,5 +1,5 @@
 use lycheeford_policy::{
-    Name, OwnCounts, PartnerRole, PeerReport, ReportedLease, Scope, ShortKey, Sums,
+    Name, OwnCounts, PartnerRole, PeerNews, PeerReport, ReportedLease, Scope, ShortKey, Sums,
 };
 use slog::info;
 
@@ -24,9 +24,15 @@
             let dispatcher = state.dispatcher();
             (dispatcher.targets.runs_here(), dispatcher.placements_known())
         };
-        let (spent, levels, asked) = {
+        let (own, levels) = {
             let rates = state.rates();
-            (rates.spent(), rates.levels(now), rates.asked().clone())
+            let own = OwnCounts {
+                running,
+                spent: rates.spent(),
+                refused: rates.refused().clone(),
+                asked: rates.asked().clone(),
+            };
+            (own, rates.levels(now))
         };
         let (suspects, suspects_digest) = {
             let suspects = state.suspects();
@@ -57,7 +63,7 @@
             placements: Vec::new(),
             placements_known,
         };
-        Common { report, own: OwnCounts { running, spent, asked } }
+        Common { report, own }
     }
 
     /// Returns the report for a partner, or for a visitor, which has no role.
@@ -146,7 +152,7 @@
     }
     hear_of_store(state, report);
     if news.is_counted {
-        take_levels(state, report, &news.spent);
+        take_levels(state, report, &news);
     }
     take_asked(state, &news.asked);
     for (fingerprint, crashes) in &report.suspects {
@@ -171,13 +177,16 @@
 }
 
 /// Takes in what customers spent through others, and what is left for them as those know.
-fn take_levels(state: &State, report: &PeerReport, spent: &[(ShortKey, f64)]) {
+fn take_levels(state: &State, report: &PeerReport, news: &PeerNews) {
     let now = state.now();
     let membership = state.membership();
     let mut rates = state.rates();
-    for (customer, units) in spent {
+    for (customer, units) in &news.spent {
         rates.spent_elsewhere(now, *customer, *units);
     }
+    for (customer, units) in &news.refused {
+        rates.refused_elsewhere(now, *customer, *units);
+    }
     for (customer, level) in &report.levels {
         let own_units = rates.spent_here(*customer);
         let missing_units = membership.peers.missing_units(report, *customer, own_units);
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -55,6 +55,8 @@
     placements_version: u64,
     #[prost(fixed64, tag = "22")]
     suspects_digest: u64,
+    #[prost(message, repeated, tag = "23")]
+    refused: Vec<WireCount>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -76,6 +78,7 @@
             scope: scope_to_wire(report.scope),
             running: report.sums.running.into_iter().map(WireRunning::from).collect(),
             spent: counts_to_wire(report.sums.spent),
+            refused: counts_to_wire(report.sums.refused),
             asked: counts_to_wire(report.sums.asked),
             levels: counts_to_wire(report.levels),
             heard: counts_to_wire(report.heard),
@@ -110,6 +113,7 @@
             sums: Sums {
                 running: wire.running.into_iter().map(RunningAt::from).collect(),
                 spent: counts_from_wire(wire.spent),
+                refused: counts_from_wire(wire.refused),
                 asked: counts_from_wire(wire.asked),
             },
             levels: counts_from_wire(wire.levels),
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -42,6 +42,7 @@
                 tokens: 400,
             }],
             spent: vec![(ShortKey(3), 12.5)],
+            refused: vec![(ShortKey(3), 2.5)],
             asked: vec![(ShortKey(4), 6.0)],
         },
         levels: vec![(ShortKey(3), -8.25)],
--- a/crates/lycheeford-gateway/src/request/charge.rs
+++ b/crates/lycheeford-gateway/src/request/charge.rs
@@ -55,7 +55,9 @@
             info!(state.log, "over_rate";
                 "customer" => customer.as_str(), "units" => units, "level_units" => bucket.level(now),
                 "burst_units" => rate.burst_units, "units_per_s" => rate.units_per_s,
-                "heard_part" => hearing.part, "spent_here_units" => bucket.spent_here());
+                "heard_part" => hearing.part, "portion" => bucket.portion(),
+                "spent_here_units" => bucket.spent_here());
+            rates.refuse(now, customer, units);
             return Err(wait_ms);
         }
         drop(rates);
--- a/crates/lycheeford-gateway/src/request/rates.rs
+++ b/crates/lycheeford-gateway/src/request/rates.rs
@@ -5,6 +5,8 @@
 pub(crate) struct Rates {
     /// Sorted by key.
     buckets: Vec<(ShortKey, SharedBucket)>,
+    /// What each customer was refused here.
+    refused: Counters,
     /// How often each name was asked for here.
     asked: Counters,
 }
@@ -29,6 +31,11 @@
         self.bucket_of(now, customer).spent_elsewhere(now, units);
     }
 
+    /// Takes in what a customer was refused by another host.
+    pub(crate) fn refused_elsewhere(&mut self, now: TimeMs, customer: ShortKey, units: f64) {
+        self.bucket_of(now, customer).refused_elsewhere(now, units);
+    }
+
     /// Takes in what is left for a customer as far as another host knows.
     pub(crate) fn level_elsewhere(
         &mut self,
@@ -57,6 +64,16 @@
         found.map_or(0.0, |index| self.buckets[index].1.spent_here())
     }
 
+    /// Counts what a customer was refused here.
+    pub(crate) fn refuse(&mut self, now: TimeMs, customer: &Name, units: f64) {
+        self.refused.add(now, ShortKey::of(customer), units);
+    }
+
+    /// Returns what each customer was refused here since this host started.
+    pub(crate) fn refused(&self) -> &Counters {
+        &self.refused
+    }
+
     /// Counts that a name was asked for.
     pub(crate) fn ask(&mut self, now: TimeMs, name: ShortKey) {
         self.asked.add(now, name, 1.0);
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod adapter_planner;
 mod confirmation;
 mod counters;
+mod demand_share;
 mod demand_table;
 mod deployment;
 mod event_boundary;
@@ -38,6 +39,7 @@
 mod order_lease;
 mod peer_table;
 mod placement_log;
+mod portion;
 mod report_layout;
 mod report_pace;
 mod retry_share;
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -87,6 +87,8 @@
     pub running: Vec<RunningAt>,
     /// What each customer has spent, sorted by key.
     pub spent: Vec<(ShortKey, f64)>,
+    /// What each customer was refused, if it was lately; sorted by key.
+    pub refused: Vec<(ShortKey, f64)>,
     /// How often each model or adapter was asked for, if it was lately; sorted by key.
     pub asked: Vec<(ShortKey, f64)>,
 }
@@ -98,6 +100,8 @@
     pub running: Vec<RunningAt>,
     /// What each customer has spent.
     pub spent: Vec<(ShortKey, f64)>,
+    /// What each customer was refused.
+    pub refused: Counters,
     /// How often each model or adapter was asked for.
     pub asked: Counters,
 }
@@ -171,9 +175,11 @@
     role: Option<PartnerRole>,
     /// The counts that it last told.
     spent_told: Counters,
+    refused_told: Counters,
     asked_told: Counters,
     /// What was taken in of them, which is less by what was before and by long silences.
     spent_taken: Counters,
+    refused_taken: Counters,
     asked_taken: Counters,
 }
 
@@ -191,6 +197,7 @@
 #[derive(Debug, Default)]
 struct Taken {
     spent: Counters,
+    refused: Counters,
     asked: Counters,
 }
 
@@ -199,6 +206,8 @@
 pub struct PeerNews {
     /// What each customer spent meanwhile.
     pub spent: Vec<(ShortKey, f64)>,
+    /// What each customer was refused meanwhile.
+    pub refused: Vec<(ShortKey, f64)>,
     /// How often each model or adapter was asked for meanwhile.
     pub asked: Vec<(ShortKey, f64)>,
     /// Whether the counts are those that this host should get from the sender.
@@ -233,10 +242,15 @@
         }
         if report.incarnation != peer.report.incarnation || role != peer.role {
             // What was before is in no sum of this one, or in another one.
-            let (spent_taken, asked_taken) = peer.take_taken();
+            let before = peer.clone();
             let earlier_lives = peer.lives_before(report.incarnation);
-            *peer =
-                Peer { earlier_lives, spent_taken, asked_taken, ..Peer::new(now, report, role) };
+            *peer = Peer {
+                earlier_lives,
+                spent_taken: before.spent_taken,
+                refused_taken: before.refused_taken,
+                asked_taken: before.asked_taken,
+                ..Peer::new(now, report, role)
+            };
             return Some(PeerNews { is_counted: role.is_some(), ..PeerNews::default() });
         }
         let was_silent = now.since_ms(peer.heard_at) >= long_silence_ms;
@@ -258,6 +272,13 @@
                 self.members.spent.add(now, *key, *units);
             }
         }
+        for (key, units) in &news.refused {
+            peer.refused_taken.add(now, *key, *units);
+            self.all.refused.add(now, *key, *units);
+            if is_member {
+                self.members.refused.add(now, *key, *units);
+            }
+        }
         for (key, count) in &news.asked {
             peer.asked_taken.add(now, *key, *count);
             self.all.asked.add(now, *key, *count);
@@ -282,14 +303,17 @@
     pub fn sums_for(&self, now: TimeMs, host: &Name, own: &OwnCounts) -> (Scope, Sums) {
         let link = self.link(host);
         let taken = link.taken;
-        let mut asked: Vec<ShortKey> = own.asked.changed(now, ASKED_MS).iter().map(key).collect();
-        asked.extend(taken.asked.changed(now, ASKED_MS).iter().map(key));
-        asked.sort_unstable();
-        asked.dedup();
-        let asked = asked.into_iter().map(|key| {
-            let told = link.member.map_or(0.0, |peer| peer.asked_taken.count(key));
-            (key, own.asked.count(key) + taken.asked.count(key) - told)
-        });
+        let lately = |own: &Counters, taken: &Counters, told: Option<&Counters>| {
+            let mut keys: Vec<ShortKey> = own.changed(now, ASKED_MS).iter().map(key).collect();
+            keys.extend(taken.changed(now, ASKED_MS).iter().map(key));
+            keys.sort_unstable();
+            keys.dedup();
+            let count =
+                |key| own.count(key) + taken.count(key) - told.map_or(0.0, |told| told.count(key));
+            keys.into_iter().map(|key| (key, count(key))).collect()
+        };
+        let refused_told = link.member.map(|peer| &peer.refused_taken);
+        let asked_told = link.member.map(|peer| &peer.asked_taken);
         let others = taken.spent.all().into_iter().map(|(key, units)| {
             let told = link.member.map_or(0.0, |peer| peer.spent_taken.count(key));
             (key, units - told)
@@ -306,7 +330,8 @@
         let sums = Sums {
             running: sum_running(own.running.iter().copied().chain(running)),
             spent: sum_counts(own.spent.iter().copied().chain(others)),
-            asked: asked.collect(),
+            refused: lately(&own.refused, &taken.refused, refused_told),
+            asked: lately(&own.asked, &taken.asked, asked_told),
         };
         (link.scope, sums)
     }
@@ -391,8 +416,10 @@
             earlier_lives: Vec::new(),
             role,
             spent_told: Counters::default(),
+            refused_told: Counters::default(),
             asked_told: Counters::default(),
             spent_taken: Counters::default(),
+            refused_taken: Counters::default(),
             asked_taken: Counters::default(),
             report,
         };
@@ -425,10 +452,6 @@
         lives
     }
 
-    fn take_taken(&mut self) -> (Counters, Counters) {
-        (std::mem::take(&mut self.spent_taken), std::mem::take(&mut self.asked_taken))
-    }
-
     /// Returns what the sums say beyond those that were told before.
     fn news(&mut self, now: TimeMs, sums: &Sums) -> PeerNews {
         let mut news = PeerNews::default();
@@ -437,12 +460,18 @@
             let before = self.spent_told.set(now, key, units).unwrap_or_default();
             news.spent.push((key, units - before));
         }
+        for &(key, units) in &sums.refused {
+            // Only customers that were refused lately are told; one that wasn't told yet had nothing.
+            let before = self.refused_told.set(now, key, units).unwrap_or_default();
+            news.refused.push((key, units - before));
+        }
         for &(key, count) in &sums.asked {
             // Only names asked for lately are told; this one was at least once.
             let before = self.asked_told.set(now, key, count).unwrap_or(count - 1.0);
             news.asked.push((key, count - before));
         }
         news.spent.retain(|(_, units)| *units != 0.0);
+        news.refused.retain(|(_, units)| *units > 0.0);
         news.asked.retain(|(_, count)| *count > 0.0);
         news
     }
--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -1,4 +1,6 @@
+use super::demand_share::DemandShare;
 use super::hearing::Hearing;
+use super::portion::Portion;
 use crate::{CustomerRate, TimeMs};
 
 const MS_PER_S: f64 = 1_000.0;
@@ -20,6 +22,10 @@
 ///
 /// Less would forgive what they spend while their reports are under way.
 const DEBT_MS_MAX: f64 = 4_000.0;
+/// Below this part of the burst, a customer that asks for more than its rate gets it in portions.
+const PORTION_BELOW: f64 = 0.5;
+/// Once it asks for less than this part of its rate, it doesn't any more.
+const PORTION_UNTIL: f64 = 0.9;
 /// How far a host moves towards the level that another one reports.
 const AGREE_PART: f64 = 0.1;
 
@@ -31,6 +37,11 @@
 /// refill, since those may go on unseen: two halves of a fleet that is cut in two
 /// then spend one burst and one rate together.
 ///
+/// A customer that asks for more than its rate has its level near zero all the time. If
+/// each host then spent whatever comes back, all would do so at once, before they hear of
+/// each other, and then none. So each takes its portion: the part of the refill that
+/// is the part of the customer's demand that comes to it.
+///
 /// ```
 /// use lycheeford_policy::{CustomerRate, Hearing, RateUnit, SharedBucket, TimeMs};
 ///
@@ -56,6 +67,9 @@
     burst_units: f64,
     /// Set while some hosts aren't heard.
     cut: Option<Cut>,
+    demand: DemandShare,
+    /// Set while the customer asks for more than its rate.
+    portion: Option<Portion>,
 }
 
 /// What a host may spend while it doesn't hear some of the others.
@@ -80,6 +94,8 @@
             refill_per_ms: 0.0,
             burst_units: 0.0,
             cut: None,
+            demand: DemandShare::new(now),
+            portion: None,
         }
     }
 
@@ -99,26 +115,56 @@
         units: f64,
     ) -> Result<(), u64> {
         self.refill(now, rate, hearing);
+        self.demand.asked_here(now, units, hearing.pause_ms);
+        self.apportion(now);
         let pause_ms = hearing.pause_ms as f64;
         self.average_ms = pause_ms * AVERAGE_PAUSES;
         // The refill has set the level.
         let level = self.level.unwrap_or_default();
         // At several times the rate, all hosts would spend the same refill before they hear.
-        let unheard = self.elsewhere_faded(now) * pause_ms * UNHEARD_PAUSES;
+        let unheard = match self.portion {
+            Some(_) => 0.0,
+            None => self.elsewhere_faded(now) * pause_ms * UNHEARD_PAUSES,
+        };
         let own = self.cut.map_or(f64::INFINITY, |cut| cut.level);
-        if level <= unheard || own <= 0.0 {
-            let missing = 1.0 + (unheard - level).max(-own);
-            let refill_per_ms = (self.refill_per_ms * hearing.part).max(f64::MIN_POSITIVE);
+        let portion = self.portion.map_or(f64::INFINITY, |portion| portion.level());
+        if level <= unheard || own <= 0.0 || portion <= 0.0 {
+            let part = self.portion.map_or(hearing.part, |portion| portion.share());
+            let missing = 1.0 + (unheard - level).max(-own).max(-portion);
+            let refill_per_ms = (self.refill_per_ms * part).max(f64::MIN_POSITIVE);
             return Err((missing / refill_per_ms).clamp(1.0, WAIT_MS_MAX).ceil() as u64);
         }
+        if let Some(portion) = &mut self.portion {
+            portion.spend(units);
+        }
         self.spend(units);
         self.spent_here += units;
         Ok(())
     }
 
+    /// Begins or ends to give the refill in portions, by what is asked for.
+    fn apportion(&mut self, now: TimeMs) {
+        let level = self.level.unwrap_or_default();
+        let share = self.demand.share(now);
+        let demand_per_ms = self.demand.total_per_ms(now);
+        match &mut self.portion {
+            None if demand_per_ms > self.refill_per_ms
+                && level < self.burst_units * PORTION_BELOW =>
+            {
+                self.portion = Some(Portion::new(now, share, level));
+            }
+            Some(_) if demand_per_ms < self.refill_per_ms * PORTION_UNTIL => self.portion = None,
+            Some(portion) => portion.follow(now, share),
+            None => {}
+        }
+    }
+
     /// Gives back what a request took that never ran.
     pub fn give_back(&mut self, rate: &CustomerRate, units: f64) {
         self.level = self.level.map(|level| (level + units).min(rate.burst_units));
+        if let Some(portion) = &mut self.portion {
+            portion.spend(-units);
+        }
         self.spent_here -= units;
     }
 
@@ -129,6 +175,12 @@
         self.spend(units);
         self.elsewhere_per_ms = (self.elsewhere_faded(now) + units / self.average_ms).max(0.0);
         self.elsewhere_at = now;
+        self.demand.asked_elsewhere(now, units);
+    }
+
+    /// Takes in what other hosts refused.
+    pub fn refused_elsewhere(&mut self, now: TimeMs, units: f64) {
+        self.demand.asked_elsewhere(now, units);
     }
 
     fn spend(&mut self, units: f64) {
@@ -174,6 +226,11 @@
         self.spent_here
     }
 
+    /// Returns this host's part of the refill while the customer asks for more than its rate.
+    pub fn portion(&self) -> Option<f64> {
+        self.portion.map(|portion| portion.share())
+    }
+
     /// Returns whether a request of the customer came here, with its rate.
     fn knows_rate(&self) -> bool {
         self.burst_units > 0.0
@@ -223,5 +280,9 @@
         if let Some(cut) = &mut self.cut {
             cut.level = refilled(cut.level, cut.part);
         }
+        let level = self.level.unwrap_or_default();
+        if let Some(portion) = &mut self.portion {
+            portion.refill(level, burst_units, refill_per_ms, elapsed_ms);
+        }
     }
 }
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -75,6 +75,8 @@
         let is_admitted = self.bucket.take(at(ms), rate, &hearing, units).is_ok();
         if is_admitted {
             self.own.spent = vec![(CUSTOMER, self.bucket.spent_here())];
+        } else {
+            self.own.refused.add(at(ms), CUSTOMER, units);
         }
         is_admitted
     }
@@ -124,6 +126,8 @@
         self.heard_units += heard_units;
         if news.is_counted {
             self.bucket.spent_elsewhere(at(ms), heard_units);
+            let refused_units = news.refused.iter().map(|(_, units)| units).sum::<f64>();
+            self.bucket.refused_elsewhere(at(ms), refused_units);
             for (customer, level) in &report.levels {
                 let missing = self.peers.missing_units(report, *customer, self.spent());
                 let Some(missing) = missing else { continue };
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -193,6 +193,38 @@
     ]);
 }
 
+/// All hosts spent what came back at once, before they heard of each other, and then none did
+/// until that was paid for.
+#[test]
+fn a_customer_over_its_rate_is_served_in_each_second() {
+    for (hosts, domains) in [(8, 2), (61, 4), (73, 3)] {
+        for demand_per_ms in [1.5, 3.0, 4.6, 10.0] {
+            let mut random = StdRng::seed_from_u64(1);
+            let mut fleet = Fleet::start(hosts, domains);
+            let mut served = [0.0; 20];
+            let mut owed = 0.0;
+            for past_ms in 0..served.len() * 1_000 {
+                fleet.run(1, |_, _| true);
+                owed += demand_per_ms;
+                while owed >= 0.0 {
+                    let units = random.random_range(2.0..60.0);
+                    owed -= units;
+                    let (ms, host) = (fleet.ms, random.random_range(0..hosts));
+                    if fleet.hosts[host].admit(ms, &HOT_RATE, units) {
+                        served[past_ms / 1_000] += units;
+                    }
+                }
+            }
+            let what = format!("{hosts} hosts, {demand_per_ms} units a millisecond: {served:?}");
+            // The first seconds pay for the burst and what is taken before it is heard.
+            let settled = &served[5..];
+            assert!(settled.iter().all(|units| *units >= HOT_RATE.units_per_s * 0.4), "{what}");
+            let got: f64 = settled.iter().sum();
+            assert!(got >= HOT_RATE.units_per_s * settled.len() as f64 * 0.95, "{what}");
+        }
+    }
+}
+
 /// A fleet that is cut in many pieces at once, each of which spends part of the burst.
 #[test]
 fn a_cut_in_many_pieces_gives_a_hot_customer_no_more_than_its_tolerance() {
