Read the clock before every step of an order, so that none is sent by a host that wakes up

The lease is checked, then the connection for the order is opened, then the order is written. A host that is frozen while it connects finds the connection open when it wakes up, and the timer polls what it bounds before it tells that the time is over: the order was written in that first step, seven seconds after its check, and only then withdrawn.

Now the clock that counts suspensions is read before every step of a call to an engine, so that a step that was due before the suspension isn't taken after the time is up. What remains is a suspension between the reading and the write that follows in the same step.

Test: an_order_whose_sender_was_suspended_while_it_connected_is_never_sent, over a real connection with the clock moved after the first step. With the loop as it was it failed in its third case: the engine read the whole order.

The state machine of the lease isn't changed.

--- a/crates/lycheeford-gateway/src/orders/mod.rs
+++ b/crates/lycheeford-gateway/src/orders/mod.rs
@@ -4,6 +4,9 @@
 mod lease_task;
 mod plan_task;
 mod send;
+#[cfg(test)]
+mod tests;
+mod withdraw;
 
 pub(crate) use self::book::Orders;
 pub(crate) use self::lease_task::keep_lease;
--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -1,9 +1,6 @@
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_std::future::timeout;
 use lycheeford_policy::{
     AdapterWant, Choice, Chosen, EngineOperation, Name, ResidentModel, TargetEntry, TargetFailure,
     TimeMs,
@@ -11,13 +8,12 @@
 use lycheeford_target::{TargetError, TargetRequest};
 use slog::{info, warn};
 
+use super::withdraw::in_time;
 use crate::state::{ANSWER_BYTES_MAX, State};
 use crate::{EngineOrder, EngineReport, OrderAnswer, OrderedName};
 
 /// How long an engine may take to answer a question.
 const ANSWER_MS_MAX: u64 = 900;
-/// How often a call looks whether this host was suspended meanwhile.
-const LOOK_MS: u64 = 100;
 /// How much an engine's report lags behind what it has done.
 const REPORT_LAG_MS: u64 = 300;
 /// The pause before an engine that doesn't answer is asked again.
@@ -108,7 +104,8 @@
         (order, now + orders.lease.order_way_ms())
     };
     // Its connection is new, so that the way was quick a moment ago, and is reset with the call:
-    // an order that lay in a buffer would arrive after those of the next holder.
+    // an order that lay in a buffer would arrive after those of the next holder. So would one
+    // that a host sends after it was suspended while the connection was opened.
     let request = state.edges.target.order(&order);
     match call(state, planned.address, &request, withdraw_at).await {
         Ok((status, _)) => Outcome::Answered(state.edges.target.order_answer(status)),
@@ -234,27 +231,20 @@
 
 /// Calls an engine and reads the whole answer, or drops the call at `give_up_at`.
 ///
-/// Timers stand still while the host is suspended, so that they are short and the clock decides.
+/// There is no error to tell if the time is up.
 async fn call(
     state: &State,
     address: SocketAddr,
     request: &TargetRequest,
     give_up_at: TimeMs,
 ) -> Result<(u16, Vec<u8>), Option<TargetError>> {
-    let mut exchange = pin!(async {
+    let exchange = async {
         let response = state.targets.call(address, request).await?;
         let status = response.status;
         Ok((status, response.body.whole(ANSWER_BYTES_MAX).await?))
-    });
-    loop {
-        let left_ms = give_up_at.since_ms(state.now());
-        if left_ms == 0 {
-            // The time is up; there is no error to tell.
-            return Err(None);
-        }
-        let look = Duration::from_millis(left_ms.min(LOOK_MS));
-        if let Ok(result) = timeout(look, exchange.as_mut()).await {
-            return result.map_err(Some);
-        }
+    };
+    match in_time(|| state.now(), give_up_at, exchange).await {
+        Some(result) => result.map_err(Some),
+        None => Err(None),
     }
 }
--- /dev/null
+++ b/crates/lycheeford-gateway/src/orders/withdraw.rs
@@ -0,0 +1,36 @@
+use std::future::{Future, poll_fn};
+use std::pin::pin;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use lycheeford_policy::TimeMs;
+
+/// How often the clock is read while an exchange waits.
+const LOOK_MS: u64 = 100;
+
+/// Runs an exchange, or drops it at `give_up_at` and returns `None`.
+///
+/// The host may be suspended while the exchange waits, for its connection above all, and what
+/// it waited for is there when the host wakes up. So the clock is read before every step: a
+/// timer alone would let the next step be taken first. Timers also stand still while the host
+/// is suspended, so that they are short and the clock decides.
+pub(super) async fn in_time<T>(
+    clock: impl Fn() -> TimeMs,
+    give_up_at: TimeMs,
+    exchange: impl Future<Output = T>,
+) -> Option<T> {
+    let mut exchange = pin!(exchange);
+    let mut steps = pin!(poll_fn(|context| {
+        if clock() >= give_up_at {
+            return Poll::Ready(None);
+        }
+        exchange.as_mut().poll(context).map(Some)
+    }));
+    loop {
+        let look_ms = give_up_at.since_ms(clock()).min(LOOK_MS);
+        if let Ok(result) = timeout(Duration::from_millis(look_ms), steps.as_mut()).await {
+            return result;
+        }
+    }
+}
