Leave a rate to the others once they count this host as gone

Cause: a silent host counts for 12 s among those that may spend a rate; then the rest takes its part. The host itself went on spending that part for as long as the store's list named the others.

Change: a host that hears a minority, and nobody at all for those 12 s, takes the square of its part, so that all such hosts together take no more than one host's part. Not nothing: two of three hosts may really have died. A group of hosts that hear each other isn't helped by this.

`a_host_that_is_cut_off_knows_that_it_hears_nobody` asks for the part (1 of 73 before, 1 of 5,329 now) and for the whole fleet once it is heard again.

--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -262,8 +262,12 @@
             |limit_ms: u64| self.hosts.iter().filter(|host| is_seen(host, now, limit_ms)).count();
         let heard = 1 + seen_within(self.heard_ms());
         // Who hears only a few is rather cut off than one of the few that are left.
-        let may_live =
-            if heard * 2 < self.count() { self.count() } else { 1 + seen_within(PEER_MAY_LIVE_MS) };
+        let is_cut_off = heard * 2 < self.count();
+        let may_live = match is_cut_off {
+            true if self.is_given_up(now) => self.count() * self.count(),
+            true => self.count(),
+            false => 1 + seen_within(PEER_MAY_LIVE_MS),
+        };
         Hearing {
             part: heard as f64 / may_live as f64,
             hosts: self.count(),
@@ -272,6 +276,15 @@
         }
     }
 
+    /// Returns whether this host has heard nobody for so long that the others count it as gone.
+    ///
+    /// They have taken over its part of each rate. All hosts that are given up together then take
+    /// no more than one host's part beside them.
+    fn is_given_up(&self, now: TimeMs) -> bool {
+        let last_seen_at = self.hosts.iter().filter_map(|host| host.seen_at).max();
+        last_seen_at.is_some_and(|at| now.since_ms(at) >= PEER_MAY_LIVE_MS)
+    }
+
     /// Returns the pause between two reports to the same host.
     pub fn report_ms(&self) -> u64 {
         let partners = (2.0 * (self.count() as f64).sqrt()).ceil() as u64;
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -326,9 +326,12 @@
     assert_eq!(alone.alive(ms).count(), 0);
     let other = &fleet.hosts[6].table;
     assert_eq!(other.hearing(ms).part, 72.0 / 73.0);
-    // Once it is surely gone, the others divide its part.
+    // Once it is surely gone, the others divide its part, which it leaves to them.
     fleet.run(12_000, |from, to| from != 5 && to != 5);
     assert_eq!(fleet.hosts[6].table.hearing(at(fleet.ms)).part, 1.0);
+    assert_eq!(fleet.hosts[5].table.hearing(at(fleet.ms)).part, 1.0 / (73.0 * 73.0));
+    fleet.run(2_000, |_, _| true);
+    assert_eq!(fleet.hosts[5].table.hearing(at(fleet.ms)).part, 1.0);
 }
 
 /// Reports of 61 hosts came later than the time from
