Let a customer have its burst before it gets portions

In virtual time another loss showed up: a portion held at most a second's refill, less than a request where 61 hosts share, and what came in quiet moments was lost (25,047 of 27,000 units in 20 s).

Change: portions begin once no more is left than the customer asks for in a pause between reports, keep what refills in 0.25 s (a quarter of the burst at most), and hold 3 s of their refill.

`a_customer_over_its_rate_gets_its_burst_first` failed before (61 hosts, burst of 7 s: 25,583 of 27,000).

--- a/crates/lycheeford-policy/src/gateway/portion.rs
+++ b/crates/lycheeford-policy/src/gateway/portion.rs
@@ -1,11 +1,15 @@
 use crate::TimeMs;
 
-/// The level of the whole bucket that portions keep, as a part of the burst.
-const LEVEL_KEPT: f64 = 0.25;
+/// The level of the whole bucket that portions keep, by the time in which it refills.
+const LEVEL_KEPT_MS: f64 = 250.0;
+/// The part of the burst that it is at most.
+const LEVEL_KEPT_PART_MAX: f64 = 0.25;
 /// How fast portions correct another level; faster than others hear would swing.
 const GAIN: f64 = 0.5;
-/// The time over which they correct it at least.
-const CORRECTION_MS_MIN: f64 = 1_000.0;
+/// The time over which they correct it.
+const CORRECTION_MS: f64 = 1_000.0;
+/// The time whose refill a portion holds at most; between two requests of a small share it is long.
+const HELD_MS_MAX: f64 = 3_000.0;
 const SPEED_MAX: f64 = 1.25;
 /// The time over which a share follows the demand, so that a short cut hardly moves it.
 const FOLLOW_MS: f64 = 4_000.0;
@@ -61,10 +65,11 @@
         if bucket_level <= 0.0 {
             return;
         }
-        let span_units = burst_units.max(refill_per_ms * CORRECTION_MS_MIN);
-        let excess_units = bucket_level - burst_units * LEVEL_KEPT;
-        let speed = (1.0 + GAIN * excess_units / span_units).clamp(0.0, SPEED_MAX);
+        let kept_units = (refill_per_ms * LEVEL_KEPT_MS).min(burst_units * LEVEL_KEPT_PART_MAX);
+        let span_units = refill_per_ms * CORRECTION_MS;
+        let excess_part = (bucket_level - kept_units) / span_units.max(f64::MIN_POSITIVE);
+        let speed = (1.0 + GAIN * excess_part).clamp(0.0, SPEED_MAX);
         let filled = self.level + refill_per_ms * self.share * speed * elapsed_ms;
-        self.level = filled.min(burst_units * self.share);
+        self.level = filled.min(refill_per_ms * HELD_MS_MAX * self.share);
     }
 }
--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -22,7 +22,8 @@
 ///
 /// Less would forgive what they spend while their reports are under way.
 const DEBT_MS_MAX: f64 = 4_000.0;
-/// Below this part of the burst, a customer that asks for more than its rate gets it in portions.
+/// A customer that asks for more than its rate gets it in portions once no more is left than it
+/// asks for in a pause between reports, or this part of the burst.
 const PORTION_BELOW: f64 = 0.5;
 /// Once it asks for less than this part of its rate, it doesn't any more.
 const PORTION_UNTIL: f64 = 0.9;
@@ -116,7 +117,7 @@
     ) -> Result<(), u64> {
         self.refill(now, rate, hearing);
         self.demand.asked_here(now, units, hearing.pause_ms);
-        self.apportion(now);
+        self.apportion(now, hearing.pause_ms);
         let pause_ms = hearing.pause_ms as f64;
         self.average_ms = pause_ms * AVERAGE_PAUSES;
         // The refill has set the level.
@@ -143,13 +144,14 @@
     }
 
     /// Begins or ends to give the refill in portions, by what is asked for.
-    fn apportion(&mut self, now: TimeMs) {
+    fn apportion(&mut self, now: TimeMs, pause_ms: u64) {
         let level = self.level.unwrap_or_default();
         let share = self.demand.share(now);
         let demand_per_ms = self.demand.total_per_ms(now);
+        let unheard = demand_per_ms * pause_ms as f64;
         match &mut self.portion {
             None if demand_per_ms > self.refill_per_ms
-                && level < self.burst_units * PORTION_BELOW =>
+                && level < unheard.min(self.burst_units * PORTION_BELOW) =>
             {
                 self.portion = Some(Portion::new(now, share, level));
             }
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -225,6 +225,39 @@
     }
 }
 
+/// Portions kept a quarter of the burst back, and customers were refused within it.
+#[test]
+fn a_customer_over_its_rate_gets_its_burst_first() {
+    const SECONDS: usize = 20;
+    for (hosts, domains) in [(8, 2), (61, 4)] {
+        for (burst_s, demand_per_ms) in [(7.0, 1.5), (7.0, 3.0), (2.0, 1.5)] {
+            let rate = CustomerRate { burst_units: HOT_RATE.units_per_s * burst_s, ..HOT_RATE };
+            let mut random = StdRng::seed_from_u64(1);
+            let mut fleet = Fleet::start(hosts, domains);
+            for host in &mut fleet.hosts {
+                host.bucket.level_elsewhere(at(fleet.ms), rate.burst_units, 0.0);
+            }
+            let (mut owed, mut got) = (0.0, 0.0);
+            for _ in 0..SECONDS * 1_000 {
+                fleet.run(1, |_, _| true);
+                owed += demand_per_ms;
+                while owed >= 0.0 {
+                    let units = random.random_range(2.0..60.0);
+                    owed -= units;
+                    let (ms, host) = (fleet.ms, random.random_range(0..hosts));
+                    if fleet.hosts[host].admit(ms, &rate, units) {
+                        got += units;
+                    }
+                }
+            }
+            let seconds = SECONDS as f64;
+            let due =
+                (rate.units_per_s * (seconds + burst_s)).min(demand_per_ms * 1_000.0 * seconds);
+            assert!(got >= due * 0.95, "{hosts} hosts, burst of {burst_s} s: {got} of {due}");
+        }
+    }
+}
+
 /// A fleet that is cut in many pieces at once, each of which spends part of the burst.
 #[test]
 fn a_cut_in_many_pieces_gives_a_hot_customer_no_more_than_its_tolerance() {
