Give up a late first byte only for another target that has a place

Cause: the limit on the first byte was one of the call itself. The target was given up, and its run cancelled, before anybody knew whether another one could take the request. Ruled out: the caller's deadline (5 s, the 502 came after 0.8 s) and a failure of the target (it answered 200 after 1.7 s). Racing two runs for the first byte: it doubles the work of engines when they are slow because they are crowded, and one request would run at two engines at once. Change: after that time the call goes on, raced against a place at another target, as paused streams do already; both use `place_elsewhere` now. The target is left only once the place is there and the retry budget has a repeat for it. Where the budget was used up, a paused stream stopped looking; it looks again now, since the budget refills. A key that was withdrawn meanwhile (or can't be judged) is seen before the target is left, so that the run goes on there: a paused stream was cut for it, since the check came after. `answer_late` and `target_left` tell it. What a call has come to (`ended`) and what follows from it (`may_try_another`) are apart for this.

--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -119,12 +119,11 @@
     }
 
     /// Refuses a request whose key was withdrawn while it waited, or can't be judged any more.
-    pub(super) fn recheck(&mut self, state: &State) -> Result<(), Refusal> {
+    pub(super) fn recheck(&self, state: &State) -> Result<(), Refusal> {
         let Some(deployment) = state.deployment.load_full() else { return Ok(()) };
         if deployment.revision == self.revision || self.route.is_open {
             return Ok(());
         }
-        self.revision = deployment.revision;
         customer(state, &deployment, &self.route, &self.request, state.now()).map(|_| ())
     }
 }
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use async_std::task;
+use futures_util::future::BoxFuture;
 use lycheeford_policy::{
     AdapterWant, Chosen, CrashVerdict, Name, Ran, Refusal, RefusalCode, TargetFailure, TimeMs,
 };
@@ -17,7 +18,8 @@
 const SENDS_MAX: u32 = 5;
 /// How long a target that refused a model gets no request for it.
 const NOT_HELD_PAUSE_MS: u64 = 150;
-/// How long a repeatable request waits for its first byte, as a multiple of its objective.
+/// How long a repeatable request waits for its first byte before another target is looked for, as
+/// a multiple of its objective.
 const FIRST_BYTE_FACTOR: f64 = 2.5;
 const FIRST_BYTE_MS_MIN: u64 = 800;
 /// When a caller should come back whose request failed but may be repeated.
@@ -39,8 +41,8 @@
     runs: u32,
     sends: u32,
     first_sent_at: Option<TimeMs>,
-    /// Whether a target has the request and has said nothing of it yet.
-    is_at_target: bool,
+    /// The targets that have the request and have said nothing of it yet.
+    pub(super) at_targets: u32,
 }
 
 /// A target's answer whose head has come.
@@ -51,10 +53,26 @@
     pub(super) sent_at: TimeMs,
 }
 
+/// A call that a target has, and what will come of it.
+pub(super) struct Calling {
+    /// Dropping it cancels the call; that comes before the place is free.
+    pub(super) call: BoxFuture<'static, Result<TargetResponse, TargetError>>,
+    pub(super) place: Place,
+    pub(super) sent_at: TimeMs,
+}
+
+/// Why a target gave no answer.
+pub(super) enum Unanswered {
+    Unreachable,
+    NotRun(NotRun),
+    /// It may have run the request.
+    Broken(TargetError),
+}
+
 impl Drop for Attempts {
     /// Has a request paid for whose caller left while a target had it.
     fn drop(&mut self) {
-        if self.is_at_target
+        if self.at_targets > 0
             && let Some(charge) = &mut self.admitted.charge
         {
             charge.spend();
@@ -71,7 +89,7 @@
             runs: 0,
             sends: 0,
             first_sent_at: None,
-            is_at_target: false,
+            at_targets: 0,
         }
     }
 
@@ -109,9 +127,9 @@
         mut first: Option<Place>,
         resume_after: Option<&str>,
     ) -> Result<Answering, Refusal> {
-        let service = self.admitted.need.service.clone();
         if self.sends == 0 {
-            self.state.retries().requested(self.state.now(), &service);
+            let service = &self.admitted.need.service;
+            self.state.retries().requested(self.state.now(), service);
         }
         loop {
             let place = match first.take() {
@@ -119,80 +137,84 @@
                 None => take_place(&self.state, &self.admitted).await?,
             };
             self.admitted.recheck(&self.state)?;
-            let now = self.state.now();
-            if now >= self.admitted.final_at {
+            if self.state.now() >= self.admitted.final_at {
                 return Err(self.out_of_time());
             }
-            self.sends += 1;
-            self.first_sent_at.get_or_insert(now);
-            self.log_sent(&place.chosen, now);
-            let request = self.target_request(&place.chosen, now, resume_after);
-            self.is_at_target = true;
-            let called = self.state.targets.call(place.chosen.address, &request).await;
-            self.is_at_target = false;
-            match called {
-                Err(error) => self.call_failed(place, &error)?,
-                Ok(response) => {
-                    let reply = self.state.edges.target.reply(
-                        &place.chosen.id,
-                        response.status,
-                        &response.headers,
-                    );
-                    if let Reply::NotRun(cause) = reply {
-                        self.not_run(place, cause)?;
-                        continue;
-                    }
-                    self.ran = Ran::Ran;
-                    self.runs += 1;
-                    if let Some(charge) = &mut self.admitted.charge {
-                        charge.spend();
-                    }
-                    let answering = Answering { place, response, reply, sent_at: now };
-                    if answering.reply == Reply::Failed {
-                        self.note_failure(&answering.place.chosen, TargetFailure::Error);
-                        if self.may_repeat() {
-                            self.exclude(&answering.place.chosen);
-                            continue;
-                        }
-                    }
-                    return Ok(answering);
-                }
+            let calling = self.begin(place, resume_after);
+            if let Some(answering) = self.try_to_end(calling, resume_after).await? {
+                return Ok(answering);
             }
         }
     }
 
-    /// Decides what follows a call without an answer.
-    fn call_failed(&mut self, place: Place, error: &TargetError) -> Result<(), Refusal> {
-        let chosen = place.chosen.clone();
-        drop(place);
+    /// Waits for what comes of a call; returns `None` if another target is to be tried.
+    async fn try_to_end(
+        &mut self,
+        calling: Calling,
+        resume_after: Option<&str>,
+    ) -> Result<Option<Answering>, Refusal> {
+        match self.wait_for_answer(calling, resume_after).await {
+            Ok(answering) if answering.reply == Reply::Failed && self.may_repeat() => Ok(None),
+            Ok(answering) => Ok(Some(answering)),
+            Err(unanswered) => self.may_try_another(unanswered).map(|()| None),
+        }
+    }
+
+    /// Sends the request to a target that has a place for it.
+    pub(super) fn begin(&mut self, place: Place, resume_after: Option<&str>) -> Calling {
+        let now = self.state.now();
+        self.sends += 1;
+        self.first_sent_at.get_or_insert(now);
+        self.log_sent(&place.chosen, now);
+        let request = self.target_request(&place.chosen, now, resume_after);
+        self.at_targets += 1;
+        let (targets, address) = (self.state.targets.clone(), place.chosen.address);
+        let call = Box::pin(async move { targets.call(address, &request).await });
+        Calling { call, place, sent_at: now }
+    }
+
+    /// Takes in what came of a call.
+    pub(super) fn ended(
+        &mut self,
+        calling: Calling,
+        called: Result<TargetResponse, TargetError>,
+    ) -> Result<Answering, Unanswered> {
+        self.at_targets -= 1;
+        let Calling { place, sent_at, .. } = calling;
+        let response = called.map_err(|error| self.call_failed(&place.chosen, error))?;
+        let reply =
+            self.state.edges.target.reply(&place.chosen.id, response.status, &response.headers);
+        if let Reply::NotRun(cause) = reply {
+            self.not_run(&place.chosen, cause);
+            return Err(Unanswered::NotRun(cause));
+        }
+        self.ran = Ran::Ran;
+        self.has_run();
+        if reply == Reply::Failed {
+            self.note_failure(&place.chosen, TargetFailure::Error);
+            self.exclude(&place.chosen);
+        }
+        Ok(Answering { place, response, reply, sent_at })
+    }
+
+    /// Takes in a call without an answer.
+    fn call_failed(&mut self, chosen: &Chosen, error: TargetError) -> Unanswered {
         info!(self.state.log, "attempt_failed";
             "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
             "error" => %error);
         self.state.metrics.attempt("failed");
+        self.exclude(chosen);
         if !error.may_have_run() {
-            self.note_failure(&chosen, TargetFailure::Unreachable);
-            self.exclude(&chosen);
-            if self.sends < SENDS_MAX {
-                return Ok(());
-            }
-            return Err(no_target());
+            self.note_failure(chosen, TargetFailure::Unreachable);
+            return Unanswered::Unreachable;
         }
-        self.runs += 1;
-        if let Some(charge) = &mut self.admitted.charge {
-            charge.spend();
-        }
-        self.broke_off(&chosen, error);
-        if self.may_repeat() {
-            self.exclude(&chosen);
-            return Ok(());
-        }
-        Err(self.failed(error))
+        self.has_run();
+        self.broke_off(chosen, &error);
+        Unanswered::Broken(error)
     }
 
-    /// Decides what follows when a target didn't run the request.
-    fn not_run(&mut self, place: Place, cause: NotRun) -> Result<(), Refusal> {
-        let chosen = place.chosen.clone();
-        drop(place);
+    /// Takes in that a target didn't run the request.
+    fn not_run(&self, chosen: &Chosen, cause: NotRun) {
         let now = self.state.now();
         info!(self.state.log, "attempt_not_run";
             "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
@@ -202,29 +224,49 @@
             let mut dispatcher = self.state.dispatcher();
             let targets = &mut dispatcher.targets;
             match cause {
-                NotRun::Full => targets.was_full(now, &chosen),
+                NotRun::Full => targets.was_full(now, chosen),
                 NotRun::NotHeld => {
-                    targets.refused(now, &chosen, &self.admitted.need, NOT_HELD_PAUSE_MS);
+                    targets.refused(now, chosen, &self.admitted.need, NOT_HELD_PAUSE_MS);
                 }
-                NotRun::OtherTarget => targets.misdirected(&chosen),
+                NotRun::OtherTarget => targets.misdirected(chosen),
                 NotRun::Rejected => {}
             }
         }
         if cause == NotRun::NotHeld {
-            self.forget_adapter(&chosen);
+            self.forget_adapter(chosen);
         }
-        let may_send = cause != NotRun::Rejected
-            && self.sends < SENDS_MAX
-            && now < self.admitted.final_at
-            && self.take_repeat();
-        if may_send {
-            return Ok(());
+    }
+
+    /// Decides whether another target is tried after a call without an answer.
+    fn may_try_another(&mut self, unanswered: Unanswered) -> Result<(), Refusal> {
+        match unanswered {
+            Unanswered::Unreachable if self.sends < SENDS_MAX => Ok(()),
+            Unanswered::Unreachable => Err(no_target()),
+            Unanswered::Broken(_) if self.may_repeat() => Ok(()),
+            Unanswered::Broken(error) => Err(self.failed(&error)),
+            Unanswered::NotRun(cause) => {
+                let may_send = cause != NotRun::Rejected
+                    && self.sends < SENDS_MAX
+                    && self.state.now() < self.admitted.final_at
+                    && self.take_repeat();
+                if may_send {
+                    return Ok(());
+                }
+                Err(Refusal::not_run(
+                    RefusalCode::Overloaded,
+                    "the targets turned the request away; come back later",
+                    Some(RETRY_MS),
+                ))
+            }
+        }
+    }
+
+    /// Counts a target that ran the request, or may have.
+    pub(super) fn has_run(&mut self) {
+        self.runs += 1;
+        if let Some(charge) = &mut self.admitted.charge {
+            charge.spend();
         }
-        Err(Refusal::not_run(
-            RefusalCode::Overloaded,
-            "the targets turned the request away; come back later",
-            Some(RETRY_MS),
-        ))
     }
 
     /// Lets the holder of orders know that an adapter isn't where it should be.
@@ -257,7 +299,7 @@
     /// Returns whether the request may run once more if the budget allows it.
     pub(super) fn could_repeat(&self) -> bool {
         self.admitted.route.kind.is_repeatable()
-            && self.runs < self.admitted.route.attempts_max
+            && self.runs + self.at_targets < self.admitted.route.attempts_max
             && self.sends < SENDS_MAX
             && self.state.now() < self.admitted.final_at
             && !self.is_suspect()
@@ -329,14 +371,14 @@
             resume_after,
         };
         let mut request = self.state.edges.target.forward(&admitted.request, &dispatch);
-        request.first_byte_ms_max = Some(self.first_byte_ms_max(now));
+        request.first_byte_ms_max = Some(admitted.final_at.since_ms(now).max(1));
         if !admitted.need.excluded.is_empty() {
             request.connection = Connection::Fresh;
         }
         request
     }
 
-    /// Returns how long to wait for the first byte of an answer.
+    /// Returns how long to wait for the first byte of an answer before another target is looked for.
     pub(super) fn first_byte_ms_max(&self, now: TimeMs) -> u64 {
         let admitted = &self.admitted;
         let left_ms = admitted.final_at.since_ms(now).max(1);
@@ -366,7 +408,7 @@
 
     /// Returns the refusal of a request that has no answer when this host ends.
     pub(super) fn host_stops(&mut self) -> Refusal {
-        if self.is_at_target {
+        if self.at_targets > 0 {
             self.ran = self.ran.max(Ran::Unknown);
         }
         if self.ran == Ran::NotRun {
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod charge;
 mod crash;
 mod front;
+mod late;
 mod place;
 pub(crate) mod rates;
 mod relay;
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -3,22 +3,19 @@
 
 use async_std::future::timeout;
 use async_std::prelude::FutureExt;
-use async_std::task;
 use lycheeford_caller::ChunkSender;
 use lycheeford_policy::{Chosen, EventBoundary, TimeMs};
 use lycheeford_target::{TargetBody, TargetError};
 use slog::info;
 
 use super::attempt::{Answering, Attempts};
-use super::place::{Place, take_place};
+use super::place::Place;
 use crate::Reply;
 
 /// The pause between events after which a resumable stream is taken over by another
 /// target that can, as a multiple of the longest pause that is on time.
 const STALL_FACTOR: u64 = 3;
 const STALL_MS_MIN: u64 = 1_000;
-/// The pause before another target is looked for again.
-const LOOK_AGAIN: Duration = Duration::from_millis(500);
 
 /// Passes a stream on, event by event.
 ///
@@ -212,33 +209,18 @@
             "events" => self.boundary.events());
         if self.attempts.could_repeat() {
             self.attempts.exclude(chosen);
-            match self.next_or_place(body).await {
-                AfterPause::Elsewhere(place) if self.attempts.may_repeat() => {
-                    return AfterPause::Elsewhere(place);
-                }
-                // The place is given back: there are no repeats left.
-                AfterPause::Elsewhere(_) => self.attempts.readmit_last(),
-                after_pause => {
-                    self.attempts.readmit_last();
-                    return after_pause;
-                }
+            let after_pause = self.next_or_place(body).await;
+            if !matches!(after_pause, AfterPause::Elsewhere(_)) {
+                self.attempts.readmit_last();
             }
+            return after_pause;
         }
         self.within_time(async { AfterPause::Next(self.next(body).await) }).await
     }
 
     async fn next_or_place(&self, body: &mut TargetBody) -> AfterPause {
-        let attempts = &self.attempts;
         let next = async { AfterPause::Next(self.next(body).await) };
-        let elsewhere = async {
-            loop {
-                if let Ok(place) = take_place(&attempts.state, &attempts.admitted).await {
-                    return AfterPause::Elsewhere(place);
-                }
-                // Nobody else can go on now; one may come.
-                task::sleep(LOOK_AGAIN).await;
-            }
-        };
+        let elsewhere = async { AfterPause::Elsewhere(self.attempts.place_elsewhere().await) };
         self.within_time(next.race(elsewhere)).await
     }
 
