Show that an answer that ends its connection is whole although a second request lies unread

HTTP allows to close after the first answer; what must not happen is that the second one runs, or that closing over unread bytes resets the connection and destroys the first answer. Both hold already; this adds tests alone. A connection that has given its last answer closes its sending side and reads on for a second at most before it closes (`linger`); what was read ahead is dropped with the connection. The gateway and lycheefordd share this front. lycheefordd doesn't ask to close while it drains: a second request that was read before the first is answered gets its answer, which then ends the connection. What remains: a caller that still sends a second after the last answer was written, and hasn't read all of it by then, may lose its end to a reset.

--- a/crates/lycheeford-caller/tests/common/mod.rs
+++ b/crates/lycheeford-caller/tests/common/mod.rs
@@ -19,6 +19,9 @@
 /// Waits of this length end only in failing tests.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// An answer that no socket buffer holds.
+pub const LARGE_BYTES: usize = 16 << 20;
+
 pub struct Server {
     pub address: SocketAddr,
     pub stop: Stop,
@@ -99,6 +102,10 @@
                 std::mem::forget(guard);
                 whole("waited")
             }
+            "/large" => {
+                let _ = self.proceed.recv().await;
+                whole(&"x".repeat(LARGE_BYTES))
+            }
             "/stream" => self.stream(),
             "/abandon" => abandon().await,
             _ => whole(&describe(&request)),
--- a/crates/lycheeford-caller/tests/requests.rs
+++ b/crates/lycheeford-caller/tests/requests.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::io::{Read, Write};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -10,7 +11,7 @@
 use lycheeford_caller::{CallerBody, Stop};
 use lycheeford_policy::{Name, Ran, Refusal, RefusalCode};
 
-use crate::common::{read_to_close, read_until, start};
+use crate::common::{LARGE_BYTES, read_to_close, read_until, start};
 
 struct Case {
     request: &'static str,
@@ -118,7 +119,7 @@
     idle.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
     read_until(&mut idle, "body=");
     while server.calls() < 2 {
-        std::thread::yield_now();
+        thread::yield_now();
     }
     let mut late = server.connect();
     late.write_all(b"GET / HTTP/1.1\r\n").unwrap();
@@ -135,6 +136,93 @@
     task::block_on(server.done);
 }
 
+/// A request behind one whose answer ends the connection.
+struct BehindCase {
+    name: &'static str,
+    first: &'static str,
+    answer_bytes: usize,
+    /// The body of the second request, which is sent before the first answer.
+    second_body_bytes: usize,
+    /// What the caller still sends once the first answer has begun.
+    more_bytes: usize,
+}
+
+#[test]
+fn an_answer_that_ends_its_connection_is_whole_although_more_was_sent() {
+    let cases = [
+        BehindCase {
+            name: "a second request that was read",
+            first: "/wait",
+            answer_bytes: "waited".len(),
+            second_body_bytes: 0,
+            more_bytes: 0,
+        },
+        BehindCase {
+            name: "a second request that lies in the socket buffer",
+            first: "/wait",
+            answer_bytes: "waited".len(),
+            second_body_bytes: 64 * 1024,
+            more_bytes: 0,
+        },
+        BehindCase {
+            name: "the same behind an answer that no buffer holds",
+            first: "/large",
+            answer_bytes: LARGE_BYTES,
+            second_body_bytes: 64 * 1024,
+            more_bytes: 0,
+        },
+        BehindCase {
+            name: "the caller sends on while it reads",
+            first: "/large",
+            answer_bytes: LARGE_BYTES,
+            second_body_bytes: 64 * 1024,
+            more_bytes: 64 * 1024,
+        },
+    ];
+    for case in cases {
+        let server = start(Bounds::default());
+        let mut stream = server.connect();
+        let first = format!("GET {} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n", case.first);
+        stream.write_all(first.as_bytes()).unwrap();
+        let length_bytes = case.second_body_bytes;
+        let head = format!("POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: {length_bytes}\r\n\r\n");
+        stream.write_all(&[head.as_bytes(), &vec![b'y'; length_bytes]].concat()).unwrap();
+        // It is there before the first one is answered.
+        thread::sleep(Duration::from_millis(200));
+        server.proceed.try_send(()).unwrap();
+        let head = read_until(&mut stream, "\r\n\r\n");
+        assert!(head.contains("\r\nconnection: close\r\n"), "{}: {head}", case.name);
+        // The server has written all that it can before the caller reads.
+        thread::sleep(Duration::from_millis(200));
+        stream.write_all(&vec![b'z'; case.more_bytes]).unwrap();
+        assert_eq!(read_to_close(&mut stream).len(), case.answer_bytes, "{}", case.name);
+        assert_eq!(server.calls(), 1, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_stop_answers_a_second_request_that_was_sent_behind_the_first() {
+    let server = start(Bounds::default());
+    let mut stream = server.connect();
+    let second = "POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nice";
+    stream.write_all(format!("GET /wait HTTP/1.1\r\nhost: h\r\n\r\n{second}").as_bytes()).unwrap();
+    while server.calls() < 1 {
+        thread::yield_now();
+    }
+    // It is read ahead before the stop.
+    thread::sleep(Duration::from_millis(200));
+    server.stop.trigger();
+    server.proceed.try_send(()).unwrap();
+    let first = read_until(&mut stream, "waited");
+    assert!(!first.contains("\r\nconnection: close\r\n"), "{first}");
+    let second = read_to_close(&mut stream);
+    assert!(
+        second.contains("\r\nconnection: close\r\n") && second.ends_with("body=ice"),
+        "{second}"
+    );
+    task::block_on(server.done);
+}
+
 #[test]
 fn a_refusal_has_one_form() {
     let id = Name::from("r1");
