--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -118,7 +118,8 @@
         plan.may_begin(sent_at, run_ms)
     }
 
-    /// Refuses a request whose key was withdrawn while it waited, or can't be judged any more.
+    /// Refuses a request whose key a newer declaration withdrew while it waited, or that can't be
+    /// judged by that one.
     pub(super) fn recheck(&self, state: &State) -> Result<(), Refusal> {
         let Some(deployment) = state.deployment.load_full() else { return Ok(()) };
         if deployment.revision == self.revision || self.route.is_open {
--- a/crates/lycheeford-policy/tests/gateway/placement.rs
+++ b/crates/lycheeford-policy/tests/gateway/placement.rs
@@ -142,7 +142,7 @@
     }
 }
 
-/// Traced on northpass mix 743871052120: all engines replaced by empty ones.
+/// All engines replaced by empty ones.
 #[test]
 fn the_store_serves_what_many_wait_for_first() {
     let engines: Vec<EngineView> =
--- a/crates/lycheeford-policy/tests/gateway/rates.rs
+++ b/crates/lycheeford-policy/tests/gateway/rates.rs
@@ -81,7 +81,7 @@
     windows
 }
 
-/// Traced on northpass scale-2 946384937395: three hosts that took no callers reported a full bucket
+/// Three hosts that took no callers reported a full bucket
 /// and lifted the others' by it.
 #[test]
 fn hosts_that_take_nothing_lift_no_other() {
@@ -102,7 +102,7 @@
     assert!(admitted <= bound, "{admitted} of {bound}");
 }
 
-/// Traced on northpass lossy-and-hot-tenant: what a host had spent since its last report was missing
+/// What a host had spent since its last report was missing
 /// in the others' levels, and these lifted its own.
 #[test]
 fn a_host_that_spends_alone_is_not_lifted_by_what_others_have_not_heard() {
@@ -218,7 +218,7 @@
     }
 }
 
-/// Traced on northpass quiet-1: 169 requests within the rate were refused.
+/// 169 requests within the rate were refused.
 #[test]
 fn a_host_that_missed_some_reports_soon_agrees_with_the_others() {
     let mut behind = SharedBucket::new(at(0));
@@ -231,7 +231,7 @@
     assert!(behind.level(at(10_000)).unwrap() > 1_000.0);
 }
 
-/// Traced on northpass trouble-3 612050327490: all hosts were killed while a customer sent many
+/// All hosts were killed while a customer sent many
 /// times its rate, and each new life began with a quarter of the burst.
 #[test]
 fn hosts_that_start_together_spend_little_before_they_hear_of_each_other() {
@@ -247,7 +247,7 @@
     assert!(spent <= refill + RATE.burst_units * 0.25 + 80.0, "{spent}");
 }
 
-/// Traced on northpass-ops-grown quiet-1: 776 requests of customers below their rates were refused
+/// 776 requests of customers below their rates were refused
 /// in the first four seconds that the fleet had ever served.
 #[test]
 fn a_new_fleet_begins_with_the_whole_burst() {
@@ -263,7 +263,7 @@
     assert!(late.take(at(5_000), &RATE, &hearing, 10.0).is_err());
 }
 
-/// Traced on zmiana-sprzedawcy-grown quiet-1: a host that heard of a customer before its first
+/// A host that heard of a customer before its first
 /// request knew no burst yet, and took the level to be at most nothing.
 #[test]
 fn a_level_that_is_heard_before_the_rate_is_known_stands() {
@@ -285,7 +285,7 @@
     }
     let cases = [
         Case { what: "it answers", now_ms: 1_000, failing_since_ms: None, grace_ms: 0 },
-        // Traced on zmiana-sprzedawcy scale-1 445204997614: DRAIN.
+        // A rest between two questions was taken for an outage.
         Case { what: "nobody asked for long", now_ms: 7_000, failing_since_ms: None, grace_ms: 0 },
         Case { what: "one call fell", now_ms: 8_000, failing_since_ms: Some(7_900), grace_ms: 0 },
         Case { what: "away", now_ms: 20_000, failing_since_ms: Some(17_000), grace_ms: 2_300 },
