Count no refusals of the past as demand, nor one late report as a new life for long

- What a customer was refused was told only for 3 s after the last refusal, as a total since the sender's start, and a total that hadn't been told was taken for news: after a restart of the receiver or a change of relays all that was ever refused counted as demand of that moment, and hosts behind it would have refused a customer within its rate for seconds.
Totals are now told whole, like those of what was spent, so that the first report seeds them.
What was refused in a long silence isn't news either.
- A receiver that had heard only the present life of a host took a late datagram of an earlier life for a new one and dropped the present one's reports for good.
It now ends once the life taken for the present one is silent for as long as counts as a long silence.
- A customer that came back after a pause began with a share of next to nothing, since faded counts aren't zero; and what was asked for before the pause counted as asked now.
- A refused customer was told to wait for its portion although the cut of the host bound it longer.
The longest of the three waits is told.

Tests: what_was_refused_before_a_host_was_heard_is_not_news, a_returning_partner_tells_no_old_refusals, a_late_report_of_an_earlier_life_shuts_nobody_out_for_long.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -29,7 +29,7 @@
             let own = OwnCounts {
                 running,
                 spent: rates.spent(),
-                refused: rates.refused().clone(),
+                refused: rates.refused(),
                 asked: rates.asked().clone(),
             };
             (own, rates.levels(now))
--- a/crates/lycheeford-gateway/src/request/rates.rs
+++ b/crates/lycheeford-gateway/src/request/rates.rs
@@ -70,8 +70,8 @@
     }
 
     /// Returns what each customer was refused here since this host started.
-    pub(crate) fn refused(&self) -> &Counters {
-        &self.refused
+    pub(crate) fn refused(&self) -> Vec<(ShortKey, f64)> {
+        self.refused.all()
     }
 
     /// Counts that a name was asked for.
--- a/crates/lycheeford-policy/src/gateway/demand_share.rs
+++ b/crates/lycheeford-policy/src/gateway/demand_share.rs
@@ -4,6 +4,10 @@
 const AVERAGE_MS: f64 = 3_000.0;
 /// How many times what is known may be foreseen; more would take a few requests for many.
 const FORESEEN_MAX: f64 = 2.0;
+/// From this age on what was asked for doesn't count any more.
+const STALE_MS: u64 = 10_000;
+/// Below this part of what was just asked for, what counts is left from an earlier time.
+const COUNTED_PART_MIN: f64 = 0.05;
 
 /// Which part of what a customer asks for comes to this host.
 ///
@@ -35,8 +39,11 @@
     /// Takes in what was asked for here; others hear of it `pause_ms` later.
     pub(super) fn asked_here(&mut self, now: TimeMs, units: f64, pause_ms: u64) {
         self.here_now.add(now, units);
-        if now.since_ms(self.untold_since) >= pause_ms {
-            self.here.add(now, self.untold_units);
+        let untold_ms = now.since_ms(self.untold_since);
+        if untold_ms >= pause_ms {
+            if untold_ms < STALE_MS {
+                self.here.add(now, self.untold_units);
+            }
             self.untold_units = 0.0;
             self.untold_since = now;
         }
@@ -50,11 +57,8 @@
 
     /// Returns the part of the demand that comes here.
     pub(super) fn share(&self, now: TimeMs) -> f64 {
-        let here = match self.here.per_ms(now) {
-            // Nothing counts yet; it may all have come just now.
-            0.0 => self.here_now.per_ms(now),
-            here => here,
-        };
+        let (counted, here_now) = (self.here.per_ms(now), self.here_now.per_ms(now));
+        let here = if counted < here_now * COUNTED_PART_MIN { here_now } else { counted };
         let total = here + self.elsewhere.per_ms(now);
         if total > 0.0 { here / total } else { 1.0 }
     }
--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -263,10 +263,13 @@
         let heard = 1 + seen_within(self.heard_ms());
         // Who hears only a few is rather cut off than one of the few that are left.
         let is_cut_off = heard * 2 < self.count();
-        let may_live = match is_cut_off {
-            true if self.is_given_up(now) => self.count() * self.count(),
-            true => self.count(),
-            false => 1 + seen_within(PEER_MAY_LIVE_MS),
+        let may_live = if !is_cut_off {
+            1 + seen_within(PEER_MAY_LIVE_MS)
+        } else if self.is_given_up(now) {
+            // All that are given up together take no more than one host's part.
+            self.count() * self.count()
+        } else {
+            self.count()
         };
         Hearing {
             part: heard as f64 / may_live as f64,
@@ -278,8 +281,7 @@
 
     /// Returns whether this host has heard nobody for so long that the others count it as gone.
     ///
-    /// They have taken over its part of each rate. All hosts that are given up together then take
-    /// no more than one host's part beside them.
+    /// They have taken over its part of each rate.
     fn is_given_up(&self, now: TimeMs) -> bool {
         let last_seen_at = self.hosts.iter().filter_map(|host| host.seen_at).max();
         last_seen_at.is_some_and(|at| now.since_ms(at) >= PEER_MAY_LIVE_MS)
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -87,7 +87,7 @@
     pub running: Vec<RunningAt>,
     /// What each customer has spent, sorted by key.
     pub spent: Vec<(ShortKey, f64)>,
-    /// What each customer was refused, if it was lately; sorted by key.
+    /// What each customer was refused, sorted by key.
     pub refused: Vec<(ShortKey, f64)>,
     /// How often each model or adapter was asked for, if it was lately; sorted by key.
     pub asked: Vec<(ShortKey, f64)>,
@@ -101,7 +101,7 @@
     /// What each customer has spent.
     pub spent: Vec<(ShortKey, f64)>,
     /// What each customer was refused.
-    pub refused: Counters,
+    pub refused: Vec<(ShortKey, f64)>,
     /// How often each model or adapter was asked for.
     pub asked: Counters,
 }
@@ -237,20 +237,17 @@
             }
         };
         let peer = &mut self.peers[index];
-        if peer.is_overtaken(&report) {
+        if peer.is_overtaken(&report, now.since_ms(peer.heard_at) < long_silence_ms) {
             return None;
         }
         if report.incarnation != peer.report.incarnation || role != peer.role {
             // What was before is in no sum of this one, or in another one.
-            let before = peer.clone();
-            let earlier_lives = peer.lives_before(report.incarnation);
-            *peer = Peer {
-                earlier_lives,
-                spent_taken: before.spent_taken,
-                refused_taken: before.refused_taken,
-                asked_taken: before.asked_taken,
-                ..Peer::new(now, report, role)
-            };
+            let mut fresh = Peer::new(now, report, role);
+            fresh.earlier_lives = peer.lives_before(fresh.report.incarnation);
+            fresh.spent_taken = std::mem::take(&mut peer.spent_taken);
+            fresh.refused_taken = std::mem::take(&mut peer.refused_taken);
+            fresh.asked_taken = std::mem::take(&mut peer.asked_taken);
+            *peer = fresh;
             return Some(PeerNews { is_counted: role.is_some(), ..PeerNews::default() });
         }
         let was_silent = now.since_ms(peer.heard_at) >= long_silence_ms;
@@ -259,6 +256,7 @@
         peer.heard_at = now;
         if was_silent {
             news.spent.clear();
+            news.refused.clear();
         }
         if role.is_none() {
             return Some(PeerNews::default());
@@ -303,21 +301,22 @@
     pub fn sums_for(&self, now: TimeMs, host: &Name, own: &OwnCounts) -> (Scope, Sums) {
         let link = self.link(host);
         let taken = link.taken;
-        let lately = |own: &Counters, taken: &Counters, told: Option<&Counters>| {
-            let mut keys: Vec<ShortKey> = own.changed(now, ASKED_MS).iter().map(key).collect();
-            keys.extend(taken.changed(now, ASKED_MS).iter().map(key));
-            keys.sort_unstable();
-            keys.dedup();
-            let count =
-                |key| own.count(key) + taken.count(key) - told.map_or(0.0, |told| told.count(key));
-            keys.into_iter().map(|key| (key, count(key))).collect()
-        };
-        let refused_told = link.member.map(|peer| &peer.refused_taken);
-        let asked_told = link.member.map(|peer| &peer.asked_taken);
+        let mut asked: Vec<ShortKey> = own.asked.changed(now, ASKED_MS).iter().map(key).collect();
+        asked.extend(taken.asked.changed(now, ASKED_MS).iter().map(key));
+        asked.sort_unstable();
+        asked.dedup();
+        let asked = asked.into_iter().map(|key| {
+            let told = link.member.map_or(0.0, |peer| peer.asked_taken.count(key));
+            (key, own.asked.count(key) + taken.asked.count(key) - told)
+        });
         let others = taken.spent.all().into_iter().map(|(key, units)| {
             let told = link.member.map_or(0.0, |peer| peer.spent_taken.count(key));
             (key, units - told)
         });
+        let refused_to_others = taken.refused.all().into_iter().map(|(key, units)| {
+            let told = link.member.map_or(0.0, |peer| peer.refused_taken.count(key));
+            (key, units - told)
+        });
         let running = self.peers.iter().filter(|peer| {
             let is_in_scope = match peer.role {
                 Some(PartnerRole::Member) => true,
@@ -330,8 +329,8 @@
         let sums = Sums {
             running: sum_running(own.running.iter().copied().chain(running)),
             spent: sum_counts(own.spent.iter().copied().chain(others)),
-            refused: lately(&own.refused, &taken.refused, refused_told),
-            asked: lately(&own.asked, &taken.asked, asked_told),
+            refused: sum_counts(own.refused.iter().copied().chain(refused_to_others)),
+            asked: asked.collect(),
         };
         (link.scope, sums)
     }
@@ -434,11 +433,13 @@
     }
 
     /// Returns whether a report was sent before the last one that came.
-    fn is_overtaken(&self, report: &PeerReport) -> bool {
+    ///
+    /// Once the present life is silent, an earlier one may have been heard after it, late.
+    fn is_overtaken(&self, report: &PeerReport, is_present_life_heard: bool) -> bool {
         if report.incarnation == self.report.incarnation {
             report.sent_at <= self.report.sent_at
         } else {
-            self.earlier_lives.contains(&report.incarnation)
+            is_present_life_heard && self.earlier_lives.contains(&report.incarnation)
         }
     }
 
@@ -461,7 +462,7 @@
             news.spent.push((key, units - before));
         }
         for &(key, units) in &sums.refused {
-            // Only customers that were refused lately are told; one that wasn't told yet had nothing.
+            // The same holds for those that were refused anything.
             let before = self.refused_told.set(now, key, units).unwrap_or_default();
             news.refused.push((key, units - before));
         }
--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -23,7 +23,7 @@
 /// Less would forgive what they spend while their reports are under way.
 const DEBT_MS_MAX: f64 = 4_000.0;
 /// A customer that asks for more than its rate gets it in portions once no more is left than it
-/// asks for in a pause between reports, or this part of the burst.
+/// asks for in a pause between reports, and no more than this part of the burst.
 const PORTION_BELOW: f64 = 0.5;
 /// Once it asks for less than this part of its rate, it doesn't any more.
 const PORTION_UNTIL: f64 = 0.9;
@@ -130,10 +130,16 @@
         let own = self.cut.map_or(f64::INFINITY, |cut| cut.level);
         let portion = self.portion.map_or(f64::INFINITY, |portion| portion.level());
         if level <= unheard || own <= 0.0 || portion <= 0.0 {
-            let part = self.portion.map_or(hearing.part, |portion| portion.share());
-            let missing = 1.0 + (unheard - level).max(-own).max(-portion);
-            let refill_per_ms = (self.refill_per_ms * part).max(f64::MIN_POSITIVE);
-            return Err((missing / refill_per_ms).clamp(1.0, WAIT_MS_MAX).ceil() as u64);
+            let wait_ms = |missing: f64, part: f64| {
+                (1.0 + missing) / (self.refill_per_ms * part).max(f64::MIN_POSITIVE)
+            };
+            let waits = [
+                wait_ms(unheard - level, 1.0),
+                wait_ms(-own, hearing.part),
+                wait_ms(-portion, self.portion.map_or(1.0, |portion| portion.share())),
+            ];
+            let longest_ms = waits.into_iter().fold(1.0, f64::max);
+            return Err(longest_ms.min(WAIT_MS_MAX).ceil() as u64);
         }
         if let Some(portion) = &mut self.portion {
             portion.spend(units);
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -76,7 +76,8 @@
         if is_admitted {
             self.own.spent = vec![(CUSTOMER, self.bucket.spent_here())];
         } else {
-            self.own.refused.add(at(ms), CUSTOMER, units);
+            let before = self.own.refused.first().map_or(0.0, |(_, units)| *units);
+            self.own.refused = vec![(CUSTOMER, before + units)];
         }
         is_admitted
     }
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -476,6 +476,72 @@
     }
 }
 
+/// A host that restarts, or takes another part in the reports, took what a partner had refused in
+/// all its life for news, and the customer's whole demand to be elsewhere.
+#[test]
+fn what_was_refused_before_a_host_was_heard_is_not_news() {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut fleet = Fleet::start(17, 3);
+    let mut admitted = [0, 0];
+    for past_ms in 0..40_000 {
+        fleet.run(1, |_, _| true);
+        // The customer is over its rate, then quiet, then asks for half of its rate.
+        let (every_ms, is_counted) = match past_ms {
+            0..10_000 => (6, false),
+            10_000..25_000 => continue,
+            _ => (60, true),
+        };
+        if past_ms == 25_000 {
+            let ms = fleet.ms;
+            fleet.hosts[0] = Host::start(0, 3, 2, ms);
+            fleet.list();
+        }
+        if past_ms % every_ms != 0 || (25_000..28_000).contains(&past_ms) {
+            continue;
+        }
+        let (ms, host) = (fleet.ms, random.random_range(0..17));
+        let is_admitted = fleet.hosts[host].admit(ms, &HOT_RATE, 30.0);
+        if is_counted {
+            admitted[usize::from(is_admitted)] += 1;
+        }
+    }
+    let [refused, taken] = admitted;
+    assert!(refused * 50 <= taken, "{refused} refused, {taken} taken");
+}
+
+#[test]
+fn a_returning_partner_tells_no_old_refusals() {
+    let (table, mut peers, sender) = linked();
+    let mut refused = |ms: u64, incarnation: u64, units: f64| {
+        let sums = Sums { refused: vec![(CUSTOMER, units)], ..Sums::default() };
+        let told = PeerReport { sums, ..report(&sender, incarnation, ms, 0.0) };
+        let news = peers.heard(at(ms), told, table.long_silence_ms()).unwrap();
+        news.refused.iter().map(|(_, units)| units).sum::<f64>()
+    };
+    assert_eq!(refused(250, 1, 5_000_000.0), 0.0, "what was before");
+    assert_eq!(refused(500, 1, 5_000_030.0), 30.0);
+    assert_eq!(refused(5_000, 1, 5_900_000.0), 0.0, "a long silence");
+    assert_eq!(refused(5_250, 2, 40.0), 0.0, "a new life");
+    assert_eq!(refused(5_500, 2, 70.0), 30.0);
+}
+
+/// A report of an earlier life that came late was taken for a new life by who had heard only the
+/// present one, whose reports were then dropped for good.
+#[test]
+fn a_late_report_of_an_earlier_life_shuts_nobody_out_for_long() {
+    let (table, mut peers, sender) = linked();
+    let mut is_heard = |ms: u64, incarnation: u64| {
+        let told = report(&sender, incarnation, ms, 0.0);
+        peers.heard(at(ms), told, table.long_silence_ms()).is_some()
+    };
+    assert!(is_heard(1_000, 2));
+    assert!(is_heard(1_100, 1), "who has just started can't know better");
+    assert!(!is_heard(1_250, 2), "as if it were late");
+    let again_ms = 1_100 + table.long_silence_ms();
+    assert!(is_heard(again_ms, 2), "the other life is silent");
+    assert!(!is_heard(again_ms + 50, 1));
+}
+
 /// A rare name that was quiet for longer than it stands in the reports counted again with all
 /// that it had been asked for before.
 #[test]
@@ -565,7 +631,7 @@
     }
 }
 
-/// Traced on zmiana-sprzedawcy mix 1088826777745: a host that heard nobody but the store relied on
+/// A host that heard nobody but the store relied on
 /// the others for two and a half seconds, and sent a request to a target that had long said it leaves.
 #[test]
 fn a_host_that_hears_nobody_asks_the_store_before_a_target_must_be_left_alone() {
