Give a starting host its equal part of each rate until it knows what the others spend

It counted as hearing everybody as soon as signs of life had come round, before any count had, and spent the whole refill until then.

Ruled out: what the dead had spent before.

Change: `Settling`. A host takes its equal part until a settled host has told it its counts, or until it has heard at least half of the hosts for two rounds of reports. Reports carry whether their sender is settled. Readiness waits for the first list of hosts, without which it doesn't know of how many it is one. It takes the place of the part that a host took while it heard nobody.

--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -56,7 +56,6 @@
         task::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
     }
     info!(state.log, "host_registered"; "incarnation" => state.incarnation);
-    state.set_registered();
     let started_at = state.now();
     let mut silent = Silent::default();
     loop {
@@ -64,6 +63,8 @@
         match listed {
             Ok(listing) => {
                 silent.take_listing(&state, &listing);
+                // Without the list it doesn't know of how many hosts it is one.
+                state.set_registered();
                 silent.collect(&state, &listing).await;
             }
             Err(error) => warn!(state.log, "hosts_unlisted"; "error" => %error),
@@ -147,6 +148,7 @@
         let records = listing.objects.iter().filter_map(|object| record(state, object));
         let records: Vec<HostRecord> = records.collect();
         membership.hosts.listed(now, &records);
+        membership.settling.listed();
         let is_heard = |name: &Name| membership.hosts.is_alive(now, name);
         let silent: Vec<&Object> = listing
             .objects
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -40,6 +40,12 @@
             let told = told.map(|suspect| (suspect.fingerprint, suspect.crashes.clone()));
             (told.collect::<Vec<_>>(), suspects.digest())
         };
+        let is_settled = {
+            let mut membership = state.membership();
+            let hearing = membership.hosts.hearing(now);
+            membership.settling.watch(now, &hearing);
+            membership.settling.is_settled()
+        };
         let confirmation = *state.confirmation();
         let watch = *state.target_watch();
         let report = PeerReport {
@@ -48,6 +54,7 @@
             sent_at: now,
             echo: None,
             state: state.standing(now),
+            is_settled,
             scope: Scope::Cell,
             sums: Sums::default(),
             levels,
@@ -179,7 +186,8 @@
 /// Takes in what customers spent through others, and what is left for them as those know.
 fn take_levels(state: &State, report: &PeerReport, news: &PeerNews) {
     let now = state.now();
-    let membership = state.membership();
+    let mut membership = state.membership();
+    membership.settling.heard(report.is_settled);
     let mut rates = state.rates();
     for (customer, units) in &news.spent {
         rates.spent_elsewhere(now, *customer, *units);
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 
 use lycheeford_policy::{
-    HostRecord, HostTable, Name, PartnerRole, PeerState, PeerTable, ReportedLease, ShortKey,
-    TimeMs, ToldLog, WantedName, rendezvous_rank,
+    HostRecord, HostTable, Name, PartnerRole, PeerState, PeerTable, ReportedLease, Settling,
+    ShortKey, TimeMs, ToldLog, WantedName, rendezvous_rank,
 };
 
 use super::wire::Wants;
@@ -21,6 +21,8 @@
 pub(crate) struct Membership {
     pub(crate) hosts: HostTable,
     pub(crate) peers: PeerTable,
+    /// Whether this host, which may have started just now, knows what the others spend.
+    pub(crate) settling: Settling,
     /// The lease with the last moment at which it may have been renewed.
     lease: Option<(ReportedLease, TimeMs)>,
     wants: Vec<Asker>,
@@ -78,6 +80,7 @@
         Membership {
             hosts: HostTable::new(me),
             peers: PeerTable::default(),
+            settling: Settling::default(),
             lease: None,
             wants: Vec::new(),
         }
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -57,6 +57,8 @@
     suspects_digest: u64,
     #[prost(message, repeated, tag = "23")]
     refused: Vec<WireCount>,
+    #[prost(bool, tag = "24")]
+    is_settled: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -93,6 +95,7 @@
             placements_token: report.placements_known.0,
             placements_version: report.placements_known.1,
             suspects_digest: report.suspects_digest,
+            is_settled: report.is_settled,
         }
     }
 }
@@ -128,6 +131,7 @@
             placements: wire.placements.into_iter().map(ReportedPlacement::from).collect(),
             placements_known: (wire.placements_token, wire.placements_version),
             suspects_digest: wire.suspects_digest,
+            is_settled: wire.is_settled,
         })
     }
 }
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -33,6 +33,7 @@
         sent_at: TimeMs::from_ms(5_000),
         echo: Some(TimeMs::from_ms(4_000)),
         state,
+        is_settled: true,
         scope,
         sums: Sums {
             running: vec![RunningAt {
--- a/crates/lycheeford-gateway/src/request/charge.rs
+++ b/crates/lycheeford-gateway/src/request/charge.rs
@@ -5,23 +5,11 @@
 
 use crate::state::State;
 
-/// How long a host that has just started waits for the reports of others.
-const MEET_PEERS_MS: u64 = 1_000;
-/// The part of a rate that it takes meanwhile.
-const ALONE_PART: f64 = 0.125;
-
 /// Returns how well this host hears the others.
-///
-/// One that has just started counts as one of many until it has heard them.
 fn hearing(state: &State, now: TimeMs) -> Hearing {
     let membership = state.membership();
     let is_new_fleet = state.orders().lease.began_with_fleet();
-    let mut hearing = membership.hosts.hearing(now);
-    if membership.hosts.alive(now).next().is_none()
-        && now.since_ms(state.started_at) < MEET_PEERS_MS
-    {
-        hearing.part = ALONE_PART.min(1.0 / hearing.hosts as f64);
-    }
+    let hearing = membership.settling.limit(membership.hosts.hearing(now));
     Hearing { is_new_fleet, ..hearing }
 }
 
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //!   one takes a request, also while some are slow, failing or leaving.
 //! - `wait_queue`: who goes next when all places are taken.
 //! - `shared_bucket`: a customer that sends many times its rate to every host.
+//! - `settling`: hosts that start together and don't know what was spent before.
 //! - `retry_share`: targets that fail together, so that retries multiply load.
 //! - `confirmation`: a key that is withdrawn while this host is cut off.
 //! - `host_table`, `report_layout`: hosts that die, freeze, leave or can't hear each other, and
@@ -44,6 +45,7 @@
 mod report_pace;
 mod retry_share;
 mod run_times;
+mod settling;
 mod shared_bucket;
 mod shared_watch;
 mod short_key;
@@ -76,6 +78,7 @@
 pub use self::report_pace::ReportPace;
 pub use self::retry_share::RetryShare;
 pub use self::run_times::RunTimes;
+pub use self::settling::Settling;
 pub use self::shared_bucket::SharedBucket;
 pub use self::shared_watch::SharedWatch;
 pub use self::short_key::ShortKey;
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -26,6 +26,8 @@
     pub echo: Option<TimeMs>,
     /// Whether the sender takes callers.
     pub state: PeerState,
+    /// Whether the sender knows what the others spend.
+    pub is_settled: bool,
     /// Whose counts the sums are.
     pub scope: Scope,
     /// The counts.
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -73,10 +73,10 @@
     OrderLease, OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer, PeerNews, PeerReport, PeerState,
     PeerTable, PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportPace, ReportedLease,
     ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes,
-    RunningAt, Scope, ServiceRoute, SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums,
-    SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure, TargetHealth,
-    TargetService, TargetState, TargetTable, ToldLog, Tried, WaitQueue, Waiting, WantedName,
-    WeightedService,
+    RunningAt, Scope, ServiceRoute, Settling, SharedBucket, SharedWatch, ShortKey, StoreAbsence,
+    Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure,
+    TargetHealth, TargetService, TargetState, TargetTable, ToldLog, Tried, WaitQueue, Waiting,
+    WantedName, WeightedService,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/customer_rates.rs
+++ b/crates/lycheeford-policy/tests/gateway/customer_rates.rs
@@ -81,6 +81,8 @@
     isolated: usize,
     isolated_restart_ms: Option<u64>,
     all_restart_ms: Option<u64>,
+    /// How long all are gone then.
+    down_ms: u64,
 }
 
 const HOT_BASE: HotCase = HotCase {
@@ -94,6 +96,7 @@
     isolated: 0,
     isolated_restart_ms: None,
     all_restart_ms: None,
+    down_ms: 0,
 };
 
 /// A customer of many times its rate overspent by more than a
@@ -207,6 +210,28 @@
     ]);
 }
 
+/// All hosts of a fleet that was restarted took what they hadn't heard of for nothing spent, and
+/// each spent the whole rate until the reports came round.
+#[test]
+fn a_fleet_that_restarts_under_a_hot_customer_gives_it_no_more_than_its_tolerance() {
+    let killed = HotCase {
+        what: "killed for a second",
+        all_restart_ms: Some(11_000),
+        down_ms: 1_000,
+        ..HOT_BASE
+    };
+    check_tolerance(&[
+        killed,
+        HotCase { what: "91 hosts", hosts: 91, ..killed },
+        HotCase { what: "7 hosts", hosts: 7, ..killed },
+        HotCase { what: "295 hosts", hosts: 295, ..killed },
+        HotCase { what: "ten times its rate", demand_per_ms: 10.0, ..killed },
+        HotCase { what: "twice its rate", demand_per_ms: 2.0, ..killed },
+        HotCase { what: "hot since a moment", hot_from_ms: 9_000, demand_per_ms: 6.0, ..killed },
+        HotCase { what: "for half a second", down_ms: 500, ..killed },
+    ]);
+}
+
 /// Checks that no eight seconds of a case hold more than the users' rule allows.
 fn check_tolerance(cases: &[HotCase]) {
     const DOMAINS: usize = 3;
@@ -236,6 +261,9 @@
                 restart(&mut fleet, case.isolated);
             }
             if case.all_restart_ms == Some(past_ms) {
+                fleet.hosts.iter_mut().for_each(|host| host.is_up = false);
+            }
+            if case.all_restart_ms.is_some_and(|at_ms| at_ms + case.down_ms == past_ms) {
                 restart(&mut fleet, case.hosts);
             }
             let is_asked = past_ms >= case.hot_from_ms
@@ -245,7 +273,7 @@
                 let units = random.random_range(2.0..60.0);
                 owed -= units;
                 let host = random.random_range(0..case.hosts);
-                if fleet.hosts[host].admit(ms, &HOT_RATE, units) {
+                if fleet.hosts[host].is_up && fleet.hosts[host].admit(ms, &HOT_RATE, units) {
                     taken.push((ms, units));
                 }
             }
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -2,7 +2,7 @@
 
 use lycheeford_policy::{
     CustomerRate, HostRecord, HostTable, Name, OwnCounts, PartnerRole, PeerReport, PeerState,
-    PeerTable, RateUnit, ReportPace, Scope, SharedBucket, ShortKey, Sums,
+    PeerTable, RateUnit, ReportPace, Scope, Settling, SharedBucket, ShortKey, Sums,
 };
 
 use crate::world::{at, name};
@@ -34,6 +34,7 @@
     pub(crate) peers: PeerTable,
     pub(crate) own: OwnCounts,
     pub(crate) bucket: SharedBucket,
+    pub(crate) settling: Settling,
     /// What it heard that the customer spent through others.
     pub(crate) heard_units: f64,
     pub(crate) next_ms: u64,
@@ -55,6 +56,7 @@
             peers: PeerTable::default(),
             own: OwnCounts::default(),
             bucket: SharedBucket::new(at(ms)),
+            settling: Settling::default(),
             heard_units: 0.0,
             sent: 0,
             pace: ReportPace::default(),
@@ -71,7 +73,7 @@
 
     /// Takes a request of the customer; returns whether its rate allows it.
     pub(crate) fn admit(&mut self, ms: u64, rate: &CustomerRate, units: f64) -> bool {
-        let hearing = self.table.hearing(at(ms));
+        let hearing = self.settling.limit(self.table.hearing(at(ms)));
         let is_admitted = self.bucket.take(at(ms), rate, &hearing, units).is_ok();
         if is_admitted {
             self.own.spent = vec![(CUSTOMER, self.bucket.spent_here())];
@@ -111,6 +113,7 @@
             signs,
             heard,
             levels,
+            is_settled: self.settling.is_settled(),
             ..report(&self.record, self.incarnation, ms, 0.0)
         }
     }
@@ -126,6 +129,7 @@
         let heard_units = news.spent.iter().map(|(_, units)| units).sum::<f64>();
         self.heard_units += heard_units;
         if news.is_counted {
+            self.settling.heard(report.is_settled);
             self.bucket.spent_elsewhere(at(ms), heard_units);
             let refused_units = news.refused.iter().map(|(_, units)| units).sum::<f64>();
             self.bucket.refused_elsewhere(at(ms), refused_units);
@@ -157,6 +161,7 @@
         let records: Vec<HostRecord> = self.hosts.iter().map(|host| host.record.clone()).collect();
         for host in &mut self.hosts {
             host.table.listed(at(self.ms), &records);
+            host.settling.listed();
         }
     }
 
@@ -190,6 +195,7 @@
         host.next_ms = ms + host.table.report_ms();
         let layout = host.table.layout(at(ms));
         host.peers.set_layout(layout);
+        host.settling.watch(at(ms), &host.table.hearing(at(ms)));
         let host = &self.hosts[from];
         let mut reports = Vec::new();
         for (to, role) in host.peers.layout().partners() {
@@ -248,6 +254,7 @@
         sent_at: at(sent_ms),
         echo: None,
         state: PeerState::Ready,
+        is_settled: false,
         scope: Scope::Cell,
         sums: Sums { spent: vec![(CUSTOMER, spent)], ..Sums::default() },
         levels: Vec::new(),
