Believe a target that says it leaves or asks for a pause, in its answers

`Server-Leaving: 1` in any answer, and `Retry-After` with a 503, are decoded once in the adapter (`read_head`) into `TargetWord`; neither reaches callers, and one that makes no sense is counted, logged and passed over. What a host believes of a life of a target lies in `TargetBelief`: what its entry, its own answers and other hosts said, each with its source and when it was heard; routing, the queue, orders and questions ask that one place. A new life under the same id begins anew; an entry that lapses and comes back doesn't. That a target leaves is told to other hosts with the reports for 5 s; a pause is between two. What waits for a paused target goes elsewhere or is refused with its time.

Engines that leave are no longer asked what they do, since they get no orders.

--- a/crates/lycheeford-gateway/src/edge.rs
+++ b/crates/lycheeford-gateway/src/edge.rs
@@ -82,6 +82,26 @@
     pub resume_after: Option<&'a str>,
 }
 
+/// What the head of a target's answer says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// What became of the request.
+    pub reply: Reply,
+    /// What the target says of itself beside that.
+    pub word: TargetWord,
+}
+
+/// What a target says of itself in an answer, for the host that gets it alone.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TargetWord {
+    /// It leaves, and should get no new work soon.
+    pub is_leaving: bool,
+    /// For how long it wants nothing from this host.
+    pub pause_ms: Option<u64>,
+    /// The header that was passed over because it can't be read.
+    pub unreadable: Option<&'static str>,
+}
+
 /// What the head of a target's answer means.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
@@ -179,8 +199,14 @@
     /// Returns the request as a target takes it.
     fn forward(&self, request: &GatewayRequest, dispatch: &Dispatch<'_>) -> TargetRequest;
 
-    /// Says what the head of the answer of `target` means.
-    fn reply(&self, target: &Name, status: u16, headers: &[(String, String)]) -> Reply;
+    /// Reads the head of the answer of `target`, and takes out the headers that are for this
+    /// host alone.
+    fn read_head(
+        &self,
+        target: &Name,
+        status: u16,
+        headers: &mut Vec<(String, String)>,
+    ) -> AnswerHead;
 
     /// Returns an order as an engine takes it.
     fn order(&self, order: &EngineOrder) -> TargetRequest;
--- a/crates/lycheeford-gateway/src/lib.rs
+++ b/crates/lycheeford-gateway/src/lib.rs
@@ -36,9 +36,9 @@
 
 pub use crate::clock::Clock;
 pub use crate::edge::{
-    AddressQuestion, CallerEdge, DirectoryEdge, Dispatch, Edges, EngineOrder, EngineReport,
-    GatewayRequest, ModelName, NotRun, OrderAnswer, OrderedName, PromptPart, Reply, StoreEdge,
-    TargetEdge,
+    AddressQuestion, AnswerHead, CallerEdge, DirectoryEdge, Dispatch, Edges, EngineOrder,
+    EngineReport, GatewayRequest, ModelName, NotRun, OrderAnswer, OrderedName, PromptPart, Reply,
+    StoreEdge, TargetEdge, TargetWord,
 };
 pub use crate::operation::log::GatewayLog;
 pub use crate::run::{StartError, run};
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -3,6 +3,7 @@
 };
 use slog::info;
 
+use crate::request::take_leaving;
 use crate::state::State;
 
 /// Placements that one report tells at most.
@@ -20,9 +21,10 @@
     pub(super) fn gather(state: &State, round: usize) -> Common {
         let now = state.now();
         apply_own_placements(state);
-        let (running, placements_known) = {
+        let (running, placements_known, leaving) = {
             let dispatcher = state.dispatcher();
-            (dispatcher.targets.runs_here(), dispatcher.placements_known())
+            let targets = &dispatcher.targets;
+            (targets.runs_here(), dispatcher.placements_known(), targets.leaving_to_tell(now))
         };
         let (own, levels) = {
             let rates = state.rates();
@@ -69,6 +71,7 @@
             lease: own_lease(state).or_else(|| state.membership().lease(now)),
             placements: Vec::new(),
             placements_known,
+            leaving,
         };
         Common { report, own }
     }
@@ -162,6 +165,7 @@
         take_levels(state, report, &news);
     }
     take_asked(state, &news.asked);
+    take_leaving(state, &report.leaving);
     for (fingerprint, crashes) in &report.suspects {
         let mut suspects = state.suspects();
         for life in crashes {
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -1,6 +1,6 @@
 use lycheeford_policy::{
-    HostRecord, HostSign, Name, PeerReport, ReportedLease, ReportedPlacement, RunningAt, Scope,
-    ShortKey, Sums, TimeMs,
+    HostRecord, HostSign, LeavingTarget, Name, PeerReport, ReportedLease, ReportedPlacement,
+    RunningAt, Scope, ShortKey, Sums, TimeMs,
 };
 use snafu::OptionExt;
 
@@ -59,6 +59,16 @@
     refused: Vec<WireCount>,
     #[prost(bool, tag = "24")]
     is_settled: bool,
+    #[prost(message, repeated, tag = "25")]
+    leaving: Vec<WireLeaving>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireLeaving {
+    #[prost(fixed32, tag = "1")]
+    target: u32,
+    #[prost(uint64, tag = "2")]
+    life: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -96,6 +106,7 @@
             placements_version: report.placements_known.1,
             suspects_digest: report.suspects_digest,
             is_settled: report.is_settled,
+            leaving: report.leaving.into_iter().map(WireLeaving::from).collect(),
         }
     }
 }
@@ -132,10 +143,24 @@
             placements_known: (wire.placements_token, wire.placements_version),
             suspects_digest: wire.suspects_digest,
             is_settled: wire.is_settled,
+            leaving: wire.leaving.into_iter().map(LeavingTarget::from).collect(),
         })
     }
 }
 
+impl From<LeavingTarget> for WireLeaving {
+    fn from(leaving: LeavingTarget) -> WireLeaving {
+        let LeavingTarget { target, life } = leaving;
+        WireLeaving { target: target.0, life }
+    }
+}
+
+impl From<WireLeaving> for LeavingTarget {
+    fn from(wire: WireLeaving) -> LeavingTarget {
+        LeavingTarget { target: ShortKey(wire.target), life: wire.life }
+    }
+}
+
 impl From<(u64, Vec<Name>)> for WireSuspect {
     fn from((fingerprint, crashes): (u64, Vec<Name>)) -> WireSuspect {
         let crashes = crashes.iter().map(|life| life.as_str().to_owned()).collect();
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -4,8 +4,8 @@
 
 use assert_matches::assert_matches;
 use lycheeford_policy::{
-    HostRecord, HostSign, Name, PeerReport, PeerState, ReportedLease, ReportedPlacement, RunningAt,
-    Scope, ShortKey, Sums, TimeMs, WantedName,
+    HostRecord, HostSign, LeavingTarget, Name, PeerReport, PeerState, ReportedLease,
+    ReportedPlacement, RunningAt, Scope, ShortKey, Sums, TimeMs, WantedName,
 };
 
 use super::{DecodeError, Message, News, Wants, decode, encode};
@@ -63,6 +63,7 @@
         }),
         placements: vec![placement(8)],
         placements_known: (5, 8),
+        leaving: vec![LeavingTarget { target: ShortKey(5), life: 1_700_000_000_123 }],
     }
 }
 
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -41,6 +41,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WordLabels {
+    word: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SourceLabels {
     source: &'static str,
@@ -62,6 +67,7 @@
     refused: Family<ReasonLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
+    words: Family<WordLabels, Counter>,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
     ages: Family<SourceLabels, Gauge>,
@@ -91,6 +97,7 @@
             refused: Family::default(),
             attempts: Family::default(),
             orders: Family::default(),
+            words: Family::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
             ages: Family::default(),
@@ -148,6 +155,11 @@
         self.attempts.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts what a target said of itself.
+    pub(crate) fn word(&self, word: &'static str) {
+        self.words.get_or_create(&WordLabels { word }).inc();
+    }
+
     pub(crate) fn order(&self, name: &OrderedName, is_accepted: bool) {
         let order = match name {
             OrderedName::Load(_) => "load",
@@ -164,6 +176,7 @@
         registry.register("refused", "Refusals by reason", self.refused.clone());
         registry.register("attempts", "Attempts that gave no answer", self.attempts.clone());
         registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register("target_words", "What targets said of themselves", self.words.clone());
         registry.register("revision", "The declaration in force", self.revision.clone());
         registry.register(
             "holds_orders",
--- a/crates/lycheeford-gateway/src/orders/plan_task.rs
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -6,7 +6,7 @@
 use lycheeford_policy::{
     AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, EngineLimits, EngineModel,
     EngineOperation, EngineView, ModelDemand, Name, ResidentView, ShortKey, SwapAction, SwapOrder,
-    Target, TargetEntry, TargetService, TimeMs, WantedName,
+    Target, TargetEntry, TargetService, TargetUse, TimeMs, WantedName,
 };
 
 use super::send::{Planned, ask, send};
@@ -61,11 +61,15 @@
         for target in &engines {
             let held_mb = adapters_mb(&orders.adapters, limits, &target.entry.id);
             let book = orders.book(now, &target.entry.id, target.entry.life);
-            if book.is_question_due(now) && target.is_usable(now) {
+            // One that leaves gets no order, so that what it does doesn't matter any more.
+            let may_ask = target.is_usable(now) && target.belief.use_at(now) == TargetUse::Free;
+            if book.is_question_due(now) && may_ask {
                 book.is_busy_here = true;
                 questions.push(Planned::question(&target.entry));
             }
-            let operation = book.planned_operation();
+            // One that asked for a pause gets no order; it isn't gone, so that nothing replaces it.
+            let pause = target.belief.is_paused(now).then_some(EngineOperation::Unknown);
+            let operation = book.planned_operation().or(pause);
             views.push(engine_view(now, limits, target, operation, &book.believed, held_mb));
         }
         let running = dispatcher.targets.running_by_model(&service.name);
@@ -270,7 +274,8 @@
             &book.operation,
             Some((EngineOperation::Unload { model, .. }, _)) if *model == want.model
         );
-        let may_order = !book.is_busy_here && book.ask_at.is_none();
+        let may_order =
+            !book.is_busy_here && book.ask_at.is_none() && !target.belief.is_paused(now);
         if view.is_ready && holds && may_order && !is_going {
             usable.push(AdapterEngine {
                 id: view.id.clone(),
--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -9,8 +9,9 @@
 use slog::{info, warn};
 
 use super::withdraw::in_time;
+use crate::request::take_word;
 use crate::state::{ANSWER_BYTES_MAX, State};
-use crate::{EngineOrder, EngineReport, OrderAnswer, OrderedName};
+use crate::{AnswerHead, EngineOrder, EngineReport, OrderAnswer, OrderedName};
 
 /// How long an engine may take to answer a question.
 const ANSWER_MS_MAX: u64 = 900;
@@ -86,6 +87,9 @@
 }
 
 async fn send_once(state: &State, planned: &Planned, name: &OrderedName) -> Outcome {
+    if is_paused(state, planned) {
+        return Outcome::NotSent;
+    }
     let (order, withdraw_at) = {
         // The lease is checked last, since a suspended host may wake up anywhere.
         let mut orders = state.orders();
@@ -107,7 +111,7 @@
     // an order that lay in a buffer would arrive after those of the next holder. So would one
     // that a host sends after it was suspended while the connection was opened.
     let request = state.edges.target.order(&order);
-    match call(state, planned.address, &request, withdraw_at).await {
+    match call(state, planned, &request, withdraw_at).await {
         Ok((status, _)) => Outcome::Answered(state.edges.target.order_answer(status)),
         Err(Some(error)) if !error.may_have_run() => {
             let failure = TargetFailure::Unreachable;
@@ -123,10 +127,18 @@
     }
 }
 
+/// Returns whether the engine asked this host for a pause after the order was planned.
+fn is_paused(state: &State, planned: &Planned) -> bool {
+    let now = state.now();
+    let dispatcher = state.dispatcher();
+    let target = dispatcher.targets.target(&planned.engine);
+    target.is_some_and(|target| target.belief.is_paused(now))
+}
+
 fn note(state: &State, planned: &Planned, name: &OrderedName, outcome: Outcome) {
     let now = state.now();
     if outcome == Outcome::Answered(OrderAnswer::OtherTarget) {
-        state.dispatcher().targets.misdirected(&planned.chosen());
+        state.dispatcher().targets.misdirected(now, &planned.chosen());
     }
     let mut orders = state.orders();
     let Some(book) = orders.known(&planned.engine, planned.life) else { return };
@@ -178,7 +190,7 @@
 pub(super) async fn ask(state: Arc<State>, planned: Planned) {
     let request = state.edges.target.report(&planned.engine);
     let give_up_at = state.now() + ANSWER_MS_MAX;
-    let report = match call(&state, planned.address, &request, give_up_at).await {
+    let report = match call(&state, &planned, &request, give_up_at).await {
         Ok((200, body)) => state.edges.target.read_report(&body),
         Ok((status, _)) => Err(format!("status {status}")),
         Err(Some(error)) => Err(error.to_string()),
@@ -234,13 +246,16 @@
 /// There is no error to tell if the time is up.
 async fn call(
     state: &State,
-    address: SocketAddr,
+    planned: &Planned,
     request: &TargetRequest,
     give_up_at: TimeMs,
 ) -> Result<(u16, Vec<u8>), Option<TargetError>> {
     let exchange = async {
-        let response = state.targets.call(address, request).await?;
+        let mut response = state.targets.call(planned.address, request).await?;
         let status = response.status;
+        let AnswerHead { word, .. } =
+            state.edges.target.read_head(&planned.engine, status, &mut response.headers);
+        take_word(state, None, &planned.chosen(), &word);
         Ok((status, response.body.whole(ANSWER_BYTES_MAX).await?))
     };
     match in_time(|| state.now(), give_up_at, exchange).await {
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -11,8 +11,9 @@
 use super::admission::Admitted;
 use super::crash::note_broken;
 use super::place::{Place, host_stopping, take_place};
+use super::word::take_word;
 use crate::state::State;
-use crate::{Dispatch, NotRun, Reply};
+use crate::{AnswerHead, Dispatch, NotRun, Reply};
 
 /// How often a request is sent at most, counting targets that didn't run it.
 const SENDS_MAX: u32 = 5;
@@ -181,9 +182,11 @@
     ) -> Result<Answering, Unanswered> {
         self.at_targets -= 1;
         let Calling { place, sent_at, .. } = calling;
-        let response = called.map_err(|error| self.call_failed(&place.chosen, error))?;
-        let reply =
-            self.state.edges.target.reply(&place.chosen.id, response.status, &response.headers);
+        let mut response = called.map_err(|error| self.call_failed(&place.chosen, error))?;
+        let target = &self.state.edges.target;
+        let AnswerHead { reply, word } =
+            target.read_head(&place.chosen.id, response.status, &mut response.headers);
+        take_word(&self.state, Some(&self.admitted.request.id), &place.chosen, &word);
         if let Reply::NotRun(cause) = reply {
             self.not_run(&place.chosen, cause);
             return Err(Unanswered::NotRun(cause));
@@ -228,7 +231,7 @@
                 NotRun::NotHeld => {
                     targets.refused(now, chosen, &self.admitted.need, NOT_HELD_PAUSE_MS);
                 }
-                NotRun::OtherTarget => targets.misdirected(chosen),
+                NotRun::OtherTarget => targets.misdirected(now, chosen),
                 NotRun::Rejected => {}
             }
         }
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -10,5 +10,7 @@
 mod place;
 pub(crate) mod rates;
 mod relay;
+mod word;
 
 pub(crate) use self::front::Front;
+pub(crate) use self::word::{take_leaving, take_word};
--- a/crates/lycheeford-gateway/src/request/place.rs
+++ b/crates/lycheeford-gateway/src/request/place.rs
@@ -24,6 +24,9 @@
 /// The least and the most time until a refused caller should come back.
 const RETRY_MS_MIN: u64 = 200;
 const RETRY_MS_MAX: u64 = 1_200;
+/// The part of a pause over which the callers that come back after it are spread.
+const PAUSE_SPREAD: u64 = 4;
+const PAUSE_SPREAD_MS_MIN: u64 = 50;
 
 /// A place at a target, which is free again when this is dropped.
 pub(super) struct Place {
@@ -128,6 +131,9 @@
             Err(_) => {}
         }
         let now = state.now();
+        if let Some(until) = paused_until(state, &waiting) {
+            return Err(paused(until.since_ms(now)));
+        }
         if tried != Tried::NotResident {
             if now >= give_up_at {
                 return Err(overloaded(patience_ms));
@@ -161,6 +167,11 @@
     Refusal::not_run(RefusalCode::HostStopping, message, Some(STOPPING_RETRY_MS))
 }
 
+/// Returns when the first pause ends, if all targets that could take the request asked for one.
+fn paused_until(state: &State, waiting: &Waiting) -> Option<TimeMs> {
+    state.dispatcher().targets.paused_until(state.now(), &waiting.need)
+}
+
 /// Returns when the holder of orders expects that the model is ready.
 fn ready_at(state: &State, admitted: &Admitted) -> Option<TimeMs> {
     state.dispatcher().ready_at(admitted.need.model.as_ref()?)
@@ -185,6 +196,7 @@
             "the service has no target now; come back soon",
             Some(retry_ms(RETRY_MS_MAX)),
         )),
+        Tried::Paused { until } => Err(paused(until.since_ms(now))),
         Tried::NotResident => Ok(share_ms.min(LOAD_PATIENCE_FACTOR * objective_ms.max(1_000))),
         Tried::Full | Tried::Chosen(_) => {
             let expected_ms = expected_wait_ms(state, admitted, now);
@@ -213,6 +225,15 @@
     Refusal::not_run(RefusalCode::Overloaded, message, Some(retry_ms(wait_ms)))
 }
 
+/// Returns the refusal of a request whose targets asked for a pause; callers come back after it,
+/// spread over a part of it.
+fn paused(wait_ms: u64) -> Refusal {
+    let message = "every target that could take it asked for a pause; come back after it";
+    let spread_ms = (wait_ms / PAUSE_SPREAD).max(PAUSE_SPREAD_MS_MIN);
+    let retry_after_ms = wait_ms + random_range(0..=spread_ms);
+    Refusal::not_run(RefusalCode::Overloaded, message, Some(retry_after_ms))
+}
+
 fn not_loaded(wait_ms: u64) -> Refusal {
     let message = "the model can't be loaded in time; come back later";
     let retry_after_ms = retry_ms(wait_ms);
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! - `deployment`: what operators declared; the longest prefix wins.
 //! - `target_entry`, `target_table`: what targets say of themselves, and which
 //!   one takes a request, also while some are slow, failing or leaving.
+//! - `target_belief`: targets that leave without a word in the list, or ask for a pause.
 //! - `wait_queue`: who goes next when all places are taken.
 //! - `shared_bucket`: a customer that sends many times its rate to every host.
 //! - `settling`: hosts that start together and don't know what was spent before.
@@ -51,6 +52,7 @@
 mod short_key;
 mod store_absence;
 mod swap_planner;
+mod target_belief;
 mod target_entry;
 mod target_health;
 mod target_table;
@@ -87,6 +89,7 @@
     EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlan,
     SwapPlanner,
 };
+pub use self::target_belief::{LeavingSource, LeavingTarget, TargetBelief, TargetUse};
 pub use self::target_entry::{Residency, ResidentModel, TargetEntry, TargetState};
 pub use self::target_health::{TargetFailure, TargetHealth};
 pub use self::target_table::{Choice, Chosen, Need, Target, TargetTable, Tried};
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -2,6 +2,7 @@
 use super::host_table::{HostRecord, HostSign, PeerState};
 use super::report_layout::{PartnerRole, ReportLayout};
 use super::short_key::ShortKey;
+use super::target_belief::LeavingTarget;
 use crate::{Name, TimeMs};
 
 /// How long a name that was asked for stands in the reports, so that a lost one loses nothing.
@@ -56,6 +57,8 @@
     pub placements: Vec<ReportedPlacement>,
     /// Up to which version of the placements the sender knows them, and of which token.
     pub placements_known: (u64, u64),
+    /// The targets of which the sender heard lately that they leave.
+    pub leaving: Vec<LeavingTarget>,
 }
 
 /// Whose counts a report sums up.
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/target_belief.rs
@@ -0,0 +1,150 @@
+use super::short_key::ShortKey;
+use super::target_entry::TargetState;
+use crate::TimeMs;
+
+/// How long a target that leaves still gets requests that no other can take.
+const LEAVING_USE_MS: u64 = 700;
+/// What a target must have left of its notice for that.
+const LEAVING_LEFT_MS_MIN: u64 = 2_000;
+/// How long others are told that a target leaves; each that hears it tells it on for as long.
+const TELL_MS: u64 = 5_000;
+
+/// Who said that a target leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LeavingSource {
+    /// Its entry in the list of targets.
+    Entry,
+    /// An answer of its own to this host.
+    Answer,
+    /// Another host.
+    Peer,
+}
+
+/// That one life of a target leaves, as one host tells another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeavingTarget {
+    /// The target.
+    pub target: ShortKey,
+    /// The life that leaves; a later one under the same id doesn't.
+    pub life: u64,
+}
+
+/// What a host may send to a target now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetUse {
+    /// Anything.
+    Free,
+    /// What no other target can take: it said only just that it leaves.
+    LastResort,
+    /// Nothing until then: it asked this host for a pause.
+    Paused {
+        /// When the pause ends.
+        until: TimeMs,
+    },
+    /// Nothing any more: it leaves.
+    Never,
+}
+
+/// What a host believes of whether one life of a target takes work, and from whom it knows.
+///
+/// All that sends something to a target asks this one place, whoever spoke: the list of
+/// targets, the target itself in an answer, or another host. That a target leaves is never taken
+/// back by a source that doesn't know it yet; only a new life begins anew. A pause is between the
+/// target and the host that got the answer. See docs/DESIGN.md.
+///
+/// ```
+/// use lycheeford_policy::{LeavingSource, TargetBelief, TargetUse, TimeMs};
+///
+/// let mut belief = TargetBelief::default();
+/// belief.pause(TimeMs::from_ms(0), 400);
+/// let until = TimeMs::from_ms(400);
+/// assert_eq!(belief.use_at(TimeMs::from_ms(399)), TargetUse::Paused { until });
+/// assert_eq!(belief.use_at(until), TargetUse::Free);
+/// belief.leaves(until, LeavingSource::Answer);
+/// assert_eq!(belief.use_at(until), TargetUse::LastResort);
+/// assert_eq!(belief.use_at(TimeMs::from_ms(1_100)), TargetUse::Never);
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TargetBelief {
+    /// Who said that it leaves, and when this host heard it first; sorted, one of each source.
+    leaving: Vec<(LeavingSource, TimeMs)>,
+    /// The time that its entry says it has left.
+    remaining_ms: Option<u64>,
+    paused_until: TimeMs,
+}
+
+impl TargetBelief {
+    /// Takes in what the target's entry says.
+    pub fn entry_says(&mut self, now: TimeMs, state: TargetState) {
+        match state {
+            TargetState::Ready => {
+                self.leaving.retain(|(source, _)| *source != LeavingSource::Entry);
+                self.remaining_ms = None;
+            }
+            TargetState::Leaving { remaining_ms } => {
+                self.remaining_ms = remaining_ms;
+                self.leaves(now, LeavingSource::Entry);
+            }
+        }
+    }
+
+    /// Takes in that the target leaves; returns whether nobody had said so.
+    pub fn leaves(&mut self, now: TimeMs, source: LeavingSource) -> bool {
+        let is_news = self.leaving.is_empty();
+        if let Err(index) = self.leaving.binary_search_by_key(&source, |(source, _)| *source) {
+            self.leaving.insert(index, (source, now));
+        }
+        is_news
+    }
+
+    /// Takes in that the target wants nothing from this host for `pause_ms`.
+    pub fn pause(&mut self, now: TimeMs, pause_ms: u64) {
+        self.paused_until = self.paused_until.max(now + pause_ms);
+    }
+
+    /// Returns whether anybody said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        !self.leaving.is_empty()
+    }
+
+    /// Returns whether it asked this host for a pause that goes on.
+    pub fn is_paused(&self, now: TimeMs) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns who said that it leaves, and when this host heard it first.
+    pub fn leaving(&self) -> &[(LeavingSource, TimeMs)] {
+        &self.leaving
+    }
+
+    /// Returns what this host may send to the target.
+    pub fn use_at(&self, now: TimeMs) -> TargetUse {
+        let since = self.leaving_since();
+        let is_last_resort = since.is_some_and(|at| now.since_ms(at) < LEAVING_USE_MS)
+            && self.remaining_ms.is_none_or(|ms| ms >= LEAVING_LEFT_MS_MIN);
+        if since.is_some() && !is_last_resort {
+            TargetUse::Never
+        } else if self.is_paused(now) {
+            TargetUse::Paused { until: self.paused_until }
+        } else if is_last_resort {
+            TargetUse::LastResort
+        } else {
+            TargetUse::Free
+        }
+    }
+
+    /// Returns whether others should be told that it leaves.
+    pub(super) fn is_to_be_told(&self, now: TimeMs) -> bool {
+        self.leaving_since().is_some_and(|at| now.since_ms(at) < TELL_MS)
+    }
+
+    /// Returns whether it holds anything that a missing entry doesn't take back.
+    pub(super) fn outlives_entry(&self, now: TimeMs) -> bool {
+        self.is_paused(now)
+            || self.leaving.iter().any(|(source, _)| *source != LeavingSource::Entry)
+    }
+
+    fn leaving_since(&self) -> Option<TimeMs> {
+        self.leaving.iter().map(|(_, at)| *at).min()
+    }
+}
--- a/crates/lycheeford-policy/src/gateway/target_table.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table.rs
@@ -4,6 +4,7 @@
 
 use super::peer_table::RunningAt;
 use super::short_key::ShortKey;
+use super::target_belief::{LeavingSource, LeavingTarget, TargetBelief, TargetUse};
 use super::target_entry::{Residency, TargetEntry, TargetState};
 use super::target_health::{TargetFailure, TargetHealth};
 use crate::{Name, TimeMs};
@@ -12,10 +13,6 @@
 const FAR_PART: f64 = 0.08;
 /// What a target that fails all requests costs, as a multiple of the objective.
 const FAILING_FACTOR: f64 = 3.0;
-/// How long a target that leaves still gets requests that no other can take.
-const LEAVING_USE_MS: u64 = 700;
-/// What a target must have left of its notice for that.
-const LEAVING_LEFT_MS_MIN: u64 = 2_000;
 /// What a leaving target costs, as a multiple of the objective.
 const LEAVING_FACTOR: f64 = 50.0;
 /// The part of the latency by which equal targets are told apart at random, so
@@ -27,6 +24,10 @@
 const USUAL_SAMPLE_PART: f64 = 0.05;
 /// The part of an engine's memory for tokens that requests may take.
 const CACHE_PART: f64 = 0.9;
+/// How long what a target that isn't listed said is remembered, and of how many; an entry may
+/// come back.
+const UNLISTED_MS: u64 = 600_000;
+const UNLISTED_MAX: usize = 1_024;
 /// How long a target that said it is full gets nothing more.
 const FULL_PAUSE_MS: u64 = 60;
 
@@ -88,6 +89,11 @@
     Full,
     /// No target holds the model or adapter.
     NotResident,
+    /// All that could take it asked this host for a pause.
+    Paused {
+        /// When the first pause ends.
+        until: TimeMs,
+    },
     /// The service has no target.
     NoTarget,
 }
@@ -100,6 +106,17 @@
     /// Sorted by service.
     usual_latency_ms: Vec<(Name, f64)>,
     choices: u64,
+    /// What is believed of lives that aren't listed, the last one that went at the end.
+    unlisted: Vec<Unlisted>,
+}
+
+/// What is believed of a life of a target that isn't listed now.
+#[derive(Debug)]
+struct Unlisted {
+    target: ShortKey,
+    life: u64,
+    since: TimeMs,
+    belief: TargetBelief,
 }
 
 /// One target as this host knows it.
@@ -114,8 +131,8 @@
     /// What the holder of orders said of models and adapters there, sorted by key.
     announced: Vec<(ShortKey, bool)>,
     full_until: TimeMs,
-    /// Since when it says that it leaves.
-    leaving_since: Option<TimeMs>,
+    /// Whether it takes work, as far as anybody said.
+    pub belief: TargetBelief,
     /// When it is forgotten, if its entry is gone from the store.
     forget_at: Option<TimeMs>,
     /// Models that it refused although its entry lists them.
@@ -145,24 +162,9 @@
             + elsewhere.map(|(_, at)| at.running).sum::<u32>()
     }
 
-    /// Returns whether it may get new work as far as the store says.
+    /// Returns whether nobody said that it leaves.
     pub fn is_ready(&self) -> bool {
-        self.entry.state == TargetState::Ready
-    }
-
-    /// Returns whether it may get a request: it is ready, or said only just that it leaves.
-    fn may_take(&self, now: TimeMs) -> bool {
-        self.is_ready() || self.is_last_resort(now)
-    }
-
-    fn is_last_resort(&self, now: TimeMs) -> bool {
-        let has_time = match self.entry.state {
-            TargetState::Ready => return false,
-            TargetState::Leaving { remaining_ms } => {
-                remaining_ms.is_none_or(|ms| ms >= LEAVING_LEFT_MS_MIN)
-            }
-        };
-        has_time && self.leaving_since.is_some_and(|at| now.since_ms(at) < LEAVING_USE_MS)
+        !self.belief.is_leaving()
     }
 
     /// Returns whether requests that were sent to it came to nothing lately.
@@ -223,8 +225,8 @@
     /// Takes over an entry; a new life starts without a history.
     pub fn put(&mut self, now: TimeMs, entry: TargetEntry) {
         let key = ShortKey::of(&entry.id);
-        let is_leaving = entry.state != TargetState::Ready;
-        match self.position(&entry.id) {
+        let state = entry.state;
+        let index = match self.position(&entry.id) {
             Ok(index) => {
                 let target = &mut self.targets[index];
                 let same = target.entry.life == entry.life
@@ -235,24 +237,25 @@
                     target.refused.clear();
                     target.entry = entry;
                 } else {
-                    *target = Target::new(entry, key);
+                    let belief = self.take_unlisted(key, entry.life);
+                    self.targets[index] = Target::new(entry, key, belief);
                 }
-                let target = &mut self.targets[index];
-                target.leaving_since = is_leaving.then(|| target.leaving_since.unwrap_or(now));
+                index
             }
             Err(index) => {
-                let mut target = Target::new(entry, key);
-                target.leaving_since = is_leaving.then_some(now);
-                self.targets.insert(index, target);
+                let belief = self.take_unlisted(key, entry.life);
+                self.targets.insert(index, Target::new(entry, key, belief));
+                index
             }
-        }
+        };
+        self.targets[index].belief.entry_says(now, state);
     }
 
     /// Takes in that an entry is gone; the target is forgotten after `grace_ms`.
     pub fn gone(&mut self, now: TimeMs, id: &str, grace_ms: u64) {
         let Ok(index) = self.position(id) else { return };
         if grace_ms == 0 {
-            self.targets.remove(index);
+            self.remove(now, index);
         } else {
             self.targets[index].forget_at.get_or_insert(now + grace_ms);
         }
@@ -277,7 +280,83 @@
 
     /// Forgets the targets whose entries have been gone for long enough.
     pub fn expire(&mut self, now: TimeMs) {
-        self.targets.retain(|target| target.forget_at.is_none_or(|at| now < at));
+        while let Some(index) =
+            self.targets.iter().position(|target| target.forget_at.is_some_and(|at| now >= at))
+        {
+            self.remove(now, index);
+        }
+        self.unlisted.retain(|unlisted| now.since_ms(unlisted.since) < UNLISTED_MS);
+    }
+
+    fn remove(&mut self, now: TimeMs, index: usize) {
+        let Target { entry, key, belief, .. } = self.targets.remove(index);
+        if belief.outlives_entry(now) {
+            self.keep_unlisted(now, key, entry.life, belief);
+        }
+    }
+
+    fn keep_unlisted(&mut self, now: TimeMs, target: ShortKey, life: u64, belief: TargetBelief) {
+        if self.unlisted.len() >= UNLISTED_MAX {
+            self.unlisted.remove(0);
+        }
+        self.unlisted.push(Unlisted { target, life, since: now, belief });
+    }
+
+    fn take_unlisted(&mut self, target: ShortKey, life: u64) -> TargetBelief {
+        let is_it = |unlisted: &Unlisted| (unlisted.target, unlisted.life) == (target, life);
+        match self.unlisted.iter().position(is_it) {
+            Some(index) => self.unlisted.remove(index).belief,
+            None => TargetBelief::default(),
+        }
+    }
+
+    /// Returns what is believed of a life of a target, whether or not it is listed.
+    fn belief_mut(&mut self, now: TimeMs, target: ShortKey, life: u64) -> &mut TargetBelief {
+        let is_it = |known: &Target| (known.key, known.entry.life) == (target, life);
+        if let Some(index) = self.targets.iter().position(is_it) {
+            return &mut self.targets[index].belief;
+        }
+        let belief = self.take_unlisted(target, life);
+        self.keep_unlisted(now, target, life, belief);
+        let last = self.unlisted.len() - 1;
+        &mut self.unlisted[last].belief
+    }
+
+    /// Takes in that a target said in an answer that it leaves; returns whether that is news.
+    pub fn leaves(&mut self, now: TimeMs, chosen: &Chosen) -> bool {
+        let key = ShortKey::of(&chosen.id);
+        self.belief_mut(now, key, chosen.life).leaves(now, LeavingSource::Answer)
+    }
+
+    /// Takes in that another host knows that a target leaves; returns whether that is news.
+    pub fn told_leaving(&mut self, now: TimeMs, leaving: LeavingTarget) -> bool {
+        let LeavingTarget { target, life } = leaving;
+        self.belief_mut(now, target, life).leaves(now, LeavingSource::Peer)
+    }
+
+    /// Takes in that a target wants nothing from this host for `pause_ms`.
+    pub fn pause(&mut self, now: TimeMs, chosen: &Chosen, pause_ms: u64) {
+        let key = ShortKey::of(&chosen.id);
+        self.belief_mut(now, key, chosen.life).pause(now, pause_ms);
+    }
+
+    /// Returns the targets of which others should be told that they leave.
+    pub fn leaving_to_tell(&self, now: TimeMs) -> Vec<LeavingTarget> {
+        let listed = self.targets.iter().map(|known| (known.key, known.entry.life, &known.belief));
+        let unlisted = self.unlisted.iter().map(|known| (known.target, known.life, &known.belief));
+        let told = listed.chain(unlisted).filter(|(_, _, belief)| belief.is_to_be_told(now));
+        told.map(|(target, life, _)| LeavingTarget { target, life }).collect()
+    }
+
+    /// Returns when the first pause ends, if all that could take a request asked for one.
+    pub fn paused_until(&mut self, now: TimeMs, need: &Need) -> Option<TimeMs> {
+        if !self.targets.iter().any(|target| target.belief.is_paused(now)) {
+            return None;
+        }
+        match self.choose(now, need) {
+            Tried::Paused { until } => Some(until),
+            _ => None,
+        }
     }
 
     /// Returns the target called `id`.
@@ -317,10 +396,12 @@
         let mut best: Option<(f64, usize)> = None;
         let mut runner_up: Option<(f64, usize)> = None;
         let mut usable = 0;
+        let mut paused_until: Option<TimeMs> = None;
         let favourite = need.affinity.and_then(|(hash, _)| self.favourite(now, need, hash));
         for (index, target) in self.targets.iter().enumerate() {
+            let target_use = target.belief.use_at(now);
             if target.entry.service != need.service
-                || !target.may_take(now)
+                || target_use == TargetUse::Never
                 || need.excluded.contains(&target.entry.id)
             {
                 continue;
@@ -331,6 +412,10 @@
                 }
                 continue;
             }
+            if let TargetUse::Paused { until } = target_use {
+                paused_until = Some(paused_until.map_or(until, |first| first.min(until)));
+                continue;
+            }
             tried = Tried::Full;
             if !target.health.is_usable(now) || !target.has_place(now, need) {
                 continue;
@@ -347,6 +432,9 @@
                 runner_up = Some((cost_ms, index));
             }
         }
+        if let (Some(until), true) = (paused_until, tried != Tried::Full) {
+            return Tried::Paused { until };
+        }
         best.map_or(tried, |(cost_ms, index)| {
             let target = &self.targets[index];
             let named = |(cost_ms, index): (f64, usize)| {
@@ -426,11 +514,11 @@
     }
 
     /// Forgets a target whose address has been taken over by another process.
-    pub fn misdirected(&mut self, chosen: &Chosen) {
+    pub fn misdirected(&mut self, now: TimeMs, chosen: &Chosen) {
         if let Ok(index) = self.position(&chosen.id)
             && self.targets[index].entry.life == chosen.life
         {
-            self.targets.remove(index);
+            self.remove(now, index);
         }
     }
 
@@ -527,7 +615,9 @@
     /// Returns the target that all hosts prefer for a prompt.
     fn favourite(&self, now: TimeMs, need: &Need, hash: u64) -> Option<usize> {
         let holders = self.targets.iter().enumerate().filter(|(_, target)| {
-            target.entry.service == need.service && target.is_ready() && target.holds(now, need)
+            target.entry.service == need.service
+                && target.belief.use_at(now) == TargetUse::Free
+                && target.holds(now, need)
         });
         holders
             .max_by_key(|(_, target)| {
@@ -553,16 +643,16 @@
 }
 
 impl Target {
-    fn new(entry: TargetEntry, key: ShortKey) -> Target {
+    fn new(entry: TargetEntry, key: ShortKey, belief: TargetBelief) -> Target {
         Target {
             entry,
             key,
+            belief,
             health: TargetHealth::default(),
             here: Vec::new(),
             elsewhere: Vec::new(),
             announced: Vec::new(),
             full_until: TimeMs::default(),
-            leaving_since: None,
             forget_at: None,
             refused: Vec::new(),
         }
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -69,14 +69,15 @@
     AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, CallerLimits, Choice, Chosen,
     Confirmation, Counters, CustomerKey, CustomerRate, DemandTable, Deployment, EngineLimits,
     EngineModel, EngineOperation, EngineView, EventBoundary, Hearing, HostRecord, HostSign,
-    HostTable, KeyDigest, KnownHost, LeaseExpect, LeaseRecord, LeaseStep, ModelDemand, Need,
-    OrderLease, OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer, PeerNews, PeerReport, PeerState,
-    PeerTable, PlacementLog, RateUnit, RatedCustomer, ReportLayout, ReportPace, ReportedLease,
-    ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes,
-    RunningAt, Scope, ServiceRoute, Settling, SharedBucket, SharedWatch, ShortKey, StoreAbsence,
-    Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetEntry, TargetFailure,
-    TargetHealth, TargetService, TargetState, TargetTable, ToldLog, Tried, WaitQueue, Waiting,
-    WantedName, WeightedService,
+    HostTable, KeyDigest, KnownHost, LeaseExpect, LeaseRecord, LeaseStep, LeavingSource,
+    LeavingTarget, ModelDemand, Need, OrderLease, OwnCounts, PEER_ALIVE_MS, PartnerRole, Peer,
+    PeerNews, PeerReport, PeerState, PeerTable, PlacementLog, RateUnit, RatedCustomer,
+    ReportLayout, ReportPace, ReportedLease, ReportedPlacement, Residency, ResidentModel,
+    ResidentView, RetryShare, RouteKind, RunTimes, RunningAt, Scope, ServiceRoute, Settling,
+    SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums, SwapAction, SwapOrder, SwapPlan,
+    SwapPlanner, Target, TargetBelief, TargetEntry, TargetFailure, TargetHealth, TargetService,
+    TargetState, TargetTable, TargetUse, ToldLog, Tried, WaitQueue, Waiting, WantedName,
+    WeightedService,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- /dev/null
+++ b/crates/lycheeford-policy/tests/gateway/beliefs.rs
@@ -0,0 +1,241 @@
+//! What a host sends to targets that leave or ask for a pause, whoever said so.
+
+use lycheeford_policy::{
+    Choice, Chosen, LeavingTarget, Need, ShortKey, TargetEntry, TargetState, TargetTable, Tried,
+    WaitQueue, Waiting,
+};
+
+use crate::world::{at, entry, name, need};
+
+const LIFE: u64 = 1;
+
+fn at_target(id: &str, life: u64) -> Chosen {
+    Chosen {
+        id: name(id),
+        life,
+        address: ([127, 0, 0, 1], 9_000).into(),
+        running: 0,
+        choice: Choice::default(),
+    }
+}
+
+/// What happens to the target `t1`, in order, each at its moment.
+#[derive(Clone, Copy)]
+enum Step {
+    Listed(TargetState, u64),
+    ListedAgainAs(u64),
+    Unlisted,
+    Leaves { life: u64 },
+    ToldLeaving { life: u64 },
+    Pauses { life: u64, pause_ms: u64 },
+}
+
+fn take(targets: &mut TargetTable, ms: u64, step: Step) {
+    let listed = |state, life| TargetEntry { state, life, ..entry("t1", &["m1"]) };
+    match step {
+        Step::Listed(state, life) => targets.put(at(ms), listed(state, life)),
+        Step::ListedAgainAs(life) => targets.put(at(ms), listed(TargetState::Ready, life)),
+        Step::Unlisted => targets.gone(at(ms), "t1", 0),
+        Step::Leaves { life } => {
+            targets.leaves(at(ms), &at_target("t1", life));
+        }
+        Step::ToldLeaving { life } => {
+            targets.told_leaving(at(ms), LeavingTarget { target: ShortKey::of("t1"), life });
+        }
+        Step::Pauses { life, pause_ms } => targets.pause(at(ms), &at_target("t1", life), pause_ms),
+    }
+}
+
+/// What choosing a target finds.
+#[derive(Debug, PartialEq)]
+enum Found {
+    Target,
+    Paused { until_ms: u64 },
+    Nothing,
+}
+
+fn found(targets: &mut TargetTable, ms: u64, need: &Need) -> Found {
+    match targets.choose(at(ms), need) {
+        Tried::Chosen(_) => Found::Target,
+        Tried::Paused { until } => Found::Paused { until_ms: until.as_ms() },
+        _ => Found::Nothing,
+    }
+}
+
+struct BeliefCase {
+    what: &'static str,
+    steps: &'static [(u64, Step)],
+    /// What is found at some moments.
+    found: &'static [(u64, Found)],
+}
+
+const READY: Step = Step::Listed(TargetState::Ready, LIFE);
+
+const CASES: [BeliefCase; 12] = [
+    BeliefCase {
+        what: "it leaves by an answer while the list says that it is ready",
+        steps: &[(0, READY), (100, Step::Leaves { life: LIFE }), (500, READY), (1_500, READY)],
+        found: &[(101, Found::Target), (799, Found::Target), (800, Found::Nothing)],
+    },
+    BeliefCase {
+        what: "another host says that it leaves",
+        steps: &[(0, READY), (100, Step::ToldLeaving { life: LIFE })],
+        found: &[(799, Found::Target), (801, Found::Nothing), (60_000, Found::Nothing)],
+    },
+    BeliefCase {
+        what: "several say so, and none gives it more time",
+        steps: &[
+            (0, READY),
+            (100, Step::Leaves { life: LIFE }),
+            (600, Step::ToldLeaving { life: LIFE }),
+            (700, Step::Listed(TargetState::Leaving { remaining_ms: None }, LIFE)),
+        ],
+        found: &[(799, Found::Target), (800, Found::Nothing)],
+    },
+    BeliefCase {
+        what: "its entry lapses and comes back",
+        steps: &[
+            (0, READY),
+            (100, Step::Leaves { life: LIFE }),
+            (200, Step::Unlisted),
+            (3_000, READY),
+        ],
+        found: &[(3_001, Found::Nothing)],
+    },
+    BeliefCase {
+        what: "it is heard of before it is listed",
+        steps: &[(0, Step::ToldLeaving { life: LIFE }), (900, READY)],
+        found: &[(901, Found::Nothing)],
+    },
+    BeliefCase {
+        what: "it starts again under its id",
+        steps: &[(0, READY), (100, Step::Leaves { life: LIFE }), (900, Step::ListedAgainAs(2))],
+        found: &[(899, Found::Nothing), (901, Found::Target)],
+    },
+    BeliefCase {
+        what: "an answer of the life before comes late",
+        steps: &[
+            (0, READY),
+            (100, Step::ListedAgainAs(2)),
+            (200, Step::Leaves { life: LIFE }),
+            (200, Step::Pauses { life: LIFE, pause_ms: 5_000 }),
+        ],
+        found: &[(300, Found::Target), (2_000, Found::Target)],
+    },
+    BeliefCase {
+        what: "it asks for a pause",
+        steps: &[(0, READY), (100, Step::Pauses { life: LIFE, pause_ms: 1_500 }), (900, READY)],
+        found: &[
+            (101, Found::Paused { until_ms: 1_600 }),
+            (1_599, Found::Paused { until_ms: 1_600 }),
+            (1_600, Found::Target),
+        ],
+    },
+    BeliefCase {
+        what: "a shorter pause doesn't end a longer one",
+        steps: &[
+            (0, READY),
+            (100, Step::Pauses { life: LIFE, pause_ms: 1_500 }),
+            (200, Step::Pauses { life: LIFE, pause_ms: 10 }),
+        ],
+        found: &[(1_000, Found::Paused { until_ms: 1_600 })],
+    },
+    BeliefCase {
+        what: "its entry lapses and comes back in a pause",
+        steps: &[
+            (0, READY),
+            (100, Step::Pauses { life: LIFE, pause_ms: 1_500 }),
+            (200, Step::Unlisted),
+            (300, READY),
+        ],
+        found: &[(400, Found::Paused { until_ms: 1_600 })],
+    },
+    BeliefCase {
+        what: "it starts again in a pause",
+        steps: &[
+            (0, READY),
+            (100, Step::Pauses { life: LIFE, pause_ms: 60_000 }),
+            (200, Step::ListedAgainAs(2)),
+        ],
+        found: &[(300, Found::Target)],
+    },
+    BeliefCase {
+        what: "it leaves in a pause",
+        steps: &[
+            (0, READY),
+            (100, Step::Pauses { life: LIFE, pause_ms: 400 }),
+            (200, Step::Leaves { life: LIFE }),
+        ],
+        found: &[
+            (300, Found::Paused { until_ms: 500 }),
+            (600, Found::Target),
+            (900, Found::Nothing),
+        ],
+    },
+];
+
+#[test]
+fn a_target_gets_only_what_it_wants_whoever_said_so() {
+    for BeliefCase { what, steps, found: expected } in CASES {
+        for (ms, expected) in expected {
+            let mut targets = TargetTable::default();
+            for (step_ms, step) in steps.iter().filter(|(step_ms, _)| step_ms <= ms) {
+                take(&mut targets, *step_ms, *step);
+            }
+            assert_eq!(found(&mut targets, *ms, &need("m1")), *expected, "{what}, {ms} ms");
+        }
+    }
+}
+
+#[test]
+fn what_waits_for_a_paused_target_goes_elsewhere_or_learns_when() {
+    let mut targets = TargetTable::default();
+    targets.put(at(0), TargetEntry { slots: 1, ..entry("t1", &["m1", "m2"]) });
+    targets.put(at(0), TargetEntry { slots: 1, ..entry("t2", &["m1"]) });
+    let mut queue = WaitQueue::default();
+    let taken = [at_target("t1", LIFE), at_target("t2", LIFE)];
+    for taken in &taken {
+        targets.started(taken, Some(&name("m1")), 10);
+    }
+    for (id, model) in [(1, "m1"), (2, "m2")] {
+        queue.push(Waiting { id, need: need(model), priority: 0, arrived_at: at(0) });
+    }
+    targets.pause(at(1), &taken[0], 900);
+    for taken in &taken {
+        targets.ended(taken, Some(&name("m1")), 10);
+    }
+    let dispatched = queue.dispatch(at(10), &mut targets);
+    assert_eq!(dispatched.len(), 1);
+    assert_eq!((dispatched[0].0, &dispatched[0].1.id), (1, &name("t2")));
+    // Only t1 holds the other model.
+    assert_eq!(targets.paused_until(at(10), &need("m2")), Some(at(901)));
+    assert_eq!(targets.paused_until(at(10), &need("m1")), None, "t2 is only full");
+    assert_eq!(targets.paused_until(at(901), &need("m2")), None);
+}
+
+#[test]
+fn others_are_told_of_a_leaving_target_once() {
+    let (mut first, mut second) = (TargetTable::default(), TargetTable::default());
+    for targets in [&mut first, &mut second] {
+        targets.put(at(0), entry("t1", &["m1"]));
+    }
+    assert!(first.leaves(at(10), &at_target("t1", LIFE)));
+    assert!(!first.leaves(at(20), &at_target("t1", LIFE)));
+    let told = first.leaving_to_tell(at(30));
+    assert_eq!(told, [LeavingTarget { target: ShortKey::of("t1"), life: LIFE }]);
+    assert!(second.told_leaving(at(40), told[0]));
+    assert!(!second.told_leaving(at(50), told[0]));
+    assert!(!first.told_leaving(at(60), told[0]));
+    // What one tells the other doesn't go round for ever.
+    assert!(first.leaving_to_tell(at(6_000)).is_empty());
+    assert!(second.leaving_to_tell(at(6_000)).is_empty());
+}
+
+#[test]
+fn a_pause_is_told_to_nobody() {
+    let mut targets = TargetTable::default();
+    targets.put(at(0), entry("t1", &["m1"]));
+    targets.pause(at(10), &at_target("t1", LIFE), 1_000);
+    assert!(targets.leaving_to_tell(at(20)).is_empty());
+    assert!(targets.target("t1").unwrap().is_ready(), "its replicas still count");
+}
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -269,5 +269,6 @@
         lease: None,
         placements: Vec::new(),
         placements_known: (0, 0),
+        leaving: Vec::new(),
     }
 }
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of a gateway, as tables of cases and as properties over random histories.
 
+mod beliefs;
 mod customer_rates;
 mod deployment;
 mod fleet;
--- a/crates/lycheeford/src/log_command.rs
+++ b/crates/lycheeford/src/log_command.rs
@@ -9,7 +9,7 @@
 use crate::output;
 
 /// Events of a host that explain what happened to the requests that it had then.
-const HOST_EVENTS: [&str; 14] = [
+const HOST_EVENTS: [&str; 16] = [
     "started",
     "draining",
     "ended",
@@ -24,6 +24,8 @@
     "declaration_unreadable",
     "target_gone",
     "targets_listed",
+    "target_leaves",
+    "target_pauses",
 ];
 /// The events that end a request.
 const ENDS: [&str; 4] = ["answered", "refused", "stream_cut", "caller_left"];
