Count whole events alone as progress of a stream

Cause: the wait for the next event of a stream began anew with every byte. A stalled target that sends a byte or a comment now and then kept a resumable stream until its time-out, though another target could go on.

Change: the wait counts from the last whole event; a block of comments alone is passed on, and is none. One pause writes one line.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -151,6 +151,9 @@
         let Answering { place, response, sent_at, .. } = answering;
         let mut body = response.body;
         let mut is_first = true;
+        let mut is_paused = false;
+        // Only whole events count: a stalled target may send a byte or a comment now and then.
+        let mut progress_at = self.attempts.state.now();
         loop {
             let now = self.attempts.state.now();
             let final_at = self.attempts.admitted.final_at;
@@ -158,12 +161,13 @@
                 return End::OutOfTime;
             }
             let left_ms = final_at.since_ms(now);
-            let patience_ms = self.patience_ms(is_first, now).min(left_ms);
+            let idle_ms = now.since_ms(progress_at);
+            let patience_ms = self.patience_ms(is_first, now, idle_ms).min(left_ms);
             let next = timeout(Duration::from_millis(patience_ms), self.next(&mut body)).await;
             let next = match next {
                 Ok(next) => next,
                 Err(_) if patience_ms >= left_ms => return End::OutOfTime,
-                Err(_) => match self.wait_on(&place.chosen, &mut body).await {
+                Err(_) => match self.wait_on(&place.chosen, &mut body, &mut is_paused).await {
                     AfterPause::Next(next) => next,
                     AfterPause::Elsewhere(place) => {
                         return End::Moves(TargetError::out_of_time(patience_ms), place);
@@ -182,11 +186,13 @@
                 }
                 Next::Chunk(Ok(Some(chunk))) => chunk,
             };
+            let events_before = self.boundary.events();
             let whole = self.boundary.push(&chunk);
             if whole.is_empty() {
                 continue;
             }
-            if is_first {
+            let is_progress = self.boundary.events() > events_before;
+            if is_progress && is_first {
                 is_first = false;
                 self.note_first(&place.chosen, sent_at);
             }
@@ -196,6 +202,10 @@
             if !self.send(whole).await {
                 return End::HungUp;
             }
+            if is_progress {
+                is_paused = false;
+                progress_at = self.attempts.state.now();
+            }
         }
     }
 
@@ -203,10 +213,17 @@
     ///
     /// A target that is only busy goes on later; a stream that nobody else can
     /// go on with would be lost if it were cut for its silence.
-    async fn wait_on(&mut self, chosen: &Chosen, body: &mut TargetBody) -> AfterPause {
-        info!(self.attempts.state.log, "stream_paused";
-            "id" => self.attempts.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
-            "events" => self.boundary.events());
+    async fn wait_on(
+        &mut self,
+        chosen: &Chosen,
+        body: &mut TargetBody,
+        is_told: &mut bool,
+    ) -> AfterPause {
+        if !std::mem::replace(is_told, true) {
+            info!(self.attempts.state.log, "stream_paused";
+                "id" => self.attempts.admitted.request.id.as_str(),
+                "target" => chosen.id.as_str(), "events" => self.boundary.events());
+        }
         if self.attempts.could_repeat() {
             self.attempts.exclude(chosen);
             let after_pause = self.next_or_place(body).await;
@@ -248,16 +265,18 @@
         self.sender.send(bytes).await.is_ok()
     }
 
-    /// Returns how long to wait for the next bytes.
-    fn patience_ms(&self, is_first: bool, now: TimeMs) -> u64 {
+    /// Returns how long to wait for the next event, the last of which came `idle_ms` ago.
+    fn patience_ms(&self, is_first: bool, now: TimeMs, idle_ms: u64) -> u64 {
         let admitted = &self.attempts.admitted;
         if !admitted.route.kind.is_repeatable() {
             return admitted.final_at.since_ms(now);
         }
-        if is_first {
-            return self.attempts.first_byte_ms_max(now);
-        }
-        (admitted.route.pause_ms_max * STALL_FACTOR).max(STALL_MS_MIN)
+        let patience_ms = if is_first {
+            self.attempts.first_byte_ms_max(now)
+        } else {
+            (admitted.route.pause_ms_max * STALL_FACTOR).max(STALL_MS_MIN)
+        };
+        patience_ms.saturating_sub(idle_ms)
     }
 
     async fn next(&self, body: &mut TargetBody) -> Next {
--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -19,6 +19,8 @@
     scanned: usize,
     line_start: usize,
     pending_id: Option<String>,
+    /// Whether the event that isn't whole yet has a line that isn't a comment.
+    has_field: bool,
     last_id: Option<String>,
     events: u64,
 }
@@ -34,12 +36,13 @@
             let line = trim_carriage_return(&self.pending[self.line_start..end]);
             if line.is_empty() {
                 whole_bytes = end + 1;
-                self.events += 1;
+                self.events += u64::from(std::mem::take(&mut self.has_field));
                 if self.pending_id.is_some() {
                     self.last_id = self.pending_id.take();
                 }
-            } else if let Some(id) = event_id(line) {
-                self.pending_id = Some(id);
+            } else {
+                self.has_field |= !line.starts_with(b":");
+                self.pending_id = event_id(line).or(self.pending_id.take());
             }
             self.scanned = end + 1;
             self.line_start = end + 1;
@@ -56,6 +59,7 @@
         self.scanned = 0;
         self.line_start = 0;
         self.pending_id = None;
+        self.has_field = false;
         std::mem::take(&mut self.pending)
     }
 
@@ -64,7 +68,7 @@
         self.last_id.as_deref()
     }
 
-    /// Returns how many whole events there were.
+    /// Returns how many whole events there were; comments alone are none.
     pub fn events(&self) -> u64 {
         self.events
     }
