Tell hosts the changes of the list of targets, so that few ask the store

Every relay watched, every other host asked after each change, since it was told only that there was one.

Change: `TargetLog`. Who asked the store tells the others what changed, without a gap, and they tell it on; who lacks a change for 0.6 s asks itself. Only the holder of orders and one more host watch closely.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -8,9 +8,9 @@
 use crate::state::State;
 
 /// The part of the life of a confirmation for which a host relies on others to renew it.
-///
-/// A host that others can't reach must hear of a change from the store in time.
-const RELY_PART: f64 = 0.62;
+const RELY_PART: f64 = 0.75;
+/// How much earlier than a declaration must be in force a host that hears nobody asks for it.
+const DECLARATION_MARGIN_MS: u64 = 300;
 
 /// Keeps the declaration up to date until the future is dropped.
 pub(crate) async fn follow_deployment(state: Arc<State>) {
@@ -43,6 +43,7 @@
         return 0;
     }
     let rely_ms = (state.confirmation_ms_max() as f64 * RELY_PART) as u64;
+    let rely_ms = rely_ms.min(state.settings.declaration_ms.saturating_sub(DECLARATION_MARGIN_MS));
     let age_ms = state.confirmation().age_ms(now);
     age_ms.map_or(0, |age_ms| rely_ms.saturating_sub(age_ms))
 }
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use lycheeford_platform::{Change, Object, Rest, Update, WatchEvent, follow_at_pace};
-use lycheeford_policy::{StoreAbsence, TargetEntry, TimeMs};
+use lycheeford_platform::{Change, Listing, Object, Rest, Update, WatchEvent, follow_at_pace};
+use lycheeford_policy::{SharedWatch, StoreAbsence, TargetChange, TargetEntry, TimeMs};
 use slog::{info, warn};
 
 use super::store_loss::StoreLoss;
@@ -12,9 +12,9 @@
 /// The rest after changes of targets at the holder of orders, and at hosts that watch for others.
 const HOLDER_REST_MS: u64 = 50;
 const WATCHER_REST_MS: u64 = 200;
-/// The rest of a host that hears from others when there is news, and the least one before it asks
-/// for them: many targets may come or go at once.
-const LISTENER_REST_MS: u64 = 5_000;
+/// The rest of a host that hears from others what changes, within the history that the store keeps,
+/// and the least one before it asks again while they don't tell it.
+const LISTENER_REST_MS: u64 = 12_000;
 const LISTENER_REST_MS_MIN: u64 = 600;
 /// How often such a host looks whether there is news, or the others no longer ask.
 const LISTENER_LOOK_MS: u64 = 150;
@@ -26,6 +26,7 @@
     let mut absence = StoreAbsence::default();
     let limits = follow_limits(TARGETS_WAIT_MS);
     let loss = StoreLoss::new(&state, edge.target_kind());
+    let mut after = 0;
     follow_at_pace(
         edge.objects(),
         edge.target_kind(),
@@ -36,7 +37,8 @@
             let now = state.now();
             let grace_ms =
                 absence.grace_ms(now, update.failing_since, state.settings.entry_return_ms);
-            take_update(&state, update, grace_ms);
+            let revision = update.revision;
+            take_update(&state, update, std::mem::replace(&mut after, revision), grace_ms);
         },
         |error| loss.failed(error),
         &state.target_pace,
@@ -58,35 +60,31 @@
     if state.membership().watches_targets(now, &state.settings.host) {
         return after_change_ms(WATCHER_REST_MS).saturating_sub(rest.rested_ms);
     }
-    let may_rest = state.target_watch().may_rest(now);
+    let news_ms_max = SharedWatch::news_ms_max(state.settings.target_leave_ms);
+    let may_rest = state.target_news().watch.may_rest(now, news_ms_max);
     let rest_ms = if may_rest { LISTENER_REST_MS } else { after_change_ms(LISTENER_REST_MS_MIN) };
     rest_ms.saturating_sub(rest.rested_ms).min(LISTENER_LOOK_MS)
 }
 
-fn take_update(state: &State, update: Update, grace_ms: u64) {
+/// Takes in what the store said of the targets after the revision `after`.
+fn take_update(state: &State, update: Update, after: u64, grace_ms: u64) {
     let now = state.now();
-    let mut changed = 0;
     let Update { as_of, revision, change, .. } = update;
-    match change {
-        Change::Replace(listing) => {
-            let entries = listing.objects.iter().filter_map(|object| read(state, object));
-            let entries: Vec<TargetEntry> = entries.collect();
-            info!(state.log, "targets_listed"; "targets" => entries.len(), "grace_ms" => grace_ms);
-            let mut dispatcher = state.dispatcher();
-            if dispatcher.targets.is_other_set(&entries) {
-                changed = revision;
-            }
-            dispatcher.targets.replace(now, entries, grace_ms);
-        }
-        Change::Apply(events) => {
-            for event in events {
-                if apply(state, now, &event, grace_ms) {
-                    changed = event.version().max(changed);
-                }
-            }
+    let known_at = state.target_news().watch.asked_at().unwrap_or(now);
+    state.dispatcher().targets.leave_by(known_at + state.target_use_ms_max());
+    let changes = match change {
+        Change::Replace(listing) => replace(state, now, &listing, grace_ms),
+        Change::Apply(events) => apply_all(state, now, &events, revision, grace_ms),
+    };
+    {
+        let mut news = state.target_news();
+        match changes {
+            Some(changes) => news.log.asked(after, revision, changes),
+            None => news.log.restart(revision),
         }
+        let (known, newest) = (news.log.known(), news.log.changed());
+        news.watch.asked(as_of, known, newest);
     }
-    state.target_watch().asked(as_of, revision, changed);
     state.set_knows_targets();
     let has_news = {
         let mut dispatcher = state.dispatcher();
@@ -101,20 +99,69 @@
     state.wake_planner();
 }
 
-/// Takes in a change; returns whether it matters to hosts that don't give orders.
-fn apply(state: &State, now: TimeMs, event: &WatchEvent, grace_ms: u64) -> bool {
+/// Takes over the whole list; returns what it changes that matters to hosts that don't give orders.
+///
+/// What is gone only for a while after an outage isn't told; the others ask themselves.
+fn replace(
+    state: &State,
+    now: TimeMs,
+    listing: &Listing,
+    grace_ms: u64,
+) -> Option<Vec<(u64, TargetChange)>> {
+    let entries = listing.objects.iter().filter_map(|object| read(state, object));
+    let entries: Vec<TargetEntry> = entries.collect();
+    info!(state.log, "targets_listed"; "targets" => entries.len(), "grace_ms" => grace_ms);
+    let mut dispatcher = state.dispatcher();
+    let other = entries.iter().filter(|entry| dispatcher.targets.is_other(entry));
+    let mut changes: Vec<TargetChange> = other.cloned().map(TargetChange::Put).collect();
+    let missing = dispatcher.targets.missing_from(&entries);
+    let is_told = missing.is_empty() || grace_ms == 0;
+    changes.extend(missing.into_iter().map(TargetChange::Gone));
+    dispatcher.targets.replace(now, entries, grace_ms);
+    let revision = listing.revision;
+    is_told.then(|| changes.into_iter().map(|change| (revision, change)).collect())
+}
+
+/// Takes in changes; returns those that matter to hosts that don't give orders.
+///
+/// What is gone only for a while after an outage isn't told; the others ask themselves.
+fn apply_all(
+    state: &State,
+    now: TimeMs,
+    events: &[WatchEvent],
+    revision: u64,
+    grace_ms: u64,
+) -> Option<Vec<(u64, TargetChange)>> {
+    let mut changes = Vec::new();
+    let mut is_deletion_seen = false;
+    for event in events {
+        let change = apply(state, now, event, grace_ms);
+        let is_deletion = matches!(event, WatchEvent::Deleted { .. });
+        if is_deletion && grace_ms > 0 {
+            return None;
+        }
+        is_deletion_seen |= is_deletion;
+        // A deletion may carry the revision of the change before it; it happened by the end.
+        let version = if is_deletion_seen { revision } else { event.version() };
+        changes.extend(change.map(|change| (version, change)));
+    }
+    Some(changes)
+}
+
+/// Takes in a change; returns it if it matters to hosts that don't give orders.
+fn apply(state: &State, now: TimeMs, event: &WatchEvent, grace_ms: u64) -> Option<TargetChange> {
     match event {
         WatchEvent::Put(object) => {
-            let Some(entry) = read(state, object) else { return false };
+            let entry = read(state, object)?;
             let mut dispatcher = state.dispatcher();
             let matters = dispatcher.targets.is_other(&entry);
-            dispatcher.targets.put(now, entry);
-            matters
+            dispatcher.targets.put(now, entry.clone());
+            matters.then_some(TargetChange::Put(entry))
         }
         WatchEvent::Deleted { name, .. } => {
             info!(state.log, "target_gone"; "target" => name.as_str(), "grace_ms" => grace_ms);
             state.dispatcher().targets.gone(now, name, grace_ms);
-            true
+            Some(TargetChange::Gone(name.clone()))
         }
     }
 }
--- /dev/null
+++ b/crates/lycheeford-gateway/src/fleet/target_news.rs
@@ -0,0 +1,44 @@
+use lycheeford_policy::{PeerReport, SharedWatch, TargetChange, TargetLog};
+use slog::info;
+
+use crate::state::State;
+
+/// What this host knows of the list of targets by the store and by others.
+#[derive(Debug, Default)]
+pub(crate) struct TargetNews {
+    pub(crate) watch: SharedWatch,
+    pub(crate) log: TargetLog,
+}
+
+/// Takes in the changes of the list of targets that another host told.
+pub(crate) fn take_told_changes(state: &State, report: &PeerReport) {
+    let now = state.now();
+    let Some(told) = report.target_changes.clone() else { return };
+    let (changes, known_at) = {
+        let mut news = state.target_news();
+        (news.log.take(told), news.watch.asked_at())
+    };
+    if changes.is_empty() {
+        return;
+    }
+    let use_ms_max = state.target_use_ms_max();
+    let has_news = {
+        let mut dispatcher = state.dispatcher();
+        dispatcher.targets.leave_by(known_at.unwrap_or(now) + use_ms_max);
+        for change in changes {
+            match change {
+                TargetChange::Put(entry) => dispatcher.targets.put_told(now, entry),
+                TargetChange::Gone(name) => {
+                    info!(state.log, "target_gone"; "target" => name.as_str(), "grace_ms" => 0);
+                    dispatcher.targets.gone(now, &name, 0);
+                }
+            }
+        }
+        state.orders().refresh(&dispatcher.targets)
+    };
+    if has_news {
+        state.wake_wants();
+    }
+    state.dispatch_waiting();
+    state.wake_planner();
+}
--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -58,10 +58,18 @@
     info!(state.log, "host_registered"; "incarnation" => state.incarnation);
     let started_at = state.now();
     let mut silent = Silent::default();
+    let mut is_listed = false;
     loop {
-        let listed = state.edges.store.objects().list(HOST_KIND).await;
+        // Hosts that an older list lacks report to those that are listed.
+        let objects = state.edges.store.objects();
+        let listed = if is_listed {
+            objects.list_cached(HOST_KIND).await
+        } else {
+            objects.list(HOST_KIND).await
+        };
         match listed {
             Ok(listing) => {
+                is_listed = true;
                 silent.take_listing(&state, &listing);
                 // Without the list it doesn't know of how many hosts it is one.
                 state.set_registered();
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -3,11 +3,14 @@
 };
 use slog::info;
 
+use crate::fleet::take_told_changes;
 use crate::request::take_leaving;
 use crate::state::State;
 
 /// Placements that one report tells at most.
 const PLACEMENTS_MAX: usize = 500;
+/// Changes of the list of targets that one report tells at most; the next ones tell the rest.
+const TARGET_CHANGES_MAX: usize = 24;
 
 /// What is the same in all reports that are sent at one time.
 #[derive(Debug, Clone)]
@@ -49,7 +52,10 @@
             membership.settling.is_settled()
         };
         let confirmation = *state.confirmation();
-        let watch = *state.target_watch();
+        let (watch, targets_known) = {
+            let news = state.target_news();
+            (news.watch, news.log.known())
+        };
         let report = PeerReport {
             sender: state.settings.record(),
             incarnation: state.incarnation,
@@ -71,6 +77,8 @@
             lease: own_lease(state).or_else(|| state.membership().lease(now)),
             placements: Vec::new(),
             placements_known,
+            targets_known,
+            target_changes: None,
             leaving,
         };
         Common { report, own }
@@ -86,6 +94,7 @@
         let now = state.now();
         let mut report = self.report.clone();
         let mut placements_known = (0, 0);
+        let mut targets_known = None;
         {
             let membership = state.membership();
             (report.scope, report.sums) = match role {
@@ -100,8 +109,11 @@
                     report.suspects.clear();
                 }
                 placements_known = peer.report.placements_known;
+                targets_known = Some(peer.report.targets_known);
             }
         }
+        report.target_changes = targets_known
+            .and_then(|known| state.target_news().log.since(known, TARGET_CHANGES_MAX));
         let (token, version) = placements_known;
         if token <= report.placements_known.0 {
             let version = if token == report.placements_known.0 { version } else { 0 };
@@ -160,6 +172,7 @@
         let mut orders = state.orders();
         orders.lease.heard(now, &lease.holder, lease.revision, lease.renewed_age_ms);
     }
+    take_told_changes(state, report);
     hear_of_store(state, report);
     if news.is_counted {
         take_levels(state, report, &news);
@@ -228,7 +241,9 @@
         (Some(echo), Some(age_ms)) => Some(echo - age_ms),
         _ => None,
     };
-    state.target_watch().heard(report.targets_changed, as_of);
+    let mut news = state.target_news();
+    let known = news.log.known();
+    news.watch.heard(state.now(), known, report.targets_changed, as_of);
 }
 
 fn take_asked(state: &State, asked: &[(ShortKey, f64)]) {
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 
 use lycheeford_policy::{
-    HostRecord, HostTable, Name, PartnerRole, PeerState, PeerTable, ReportedLease, Settling,
-    ShortKey, TimeMs, ToldLog, WantedName, rendezvous_rank,
+    HostRecord, HostTable, Name, PeerState, PeerTable, ReportedLease, Settling, ShortKey, TimeMs,
+    ToldLog, WantedName, rendezvous_rank,
 };
 
 use super::wire::Wants;
@@ -13,8 +13,8 @@
 const TELL_MS: u64 = 200;
 /// How old a lease that was told may be before nobody is taken for its holder.
 const LEASE_MS_MAX: u64 = 10_000;
-/// How many hosts watch the store for the others, where each hears every other one.
-const WATCHERS: usize = 3;
+/// How many hosts ask the store for the others whether the declaration is the newest.
+const DECLARATION_WATCHERS: usize = 2;
 
 /// The other hosts, what they told, and what they wait for.
 #[derive(Debug)]
@@ -189,16 +189,17 @@
 
     /// Returns whether this host asks the store for others whether a newer declaration exists.
     pub(crate) fn watches_declaration(&self, now: TimeMs, me: &Name) -> bool {
-        self.rank(now, "watch", me) < WATCHERS
+        self.rank(now, "watch", me) < DECLARATION_WATCHERS
     }
 
-    /// Returns whether this host watches the targets closely for others.
-    ///
-    /// News of targets must come sooner than through several hosts, so that each relay asks.
+    /// Returns whether this host watches the targets closely for others, beside the holder of orders.
     pub(crate) fn watches_targets(&self, now: TimeMs, me: &Name) -> bool {
-        let layout = self.peers.layout();
-        let passes_on = layout.partners().iter().any(|(_, role)| *role == PartnerRole::Member);
-        passes_on || (layout.is_relay() && self.watches_declaration(now, me))
+        let holder = self.lease(now).map(|lease| lease.holder);
+        let ready = self.ready(now).map(|record| &record.host);
+        let mut hosts: Vec<Name> =
+            ready.filter(|host| Some(*host) != holder.as_ref()).cloned().collect();
+        hosts.push(me.clone());
+        rendezvous_rank("targets", &hosts).first() == Some(&me)
     }
 
     /// Forgets a host that is known to be gone.
--- a/crates/lycheeford-gateway/src/membership/wire/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/mod.rs
@@ -7,6 +7,7 @@
 mod host;
 mod orders;
 mod report;
+mod targets;
 #[cfg(test)]
 mod tests;
 
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -1,12 +1,13 @@
 use lycheeford_policy::{
     HostRecord, HostSign, LeavingTarget, Name, PeerReport, ReportedLease, ReportedPlacement,
-    RunningAt, Scope, ShortKey, Sums, TimeMs,
+    RunningAt, Scope, ShortKey, Sums, TimeMs, ToldChanges,
 };
 use snafu::OptionExt;
 
 use super::counts::{WireCount, WireRunning};
 use super::host::{WireHost, WireSign, state_from_wire, state_to_wire};
 use super::orders::{WireLease, WirePlacement};
+use super::targets::WireToldChanges;
 use super::{DecodeError, FieldSnafu};
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -61,6 +62,10 @@
     is_settled: bool,
     #[prost(message, repeated, tag = "25")]
     leaving: Vec<WireLeaving>,
+    #[prost(uint64, tag = "26")]
+    targets_known: u64,
+    #[prost(message, optional, tag = "27")]
+    target_changes: Option<WireToldChanges>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -107,6 +112,8 @@
             suspects_digest: report.suspects_digest,
             is_settled: report.is_settled,
             leaving: report.leaving.into_iter().map(WireLeaving::from).collect(),
+            targets_known: report.targets_known,
+            target_changes: report.target_changes.map(WireToldChanges::from),
         }
     }
 }
@@ -144,6 +151,8 @@
             suspects_digest: wire.suspects_digest,
             is_settled: wire.is_settled,
             leaving: wire.leaving.into_iter().map(LeavingTarget::from).collect(),
+            targets_known: wire.targets_known,
+            target_changes: wire.target_changes.map(ToldChanges::try_from).transpose()?,
         })
     }
 }
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -5,7 +5,8 @@
 use assert_matches::assert_matches;
 use lycheeford_policy::{
     HostRecord, HostSign, LeavingTarget, Name, PeerReport, PeerState, ReportedLease,
-    ReportedPlacement, RunningAt, Scope, ShortKey, Sums, TimeMs, WantedName,
+    ReportedPlacement, Residency, ResidentModel, RunningAt, Scope, ShortKey, Sums, TargetChange,
+    TargetEntry, TargetState, TimeMs, ToldChanges, WantedName,
 };
 
 use super::{DecodeError, Message, News, Wants, decode, encode};
@@ -24,6 +25,36 @@
     ReportedPlacement { target: ShortKey(1), name: ShortKey(2), version, is_ready: true }
 }
 
+fn target_changes() -> ToldChanges {
+    let entry = TargetEntry {
+        id: Name::from("i-1"),
+        revision: 30,
+        life: 1_700_000_000_123,
+        service: Name::from("models"),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        failure_domain: Name::from("b"),
+        state: TargetState::Leaving { remaining_ms: Some(0) },
+        slots: 4,
+        residency: Residency {
+            models: vec![ResidentModel {
+                name: Name::from("m1"),
+                adapters: vec![Name::from("a1"), Name::from("a2")],
+            }],
+            ..Residency::default()
+        },
+    };
+    let ready = TargetEntry { state: TargetState::Ready, ..entry.clone() };
+    ToldChanges {
+        after: 29,
+        up_to: 32,
+        changes: vec![
+            (30, TargetChange::Put(entry)),
+            (31, TargetChange::Gone(Name::from("i-2"))),
+            (32, TargetChange::Put(ready)),
+        ],
+    }
+}
+
 /// Returns a report in which no field has the value that a missing one would have.
 fn report(scope: Scope, state: PeerState) -> PeerReport {
     let sign = |record| HostSign { key: ShortKey(9), state, age_ms: 120, record };
@@ -63,6 +94,8 @@
         }),
         placements: vec![placement(8)],
         placements_known: (5, 8),
+        targets_known: 32,
+        target_changes: Some(target_changes()),
         leaving: vec![LeavingTarget { target: ShortKey(5), life: 1_700_000_000_123 }],
     }
 }
--- a/crates/lycheeford-gateway/src/operation/directory.rs
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -148,7 +148,7 @@
         (membership.hosts.alive(now).count(), told)
     };
     let declaration_age_ms = state.confirmation().age_ms(now);
-    let targets_age_ms = state.target_watch().age_ms(now);
+    let targets_age_ms = state.target_news().watch.age_ms(now);
     Known {
         declaration_age_ms,
         targets_age_ms,
--- a/crates/lycheeford-gateway/src/settings.rs
+++ b/crates/lycheeford-gateway/src/settings.rs
@@ -27,6 +27,10 @@
     pub address_keep_ms: u64,
     /// How long a key that was withdrawn may go on working anywhere.
     pub key_revoke_ms: u64,
+    /// How long after the store knows that a target leaves it may still get requests.
+    pub target_leave_ms: u64,
+    /// How long after the store knows a declaration it must be in force.
+    pub declaration_ms: u64,
     /// How long orders of two hosts must be apart.
     pub order_lease_ms: u64,
     /// The time from the signal to end until the process is killed.
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -7,12 +7,12 @@
 use lycheeford_platform::FollowPace;
 use lycheeford_policy::{
     Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, RetryShare, RunTimes,
-    SharedWatch, StopPlan, StopTimes, TimeMs,
+    StopPlan, StopTimes, TimeMs,
 };
 use lycheeford_target::{TargetClient, TargetLimits, Unframed};
 use slog::Logger;
 
-use crate::fleet::Dispatcher;
+use crate::fleet::{Dispatcher, TargetNews};
 use crate::membership::{Membership, Unsent};
 use crate::operation::metrics::Metrics;
 use crate::orders::Orders;
@@ -31,6 +31,8 @@
 const POOL_PER_TARGET_MAX: usize = 4;
 /// How long an unused connection to a target is kept.
 const POOL_IDLE_MS_MAX: u64 = 8_000;
+/// How long a request may be on its way to a target that leaves.
+const LEAVE_MARGIN_MS: u64 = 500;
 /// What is left of the grace when requests without an answer get a final one.
 const STOP_ANSWER_MS: u64 = 600;
 /// What is left of the grace when a stopping host ends whatever still runs.
@@ -42,7 +44,7 @@
 ///
 /// A task holds one lock at a time and never across an await. Where two are
 /// needed, the order is the order of the fields: `dispatcher`, `membership`,
-/// `orders`, `demand`, `rates`, `retries`, `run_times`, `suspects`, `confirmation`, `target_watch`,
+/// `orders`, `demand`, `rates`, `retries`, `run_times`, `suspects`, `confirmation`, `target_news`,
 /// `unsent`.
 pub(crate) struct State {
     pub(crate) settings: GatewaySettings,
@@ -64,7 +66,7 @@
     run_times: Mutex<RunTimes>,
     suspects: Mutex<CrashSuspects>,
     confirmation: Mutex<Confirmation>,
-    target_watch: Mutex<SharedWatch>,
+    target_news: Mutex<TargetNews>,
     unsent: Mutex<Unsent>,
     /// Ends the pauses between questions to the store.
     pub(crate) declaration_pace: FollowPace,
@@ -122,7 +124,7 @@
             run_times: Mutex::default(),
             suspects: Mutex::default(),
             confirmation: Mutex::default(),
-            target_watch: Mutex::default(),
+            target_news: Mutex::default(),
             unsent: Mutex::default(),
             declaration_pace: FollowPace::default(),
             target_pace: FollowPace::default(),
@@ -179,8 +181,8 @@
         lock(&self.confirmation)
     }
 
-    pub(crate) fn target_watch(&self) -> MutexGuard<'_, SharedWatch> {
-        lock(&self.target_watch)
+    pub(crate) fn target_news(&self) -> MutexGuard<'_, TargetNews> {
+        lock(&self.target_news)
     }
 
     pub(crate) fn unsent(&self) -> MutexGuard<'_, Unsent> {
@@ -192,6 +194,12 @@
         (self.settings.key_revoke_ms as f64 * CONFIRMATION_PART) as u64
     }
 
+    /// Returns how long a target that turns out to leave may be used after the last moment of
+    /// which this host knew all that matters.
+    pub(crate) fn target_use_ms_max(&self) -> u64 {
+        self.settings.target_leave_ms.saturating_sub(LEAVE_MARGIN_MS)
+    }
+
     /// Returns whether keys may be judged by the declaration that is known here.
     pub(crate) fn is_confirmed(&self, now: TimeMs) -> bool {
         let age_ms_max = self.confirmation_ms_max();
--- a/crates/lycheeford-platform/src/store.rs
+++ b/crates/lycheeford-platform/src/store.rs
@@ -15,6 +15,12 @@
     /// Returns every object of `kind`.
     fn list<'a>(&'a self, kind: &'a str) -> BoxFuture<'a, Result<Listing, PlatformError>>;
 
+    /// Returns every object of `kind` as it was some seconds ago at most, for less than an exact
+    /// answer costs, where the platform can.
+    fn list_cached<'a>(&'a self, kind: &'a str) -> BoxFuture<'a, Result<Listing, PlatformError>> {
+        self.list(kind)
+    }
+
     /// Stores a value if the object is as expected, and returns its new version.
     ///
     /// An error of [`Category::OutcomeUnknown`](crate::Category::OutcomeUnknown)
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -19,7 +19,7 @@
 //! - `report_pace`: reports that together are more than the queue of a link holds.
 //! - `peer_table`, `counters`: what all hosts run and spend together, passed on by some.
 //! - `store_absence`: entries that expire while the store is away.
-//! - `shared_watch`: many hosts that would all ask the store for the same news.
+//! - `shared_watch`, `target_log`: many hosts that would all ask the store for the same news.
 //! - `order_lease`: which host gives orders to engines, while holders freeze.
 //! - `demand_table`: demand that moves to other models.
 //! - `swap_planner`: rare models that are asked for at once on few engines.
@@ -55,6 +55,7 @@
 mod target_belief;
 mod target_entry;
 mod target_health;
+mod target_log;
 mod target_table;
 mod told_log;
 mod wait_queue;
@@ -92,6 +93,7 @@
 pub use self::target_belief::{LeavingSource, LeavingTarget, TargetBelief, TargetUse};
 pub use self::target_entry::{Residency, ResidentModel, TargetEntry, TargetState};
 pub use self::target_health::{TargetFailure, TargetHealth};
+pub use self::target_log::{TargetChange, TargetLog, ToldChanges};
 pub use self::target_table::{Choice, Chosen, Need, Target, TargetTable, Tried};
 pub use self::told_log::ToldLog;
 pub use self::wait_queue::{WaitQueue, Waiting};
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -3,6 +3,7 @@
 use super::report_layout::{PartnerRole, ReportLayout};
 use super::short_key::ShortKey;
 use super::target_belief::LeavingTarget;
+use super::target_log::ToldChanges;
 use crate::{Name, TimeMs};
 
 /// How long a name that was asked for stands in the reports, so that a lost one loses nothing.
@@ -57,6 +58,10 @@
     pub placements: Vec<ReportedPlacement>,
     /// Up to which version of the placements the sender knows them, and of which token.
     pub placements_known: (u64, u64),
+    /// Up to which revision the sender knows all that matters of the list of targets.
+    pub targets_known: u64,
+    /// Changes of that list which the receiver lacks.
+    pub target_changes: Option<ToldChanges>,
     /// The targets of which the sender heard lately that they leave.
     pub leaving: Vec<LeavingTarget>,
 }
--- a/crates/lycheeford-policy/src/gateway/target_belief.rs
+++ b/crates/lycheeford-policy/src/gateway/target_belief.rs
@@ -70,20 +70,28 @@
     leaving: Vec<(LeavingSource, TimeMs)>,
     /// The time that its entry says it has left.
     remaining_ms: Option<u64>,
+    /// Until when it is the last resort, if it leaves.
+    use_until: Option<TimeMs>,
     paused_until: TimeMs,
 }
 
 impl TargetBelief {
-    /// Takes in what the target's entry says.
-    pub fn entry_says(&mut self, now: TimeMs, state: TargetState) {
+    /// Takes in what the target's entry says; one that leaves must be left alone at `leave_by`.
+    ///
+    /// This host may hear late of what the entry has said for long.
+    pub fn entry_says(&mut self, now: TimeMs, state: TargetState, leave_by: TimeMs) {
         match state {
             TargetState::Ready => {
                 self.leaving.retain(|(source, _)| *source != LeavingSource::Entry);
                 self.remaining_ms = None;
+                if self.leaving.is_empty() {
+                    self.use_until = None;
+                }
             }
             TargetState::Leaving { remaining_ms } => {
                 self.remaining_ms = remaining_ms;
                 self.leaves(now, LeavingSource::Entry);
+                self.use_until = self.use_until.map(|until| until.min(leave_by));
             }
         }
     }
@@ -94,6 +102,7 @@
         if let Err(index) = self.leaving.binary_search_by_key(&source, |(source, _)| *source) {
             self.leaving.insert(index, (source, now));
         }
+        self.use_until.get_or_insert(now + LEAVING_USE_MS);
         is_news
     }
 
@@ -119,10 +128,9 @@
 
     /// Returns what this host may send to the target.
     pub fn use_at(&self, now: TimeMs) -> TargetUse {
-        let since = self.leaving_since();
-        let is_last_resort = since.is_some_and(|at| now.since_ms(at) < LEAVING_USE_MS)
+        let is_last_resort = self.use_until.is_some_and(|until| now < until)
             && self.remaining_ms.is_none_or(|ms| ms >= LEAVING_LEFT_MS_MIN);
-        if since.is_some() && !is_last_resort {
+        if self.is_leaving() && !is_last_resort {
             TargetUse::Never
         } else if self.is_paused(now) {
             TargetUse::Paused { until: self.paused_until }
--- a/crates/lycheeford-policy/src/gateway/target_entry.rs
+++ b/crates/lycheeford-policy/src/gateway/target_entry.rs
@@ -7,6 +7,8 @@
 pub struct TargetEntry {
     /// The id, which a request names so that no other process runs it.
     pub id: Name,
+    /// The store's revision of the entry; an older one never replaces it.
+    pub revision: u64,
     /// Tells two lives with the same id apart; the later one is greater.
     pub life: u64,
     /// The service that it runs.
--- a/crates/lycheeford-policy/src/gateway/target_table.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table.rs
@@ -106,6 +106,9 @@
     /// Sorted by service.
     usual_latency_ms: Vec<(Name, f64)>,
     choices: u64,
+    /// When a target that turns out to leave must be left alone, counted from the last moment
+    /// of which this host knows all that matters.
+    leave_by: Option<TimeMs>,
     /// What is believed of lives that aren't listed, the last one that went at the end.
     unlisted: Vec<Unlisted>,
 }
@@ -222,11 +225,28 @@
 }
 
 impl TargetTable {
+    /// Takes in until when a target that turns out to leave may be used at most.
+    pub fn leave_by(&mut self, leave_by: TimeMs) {
+        self.leave_by = Some(leave_by);
+    }
+
+    /// Takes over an entry that another host told, which says nothing of where weights lie near.
+    pub fn put_told(&mut self, now: TimeMs, mut entry: TargetEntry) {
+        let known = self.target(&entry.id).filter(|known| known.entry.life == entry.life);
+        if let Some(known) = known {
+            entry.residency.in_memory.clone_from(&known.entry.residency.in_memory);
+            entry.residency.on_disk.clone_from(&known.entry.residency.on_disk);
+        }
+        self.put(now, entry);
+    }
+
     /// Takes over an entry; a new life starts without a history.
     pub fn put(&mut self, now: TimeMs, entry: TargetEntry) {
         let key = ShortKey::of(&entry.id);
         let state = entry.state;
         let index = match self.position(&entry.id) {
+            // What others told may be newer than what the store tells now of an earlier time.
+            Ok(index) if entry.revision < self.targets[index].entry.revision => return,
             Ok(index) => {
                 let target = &mut self.targets[index];
                 let same = target.entry.life == entry.life
@@ -248,7 +268,8 @@
                 index
             }
         };
-        self.targets[index].belief.entry_says(now, state);
+        let leave_by = self.leave_by.unwrap_or(TimeMs::from_ms(u64::MAX));
+        self.targets[index].belief.entry_says(now, state, leave_by);
     }
 
     /// Takes in that an entry is gone; the target is forgotten after `grace_ms`.
@@ -263,16 +284,10 @@
 
     /// Takes over the whole list; targets that aren't in it are gone.
     pub fn replace(&mut self, now: TimeMs, entries: Vec<TargetEntry>, grace_ms: u64) {
-        let listed: Vec<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let missing = self.missing_from(&entries);
         for entry in entries {
             self.put(now, entry);
         }
-        let missing: Vec<Name> = self
-            .targets
-            .iter()
-            .map(|target| target.entry.id.clone())
-            .filter(|id| !listed.contains(id))
-            .collect();
         for id in missing {
             self.gone(now, &id, grace_ms);
         }
@@ -531,10 +546,14 @@
             || is_leaving(known) != is_leaving(entry)
     }
 
-    /// Returns whether `entries` are other targets than the known ones, or other lives of them.
-    pub fn is_other_set(&self, entries: &[TargetEntry]) -> bool {
-        let known = self.targets.iter().filter(|target| target.forget_at.is_none()).count();
-        known != entries.len() || entries.iter().any(|entry| self.is_other(entry))
+    /// Returns the listed targets that `entries` lack.
+    pub fn missing_from(&self, entries: &[TargetEntry]) -> Vec<Name> {
+        let mut listed: Vec<&Name> = entries.iter().map(|entry| &entry.id).collect();
+        listed.sort_unstable();
+        let is_missing = |target: &&Target| {
+            target.forget_at.is_none() && listed.binary_search(&&target.entry.id).is_err()
+        };
+        self.targets.iter().filter(is_missing).map(|target| target.entry.id.clone()).collect()
     }
 
     /// Takes over what runs at each target through another host and those behind it.
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -75,9 +75,9 @@
     ReportLayout, ReportPace, ReportedLease, ReportedPlacement, Residency, ResidentModel,
     ResidentView, RetryShare, RouteKind, RunTimes, RunningAt, Scope, ServiceRoute, Settling,
     SharedBucket, SharedWatch, ShortKey, StoreAbsence, Sums, SwapAction, SwapOrder, SwapPlan,
-    SwapPlanner, Target, TargetBelief, TargetEntry, TargetFailure, TargetHealth, TargetService,
-    TargetState, TargetTable, TargetUse, ToldLog, Tried, WaitQueue, Waiting, WantedName,
-    WeightedService,
+    SwapPlanner, Target, TargetBelief, TargetChange, TargetEntry, TargetFailure, TargetHealth,
+    TargetLog, TargetService, TargetState, TargetTable, TargetUse, ToldChanges, ToldLog, Tried,
+    WaitQueue, Waiting, WantedName, WeightedService,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -2,7 +2,8 @@
 
 use lycheeford_policy::{
     CustomerRate, HostRecord, HostTable, Name, OwnCounts, PartnerRole, PeerReport, PeerState,
-    PeerTable, RateUnit, ReportPace, Scope, Settling, SharedBucket, ShortKey, Sums,
+    PeerTable, RateUnit, ReportPace, Scope, Settling, SharedBucket, SharedWatch, ShortKey, Sums,
+    TargetLog,
 };
 
 use crate::world::{at, name};
@@ -35,6 +36,9 @@
     pub(crate) own: OwnCounts,
     pub(crate) bucket: SharedBucket,
     pub(crate) settling: Settling,
+    /// What it knows of the list of targets.
+    pub(crate) watch: SharedWatch,
+    pub(crate) log: TargetLog,
     /// What it heard that the customer spent through others.
     pub(crate) heard_units: f64,
     pub(crate) next_ms: u64,
@@ -57,6 +61,8 @@
             own: OwnCounts::default(),
             bucket: SharedBucket::new(at(ms)),
             settling: Settling::default(),
+            watch: SharedWatch::default(),
+            log: TargetLog::default(),
             heard_units: 0.0,
             sent: 0,
             pace: ReportPace::default(),
@@ -105,7 +111,8 @@
             None => (Scope::Nobody, Sums::default()),
         };
         let signs = self.table.signs(at(ms), self.peers.layout(), role);
-        let heard = self.peers.peer(to).map_or(Vec::new(), |peer| peer.report.sums.spent.clone());
+        let known = self.peers.peer(to).map(|peer| &peer.report);
+        let heard = known.map_or(Vec::new(), |report| report.sums.spent.clone());
         let levels = self.bucket.level(at(ms)).map(|level| (CUSTOMER, level)).into_iter().collect();
         PeerReport {
             scope,
@@ -114,6 +121,11 @@
             heard,
             levels,
             is_settled: self.settling.is_settled(),
+            echo: known.map(|known| known.sent_at),
+            targets_changed: self.watch.changed(),
+            targets_age_ms: self.watch.age_ms(at(ms)),
+            targets_known: self.log.known(),
+            target_changes: known.and_then(|known| self.log.since(known.targets_known, 24)),
             ..report(&self.record, self.incarnation, ms, 0.0)
         }
     }
@@ -126,6 +138,11 @@
         if report.scope.brings_signs(role) {
             self.table.take_signs(at(ms), &report.signs);
         }
+        if let Some(told) = report.target_changes.clone() {
+            self.log.take(told);
+        }
+        let as_of = report.echo.zip(report.targets_age_ms).map(|(echo, age_ms)| echo - age_ms);
+        self.watch.heard(at(ms), self.log.known(), report.targets_changed, as_of);
         let heard_units = news.spent.iter().map(|(_, units)| units).sum::<f64>();
         self.heard_units += heard_units;
         if news.is_counted {
@@ -269,6 +286,8 @@
         lease: None,
         placements: Vec::new(),
         placements_known: (0, 0),
+        targets_known: 0,
+        target_changes: None,
         leaving: Vec::new(),
     }
 }
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -11,5 +11,6 @@
 mod rates;
 mod stopping;
 mod streams;
+mod target_news;
 mod targets;
 mod world;
--- a/crates/lycheeford-policy/tests/gateway/membership.rs
+++ b/crates/lycheeford-policy/tests/gateway/membership.rs
@@ -374,15 +374,17 @@
     const DRAIN_MS: u64 = 2_000;
     /// The pause between two looks, a call that fails and one that doesn't.
     const ASK_MS: u64 = 200 + 300;
+    let news_ms_max = SharedWatch::news_ms_max(DRAIN_MS);
     let mut watch = SharedWatch::default();
     watch.asked(at(0), 5, 5);
-    watch.heard(5, Some(at(1_000)));
+    watch.heard(at(1_000), 5, 5, Some(at(1_000)));
     // Nothing is heard after that.
-    let asks_at = (1_000..10_000).find(|ms| !watch.may_rest(at(*ms))).expect("it asks one day");
+    let asks_at =
+        (1_000..10_000).find(|ms| !watch.may_rest(at(*ms), news_ms_max)).expect("it asks one day");
     assert!(asks_at - 1_000 + ASK_MS < DRAIN_MS, "{asks_at}");
     // A rest, a watch, the pause between two reports, and the one before, which is answered.
     let oldest_ms = 200 + 500 + 250 + 250;
-    assert!(watch.may_rest(at(1_000 + oldest_ms)), "news get as old as that");
+    assert!(watch.may_rest(at(1_000 + oldest_ms), news_ms_max), "news get as old as that");
 }
 
 /// The level of a host that had just become a partner
--- a/crates/lycheeford-policy/tests/gateway/world.rs
+++ b/crates/lycheeford-policy/tests/gateway/world.rs
@@ -17,6 +17,7 @@
     let resident = |model: &&str| ResidentModel { name: name(model), adapters: Vec::new() };
     TargetEntry {
         id: name(id),
+        revision: 0,
         life: 1,
         service: name("models"),
         address: ([127, 0, 0, 1], 9_000).into(),
