--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 /// The part of the life of a confirmation for which a watch of the declaration waits.
 ///
 /// The confirmation of one watch must last until the end of the next one.
-const DEPLOYMENT_WAIT_PART: f64 = 0.25;
+const DEPLOYMENT_WAIT_PART: f64 = 0.15;
 /// How long a watch of the targets waits; others rely on how young its answers are.
 const TARGETS_WAIT_MS: u64 = 500;
 
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -11,7 +11,7 @@
 
 /// The rest after changes of targets at the holder of orders, and at hosts that watch for others.
 const HOLDER_REST_MS: u64 = 50;
-const WATCHER_REST_MS: u64 = 200;
+const WATCHER_REST_MS: u64 = 500;
 /// The rest of a host that hears from others what changes, within the history that the store keeps,
 /// and the least one before it asks again while they don't tell it.
 const LISTENER_REST_MS: u64 = 12_000;
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -13,8 +13,6 @@
 const TELL_MS: u64 = 200;
 /// How old a lease that was told may be before nobody is taken for its holder.
 const LEASE_MS_MAX: u64 = 10_000;
-/// How many hosts ask the store for the others whether the declaration is the newest.
-const DECLARATION_WATCHERS: usize = 2;
 
 /// The other hosts, what they told, and what they wait for.
 #[derive(Debug)]
@@ -189,7 +187,7 @@
 
     /// Returns whether this host asks the store for others whether a newer declaration exists.
     pub(crate) fn watches_declaration(&self, now: TimeMs, me: &Name) -> bool {
-        self.rank(now, "watch", me) < DECLARATION_WATCHERS
+        self.rank(now, "watch", me) == 0
     }
 
     /// Returns whether this host watches the targets closely for others, beside the holder of orders.
