Deflate large datagrams between hosts, and tell what was asked for once a second beyond 16 hosts

Change: a datagram says in its first byte whether it is deflated (flate2, from 600 bytes on); what inflates to over 1 MiB is refused. In fleets that report by relays one round of four tells what was asked for. A report of the test's size takes under 0.7 of its bytes.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -9,6 +9,8 @@
 
 /// Placements that one report tells at most.
 const PLACEMENTS_MAX: usize = 500;
+/// The rounds of which one tells how often names were asked for, in a fleet that reports by relays.
+const ASKED_ROUNDS: usize = 4;
 /// Changes of the list of targets that one report tells at most; the next ones tell the rest.
 const TARGET_CHANGES_MAX: usize = 24;
 
@@ -29,6 +31,8 @@
             let targets = &dispatcher.targets;
             (targets.runs_here(), dispatcher.placements_known(), targets.leaving_to_tell(now))
         };
+        let omits_asked =
+            state.membership().hosts.reports_by_relays() && !round.is_multiple_of(ASKED_ROUNDS);
         let (own, levels) = {
             let rates = state.rates();
             let own = OwnCounts {
@@ -36,6 +40,7 @@
                 spent: rates.spent(),
                 refused: rates.refused(),
                 asked: rates.asked().clone(),
+                omits_asked,
             };
             (own, rates.levels(now))
         };
--- a/crates/lycheeford-gateway/src/membership/wire/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/mod.rs
@@ -4,6 +4,7 @@
 //! costs only the time until the next.
 
 mod counts;
+mod datagram;
 mod host;
 mod orders;
 mod report;
@@ -25,6 +26,8 @@
 pub(super) enum DecodeError {
     #[snafu(display("the datagram isn't a message: {source}; check who sends to this port"))]
     Frame { source: prost::DecodeError },
+    #[snafu(display("the datagram can't be inflated: {source}; run one version on all hosts"))]
+    Deflate { source: std::io::Error },
     #[snafu(display("the field {field} is missing or wrong; run one version on all hosts"))]
     Field { field: &'static str },
 }
@@ -63,7 +66,7 @@
         Message::Wants(wants) => WireBody::Wants(WireWants::from(wants)),
         Message::News(news) => WireBody::News(WireNews::from(news)),
     };
-    WireMessage { body: Some(body) }.encode_to_vec()
+    datagram::pack(&WireMessage { body: Some(body) }.encode_to_vec())
 }
 
 /// Reads a datagram.
@@ -72,7 +75,7 @@
 ///
 /// Fails if it holds no message.
 pub(super) fn decode(datagram: &[u8]) -> Result<Message, DecodeError> {
-    let message = WireMessage::decode(datagram).context(FrameSnafu)?;
+    let message = WireMessage::decode(&*datagram::unpack(datagram)?).context(FrameSnafu)?;
     Ok(match message.body.context(FieldSnafu { field: "body" })? {
         WireBody::Report(report) => Message::Report(Box::new(PeerReport::try_from(*report)?)),
         WireBody::Wants(wants) => Message::Wants(Wants::try_from(wants)?),
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -9,6 +9,12 @@
     TargetEntry, TargetState, TimeMs, ToldChanges, WantedName,
 };
 
+use proptest::collection::vec;
+use proptest::prelude::*;
+use prost::Message as _;
+
+use super::datagram::pack;
+use super::report::WireReport;
 use super::{DecodeError, Message, News, Wants, decode, encode};
 
 fn record(name: &str) -> HostRecord {
@@ -133,10 +139,62 @@
 
 #[test]
 fn what_makes_no_sense_is_refused() {
-    assert_matches!(decode(&[0xff; 40]), Err(DecodeError::Frame { .. }));
-    assert_matches!(decode(&[]), Err(DecodeError::Field { field: "body" }));
+    assert_matches!(decode(&[0xff; 40]), Err(DecodeError::Field { field: "form" }));
+    assert_matches!(decode(&[]), Err(DecodeError::Field { field: "form" }));
+    assert_matches!(decode(&[0]), Err(DecodeError::Field { field: "body" }));
+    let noise = [[0].as_slice(), &[0xff; 40]].concat();
+    assert_matches!(decode(&noise), Err(DecodeError::Frame { .. }));
+    let noise = [[1].as_slice(), &[0xff; 40]].concat();
+    assert_matches!(decode(&noise), Err(DecodeError::Deflate { .. }));
+    // Little that becomes much is given up before it fills the memory.
+    let bomb = pack(&vec![0; 64 << 20]);
+    assert!(bomb.len() < 1 << 20);
+    assert_matches!(decode(&bomb), Err(DecodeError::Field { field: "size" }));
     let mut nameless = report(Scope::Cell, PeerState::Ready);
     nameless.sender.host = Name::from("");
     let datagram = encode(Message::Report(Box::new(nameless)));
     assert_matches!(decode(&datagram), Err(DecodeError::Field { field: "host" }));
 }
+
+/// Returns a report as a relay of a large fleet sends it.
+fn large_report() -> PeerReport {
+    let mut large = report(Scope::Cell, PeerState::Ready);
+    let key = |index: u32| ShortKey(index.wrapping_mul(0x9e37_79b9));
+    let counts = |count: u32, each: f64| -> Vec<(ShortKey, f64)> {
+        (0..count).map(|index| (key(index), f64::from(index) * each)).collect()
+    };
+    large.sums.spent = counts(40, 9_190.0);
+    large.sums.asked = counts(140, 3.0);
+    large.levels = counts(40, 117.25);
+    large.heard = counts(40, 9_190.0);
+    large
+}
+
+#[test]
+fn a_large_report_is_sent_in_fewer_bytes() {
+    let large = large_report();
+    let datagram = encode(Message::Report(Box::new(large.clone())));
+    assert_eq!(decode(&datagram).unwrap(), Message::Report(Box::new(large.clone())));
+    let plain = WireReport::from(large).encoded_len();
+    assert!(datagram.len() * 10 < plain * 7, "{} of {plain} bytes", datagram.len());
+}
+
+proptest! {
+    /// One datagram of noise took no process down, whatever it began with.
+    #[test]
+    fn no_datagram_harms_its_reader(noise in vec(any::<u8>(), 0..600)) {
+        for form in [0, 1, 2] {
+            let _ = decode(&[[form].as_slice(), &noise].concat());
+        }
+    }
+
+    /// Neither does a message that was changed on its way.
+    #[test]
+    fn no_changed_message_harms_its_reader(at in 0_usize..4_000, bits in 1_u8.., cut in 0_usize..4_000) {
+        let mut message = WireReport::from(large_report()).encode_to_vec();
+        let length = message.len();
+        message[at % length] ^= bits;
+        message.truncate(cut % length + 1);
+        let _ = decode(&pack(&message));
+    }
+}
--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -307,8 +307,13 @@
         }
     }
 
+    /// Returns whether hosts report through relays, since not each can report to every other one.
+    pub fn reports_by_relays(&self) -> bool {
+        self.count() > DIRECT_HOSTS_MAX
+    }
+
     fn hops(&self) -> u64 {
-        if self.count() <= DIRECT_HOSTS_MAX { 1 } else { RELAYED_HOPS }
+        if self.reports_by_relays() { RELAYED_HOPS } else { 1 }
     }
 
     /// Returns how long a silence stands for no more than a late report.
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -114,6 +114,8 @@
     pub refused: Vec<(ShortKey, f64)>,
     /// How often each model or adapter was asked for.
     pub asked: Counters,
+    /// Whether the next report leaves out what was asked for, through any host.
+    pub omits_asked: bool,
 }
 
 /// What runs at a target.
@@ -311,8 +313,11 @@
     pub fn sums_for(&self, now: TimeMs, host: &Name, own: &OwnCounts) -> (Scope, Sums) {
         let link = self.link(host);
         let taken = link.taken;
-        let mut asked: Vec<ShortKey> = own.asked.changed(now, ASKED_MS).iter().map(key).collect();
-        asked.extend(taken.asked.changed(now, ASKED_MS).iter().map(key));
+        let mut asked: Vec<ShortKey> = Vec::new();
+        if !own.omits_asked {
+            asked.extend(own.asked.changed(now, ASKED_MS).iter().map(key));
+            asked.extend(taken.asked.changed(now, ASKED_MS).iter().map(key));
+        }
         asked.sort_unstable();
         asked.dedup();
         let asked = asked.into_iter().map(|key| {
