Keep the common level of a customer when a starting host is settled

Taking the lesser of both levels refused the first request of each host after it was settled, whatever the customer had spent.

Change: a cut that a host began with ends without it; what the others spent meanwhile was heard.

--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -79,7 +79,7 @@
     since: TimeMs,
     part: f64,
     level: f64,
-    /// Whether the host began with it, so that what it has left tells how much there is in all.
+    /// Whether the host began with it, and has heard of what the others spent meanwhile.
     is_start: bool,
 }
 
@@ -269,10 +269,10 @@
             cut.part = part;
         } else if let Some(cut) = self.cut.take()
             && now.since_ms(cut.since) >= LONG_CUT_MS
+            && !cut.is_start
         {
             // What the others spent in a long silence isn't told afterwards.
-            let left = if cut.is_start { cut.level / cut.part } else { cut.level };
-            self.level = Some(level.min(left));
+            self.level = Some(level.min(cut.level));
         }
     }
 
--- a/crates/lycheeford-policy/tests/gateway/customer_rates.rs
+++ b/crates/lycheeford-policy/tests/gateway/customer_rates.rs
@@ -232,6 +232,41 @@
     ]);
 }
 
+/// A starting host's part was parted twice, and then one request of one host, which took its
+/// part below zero, counted as a debt of all: customers within their rate were refused for seconds.
+#[test]
+fn a_fleet_that_restarts_soon_serves_a_customer_within_its_rate() {
+    const DOMAINS: usize = 3;
+    for (hosts, units_of_one) in [(7, 10.0..60.0), (61, 10.0..60.0), (61, 50.0..300.0)] {
+        let mut random = StdRng::seed_from_u64(1);
+        let mut fleet = Fleet::start(hosts, DOMAINS);
+        for host in 0..hosts {
+            fleet.hosts[host] = Host::start(host, DOMAINS, 2, fleet.ms);
+        }
+        fleet.list();
+        let (mut owed, mut asked, mut served) = (0.0, [0.0; 6], [0.0; 6]);
+        for past_ms in 0..6_000 {
+            fleet.run(1, |_, _| true);
+            owed += 0.55;
+            while owed >= 0.0 {
+                let units = random.random_range(units_of_one.clone());
+                owed -= units;
+                let (ms, host) = (fleet.ms, random.random_range(0..hosts));
+                asked[past_ms / 1_000] += units;
+                if fleet.hosts[host].admit(ms, &HOT_RATE, units) {
+                    served[past_ms / 1_000] += units;
+                }
+            }
+        }
+        let what = format!("{hosts} hosts, {units_of_one:?}: {served:?} of {asked:?}");
+        let part = |from: usize, to: usize| {
+            served[from..to].iter().sum::<f64>() / asked[from..to].iter().sum::<f64>()
+        };
+        assert!(part(0, 3) >= 0.7, "{what}");
+        assert!(part(3, 6) >= 0.95, "{what}");
+    }
+}
+
 /// Checks that no eight seconds of a case hold more than the users' rule allows.
 fn check_tolerance(cases: &[HotCase]) {
     const DOMAINS: usize = 3;
