--- a/crates/lycheeford-policy/tests/gateway/streams.rs
+++ b/crates/lycheeford-policy/tests/gateway/streams.rs
@@ -7,30 +7,41 @@
     input: &'static [u8],
     whole: &'static [u8],
     last_id: Option<&'static str>,
+    /// How many of them are more than comments.
+    events: u64,
 }
 
 #[test]
 fn only_whole_events_pass() {
     let cases = [
-        EventCase { input: b"", whole: b"", last_id: None },
-        EventCase { input: b"id: 1\ndata: a\n", whole: b"", last_id: None },
+        EventCase { input: b"", whole: b"", last_id: None, events: 0 },
+        EventCase { input: b"id: 1\ndata: a\n", whole: b"", last_id: None, events: 0 },
         EventCase {
             input: b"id: 1\ndata: a\n\n",
             whole: b"id: 1\ndata: a\n\n",
             last_id: Some("1"),
+            events: 1,
         },
         EventCase {
             input: b"id:7\r\ndata: a\r\n\r\nid: 8\r\nda",
             whole: b"id:7\r\ndata: a\r\n\r\n",
             last_id: Some("7"),
+            events: 1,
+        },
+        EventCase { input: b": note\n\n", whole: b": note\n\n", last_id: None, events: 0 },
+        EventCase {
+            input: b": note\ndata: a\n\n: note\n\ndata: b\n\n",
+            whole: b": note\ndata: a\n\n: note\n\ndata: b\n\n",
+            last_id: None,
+            events: 2,
         },
-        EventCase { input: b": note\n\n", whole: b": note\n\n", last_id: None },
     ];
     for case in cases {
         let mut boundary = EventBoundary::default();
         let whole = boundary.push(case.input);
         assert_eq!(whole, case.whole);
         assert_eq!(boundary.last_id(), case.last_id);
+        assert_eq!(boundary.events(), case.events);
         let rest = boundary.take_rest();
         assert_eq!([whole, rest].concat(), case.input, "no byte is changed or lost");
     }
