Let the daemon's test fleet ask again for a key when the store was too slow

The stand-in had not answered within the daemon's second. The daemon says to try again, nothing was written, and the set-up didn't. It does now, for that refusal alone and within the patience of all waits. No check of the tests changed.

--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -21,7 +21,9 @@
 use lycheeford_fakes::{
     Call, Deployment, DeploymentKind, EngineAudit, EnginePlan, PlatformCalls, ServiceRuns,
 };
-use lycheeford_operator::{ApplyRequest, GrantRequest, OperatorClient};
+use lycheeford_operator::{
+    ApplyRequest, GrantReport, GrantRequest, OperatorClient, OperatorErrorCode,
+};
 use lycheeford_policy::{Host, HostRole};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -267,8 +269,7 @@
         let client = self.operator(0);
         let mut revision = 0;
         for customer in self.deployment.customers() {
-            let granted = client.grant_key(&GrantRequest { customer }).await;
-            let granted = granted.expect("a key can be granted");
+            let granted = grant(&client, &GrantRequest { customer }).await;
             self.keys.push(granted.secret);
             revision = granted.revision;
         }
@@ -276,6 +277,21 @@
     }
 }
 
+/// Grants a key, again while a daemon says to try later: on a busy machine its store may be slow.
+async fn grant(client: &OperatorClient, request: &GrantRequest) -> GrantReport {
+    let start = Instant::now();
+    loop {
+        let error = match client.grant_key(request).await {
+            Ok(granted) => return granted,
+            Err(error) => error,
+        };
+        let code = error.refusal().map(|refusal| refusal.code);
+        let may_retry = code == Some(OperatorErrorCode::PlatformUnavailable);
+        assert!(may_retry && start.elapsed() < PATIENCE, "a key can be granted: {error:?}");
+        task::sleep(POLL).await;
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         if std::thread::panicking() {
