--- a/crates/lycheeford/tests/logs.rs
+++ b/crates/lycheeford/tests/logs.rs
@@ -46,6 +46,17 @@
             parts: &["attempt_not_run", "no end is on record"],
             absent: "ended after",
         },
+        LogCase {
+            words: &["trace", "dd01"],
+            exit: 0,
+            parts: &[
+                "target_pauses pause_ms=1500 target=\"i-3\"",
+                "attempt_not_run",
+                "meanwhile target_leaves",
+                "ended after 110 ms: refused: Overloaded: every target that could take it asked for a pause",
+            ],
+            absent: "aa01",
+        },
         LogCase {
             words: &["trace", "cc01"],
             exit: 1,
@@ -55,7 +66,11 @@
         LogCase {
             words: &["why-refused"],
             exit: 0,
-            parts: &["       2 refused: OverRate", "       1 refused: TargetFailed"],
+            parts: &[
+                "       2 refused: OverRate",
+                "       1 refused: Overloaded",
+                "       1 refused: TargetFailed",
+            ],
             absent: "answered",
         },
         LogCase {
