Split the table of targets by concern

One file had 679 lines: the table, which target takes a request, what is believed of lives that aren't listed, and what runs where. They are `target_table/{mod,choice,beliefs,running}.rs` now, code moved unchanged but for `forget_unlisted`, which was a line of `expire`.

--- a/crates/lycheeford-gateway/src/membership/wire/datagram.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/datagram.rs
@@ -11,7 +11,7 @@
 /// What the first byte of a datagram says of the rest.
 const PLAIN: u8 = 0;
 const DEFLATED: u8 = 1;
-/// The message from which on deflating it saves more than it costs.
+/// The message from which on it is deflated; a member's report is a few hundred bytes.
 const DEFLATED_BYTES_MIN: usize = 600;
 /// The largest message that a datagram may hold.
 const MESSAGE_BYTES_MAX: u64 = 1 << 20;
--- a/crates/lycheeford-policy/src/gateway/target_table.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -1,33 +1,22 @@
-use std::net::SocketAddr;
+mod beliefs;
+mod choice;
+mod running;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use std::net::SocketAddr;
 
-use super::peer_table::RunningAt;
-use super::short_key::ShortKey;
-use super::target_belief::{LeavingSource, LeavingTarget, TargetBelief, TargetUse};
-use super::target_entry::{Residency, TargetEntry, TargetState};
-use super::target_health::{TargetFailure, TargetHealth};
+use crate::gateway::peer_table::RunningAt;
+use crate::gateway::short_key::ShortKey;
+use crate::gateway::target_belief::TargetBelief;
+use crate::gateway::target_entry::{Residency, TargetEntry, TargetState};
+use crate::gateway::target_health::{TargetFailure, TargetHealth};
 use crate::{Name, TimeMs};
 
-/// What a target in another failure domain costs, as a part of the objective.
-const FAR_PART: f64 = 0.08;
-/// What a target that fails all requests costs, as a multiple of the objective.
-const FAILING_FACTOR: f64 = 3.0;
-/// What a leaving target costs, as a multiple of the objective.
-const LEAVING_FACTOR: f64 = 50.0;
-/// The part of the latency by which equal targets are told apart at random, so
-/// that hosts with the same view don't all choose the same one.
-const SPREAD_PART: f64 = 0.15;
 /// The latency of a service of which nothing is known.
 const USUAL_MS: f64 = 50.0;
 /// How much of a new sample enters the usual latency of a service.
 const USUAL_SAMPLE_PART: f64 = 0.05;
 /// The part of an engine's memory for tokens that requests may take.
 const CACHE_PART: f64 = 0.9;
-/// How long what a target that isn't listed said is remembered, and of how many; an entry may
-/// come back.
-const UNLISTED_MS: u64 = 600_000;
-const UNLISTED_MAX: usize = 1_024;
 /// How long a target that said it is full gets nothing more.
 const FULL_PAUSE_MS: u64 = 60;
 
@@ -300,78 +289,7 @@
         {
             self.remove(now, index);
         }
-        self.unlisted.retain(|unlisted| now.since_ms(unlisted.since) < UNLISTED_MS);
-    }
-
-    fn remove(&mut self, now: TimeMs, index: usize) {
-        let Target { entry, key, belief, .. } = self.targets.remove(index);
-        if belief.outlives_entry(now) {
-            self.keep_unlisted(now, key, entry.life, belief);
-        }
-    }
-
-    fn keep_unlisted(&mut self, now: TimeMs, target: ShortKey, life: u64, belief: TargetBelief) {
-        if self.unlisted.len() >= UNLISTED_MAX {
-            self.unlisted.remove(0);
-        }
-        self.unlisted.push(Unlisted { target, life, since: now, belief });
-    }
-
-    fn take_unlisted(&mut self, target: ShortKey, life: u64) -> TargetBelief {
-        let is_it = |unlisted: &Unlisted| (unlisted.target, unlisted.life) == (target, life);
-        match self.unlisted.iter().position(is_it) {
-            Some(index) => self.unlisted.remove(index).belief,
-            None => TargetBelief::default(),
-        }
-    }
-
-    /// Returns what is believed of a life of a target, whether or not it is listed.
-    fn belief_mut(&mut self, now: TimeMs, target: ShortKey, life: u64) -> &mut TargetBelief {
-        let is_it = |known: &Target| (known.key, known.entry.life) == (target, life);
-        if let Some(index) = self.targets.iter().position(is_it) {
-            return &mut self.targets[index].belief;
-        }
-        let belief = self.take_unlisted(target, life);
-        self.keep_unlisted(now, target, life, belief);
-        let last = self.unlisted.len() - 1;
-        &mut self.unlisted[last].belief
-    }
-
-    /// Takes in that a target said in an answer that it leaves; returns whether that is news.
-    pub fn leaves(&mut self, now: TimeMs, chosen: &Chosen) -> bool {
-        let key = ShortKey::of(&chosen.id);
-        self.belief_mut(now, key, chosen.life).leaves(now, LeavingSource::Answer)
-    }
-
-    /// Takes in that another host knows that a target leaves; returns whether that is news.
-    pub fn told_leaving(&mut self, now: TimeMs, leaving: LeavingTarget) -> bool {
-        let LeavingTarget { target, life } = leaving;
-        self.belief_mut(now, target, life).leaves(now, LeavingSource::Peer)
-    }
-
-    /// Takes in that a target wants nothing from this host for `pause_ms`.
-    pub fn pause(&mut self, now: TimeMs, chosen: &Chosen, pause_ms: u64) {
-        let key = ShortKey::of(&chosen.id);
-        self.belief_mut(now, key, chosen.life).pause(now, pause_ms);
-    }
-
-    /// Returns the targets of which others should be told that they leave.
-    pub fn leaving_to_tell(&self, now: TimeMs) -> Vec<LeavingTarget> {
-        let listed = self.targets.iter().map(|known| (known.key, known.entry.life, &known.belief));
-        let unlisted = self.unlisted.iter().map(|known| (known.target, known.life, &known.belief));
-        let told = listed.chain(unlisted).filter(|(_, _, belief)| belief.is_to_be_told(now));
-        told.map(|(target, life, _)| LeavingTarget { target, life }).collect()
-    }
-
-    /// Returns when the first pause ends, if all that could take a request asked for one.
-    pub fn paused_until(&mut self, now: TimeMs, need: &Need) -> Option<TimeMs> {
-        if !self.targets.iter().any(|target| target.belief.is_paused(now)) {
-            return None;
-        }
-        match self.choose(now, need) {
-            Tried::Paused { until } => Some(until),
-            _ => None,
-        }
+        self.forget_unlisted(now);
     }
 
     /// Returns the target called `id`.
@@ -399,96 +317,6 @@
         &self.targets
     }
 
-    /// Chooses the target for a request.
-    ///
-    /// Counts what this host runs itself exactly, and what the others run as
-    /// they last said. Weighs latency under load, failures, the way between
-    /// failure domains and the prompt that the target has read before.
-    pub fn choose(&mut self, now: TimeMs, need: &Need) -> Tried {
-        self.choices = self.choices.wrapping_add(1);
-        let usual_ms = self.usual_latency_ms(&need.service);
-        let mut tried = Tried::NoTarget;
-        let mut best: Option<(f64, usize)> = None;
-        let mut runner_up: Option<(f64, usize)> = None;
-        let mut usable = 0;
-        let mut paused_until: Option<TimeMs> = None;
-        let favourite = need.affinity.and_then(|(hash, _)| self.favourite(now, need, hash));
-        for (index, target) in self.targets.iter().enumerate() {
-            let target_use = target.belief.use_at(now);
-            if target.entry.service != need.service
-                || target_use == TargetUse::Never
-                || need.excluded.contains(&target.entry.id)
-            {
-                continue;
-            }
-            if !target.holds(now, need) {
-                if tried == Tried::NoTarget {
-                    tried = Tried::NotResident;
-                }
-                continue;
-            }
-            if let TargetUse::Paused { until } = target_use {
-                paused_until = Some(paused_until.map_or(until, |first| first.min(until)));
-                continue;
-            }
-            tried = Tried::Full;
-            if !target.health.is_usable(now) || !target.has_place(now, need) {
-                continue;
-            }
-            let mut cost_ms = self.cost_ms(now, need, target, usual_ms);
-            if favourite == Some(index) {
-                cost_ms -= need.affinity.map_or(0.0, |(_, gain_ms)| gain_ms as f64);
-            }
-            usable += 1;
-            if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
-                runner_up = best;
-                best = Some((cost_ms, index));
-            } else if runner_up.is_none_or(|(second_ms, _)| cost_ms < second_ms) {
-                runner_up = Some((cost_ms, index));
-            }
-        }
-        if let (Some(until), true) = (paused_until, tried != Tried::Full) {
-            return Tried::Paused { until };
-        }
-        best.map_or(tried, |(cost_ms, index)| {
-            let target = &self.targets[index];
-            let named = |(cost_ms, index): (f64, usize)| {
-                (self.targets[index].entry.id.clone(), cost_ms as i64)
-            };
-            Tried::Chosen(Chosen {
-                id: target.entry.id.clone(),
-                life: target.entry.life,
-                address: target.entry.address,
-                running: target.running(),
-                choice: Choice { usable, cost_ms: cost_ms as i64, runner_up: runner_up.map(named) },
-            })
-        })
-    }
-
-    /// Counts a request as running at a target.
-    pub fn started(&mut self, chosen: &Chosen, model: Option<&Name>, tokens: u64) {
-        let model = model.map_or(ShortKey(0), |name| ShortKey::of(name));
-        let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
-        match target.here.iter_mut().find(|running| running.model == model) {
-            Some(running) => {
-                running.requests += 1;
-                running.tokens += tokens;
-            }
-            None => target.here.push(Running { model, requests: 1, tokens }),
-        }
-    }
-
-    /// Counts a request at a target as ended.
-    pub fn ended(&mut self, chosen: &Chosen, model: Option<&Name>, tokens: u64) {
-        let model = model.map_or(ShortKey(0), |name| ShortKey::of(name));
-        let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
-        if let Some(running) = target.here.iter_mut().find(|running| running.model == model) {
-            running.requests = running.requests.saturating_sub(1);
-            running.tokens = running.tokens.saturating_sub(tokens);
-        }
-        target.here.retain(|running| running.requests > 0);
-    }
-
     /// Takes in that a target began to answer after `latency_ms`.
     pub fn succeeded(&mut self, now: TimeMs, chosen: &Chosen, latency_ms: u64) {
         let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
@@ -556,46 +384,6 @@
         self.targets.iter().filter(is_missing).map(|target| target.entry.id.clone()).collect()
     }
 
-    /// Takes over what runs at each target through another host and those behind it.
-    pub fn runs_elsewhere(&mut self, host: &Name, running: &[RunningAt]) {
-        for target in &mut self.targets {
-            target.elsewhere.retain(|(name, _)| name != host);
-            let at_target = running.iter().filter(|at| at.target == target.key);
-            target.elsewhere.extend(at_target.map(|at| (host.clone(), *at)));
-        }
-    }
-
-    /// Returns what this host runs at each target, for the others.
-    pub fn runs_here(&self) -> Vec<RunningAt> {
-        let at = |target: &Target| {
-            let target_key = target.key;
-            let here = target.here.iter().map(move |running| RunningAt {
-                target: target_key,
-                model: running.model,
-                running: running.requests,
-                tokens: running.tokens,
-            });
-            here.collect::<Vec<_>>()
-        };
-        self.targets.iter().flat_map(at).collect()
-    }
-
-    /// Returns the requests that run for each model at the targets of a service, sorted by model.
-    pub fn running_by_model(&self, service: &Name) -> Vec<(ShortKey, u32)> {
-        let mut running: Vec<(ShortKey, u32)> = Vec::new();
-        let at_targets = self.of_service(service).flat_map(|target| {
-            let here = target.here.iter().map(|running| (running.model, running.requests));
-            here.chain(target.elsewhere.iter().map(|(_, at)| (at.model, at.running)))
-        });
-        for (model, requests) in at_targets {
-            match running.binary_search_by_key(&model, |(key, _)| *key) {
-                Ok(index) => running[index].1 += requests,
-                Err(index) => running.insert(index, (model, requests)),
-            }
-        }
-        running
-    }
-
     /// Takes over what an engine reported of itself, which is newer than its entry.
     pub fn reported(&mut self, id: &str, life: u64, residency: Residency) {
         if let Some(target) = self.life_mut(id, life) {
@@ -617,34 +405,6 @@
         }
     }
 
-    fn cost_ms(&self, now: TimeMs, need: &Need, target: &Target, usual_ms: f64) -> f64 {
-        let objective_ms = need.objective_ms as f64;
-        let mut cost_ms = target.health.latency_ms(now, usual_ms) * (1.0 + 2.0 * target.crowd());
-        cost_ms += objective_ms * FAILING_FACTOR * target.health.failed_part(now);
-        if target.entry.failure_domain != need.failure_domain {
-            cost_ms += objective_ms * FAR_PART;
-        }
-        if !target.is_ready() {
-            cost_ms += objective_ms * LEAVING_FACTOR;
-        }
-        let spread = xxh3_64_with_seed(&self.choices.to_le_bytes(), u64::from(target.key.0));
-        cost_ms + usual_ms * SPREAD_PART * (spread as f64 / u64::MAX as f64)
-    }
-
-    /// Returns the target that all hosts prefer for a prompt.
-    fn favourite(&self, now: TimeMs, need: &Need, hash: u64) -> Option<usize> {
-        let holders = self.targets.iter().enumerate().filter(|(_, target)| {
-            target.entry.service == need.service
-                && target.belief.use_at(now) == TargetUse::Free
-                && target.holds(now, need)
-        });
-        holders
-            .max_by_key(|(_, target)| {
-                xxh3_64_with_seed(&hash.to_le_bytes(), u64::from(target.key.0))
-            })
-            .map(|(index, _)| index)
-    }
-
     fn usual_latency_ms(&self, service: &Name) -> f64 {
         let found = self.usual_latency_ms.binary_search_by(|(name, _)| name.cmp(service));
         found.map_or(USUAL_MS, |index| self.usual_latency_ms[index].1)
