Log which request a crashed target ran, and what its prompt shares

It now has the request's id, the events of its answer that had arrived and the parts of its prompt that others may share. No decision is changed.

--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -50,6 +50,13 @@
     pub resume_after: Option<String>,
 }
 
+impl GatewayRequest {
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_prompt(&self) -> &[PromptPart] {
+        self.prompt.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A model, or an adapter on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ModelName {
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -178,7 +178,7 @@
 
 /// Returns a hash of the shared prompt parts and the milliseconds that a cached prefix saves.
 fn affinity(request: &GatewayRequest) -> Option<(u64, u64)> {
-    let (_, shared) = request.prompt.split_last()?;
+    let shared = request.shared_prompt();
     let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
     if tokens < SHARED_TOKENS_MIN {
         return None;
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -34,7 +34,7 @@
         match whole(attempts, started).await {
             Ok(response) => return Ok(Answered::Whole(response)),
             Err((chosen, error)) => {
-                attempts.record_broken(&chosen, &error);
+                attempts.record_broken(&chosen, &error, 0);
                 if !attempts.take_retry() {
                     return Err(attempts.failed(&error));
                 }
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use slog::info;
 
 use super::admission::Admitted;
-use super::crash::check_for_crash;
+use super::crash::{InterruptedRequest, check_for_crash};
 use super::signals::apply_signals;
 use super::slot::{Slot, acquire_slot, host_stopping};
 use crate::state::State;
@@ -216,7 +216,7 @@
             return AttemptError::Unreachable;
         }
         self.record_run();
-        self.record_broken(chosen, &error);
+        self.record_broken(chosen, &error, 0);
         AttemptError::Broken(error)
     }
 
@@ -285,13 +285,15 @@
         self.state.orders().adapter_dropped(&chosen.id, &want);
     }
 
-    /// Records that a target may have run the request but returned no complete response.
-    pub(super) fn record_broken(&mut self, chosen: &Chosen, error: &TargetError) {
+    /// Records that a target may have run the request but returned no complete response, and how
+    /// many events of it had arrived.
+    pub(super) fn record_broken(&mut self, chosen: &Chosen, error: &TargetError, events: u64) {
         self.ran = self.ran.max(Ran::Unknown);
         self.note_failure(chosen, TargetFailure::Broken);
         if matches!(error.category(), Category::Broken | Category::Truncated) {
             let state = Arc::clone(&self.state);
-            task::spawn(check_for_crash(state, chosen.clone(), self.admitted.fingerprint));
+            let interrupted = InterruptedRequest::new(&self.admitted, events);
+            task::spawn(check_for_crash(state, chosen.clone(), interrupted));
         }
     }
 
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -84,7 +84,7 @@
                 End::HostStopping => return self.log_cut("this host is stopping", &chosen.id),
                 End::Broken(error) => {
                     let is_past_deadline = self.is_past_deadline();
-                    self.attempts.record_broken(&chosen, &error);
+                    self.attempts.record_broken(&chosen, &error, self.boundary.events());
                     self.log_cut(&error.to_string(), &chosen.id);
                     if is_past_deadline || !self.attempts.take_retry() {
                         return;
@@ -93,7 +93,7 @@
                     None
                 }
                 End::Moved(error, slot) => {
-                    self.attempts.record_broken(&chosen, &error);
+                    self.attempts.record_broken(&chosen, &error, self.boundary.events());
                     self.log_cut(&error.to_string(), &chosen.id);
                     Some(slot)
                 }
