Refuse requests by the prompt part that crashed targets

What callers saw: one part of a prompt crashes each engine that begins to answer a request with it; no two such requests are alike.

Cause: the table of crash suspects knew requests by the fingerprint of customer, path and body, so nothing was learnt about what they share. Beside it, each request that ran at a crashed engine was held for a culprit: 561 of 595 had begun to be answered. Ruled out: reports that arrive too late (fingerprints were everywhere within 0.2 s).

Change: suspects are causes, a request or a prompt part. Accused is what had no event of its answer yet; a completed answer excuses its parts; a part is refused after three crashes; what a refused part explains is not.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -5,7 +5,7 @@
 use slog::info;
 
 use crate::fleet::apply_reported_changes;
-use crate::request::apply_reported_leaving;
+use crate::request::{apply_reported_leaving, log_refused};
 use crate::state::State;
 
 /// The most placements in one report.
@@ -46,10 +46,9 @@
             (own, rates.levels(now))
         };
         let (suspects, suspects_digest) = {
-            let suspects = state.suspects();
-            let reported = suspects.excerpt(round).into_iter();
-            let reported = reported.map(|suspect| (suspect.fingerprint, suspect.crashes.clone()));
-            (reported.collect::<Vec<_>>(), suspects.digest())
+            let mut suspects = state.suspects();
+            suspects.expire(now);
+            (suspects.excerpt(now, round), suspects.digest())
         };
         let is_settled = {
             let mut membership = state.membership();
@@ -185,12 +184,8 @@
     }
     apply_request_counts(state, &news.asked);
     apply_reported_leaving(state, &report.leaving);
-    for (fingerprint, crashes) in &report.suspects {
-        let mut suspects = state.suspects();
-        for life in crashes {
-            suspects.record_crash(*fingerprint, life);
-        }
-    }
+    let refused = state.suspects().merge(now, &report.suspects);
+    log_refused(state, &refused, host);
     let mut dispatcher = state.dispatcher();
     if news.is_counted {
         dispatcher.targets.runs_elsewhere(host, &report.sums.running);
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -1,6 +1,7 @@
 use lycheeford_policy::{
-    HostRecord, HostSign, Name, PeerReport, ReportedLease, ReportedPlacement, RunningAt, Scope,
-    ShortKey, Sums, TargetChangeBatch, TargetLife, TimeMs,
+    CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, ReportedLease,
+    ReportedPlacement, RunningAt, Scope, ShortKey, Sums, SuspectedCrash, TargetChangeBatch,
+    TargetLife, TimeMs,
 };
 use snafu::OptionExt;
 
@@ -69,12 +70,22 @@
     target_changes: Option<WireToldChanges>,
 }
 
+/// A request or a prompt part that may have crashed targets.
 #[derive(Clone, PartialEq, prost::Message)]
 struct WireSuspect {
+    /// The fingerprint of the request, or the id of the prompt part.
     #[prost(fixed64, tag = "1")]
-    fingerprint: u64,
+    key: u64,
+    /// The lives of targets whose crashes may be due to it.
     #[prost(string, repeated, tag = "2")]
     crashes: Vec<String>,
+    #[prost(bool, tag = "3")]
+    is_prompt_part: bool,
+    /// The lives of targets that turned out to have crashed for another reason.
+    #[prost(string, repeated, tag = "4")]
+    excused: Vec<String>,
+    #[prost(uint64, tag = "5")]
+    age_ms: u64,
 }
 
 impl From<PeerReport> for WireReport {
@@ -133,7 +144,7 @@
             levels: counts_from_wire(wire.levels),
             heard: counts_from_wire(wire.heard),
             signs: signs?,
-            suspects: wire.suspects.into_iter().map(<(u64, Vec<Name>)>::from).collect(),
+            suspects: wire.suspects.into_iter().map(CrashSuspect::from).collect(),
             revision: wire.revision,
             confirmed_age_ms: wire.confirmed_age_ms,
             targets_changed: wire.targets_changed,
@@ -150,16 +161,36 @@
     }
 }
 
-impl From<(u64, Vec<Name>)> for WireSuspect {
-    fn from((fingerprint, crashes): (u64, Vec<Name>)) -> WireSuspect {
-        let crashes = crashes.iter().map(|life| life.as_str().to_owned()).collect();
-        WireSuspect { fingerprint, crashes }
+impl From<CrashSuspect> for WireSuspect {
+    fn from(suspect: CrashSuspect) -> WireSuspect {
+        let (key, is_prompt_part) = match suspect.cause {
+            CrashCause::Request(fingerprint) => (fingerprint, false),
+            CrashCause::PromptPart(id) => (id, true),
+        };
+        let lives = |is_excused| {
+            let crashes =
+                suspect.crashes.iter().filter(move |crash| crash.is_excused == is_excused);
+            crashes.map(|crash| crash.life.as_str().to_owned()).collect()
+        };
+        let (crashes, excused) = (lives(false), lives(true));
+        WireSuspect { key, crashes, is_prompt_part, excused, age_ms: suspect.age_ms }
     }
 }
 
-impl From<WireSuspect> for (u64, Vec<Name>) {
-    fn from(wire: WireSuspect) -> (u64, Vec<Name>) {
-        (wire.fingerprint, wire.crashes.into_iter().map(Name::from).collect())
+impl From<WireSuspect> for CrashSuspect {
+    fn from(wire: WireSuspect) -> CrashSuspect {
+        let crash =
+            |life: String, is_excused| SuspectedCrash { life: Name::from(life), is_excused };
+        let unexcused = wire.crashes.into_iter().map(|life| crash(life, false));
+        let excused = wire.excused.into_iter().map(|life| crash(life, true));
+        let mut crashes: Vec<SuspectedCrash> = unexcused.chain(excused).collect();
+        crashes.sort_by(|left, right| left.life.cmp(&right.life));
+        let cause = if wire.is_prompt_part {
+            CrashCause::PromptPart(wire.key)
+        } else {
+            CrashCause::Request(wire.key)
+        };
+        CrashSuspect { cause, crashes, age_ms: wire.age_ms }
     }
 }
 
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -4,9 +4,10 @@
 
 use assert_matches::assert_matches;
 use lycheeford_policy::{
-    HostRecord, HostSign, Name, PeerReport, PeerState, PermitAnswer, PermitAsk, PermitRank,
-    ReportedLease, ReportedPlacement, Residency, ResidentModel, RunningAt, Scope, ShortKey, Sums,
-    TargetChange, TargetChangeBatch, TargetEntry, TargetLife, TargetState, TimeMs, WantedName,
+    CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, PeerState, PermitAnswer,
+    PermitAsk, PermitRank, ReportedLease, ReportedPlacement, Residency, ResidentModel, RunningAt,
+    Scope, ShortKey, Sums, SuspectedCrash, TargetChange, TargetChangeBatch, TargetEntry,
+    TargetLife, TargetState, TimeMs, WantedName,
 };
 
 use proptest::collection::vec;
@@ -64,6 +65,11 @@
     }
 }
 
+fn suspect(cause: CrashCause) -> CrashSuspect {
+    let crash = |life, is_excused| SuspectedCrash { life: Name::from(life), is_excused };
+    CrashSuspect { cause, crashes: vec![crash("i-1/4", true), crash("i-2/4", false)], age_ms: 70 }
+}
+
 /// Returns a report in which no field has the value that an absent field decodes to.
 fn report(scope: Scope, state: PeerState) -> PeerReport {
     let sign = |record| HostSign { key: ShortKey(9), state, age_ms: 120, record };
@@ -89,7 +95,7 @@
         levels: vec![(ShortKey(3), -8.25)],
         heard: vec![(ShortKey(3), 11.0)],
         signs: vec![sign(None), sign(Some(record("host-2")))],
-        suspects: vec![(77, vec![Name::from("i-1/4")])],
+        suspects: vec![suspect(CrashCause::Request(77)), suspect(CrashCause::PromptPart(76))],
         suspects_digest: 78,
         revision: 12,
         confirmed_age_ms: Some(0),
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::AtomicU64;
 
-use lycheeford_policy::{Name, RefusalCode};
+use lycheeford_policy::{CrashCause, Name, RefusalCode};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -51,6 +51,11 @@
     answer: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SourceLabels {
     source: &'static str,
@@ -74,6 +79,7 @@
     orders: Family<OrderLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
     permits: Family<AnswerLabels, Counter>,
+    crash_causes: Family<CauseLabels, Counter>,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
     ages: Family<SourceLabels, Gauge>,
@@ -106,6 +112,7 @@
             orders: Family::default(),
             signals: Family::default(),
             permits: Family::default(),
+            crash_causes: Family::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
             ages: Family::default(),
@@ -172,6 +179,15 @@
         self.permits.get_or_create(&AnswerLabels { answer }).inc();
     }
 
+    /// Counts a reason for which requests are refused from now on.
+    pub(crate) fn crash_cause(&self, cause: CrashCause) {
+        let cause = match cause {
+            CrashCause::Request(_) => "request",
+            CrashCause::PromptPart(_) => "prompt_part",
+        };
+        self.crash_causes.get_or_create(&CauseLabels { cause }).inc();
+    }
+
     pub(crate) fn order(&self, name: &OrderedName, is_accepted: bool) {
         let order = match name {
             OrderedName::Load(_) => "load",
@@ -191,6 +207,8 @@
         registry.register("target_words", "What targets said of themselves", self.signals.clone());
         let help = "Answers to questions for permits of targets that name a limit";
         registry.register("target_permits", help, self.permits.clone());
+        let help = "Requests and prompt parts that are refused because targets crashed under them";
+        registry.register("crash_causes", help, self.crash_causes.clone());
         registry.register("revision", "The declaration in force", self.revision.clone());
         registry.register(
             "holds_orders",
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use lycheeford_policy::{
-    CrashVerdict, Deployment, Name, RatedCustomer, Refusal, RefusalCode, ServiceRoute, ShortKey,
-    TargetRequirements, TimeMs,
+    CrashCause, CrashVerdict, Deployment, Name, RatedCustomer, Refusal, RefusalCode, ServiceRoute,
+    ShortKey, TargetRequirements, TimeMs,
 };
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -28,8 +28,8 @@
     pub(super) priority: u8,
     pub(super) need: TargetRequirements,
     pub(super) charge: Option<Charge>,
-    /// Identifies repetitions of the same request by the same customer.
-    pub(super) fingerprint: u64,
+    /// What targets could crash from, if they crash while they run the request.
+    pub(super) crash_causes: Vec<CrashCause>,
     pub(super) arrived_at: TimeMs,
     /// When the caller stops waiting.
     pub(super) deadline_at: TimeMs,
@@ -59,8 +59,8 @@
         return Err(no_route(state, &request, arrived_at));
     };
     let customer = customer(state, &deployment, &route, &request, arrived_at)?;
-    let fingerprint = fingerprint(&request, customer.map(|customer| &customer.name));
-    refuse_suspect(state, fingerprint)?;
+    let crash_causes = crash_causes(&request, customer.map(|customer| &customer.name));
+    refuse_suspect(state, &crash_causes, arrived_at)?;
     let Some(service) = route.service(xxh3_64(request.id.as_bytes())).cloned() else {
         return Err(no_route(state, &request, arrived_at));
     };
@@ -99,7 +99,7 @@
         customer: customer.map(|customer| customer.name.clone()),
         need,
         charge,
-        fingerprint,
+        crash_causes,
         arrived_at,
         deadline_at: arrived_at + deadline_ms,
         final_at: arrived_at + deadline_ms.min(route.timeout_ms),
@@ -122,9 +122,10 @@
         plan.can_finish(sent_at, run_ms)
     }
 
-    /// Refuses a request if its key was withdrawn by a newer declaration while it waited, or if
-    /// that declaration isn't confirmed as current.
+    /// Refuses a request that was found to crash targets while it waited, or whose key was
+    /// withdrawn by a newer declaration, or if that declaration isn't confirmed as current.
     pub(super) fn recheck(&self, state: &State) -> Result<(), Refusal> {
+        refuse_suspect(state, &self.crash_causes, state.now())?;
         let Some(deployment) = state.deployment.load_full() else { return Ok(()) };
         if deployment.revision == self.revision || self.route.is_open {
             return Ok(());
@@ -157,14 +158,23 @@
     })
 }
 
-fn refuse_suspect(state: &State, fingerprint: u64) -> Result<(), Refusal> {
-    if state.suspects().verdict(fingerprint) != CrashVerdict::Refuse {
+fn refuse_suspect(state: &State, causes: &[CrashCause], now: TimeMs) -> Result<(), Refusal> {
+    if state.suspects().verdict(now, causes) != CrashVerdict::Refuse {
         return Ok(());
     }
-    let message = "targets crashed each time this request ran; change the request";
+    let message = "targets crashed while they ran this request, or others with a part of its \
+                   prompt; change the request";
     Err(Refusal::not_run(RefusalCode::CrashSuspect, message, None))
 }
 
+/// Returns the request as a whole, which its caller may repeat, and the parts of its prompt that
+/// other requests may share.
+fn crash_causes(request: &GatewayRequest, customer: Option<&Name>) -> Vec<CrashCause> {
+    let parts = request.shared_prompt().iter().map(|part| CrashCause::PromptPart(part.id));
+    let whole = CrashCause::Request(fingerprint(request, customer));
+    std::iter::once(whole).chain(parts).collect()
+}
+
 fn host_without_port(host: &str) -> String {
     let host = host.split_once(':').map_or(host, |(host, _)| host);
     host.to_ascii_lowercase()
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -62,6 +62,7 @@
     let state = &attempts.state;
     let (status, headers) = (response.status, response.headers);
     let left_ms = attempts.admitted.final_at.since_ms(state.now()).max(1);
+    let end = response.body.end();
     let read = timeout(Duration::from_millis(left_ms), response.body.collect(ANSWER_BYTES_MAX));
     let body = match read.await {
         Ok(Ok(body)) => body,
@@ -71,6 +72,7 @@
     let now = state.now();
     if reply == Reply::Ran {
         state.dispatcher().targets.succeeded(now, &slot.chosen, now.since_ms(sent_at));
+        attempts.record_completion(end);
     }
     attempts.log_answered(status, &slot.chosen.id, body.len());
     Ok(CallerResponse { status, headers, body: CallerBody::Whole(body) })
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -5,7 +5,9 @@
 use lycheeford_policy::{
     AdapterWant, Chosen, CrashVerdict, Name, Ran, Refusal, RefusalCode, TargetFailure, TimeMs,
 };
-use lycheeford_target::{Category, Connection, TargetError, TargetRequest, TargetResponse};
+use lycheeford_target::{
+    BodyEnd, Category, Connection, TargetError, TargetRequest, TargetResponse,
+};
 use slog::info;
 
 use super::admission::Admitted;
@@ -346,6 +348,17 @@
             "bytes" => body_bytes, "total_ms" => total_ms);
     }
 
+    /// Records that a target completed the response to the request.
+    ///
+    /// A response that ends with its connection doesn't count: it may have been cut short by a
+    /// crash.
+    pub(super) fn record_completion(&self, end: BodyEnd) {
+        if end == BodyEnd::Declared {
+            let causes = &self.admitted.crash_causes;
+            self.state.suspects().record_completion(self.state.now(), causes);
+        }
+    }
+
     pub(super) fn exclude(&mut self, chosen: &Chosen) {
         self.admitted.need.excluded.push(chosen.id.clone());
     }
@@ -356,8 +369,8 @@
     }
 
     fn is_suspect(&self) -> bool {
-        let verdict = self.state.suspects().verdict(self.admitted.fingerprint);
-        verdict == CrashVerdict::Refuse
+        let causes = &self.admitted.crash_causes;
+        self.state.suspects().verdict(self.state.now(), causes) == CrashVerdict::Refuse
     }
 
     fn take_from_retry_budget(&self) -> bool {
--- a/crates/lycheeford-gateway/src/request/crash.rs
+++ b/crates/lycheeford-gateway/src/request/crash.rs
@@ -2,11 +2,10 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_policy::{Chosen, Name};
+use lycheeford_policy::{Chosen, CrashCause, Name};
 use slog::warn;
 
 use super::admission::Admitted;
-use crate::PromptPart;
 use crate::state::State;
 
 /// The maximum number of checks whether a target crashed.
@@ -18,27 +17,26 @@
 #[derive(Debug, Clone)]
 pub(super) struct InterruptedRequest {
     id: Name,
-    fingerprint: u64,
-    /// The ids of the prompt parts that other requests may share.
-    parts: Vec<u64>,
+    causes: Vec<CrashCause>,
     /// How many events of the response had arrived from the target.
     events: u64,
 }
 
 impl InterruptedRequest {
     pub(super) fn new(admitted: &Admitted, events: u64) -> InterruptedRequest {
-        let shared = admitted.request.shared_prompt();
         InterruptedRequest {
             id: admitted.request.id.clone(),
-            fingerprint: admitted.fingerprint,
-            parts: shared.iter().map(|part: &PromptPart| part.id).collect(),
+            causes: admitted.crash_causes.clone(),
             events,
         }
     }
 }
 
-/// Checks whether a target crashed while running a request, and records the request as suspect if
-/// so.
+/// Checks whether a target crashed while running a request, and records what it could have crashed
+/// from if so.
+///
+/// A request whose response had begun to arrive did not crash the target: what is deadly crashes it
+/// before.
 ///
 /// A cut connection alone proves nothing: a target that loses responses, or whose connections are
 /// reset on the network, keeps running. The target crashed if nothing listens at its address, or if
@@ -52,12 +50,35 @@
         return;
     }
     let life = Name::from(format!("{}@{}", chosen.id, chosen.life));
-    let parts: Vec<String> = interrupted.parts.iter().map(|part| format!("{part:x}")).collect();
     warn!(state.log, "target_died";
         "id" => interrupted.id.as_str(), "target" => life.as_str(),
-        "fingerprint" => interrupted.fingerprint, "events" => interrupted.events,
-        "parts" => parts.join(","));
-    state.suspects().record_crash(interrupted.fingerprint, &life);
+        "events" => interrupted.events, "causes" => describe(&interrupted.causes));
+    if interrupted.events > 0 {
+        return;
+    }
+    let refused = state.suspects().record_crash(state.now(), &interrupted.causes, &life);
+    log_refused(&state, &refused, &state.settings.host);
+}
+
+/// Logs that requests are refused from now on because of what they have in common with others that
+/// crashed targets, as found by the host `source`.
+pub(crate) fn log_refused(state: &State, refused: &[CrashCause], source: &Name) {
+    if refused.is_empty() {
+        return;
+    }
+    for cause in refused {
+        state.metrics.crash_cause(*cause);
+    }
+    warn!(state.log, "crash_suspects_refused";
+        "causes" => describe(refused), "source" => source.as_str());
+}
+
+fn describe(causes: &[CrashCause]) -> String {
+    let described = causes.iter().map(|cause| match cause {
+        CrashCause::Request(fingerprint) => format!("request:{fingerprint:x}"),
+        CrashCause::PromptPart(id) => format!("part:{id:x}"),
+    });
+    described.collect::<Vec<_>>().join(",")
 }
 
 async fn has_died(state: &State, chosen: &Chosen) -> bool {
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod signals;
 mod slot;
 
+pub(crate) use self::crash::log_refused;
 pub(crate) use self::front::Front;
 pub(crate) use self::permit::PermitWaiters;
 pub(crate) use self::signals::{apply_reported_leaving, apply_signals, update_limit};
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -182,6 +182,7 @@
                 Next::HostStopping => return End::HostStopping,
                 Next::Chunk(Err(error)) => return End::Broken(error),
                 Next::Chunk(Ok(None)) => {
+                    self.attempts.record_completion(body.end());
                     let rest = self.boundary.take_rest();
                     let sent = self.send(rest).await;
                     return if sent { End::Done } else { End::HungUp };
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -4,7 +4,7 @@
 use super::short_key::ShortKey;
 use super::target_belief::TargetLife;
 use super::target_log::TargetChangeBatch;
-use crate::{Name, TimeMs};
+use crate::{CrashSuspect, Name, TimeMs};
 
 /// How long a requested name is repeated in reports, so that a lost report loses nothing.
 const ASKED_REPEAT_MS: u64 = 3_000;
@@ -43,10 +43,9 @@
     pub heard: Vec<(ShortKey, f64)>,
     /// The hosts that the sender knows to be alive.
     pub signs: Vec<HostSign>,
-    /// Fingerprints of requests that crashed targets, each with the incarnations of the targets
-    /// that crashed; a subset of the known ones.
-    pub suspects: Vec<(u64, Vec<Name>)>,
-    /// Digest of all such requests that the sender knows.
+    /// The requests and prompt parts that may have crashed targets; a subset of the known ones.
+    pub suspects: Vec<CrashSuspect>,
+    /// Digest of all of them that the sender knows.
     pub suspects_digest: u64,
     /// Revision of the declaration that the sender applies.
     pub revision: u64,
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -17,8 +17,8 @@
 //! - [`LedgerBucket`]: the record of calls that run at most once.
 //! - [`Freshness`], [`check_key`]: validation of API keys, and how long the configuration that
 //!   holds them stays valid without confirmation.
-//! - [`Health`], [`CrashSuspects`]: which targets and peers answer probes, and which requests crash
-//!   targets.
+//! - [`Health`], [`CrashSuspects`]: which targets and peers answer probes, and which requests and
+//!   prompt parts crash targets.
 //! - [`Refusal`]: why a request was refused, and whether it ran.
 //! - [`Planner`]: which replicas are loaded and unloaded on which target, and in which order.
 //! - [`Router`]: which target serves a request.
@@ -49,6 +49,7 @@
 mod prefix_cache;
 mod rate_share;
 mod readiness;
+mod recent_set;
 mod refusal;
 mod rendezvous;
 mod replica;
@@ -65,7 +66,8 @@
     Access, Adapter, Configuration, Customer, Key, Model, Repeat, Route, Service, SiteWeights,
 };
 pub use crate::crash_suspect::{
-    CrashSuspect, CrashSuspects, CrashVerdict, MAX_CRASH_SUSPECTS, MAX_TARGET_CRASHES,
+    CRASH_SUSPECT_EXPIRY_MS, CrashCause, CrashSuspect, CrashSuspects, CrashVerdict,
+    MAX_CRASH_SUSPECTS, MAX_PROMPT_PART_CRASHES, MAX_TARGET_CRASHES, SuspectedCrash,
 };
 pub use crate::fair_queue::{FairQueue, QueueDepth, QueueId, QueuedRequest};
 pub use crate::freshness::{ConfigurationState, Freshness, KEY_STALENESS_MS_MAX};
--- a/crates/lycheeford-policy/tests/crash_suspect.rs
+++ b/crates/lycheeford-policy/tests/crash_suspect.rs
@@ -1,6 +1,19 @@
 //! Tests of the record of requests that crash their targets.
 
-use lycheeford_policy::{CrashSuspect, CrashSuspects, CrashVerdict, MAX_CRASH_SUSPECTS, Name};
+use lycheeford_policy::{
+    CRASH_SUSPECT_EXPIRY_MS, CrashCause, CrashSuspect, CrashSuspects, CrashVerdict,
+    MAX_CRASH_SUSPECTS, Name, SuspectedCrash, TimeMs,
+};
+
+const NOW: TimeMs = TimeMs::from_ms(1_000_000);
+
+fn record(suspects: &mut CrashSuspects, fingerprint: u64, life: &str) {
+    suspects.record_crash(NOW, &[CrashCause::Request(fingerprint)], &Name::from(life));
+}
+
+fn verdict(suspects: &CrashSuspects, fingerprint: u64) -> CrashVerdict {
+    suspects.verdict(NOW, &[CrashCause::Request(fingerprint)])
+}
 
 struct Case {
     name: &'static str,
@@ -34,14 +47,14 @@
         let mut peer = CrashSuspects::default();
         for (index, instance) in case.crashes.iter().enumerate() {
             let seen_by = if index % 2 == 0 { &mut here } else { &mut peer };
-            seen_by.record_crash(17, &Name::from(*instance));
+            record(seen_by, 17, instance);
         }
-        here.merge(peer.reports());
-        here.merge(peer.reports());
-        peer.merge(here.reports());
-        assert_eq!(here.verdict(17), case.verdict, "{}", case.name);
-        assert_eq!(peer.verdict(17), case.verdict, "{}", case.name);
-        assert_eq!(here.verdict(18), CrashVerdict::Clear, "{}", case.name);
+        here.merge(NOW, &peer.reports(NOW));
+        here.merge(NOW, &peer.reports(NOW));
+        peer.merge(NOW, &here.reports(NOW));
+        assert_eq!(verdict(&here, 17), case.verdict, "{}", case.name);
+        assert_eq!(verdict(&peer, 17), case.verdict, "{}", case.name);
+        assert_eq!(verdict(&here, 18), CrashVerdict::Clear, "{}", case.name);
     }
 }
 
@@ -59,11 +72,11 @@
 fn the_oldest_suspects_are_evicted_first() {
     let mut suspects = CrashSuspects::default();
     for fingerprint in 0..=MAX_CRASH_SUSPECTS as u64 {
-        suspects.record_crash(fingerprint, &Name::from("e1@1"));
+        record(&mut suspects, fingerprint, "e1@1");
     }
-    assert_eq!(suspects.reports().len(), MAX_CRASH_SUSPECTS);
-    assert_eq!(suspects.verdict(0), CrashVerdict::Clear);
-    assert_eq!(suspects.verdict(1), CrashVerdict::RunAlone);
+    assert_eq!(suspects.reports(NOW).len(), MAX_CRASH_SUSPECTS);
+    assert_eq!(verdict(&suspects, 0), CrashVerdict::Clear);
+    assert_eq!(verdict(&suspects, 1), CrashVerdict::RunAlone);
 }
 
 struct ConvergenceCase {
@@ -130,31 +143,28 @@
     for case in cases {
         let (mut here, mut there) = (CrashSuspects::default(), CrashSuspects::default());
         for fingerprint in case.here.clone() {
-            here.record_crash(fingerprint, &Name::from("e1@1"));
+            record(&mut here, fingerprint, "e1@1");
         }
         for fingerprint in case.there {
-            there.record_crash(
-                fingerprint,
-                &Name::from(if case.has_distinct_targets { "e2@1" } else { "e1@1" }),
-            );
+            let life = if case.has_distinct_targets { "e2@1" } else { "e1@1" };
+            record(&mut there, fingerprint, life);
         }
         let mut exchanges = 0;
         while here.digest() != there.digest() {
             assert!(exchanges < EXCHANGES_MAX, "{}", case.name);
-            let sent: Vec<CrashSuspect> = here.excerpt(exchanges).into_iter().cloned().collect();
-            let received: Vec<CrashSuspect> =
-                there.excerpt(exchanges).into_iter().cloned().collect();
+            let sent = here.excerpt(NOW, exchanges);
+            let received = there.excerpt(NOW, exchanges);
             assert!(
                 sent.len() <= EXCERPT_SUSPECTS_MAX && received.len() <= EXCERPT_SUSPECTS_MAX,
                 "{}",
                 case.name
             );
-            there.merge(&sent);
-            here.merge(&received);
+            there.merge(NOW, &sent);
+            here.merge(NOW, &received);
             exchanges += 1;
         }
         for fingerprint in case.here {
-            let verdicts = (here.verdict(fingerprint), there.verdict(fingerprint));
+            let verdicts = (verdict(&here, fingerprint), verdict(&there, fingerprint));
             assert_eq!(verdicts, (case.verdict, case.verdict), "{}", case.name);
         }
     }
@@ -164,10 +174,260 @@
 fn a_new_suspect_is_in_the_first_excerpt_however_many_are_known() {
     let mut here = CrashSuspects::default();
     for fingerprint in 0..MAX_CRASH_SUSPECTS as u64 {
-        here.record_crash(fingerprint, &Name::from("e1@1"));
+        record(&mut here, fingerprint, "e1@1");
     }
-    here.record_crash(17, &Name::from("e2@1"));
+    record(&mut here, 17, "e2@1");
     let mut there = CrashSuspects::default();
-    there.merge(&here.excerpt(0).into_iter().cloned().collect::<Vec<_>>());
-    assert_eq!(there.verdict(17), CrashVerdict::Refuse);
+    there.merge(NOW, &here.excerpt(NOW, 0));
+    assert_eq!(verdict(&there, 17), CrashVerdict::Refuse);
+}
+
+/// A deadly prompt part, and two harmless ones.
+const DEADLY: CrashCause = CrashCause::PromptPart(1);
+const COMMON: CrashCause = CrashCause::PromptPart(2);
+const RARE: CrashCause = CrashCause::PromptPart(3);
+/// A request that isn't deadly.
+const SOUND: CrashCause = CrashCause::Request(7);
+
+/// What happened at the two hosts, and when.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// A target crashed while the first host ran a request with these causes there.
+    Crash(&'static str, &'static [CrashCause]),
+    /// The same, at the second host.
+    CrashThere(&'static str, &'static [CrashCause]),
+    /// The first host completed a request with these causes.
+    Done(&'static [CrashCause]),
+    DoneThere(&'static [CrashCause]),
+    Wait(u64),
+}
+
+use Event::{Crash, CrashThere, Done, DoneThere, Wait};
+
+struct PartCase {
+    name: &'static str,
+    events: &'static [Event],
+    /// Requests that are refused afterwards, at both hosts.
+    refused: &'static [&'static [CrashCause]],
+    /// Requests that aren't.
+    allowed: &'static [&'static [CrashCause]],
+}
+
+const PART_CASES: &[PartCase] = &[
+    PartCase {
+        name: "three crashes, seen by two hosts",
+        events: &[Crash("e1", &[DEADLY]), CrashThere("e2", &[DEADLY]), Crash("e3", &[DEADLY])],
+        refused: &[&[DEADLY], &[COMMON, DEADLY]],
+        allowed: &[&[COMMON]],
+    },
+    PartCase {
+        name: "two crashes, which one request can cause",
+        events: &[Crash("e1", &[DEADLY]), Crash("e2", &[DEADLY])],
+        refused: &[],
+        allowed: &[&[DEADLY]],
+    },
+    PartCase {
+        name: "one crash that many requests and both hosts see",
+        events: &[
+            Crash("e1", &[DEADLY]),
+            Crash("e1", &[DEADLY]),
+            CrashThere("e1", &[DEADLY]),
+            CrashThere("e1", &[DEADLY]),
+        ],
+        refused: &[],
+        allowed: &[&[DEADLY]],
+    },
+    PartCase {
+        name: "beside a part that is completed before the crashes",
+        events: &[
+            Done(&[COMMON]),
+            Crash("e1", &[COMMON, DEADLY]),
+            Crash("e2", &[COMMON, DEADLY]),
+            Crash("e3", &[COMMON, DEADLY]),
+        ],
+        refused: &[&[COMMON, DEADLY], &[DEADLY]],
+        allowed: &[&[COMMON]],
+    },
+    PartCase {
+        name: "beside a part that the other host completed before the crashes",
+        events: &[
+            DoneThere(&[COMMON]),
+            Crash("e1", &[COMMON, DEADLY]),
+            Crash("e2", &[COMMON, DEADLY]),
+            Crash("e3", &[COMMON, DEADLY]),
+        ],
+        refused: &[&[COMMON, DEADLY]],
+        allowed: &[&[COMMON]],
+    },
+    PartCase {
+        name: "beside a part that is completed after the crashes",
+        events: &[
+            Crash("e1", &[COMMON, DEADLY]),
+            Crash("e2", &[COMMON, DEADLY]),
+            Crash("e3", &[COMMON, DEADLY]),
+            Done(&[COMMON]),
+        ],
+        refused: &[&[COMMON, DEADLY], &[DEADLY]],
+        allowed: &[&[COMMON]],
+    },
+    PartCase {
+        name: "beside a part that was never completed",
+        events: &[
+            Crash("e1", &[RARE, DEADLY]),
+            Crash("e2", &[RARE, DEADLY]),
+            Crash("e3", &[RARE, DEADLY]),
+        ],
+        refused: &[&[RARE, DEADLY]],
+        allowed: &[&[RARE]],
+    },
+    PartCase {
+        name: "a fourth crash tells the parts of the first three apart",
+        events: &[
+            Crash("e1", &[RARE, DEADLY]),
+            Crash("e2", &[RARE, DEADLY]),
+            Crash("e3", &[RARE, DEADLY]),
+            CrashThere("e4", &[DEADLY]),
+        ],
+        refused: &[&[RARE, DEADLY], &[DEADLY]],
+        allowed: &[&[RARE]],
+    },
+    PartCase {
+        name: "a sound request that ran beside the deadly part the first times",
+        events: &[
+            Crash("e1", &[DEADLY]),
+            CrashThere("e1", &[SOUND, RARE]),
+            Crash("e2", &[DEADLY]),
+            CrashThere("e2", &[SOUND, RARE]),
+            Crash("e3", &[DEADLY]),
+            CrashThere("e3", &[SOUND, RARE]),
+            Crash("e4", &[DEADLY]),
+        ],
+        refused: &[&[DEADLY]],
+        allowed: &[&[SOUND, RARE]],
+    },
+    PartCase {
+        name: "a sound request that ran beside the deadly part each time, and is then answered",
+        events: &[
+            Crash("e1", &[DEADLY]),
+            CrashThere("e1", &[SOUND, RARE]),
+            Crash("e2", &[DEADLY]),
+            CrashThere("e2", &[SOUND, RARE]),
+            Crash("e3", &[DEADLY]),
+            CrashThere("e3", &[SOUND, RARE]),
+            DoneThere(&[SOUND, RARE]),
+        ],
+        refused: &[&[DEADLY]],
+        allowed: &[&[SOUND, RARE]],
+    },
+    PartCase {
+        name: "two parts that nothing tells apart",
+        events: &[
+            Crash("e1", &[DEADLY]),
+            CrashThere("e1", &[RARE]),
+            Crash("e2", &[DEADLY]),
+            CrashThere("e2", &[RARE]),
+            Crash("e3", &[DEADLY]),
+            CrashThere("e3", &[RARE]),
+            Crash("e4", &[DEADLY]),
+            CrashThere("e4", &[RARE]),
+            Crash("e5", &[DEADLY]),
+            CrashThere("e5", &[RARE]),
+        ],
+        refused: &[&[DEADLY], &[RARE]],
+        allowed: &[&[COMMON]],
+    },
+    PartCase {
+        name: "targets that crash all at once under a part that is answered all the time",
+        events: &[
+            Done(&[COMMON]),
+            DoneThere(&[COMMON]),
+            Wait(2_000),
+            Crash("e1", &[COMMON]),
+            CrashThere("e2", &[COMMON]),
+            Crash("e3", &[COMMON]),
+            CrashThere("e4", &[COMMON]),
+            Crash("e5", &[COMMON]),
+        ],
+        refused: &[],
+        allowed: &[&[COMMON]],
+    },
+    PartCase {
+        name: "a part that has become deadly since it was last completed",
+        events: &[
+            Done(&[COMMON]),
+            Wait(60_000),
+            Crash("e1", &[COMMON]),
+            CrashThere("e2", &[COMMON]),
+            Crash("e3", &[COMMON]),
+        ],
+        refused: &[&[COMMON]],
+        allowed: &[],
+    },
+    PartCase {
+        name: "a suspect that nothing has crashed under for long",
+        events: &[
+            Crash("e1", &[DEADLY]),
+            CrashThere("e2", &[DEADLY]),
+            Crash("e3", &[DEADLY]),
+            Wait(CRASH_SUSPECT_EXPIRY_MS),
+        ],
+        refused: &[],
+        allowed: &[&[DEADLY]],
+    },
+];
+
+#[test]
+fn requests_that_share_a_deadly_part_are_refused_and_those_beside_them_are_not() {
+    for case in PART_CASES {
+        let (mut here, mut there) = (CrashSuspects::default(), CrashSuspects::default());
+        let mut now = NOW;
+        for event in case.events {
+            match *event {
+                Crash(life, causes) => {
+                    here.record_crash(now, causes, &life.into());
+                }
+                CrashThere(life, causes) => {
+                    there.record_crash(now, causes, &life.into());
+                }
+                Done(causes) => here.record_completion(now, causes),
+                DoneThere(causes) => there.record_completion(now, causes),
+                Wait(ms) => now = now + ms,
+            }
+            exchange(now, &mut here, &mut there);
+        }
+        assert_eq!(here.digest(), there.digest(), "{}", case.name);
+        for host in [&here, &there] {
+            for causes in case.refused {
+                let verdict = host.verdict(now, causes);
+                assert_eq!(verdict, CrashVerdict::Refuse, "{}: {causes:?}", case.name);
+            }
+            for causes in case.allowed {
+                let verdict = host.verdict(now, causes);
+                assert_ne!(verdict, CrashVerdict::Refuse, "{}: {causes:?}", case.name);
+            }
+        }
+    }
+}
+
+/// Exchanges what the two hosts know, there and back.
+fn exchange(now: TimeMs, here: &mut CrashSuspects, there: &mut CrashSuspects) {
+    for _ in 0..2 {
+        here.expire(now);
+        there.expire(now);
+        there.merge(now, &here.excerpt(now, 0));
+        here.merge(now, &there.excerpt(now, 0));
+    }
+}
+
+#[test]
+fn a_report_of_an_expired_suspect_does_not_renew_it() {
+    let crash = |life: &str| SuspectedCrash { life: life.into(), is_excused: false };
+    let expired = CrashSuspect {
+        cause: DEADLY,
+        crashes: vec![crash("e1"), crash("e2"), crash("e3")],
+        age_ms: CRASH_SUSPECT_EXPIRY_MS,
+    };
+    let mut suspects = CrashSuspects::default();
+    assert_eq!(suspects.merge(NOW, &[expired]), []);
+    assert_eq!(suspects.verdict(NOW, &[DEADLY]), CrashVerdict::Clear);
 }
--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -4,9 +4,7 @@
 
 use async_std::future::timeout;
 use http_types::Method;
-use lycheeford_http::{
-    BodyBudget, BodyDecoder, Persistence, ResponseHead, strip_connection_headers,
-};
+use lycheeford_http::{BodyBudget, Persistence, ResponseHead, strip_connection_headers};
 use lycheeford_policy::OrderOutcome;
 
 use crate::error::Code;
@@ -77,7 +75,7 @@
         strip_connection_headers(&mut head.headers);
         let body = TargetBody::new(
             link,
-            BodyDecoder::new(head.framing),
+            head.framing,
             after_answer,
             &self.limits,
             self.budget.reservation(),
--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -28,7 +28,7 @@
 pub use crate::limits::TargetLimits;
 pub use crate::order::Order;
 pub use crate::request::{Connection, TargetRequest};
-pub use crate::response::{TargetBody, TargetResponse};
+pub use crate::response::{BodyEnd, TargetBody, TargetResponse};
 pub use crate::status::{Checkpoint, Loaded, TargetStatus};
 pub use http_types::Method;
 pub use lycheeford_http::Unframed;
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use lycheeford_http::{BodyDecoder, Reservation};
+use lycheeford_http::{BodyDecoder, Framing, Reservation};
 
 use crate::error::Code;
 use crate::link::Link;
@@ -25,10 +25,20 @@
     pub body: TargetBody,
 }
 
+/// How the end of a body is recognized.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By its length or its last chunk.
+    Declared,
+    /// By the end of the connection, which may also be that of the target's process.
+    Connection,
+}
+
 /// The body of an answer, received in chunks on demand.
 #[derive(Debug)]
 pub struct TargetBody {
     state: State,
+    end: BodyEnd,
     between_bytes_ms_max: u64,
     answer_bytes_max: usize,
     received_bytes: usize,
@@ -61,13 +71,17 @@
 impl TargetBody {
     pub(crate) fn new(
         link: Link,
-        decoder: BodyDecoder,
+        framing: Framing,
         after_answer: AfterAnswer,
         limits: &TargetLimits,
         memory: Reservation,
     ) -> TargetBody {
         let mut body = TargetBody {
-            state: State::Open { link, decoder, after_answer },
+            state: State::Open { link, decoder: BodyDecoder::new(framing), after_answer },
+            end: match framing {
+                Framing::UntilClose => BodyEnd::Connection,
+                Framing::Empty | Framing::Length(_) | Framing::Chunked => BodyEnd::Declared,
+            },
             between_bytes_ms_max: limits.between_bytes_ms_max,
             answer_bytes_max: limits.answer_bytes_max,
             received_bytes: 0,
@@ -78,6 +92,11 @@
         body
     }
 
+    /// Returns how the end of the body is recognized.
+    pub fn end(&self) -> BodyEnd {
+        self.end
+    }
+
     /// Returns the next bytes, or `None` after the complete body.
     ///
     /// Dropping the future loses no data, and the limit on a pause keeps
--- a/crates/lycheeford-wire/src/convert/placement.rs
+++ b/crates/lycheeford-wire/src/convert/placement.rs
@@ -1,4 +1,6 @@
-use lycheeford_policy::{Activity, CrashSuspect, Demand, Incarnation, Name};
+use lycheeford_policy::{
+    Activity, CrashCause, CrashSuspect, Demand, Incarnation, Name, SuspectedCrash,
+};
 
 use super::{checked_all, checked_name, encoded_all};
 use crate::error::WireError;
@@ -165,8 +167,10 @@
 
 impl From<CrashSuspect> for wire::CrashSuspect {
     fn from(domain: CrashSuspect) -> wire::CrashSuspect {
-        let target_lives = domain.crashes.iter().map(|crash| crash.as_str().to_owned()).collect();
-        wire::CrashSuspect { fingerprint: domain.fingerprint, target_lives }
+        let lives = domain.crashes.iter().map(|crash| crash.life.as_str().to_owned());
+        // Daemons see no prompt parts, so that all their suspects are requests.
+        let (CrashCause::Request(fingerprint) | CrashCause::PromptPart(fingerprint)) = domain.cause;
+        wire::CrashSuspect { fingerprint, target_lives: lives.collect() }
     }
 }
 
@@ -177,9 +181,12 @@
         let mut crashes = wire
             .target_lives
             .into_iter()
-            .map(|crash| checked_name(crash, "target_lives"))
-            .collect::<Result<Vec<Name>, WireError>>()?;
-        crashes.sort();
-        Ok(CrashSuspect { fingerprint: wire.fingerprint, crashes, crash_number: 0 })
+            .map(|life| {
+                let life = checked_name(life, "target_lives")?;
+                Ok(SuspectedCrash { life, is_excused: false })
+            })
+            .collect::<Result<Vec<SuspectedCrash>, WireError>>()?;
+        crashes.sort_by(|left, right| left.life.cmp(&right.life));
+        Ok(CrashSuspect { cause: CrashCause::Request(wire.fingerprint), crashes, age_ms: 0 })
     }
 }
--- a/crates/lycheeford-wire/tests/frames.rs
+++ b/crates/lycheeford-wire/tests/frames.rs
@@ -1,8 +1,8 @@
 //! Frames from a peer are untrusted input: any bytes are either decoded or refused.
 
 use lycheeford_policy::{
-    Activity, AskId, CrashSuspect, Demand, Incarnation, Instance, Loan, LoanId, LoanReport,
-    LoanState, Name,
+    Activity, AskId, CrashCause, CrashSuspect, Demand, Incarnation, Instance, Loan, LoanId,
+    LoanReport, LoanState, Name, SuspectedCrash,
 };
 use lycheeford_wire::{
     Beat, CustomerLoanReport, DemandReport, Hello, HostReport, LoanOffer, Message, SpareTokens,
@@ -94,9 +94,9 @@
         Case {
             name: "crashes",
             message: Message::CrashReport(vec![CrashSuspect {
-                fingerprint: u64::MAX,
-                crashes: vec!["target-1@7".into()],
-                crash_number: 0,
+                cause: CrashCause::Request(u64::MAX),
+                crashes: vec![SuspectedCrash { life: "target-1@7".into(), is_excused: false }],
+                age_ms: 0,
             }]),
         },
     ];
--- a/crates/lycheefordd/src/membership/inbox.rs
+++ b/crates/lycheefordd/src/membership/inbox.rs
@@ -58,7 +58,9 @@
                 }
             }
             Message::PlacementReport(report) => adopt(self, &from, report),
-            Message::CrashReport(suspects) => self.suspects.lock().merge(&suspects),
+            Message::CrashReport(suspects) => {
+                self.suspects.lock().merge(self.now(), &suspects);
+            }
             Message::LoanAsk(ask) => loans::answer_ask(self, &from, &ask),
             Message::LoanOffer(offer) => loans::accept_offer(self, &offer),
             Message::LoanRefusal(refusal) => loans::record_refusal(self, &from, &refusal),
--- a/crates/lycheefordd/src/request/completion.rs
+++ b/crates/lycheefordd/src/request/completion.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerResponse, Method};
-use lycheeford_policy::{CrashVerdict, Name, Ran, Refusal, RefusalCode, TimeMs};
+use lycheeford_policy::{CrashCause, CrashVerdict, Name, Ran, Refusal, RefusalCode, TimeMs};
 use lycheeford_target::{CompletionEvent, Connection, TargetError, TargetRequest, TargetResponse};
 use serde_json::Value;
 
@@ -151,8 +151,7 @@
     /// Returns whether the request may be sent to another target, and takes a retry from the
     /// budget if so.
     pub(crate) fn can_retry(&self) -> bool {
-        let suspect = self.state.suspects.lock().verdict(self.call.fingerprint);
-        let allowed = suspect != CrashVerdict::Refuse
+        let allowed = !self.is_refused_suspect()
             && self.alive_failures < FAILURES_MAX
             && self.state.now() < self.deadline
             && self.state.retry_budget.lock().withdraw(self.state.now());
@@ -162,13 +161,20 @@
         allowed
     }
 
+    /// Returns whether too many targets crashed while they ran this request.
+    fn is_refused_suspect(&self) -> bool {
+        let causes = [CrashCause::Request(self.call.fingerprint)];
+        let verdict = self.state.suspects.lock().verdict(self.state.now(), &causes);
+        verdict == CrashVerdict::Refuse
+    }
+
     /// Returns the refusal of a request that no target completed.
     pub(crate) fn failure(&self, error: Option<TargetError>) -> Refusal {
         self.failure_refusal(error).after(self.ran)
     }
 
     fn failure_refusal(&self, error: Option<TargetError>) -> Refusal {
-        if self.state.suspects.lock().verdict(self.call.fingerprint) == CrashVerdict::Refuse {
+        if self.is_refused_suspect() {
             return crash_suspect();
         }
         if self.state.now() >= self.deadline {
--- a/crates/lycheefordd/src/request/crash.rs
+++ b/crates/lycheefordd/src/request/crash.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_policy::Name;
+use lycheeford_policy::{CrashCause, Name};
 use lycheeford_wire::Message;
 use slog::warn;
 
@@ -44,7 +44,9 @@
     warn!(state.log, "target died while a request ran";
         "target" => %target, "incarnation" => incarnation, "fingerprint" => fingerprint);
     state.metrics.event(Event::TargetCrash);
-    state.suspects.lock().record_crash(fingerprint, &Name::from(format!("{target}@{incarnation}")));
+    let life = Name::from(format!("{target}@{incarnation}"));
+    let causes = [CrashCause::Request(fingerprint)];
+    state.suspects.lock().record_crash(state.now(), &causes, &life);
     state.placement.lock().forget_target(state.now(), target);
     share_suspects(state);
     CrashCheck::Crashed
@@ -69,7 +71,7 @@
 fn share_suspects(state: &Arc<State>) {
     let state = state.clone();
     task::spawn(async move {
-        let suspects = state.suspects.lock().reports().to_vec();
+        let suspects = state.suspects.lock().reports(state.now());
         send_all(&state, &Message::CrashReport(suspects));
     });
 }
--- a/crates/lycheefordd/src/request/run_alone.rs
+++ b/crates/lycheefordd/src/request/run_alone.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use lycheeford_policy::{CrashVerdict, Refusal, RefusalCode};
+use lycheeford_policy::{CrashCause, CrashVerdict, Refusal, RefusalCode};
 
 use crate::state::State;
 
@@ -30,7 +30,7 @@
     fingerprint: u64,
 ) -> Result<Option<RunAloneGuard>, Refusal> {
     let mut suspects = state.suspects.lock();
-    match suspects.verdict(fingerprint) {
+    match suspects.verdict(state.now(), &[CrashCause::Request(fingerprint)]) {
         CrashVerdict::Clear => Ok(None),
         CrashVerdict::Refuse => Err(crash_suspect()),
         CrashVerdict::RunAlone if suspects.start_exclusive_run(fingerprint) => {
