Treat an unframed stream that ends inside an event as broken off

What callers saw: a stream with neither a length nor chunks that ended inside an event, as after a crash of its engine, was passed on as complete. Nor was the crash noticed, so that a deadly request in such a stream stayed unknown.

Cause: the end of the connection was taken for the end of the body in every case. Now a stream that ends with its connection inside an event, or before the first one, is broken off: it is resumed where that is allowed, else cut. Ruled out: the daemon, whose client rejects unframed answers.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -5,7 +5,7 @@
 use async_std::prelude::FutureExt;
 use lycheeford_caller::ChunkSender;
 use lycheeford_policy::{Chosen, EVENT_BYTES_MAX, EventBoundary, TimeMs};
-use lycheeford_target::{TargetBody, TargetError};
+use lycheeford_target::{BodyEnd, TargetBody, TargetError};
 use slog::info;
 
 use super::attempt::{Attempts, StartedResponse};
@@ -181,6 +181,9 @@
                 Next::HungUp => return End::HungUp,
                 Next::HostStopping => return End::HostStopping,
                 Next::Chunk(Err(error)) => return End::Broken(error),
+                Next::Chunk(Ok(None)) if self.is_cut_short(body.end()) => {
+                    return End::Broken(TargetError::truncated());
+                }
                 Next::Chunk(Ok(None)) => {
                     self.attempts.record_completion(body.end());
                     let rest = self.boundary.take_rest();
@@ -215,6 +218,21 @@
         }
     }
 
+    /// Returns whether a stream whose body has ended is incomplete.
+    ///
+    /// If the end of the connection is the end of the body, the target may have crashed instead:
+    /// then the stream ends inside an event, or before the first one.
+    fn is_cut_short(&self, end: BodyEnd) -> bool {
+        match end {
+            BodyEnd::Declared => false,
+            BodyEnd::Connection => {
+                let is_resumed_by_caller = self.attempts.admitted.request.resume_after.is_some();
+                let is_empty = self.boundary.events() == 0 && !is_resumed_by_caller;
+                is_empty || self.boundary.is_inside_event()
+            }
+        }
+    }
+
     /// Waits for a stalled stream until it continues or another target can resume it.
     ///
     /// A target that is only overloaded continues later, so a stream that no other target can
--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -74,6 +74,12 @@
         std::mem::take(&mut self.pending)
     }
 
+    /// Returns whether the bytes so far end inside an event; comments belong to none.
+    pub fn is_inside_event(&self) -> bool {
+        let line = &self.pending[self.line_start..];
+        self.has_field || !(line.is_empty() || line.starts_with(b":"))
+    }
+
     /// Returns whether no event ended within [`EVENT_BYTES_MAX`] bytes.
     pub fn is_endless(&self) -> bool {
         self.since_event_bytes > EVENT_BYTES_MAX
--- a/crates/lycheeford-policy/tests/gateway/streams.rs
+++ b/crates/lycheeford-policy/tests/gateway/streams.rs
@@ -107,3 +107,26 @@
         assert!(!boundary.is_endless(), "{what}");
     }
 }
+
+#[test]
+fn bytes_of_a_comment_are_inside_no_event() {
+    struct Case {
+        what: &'static str,
+        bytes: &'static str,
+        is_inside_event: bool,
+    }
+    let cases = [
+        Case { what: "nothing", bytes: "", is_inside_event: false },
+        Case { what: "a whole event", bytes: "id: 1\ndata: ice\n\n", is_inside_event: false },
+        Case { what: "a comment", bytes: "data: ice\n\n: ice\n", is_inside_event: false },
+        Case { what: "a part of a comment", bytes: "data: ice\n\n: i", is_inside_event: false },
+        Case { what: "a whole line", bytes: "data: ice\n\nid: 2\n", is_inside_event: true },
+        Case { what: "a part of a line", bytes: "data: ice\n\nda", is_inside_event: true },
+        Case { what: "a comment in an event", bytes: "id: 2\n: ice", is_inside_event: true },
+    ];
+    for Case { what, bytes, is_inside_event } in cases {
+        let mut boundary = EventBoundary::default();
+        boundary.push(bytes.as_bytes());
+        assert_eq!(boundary.is_inside_event(), is_inside_event, "{what}");
+    }
+}
--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -57,6 +57,11 @@
         Code::BetweenBytesTimeout { limit_ms }.into()
     }
 
+    /// Returns the error of an answer that ended before it was complete.
+    pub fn truncated() -> TargetError {
+        Code::Truncated.into()
+    }
+
     /// Returns the error of a stream in which no event ended within `limit_bytes`.
     pub fn event_too_large(limit_bytes: usize) -> TargetError {
         Code::EventTooLarge { limit_bytes }.into()
