Keep refused prompt parts in the store

Change: the lease holder writes each refused part to the store and deletes it when it expires or is excused; each host reads them before it takes requests, and learns later ones by reports as before.

--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
+use super::stored_suspects::{keep_stored_suspects, read_stored_suspects};
 use crate::state::State;
 
 /// The kind of the objects by which hosts discover each other.
@@ -52,6 +53,8 @@
 
 /// Registers this host, discovers the others and deletes the objects of dead hosts.
 pub(crate) async fn maintain_hosts(state: Arc<State>) {
+    let stored = read_stored_suspects(&state).await;
+    task::spawn(keep_stored_suspects(Arc::clone(&state), stored));
     while let Err(error) = register(&state).await {
         warn!(state.log, "host_unregistered"; "error" => %error);
         task::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -4,7 +4,8 @@
 //! run and spend (`report`, `exchange`). The partners follow from the hosts that are alive
 //! ([`lycheeford_policy::ReportLayout`]). Permits of rate-limited targets are requested from the
 //! host that grants them (`limits`). The models that requests wait for are reported directly to the
-//! lease holder (`demand`). Hosts discover each other by a list in the store (`hosts`).
+//! lease holder (`demand`). Hosts discover each other by a list in the store (`hosts`), which also
+//! keeps the prompt parts that crash targets (`stored_suspects`).
 
 mod demand;
 mod exchange;
@@ -12,6 +13,7 @@
 mod limits;
 mod report;
 mod send;
+mod stored_suspects;
 mod table;
 mod wire;
 
--- /dev/null
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -0,0 +1,157 @@
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_std::task;
+use lycheeford_platform::{Category, Expect, Object, PlatformError};
+use lycheeford_policy::{CrashCause, CrashSuspect, Name, SuspectedCrash};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+
+use crate::request::log_refused;
+use crate::state::State;
+
+/// The kind of the objects that name deadly prompt parts.
+const SUSPECT_KIND: &str = "lycheeford-crash-suspects";
+/// The pause before a failed read is repeated.
+const READ_PAUSE_MS: u64 = 150;
+/// The interval at which the known parts are compared with the stored ones.
+const CHECK_MS: u64 = 500;
+
+/// The stored form of a prompt part for which requests are refused.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredSuspect {
+    part: u64,
+    /// The lives of targets that crashed.
+    crashes: Vec<Name>,
+    /// When the last of them crashed, as Unix time.
+    last_crash_unix_ms: u64,
+}
+
+impl StoredSuspect {
+    fn of(suspect: &CrashSuspect) -> Option<StoredSuspect> {
+        let CrashCause::PromptPart(part) = suspect.cause else { return None };
+        let unexcused = suspect.crashes.iter().filter(|crash| !crash.is_excused);
+        Some(StoredSuspect {
+            part,
+            crashes: unexcused.map(|crash| crash.life.clone()).collect(),
+            last_crash_unix_ms: unix_ms().saturating_sub(suspect.age_ms),
+        })
+    }
+
+    fn name(&self) -> Name {
+        Name::from(format!("{:016x}", self.part))
+    }
+}
+
+impl From<StoredSuspect> for CrashSuspect {
+    fn from(stored: StoredSuspect) -> CrashSuspect {
+        let crash = |life| SuspectedCrash { life, is_excused: false };
+        CrashSuspect {
+            cause: CrashCause::PromptPart(stored.part),
+            crashes: stored.crashes.into_iter().map(crash).collect(),
+            age_ms: unix_ms().saturating_sub(stored.last_crash_unix_ms),
+        }
+    }
+}
+
+/// Reads the deadly prompt parts from the store, and returns the names of their objects.
+///
+/// A host does this before it takes requests; it learns later ones from the reports of the others.
+pub(super) async fn read_stored_suspects(state: &State) -> Vec<Name> {
+    loop {
+        match read(state).await {
+            Ok(stored) => return stored,
+            Err(error) => warn!(state.log, "crash_suspects_unread"; "error" => %error),
+        }
+        task::sleep(Duration::from_millis(READ_PAUSE_MS)).await;
+    }
+}
+
+/// Keeps the deadly prompt parts in the store while this host is the lease holder, so that they are
+/// known after all hosts were replaced at once.
+///
+/// `stored` are the names of their objects.
+pub(super) async fn keep_stored_suspects(state: Arc<State>, mut stored: Vec<Name>) {
+    loop {
+        task::sleep(Duration::from_millis(CHECK_MS)).await;
+        let now = state.now();
+        if state.orders().lease.token(now).is_none() {
+            continue;
+        }
+        let refused = state.suspects().refused_parts(now);
+        let refused: Vec<StoredSuspect> = refused.iter().filter_map(StoredSuspect::of).collect();
+        if let Err(error) = write_changes(&state, &mut stored, &refused).await {
+            warn!(state.log, "crash_suspects_unwritten"; "error" => %error);
+        }
+    }
+}
+
+async fn read(state: &State) -> Result<Vec<Name>, PlatformError> {
+    let listing = state.protocols.store.objects().list(SUSPECT_KIND).await?;
+    let suspects: Vec<CrashSuspect> =
+        listing.objects.iter().filter_map(|object| decode(state, object)).collect();
+    let refused = state.suspects().merge(state.now(), &suspects);
+    log_refused(state, &refused, &Name::from("store"));
+    Ok(listing.objects.into_iter().map(|object| object.name).collect())
+}
+
+fn decode(state: &State, object: &Object) -> Option<CrashSuspect> {
+    match serde_json::from_value::<StoredSuspect>(object.value.clone()) {
+        Ok(stored) => Some(CrashSuspect::from(stored)),
+        Err(error) => {
+            warn!(state.log, "crash_suspect_unreadable";
+                "name" => object.name.as_str(), "error" => %error);
+            None
+        }
+    }
+}
+
+/// Writes the parts that are not stored yet, and deletes those that are refused no longer.
+async fn write_changes(
+    state: &State,
+    stored: &mut Vec<Name>,
+    refused: &[StoredSuspect],
+) -> Result<(), PlatformError> {
+    for suspect in refused {
+        let name = suspect.name();
+        if !stored.contains(&name) {
+            create(state, &name, suspect).await?;
+            stored.push(name);
+        }
+    }
+    while let Some(index) =
+        stored.iter().position(|name| !refused.iter().any(|suspect| suspect.name() == *name))
+    {
+        delete(state, &stored[index]).await?;
+        stored.swap_remove(index);
+    }
+    Ok(())
+}
+
+async fn create(state: &State, name: &Name, suspect: &StoredSuspect) -> Result<(), PlatformError> {
+    let value = serde_json::to_value(suspect)
+        .map_err(|error| PlatformError::new(Category::Malformed, error.to_string()))?;
+    match state.protocols.store.objects().put(SUSPECT_KIND, name, value, Expect::Absent).await {
+        Ok(_) => {
+            info!(state.log, "crash_suspect_stored"; "name" => name.as_str());
+            Ok(())
+        }
+        // An earlier lease holder has written it.
+        Err(error) if error.category() == Category::Conflict => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+async fn delete(state: &State, name: &Name) -> Result<(), PlatformError> {
+    let objects = state.protocols.store.objects();
+    if let Some(object) = objects.get(SUSPECT_KIND, name).await? {
+        objects.delete(SUSPECT_KIND, name, object.version).await?;
+        info!(state.log, "crash_suspect_deleted"; "name" => name.as_str());
+    }
+    Ok(())
+}
+
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/lycheeford-policy/src/crash_suspect.rs
+++ b/crates/lycheeford-policy/src/crash_suspect.rs
@@ -238,6 +238,16 @@
         self.suspects.iter().map(|suspect| suspect.report(now)).collect()
     }
 
+    /// Returns the prompt parts for which requests are refused.
+    pub fn refused_parts(&self, now: TimeMs) -> Vec<CrashSuspect> {
+        let refused = self.suspects.iter().filter(|suspect| {
+            matches!(suspect.cause, CrashCause::PromptPart(_))
+                && suspect.is_over_limit()
+                && !suspect.is_expired(now)
+        });
+        refused.map(|suspect| suspect.report(now)).collect()
+    }
+
     /// Returns a digest of all suspects.
     ///
     /// Daemons that know the same crashes of all suspects have the same digest, and need not
