Know a store that was restored from an older copy by its era

Change: StoreVersion, era first, then revision, is decoded in platform/ alone; the rest of the product compares its number, in which the era comes first, so that fencing tokens and messages between hosts rise across a restore and are as before without one. An answer with an era that is missing, unreadable or older than one seen is rejected and the loss logged; a conditional write on a version of an earlier era isn't sent, one that took effect after a restore is unknown. A declaration with a lower number than that in force isn't adopted and nothing is confirmed by the copy; hosts tell each other the number. The lease ends with the era: the holder writes it again, any other host waits out the time of a lease that may be lost. Hosts register again within 0.25 s, refused prompt parts are read and written again, and targets that the copy lacks have the grace that they have after an outage.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -1,7 +1,8 @@
 use std::sync::Arc;
 
 use lycheeford_platform::{Change, Object, Update, WatchEvent, follow_with_pauses};
-use slog::{error, info};
+use lycheeford_policy::{StoreVersion, TimeMs};
+use slog::{error, info, warn};
 
 use super::store_loss::StoreLoss;
 use super::{DEPLOYMENT_WAIT_PART, follow_limits};
@@ -14,6 +15,10 @@
 /// confirmation from others asks the store itself.
 const DECLARATION_MARGIN_MS: u64 = 300;
 
+/// How long after a restore of the store, at most, the hosts that live are registered in it again
+/// and found by a host that has just started.
+const FIND_HOSTS_MS: u64 = 2_500;
+
 /// Keeps the declaration up to date until the future is dropped.
 pub(crate) async fn follow_deployment(state: Arc<State>) {
     let protocol = Arc::clone(&state.protocols.store);
@@ -22,6 +27,7 @@
     let wait_ms = state.confirmation_ms_max() as f64 * DEPLOYMENT_WAIT_PART;
     let limits = follow_limits(wait_ms as u64);
     let loss = StoreLoss::new(&state, kind);
+    let mut stored = StoredDeclaration { version: None, first_era: None, started_at: clock.now() };
     follow_with_pauses(
         protocol.objects(),
         kind,
@@ -29,7 +35,7 @@
         || clock.now(),
         |update| {
             loss.answered();
-            apply_update(&state, update);
+            apply_update(&state, update, &mut stored);
         },
         |error| loss.failed(error),
         &state.declaration_pace,
@@ -51,32 +57,77 @@
     age_ms.map_or(0, |age_ms| rely_ms.saturating_sub(age_ms))
 }
 
-fn apply_update(state: &State, update: Update) {
+/// What a host knows of the declaration in the store.
+struct StoredDeclaration {
+    /// The version of the declaration that the store has, if any.
+    version: Option<u64>,
+    /// The era of the store when this host first read it.
+    first_era: Option<u64>,
+    started_at: TimeMs,
+}
+
+impl StoredDeclaration {
+    /// Returns whether the declaration in the store can be the newest one, as far as this host can
+    /// know.
+    ///
+    /// A store that was restored may have an older one, and another host the one that it lacks. A
+    /// host that read the store before compares the two itself. One that has started since waits
+    /// until it has heard of another host, or until one that lives has had time to be found.
+    fn may_be_newest(&self, state: &State) -> bool {
+        let now = state.now();
+        let era = state.store_era();
+        era == StoreVersion::FIRST_ERA
+            || self.first_era.is_some_and(|first_era| first_era < era)
+            || now.since_ms(self.started_at) >= FIND_HOSTS_MS
+            || state.membership().hosts.alive(now).count() > 0
+    }
+}
+
+/// Applies the store's changes of the declaration.
+fn apply_update(state: &State, update: Update, stored: &mut StoredDeclaration) {
+    stored.first_era.get_or_insert(StoreVersion::from_number(update.revision).era);
     let (_, name) = state.protocols.store.deployment_key();
     let newest = match update.change {
-        Change::Replace(listing) => listing.object(name).cloned(),
+        Change::Replace(listing) => {
+            let found = listing.object(name).cloned();
+            if found.is_none() {
+                stored.version = None;
+            }
+            found
+        }
         Change::Apply(events) => events.into_iter().rev().find_map(|event| match event {
             WatchEvent::Put(object) if object.name.as_str() == name => Some(object),
             _ => None,
         }),
     };
     if let Some(object) = newest {
+        stored.version = Some(object.version);
         adopt(state, &object);
     }
-    // Everything stored before the call began is known now.
-    let known = state.deployment.load().as_ref().map_or(0, |deployment| deployment.revision);
-    if known > 0 {
-        state.confirmation().confirm(known, update.as_of);
+    // Everything stored before the call began is known now. A declaration that the store doesn't
+    // have, since it was restored from an older copy, isn't confirmed by it.
+    let Some(known) = state.deployment.load_full() else { return };
+    if stored.version == Some(known.revision) && stored.may_be_newest(state) {
+        let mut confirmation = state.confirmation();
+        if confirmation.may_confirm(known.version) {
+            confirmation.confirm(known.revision, update.as_of);
+        }
     }
 }
 
 /// Applies a declaration if it is newer than the current one.
 fn adopt(state: &State, object: &Object) {
-    let known = state.deployment.load().as_ref().map_or(0, |deployment| deployment.revision);
-    if object.version <= known {
+    let known = state.deployment.load_full();
+    if known.as_ref().is_some_and(|known| object.version <= known.revision) {
         return;
     }
     match state.protocols.store.deployment(object) {
+        Ok(deployment) if known.is_some_and(|known| deployment.version < known.version) => {
+            // The store was restored from a copy that lacks the declaration in force.
+            state.confirmation().superseded_by(object.version);
+            warn!(state.log, "declaration_outdated";
+                "revision" => deployment.revision, "version" => deployment.version);
+        }
         Ok(deployment) => {
             info!(state.log, "declaration_adopted";
                 "revision" => deployment.revision, "version" => deployment.version,
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -3,7 +3,9 @@
 use lycheeford_platform::{
     Change, Listing, Object, PauseState, Update, WatchEvent, follow_with_pauses,
 };
-use lycheeford_policy::{Name, SharedWatch, StoreAbsence, TargetChange, TargetEntry, TimeMs};
+use lycheeford_policy::{
+    Name, SharedWatch, StoreAbsence, StoreVersion, TargetChange, TargetEntry, TimeMs,
+};
 use slog::{info, warn};
 
 use super::store_loss::StoreLoss;
@@ -39,8 +41,11 @@
         |update| {
             loss.answered();
             let now = state.now();
-            let grace_ms =
-                absence.grace_ms(now, update.failing_since, state.settings.missing_entry_grace_ms);
+            let grace_ms_max = state.settings.missing_entry_grace_ms;
+            if is_later_era(after, update.revision) {
+                absence.restored(now);
+            }
+            let grace_ms = absence.grace_ms(now, update.failing_since, grace_ms_max);
             let revision = update.revision;
             apply_update(&state, update, std::mem::replace(&mut after, revision), grace_ms);
         },
@@ -51,6 +56,11 @@
     .await;
 }
 
+/// Returns whether the store was restored from an older copy between two versions.
+fn is_later_era(before: u64, after: u64) -> bool {
+    StoreVersion::from_number(after).era > StoreVersion::from_number(before).era
+}
+
 /// Returns how much longer to wait before the store is asked for changes of targets.
 ///
 /// Most hosts get loads and unloads from the lease holder, and other changes from the few hosts
@@ -121,7 +131,9 @@
     let other = entries.iter().filter(|entry| dispatcher.targets.is_other(entry));
     let mut changes: Vec<TargetChange> = other.cloned().map(TargetChange::Put).collect();
     let missing = dispatcher.targets.missing_from(&entries);
-    let is_shareable = missing.is_empty() || grace_ms == 0;
+    let known = state.target_sync().log.known();
+    let is_shareable =
+        (missing.is_empty() || grace_ms == 0) && !is_later_era(known, listing.revision);
     changes.extend(missing.into_iter().map(TargetChange::Gone));
     dispatcher.targets.replace(now, entries, grace_ms);
     let revision = listing.revision;
--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -25,6 +25,8 @@
 /// Long intervals suffice, since a new host reports to all listed hosts itself.
 const LIST_MS: u64 = 5_000;
 const LIST_LONG_MS: u64 = 20_000;
+/// The interval at which a host checks whether the store was restored.
+const ERA_CHECK_MS: u64 = 250;
 /// How long a host must have been silent before its object is deleted.
 const DELETE_AFTER_MS: u64 = 20_000;
 
@@ -63,6 +65,7 @@
     let started_at = state.now();
     let mut silent = SilentHosts::default();
     let mut is_listed = false;
+    let mut era = state.store_era();
     loop {
         // A cached list suffices later: hosts that it lacks report to the listed hosts themselves.
         let objects = state.protocols.store.objects();
@@ -81,7 +84,37 @@
             }
             Err(error) => warn!(state.log, "hosts_unlisted"; "error" => %error),
         }
-        task::sleep(Duration::from_millis(list_pause_ms(&state, started_at))).await;
+        let pause_ms = list_pause_ms(&state, started_at);
+        if era_rises_within(&state, era, pause_ms).await {
+            warn!(state.log, "store_restored"; "era" => state.store_era(), "era_before" => era);
+            // The copy may lack this host, and list others that are gone.
+            match register(&state).await {
+                Ok(()) => {
+                    era = state.store_era();
+                    is_listed = false;
+                    info!(state.log, "host_registered"; "incarnation" => state.incarnation);
+                }
+                Err(error) => {
+                    warn!(state.log, "host_unregistered"; "error" => %error);
+                    task::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Waits for `pause_ms`, or until the store was restored from an older copy.
+async fn era_rises_within(state: &State, era: u64, pause_ms: u64) -> bool {
+    let until = state.now() + pause_ms;
+    loop {
+        if state.store_era() > era {
+            return true;
+        }
+        let left_ms = until.since_ms(state.now());
+        if left_ms == 0 {
+            return false;
+        }
+        task::sleep(Duration::from_millis(left_ms.min(ERA_CHECK_MS))).await;
     }
 }
 
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -76,6 +76,7 @@
             suspects,
             suspects_digest,
             revision: confirmation.revision(),
+            declared: state.deployment.load().as_ref().map_or(0, |known| known.version),
             confirmed_age_ms: confirmation.age_ms(now),
             targets_changed: watch.changed(),
             targets_age_ms: watch.age_ms(now),
@@ -227,12 +228,19 @@
 /// The report answers one of this host's own reports, so its contents were true at some moment
 /// after that report was sent, however long the answer lay in a buffer.
 fn apply_store_state(state: &State, report: &PeerReport) {
-    let known = state.deployment.load().as_ref().map_or(0, |deployment| deployment.revision);
-    if let (Some(echo), Some(age_ms)) = (report.echo, report.confirmed_age_ms)
-        && report.revision == known
-        && known > 0
+    let deployment = state.deployment.load_full();
+    let (known, declared) =
+        deployment.map_or((0, 0), |deployment| (deployment.revision, deployment.version));
     {
-        state.confirmation().confirm(known, echo - age_ms);
+        let mut confirmation = state.confirmation();
+        confirmation.require_declared(declared, report.declared);
+        if let (Some(echo), Some(age_ms)) = (report.echo, report.confirmed_age_ms)
+            && report.revision == known
+            && known > 0
+            && confirmation.may_confirm(declared)
+        {
+            confirmation.confirm(known, echo - age_ms);
+        }
     }
     if report.revision > known {
         state.confirmation().superseded_by(report.revision);
--- a/crates/lycheeford-gateway/src/membership/stored_suspects.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -72,8 +72,14 @@
 ///
 /// `stored` are the names of their objects.
 pub(super) async fn keep_stored_suspects(state: Arc<State>, mut stored: Vec<Name>) {
+    let mut era = state.store_era();
     loop {
         task::sleep(Duration::from_millis(CHECK_MS)).await;
+        if state.store_era() > era {
+            // The store was restored from a copy, which may lack some of them.
+            era = state.store_era();
+            stored = read_stored_suspects(&state).await;
+        }
         let now = state.now();
         if state.orders().lease.token(now).is_none() {
             continue;
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -68,6 +68,8 @@
     targets_known: u64,
     #[prost(message, optional, tag = "27")]
     target_changes: Option<WireToldChanges>,
+    #[prost(uint64, tag = "28")]
+    declared: u64,
 }
 
 /// A request or a prompt part that may have crashed targets.
@@ -106,6 +108,7 @@
             signs: report.signs.into_iter().map(WireSign::from).collect(),
             suspects: report.suspects.into_iter().map(WireSuspect::from).collect(),
             revision: report.revision,
+            declared: report.declared,
             confirmed_age_ms: report.confirmed_age_ms,
             targets_changed: report.targets_changed,
             targets_age_ms: report.targets_age_ms,
@@ -146,6 +149,7 @@
             signs: signs?,
             suspects: wire.suspects.into_iter().map(CrashSuspect::from).collect(),
             revision: wire.revision,
+            declared: wire.declared,
             confirmed_age_ms: wire.confirmed_age_ms,
             targets_changed: wire.targets_changed,
             targets_age_ms: wire.targets_age_ms,
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -98,6 +98,7 @@
         suspects: vec![suspect(CrashCause::Request(77)), suspect(CrashCause::PromptPart(76))],
         suspects_digest: 78,
         revision: 12,
+        declared: 7,
         confirmed_age_ms: Some(0),
         targets_changed: 31,
         targets_age_ms: Some(0),
--- a/crates/lycheeford-gateway/src/orders/lease_task.rs
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -3,7 +3,7 @@
 
 use async_std::task;
 use lycheeford_platform::{Category, Expect, Object};
-use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, Name};
+use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, Name, StoreVersion};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
@@ -22,19 +22,26 @@
     incarnation: u64,
     renewals: u64,
     is_settled: bool,
+    /// Absent in a record that an earlier version of this program wrote.
+    #[serde(default = "first_era")]
+    era: u64,
+}
+
+fn first_era() -> u64 {
+    StoreVersion::FIRST_ERA
 }
 
 impl From<LeaseRecord> for StoredLease {
     fn from(record: LeaseRecord) -> StoredLease {
-        let LeaseRecord { holder, incarnation, renewals, is_settled } = record;
-        StoredLease { holder, incarnation, renewals, is_settled }
+        let LeaseRecord { holder, incarnation, renewals, is_settled, era } = record;
+        StoredLease { holder, incarnation, renewals, is_settled, era }
     }
 }
 
 impl From<StoredLease> for LeaseRecord {
     fn from(stored: StoredLease) -> LeaseRecord {
-        let StoredLease { holder, incarnation, renewals, is_settled } = stored;
-        LeaseRecord { holder, incarnation, renewals, is_settled }
+        let StoredLease { holder, incarnation, renewals, is_settled, era } = stored;
+        LeaseRecord { holder, incarnation, renewals, is_settled, era }
     }
 }
 
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -168,8 +168,17 @@
         lock(&self.membership)
     }
 
+    /// Returns the state of orders, in which the store's era is known: no order is given by a lease
+    /// that the store has lost.
     pub(crate) fn orders(&self) -> MutexGuard<'_, Orders> {
-        lock(&self.orders)
+        let mut orders = lock(&self.orders);
+        orders.lease.enter_era(self.now(), self.store_era());
+        orders
+    }
+
+    /// Returns the newest known era of the store.
+    pub(crate) fn store_era(&self) -> u64 {
+        self.protocols.store.objects().era()
     }
 
     pub(crate) fn demand(&self) -> MutexGuard<'_, DemandTable> {
--- a/crates/lycheeford-platform/src/connection.rs
+++ b/crates/lycheeford-platform/src/connection.rs
@@ -15,10 +15,20 @@
 pub struct Answer {
     /// The HTTP status code.
     pub status: StatusCode,
+    /// The headers, with names in lower case.
+    pub headers: Vec<(String, String)>,
     /// The body, at most [`PlatformLimits::answer_bytes_max`] long.
     pub body: Vec<u8>,
 }
 
+impl Answer {
+    /// Returns the value of a header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(header, _)| header == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
 /// The failure of an exchange, which tells whether the platform can have received the request.
 #[derive(Debug)]
 pub enum ExchangeError {
@@ -137,6 +147,10 @@
     let status = response.status();
     let keep_alive = response.header("connection").is_none_or(|value| value.as_str() != "close");
     let length = announced_length(&response)?;
+    let headers = response.iter().map(|(name, values)| {
+        (name.as_str().to_ascii_lowercase(), values.last().as_str().to_owned())
+    });
+    let headers = headers.collect();
     let mut body = Vec::new();
     let mut reader = response.take(bytes_max.saturating_add(1));
     reader.read_to_end(&mut body).await.map_err(|error: io::Error| error.to_string())?;
@@ -147,7 +161,7 @@
         Length::Known(length) if length != body.len() as u64 => {
             Err(format!("the answer ended after {} of {length} bytes", body.len()))
         }
-        Length::Known(_) | Length::Chunked => Ok((Answer { status, body }, keep_alive)),
+        Length::Known(_) | Length::Chunked => Ok((Answer { status, headers, body }, keep_alive)),
     }
 }
 
--- a/crates/lycheeford-platform/src/lib.rs
+++ b/crates/lycheeford-platform/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`HttpObjectStore`]: its implementation over HTTP and JSON.
 //! - [`put_settled`]: a conditional put, retried until its outcome is known.
 //! - [`follow`]: keeps a caller up to date with the objects of a kind.
+//! - [`EraGate`]: which answers are of a store that was restored since.
 //! - [`PlatformError`] with its [`Category`]: the failure of a call.
 //!
 //! ```no_run
@@ -30,6 +31,7 @@
 mod backoff;
 mod calls;
 mod connection;
+mod era;
 mod error;
 mod follow;
 mod http;
@@ -42,6 +44,7 @@
 
 pub use crate::calls::{CallCounters, Calls};
 pub use crate::connection::{Answer, Connections, ExchangeError};
+pub use crate::era::EraGate;
 pub use crate::error::{Category, PlatformError};
 pub use crate::follow::{
     Change, FollowLimits, FollowWaker, PauseState, Update, follow, follow_with_pauses,
--- a/crates/lycheeford-platform/src/object.rs
+++ b/crates/lycheeford-platform/src/object.rs
@@ -11,7 +11,8 @@
     pub kind: Name,
     /// The name, unique in the kind.
     pub name: Name,
-    /// The revision of the write that stored the value, on which updates are conditional.
+    /// The version of the write that stored the value, on which updates are conditional, as
+    /// [`StoreVersion::to_number`](lycheeford_policy::StoreVersion::to_number).
     pub version: u64,
     /// The stored JSON value.
     pub value: Value,
@@ -34,7 +35,7 @@
 /// Every object of a kind at one revision.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Listing {
-    /// The revision up to which the list includes all changes.
+    /// The version up to which the list includes all changes, as a number.
     pub revision: u64,
     /// The objects, sorted by name.
     pub objects: Vec<Object>,
--- a/crates/lycheeford-platform/src/store.rs
+++ b/crates/lycheeford-platform/src/store.rs
@@ -1,10 +1,16 @@
 use futures_util::future::BoxFuture;
+use lycheeford_policy::StoreVersion;
 use serde_json::Value;
 
 use crate::{Expect, Listing, Object, PlatformError, WatchBatch};
 
 /// The platform's object API, as far as the daemon uses it.
 pub trait ObjectStore: Send + Sync + 'static {
+    /// Returns the newest era of the store that is known; see [`StoreVersion`].
+    fn era(&self) -> u64 {
+        StoreVersion::FIRST_ERA
+    }
+
     /// Returns the object, or `None` if it doesn't exist.
     fn get<'a>(
         &'a self,
--- a/crates/lycheeford-policy/src/gateway/confirmation.rs
+++ b/crates/lycheeford-policy/src/gateway/confirmation.rs
@@ -20,6 +20,8 @@
     asked_at: Option<TimeMs>,
     /// The newest revision known to exist.
     newest: u64,
+    /// The least number that the operators gave to a declaration that may be confirmed.
+    declared_min: u64,
 }
 
 impl Confirmation {
@@ -29,7 +31,7 @@
             return;
         }
         if revision > self.revision {
-            *self = Confirmation { revision, asked_at: Some(asked_at), newest: revision };
+            *self = Confirmation { revision, asked_at: Some(asked_at), newest: revision, ..*self };
         } else if revision == self.revision {
             self.asked_at = self.asked_at.max(Some(asked_at));
         }
@@ -43,6 +45,21 @@
         }
     }
 
+    /// Records that the operators have declared `number`, as another host knows; a declaration with
+    /// a lower number, like this host's with `own_number`, can't be confirmed: the store may have
+    /// been restored from a copy that lacks the newer one.
+    pub fn require_declared(&mut self, own_number: u64, number: u64) {
+        self.declared_min = self.declared_min.max(number);
+        if own_number < self.declared_min {
+            self.asked_at = None;
+        }
+    }
+
+    /// Returns whether a declaration to which the operators gave this number may be confirmed.
+    pub fn may_confirm(&self, number: u64) -> bool {
+        number >= self.declared_min
+    }
+
     /// Returns the revision that was last confirmed.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/lycheeford-policy/src/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/src/gateway/order_lease.rs
@@ -1,4 +1,4 @@
-use crate::{Name, TimeMs};
+use crate::{Name, StoreVersion, TimeMs};
 
 /// Fraction of the lease time for which a renewal is valid.
 const VALID_PART: f64 = 0.8;
@@ -33,6 +33,9 @@
     /// more. If its process dies meanwhile, the next incarnation on the same host must wait as
     /// well.
     pub is_settled: bool,
+    /// Era of the store in which the record was written. A record of an earlier era comes from an
+    /// older copy: its holder may have lost the lease since.
+    pub era: u64,
 }
 
 /// The next operation on the store.
@@ -66,8 +69,13 @@
 /// each other. So a holder stops by itself once its last renewal is too old. The age is counted on
 /// a clock that also runs while the host is suspended, and the holder stops early enough that its
 /// last order arrives or is withdrawn while the renewal is still valid. The next holder waits
-/// `lease_ms` beyond that before its first order. Tokens are revisions of the store, which only
-/// increase. A host that restarts may continue at once, since it is the same holder.
+/// `lease_ms` beyond that before its first order. Tokens are versions of the store
+/// ([`StoreVersion::to_number`](crate::StoreVersion::to_number)), which only increase. A host that
+/// restarts may continue at once, since it is the same holder.
+///
+/// A store that is restored from an older copy has lost the lease, or has an earlier one. The holder
+/// then stops giving orders until it has written the lease again. No other host may give orders
+/// sooner than after the time for which a lease that was lost may have been valid.
 #[derive(Debug, Clone)]
 pub struct OrderLease {
     own_host: Name,
@@ -82,6 +90,10 @@
     writing_since: Option<TimeMs>,
     /// Whether the stored record may differ from the last one that was read.
     is_record_uncertain: bool,
+    /// Newest known era of the store.
+    era: u64,
+    /// Whether this host held the lease when the era began.
+    holds_across_eras: bool,
     /// Whether the first read showed that the lease had existed for only a short time.
     was_new_fleet: bool,
 }
@@ -116,10 +128,25 @@
             read_at: None,
             writing_since: None,
             is_record_uncertain: false,
+            era: StoreVersion::FIRST_ERA,
+            holds_across_eras: false,
             was_new_fleet: false,
         }
     }
 
+    /// Records the era of the store; a later one than before means that the store was restored.
+    pub fn enter_era(&mut self, now: TimeMs, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.holds_across_eras = self.held(now).is_some();
+        self.orders_safe_from = self.orders_safe_from.max(self.orders_safe_after_seen());
+        self.held = None;
+        self.seen = None;
+        self.is_record_uncertain = true;
+    }
+
     /// Returns the fencing token for an order sent at `now`, if this host may send one.
     pub fn token(&self, now: TimeMs) -> Option<u64> {
         let held = self.held.as_ref()?;
@@ -222,8 +249,14 @@
             return;
         }
         self.held = None;
-        let record =
-            LeaseRecord { holder: holder.clone(), incarnation: 0, renewals: 0, is_settled: true };
+        let era = StoreVersion::from_number(revision).era;
+        let record = LeaseRecord {
+            holder: holder.clone(),
+            incarnation: 0,
+            renewals: 0,
+            is_settled: true,
+            era,
+        };
         self.observe(now - renewed_age_ms, Some((revision, record)));
     }
 
@@ -253,15 +286,17 @@
 
     /// Returns until when an order of another holder may still arrive.
     fn orders_safe_after_seen(&self) -> TimeMs {
-        match &self.seen {
-            Some(Seen { record: Some((_, record)), renewed_at }) => {
-                if record.holder == self.own_host && record.is_settled {
-                    return TimeMs::default();
-                }
-                *renewed_at + self.valid_ms() + self.lease_ms + CLOCK_MARGIN_MS
-            }
-            _ => TimeMs::default(),
+        let Some(Seen { record, renewed_at }) = &self.seen else { return TimeMs::default() };
+        let is_safe_now = match record {
+            // The copy from which the store was restored may lack the lease.
+            None => self.era == StoreVersion::FIRST_ERA || self.holds_across_eras,
+            Some((_, record)) if record.era < self.era => self.holds_across_eras,
+            Some((_, record)) => record.holder == self.own_host && record.is_settled,
+        };
+        if is_safe_now {
+            return TimeMs::default();
         }
+        *renewed_at + self.valid_ms() + self.lease_ms + CLOCK_MARGIN_MS
     }
 
     fn observe(&mut self, renewed_at: TimeMs, record: Option<(u64, LeaseRecord)>) {
@@ -297,6 +332,7 @@
             incarnation: self.incarnation,
             renewals,
             is_settled,
+            era: self.era,
         };
         LeaseStep::Write { expect, record }
     }
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -49,6 +49,8 @@
     pub suspects_digest: u64,
     /// Revision of the declaration that the sender applies.
     pub revision: u64,
+    /// Number that the operators gave to that declaration.
+    pub declared: u64,
     /// Age of the confirmation that this revision is the newest, counted from the query; `None`
     /// without one.
     pub confirmed_age_ms: Option<u64>,
--- a/crates/lycheeford-policy/src/gateway/store_absence.rs
+++ b/crates/lycheeford-policy/src/gateway/store_absence.rs
@@ -15,6 +15,11 @@
 }
 
 impl StoreAbsence {
+    /// Records that the store was restored from an older copy, which may lack targets that live.
+    pub fn restored(&mut self, now: TimeMs) {
+        self.available_since = Some(now);
+    }
+
     /// Returns how long a target whose entry has disappeared remains in use.
     ///
     /// `failing_since` is when the first of the failed calls before the current successful one was
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`Readiness`]: when a model is expected to be ready, so that a request can be refused on
 //!   arrival.
 //! - [`RetryBudget`]: which part of the load may consist of retries.
+//! - [`StoreVersion`]: which of two states of the store is newer, also after it was restored.
 //! - [`StopPlan`]: which requests a host still starts while it shuts down.
 //! - [`Deployment`], [`TargetTable`], [`WaitQueue`], [`OrderLease`], [`SwapPlanner`]: the gateway
 //!   for arbitrary HTTP routes; see the module `gateway`.
@@ -58,6 +59,7 @@
 mod router;
 mod share;
 mod stop_plan;
+mod store_version;
 mod target_record;
 mod time;
 mod token_bucket;
@@ -122,6 +124,7 @@
 pub use crate::router::Router;
 pub use crate::share::{MAX_SHARE_HOLDERS, ShareEntry, ShareFault, ShareTable, TakenShare};
 pub use crate::stop_plan::{StopPlan, StopTimes};
+pub use crate::store_version::StoreVersion;
 pub use crate::target_record::{
     CancelledReplica, LoadRequest, MAX_CANCELLED_REPLICAS, MAX_ORDERS_SET_ASIDE, MemoryReservation,
     ORDER_SET_ASIDE_MS, OrderAction, RecordFault, ReplicaRef, TargetOrder, TargetRecord,
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -280,6 +280,7 @@
         heard: Vec::new(),
         signs: Vec::new(),
         suspects: Vec::new(),
+        declared: 0,
         suspects_digest: 0,
         revision: 1,
         confirmed_age_ms: None,
--- a/crates/lycheeford-policy/tests/gateway/lease_history.rs
+++ b/crates/lycheeford-policy/tests/gateway/lease_history.rs
@@ -1,9 +1,10 @@
 //! Random histories of hosts that hold the order lease one after the other, with faults.
 //!
 //! Calls to the store and orders take time and outlive the process that sent them; a write whose
-//! answer is lost may take effect seconds later; all hosts may restart at once.
+//! answer is lost may take effect seconds later; all hosts may restart at once; the store may come
+//! back from an older copy, which gives its revisions out again.
 
-use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, OrderLease, TimeMs};
+use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, OrderLease, StoreVersion, TimeMs};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -41,6 +42,10 @@
         for_ms: u64,
         late_ms: Option<u64>,
     },
+    /// The store is replaced by a copy of `age_ms` before.
+    Restore {
+        age_ms: u64,
+    },
     /// The answer of one write in `one_in` is lost.
     LostAnswers {
         for_ms: u64,
@@ -57,6 +62,8 @@
     effect_ms: u64,
     answers_ms: Option<u64>,
     answer: Option<Answer>,
+    /// The era of the store when the call took effect.
+    era: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -73,6 +80,8 @@
     frozen_until_ms: u64,
     /// The call that awaits an answer, and when it began.
     pending_call: Option<(LeaseStep, u64)>,
+    /// The newest era that an answer to the host has stated.
+    known_era: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -97,6 +106,9 @@
     hosts: Vec<Host>,
     record: Option<(u64, LeaseRecord)>,
     revision: u64,
+    era: u64,
+    /// The record and the revision at the end of each tick.
+    copies: Vec<(Option<(u64, LeaseRecord)>, u64)>,
     calls: Vec<Call>,
     orders: Vec<Order>,
     reports: Vec<HolderReport>,
@@ -114,12 +126,15 @@
             up_from_ms: 0,
             frozen_until_ms: 0,
             pending_call: None,
+            known_era: StoreVersion::FIRST_ERA,
         };
         World {
             ms: 0,
             hosts: HOSTS.iter().map(host).collect(),
             record: None,
             revision: 100,
+            era: StoreVersion::FIRST_ERA,
+            copies: Vec::new(),
             calls: Vec::new(),
             orders: Vec::new(),
             reports: Vec::new(),
@@ -153,6 +168,13 @@
                     self.restart(host, down_ms + later_ms);
                 }
             }
+            Kind::Restore { age_ms } => {
+                let age = (age_ms / TICK_MS) as usize;
+                let Some(index) = self.copies.len().checked_sub(age + 1) else { return };
+                (self.record, self.revision) = self.copies[index].clone();
+                self.copies.truncate(index + 1);
+                self.era += 1;
+            }
             Kind::StoreOutage { for_ms, late_ms } => self.outage = (self.ms + for_ms, late_ms),
             Kind::LostAnswers { for_ms, one_in } => self.lost_answers = (self.ms + for_ms, one_in),
         }
@@ -166,6 +188,7 @@
             up_from_ms: self.ms + down_ms,
             frozen_until_ms: 0,
             pending_call: None,
+            known_era: StoreVersion::FIRST_ERA,
         };
     }
 
@@ -180,6 +203,7 @@
                 self.run_host(host);
             }
         }
+        self.copies.push((self.record.clone(), self.revision));
     }
 
     fn run_store(&mut self) {
@@ -187,11 +211,14 @@
         let mut calls = std::mem::take(&mut self.calls);
         calls.sort_by_key(|call| call.effect_ms);
         for call in calls.iter_mut().filter(|call| call.answer.is_none() && call.effect_ms <= ms) {
+            call.era = self.era;
             call.answer = Some(match &call.step {
                 LeaseStep::Write { expect, record } => {
                     Answer::Written(self.write_record(*expect, record))
                 }
-                LeaseStep::Idle | LeaseStep::Read => Answer::Found(self.record.clone()),
+                LeaseStep::Idle | LeaseStep::Read => Answer::Found(
+                    self.record.clone().map(|(revision, record)| (self.number(revision), record)),
+                ),
             });
         }
         calls.retain(|call| {
@@ -204,14 +231,21 @@
         let known = self.record.as_ref().map(|(revision, _)| *revision);
         let holds = match expect {
             LeaseExpect::Absent => known.is_none(),
-            LeaseExpect::Revision(revision) => known == Some(revision),
+            LeaseExpect::Revision(number) => {
+                known == Some(StoreVersion::from_number(number).revision)
+            }
         };
         if !holds {
             return None;
         }
         self.revision += 1;
         self.record = Some((self.revision, record.clone()));
-        Some(self.revision)
+        Some(self.number(self.revision))
+    }
+
+    /// Returns the version of a revision of the store as it is now.
+    fn number(&self, revision: u64) -> u64 {
+        StoreVersion { era: self.era, revision }.to_number()
     }
 
     fn run_host(&mut self, host: usize) {
@@ -270,7 +304,8 @@
             answers_ms = None;
         }
         let life = self.hosts[host].life;
-        self.calls.push(Call { host, life, step, effect_ms, answers_ms, answer: None });
+        let era = self.era;
+        self.calls.push(Call { host, life, step, effect_ms, answers_ms, answer: None, era });
     }
 
     fn receive_answer(&mut self, host: usize) {
@@ -282,14 +317,22 @@
                 && call.answer.is_some()
                 && call.answers_ms.is_some_and(|at| at <= ms)
         };
-        let lease = &mut self.hosts[host].lease;
+        let Host { lease, known_era, .. } = &mut self.hosts[host];
         match self.calls.iter().position(is_due) {
             Some(index) => {
-                match self.calls.swap_remove(index).answer {
-                    Some(Answer::Found(record)) => lease.read_found(now, record),
-                    Some(Answer::Written(Some(revision))) => lease.written(now, revision),
-                    Some(Answer::Written(None)) => lease.not_written(),
-                    None => {}
+                let Call { answer, era, step, .. } = self.calls.swap_remove(index);
+                let is_outdated = era < *known_era;
+                *known_era = era.max(*known_era);
+                lease.enter_era(now, *known_era);
+                match answer {
+                    Some(Answer::Found(record)) if !is_outdated => lease.read_found(now, record),
+                    Some(Answer::Written(Some(number)))
+                        if !is_outdated && !expects_before(&step, era) =>
+                    {
+                        lease.written(now, number);
+                    }
+                    Some(Answer::Written(_)) => lease.not_written(),
+                    Some(Answer::Found(_)) | None => {}
                 }
                 self.hosts[host].pending_call = None;
             }
@@ -328,6 +371,16 @@
     }
 }
 
+/// Returns whether a write was conditional on a version of an era before `era`.
+fn expects_before(step: &LeaseStep, era: u64) -> bool {
+    match step {
+        LeaseStep::Write { expect: LeaseExpect::Revision(number), .. } => {
+            StoreVersion::from_number(*number).era < era
+        }
+        _ => false,
+    }
+}
+
 fn fault() -> impl Strategy<Value = Fault> {
     let host = 0..HOSTS.len();
     let late = prop_oneof![Just(None), (0..6_000_u64).prop_map(Some)];
@@ -336,6 +389,7 @@
         (host, 20..2_000_u64).prop_map(|(host, down_ms)| Kind::Restart { host, down_ms }),
         (20..2_000_u64).prop_map(|down_ms| Kind::RestartAll { down_ms }),
         (500..6_000_u64, late).prop_map(|(for_ms, late_ms)| Kind::StoreOutage { for_ms, late_ms }),
+        (0..12_000_u64).prop_map(|age_ms| Kind::Restore { age_ms }),
         (500..6_000_u64, 1..4_u64)
             .prop_map(|(for_ms, one_in)| Kind::LostAnswers { for_ms, one_in }),
     ];
--- a/crates/lycheeford-policy/tests/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/tests/gateway/order_lease.rs
@@ -1,7 +1,7 @@
 //! Only one host at a time gives orders, even if hosts freeze or crash or the store's answers are
 //! lost.
 
-use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, OrderLease, TimeMs};
+use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, OrderLease, StoreVersion, TimeMs};
 use proptest::prelude::*;
 
 use crate::world::{at, name};
@@ -238,6 +238,7 @@
             incarnation: 1,
             renewals,
             is_settled: true,
+            era: StoreVersion::FIRST_ERA,
         };
         lease.read_found(at(0), renewals.map(|renewals| (7, record(renewals))));
         assert_eq!(lease.began_with_fleet(), is_new, "{what}");
@@ -246,3 +247,76 @@
         assert_eq!(lease.began_with_fleet(), is_new, "{what}, later");
     }
 }
+
+/// A store that was restored, and what the copy has of the lease.
+struct RestoreCase {
+    what: &'static str,
+    /// The holder that the copy names, by its host and incarnation; `None` if it has no lease.
+    in_copy: Option<(&'static str, u64)>,
+    /// Whether the host `a` held the lease until the restore, or has just started.
+    held_before: bool,
+    /// Whether it gives orders as soon as it has written the lease, or after the time in which the
+    /// order of another holder may arrive.
+    is_at_once: bool,
+}
+
+#[test]
+fn after_a_restore_only_the_holder_until_then_gives_orders_at_once() {
+    let cases = [
+        RestoreCase {
+            what: "the holder, and the copy has its lease",
+            in_copy: Some(("a", 1)),
+            held_before: true,
+            is_at_once: true,
+        },
+        RestoreCase {
+            what: "the holder, and the copy has no lease",
+            in_copy: None,
+            held_before: true,
+            is_at_once: true,
+        },
+        RestoreCase {
+            what: "a host that starts, and the copy has no lease",
+            in_copy: None,
+            held_before: false,
+            is_at_once: false,
+        },
+        RestoreCase {
+            what: "a host that starts, and the copy has a lease of its earlier process",
+            in_copy: Some(("a", 1)),
+            held_before: false,
+            is_at_once: false,
+        },
+    ];
+    for RestoreCase { what, in_copy, held_before, is_at_once } in cases {
+        let mut store = Store::default();
+        let incarnation = if held_before { 1 } else { 2 };
+        let mut lease = OrderLease::new(name("a"), incarnation, LEASE_MS);
+        if held_before {
+            hold_until(&mut lease, &mut store, 0, 1_000);
+        }
+        let restored = StoreVersion { era: 2, revision: 500 };
+        store.revision = restored.to_number();
+        store.record = in_copy.map(|(holder, incarnation)| {
+            let era = StoreVersion::FIRST_ERA;
+            let holder = name(holder);
+            let record = LeaseRecord { holder, incarnation, renewals: 5, is_settled: true, era };
+            (store.revision, record)
+        });
+        let before = lease.token(at(1_000));
+        lease.enter_era(at(1_000), restored.era);
+        assert_eq!(lease.token(at(1_000)), None, "{what}: before it has the lease again");
+        let mut first_ms = None;
+        for ms in (1_000..12_000).step_by(10) {
+            step(&mut lease, &mut store, at(ms), Answer::Given);
+            if lease.token(at(ms)).is_some() {
+                first_ms = Some(ms);
+                break;
+            }
+        }
+        let first_ms = first_ms.expect("orders");
+        let is_early = first_ms < 1_000 + LEASE_MS;
+        assert_eq!(is_early, is_at_once, "{what}: first order at {first_ms} ms");
+        assert!(lease.token(at(first_ms)) > before, "{what}");
+    }
+}
