Confirm a declaration before it is in force

Cause: two tables, the declaration in force and its confirmation, changed one after the other, in the order in which the new declaration is in force unconfirmed. Now it is confirmed first, and the confirmation of the one before counts for its own time, so that a request meets a confirmed one at each moment.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use lycheeford_platform::{Change, Object, Update, WatchEvent, follow_with_pauses};
-use lycheeford_policy::{StoreVersion, TimeMs};
+use lycheeford_policy::{Deployment, StoreVersion, TimeMs};
 use slog::{error, info, warn};
 
 use super::store_loss::StoreLoss;
@@ -67,6 +67,18 @@
 }
 
 impl StoredDeclaration {
+    /// Confirms a declaration if the store has it as of `as_of`. The store may lack the one in force,
+    /// since it was restored from an older copy.
+    fn confirm(&self, state: &State, deployment: &Deployment, as_of: TimeMs) {
+        if self.version != Some(deployment.revision) || !self.may_be_newest(state) {
+            return;
+        }
+        let mut confirmation = state.confirmation();
+        if confirmation.may_confirm(deployment.version) {
+            confirmation.confirm(deployment.revision, as_of);
+        }
+    }
+
     /// Returns whether the declaration in the store can be the newest one, as far as this host can
     /// know.
     ///
@@ -102,21 +114,18 @@
     };
     if let Some(object) = newest {
         stored.version = Some(object.version);
-        adopt(state, &object);
+        adopt(state, &object, |deployment| stored.confirm(state, deployment, update.as_of));
     }
-    // Everything stored before the call began is known now. A declaration that the store doesn't
-    // have, since it was restored from an older copy, isn't confirmed by it.
-    let Some(known) = state.deployment.load_full() else { return };
-    if stored.version == Some(known.revision) && stored.may_be_newest(state) {
-        let mut confirmation = state.confirmation();
-        if confirmation.may_confirm(known.version) {
-            confirmation.confirm(known.revision, update.as_of);
-        }
+    // Everything stored before the call began is known now.
+    if let Some(known) = state.deployment.load_full() {
+        stored.confirm(state, &known, update.as_of);
     }
 }
 
 /// Applies a declaration if it is newer than the current one.
-fn adopt(state: &State, object: &Object) {
+///
+/// It is confirmed before it is in force, so that no request meets it unconfirmed.
+fn adopt(state: &State, object: &Object, confirm: impl FnOnce(&Deployment)) {
     let known = state.deployment.load_full();
     if known.as_ref().is_some_and(|known| object.version <= known.revision) {
         return;
@@ -134,6 +143,7 @@
                 "routes" => deployment.routes.len(), "customers" => deployment.customers.len());
             state.metrics.revision.set(deployment.revision);
             state.run_times().keep_declared(&deployment);
+            confirm(&deployment);
             state.deployment.store(Some(Arc::new(deployment)));
             state.dispatch_waiting();
             state.wake_planner();
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -227,10 +227,8 @@
     /// Returns whether the declaration known here was confirmed as current recently enough to check
     /// keys by it.
     pub(crate) fn is_confirmed(&self, now: TimeMs) -> bool {
-        let age_ms_max = self.confirmation_ms_max();
-        let confirmation = *self.confirmation();
         let revision = self.deployment.load().as_ref().map_or(0, |known| known.revision);
-        confirmation.revision() == revision && confirmation.is_younger_than(age_ms_max, now)
+        self.confirmation().confirms(revision, self.confirmation_ms_max(), now)
     }
 
     /// Returns the state that this host reports to others; it accepts callers if ready.
--- a/crates/lycheeford-policy/src/gateway/confirmation.rs
+++ b/crates/lycheeford-policy/src/gateway/confirmation.rs
@@ -11,13 +11,15 @@
 ///
 /// let mut confirmation = Confirmation::default();
 /// confirmation.confirm(7, TimeMs::from_ms(1_000));
-/// assert!(confirmation.is_younger_than(500, TimeMs::from_ms(1_499)));
-/// assert!(!confirmation.is_younger_than(500, TimeMs::from_ms(1_500)));
+/// assert!(confirmation.confirms(7, 500, TimeMs::from_ms(1_499)));
+/// assert!(!confirmation.confirms(7, 500, TimeMs::from_ms(1_500)));
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Confirmation {
     revision: u64,
     asked_at: Option<TimeMs>,
+    /// The revision confirmed before this one, which is in force until the new one is adopted.
+    previous: Option<(u64, TimeMs)>,
     /// The newest revision known to exist.
     newest: u64,
     /// The least number that the operators gave to a declaration that may be confirmed.
@@ -31,7 +33,14 @@
             return;
         }
         if revision > self.revision {
-            *self = Confirmation { revision, asked_at: Some(asked_at), newest: revision, ..*self };
+            let previous = self.asked_at.map(|asked_at| (self.revision, asked_at));
+            *self = Confirmation {
+                revision,
+                asked_at: Some(asked_at),
+                previous,
+                newest: revision,
+                ..*self
+            };
         } else if revision == self.revision {
             self.asked_at = self.asked_at.max(Some(asked_at));
         }
@@ -42,6 +51,7 @@
         self.newest = self.newest.max(revision);
         if revision > self.revision {
             self.asked_at = None;
+            self.previous = None;
         }
     }
 
@@ -52,6 +62,7 @@
         self.declared_min = self.declared_min.max(number);
         if own_number < self.declared_min {
             self.asked_at = None;
+            self.previous = None;
         }
     }
 
@@ -70,8 +81,15 @@
         self.asked_at.map(|at| now.since_ms(at))
     }
 
-    /// Returns whether there is a confirmation younger than `age_ms_max`.
-    pub fn is_younger_than(&self, age_ms_max: u64, now: TimeMs) -> bool {
-        self.age_ms(now).is_some_and(|age_ms| age_ms < age_ms_max)
+    /// Returns whether `revision` was confirmed less than `age_ms_max` ago.
+    ///
+    /// A new revision is confirmed before it is adopted, so this holds for the one before it, too,
+    /// until its own confirmation is too old.
+    pub fn confirms(&self, revision: u64, age_ms_max: u64, now: TimeMs) -> bool {
+        let is_recent = |asked_at: TimeMs| now.since_ms(asked_at) < age_ms_max;
+        (self.revision == revision && self.asked_at.is_some_and(is_recent))
+            || self
+                .previous
+                .is_some_and(|(previous, asked_at)| previous == revision && is_recent(asked_at))
     }
 }
--- a/crates/lycheeford-policy/tests/gateway/rates.rs
+++ b/crates/lycheeford-policy/tests/gateway/rates.rs
@@ -360,17 +360,26 @@
 #[test]
 fn a_confirmation_ages_from_the_question_and_dies_with_its_revision() {
     let mut confirmation = Confirmation::default();
-    assert!(!confirmation.is_younger_than(1_000, at(5_000)));
+    assert!(!confirmation.confirms(3, 1_000, at(5_000)));
     confirmation.confirm(3, at(4_500));
-    assert!(confirmation.is_younger_than(1_000, at(5_000)));
+    assert!(confirmation.confirms(3, 1_000, at(5_000)));
     confirmation.confirm(3, at(4_000));
     assert_eq!(confirmation.age_ms(at(5_000)), Some(500), "an older answer changes nothing");
     confirmation.confirm(2, at(5_000));
     assert_eq!(confirmation.revision(), 3, "an older revision changes nothing");
     confirmation.superseded_by(4);
-    assert!(!confirmation.is_younger_than(1_000, at(5_000)));
+    assert!(!confirmation.confirms(3, 1_000, at(5_000)));
     confirmation.confirm(3, at(5_000));
-    assert!(!confirmation.is_younger_than(1_000, at(5_000)), "revision 3 is superseded");
+    assert!(!confirmation.confirms(3, 1_000, at(5_000)), "revision 3 is superseded");
     confirmation.confirm(4, at(5_000));
-    assert!(confirmation.is_younger_than(1_000, at(5_000)));
+    assert!(confirmation.confirms(4, 1_000, at(5_000)));
+    assert!(!confirmation.confirms(3, 1_000, at(5_000)), "it was superseded before");
+    // A revision stays confirmed for its own time while the next one is being adopted.
+    confirmation.confirm(5, at(5_600));
+    assert!(confirmation.confirms(5, 1_000, at(5_600)));
+    assert!(confirmation.confirms(4, 1_000, at(5_999)));
+    assert!(!confirmation.confirms(4, 1_000, at(6_000)));
+    confirmation.require_declared(7, 8);
+    assert!(!confirmation.confirms(5, 1_000, at(5_600)), "another host knows a newer one");
+    assert!(!confirmation.may_confirm(7) && confirmation.may_confirm(8));
 }
