Let no earlier life in a restored store's copy replace a later one

Cause: an entry with a greater version counted as newer whatever its life. After a restore an entry of an earlier life is passed over; within an era the store's order decides as before, since the time of day may be set back. The table test failed before (the earlier life was chosen).

--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -10,7 +10,7 @@
 use crate::gateway::target_belief::{TargetBelief, TargetLife};
 use crate::gateway::target_entry::{Residency, TargetEntry, TargetState};
 use crate::gateway::target_health::{TargetFailure, TargetHealth};
-use crate::{Name, TimeMs};
+use crate::{Name, StoreVersion, TimeMs};
 
 /// Assumed latency of a service without samples.
 const USUAL_MS: f64 = 50.0;
@@ -239,6 +239,13 @@
     }
 }
 
+/// Returns whether an entry is of an earlier life than the known one, and comes from the copy from
+/// which the store was restored.
+fn is_earlier_life(entry: &TargetEntry, known: &TargetEntry) -> bool {
+    let era = |entry: &TargetEntry| StoreVersion::from_number(entry.revision).era;
+    entry.life < known.life && era(entry) > era(known)
+}
+
 impl TargetTable {
     /// Sets the deadline after which a target that turns out to be leaving must not be used.
     pub fn leave_by(&mut self, leave_by: TimeMs) {
@@ -263,6 +270,7 @@
         let index = match self.position(&entry.id) {
             // An entry from another host may be newer than a delayed one from the store.
             Ok(index) if entry.revision < self.targets[index].entry.revision => return,
+            Ok(index) if is_earlier_life(&entry, &self.targets[index].entry) => return,
             Ok(index) => {
                 let target = &mut self.targets[index];
                 let same = target.entry.life == entry.life
--- a/crates/lycheeford-policy/tests/gateway/beliefs.rs
+++ b/crates/lycheeford-policy/tests/gateway/beliefs.rs
@@ -2,8 +2,8 @@
 //! learnt of it from an answer, from the list of targets or from another host.
 
 use lycheeford_policy::{
-    Choice, Chosen, Selection, ShortKey, TargetEntry, TargetLife, TargetRequirements, TargetState,
-    TargetTable, WaitQueue, Waiting,
+    Choice, Chosen, Selection, ShortKey, StoreVersion, TargetEntry, TargetLife, TargetRequirements,
+    TargetState, TargetTable, WaitQueue, Waiting,
 };
 
 use crate::world::{at, entry, name, need};
@@ -244,3 +244,62 @@
     assert!(targets.leaving_to_announce(at(20)).is_empty());
     assert!(targets.target("t1").unwrap().is_ready(), "a paused target still counts as a replica");
 }
+
+/// A target that leaves in its second life, and an entry of it that comes after the store was
+/// restored, or without a restore.
+struct RestoredEntryCase {
+    what: &'static str,
+    life: u64,
+    era: u64,
+    revision: u64,
+    found: Found,
+}
+
+/// Regression test (soak seed 41006): the copy of the store had an earlier life of a target that
+/// was leaving, which then seemed to accept requests.
+#[test]
+fn an_earlier_life_in_the_copy_of_a_restored_store_replaces_no_later_one() {
+    let cases = [
+        RestoredEntryCase {
+            what: "the earlier life, from the copy",
+            life: 1,
+            era: 2,
+            revision: 5,
+            found: Found::Nothing,
+        },
+        RestoredEntryCase {
+            what: "the same life, from the copy",
+            life: 2,
+            era: 2,
+            revision: 5,
+            found: Found::Nothing,
+        },
+        RestoredEntryCase {
+            what: "a later life after the restore",
+            life: 3,
+            era: 2,
+            revision: 6,
+            found: Found::Target,
+        },
+        // Within an era the store's order decides: the time of day may have been set back.
+        RestoredEntryCase {
+            what: "a life with a lesser number, without a restore",
+            life: 1,
+            era: 1,
+            revision: 11,
+            found: Found::Target,
+        },
+    ];
+    for RestoredEntryCase { what, life, era, revision, found: expected } in cases {
+        let listed = |life, era, revision| TargetEntry {
+            life,
+            revision: StoreVersion { era, revision }.to_number(),
+            ..entry("t1", &["m1"])
+        };
+        let mut targets = TargetTable::default();
+        targets.put(at(0), listed(2, 1, 10));
+        targets.leaves(at(10), &at_target("t1", 2));
+        targets.put(at(2_000), listed(life, era, revision));
+        assert_eq!(found(&mut targets, 2_000, &need("m1")), expected, "{what}");
+    }
+}
