Confirm nothing by a restored store until the operators have written again

So that callers pay as little as they can, what was confirmed before the restore stays so for its time: the copy's identical declaration takes over the age of the confirmation, and an older one leaves it alone. A host that has nothing but an older copy doesn't supersede what others have in force.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -15,8 +15,8 @@
 /// confirmation from others asks the store itself.
 const DECLARATION_MARGIN_MS: u64 = 300;
 
-/// How long after a restore of the store, at most, the hosts that live are registered in it again
-/// and found by a host that has just started.
+/// How long after a host's start the store may just have been restored without its knowledge: until
+/// what it lacks is written again, and the other hosts are found.
 const FIND_HOSTS_MS: u64 = 2_500;
 
 /// Keeps the declaration up to date until the future is dropped.
@@ -27,7 +27,7 @@
     let wait_ms = state.confirmation_ms_max() as f64 * DEPLOYMENT_WAIT_PART;
     let limits = follow_limits(wait_ms as u64);
     let loss = StoreLoss::new(&state, kind);
-    let mut stored = StoredDeclaration { version: None, first_era: None, started_at: clock.now() };
+    let mut stored = StoredDeclaration::new(clock.now());
     follow_with_pauses(
         protocol.objects(),
         kind,
@@ -61,12 +61,27 @@
 struct StoredDeclaration {
     /// The version of the declaration that the store has, if any.
     version: Option<u64>,
-    /// The era of the store when this host first read it.
-    first_era: Option<u64>,
+    /// The era of the store, if this host has read it.
+    era: Option<u64>,
     started_at: TimeMs,
+    /// When this host found that the store had been restored.
+    restored_at: Option<TimeMs>,
 }
 
 impl StoredDeclaration {
+    fn new(started_at: TimeMs) -> StoredDeclaration {
+        StoredDeclaration { version: None, era: None, started_at, restored_at: None }
+    }
+
+    /// Records the version of the store in an answer.
+    fn enter(&mut self, now: TimeMs, store_version: u64) {
+        let era = StoreVersion::from_number(store_version).era;
+        if self.era.is_some_and(|known| known < era) {
+            self.restored_at = Some(now);
+        }
+        self.era = Some(era);
+    }
+
     /// Confirms a declaration if the store has it as of `as_of`. The store may lack the one in force,
     /// since it was restored from an older copy.
     fn confirm(&self, state: &State, deployment: &Deployment, as_of: TimeMs) {
@@ -79,25 +94,26 @@
         }
     }
 
-    /// Returns whether the declaration in the store can be the newest one, as far as this host can
-    /// know.
+    /// Returns whether the declaration in the store can be the newest one.
     ///
-    /// A store that was restored may have an older one, and another host the one that it lacks. A
-    /// host that read the store before compares the two itself. One that has started since waits
-    /// until it has heard of another host, or until one that lives has had time to be found.
+    /// A store that was restored may lack a declaration that no host has read. So it confirms
+    /// nothing until the operators have had time to write theirs again. A host that has started
+    /// since doesn't know when that was.
     fn may_be_newest(&self, state: &State) -> bool {
         let now = state.now();
-        let era = state.store_era();
-        era == StoreVersion::FIRST_ERA
-            || self.first_era.is_some_and(|first_era| first_era < era)
-            || now.since_ms(self.started_at) >= FIND_HOSTS_MS
-            || state.membership().hosts.alive(now).count() > 0
+        match self.restored_at {
+            Some(at) => now.since_ms(at) >= state.settings.missing_entry_grace_ms,
+            None => {
+                self.era == Some(StoreVersion::FIRST_ERA)
+                    || now.since_ms(self.started_at) >= FIND_HOSTS_MS
+            }
+        }
     }
 }
 
 /// Applies the store's changes of the declaration.
 fn apply_update(state: &State, update: Update, stored: &mut StoredDeclaration) {
-    stored.first_era.get_or_insert(StoreVersion::from_number(update.revision).era);
+    stored.enter(state.now(), update.revision);
     let (_, name) = state.protocols.store.deployment_key();
     let newest = match update.change {
         Change::Replace(listing) => {
@@ -131,9 +147,11 @@
         return;
     }
     match state.protocols.store.deployment(object) {
-        Ok(deployment) if known.is_some_and(|known| deployment.version < known.version) => {
-            // The store was restored from a copy that lacks the declaration in force.
-            state.confirmation().superseded_by(object.version);
+        Ok(deployment)
+            if known.as_ref().is_some_and(|known| deployment.version < known.version) =>
+        {
+            // The store was restored from a copy that lacks the declaration in force, which stays
+            // confirmed for its time.
             warn!(state.log, "declaration_outdated";
                 "revision" => deployment.revision, "version" => deployment.version);
         }
@@ -143,6 +161,9 @@
                 "routes" => deployment.routes.len(), "customers" => deployment.customers.len());
             state.metrics.revision.set(deployment.revision);
             state.run_times().keep_declared(&deployment);
+            if let Some(known) = known.filter(|known| known.version == deployment.version) {
+                state.confirmation().written_again(known.revision, deployment.revision);
+            }
             confirm(&deployment);
             state.deployment.store(Some(Arc::new(deployment)));
             state.dispatch_waiting();
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -1,6 +1,6 @@
 use lycheeford_policy::{
     Name, OwnCounts, PartnerRole, PeerReport, ReportDifference, ReportedLease, Scope, ShortKey,
-    Sums,
+    StoreVersion, Sums,
 };
 use slog::info;
 
@@ -243,7 +243,9 @@
         }
     }
     if report.revision > known {
-        state.confirmation().superseded_by(report.revision);
+        if !is_from_older_copy(report, known, declared) {
+            state.confirmation().superseded_by(report.revision);
+        }
         state.declaration_pace.wake();
     }
     let as_of = match (report.echo, report.targets_age_ms) {
@@ -255,6 +257,15 @@
     sync.watch.heard(state.now(), known, report.targets_changed, as_of);
 }
 
+/// Returns whether the declaration of another host is no newer than this host's in spite of its
+/// greater revision: it comes from the copy from which the store was restored.
+///
+/// A host with an earlier version of this program doesn't report the number of its declaration.
+fn is_from_older_copy(report: &PeerReport, known: u64, declared: u64) -> bool {
+    let era = |revision| StoreVersion::from_number(revision).era;
+    era(report.revision) > era(known) && report.declared != 0 && report.declared <= declared
+}
+
 fn apply_request_counts(state: &State, asked: &[(ShortKey, f64)]) {
     let now = state.now();
     let mut demand = state.demand();
--- a/crates/lycheeford-policy/src/gateway/confirmation.rs
+++ b/crates/lycheeford-policy/src/gateway/confirmation.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Records that the declaration of `revision` has another one since the store was restored.
+    pub fn written_again(&mut self, revision: u64, new_revision: u64) {
+        if self.revision == revision {
+            self.previous = self.asked_at.map(|asked_at| (revision, asked_at));
+            self.revision = new_revision;
+            self.newest = self.newest.max(new_revision);
+        }
+    }
+
     /// Records that `revision` exists; an older revision can no longer be confirmed.
     pub fn superseded_by(&mut self, revision: u64) {
         self.newest = self.newest.max(revision);
--- a/crates/lycheeford-policy/tests/gateway/rates.rs
+++ b/crates/lycheeford-policy/tests/gateway/rates.rs
@@ -379,7 +379,10 @@
     assert!(confirmation.confirms(5, 1_000, at(5_600)));
     assert!(confirmation.confirms(4, 1_000, at(5_999)));
     assert!(!confirmation.confirms(4, 1_000, at(6_000)));
+    confirmation.written_again(5, 9);
+    assert!(confirmation.confirms(9, 1_000, at(6_599)), "the age is that of revision 5");
+    assert!(!confirmation.confirms(9, 1_000, at(6_600)));
     confirmation.require_declared(7, 8);
-    assert!(!confirmation.confirms(5, 1_000, at(5_600)), "another host knows a newer one");
+    assert!(!confirmation.confirms(9, 1_000, at(5_600)), "another host knows a newer one");
     assert!(!confirmation.may_confirm(7) && confirmation.may_confirm(8));
 }
