--- a/crates/lycheeford-gateway/src/operation/directory.rs
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -157,6 +157,7 @@
     MetricsSnapshot {
         declaration_age_ms,
         targets_age_ms,
+        store_era: state.store_era(),
         hosts_alive,
         holder: own.or(reported),
         lines_left_out: state.left_out.left_out(),
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -83,6 +83,7 @@
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
     ages: Family<SourceLabels, Gauge>,
+    store_era: Gauge,
     hosts_alive: Gauge,
     holder: Family<HolderLabels, Gauge>,
     lines_left_out: Gauge,
@@ -95,6 +96,7 @@
     /// current, according to the store or to other hosts that asked it.
     pub(crate) declaration_age_ms: Option<u64>,
     pub(crate) targets_age_ms: Option<u64>,
+    pub(crate) store_era: u64,
     pub(crate) hosts_alive: usize,
     /// The lease holder and the age of the last renewal.
     pub(crate) holder: Option<(Name, u64)>,
@@ -116,6 +118,7 @@
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
             ages: Family::default(),
+            store_era: Gauge::default(),
             hosts_alive: Gauge::default(),
             holder: Family::default(),
             lines_left_out: Gauge::default(),
@@ -142,6 +145,7 @@
             let age_ms = age_ms.map_or(i64::MAX, gauge);
             self.ages.get_or_create(&SourceLabels { source }).set(age_ms);
         }
+        self.store_era.set(gauge(snapshot.store_era));
         self.hosts_alive.set(gauge(snapshot.hosts_alive as u64));
         self.holder.clear();
         if let Some((holder, age_ms)) = &snapshot.holder {
@@ -215,6 +219,11 @@
             "Whether this host gives orders to engines",
             self.holds_orders.clone(),
         );
+        registry.register(
+            "store_era",
+            "Rises by one with each restore of the store from an older copy",
+            self.store_era.clone(),
+        );
         registry.register("age_ms", "Age of what the store last said", self.ages.clone());
         registry.register("hosts_alive", "Other hosts that report", self.hosts_alive.clone());
         registry.register("orders_holder", "Age of the lease by its holder", self.holder.clone());
