Count the wait of a restored store from a host's first answer of it

The wait of 2.3 s counts from the first answer in the era now, for hosts that start and for those that run alike.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -15,10 +15,6 @@
 /// confirmation from others asks the store itself.
 const DECLARATION_MARGIN_MS: u64 = 300;
 
-/// How long after a host's start the store may just have been restored without its knowledge: until
-/// what it lacks is written again, and the other hosts are found.
-const FIND_HOSTS_MS: u64 = 2_500;
-
 /// Keeps the declaration up to date until the future is dropped.
 pub(crate) async fn follow_deployment(state: Arc<State>) {
     let protocol = Arc::clone(&state.protocols.store);
@@ -27,7 +23,7 @@
     let wait_ms = state.confirmation_ms_max() as f64 * DEPLOYMENT_WAIT_PART;
     let limits = follow_limits(wait_ms as u64);
     let loss = StoreLoss::new(&state, kind);
-    let mut stored = StoredDeclaration::new(clock.now());
+    let mut stored = StoredDeclaration::default();
     follow_with_pauses(
         protocol.objects(),
         kind,
@@ -58,28 +54,21 @@
 }
 
 /// What a host knows of the declaration in the store.
+#[derive(Debug, Default)]
 struct StoredDeclaration {
     /// The version of the declaration that the store has, if any.
     version: Option<u64>,
-    /// The era of the store, if this host has read it.
-    era: Option<u64>,
-    started_at: TimeMs,
-    /// When this host found that the store had been restored.
-    restored_at: Option<TimeMs>,
+    /// The era of the store and when this host first read it, if it has.
+    entered: Option<(u64, TimeMs)>,
 }
 
 impl StoredDeclaration {
-    fn new(started_at: TimeMs) -> StoredDeclaration {
-        StoredDeclaration { version: None, era: None, started_at, restored_at: None }
-    }
-
     /// Records the version of the store in an answer.
     fn enter(&mut self, now: TimeMs, store_version: u64) {
         let era = StoreVersion::from_number(store_version).era;
-        if self.era.is_some_and(|known| known < era) {
-            self.restored_at = Some(now);
+        if self.entered.is_none_or(|(known, _)| known < era) {
+            self.entered = Some((era, now));
         }
-        self.era = Some(era);
     }
 
     /// Confirms a declaration if the store has it as of `as_of`. The store may lack the one in force,
@@ -100,14 +89,10 @@
     /// nothing until the operators have had time to write theirs again. A host that has started
     /// since doesn't know when that was.
     fn may_be_newest(&self, state: &State) -> bool {
-        let now = state.now();
-        match self.restored_at {
-            Some(at) => now.since_ms(at) >= state.settings.missing_entry_grace_ms,
-            None => {
-                self.era == Some(StoreVersion::FIRST_ERA)
-                    || now.since_ms(self.started_at) >= FIND_HOSTS_MS
-            }
-        }
+        self.entered.is_some_and(|(era, at)| {
+            era == StoreVersion::FIRST_ERA
+                || state.now().since_ms(at) >= state.settings.missing_entry_grace_ms
+        })
     }
 }
 
