Stop the daemon's use of a store that was restored

What the daemon did: a keyed request whose record was lost in a restore ran again when it was sent again (the new test failed with 200 on each daemon).

Decision: the daemon's client of the store refuses all calls once the era in an answer has risen, so that the daemon fails closed as in an outage until an operator has restarted all daemons. Weighed: writing the ledger again from the hosts that remember it, which a host that died since the copy can't.

The stand-in platform goes back to a revision (POST /restore), states its era in all answers and answers 410 to a watch from a revision that it doesn't have.

Open: numbers of orders that go back with the records of targets after that restart.

--- a/crates/lycheeford-fakes/src/platform/mod.rs
+++ b/crates/lycheeford-fakes/src/platform/mod.rs
@@ -25,6 +25,9 @@
 /// The maximum size of a stored value.
 const VALUE_BYTES_MAX: usize = 1 << 20;
 
+/// The header of all answers to calls that states how often the store was restored.
+const ERA_HEADER: &str = "store-era";
+
 /// The interval at which a watch polls while a fault makes reads lag.
 const LAG_POLL_MS: u64 = 20;
 
@@ -51,9 +54,17 @@
 #[derive(Debug, Default)]
 struct State {
     table: ObjectTable,
+    /// Rises by one with each restore.
+    era: u64,
     faults: PlatformFaults,
 }
 
+/// A revision to which the store goes back.
+#[derive(Debug, Serialize, Deserialize)]
+struct RestoreOrder {
+    revision: u64,
+}
+
 /// The number of calls received, by operation.
 ///
 /// A call that [`PlatformFaults::calls`] refuses or drops isn't counted, unless it is a watch that
@@ -98,6 +109,18 @@
         self.shared.set_faults(faults).await;
     }
 
+    /// Goes back to the state at a revision, as a store does that is restored from an older copy,
+    /// and drops every open connection.
+    pub async fn restore(&self, revision: u64) {
+        self.shared.restore(revision).await;
+        self.server.drop_connections();
+    }
+
+    /// Returns the revision of the last change.
+    pub async fn revision(&self) -> u64 {
+        self.shared.state.lock().await.table.revision()
+    }
+
     /// Drops every open connection.
     pub fn drop_connections(&self) {
         self.server.drop_connections();
@@ -136,6 +159,14 @@
         self.changed.notify_all();
     }
 
+    async fn restore(&self, revision: u64) {
+        let mut state = self.state.lock().await;
+        state.table.restore(revision);
+        state.era += 1;
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn calls(&self) -> PlatformCalls {
         PlatformCalls {
             gets: self.gets.load(Ordering::Relaxed),
@@ -158,13 +189,28 @@
             }
             Err(refusal) => refusal,
         },
+        (Method::Post, ["restore"]) => match read_json::<RestoreOrder>(&mut request).await {
+            Ok(RestoreOrder { revision }) => {
+                shared.restore(revision).await;
+                json_reply(StatusCode::Ok, &json!({}))
+            }
+            Err(refusal) => refusal,
+        },
+        (Method::Get, ["revision"]) => {
+            let revision = shared.state.lock().await.table.revision();
+            json_reply(StatusCode::Ok, &RestoreOrder { revision })
+        }
         (Method::Get, ["calls"]) => json_reply(StatusCode::Ok, &shared.calls()),
         (method, segments) => {
             shared.apply_call_fault().await?;
-            if shared.refuses().await {
-                return error_reply(StatusCode::ServiceUnavailable, "unavailable");
-            }
-            call(&shared, method, segments, request).await
+            let mut response = if shared.refuses().await {
+                error_reply(StatusCode::ServiceUnavailable, "unavailable")?
+            } else {
+                call(&shared, method, segments, request).await?
+            };
+            let era = shared.state.lock().await.era;
+            response.insert_header(ERA_HEADER, era.to_string());
+            Ok(response)
         }
     }
 }
@@ -295,7 +341,14 @@
         let wait_ms = query_number(request, "wait_ms").unwrap_or(0);
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.lock().await;
+        let era = state.era;
         loop {
+            if state.era != era {
+                return Err(dropped());
+            }
+            if after > state.table.revision() {
+                return error_reply(StatusCode::Gone, "no such revision");
+            }
             if state.faults.watches == WatchFault::Silent {
                 drop(state);
                 pending::<()>().await;
--- a/crates/lycheeford-fakes/src/platform/table.rs
+++ b/crates/lycheeford-fakes/src/platform/table.rs
@@ -147,6 +147,15 @@
         }
     }
 
+    /// Goes back to a revision; later changes are gone, and their revisions are given out again.
+    pub(super) fn restore(&mut self, revision: u64) {
+        self.revision = revision;
+        self.events.retain(|event| event.revision <= revision);
+        for entry in &mut self.entries {
+            entry.versions.retain(|version| version.revision <= revision);
+        }
+    }
+
     fn record(&mut self, kind: &str, name: &str, value: Option<Value>) -> u64 {
         self.revision += 1;
         let revision = self.revision;
--- a/crates/lycheeford-platform/src/http.rs
+++ b/crates/lycheeford-platform/src/http.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -14,19 +15,30 @@
 };
 use crate::wire::{self, WireObject};
 use crate::{
-    CallCounters, Category, Expect, Listing, Object, ObjectStore, PlatformError, PlatformLimits,
-    WatchBatch,
+    CallCounters, Category, EraGate, Expect, Listing, Object, ObjectStore, PlatformError,
+    PlatformLimits, WatchBatch,
 };
 
+/// The header of an answer that states the store's era.
+const ERA_HEADER: &str = "store-era";
+
 /// The platform's object API over HTTP and JSON.
 ///
 /// Reads reuse idle connections and fall back to a new one. Writes always open a new connection:
 /// on a dead one a write would only fail after the whole answer time-out, with an unknown outcome.
+///
+/// A store that is restored from an older copy has lost what its users rely on, such as the ledger
+/// of calls that run at most once. So this client refuses all calls once the era of the store has
+/// risen. Its process serves nothing that needs the store until an operator has checked what was lost and
+/// restarts it. See [DESIGN](../../docs/DESIGN.md), "Safety never rests on a clock or a lease".
 #[derive(Debug)]
 pub struct HttpObjectStore {
     address: SocketAddr,
     connections: Connections,
     counters: CallCounters,
+    eras: EraGate,
+    /// The era that the first answer stated.
+    first_era: OnceLock<u64>,
 }
 
 impl HttpObjectStore {
@@ -36,6 +48,8 @@
             address,
             connections: Connections::new(address, limits),
             counters: CallCounters::default(),
+            eras: EraGate::default(),
+            first_era: OnceLock::new(),
         }
     }
 
@@ -50,16 +64,43 @@
         request: Request,
         wait_ms: u64,
     ) -> Result<Answer, PlatformError> {
+        self.check_era()?;
         self.counters.count(operation);
         let answer = if operation.is_write() {
             self.connections.exchange_fresh(request, wait_ms).await
         } else {
             self.connections.read(request, wait_ms).await
         };
-        answer.map_err(|error| {
+        let answer = answer.map_err(|error| {
             self.counters.count_failure();
             exchange_error(operation, error)
-        })
+        })?;
+        match self.admit(&answer) {
+            Ok(()) => Ok(answer),
+            // The write took effect in one copy of the store or the other.
+            Err(error) if operation.is_write() => {
+                Err(AnswerLostSnafu { message: error.to_string() }.build().into())
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn admit(&self, answer: &Answer) -> Result<(), PlatformError> {
+        let era = self.eras.admit(answer.header(ERA_HEADER))?;
+        self.first_era.get_or_init(|| era);
+        self.check_era()
+    }
+
+    /// Fails if the store was restored since the first call.
+    fn check_era(&self) -> Result<(), PlatformError> {
+        match self.first_era.get() {
+            Some(first_era) if self.eras.newest() > *first_era => {
+                let message = "the platform's store was restored from an older copy; check what it \
+                               has lost, then restart all daemons";
+                Err(PlatformError::new(Category::Unavailable, message))
+            }
+            _ => Ok(()),
+        }
     }
 
     fn request(&self, method: Method, segments: &[&str]) -> Result<Request, PlatformError> {
--- a/crates/lycheefordd/tests/at_most_once.rs
+++ b/crates/lycheefordd/tests/at_most_once.rs
@@ -26,6 +26,9 @@
 /// A daemon continues a write that it has begun for three seconds.
 const STORE_REFUSES_FOR: Duration = Duration::from_millis(3_500);
 
+/// How long a charge is resent after a restore of the store.
+const RESENT_FOR: Duration = Duration::from_secs(3);
+
 /// Long enough that kills fall both before and after every step.
 const STORE_DELAY_MS: u64 = 10;
 const SERVICE_DELAY_MS: u64 = 30;
@@ -127,6 +130,27 @@
     }
 }
 
+/// The record of a charge is lost with what the store had acknowledged since the copy.
+#[async_std::test]
+async fn a_charge_whose_record_a_restore_has_lost_is_not_run_again() {
+    let fleet = Fleet::start("restored-store").await;
+    let before = fleet.revision().await;
+    let charge = charge(&fleet.keys[0], "restored");
+    let first = charge.send(fleet.caller_address(0)).await.expect("the daemon answers");
+    assert_eq!(first.status, 200, "{}", first.body);
+    fleet.restore(before).await;
+    let start = Instant::now();
+    while start.elapsed() < RESENT_FOR {
+        for daemon in 0..fleet.daemons.len() {
+            let resent = charge.send(fleet.caller_address(daemon)).await.expect("an answer");
+            assert_ne!(resent.status, 200, "{}", resent.body);
+        }
+        task::sleep(Duration::from_millis(50)).await;
+    }
+    let ran: u64 = fleet.runs().await.iter().map(|runs| runs.runs_of_id("restored")).sum();
+    assert_eq!(ran, 1);
+}
+
 /// Kills daemons at random times and loses answers of the store and the services.
 async fn inject_faults(fleet: &mut Fleet) {
     let mut random = SEED;
--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -145,6 +145,20 @@
         assert_eq!(call.send(stand_in).await.expect("the stand-in answers").status, 200);
     }
 
+    /// Returns the revision of the platform's store.
+    pub async fn revision(&self) -> u64 {
+        let revision: serde_json::Value = read(self.deployment.platform, "/revision").await;
+        revision["revision"].as_u64().expect("a revision")
+    }
+
+    /// Restores the platform's store to a revision.
+    pub async fn restore(&self, revision: u64) {
+        let body = serde_json::to_vec(&serde_json::json!({ "revision": revision })).expect("JSON");
+        let call = Call { method: Method::Post, body, ..Call::get("/restore") };
+        let answer = call.send(self.deployment.platform).await.expect("the stand-in answers");
+        assert_eq!(answer.status, 200);
+    }
+
     /// Returns the audit of each engine: its orders and what it did.
     pub async fn audits(&self) -> Vec<EngineAudit> {
         let mut audits = Vec::new();
