Let a test of failed targets fail if they never return

The assertion that a target gets requests again after a pause was met as well if the other target was chosen for ever, which it is while it has free slots. Now the other one is busy: the failed target is not chosen during the pause and is chosen 1.2 s after the failure.

--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -100,10 +100,12 @@
     for ms in 2..10 {
         assert_ne!(chosen_id(&mut targets, ms, &need("m1")), Some(first.id.clone()));
     }
-    // The target gets requests again after a pause.
-    let again =
-        (1_000..1_200).any(|ms| chosen_id(&mut targets, ms, &need("m1")) == Some(first.id.clone()));
-    assert!(again || chosen_id(&mut targets, 20_000, &need("m1")).is_some());
+    // The target gets requests again after a pause, here as the other one has no free slot.
+    let other = if first.id == name("t1") { "t2" } else { "t1" };
+    let busy = RunningAt { target: ShortKey::of(other), ..running };
+    targets.runs_elsewhere(&name("other"), &[busy]);
+    assert_eq!(chosen_id(&mut targets, 10, &need("m1")), None);
+    assert_eq!(chosen_id(&mut targets, 1_200, &need("m1")), Some(first.id.clone()));
 }
 
 #[test]
