--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -71,8 +71,9 @@
         }
     }
 
-    /// Confirms a declaration if the store has it as of `as_of`. The store may lack the one in force,
-    /// since it was restored from an older copy.
+    /// Confirms a declaration if the store has it as of `as_of`.
+    ///
+    /// The store may lack the one in force, since it was restored from an older copy.
     fn confirm(&self, state: &State, deployment: &Deployment, as_of: TimeMs) {
         if self.version != Some(deployment.revision) || !self.may_be_newest(state) {
             return;
--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -56,7 +56,8 @@
 /// Registers this host, discovers the others and deletes the objects of dead hosts.
 pub(crate) async fn maintain_hosts(state: Arc<State>) {
     let stored = read_stored_suspects(&state).await;
-    task::spawn(keep_stored_suspects(Arc::clone(&state), stored));
+    let mut era = state.store_era();
+    task::spawn(keep_stored_suspects(Arc::clone(&state), stored, era));
     while let Err(error) = register(&state).await {
         warn!(state.log, "host_unregistered"; "error" => %error);
         task::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
@@ -65,7 +66,6 @@
     let started_at = state.now();
     let mut silent = SilentHosts::default();
     let mut is_listed = false;
-    let mut era = state.store_era();
     loop {
         // A cached list suffices later: hosts that it lacks report to the listed hosts themselves.
         let objects = state.protocols.store.objects();
--- a/crates/lycheeford-gateway/src/membership/stored_suspects.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -70,9 +70,8 @@
 /// Keeps the deadly prompt parts in the store while this host is the lease holder, so that they are
 /// known after all hosts were replaced at once.
 ///
-/// `stored` are the names of their objects.
-pub(super) async fn keep_stored_suspects(state: Arc<State>, mut stored: Vec<Name>) {
-    let mut era = state.store_era();
+/// `stored` are the names of their objects, as read in `era`.
+pub(super) async fn keep_stored_suspects(state: Arc<State>, mut stored: Vec<Name>, mut era: u64) {
     loop {
         task::sleep(Duration::from_millis(CHECK_MS)).await;
         if state.store_era() > era {
--- a/crates/lycheeford-platform/src/http.rs
+++ b/crates/lycheeford-platform/src/http.rs
@@ -29,8 +29,8 @@
 ///
 /// A store that is restored from an older copy has lost what its users rely on, such as the ledger
 /// of calls that run at most once. So this client refuses all calls once the era of the store has
-/// risen. Its process serves nothing that needs the store until an operator has checked what was lost and
-/// restarts it. See [DESIGN](../../docs/DESIGN.md), "Safety never rests on a clock or a lease".
+/// risen. Its process serves nothing that needs the store until an operator has checked what was
+/// lost and restarts it. See docs/PLATFORM.md, "A store that comes back from an older copy".
 #[derive(Debug)]
 pub struct HttpObjectStore {
     address: SocketAddr,
--- a/crates/lycheeford-policy/src/crash_suspect.rs
+++ b/crates/lycheeford-policy/src/crash_suspect.rs
@@ -160,8 +160,8 @@
 /// A crash is recorded for everything that a request running at the target could have crashed it
 /// with: sound requests that ran beside the culprit are suspected too, until one like them is
 /// completed. A crash is identified by the target and its life that crashed, so that a report that
-/// arrives twice, or from two peers, counts once. See [DESIGN](../../docs/DESIGN.md), "A request
-/// that crashes its target".
+/// arrives twice, or from two peers, counts once. See docs/DESIGN.md, "A request that crashes its
+/// target".
 ///
 /// ```
 /// use lycheeford_policy::{CrashCause, CrashSuspects, CrashVerdict, TimeMs};
--- a/crates/lycheeford-policy/src/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/src/gateway/order_lease.rs
@@ -73,9 +73,9 @@
 /// ([`StoreVersion::to_number`](crate::StoreVersion::to_number)), which only increase. A host that
 /// restarts may continue at once, since it is the same holder.
 ///
-/// A store that is restored from an older copy has lost the lease, or has an earlier one. The holder
-/// then stops giving orders until it has written the lease again. No other host may give orders
-/// sooner than after the time for which a lease that was lost may have been valid.
+/// A store that is restored from an older copy has lost the lease, or has an earlier one. The
+/// holder then stops giving orders until it has written the lease again. No other host may give
+/// orders sooner than after the time for which a lease that was lost may have been valid.
 #[derive(Debug, Clone)]
 pub struct OrderLease {
     own_host: Name,
--- a/crates/lycheeford-policy/src/store_version.rs
+++ b/crates/lycheeford-policy/src/store_version.rs
@@ -8,7 +8,7 @@
 ///
 /// A store that is restored from an older copy gives out revisions again, so that a revision alone
 /// doesn't tell which of two states is newer. The era tells them apart: it rises with each restore.
-/// See [PLATFORM](../../docs/PLATFORM.md), "A store that comes back from an older copy".
+/// See docs/PLATFORM.md, "A store that comes back from an older copy".
 ///
 /// ```
 /// use lycheeford_policy::StoreVersion;
