--- a/crates/lycheeford-gateway/src/membership/stored_suspects.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -157,6 +157,7 @@
 }
 
 fn unix_ms() -> u64 {
+    // With a clock before 1970, stored parts count as new: they are refused for too long.
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
