Log the software version of each target and the stream that a request takes up

Both are decoded now (the entry's Version, the caller's Resumes) and logged; nothing is decided by them yet.

--- a/crates/lycheeford-gateway/src/membership/wire/targets.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/targets.rs
@@ -58,6 +58,8 @@
     slots: u32,
     #[prost(message, repeated, tag = "10")]
     models: Vec<WireModel>,
+    #[prost(string, tag = "11")]
+    version: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -115,6 +117,7 @@
             remaining_ms,
             slots: entry.slots,
             models: entry.residency.models.into_iter().map(WireModel::from).collect(),
+            version: entry.version.as_str().to_owned(),
         }
     }
 }
@@ -132,6 +135,7 @@
             revision: wire.revision,
             life: wire.life,
             service: Name::from(wire.service),
+            version: Name::from(wire.version),
             address: address.context(FieldSnafu { field: "address" })?,
             failure_domain: Name::from(wire.failure_domain),
             state: if wire.is_leaving {
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -41,6 +41,7 @@
         revision: 30,
         life: 1_700_000_000_123,
         service: Name::from("models"),
+        version: Name::from("v1.1"),
         address: ([127, 0, 0, 1], 9_000).into(),
         failure_domain: Name::from("b"),
         state: TargetState::Leaving { remaining_ms: Some(0) },
--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -27,6 +27,7 @@
 pub(super) struct EngineCall {
     engine: Name,
     life: u64,
+    version: Name,
     address: SocketAddr,
     name: Option<OrderedName>,
     operation: Option<(EngineOperation, TimeMs)>,
@@ -45,6 +46,7 @@
         EngineCall {
             engine: entry.id.clone(),
             life: entry.life,
+            version: entry.version.clone(),
             address: entry.address,
             name: None,
             operation: None,
@@ -60,6 +62,7 @@
         Chosen {
             id: self.engine.clone(),
             life: self.life,
+            version: self.version.clone(),
             address: self.address,
             running: 0,
             permit: None,
--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -48,6 +48,8 @@
     pub prompt: Vec<PromptPart>,
     /// The id of the last event that the caller received of an interrupted stream.
     pub resume_after: Option<String>,
+    /// The caller's id of the attempt that brought the first event of that stream.
+    pub resumes: Option<Name>,
 }
 
 impl GatewayRequest {
--- a/crates/lycheeford-policy/src/gateway/target_entry.rs
+++ b/crates/lycheeford-policy/src/gateway/target_entry.rs
@@ -14,6 +14,9 @@
     pub life: u64,
     /// Service that the target runs.
     pub service: Name,
+    /// Version of the software that the target runs, which is not the version of its model weights.
+    /// Targets of several versions may serve side by side.
+    pub version: Name,
     /// Address on which the target listens.
     pub address: SocketAddr,
     /// Failure domain of the target.
--- a/crates/lycheeford-policy/src/gateway/target_table/choice.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/choice.rs
@@ -101,6 +101,7 @@
         Selection::Chosen(Chosen {
             id: target.entry.id.clone(),
             life: target.entry.life,
+            version: target.entry.version.clone(),
             address: target.entry.address,
             running: target.running(),
             permit,
--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -54,6 +54,8 @@
     pub id: Name,
     /// Life of the target, which changes when its process restarts.
     pub life: u64,
+    /// Version of the software that the target runs.
+    pub version: Name,
     /// Address on which the target listens.
     pub address: SocketAddr,
     /// Requests that were running at the target when it was chosen.
--- a/crates/lycheeford-policy/tests/gateway/beliefs.rs
+++ b/crates/lycheeford-policy/tests/gateway/beliefs.rs
@@ -14,6 +14,7 @@
     Chosen {
         id: name(id),
         life,
+        version: name("v1"),
         address: ([127, 0, 0, 1], 9_000).into(),
         running: 0,
         permit: None,
--- a/crates/lycheeford-policy/tests/gateway/limits.rs
+++ b/crates/lycheeford-policy/tests/gateway/limits.rs
@@ -276,6 +276,7 @@
         let chosen = |id: &str| Chosen {
             id: name(id),
             life: 1,
+            version: name("v1"),
             address: address(0),
             running: 0,
             permit: None,
--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -129,6 +129,7 @@
     let at_target = |id: &str| Chosen {
         id: name(id),
         life: 1,
+        version: name("v1"),
         address: ([127, 0, 0, 1], 9_000).into(),
         running: 0,
         permit: None,
--- a/crates/lycheeford-policy/tests/gateway/world.rs
+++ b/crates/lycheeford-policy/tests/gateway/world.rs
@@ -21,6 +21,7 @@
         revision: 0,
         life: 1,
         service: name("models"),
+        version: name("v1"),
         address: ([127, 0, 0, 1], 9_000).into(),
         failure_domain: name("a"),
         state: TargetState::Ready,
