Let a stream go on only at the software version that began it

Cause: a target was chosen by service, model, load and failures alone, as if all targets of a service were interchangeable, by the host that resumes a stream itself and by the one to which a caller brings it.

TargetRequirements has the version now. A host takes it from the target that sent the first event, and tells it to three other hosts (in different failure domains), which every host computes from the stream's key and the store's list of hosts; who is brought a stream that it doesn't know asks those three. Nothing is told while a service has had one version alone for as long as a stream may last. Where nobody knows, the request is refused at once. A model that only another version holds is loaded at the right one. A resumed stream on a split route goes to the service that began it.

Weighed: the store (a write a stream, hundreds a second of the 400 allowed); telling all hosts (grows with the fleet); a version worked out from the request's id alone (models are held by few targets, so that the version follows from who holds one).

--- a/crates/lycheeford-gateway/src/fleet/dispatcher.rs
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -65,6 +65,7 @@
                 service: waiting.need.service.clone(),
                 model: model.clone(),
                 adapter: waiting.need.adapter.clone(),
+                version: waiting.need.version,
                 waiting: 1,
                 oldest_ms: now.since_ms(waiting.arrived_at),
                 priority: waiting.priority,
@@ -125,7 +126,8 @@
 /// Adds demand to a list, combining entries for the same model and adapter.
 pub(crate) fn merge(wanted: &mut Vec<WantedName>, name: WantedName) {
     let same = |other: &&mut WantedName| {
-        other.service == name.service && other.model == name.model && other.adapter == name.adapter
+        (&other.service, &other.model, &other.adapter, other.version)
+            == (&name.service, &name.model, &name.adapter, name.version)
     };
     match wanted.iter_mut().find(same) {
         Some(known) => {
--- a/crates/lycheeford-gateway/src/membership/exchange.rs
+++ b/crates/lycheeford-gateway/src/membership/exchange.rs
@@ -11,6 +11,7 @@
 use super::limits::{LimitEvent, handle_permit_reply};
 use super::report::{SharedReport, apply_report};
 use super::send::send;
+use super::streams::{apply_stream_update, handle_stream_reply, reply_to_query};
 use super::wire::{self, Message};
 use crate::request::update_limit;
 use crate::state::State;
@@ -44,6 +45,12 @@
                 Ok(Message::PermitReply(reply)) => handle_permit_reply(&state, &reply),
                 Ok(Message::LimitReport(limit)) => state.queue_event(LimitEvent::PeerLimit(limit)),
                 Ok(Message::LimitUpdate(limit)) => update_limit(&state, limit.target, limit.per_s),
+                Ok(Message::StreamUpdate(update)) => apply_stream_update(&state, &update),
+                Ok(Message::StreamQuery(query)) => {
+                    let reply = reply_to_query(&state, &query);
+                    send(&state, &socket, Message::StreamReply(reply), query.sender).await;
+                }
+                Ok(Message::StreamReply(reply)) => handle_stream_reply(&state, &reply),
                 Err(error) => warn!(state.log, "report_unreadable"; "error" => %error),
             },
             Err(error) => {
--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -4,7 +4,8 @@
 //! run and spend (`report`, `exchange`). The partners follow from the hosts that are alive
 //! ([`lycheeford_policy::ReportLayout`]). Permits of rate-limited targets are requested from the
 //! host that grants them (`limits`). The models that requests wait for are reported directly to the
-//! lease holder (`demand`). Hosts discover each other by a list in the store (`hosts`), which also
+//! lease holder (`demand`). The software versions that began streams are told to a few hosts, which
+//! are asked when a caller resumes a stream elsewhere (`streams`). Hosts discover each other by a list in the store (`hosts`), which also
 //! keeps the prompt parts that crash targets (`stored_suspects`).
 
 mod demand;
@@ -14,6 +15,7 @@
 mod report;
 mod send;
 mod stored_suspects;
+mod streams;
 mod table;
 mod wire;
 
@@ -23,5 +25,8 @@
 pub(crate) use self::limits::{LimitEvent, grant_permits};
 pub(crate) use self::report::apply_own_placements;
 pub(crate) use self::send::{Unsent, log_unsent};
+pub(crate) use self::streams::{
+    StreamEvent, Streams, keeper_addresses, record_stream, send_stream_events, track_versions,
+};
 pub(crate) use self::table::Membership;
-pub(crate) use self::wire::{LimitReport, PermitRequest};
+pub(crate) use self::wire::{LimitReport, PermitRequest, StreamQuery};
--- a/crates/lycheeford-gateway/src/membership/wire/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod orders;
 mod report;
+mod streams;
 mod targets;
 #[cfg(test)]
 mod tests;
@@ -23,6 +24,9 @@
 pub(super) use self::orders::{PlacementUpdate, WaitingDemand};
 use self::orders::{WireNews, WireWants};
 use self::report::WireReport;
+pub(crate) use self::streams::StreamQuery;
+pub(super) use self::streams::{StreamReply, StreamUpdate};
+use self::streams::{WireStreamQuery, WireStreamReply, WireStreamUpdate};
 
 /// Why a datagram isn't a valid message.
 #[derive(Debug, Snafu)]
@@ -53,11 +57,17 @@
     LimitReport(LimitReport),
     /// A change of a target's limit, sent by the granting host to all hosts.
     LimitUpdate(LimitUpdate),
+    /// The versions that began streams, sent to the hosts that keep them.
+    StreamUpdate(StreamUpdate),
+    /// A question about the version that began a stream, sent to a host that keeps it.
+    StreamQuery(StreamQuery),
+    /// The reply to such a question.
+    StreamReply(StreamReply),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct WireMessage {
-    #[prost(oneof = "WireBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "WireBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     body: Option<WireBody>,
 }
 
@@ -77,6 +87,12 @@
     HeardLimit(WireLimit),
     #[prost(message, tag = "7")]
     LimitNews(WireLimit),
+    #[prost(message, tag = "8")]
+    StreamUpdate(WireStreamUpdate),
+    #[prost(message, tag = "9")]
+    StreamQuery(WireStreamQuery),
+    #[prost(message, tag = "10")]
+    StreamReply(WireStreamReply),
 }
 
 /// Encodes a message into a datagram.
@@ -89,6 +105,9 @@
         Message::PermitReply(reply) => WireBody::PermitReply(reply.into()),
         Message::LimitReport(observed) => WireBody::HeardLimit(observed.into()),
         Message::LimitUpdate(update) => WireBody::LimitNews(update.into()),
+        Message::StreamUpdate(update) => WireBody::StreamUpdate(update.into()),
+        Message::StreamQuery(query) => WireBody::StreamQuery(query.into()),
+        Message::StreamReply(reply) => WireBody::StreamReply(reply.into()),
     };
     datagram::pack(&WireMessage { body: Some(body) }.encode_to_vec())
 }
@@ -110,5 +129,8 @@
         WireBody::PermitReply(reply) => Message::PermitReply(PermitReply::try_from(reply)?),
         WireBody::HeardLimit(observed) => Message::LimitReport(LimitReport::try_from(observed)?),
         WireBody::LimitNews(update) => Message::LimitUpdate(LimitUpdate::try_from(update)?),
+        WireBody::StreamUpdate(update) => Message::StreamUpdate(StreamUpdate::from(update)),
+        WireBody::StreamQuery(query) => Message::StreamQuery(StreamQuery::try_from(query)?),
+        WireBody::StreamReply(reply) => Message::StreamReply(StreamReply::try_from(reply)?),
     })
 }
--- a/crates/lycheeford-gateway/src/membership/wire/orders.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/orders.rs
@@ -67,6 +67,8 @@
     oldest_ms: u64,
     #[prost(uint32, tag = "6")]
     priority: u32,
+    #[prost(fixed32, optional, tag = "7")]
+    version: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -147,6 +149,7 @@
             waiting: name.waiting,
             oldest_ms: name.oldest_ms,
             priority: u32::from(name.priority),
+            version: name.version.map(|version| version.0),
         }
     }
 }
@@ -157,6 +160,7 @@
             service: Name::from(wire.service),
             model: Name::from(wire.model),
             adapter: wire.adapter.map(Name::from),
+            version: wire.version.map(ShortKey),
             waiting: wire.waiting,
             oldest_ms: wire.oldest_ms,
             priority: u8::try_from(wire.priority).unwrap_or(u8::MAX),
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -123,6 +123,7 @@
         service: Name::from("models"),
         model: Name::from("m1"),
         adapter: Some(Name::from("a1")),
+        version: Some(ShortKey(9)),
         waiting: 2,
         oldest_ms: 300,
         priority: 1,
--- a/crates/lycheeford-gateway/src/orders/plan_task.rs
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -100,9 +100,11 @@
             record.operation_in_flight = order.operation();
             planned.push(order);
         }
-        for want in wanted.iter().filter_map(adapter_want) {
+        let adapter_wants =
+            wanted.iter().filter_map(|name| Some((adapter_want(name)?, name.version)));
+        for (want, version) in adapter_wants {
             let Some(model) = limits.model(&want.model) else { continue };
-            let usable = adapter_engines(&mut orders, now, &engines, &views, &want);
+            let usable = adapter_engines(&mut orders, now, &engines, &views, &want, version);
             let step =
                 orders.adapters.plan(now, &want, &usable, limits.adapters_max, model.adapter_mb);
             let Some((engine, step)) = step else { continue };
@@ -179,6 +181,7 @@
     let loading_mb = loading.map_or(0, size_mb);
     EngineView {
         id: target.entry.id.clone(),
+        version: ShortKey::of(&target.entry.version),
         is_ready: target.is_ready() && target.is_usable(now),
         is_limited: target.is_short(),
         free_mb: limits.weights_mb.saturating_sub(resident_mb + loading_mb + adapters_mb),
@@ -211,7 +214,7 @@
     };
     let of_model = |model: &EngineModel| {
         let key = ShortKey::of(&model.name);
-        let names = wanted.iter().filter(|name| name.model == model.name);
+        let names = wanted.iter().filter(|name| name.model == model.name && name.version.is_none());
         let (waiting, oldest_ms, priority) =
             names.fold((0, 0, u8::MAX), |(waiting, oldest_ms, priority), name| {
                 (waiting + name.waiting, oldest_ms.max(name.oldest_ms), priority.min(name.priority))
@@ -223,6 +226,7 @@
         let found = running.binary_search_by_key(&key, |(key, _)| *key);
         Some(ModelDemand {
             model: model.name.clone(),
+            version: None,
             waiting,
             oldest_ms,
             priority,
@@ -232,7 +236,39 @@
             asked_at: asked_at.unwrap_or_default(),
         })
     };
-    limits.models.iter().filter_map(of_model).collect()
+    let any_version = limits.models.iter().filter_map(of_model);
+    any_version.chain(resumed_demands(now, wanted, views)).collect()
+}
+
+/// Returns the demand of the streams that must go on at the software version that began them.
+fn resumed_demands(now: TimeMs, wanted: &[WantedName], views: &[EngineView]) -> Vec<ModelDemand> {
+    let mut demands: Vec<ModelDemand> = Vec::new();
+    for name in wanted.iter().filter(|name| name.version.is_some()) {
+        let is_same = |demand: &&mut ModelDemand| {
+            demand.model == name.model && demand.version == name.version
+        };
+        if let Some(demand) = demands.iter_mut().find(is_same) {
+            demand.waiting += name.waiting;
+            demand.oldest_ms = demand.oldest_ms.max(name.oldest_ms);
+            demand.priority = demand.priority.min(name.priority);
+            continue;
+        }
+        let engines = views.iter().filter(|view| Some(view.version) == name.version);
+        let residents = engines.flat_map(|view| &view.residents);
+        let running =
+            residents.filter(|held| held.model == name.model).map(|held| held.running).sum();
+        demands.push(ModelDemand {
+            model: name.model.clone(),
+            version: name.version,
+            waiting: name.waiting,
+            oldest_ms: name.oldest_ms,
+            priority: name.priority,
+            rate_per_s: 0.0,
+            running,
+            asked_at: now,
+        });
+    }
+    demands
 }
 
 /// Records when the model that an order loads, or makes room for, is expected to be ready.
@@ -276,6 +312,7 @@
     engines: &[&Target],
     views: &[EngineView],
     want: &AdapterWant,
+    version: Option<ShortKey>,
 ) -> Vec<AdapterEngine> {
     let mut usable = Vec::new();
     for (target, view) in engines.iter().zip(views) {
@@ -288,7 +325,8 @@
         let may_order = !record.has_call_in_flight
             && record.query_at.is_none()
             && !target.belief.is_paused(now);
-        if view.is_ready && holds && may_order && !is_unloading {
+        let accepts = version.is_none_or(|version| version == view.version);
+        if view.is_ready && accepts && holds && may_order && !is_unloading {
             usable.push(AdapterEngine {
                 id: view.id.clone(),
                 free_mb: view.free_mb,
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -61,7 +61,9 @@
     let customer = customer(state, &deployment, &route, &request, arrived_at)?;
     let crash_causes = crash_causes(&request, customer.map(|customer| &customer.name));
     refuse_suspect(state, &crash_causes, arrived_at)?;
-    let Some(service) = route.service(xxh3_64(request.id.as_bytes())).cloned() else {
+    // A stream that is resumed belongs to the service that began it.
+    let first_id = request.resumes.as_ref().unwrap_or(&request.id);
+    let Some(service) = route.service(xxh3_64(first_id.as_bytes())).cloned() else {
         return Err(no_route(state, &request, arrived_at));
     };
     let tokens = request.tokens.map(|(prompt, output)| prompt + output);
@@ -83,6 +85,7 @@
             .as_ref()
             .filter(|_| engine.is_some())
             .and_then(|name| name.adapter.clone()),
+        version: None,
         // A request without token counts occupies a slot, but its cache memory can't be estimated.
         tokens: tokens.unwrap_or_default(),
         cache_tokens_max: engine.map(|engine| engine.cache_tokens),
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -8,6 +8,7 @@
 
 use super::attempt::{Attempts, StartedResponse};
 use super::relay::Relay;
+use super::resume::pin_resumed_version;
 use crate::Reply;
 use crate::state::ANSWER_BYTES_MAX;
 
@@ -24,6 +25,7 @@
 ///
 /// Refuses a request to which no target returned a complete response or the head of a stream.
 pub(super) async fn answer(attempts: &mut Attempts) -> Result<Answered, Refusal> {
+    pin_resumed_version(&attempts.state, &mut attempts.admitted).await?;
     let resume_after = attempts.admitted.request.resume_after.clone();
     loop {
         let started = attempts.send(resume_after.as_deref()).await?;
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod permit;
 pub(crate) mod rates;
 mod relay;
+mod resume;
 mod signals;
 mod slot;
 
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -203,6 +203,7 @@
             let is_progress = self.boundary.events() > events_before;
             if is_progress && is_first {
                 is_first = false;
+                self.attempts.admitted.pin_to_version_of(&self.attempts.state, &slot.chosen);
                 self.record_first_event(&slot.chosen, sent_at);
             }
             if let Some(id) = self.boundary.last_id() {
--- /dev/null
+++ b/crates/lycheeford-gateway/src/request/resume.rs
@@ -0,0 +1,120 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel::{Receiver, bounded};
+use async_std::future::timeout;
+use lycheeford_policy::{
+    Chosen, Name, Refusal, RefusalCode, ShortKey, StreamKey, StreamVersion, VersionKnowledge,
+    combine_knowledge,
+};
+use slog::info;
+
+use super::admission::Admitted;
+use crate::membership::{StreamEvent, StreamQuery, keeper_addresses, record_stream};
+use crate::state::State;
+
+/// How long other hosts are waited for that may know the version of a stream.
+const REPLIES_MS_MAX: u64 = 100;
+
+/// A query to other hosts. Dropping it discards later replies.
+struct PendingQuery<'a> {
+    state: &'a State,
+    number: u64,
+    receiver: Receiver<VersionKnowledge>,
+    queried: usize,
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        self.state.streams().remove_query(self.number);
+    }
+}
+
+impl Admitted {
+    /// Returns the key of the stream that the request begins or resumes.
+    fn stream_key(&self) -> StreamKey {
+        StreamKey::of(self.request.resumes.as_ref().unwrap_or(&self.request.id))
+    }
+
+    /// Restricts the request to the version of the target that sends the first event of its stream.
+    pub(super) fn pin_to_version_of(&mut self, state: &State, chosen: &Chosen) {
+        if self.need.version.is_some() || !self.route.kind.is_repeatable() {
+            return;
+        }
+        let version = ShortKey::of(&chosen.version);
+        self.need.version = Some(version);
+        let known = StreamVersion { stream: self.stream_key(), version };
+        record_stream(state, &self.need.service, known);
+    }
+}
+
+/// Restricts a request that resumes a stream to the version that began it.
+///
+/// # Errors
+///
+/// Refuses the request if no host knows that version.
+pub(super) async fn pin_resumed_version(
+    state: &Arc<State>,
+    admitted: &mut Admitted,
+) -> Result<(), Refusal> {
+    if admitted.request.resume_after.is_none() || !admitted.route.kind.is_stream() {
+        return Ok(());
+    }
+    let stream = admitted.stream_key();
+    let own = state.streams().versions.knowledge(state.now(), &admitted.need.service, stream);
+    let replies = if matches!(own, VersionKnowledge::Began(_)) {
+        Vec::new()
+    } else {
+        query_keepers(state, admitted, stream).await
+    };
+    let version = combine_knowledge(replies.iter().copied().chain([own]));
+    info!(state.log, "resume_requested";
+        "id" => admitted.request.id.as_str(),
+        "resumes" => admitted.request.resumes.as_ref().map(Name::as_str),
+        "version_key" => version.map(|version| version.0), "known_here" => ?own,
+        "replies" => replies.len());
+    let Some(version) = version else {
+        let message = "the software version that began the stream isn't known; request the whole \
+                       stream again";
+        return Err(Refusal::not_run(RefusalCode::NoTarget, message, None));
+    };
+    admitted.need.version = Some(version);
+    record_stream(state, &admitted.need.service, StreamVersion { stream, version });
+    Ok(())
+}
+
+/// Asks the hosts that keep the version of a stream; returns what they know.
+async fn query_keepers(
+    state: &Arc<State>,
+    admitted: &Admitted,
+    stream: StreamKey,
+) -> Vec<VersionKnowledge> {
+    let addresses = keeper_addresses(state, stream);
+    let mut replies = Vec::new();
+    if addresses.is_empty() {
+        return replies;
+    }
+    let (sender, receiver) = bounded(addresses.len());
+    let number = state.next_number();
+    state.streams().add_query(number, sender);
+    let pending = PendingQuery { state, number, receiver, queried: addresses.len() };
+    for address in addresses {
+        let query = StreamQuery {
+            service: admitted.need.service.clone(),
+            stream,
+            sender: state.settings.peer_address,
+            number,
+        };
+        state.queue_stream_event(StreamEvent::Query { query, address });
+    }
+    let give_up_at = state.now() + REPLIES_MS_MAX;
+    while replies.len() < pending.queried {
+        let wait = Duration::from_millis(give_up_at.since_ms(state.now()));
+        let Ok(Ok(knowledge)) = timeout(wait, pending.receiver.recv()).await else { break };
+        replies.push(knowledge);
+        if matches!(knowledge, VersionKnowledge::Began(_)) {
+            break;
+        }
+    }
+    replies
+}
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -15,6 +15,7 @@
 use crate::fleet::{follow_deployment, follow_targets};
 use crate::membership::{
     deregister_host, grant_permits, log_unsent, maintain_hosts, receive, send_demand, send_reports,
+    send_stream_events, track_versions,
 };
 use crate::operation::{Directory, MetricsPage, Readiness};
 use crate::orders::{keep_lease, plan_orders};
@@ -104,6 +105,8 @@
     task::spawn(receive(Arc::clone(state), Arc::clone(&socket)));
     task::spawn(send_reports(Arc::clone(state), Arc::clone(&socket)));
     task::spawn(grant_permits(Arc::clone(state), Arc::clone(&socket)));
+    task::spawn(send_stream_events(Arc::clone(state), Arc::clone(&socket)));
+    task::spawn(track_versions(Arc::clone(state)));
     task::spawn(send_demand(Arc::clone(state), socket));
     task::spawn(maintain_hosts(Arc::clone(state)));
     task::spawn(keep_lease(Arc::clone(state)));
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -13,7 +13,7 @@
 use slog::Logger;
 
 use crate::fleet::{Dispatcher, TargetSync};
-use crate::membership::{LimitEvent, Membership, Unsent};
+use crate::membership::{LimitEvent, Membership, StreamEvent, Streams, Unsent};
 use crate::operation::metrics::Metrics;
 use crate::orders::Orders;
 use crate::request::PermitWaiters;
@@ -41,6 +41,9 @@
 const STOP_END_MS: u64 = 400;
 /// The capacity of the queue of limit events.
 const LIMIT_EVENTS_MAX: usize = 1_024;
+/// The capacity of the queue of stream events. Each host that a stream's version is told to, or
+/// asked for, takes one place.
+const STREAM_EVENTS_MAX: usize = 4_096;
 /// The size limit of a target's response that isn't a stream.
 pub(crate) const ANSWER_BYTES_MAX: usize = 16 << 20;
 /// The memory limit of all such responses while they are read; the smallest hosts have 160 MB.
@@ -50,7 +53,7 @@
 ///
 /// A task holds one lock at a time and never across an await. Where two locks are needed, they are
 /// taken in the order of the fields: `dispatcher`, `membership`, `orders`, `demand`, `rates`,
-/// `retries`, `run_times`, `suspects`, `confirmation`, `target_sync`, `unsent`, `permits`.
+/// `retries`, `run_times`, `suspects`, `streams`, `confirmation`, `target_sync`, `unsent`, `permits`.
 pub(crate) struct State {
     pub(crate) settings: GatewaySettings,
     pub(crate) protocols: PlatformProtocols,
@@ -70,6 +73,7 @@
     retries: Mutex<RetryShare>,
     run_times: Mutex<RunTimes>,
     suspects: Mutex<CrashSuspects>,
+    streams: Mutex<Streams>,
     confirmation: Mutex<Confirmation>,
     target_sync: Mutex<TargetSync>,
     unsent: Mutex<Unsent>,
@@ -94,6 +98,8 @@
     pub(crate) plan_due: (Sender<()>, Receiver<()>),
     /// Events for the task that grants the permits of rate-limited targets.
     pub(crate) limit_events: (Sender<LimitEvent>, Receiver<LimitEvent>),
+    /// Events for the task that sends messages about streams.
+    pub(crate) stream_events: (Sender<StreamEvent>, Receiver<StreamEvent>),
 }
 
 impl State {
@@ -136,6 +142,7 @@
             rates: Mutex::default(),
             run_times: Mutex::default(),
             suspects: Mutex::default(),
+            streams: Mutex::new(Streams::new(clock.now())),
             confirmation: Mutex::default(),
             target_sync: Mutex::default(),
             unsent: Mutex::default(),
@@ -153,6 +160,7 @@
             demand_changed: bounded(1),
             plan_due: bounded(1),
             limit_events: bounded(LIMIT_EVENTS_MAX),
+            stream_events: bounded(STREAM_EVENTS_MAX),
         })
     }
 
@@ -201,6 +209,10 @@
         lock(&self.suspects)
     }
 
+    pub(crate) fn streams(&self) -> MutexGuard<'_, Streams> {
+        lock(&self.streams)
+    }
+
     pub(crate) fn confirmation(&self) -> MutexGuard<'_, Confirmation> {
         lock(&self.confirmation)
     }
@@ -301,6 +313,14 @@
         }
     }
 
+    /// Queues an event for the task that sends messages about streams. If the queue is full, the
+    /// event is dropped, like a lost message.
+    pub(crate) fn queue_stream_event(&self, event: StreamEvent) {
+        if self.stream_events.0.try_send(event).is_err() {
+            self.unsent().count_overflow();
+        }
+    }
+
     pub(crate) fn wake_demand_task(&self) {
         // A full channel already holds a wake-up.
         let _ = self.demand_changed.0.try_send(());
--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -190,6 +190,12 @@
         });
     }
 
+    /// Returns the records of all hosts that the store lists, and of this one.
+    pub fn listed_records(&self) -> impl Iterator<Item = &HostRecord> {
+        let others = self.hosts.iter().filter(|host| host.is_listed).map(|host| &host.record);
+        others.chain([&self.own_record])
+    }
+
     /// Returns the signs of life of live hosts to report to another host.
     ///
     /// A relay reports to other relays only the members that report to itself. Signs that travelled
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 //! - `placement_log`: hosts that would all query the store for the same placement changes.
 //! - `run_times`: requests that arrive while the host is being restarted.
 //! - `log_cursor`: many hosts that receive the same changes at the same time.
+//! - `stream_versions`: streams that are resumed while targets of several software versions serve.
 //! - `event_boundary`: streams that break in the middle of an event, or never end one.
 
 mod adapter_planner;
@@ -56,6 +57,7 @@
 mod shared_watch;
 mod short_key;
 mod store_absence;
+mod stream_versions;
 mod swap_planner;
 mod target_belief;
 mod target_entry;
@@ -93,6 +95,9 @@
 pub use self::shared_watch::SharedWatch;
 pub use self::short_key::ShortKey;
 pub use self::store_absence::StoreAbsence;
+pub use self::stream_versions::{
+    StreamKey, StreamVersion, StreamVersions, VersionKnowledge, combine_knowledge, stream_keepers,
+};
 pub use self::swap_planner::{
     EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlan,
     SwapPlanner,
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -149,6 +149,8 @@
     pub model: Name,
     /// Adapter on the model; `None` if the requests need the model alone.
     pub adapter: Option<Name>,
+    /// Software version that the engine must run; `None` if any will do.
+    pub version: Option<ShortKey>,
     /// Number of waiting requests.
     pub waiting: u32,
     /// How long the oldest of them has waited.
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/stream_versions.rs
@@ -0,0 +1,228 @@
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::gateway::host_table::HostRecord;
+use crate::gateway::short_key::ShortKey;
+use crate::{Name, TimeMs};
+
+/// Number of hosts that keep the version of a stream, besides the host that began it.
+const KEEPERS: usize = 3;
+/// Maximum number of streams of which a host knows the version.
+const STREAMS_MAX: usize = 20_000;
+
+/// Identifies a stream in messages between hosts, by the id of the attempt that began it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that the attempt with this id began.
+    pub fn of(attempt_id: &str) -> StreamKey {
+        StreamKey(xxh3_64(attempt_id.as_bytes()))
+    }
+}
+
+/// A stream, and the software version of the target that began it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamVersion {
+    /// Key of the stream.
+    pub stream: StreamKey,
+    /// Key of the version.
+    pub version: ShortKey,
+}
+
+/// What one host knows about the version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionKnowledge {
+    /// The stream began at this version.
+    Began(ShortKey),
+    /// The stream is unknown, but the service has had this version alone for as long as a stream
+    /// may last.
+    Sole(ShortKey),
+    /// The stream is unknown, and the service has had several versions.
+    Several,
+    /// The host started too recently to exclude other versions.
+    Recent,
+}
+
+/// The versions that began the streams that may still be resumed.
+///
+/// Targets of several software versions may serve one service, and a stream may go on only at the
+/// version that began it. A caller can resume a stream at any host, also after the host that began
+/// it has died. Therefore each host tells the version of each stream to the few hosts that every
+/// host computes with [`stream_keepers`], unless the service has had one version alone for as long
+/// as a stream may last. See docs/DESIGN.md.
+///
+/// ```
+/// use lycheeford_policy::{ShortKey, StreamKey, StreamVersions, TimeMs, VersionKnowledge};
+///
+/// let (now, service) = (TimeMs::from_ms(50_000), "models".into());
+/// let mut streams = StreamVersions::new(TimeMs::from_ms(0));
+/// let (old, new) = (ShortKey::of("v1"), ShortKey::of("v1.1"));
+/// streams.record_serving(now, &service, old);
+/// let stream = StreamKey::of("9c41d07be2a35f68");
+/// assert_eq!(streams.knowledge(now, &service, stream), VersionKnowledge::Sole(old));
+/// streams.record_serving(now, &service, new);
+/// assert_eq!(streams.knowledge(now, &service, stream), VersionKnowledge::Several);
+/// streams.record_stream(now, stream, new);
+/// assert_eq!(streams.knowledge(now, &service, stream), VersionKnowledge::Began(new));
+/// ```
+#[derive(Debug)]
+pub struct StreamVersions {
+    started_at: TimeMs,
+    retention_ms: u64,
+    /// Sorted by stream.
+    streams: Vec<Record>,
+    /// Sorted by service and version.
+    serving: Vec<(Name, ShortKey, TimeMs)>,
+}
+
+#[derive(Debug)]
+struct Record {
+    known: StreamVersion,
+    at: TimeMs,
+}
+
+impl StreamVersions {
+    /// Time for which streams and versions are retained at least.
+    pub const RETENTION_MS_MIN: u64 = 30_000;
+    /// Time for which streams and versions are retained at most.
+    pub const RETENTION_MS_MAX: u64 = 300_000;
+
+    /// Returns the table of a host that started at `now`.
+    pub fn new(now: TimeMs) -> StreamVersions {
+        StreamVersions {
+            started_at: now,
+            retention_ms: StreamVersions::RETENTION_MS_MIN,
+            streams: Vec::new(),
+            serving: Vec::new(),
+        }
+    }
+
+    /// Sets how long a stream may last, including its caller's resumptions.
+    pub fn set_stream_ms_max(&mut self, stream_ms_max: u64) {
+        let range = StreamVersions::RETENTION_MS_MIN..=StreamVersions::RETENTION_MS_MAX;
+        self.retention_ms = stream_ms_max.clamp(*range.start(), *range.end());
+    }
+
+    /// Records that targets of a version serve a service; returns whether the service now has
+    /// several versions and had only one before.
+    pub fn record_serving(&mut self, now: TimeMs, service: &Name, version: ShortKey) -> bool {
+        let found = self
+            .serving
+            .binary_search_by(|(other, known, _)| (other, *known).cmp(&(service, version)));
+        match found {
+            Ok(index) => {
+                self.serving[index].2 = now;
+                false
+            }
+            Err(index) => {
+                self.serving.insert(index, (service.clone(), version, now));
+                self.versions(now, service).count() == 2
+            }
+        }
+    }
+
+    /// Records the version that began a stream.
+    pub fn record_stream(&mut self, now: TimeMs, stream: StreamKey, version: ShortKey) {
+        let record = Record { known: StreamVersion { stream, version }, at: now };
+        match self.position(stream) {
+            // Versions don't change: the first record is that of the attempt that began the stream.
+            Ok(index) => self.streams[index].at = now,
+            Err(index) if self.streams.len() < STREAMS_MAX => self.streams.insert(index, record),
+            Err(_) => {}
+        }
+    }
+
+    /// Returns what this host knows about the version that began a stream.
+    pub fn knowledge(&self, now: TimeMs, service: &Name, stream: StreamKey) -> VersionKnowledge {
+        if let Ok(index) = self.position(stream) {
+            return VersionKnowledge::Began(self.streams[index].known.version);
+        }
+        let mut versions = self.versions(now, service);
+        match (versions.next(), versions.next()) {
+            (Some(_), Some(_)) => VersionKnowledge::Several,
+            (Some(version), None) if now.since_ms(self.started_at) >= self.retention_ms => {
+                VersionKnowledge::Sole(version)
+            }
+            _ => VersionKnowledge::Recent,
+        }
+    }
+
+    /// Returns whether other hosts must be told the versions of the streams of a service.
+    pub fn must_tell(&self, now: TimeMs, service: &Name, version: ShortKey) -> bool {
+        let is_recent = now.since_ms(self.started_at) < self.retention_ms;
+        is_recent || self.versions(now, service).any(|other| other != version)
+    }
+
+    /// Returns all streams whose version is known.
+    pub fn streams(&self) -> impl Iterator<Item = StreamVersion> {
+        self.streams.iter().map(|record| record.known)
+    }
+
+    /// Removes the streams and versions that are older than the retention.
+    pub fn expire(&mut self, now: TimeMs) {
+        let retention_ms = self.retention_ms;
+        self.streams.retain(|record| now.since_ms(record.at) < retention_ms);
+        self.serving.retain(|(_, _, at)| now.since_ms(*at) < retention_ms);
+    }
+
+    fn versions(&self, now: TimeMs, service: &Name) -> impl Iterator<Item = ShortKey> {
+        let retention_ms = self.retention_ms;
+        let of_service = self
+            .serving
+            .iter()
+            .filter(move |(other, _, at)| other == service && now.since_ms(*at) < retention_ms);
+        of_service.map(|(_, version, _)| *version)
+    }
+
+    fn position(&self, stream: StreamKey) -> Result<usize, usize> {
+        self.streams.binary_search_by_key(&stream, |record| record.known.stream)
+    }
+}
+
+/// Combines what this host and others know about the version that began a stream; returns `None`
+/// if no host knows it for certain.
+pub fn combine_knowledge(known: impl IntoIterator<Item = VersionKnowledge>) -> Option<ShortKey> {
+    let mut sole = None;
+    let mut is_ambiguous = false;
+    for knowledge in known {
+        match knowledge {
+            VersionKnowledge::Began(version) => return Some(version),
+            VersionKnowledge::Sole(version) => {
+                is_ambiguous |= sole.is_some_and(|other| other != version);
+                sole = Some(version);
+            }
+            VersionKnowledge::Several => is_ambiguous = true,
+            VersionKnowledge::Recent => {}
+        }
+    }
+    sole.filter(|_| !is_ambiguous)
+}
+
+/// Returns the hosts that keep the version of a stream, in different failure domains as far as
+/// possible.
+///
+/// `hosts` are all listed hosts, whether alive or not, since the host that tells and the one that
+/// asks must compute the same ones.
+pub fn stream_keepers<'a>(
+    stream: StreamKey,
+    hosts: impl IntoIterator<Item = &'a HostRecord>,
+) -> Vec<&'a HostRecord> {
+    let weight = |host: &HostRecord| xxh3_64_with_seed(host.host.as_bytes(), stream.0);
+    let mut ranked: Vec<&HostRecord> = hosts.into_iter().collect();
+    ranked.sort_by_cached_key(|host| std::cmp::Reverse((weight(host), host.host.clone())));
+    let mut keepers: Vec<&HostRecord> = Vec::new();
+    for host in &ranked {
+        let is_new_domain =
+            keepers.iter().all(|keeper| keeper.failure_domain != host.failure_domain);
+        if is_new_domain && keepers.len() < KEEPERS {
+            keepers.push(host);
+        }
+    }
+    for host in &ranked {
+        let is_known = keepers.iter().any(|keeper| keeper.host == host.host);
+        if !is_known && keepers.len() < KEEPERS {
+            keepers.push(host);
+        }
+    }
+    keepers
+}
--- a/crates/lycheeford-policy/src/gateway/swap_planner.rs
+++ b/crates/lycheeford-policy/src/gateway/swap_planner.rs
@@ -1,4 +1,5 @@
 use super::deployment::{EngineLimits, EngineModel};
+use super::short_key::ShortKey;
 use crate::{Name, TimeMs};
 
 /// Duration of the unload of an idle model, including the answer.
@@ -51,6 +52,8 @@
 pub struct EngineView {
     /// Id of the engine.
     pub id: Name,
+    /// Key of the software version that the engine runs.
+    pub version: ShortKey,
     /// Whether the engine may receive orders for new models.
     pub is_ready: bool,
     /// Whether the engine's rate limit is lower than the rate that its slots could serve.
@@ -102,6 +105,8 @@
 pub struct ModelDemand {
     /// Name of the model.
     pub model: Name,
+    /// Software version that the engine must run; `None` for the requests that accept any.
+    pub version: Option<ShortKey>,
     /// Number of requests that wait because no engine holds the model or has a free slot.
     pub waiting: u32,
     /// How long the oldest of them has waited.
@@ -210,7 +215,7 @@
                 round.ordered_engines.push(order.engine.clone());
                 plan.orders.push(order);
             } else if demand.waiting > 0 {
-                let wait_ms = if round.has_local_weights(&model.name) {
+                let wait_ms = if round.has_local_weights(demand) {
                     LOCAL_WEIGHTS_WAIT_MS
                 } else {
                     waits_for_store += 1;
@@ -230,15 +235,12 @@
         urgency: Urgency,
     ) -> Option<SwapOrder> {
         let is_busy = demand.rate_per_s >= BUSY_PER_S;
-        let has_local_weights = round
-            .engines
-            .iter()
-            .any(|engine| engine.is_ready && Tier::of(engine, &model.name) != Tier::Store);
+        let has_local_weights = round.has_local_weights(demand);
         let can_use_store = self.store_loads >= 1.0
             && self.store_loads_until.len() < STORE_LOADS_MAX
             && (!has_local_weights || demand.oldest_ms > LOCAL_WEIGHTS_WAIT_MS_MAX);
         let mut best: Option<(f64, SwapOrder, Tier)> = None;
-        for engine in round.free_engines(&model.name) {
+        for engine in round.free_engines(demand) {
             let tier = Tier::of(engine, &model.name);
             if tier == Tier::Store && !can_use_store {
                 continue;
@@ -353,12 +355,12 @@
 
     /// Returns the weight and urgency of one more engine for a model, if it needs one.
     fn need(&self, demand: &ModelDemand) -> Option<(f64, Urgency)> {
-        if self.pending_loads(&demand.model) > 0 {
+        if self.pending_loads(demand) > 0 {
             return None;
         }
         let waiting = f64::from(demand.waiting) + demand.oldest_ms as f64 / AGE_WEIGHT_MS;
         let rate_weight = demand.rate_per_s * RATE_WEIGHT_S;
-        let unlimited = self.unlimited_replicas(&demand.model);
+        let unlimited = self.unlimited_replicas(demand);
         if unlimited == 0 && demand.waiting > 0 {
             return Some((waiting + rate_weight, Urgency::Waiting));
         }
@@ -385,9 +387,12 @@
         is_held && self.now.since_ms(demand.asked_at) < RECENTLY_ASKED_MS
     }
 
-    fn has_local_weights(&self, model: &Name) -> bool {
-        let is_ready_with_weights =
-            |engine: &EngineView| engine.is_ready && Tier::of(engine, model) != Tier::Store;
+    fn has_local_weights(&self, demand: &ModelDemand) -> bool {
+        let is_ready_with_weights = |engine: &EngineView| {
+            engine.is_ready
+                && accepts(demand, engine)
+                && Tier::of(engine, &demand.model) != Tier::Store
+        };
         self.engines.iter().any(is_ready_with_weights)
     }
 
@@ -409,26 +414,33 @@
         self.engines.iter().filter(|engine| serves(engine, demand)).count()
     }
 
-    fn unlimited_replicas(&self, model: &Name) -> usize {
-        let is_unlimited_replica =
-            |engine: &&EngineView| engine.is_ready && !engine.is_limited && holds(engine, model);
+    fn unlimited_replicas(&self, demand: &ModelDemand) -> usize {
+        let is_unlimited_replica = |engine: &&EngineView| {
+            engine.is_ready
+                && !engine.is_limited
+                && accepts(demand, engine)
+                && holds(engine, &demand.model)
+        };
         self.engines.iter().filter(is_unlimited_replica).count()
     }
 
-    fn pending_loads(&self, model: &Name) -> usize {
+    fn pending_loads(&self, demand: &ModelDemand) -> usize {
         let is_loading_model = |engine: &&EngineView| match &engine.operation {
-            Some(EngineOperation::Load(loading)) => loading == model,
-            Some(EngineOperation::Unload { room_for, .. }) => room_for == model,
+            Some(EngineOperation::Load(loading)) => *loading == demand.model,
+            Some(EngineOperation::Unload { room_for, .. }) => *room_for == demand.model,
             _ => false,
         };
+        let is_loading_model =
+            |engine: &&EngineView| accepts(demand, engine) && is_loading_model(engine);
         self.engines.iter().filter(is_loading_model).count()
     }
 
-    fn free_engines(&self, model: &'a Name) -> impl Iterator<Item = &'a EngineView> {
+    fn free_engines(&self, demand: &'a ModelDemand) -> impl Iterator<Item = &'a EngineView> {
         self.engines.iter().filter(move |engine| {
             engine.is_ready
                 && engine.operation.is_none()
-                && !holds(engine, model)
+                && accepts(demand, engine)
+                && !holds(engine, &demand.model)
                 && !self.ordered_engines.contains(&engine.id)
         })
     }
@@ -472,6 +484,12 @@
         resident: &ResidentView,
         urgency: Urgency,
     ) -> Option<f64> {
+        let is_awaited = |demand: &ModelDemand| {
+            demand.model == resident.model && demand.version == Some(engine.version)
+        };
+        if self.demands.iter().any(is_awaited) {
+            return None;
+        }
         let running_ms = if resident.running > 0 { UNLOAD_RUNNING_MS } else { 0.0 };
         let demand = self.demands.iter().find(|demand| demand.model == resident.model);
         let Some(demand) = demand else { return Some(running_ms) };
@@ -493,7 +511,12 @@
 /// Returns whether an engine counts as a replica of a model.
 fn serves(engine: &EngineView, demand: &ModelDemand) -> bool {
     let is_enough = !engine.is_limited || demand.rate_per_s < BUSY_PER_S;
-    engine.is_ready && is_enough && holds(engine, &demand.model)
+    engine.is_ready && is_enough && accepts(demand, engine) && holds(engine, &demand.model)
+}
+
+/// Returns whether the requests may run at the software version of an engine.
+fn accepts(demand: &ModelDemand, engine: &EngineView) -> bool {
+    demand.version.is_none_or(|version| version == engine.version)
 }
 
 fn holds(engine: &EngineView, model: &Name) -> bool {
--- a/crates/lycheeford-policy/src/gateway/target_table/choice.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/choice.rs
@@ -36,7 +36,7 @@
             need.affinity.and_then(|(hash, _)| self.affinity_target(now, need, hash));
         for (index, target) in self.targets.iter().enumerate() {
             let target_use = target.belief.use_at(now);
-            if target.entry.service != need.service
+            if !target.serves(need)
                 || target_use == TargetUse::Never
                 || need.excluded.contains(&target.entry.id)
             {
@@ -155,7 +155,7 @@
     /// Returns the target that all hosts prefer for a prompt.
     fn affinity_target(&self, now: TimeMs, need: &TargetRequirements, hash: u64) -> Option<usize> {
         let holders = self.targets.iter().enumerate().filter(|(_, target)| {
-            target.entry.service == need.service
+            target.serves(need)
                 && target.belief.use_at(now) == TargetUse::Free
                 && target.belief.limit().is_none()
                 && target.holds(now, need)
--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -30,6 +30,8 @@
     pub model: Option<Name>,
     /// Adapter on the model that the target must hold.
     pub adapter: Option<Name>,
+    /// Software version that the target must run, if the request goes on with a stream.
+    pub version: Option<ShortKey>,
     /// Upper bound of the tokens that the request reads and writes.
     pub tokens: u64,
     /// Token memory of one target, in tokens, if the service runs engines.
@@ -202,6 +204,12 @@
         running_here + self.running_elsewhere.iter().map(|(_, at)| at.tokens).sum::<u64>()
     }
 
+    /// Returns whether the target runs the service at a version that the request accepts.
+    fn serves(&self, need: &TargetRequirements) -> bool {
+        let accepts = |version: ShortKey| ShortKey::of(&self.entry.version) == version;
+        self.entry.service == need.service && need.version.is_none_or(accepts)
+    }
+
     fn holds(&self, now: TimeMs, need: &TargetRequirements) -> bool {
         let Some(model) = &need.model else { return true };
         let is_refused = |(name, until): &(Name, TimeMs)| name == model && now < *until;
--- a/crates/lycheeford-policy/src/gateway/wait_queue.rs
+++ b/crates/lycheeford-policy/src/gateway/wait_queue.rs
@@ -1,3 +1,4 @@
+use super::short_key::ShortKey;
 use super::target_table::{Chosen, Selection, TargetRequirements, TargetTable};
 use crate::{Name, TimeMs};
 
@@ -97,6 +98,7 @@
     service: Name,
     model: Option<Name>,
     adapter: Option<Name>,
+    version: Option<ShortKey>,
 }
 
 impl RequirementKey {
@@ -105,6 +107,7 @@
             service: need.service.clone(),
             model: need.model.clone(),
             adapter: need.adapter.clone(),
+            version: need.version,
         }
     }
 }
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -83,10 +83,11 @@
     RateUnit, RatedCustomer, ReportDifference, ReportLayout, ReportPace, ReportedLease,
     ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes,
     RunningAt, Scope, Selection, ServiceRoute, Settling, SharedBucket, SharedWatch, ShortKey,
-    StoreAbsence, Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetBelief,
-    TargetChange, TargetChangeBatch, TargetEntry, TargetFailure, TargetHealth, TargetLife,
-    TargetLog, TargetRequirements, TargetService, TargetState, TargetTable, TargetUse, WaitQueue,
-    Waiting, WantedName, WeightedService, permit_granter,
+    StoreAbsence, StreamKey, StreamVersion, StreamVersions, Sums, SwapAction, SwapOrder, SwapPlan,
+    SwapPlanner, Target, TargetBelief, TargetChange, TargetChangeBatch, TargetEntry, TargetFailure,
+    TargetHealth, TargetLife, TargetLog, TargetRequirements, TargetService, TargetState,
+    TargetTable, TargetUse, VersionKnowledge, WaitQueue, Waiting, WantedName, WeightedService,
+    combine_knowledge, permit_granter, stream_keepers,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/world.rs
+++ b/crates/lycheeford-policy/tests/gateway/world.rs
@@ -2,8 +2,8 @@
 
 use lycheeford_policy::{
     EngineLimits, EngineModel, EngineView, ModelDemand, Name, Residency, ResidentModel,
-    ResidentView, RouteKind, ServiceRoute, TargetEntry, TargetRequirements, TargetState, TimeMs,
-    WeightedService,
+    ResidentView, RouteKind, ServiceRoute, ShortKey, TargetEntry, TargetRequirements, TargetState,
+    TimeMs, WeightedService,
 };
 
 pub fn at(ms: u64) -> TimeMs {
@@ -38,6 +38,7 @@
         service: name("models"),
         model: Some(name(model)),
         adapter: None,
+        version: None,
         tokens: 100,
         cache_tokens_max: Some(100_000),
         failure_domain: name("a"),
@@ -92,6 +93,7 @@
     let resident = |model: &&str| ResidentView { model: name(model), weights_mb: 100, running: 0 };
     EngineView {
         id: name(id),
+        version: ShortKey::of("v1"),
         is_ready: true,
         is_limited: false,
         free_mb: 210 - 100 * residents.len() as u64,
@@ -106,6 +108,7 @@
 pub fn demand(model: &str, waiting: u32, rate_per_s: f64, asked_at: TimeMs) -> ModelDemand {
     ModelDemand {
         model: name(model),
+        version: None,
         waiting,
         oldest_ms: u64::from(waiting) * 100,
         priority: 0,
