--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -6,8 +6,8 @@
 use lycheeford_policy::{
     CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, PeerState, PermitAnswer,
     PermitAsk, PermitRank, ReportedLease, ReportedPlacement, Residency, ResidentModel, RunningAt,
-    Scope, ShortKey, Sums, SuspectedCrash, TargetChange, TargetChangeBatch, TargetEntry,
-    TargetLife, TargetState, TimeMs, WantedName,
+    Scope, ShortKey, StreamKey, StreamVersion, Sums, SuspectedCrash, TargetChange,
+    TargetChangeBatch, TargetEntry, TargetLife, TargetState, TimeMs, VersionKnowledge, WantedName,
 };
 
 use proptest::collection::vec;
@@ -18,7 +18,7 @@
 use super::report::WireReport;
 use super::{
     DecodeError, LimitReport, LimitUpdate, Message, PermitReply, PermitRequest, PlacementUpdate,
-    WaitingDemand, decode, encode,
+    StreamQuery, StreamReply, StreamUpdate, WaitingDemand, decode, encode,
 };
 
 fn record(name: &str) -> HostRecord {
@@ -169,6 +169,23 @@
         messages.push(Message::LimitReport(LimitReport { target, per_s, took_ms: 340 }));
         messages.push(Message::LimitUpdate(LimitUpdate { target, per_s }));
     }
+    let stream = StreamKey(0x9c41_d07b_e2a3_5f68);
+    let streams = vec![StreamVersion { stream, version: ShortKey(3) }];
+    messages.push(Message::StreamUpdate(StreamUpdate { streams }));
+    messages.push(Message::StreamQuery(StreamQuery {
+        service: Name::from("models"),
+        stream,
+        sender: ([127, 0, 0, 1], 7_600).into(),
+        number: 12,
+    }));
+    let known = [
+        VersionKnowledge::Began(ShortKey(3)),
+        VersionKnowledge::Sole(ShortKey(0)),
+        VersionKnowledge::Several,
+        VersionKnowledge::Recent,
+    ];
+    let reply = |knowledge| Message::StreamReply(StreamReply { number: 12, knowledge });
+    messages.extend(known.map(reply));
     for message in messages {
         assert_eq!(decode(&encode(message.clone())).unwrap(), message);
     }
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod rates;
 mod stopping;
+mod stream_versions;
 mod streams;
 mod target_news;
 mod targets;
--- /dev/null
+++ b/crates/lycheeford-policy/tests/gateway/stream_versions.rs
@@ -0,0 +1,138 @@
+//! Which version a resumed stream must go on at, and which hosts know it.
+
+use std::collections::BTreeSet;
+
+use lycheeford_policy::{
+    HostRecord, Name, ShortKey, StreamKey, StreamVersions, VersionKnowledge, combine_knowledge,
+    stream_keepers,
+};
+
+use crate::world::{at, name};
+
+const RETENTION_MS: u64 = StreamVersions::RETENTION_MS_MIN;
+
+fn old() -> ShortKey {
+    ShortKey::of("v1")
+}
+
+fn new() -> ShortKey {
+    ShortKey::of("v1.1")
+}
+
+struct CombineCase {
+    what: &'static str,
+    known: Vec<VersionKnowledge>,
+    version: Option<ShortKey>,
+}
+
+#[test]
+fn a_version_is_certain_or_unknown() {
+    let began_old = VersionKnowledge::Began(old());
+    let [sole_old, sole_new] = [old(), new()].map(VersionKnowledge::Sole);
+    let [several, recent] = [VersionKnowledge::Several, VersionKnowledge::Recent];
+    let cases = [
+        CombineCase { what: "nobody replies", known: vec![], version: None },
+        CombineCase { what: "all started just now", known: vec![recent, recent], version: None },
+        CombineCase {
+            what: "one host knows the stream",
+            known: vec![several, recent, began_old, sole_new],
+            version: Some(old()),
+        },
+        CombineCase {
+            what: "one host has known a single version long enough",
+            known: vec![recent, sole_old, recent],
+            version: Some(old()),
+        },
+        CombineCase {
+            what: "another host has seen two versions",
+            known: vec![sole_old, several],
+            version: None,
+        },
+        CombineCase {
+            what: "two hosts have seen different versions",
+            known: vec![sole_old, sole_new],
+            version: None,
+        },
+    ];
+    for case in cases {
+        assert_eq!(combine_knowledge(case.known), case.version, "{}", case.what);
+    }
+}
+
+#[test]
+fn versions_and_streams_are_known_for_as_long_as_a_stream_lasts() {
+    let service = name("models");
+    let (stream, other) = (StreamKey::of("stream"), StreamKey::of("other"));
+    let mut streams = StreamVersions::new(at(0));
+    assert!(!streams.record_serving(at(0), &service, old()));
+    assert_eq!(streams.knowledge(at(10), &service, other), VersionKnowledge::Recent);
+    assert!(streams.must_tell(at(10), &service, old()), "a host that started just now tells all");
+    let later = at(RETENTION_MS);
+    assert!(!streams.record_serving(later, &service, old()));
+    assert_eq!(streams.knowledge(later, &service, other), VersionKnowledge::Sole(old()));
+    assert!(!streams.must_tell(later, &service, old()));
+    assert!(streams.must_tell(later, &service, new()), "a version that isn't listed yet");
+    streams.record_stream(later, stream, old());
+    assert!(streams.record_serving(later, &service, new()), "the second version");
+    assert!(!streams.record_serving(later, &service, new()));
+    assert!(streams.must_tell(later, &service, old()));
+    assert_eq!(streams.knowledge(later, &service, stream), VersionKnowledge::Began(old()));
+    assert_eq!(streams.knowledge(later, &service, other), VersionKnowledge::Several);
+    // The old version left, but its streams may still be resumed.
+    let gone = at(2 * RETENTION_MS - 1);
+    streams.expire(gone);
+    streams.record_serving(gone, &service, new());
+    assert_eq!(streams.knowledge(gone, &service, other), VersionKnowledge::Several);
+    let over = at(2 * RETENTION_MS);
+    streams.expire(over);
+    assert_eq!(streams.knowledge(over, &service, other), VersionKnowledge::Sole(new()));
+    assert_eq!(streams.knowledge(over, &service, stream), VersionKnowledge::Sole(new()));
+    assert_eq!(streams.streams().count(), 0);
+}
+
+#[test]
+fn the_version_that_began_a_stream_never_changes() {
+    let mut streams = StreamVersions::new(at(0));
+    let stream = StreamKey::of("stream");
+    streams.record_stream(at(0), stream, old());
+    streams.record_stream(at(1), stream, new());
+    let knowledge = streams.knowledge(at(2), &name("models"), stream);
+    assert_eq!(knowledge, VersionKnowledge::Began(old()));
+}
+
+fn record(host: &str, failure_domain: &str) -> HostRecord {
+    HostRecord {
+        host: name(host),
+        peer_address: ([127, 0, 0, 1], 7_600).into(),
+        caller_address: ([127, 0, 0, 1], 8_221).into(),
+        failure_domain: name(failure_domain),
+    }
+}
+
+#[test]
+fn a_stream_is_kept_by_few_hosts_in_different_failure_domains() {
+    let domains = ["a", "b", "c", "d"];
+    let mut hosts: Vec<HostRecord> = (0..320)
+        .map(|number| record(&format!("host-{number}"), domains[number % domains.len()]))
+        .collect();
+    let mut kept: Vec<Name> = Vec::new();
+    for number in 0..2_000 {
+        let stream = StreamKey::of(&format!("attempt-{number}"));
+        let keepers = stream_keepers(stream, &hosts);
+        let domains: BTreeSet<&Name> = keepers.iter().map(|host| &host.failure_domain).collect();
+        assert_eq!((keepers.len(), domains.len()), (3, 3));
+        kept.extend(keepers.iter().map(|host| host.host.clone()));
+        // Another host computes the same ones, whatever the order of its list.
+        let expected: Vec<Name> = keepers.iter().map(|host| host.host.clone()).collect();
+        hosts.reverse();
+        let again = stream_keepers(stream, &hosts);
+        assert!(again.iter().map(|host| &host.host).eq(&expected));
+    }
+    let most =
+        hosts.iter().map(|host| kept.iter().filter(|kept| **kept == host.host).count()).max();
+    // 6,000 are kept by 320 hosts, so 19 by each on average.
+    assert!(most.is_some_and(|most| most < 50), "{most:?} streams at one host");
+    let one_domain = [record("h1", "a"), record("h2", "a"), record("h3", "a"), record("h4", "a")];
+    assert_eq!(stream_keepers(StreamKey::of("attempt"), &one_domain).len(), 3);
+    assert_eq!(stream_keepers(StreamKey::of("attempt"), &one_domain[..1]).len(), 1);
+}
