Give a busy model a second engine from the weight store

Cause: weights in the memory or on the disk of the engine that holds a model counted as a copy that makes a load from the store unnecessary, so that a model whose other replicas had left got no second one until requests had waited 3 s. The planner's case failed before. Also logs the model of an attempt.

--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -325,6 +325,7 @@
         info!(self.state.log, "sent";
             "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
             "version" => chosen.version.as_str(),
+            "model" => self.admitted.need.model.as_ref().map(Name::as_str),
             "resumes" => self.admitted.request.resumes.as_ref().map(Name::as_str),
             "running" => chosen.running, "cost_ms" => choice.cost_ms, "usable" => choice.usable,
             "runner_up" => choice.runner_up.as_ref().map(|(name, _)| name.as_str()),
--- a/crates/lycheeford-gateway/src/request/resume.rs
+++ b/crates/lycheeford-gateway/src/request/resume.rs
@@ -71,6 +71,7 @@
     info!(state.log, "resume_requested";
         "id" => admitted.request.id.as_str(),
         "resumes" => admitted.request.resumes.as_ref().map(Name::as_str),
+        "model" => admitted.need.model.as_ref().map(Name::as_str),
         "version_key" => version.map(|version| version.0), "known_here" => ?own,
         "replies" => replies.len());
     let Some(version) = version else {
--- a/crates/lycheeford-policy/src/gateway/swap_planner.rs
+++ b/crates/lycheeford-policy/src/gateway/swap_planner.rs
@@ -387,10 +387,13 @@
         is_held && self.now.since_ms(demand.asked_at) < RECENTLY_ASKED_MS
     }
 
+    /// Returns whether another engine can load a model without the weight store. An engine that
+    /// holds the model already has its weights, too, but can't become a further replica.
     fn has_local_weights(&self, demand: &ModelDemand) -> bool {
         let is_ready_with_weights = |engine: &EngineView| {
             engine.is_ready
                 && accepts(demand, engine)
+                && !holds(engine, &demand.model)
                 && Tier::of(engine, &demand.model) != Tier::Store
         };
         self.engines.iter().any(is_ready_with_weights)
--- a/crates/lycheeford-policy/tests/gateway/placement.rs
+++ b/crates/lycheeford-policy/tests/gateway/placement.rs
@@ -54,6 +54,12 @@
             demands: vec![demand("m2", 1, 0.1, just_now)],
             orders: vec![load("e2", "m2", 500)],
         },
+        PlanCase {
+            what: "gives a busy model a second engine if only the first one has its weights",
+            engines: vec![engine("e1", &["busy"], &["busy"]), engine("e2", &[], &[])],
+            demands: vec![demand("busy", 0, 38.0, just_now)],
+            orders: vec![load("e2", "busy", 6_000)],
+        },
         PlanCase {
             what: "loads a model that another software version holds for a stream that resumes",
             engines: vec![
