Let a stream whose caller names no origin go on while one version serves

Callers name the attempt that began a stream (Resumes) only where several versions may serve; without it, and with a host that had started less than 30 s before, no version was certain. The only version that a host has seen is taken then.

--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -26,7 +26,8 @@
 pub(crate) use self::report::apply_own_placements;
 pub(crate) use self::send::{Unsent, log_unsent};
 pub(crate) use self::streams::{
-    StreamEvent, Streams, keeper_addresses, record_stream, send_stream_events, track_versions,
+    StreamEvent, Streams, keeper_addresses, record_serving_versions, record_stream,
+    send_stream_events, track_versions,
 };
 pub(crate) use self::table::Membership;
 pub(crate) use self::wire::{LimitReport, PermitRequest, StreamQuery};
--- a/crates/lycheeford-gateway/src/membership/streams.rs
+++ b/crates/lycheeford-gateway/src/membership/streams.rs
@@ -129,29 +129,35 @@
     }
 }
 
-/// Records which versions serve, until the future is dropped. When a service gets a second version,
-/// the streams that began before are told to the hosts that keep them.
+/// Records which versions serve, until the future is dropped.
 pub(crate) async fn track_versions(state: Arc<State>) {
     loop {
+        record_serving_versions(&state);
         task::sleep(SERVING_INTERVAL).await;
-        let now = state.now();
-        let serving = serving_versions(&state);
-        let untold: Vec<StreamVersion> = {
-            let versions = &mut state.streams().versions;
-            versions.set_stream_ms_max(stream_ms_max(&state));
-            versions.expire(now);
-            let mut has_second_version = false;
-            for (service, version) in &serving {
-                has_second_version |= versions.record_serving(now, service, ShortKey::of(version));
-            }
-            if has_second_version { versions.streams().collect() } else { Vec::new() }
-        };
-        if !untold.is_empty() {
-            info!(state.log, "versions_mixed"; "streams" => untold.len());
-        }
-        for known in untold {
-            state.queue_stream_event(StreamEvent::Began(known));
+    }
+}
+
+/// Records which versions serve. When a service gets a second version, the streams that began
+/// before are told to the hosts that keep them.
+pub(crate) fn record_serving_versions(state: &State) {
+    let now = state.now();
+    let serving = serving_versions(state);
+    let stream_ms_max = stream_ms_max(state);
+    let untold: Vec<StreamVersion> = {
+        let versions = &mut state.streams().versions;
+        versions.set_stream_ms_max(stream_ms_max);
+        versions.expire(now);
+        let mut has_second_version = false;
+        for (service, version) in &serving {
+            has_second_version |= versions.record_serving(now, service, ShortKey::of(version));
         }
+        if has_second_version { versions.streams().collect() } else { Vec::new() }
+    };
+    if !untold.is_empty() {
+        info!(state.log, "versions_mixed"; "streams" => untold.len());
+    }
+    for known in untold {
+        state.queue_stream_event(StreamEvent::Began(known));
     }
 }
 
--- a/crates/lycheeford-gateway/src/request/resume.rs
+++ b/crates/lycheeford-gateway/src/request/resume.rs
@@ -10,7 +10,9 @@
 use slog::info;
 
 use super::admission::Admitted;
-use crate::membership::{StreamEvent, StreamQuery, keeper_addresses, record_stream};
+use crate::membership::{
+    StreamEvent, StreamQuery, keeper_addresses, record_serving_versions, record_stream,
+};
 use crate::state::State;
 
 /// How long other hosts are waited for that may know the version of a stream.
@@ -60,14 +62,22 @@
     if admitted.request.resume_after.is_none() || !admitted.route.kind.is_stream() {
         return Ok(());
     }
+    record_serving_versions(state);
     let stream = admitted.stream_key();
-    let own = state.streams().versions.knowledge(state.now(), &admitted.need.service, stream);
-    let replies = if matches!(own, VersionKnowledge::Began(_)) {
-        Vec::new()
-    } else {
+    let (own, only_version) = {
+        let versions = &state.streams().versions;
+        let (now, service) = (state.now(), &admitted.need.service);
+        (versions.knowledge(now, service, stream), versions.only_version(now, service))
+    };
+    let is_named = admitted.request.resumes.is_some();
+    let replies = if is_named && !matches!(own, VersionKnowledge::Began(_)) {
         query_keepers(state, admitted, stream).await
+    } else {
+        Vec::new()
     };
-    let version = combine_knowledge(replies.iter().copied().chain([own]));
+    // A caller that doesn't name the attempt that began the stream expects no other version.
+    let version = combine_knowledge(replies.iter().copied().chain([own]))
+        .or(only_version.filter(|_| !is_named));
     info!(state.log, "resume_requested";
         "id" => admitted.request.id.as_str(),
         "resumes" => admitted.request.resumes.as_ref().map(Name::as_str),
--- a/crates/lycheeford-policy/src/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/src/gateway/stream_versions.rs
@@ -147,6 +147,12 @@
         }
     }
 
+    /// Returns the version of a service of which this host knows no other one, since it started.
+    pub fn only_version(&self, now: TimeMs, service: &Name) -> Option<ShortKey> {
+        let mut versions = self.versions(now, service);
+        versions.next().filter(|_| versions.next().is_none())
+    }
+
     /// Returns whether other hosts must be told the versions of the streams of a service.
     pub fn must_tell(&self, now: TimeMs, service: &Name, version: ShortKey) -> bool {
         let is_recent = now.since_ms(self.started_at) < self.retention_ms;
--- a/crates/lycheeford-policy/tests/gateway/placement.rs
+++ b/crates/lycheeford-policy/tests/gateway/placement.rs
@@ -60,28 +60,6 @@
             demands: vec![demand("busy", 0, 38.0, just_now)],
             orders: vec![load("e2", "busy", 6_000)],
         },
-        PlanCase {
-            what: "loads a model that another software version holds for a stream that resumes",
-            engines: vec![
-                engine("e1", &["m1"], &["m2"]),
-                EngineView { version: ShortKey::of("v2"), ..engine("e2", &["m2"], &["m2"]) },
-                EngineView { version: ShortKey::of("v2"), ..engine("e3", &[], &["m2"]) },
-            ],
-            demands: vec![
-                demand("m2", 0, 0.1, just_now),
-                ModelDemand { version: Some(ShortKey::of("v1")), ..demand("m2", 1, 0.0, just_now) },
-            ],
-            orders: vec![load("e1", "m2", 500)],
-        },
-        PlanCase {
-            what: "loads nothing if the right software version holds the model",
-            engines: vec![engine("e1", &["m2"], &[]), engine("e2", &[], &["m2"])],
-            demands: vec![
-                demand("m2", 0, 0.1, just_now),
-                ModelDemand { version: Some(ShortKey::of("v1")), ..demand("m2", 1, 0.0, just_now) },
-            ],
-            orders: vec![],
-        },
         PlanCase {
             what: "unloads the least recently requested model",
             engines: vec![engine("e1", &["m1", "m2"], &["m3"])],
@@ -168,6 +146,38 @@
     check_plans(&cases);
 }
 
+#[test]
+fn streams_that_resume_get_their_model_at_their_version() {
+    let just_now = at(19_900);
+    let cases = [
+        PlanCase {
+            what: "loads a model that another software version holds for a stream that resumes",
+            engines: vec![
+                engine("e1", &["m1"], &["m2"]),
+                EngineView { version: ShortKey::of("v2"), ..engine("e2", &["m2"], &["m2"]) },
+                EngineView { version: ShortKey::of("v2"), ..engine("e3", &[], &["m2"]) },
+            ],
+            demands: vec![
+                demand("m2", 0, 0.1, just_now),
+                ModelDemand { version: Some(ShortKey::of("v1")), ..demand("m2", 1, 0.0, just_now) },
+            ],
+            orders: vec![load("e1", "m2", 500)],
+        },
+        PlanCase {
+            what: "loads nothing if the right software version holds the model",
+            engines: vec![engine("e1", &["m2"], &[]), engine("e2", &[], &["m2"])],
+            demands: vec![
+                demand("m2", 0, 0.1, just_now),
+                ModelDemand { version: Some(ShortKey::of("v1")), ..demand("m2", 1, 0.0, just_now) },
+            ],
+            orders: vec![],
+        },
+    ];
+    for case in cases {
+        assert_eq!(plan(&case.engines, &case.demands), case.orders, "{}", case.what);
+    }
+}
+
 #[test]
 fn models_of_rate_limited_engines_are_loaded_elsewhere() {
     let just_now = at(19_900);
