--- a/crates/lycheeford-gateway/src/settings.rs
+++ b/crates/lycheeford-gateway/src/settings.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use lycheeford_policy::{HostRecord, Name};
 
@@ -17,6 +17,8 @@
     pub directory_address: Option<SocketAddr>,
     /// The UDP address for messages of the other entry hosts.
     pub peer_address: SocketAddr,
+    /// The address from which connections to targets are opened.
+    pub target_source: IpAddr,
     /// The address at which metrics are scraped.
     pub metrics_address: SocketAddr,
     /// The address of the platform's store.
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -117,6 +117,7 @@
             collected_answers_bytes_max: WHOLE_ANSWERS_BYTES_MAX,
             unframed: Unframed::EndWithConnection,
             unacknowledged_ms_max: Some(SILENT_MS_MAX),
+            source: Some(settings.target_source),
             ..TargetLimits::default()
         };
         let retries = settings.retries;
--- a/crates/lycheeford-target/src/limits.rs
+++ b/crates/lycheeford-target/src/limits.rs
@@ -1,3 +1,5 @@
+use std::net::IpAddr;
+
 use lycheeford_http::Unframed;
 
 /// Limits on how long a target may take and how much it may send.
@@ -27,6 +29,9 @@
     /// the connection fails. Needed because a middlebox, such as a firewall, can drop the state of
     /// a connection without either end noticing.
     pub unacknowledged_ms_max: Option<u32>,
+    /// The local address from which connections are opened; `None` leaves the choice to the
+    /// operating system.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for TargetLimits {
@@ -41,6 +46,7 @@
             collected_answers_bytes_max: 64 * 1024 * 1024,
             unframed: Unframed::Refuse,
             unacknowledged_ms_max: None,
+            source: None,
         }
     }
 }
--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -1,9 +1,10 @@
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use async_h1::client::Encoder;
+use async_io::Async;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_util::FutureExt;
@@ -11,7 +12,8 @@
 use futures_util::io::AsyncWriteExt;
 use http_types::{Method, Request};
 use lycheeford_http::{BodyDecoder, Category, MessageReader, ResponseHead, read_some};
-use rustix::net::sockopt;
+use rustix::io::Errno;
+use rustix::net::{self, sockopt};
 
 use crate::error::Code;
 use crate::{TargetError, TargetLimits};
@@ -82,7 +84,8 @@
         limits: &TargetLimits,
     ) -> Result<Link, TargetError> {
         let limit_ms = limits.connect_ms_max;
-        let stream = timeout(Duration::from_millis(limit_ms), TcpStream::connect(address))
+        let connecting = connect(address, limits.source);
+        let stream = timeout(Duration::from_millis(limit_ms), connecting)
             .await
             .map_err(|_| Code::ConnectTimeout { limit_ms })?
             .map_err(|source| Code::Connect { source })?;
@@ -302,6 +305,26 @@
         .map_err(|source| Code::Head { source }.into())
 }
 
+/// Opens a connection that leaves from the address `source`, if there is one.
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let family =
+        if source.is_ipv4() { net::AddressFamily::INET } else { net::AddressFamily::INET6 };
+    let flags = net::SocketFlags::CLOEXEC | net::SocketFlags::NONBLOCK;
+    let socket = net::socket_with(family, net::SocketType::STREAM, flags, None)?;
+    net::bind(&socket, &SocketAddr::new(source, 0))?;
+    match net::connect(&socket, &address) {
+        Ok(()) | Err(Errno::INPROGRESS) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let stream = Async::new(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    if let Some(error) = stream.get_ref().take_error()? {
+        return Err(error);
+    }
+    Ok(TcpStream::from(stream.into_inner()?))
+}
+
 /// Makes the kernel fail a connection whose other end stops acknowledging data or probes.
 fn set_liveness_timeouts(stream: &TcpStream, unacknowledged_ms_max: u32) -> io::Result<()> {
     sockopt::set_tcp_user_timeout(stream, unacknowledged_ms_max)?;
