Serve callers of a host that reaches no target through other hosts

Cause: nothing told a host that it was cut off. It stayed in the answers that tell callers where to connect, sent each request to targets one after the other, and the holder of the lease kept it although none of its orders could arrive.

TargetReach: failures at two targets start probes of others over new connections; a host whose probes all fail while another host still gets answers is cut off (hosts report the age of the last one; a host that lacks targets makes the others probe). It is handed out no more, passes requests on to a host that isn't, doesn't renew the lease, and forgets the failures when a probe is answered. If no host gets answers, the targets are at fault and nothing changes.

The test was red before.

--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -2,12 +2,14 @@
 
 mod deployment_follow;
 mod dispatcher;
+mod reach;
 mod store_loss;
 mod target_follow;
 mod target_sync;
 
 pub(crate) use self::deployment_follow::follow_deployment;
 pub(crate) use self::dispatcher::{Dispatcher, merge};
+pub(crate) use self::reach::{record_unanswered, request_probe, until_cut_off, watch_reach};
 pub(crate) use self::target_follow::follow_targets;
 pub(crate) use self::target_sync::{TargetSync, apply_reported_changes};
 
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -4,7 +4,7 @@
 };
 use slog::info;
 
-use crate::fleet::apply_reported_changes;
+use crate::fleet::{apply_reported_changes, request_probe};
 use crate::request::{apply_reported_leaving, log_refused};
 use crate::state::State;
 
@@ -56,6 +56,10 @@
             membership.settling.watch(now, &visibility);
             membership.settling.is_settled()
         };
+        let (target_answer_age_ms, lacks_targets) = {
+            let reach = state.reach();
+            (reach.answer_age_ms(now, None), reach.has_failed_probe())
+        };
         let confirmation = *state.confirmation();
         let (watch, targets_known) = {
             let sync = state.target_sync();
@@ -77,6 +81,8 @@
             suspects_digest,
             revision: confirmation.revision(),
             declared: state.deployment.load().as_ref().map_or(0, |known| known.version),
+            target_answer_age_ms,
+            lacks_targets,
             confirmed_age_ms: confirmation.age_ms(now),
             targets_changed: watch.changed(),
             targets_age_ms: watch.age_ms(now),
@@ -99,6 +105,7 @@
     ) -> PeerReport {
         let now = state.now();
         let mut report = self.report.clone();
+        report.target_answer_age_ms = state.reach().answer_age_ms(now, role);
         let mut placements_known = (0, 0);
         let mut targets_known = None;
         {
@@ -152,7 +159,7 @@
     if *host == state.settings.host {
         return;
     }
-    let (news, changed_hosts) = {
+    let (news, changed_hosts, role) = {
         let mut membership = state.membership();
         let long_silence_ms = membership.hosts.long_silence_ms();
         let Some(news) = membership.peers.heard(now, report.clone(), long_silence_ms) else {
@@ -169,7 +176,7 @@
         if let Some(lease) = &report.lease {
             membership.record_lease(now, lease);
         }
-        (news, changed)
+        (news, changed, role)
     };
     for changed in changed_hosts {
         log_host(state, &changed);
@@ -178,6 +185,12 @@
         let mut orders = state.orders();
         orders.lease.heard(now, &lease.holder, lease.revision, lease.renewed_age_ms);
     }
+    if let Some(age_ms) = report.target_answer_age_ms {
+        state.reach().heard(now, role, age_ms);
+    }
+    if report.lacks_targets && state.reach().needs_answer(now) {
+        request_probe(state);
+    }
     apply_reported_changes(state, report);
     apply_store_state(state, report);
     if news.is_counted {
--- a/crates/lycheeford-gateway/src/membership/wire/host.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/host.rs
@@ -89,6 +89,7 @@
         PeerState::Starting => 0,
         PeerState::Ready => 1,
         PeerState::Draining => 2,
+        PeerState::CutOff => 3,
     }
 }
 
@@ -97,6 +98,7 @@
         0 => Ok(PeerState::Starting),
         1 => Ok(PeerState::Ready),
         2 => Ok(PeerState::Draining),
+        3 => Ok(PeerState::CutOff),
         _ => FieldSnafu { field: "state" }.fail(),
     }
 }
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -70,6 +70,10 @@
     target_changes: Option<WireToldChanges>,
     #[prost(uint64, tag = "28")]
     declared: u64,
+    #[prost(uint64, optional, tag = "29")]
+    target_answer_age_ms: Option<u64>,
+    #[prost(bool, tag = "30")]
+    lacks_targets: bool,
 }
 
 /// A request or a prompt part that may have crashed targets.
@@ -110,6 +114,8 @@
             revision: report.revision,
             declared: report.declared,
             confirmed_age_ms: report.confirmed_age_ms,
+            target_answer_age_ms: report.target_answer_age_ms,
+            lacks_targets: report.lacks_targets,
             targets_changed: report.targets_changed,
             targets_age_ms: report.targets_age_ms,
             lease: report.lease.map(WireLease::from),
@@ -151,6 +157,8 @@
             revision: wire.revision,
             declared: wire.declared,
             confirmed_age_ms: wire.confirmed_age_ms,
+            target_answer_age_ms: wire.target_answer_age_ms,
+            lacks_targets: wire.lacks_targets,
             targets_changed: wire.targets_changed,
             targets_age_ms: wire.targets_age_ms,
             lease: wire.lease.map(ReportedLease::from),
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -101,6 +101,8 @@
         revision: 12,
         declared: 7,
         confirmed_age_ms: Some(0),
+        target_answer_age_ms: Some(0),
+        lacks_targets: true,
         targets_changed: 31,
         targets_age_ms: Some(0),
         lease: Some(ReportedLease {
@@ -128,8 +130,8 @@
         oldest_ms: 300,
         priority: 1,
     };
-    let scopes = [Scope::Cell, Scope::Rest, Scope::Nobody];
-    let states = [PeerState::Starting, PeerState::Ready, PeerState::Draining];
+    let scopes = [Scope::Cell, Scope::Rest, Scope::Nobody, Scope::Cell];
+    let states = [PeerState::Starting, PeerState::Ready, PeerState::Draining, PeerState::CutOff];
     let reports = scopes.into_iter().zip(states).map(|(scope, state)| report(scope, state));
     let mut messages: Vec<Message> =
         reports.map(|report| Message::Report(Box::new(report))).collect();
--- a/crates/lycheeford-gateway/src/operation/directory.rs
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -97,7 +97,9 @@
     }
 
     async fn answer(&self, (): ()) -> CallerResponse {
-        let is_ready = self.state.serving_state(self.state.now()) == PeerState::Ready;
+        let state = self.state.serving_state(self.state.now());
+        // A host that is cut off from the targets serves its callers through other hosts.
+        let is_ready = matches!(state, PeerState::Ready | PeerState::CutOff);
         let status = if is_ready { 200 } else { 503 };
         CallerResponse { status, headers: Vec::new(), body: CallerBody::Whole(Vec::new()) }
     }
--- a/crates/lycheeford-gateway/src/orders/lease_task.rs
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -56,8 +56,10 @@
         // This host's rank among the candidates for taking over the lease.
         let rank = state.membership().rank(now, LEASE_NAME, &state.settings.host) as u64;
         let step = {
+            // The orders of a host that is cut off from the engines can't arrive.
+            let is_cut_off = state.is_cut_off();
             let mut orders = state.orders();
-            let step = orders.lease.next(now, rank);
+            let step = if is_cut_off { LeaseStep::Idle } else { orders.lease.next(now, rank) };
             orders.lease.asked(now, &step);
             step
         };
--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -50,6 +50,8 @@
     pub resume_after: Option<String>,
     /// The caller's id of the attempt that brought the first event of that stream.
     pub resumes: Option<Name>,
+    /// Whether another host, which reaches no target, passed the request on.
+    pub is_forwarded: bool,
 }
 
 impl GatewayRequest {
@@ -218,6 +220,10 @@
         body: Vec<u8>,
     ) -> Result<GatewayRequest, Refusal>;
 
+    /// Returns the request in the format of callers, to forward it to another host that has
+    /// `left_ms` to answer it.
+    fn forward(&self, request: &GatewayRequest, left_ms: u64) -> TargetRequest;
+
     /// Returns the response for a refusal.
     fn refusal(&self, id: &Name, refusal: &Refusal) -> CallerResponse;
 }
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -14,6 +14,7 @@
 use super::crash::{InterruptedRequest, check_for_crash};
 use super::signals::apply_signals;
 use super::slot::{Slot, acquire_slot, host_stopping};
+use crate::fleet::record_unanswered;
 use crate::state::State;
 use crate::{AnswerHead, Dispatch, NotRun, Reply};
 
@@ -138,6 +139,9 @@
             self.state.retries().requested(self.state.now(), service);
         }
         loop {
+            if self.state.is_cut_off() && !self.admitted.request.is_forwarded {
+                return Err(no_target());
+            }
             let slot = match first.take() {
                 Some(slot) => slot,
                 None => acquire_slot(&self.state, &self.admitted).await?,
@@ -188,6 +192,7 @@
         self.at_targets -= 1;
         let PendingCall { slot, sent_at, .. } = pending;
         let mut response = result.map_err(|error| self.call_failed(&slot.chosen, error))?;
+        self.state.reach().answered(self.state.now());
         let target = &self.state.protocols.target;
         let AnswerHead { reply, signals } =
             target.read_head(&slot.chosen.id, response.status, &mut response.headers);
@@ -207,7 +212,7 @@
     }
 
     /// Records a call that failed without a response.
-    fn call_failed(&mut self, chosen: &Chosen, error: TargetError) -> AttemptError {
+    pub(super) fn call_failed(&mut self, chosen: &Chosen, error: TargetError) -> AttemptError {
         info!(self.state.log, "attempt_failed";
             "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
             "error" => %error);
@@ -300,6 +305,9 @@
     }
 
     pub(super) fn note_failure(&self, chosen: &Chosen, failure: TargetFailure) {
+        if failure != TargetFailure::Error {
+            record_unanswered(&self.state, &chosen.id);
+        }
         self.state.dispatcher().targets.failed(self.state.now(), chosen, failure);
     }
 
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -2,12 +2,13 @@
 
 use async_std::prelude::FutureExt;
 use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
-use lycheeford_policy::{Name, Refusal, TimeMs};
+use lycheeford_policy::{Name, Ran, Refusal, TimeMs};
 use slog::{info, warn};
 
 use super::admission::admit;
 use super::answer::{Answered, answer, stream};
 use super::attempt::Attempts;
+use super::forward::forward;
 use crate::GatewayRequest;
 use crate::state::State;
 
@@ -87,6 +88,10 @@
         arrived_at: TimeMs,
     ) -> Result<CallerResponse, Refusal> {
         let admitted = admit(&self.state, request, arrived_at)?;
+        let may_forward = !admitted.request.is_forwarded;
+        if may_forward && self.state.is_cut_off() {
+            return forward(&self.state, &admitted).await;
+        }
         let mut attempts = Attempts::new(Arc::clone(&self.state), admitted);
         let answered = async { Some(answer(&mut attempts).await) };
         let answers_due = async {
@@ -94,9 +99,18 @@
             None
         };
         let answered = answered.race(answers_due).await;
-        match answered.unwrap_or_else(|| Err(attempts.host_stopping_refusal()))? {
-            Answered::Whole(response) => Ok(response),
-            Answered::Stream(answering) => Ok(stream(attempts, *answering)),
+        match answered.unwrap_or_else(|| Err(attempts.host_stopping_refusal())) {
+            Ok(Answered::Whole(response)) => Ok(response),
+            Ok(Answered::Stream(answering)) => Ok(stream(attempts, *answering)),
+            // The host turned out to be cut off while it tried targets.
+            Err(refusal)
+                if may_forward
+                    && (refusal.ran == Ran::NotRun || attempts.can_retry())
+                    && self.state.is_cut_off() =>
+            {
+                forward(&self.state, &attempts.admitted).await
+            }
+            Err(refusal) => Err(refusal),
         }
     }
 }
--- a/crates/lycheeford-gateway/src/request/late.rs
+++ b/crates/lycheeford-gateway/src/request/late.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::{AttemptError, Attempts, PendingCall, StartedResponse};
 use super::slot::{Slot, acquire_slot};
+use crate::fleet::{record_unanswered, until_cut_off};
 
 /// The pause before another target is sought again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -17,6 +18,8 @@
 enum LateOutcome {
     Ended(Result<TargetResponse, TargetError>),
     OtherSlot(Slot),
+    /// This host reaches no target.
+    CutOff,
 }
 
 impl Attempts {
@@ -30,8 +33,8 @@
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, AttemptError> {
         loop {
-            let first_byte_timeout =
-                Duration::from_millis(self.first_byte_ms_max(self.state.now()));
+            let late_ms = self.first_byte_ms_max(self.state.now());
+            let first_byte_timeout = Duration::from_millis(late_ms);
             if let Ok(result) = timeout(first_byte_timeout, &mut pending.call).await {
                 return self.finish_call(pending, result);
             }
@@ -42,14 +45,25 @@
             info!(self.state.log, "answer_late";
                 "id" => self.admitted.request.id.as_str(),
                 "target" => pending.slot.chosen.id.as_str());
+            record_unanswered(&self.state, &pending.slot.chosen.id);
             self.exclude(&pending.slot.chosen);
             let finished = async { LateOutcome::Ended((&mut pending.call).await) };
             let other_slot = async { LateOutcome::OtherSlot(self.wait_for_other_slot().await) };
-            match finished.race(other_slot).await {
+            let cut_off = async {
+                until_cut_off(&self.state).await;
+                LateOutcome::CutOff
+            };
+            match finished.race(other_slot).race(cut_off).await {
                 LateOutcome::Ended(result) => {
                     self.undo_last_exclusion();
                     return self.finish_call(pending, result);
                 }
+                LateOutcome::CutOff => {
+                    self.at_targets -= 1;
+                    let chosen = pending.slot.chosen.clone();
+                    drop(pending);
+                    return Err(self.call_failed(&chosen, TargetError::timed_out(late_ms)));
+                }
                 LateOutcome::OtherSlot(slot) => {
                     self.at_targets -= 1;
                     self.record_run();
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod charge;
 mod crash;
+mod forward;
 mod front;
 mod late;
 mod permit;
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -12,7 +12,7 @@
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
 
-use crate::fleet::{follow_deployment, follow_targets};
+use crate::fleet::{follow_deployment, follow_targets, watch_reach};
 use crate::membership::{
     deregister_host, grant_permits, log_unsent, maintain_hosts, receive, send_demand, send_reports,
     send_stream_events, track_versions,
@@ -106,6 +106,7 @@
     task::spawn(send_reports(Arc::clone(state), Arc::clone(&socket)));
     task::spawn(grant_permits(Arc::clone(state), Arc::clone(&socket)));
     task::spawn(send_stream_events(Arc::clone(state), Arc::clone(&socket)));
+    task::spawn(watch_reach(Arc::clone(state)));
     task::spawn(track_versions(Arc::clone(state)));
     task::spawn(send_demand(Arc::clone(state), socket));
     task::spawn(maintain_hosts(Arc::clone(state)));
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -7,7 +7,7 @@
 use lycheeford_platform::FollowWaker;
 use lycheeford_policy::{
     Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, RetryShare, RunTimes,
-    StopPlan, StopTimes, TimeMs,
+    StopPlan, StopTimes, TargetReach, TimeMs,
 };
 use lycheeford_target::{TargetClient, TargetLimits, Unframed};
 use slog::Logger;
@@ -53,7 +53,7 @@
 ///
 /// A task holds one lock at a time and never across an await. Where two locks are needed, they are
 /// taken in the order of the fields: `dispatcher`, `membership`, `orders`, `demand`, `rates`,
-/// `retries`, `run_times`, `suspects`, `streams`, `confirmation`, `target_sync`, `unsent`, `permits`.
+/// `retries`, `run_times`, `suspects`, `streams`, `reach`, `confirmation`, `target_sync`, `unsent`, `permits`.
 pub(crate) struct State {
     pub(crate) settings: GatewaySettings,
     pub(crate) protocols: PlatformProtocols,
@@ -74,6 +74,7 @@
     run_times: Mutex<RunTimes>,
     suspects: Mutex<CrashSuspects>,
     streams: Mutex<Streams>,
+    reach: Mutex<TargetReach>,
     confirmation: Mutex<Confirmation>,
     target_sync: Mutex<TargetSync>,
     unsent: Mutex<Unsent>,
@@ -100,6 +101,8 @@
     pub(crate) limit_events: (Sender<LimitEvent>, Receiver<LimitEvent>),
     /// Events for the task that sends messages about streams.
     pub(crate) stream_events: (Sender<StreamEvent>, Receiver<StreamEvent>),
+    /// Wakes the task that probes whether this host reaches any target.
+    pub(crate) probe_due: (Sender<()>, Receiver<()>),
 }
 
 impl State {
@@ -144,6 +147,7 @@
             run_times: Mutex::default(),
             suspects: Mutex::default(),
             streams: Mutex::new(Streams::new(clock.now())),
+            reach: Mutex::default(),
             confirmation: Mutex::default(),
             target_sync: Mutex::default(),
             unsent: Mutex::default(),
@@ -162,6 +166,7 @@
             plan_due: bounded(1),
             limit_events: bounded(LIMIT_EVENTS_MAX),
             stream_events: bounded(STREAM_EVENTS_MAX),
+            probe_due: bounded(1),
         })
     }
 
@@ -214,6 +219,15 @@
         lock(&self.streams)
     }
 
+    pub(crate) fn reach(&self) -> MutexGuard<'_, TargetReach> {
+        lock(&self.reach)
+    }
+
+    /// Returns whether this host reaches no target although others do.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.reach().is_cut_off(self.now())
+    }
+
     pub(crate) fn confirmation(&self) -> MutexGuard<'_, Confirmation> {
         lock(&self.confirmation)
     }
@@ -252,7 +266,11 @@
         let knows_enough = self.is_registered.load(Ordering::Acquire)
             && self.knows_targets.load(Ordering::Acquire)
             && self.is_confirmed(now);
-        if knows_enough { PeerState::Ready } else { PeerState::Starting }
+        match (knows_enough, self.is_cut_off()) {
+            (false, _) => PeerState::Starting,
+            (true, true) => PeerState::CutOff,
+            (true, false) => PeerState::Ready,
+        }
     }
 
     pub(crate) fn set_registered(&self) {
--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -51,6 +51,9 @@
     Starting,
     /// The host accepts callers.
     Ready,
+    /// The host reaches no target although others do. It passes requests on to them, but callers
+    /// should use other addresses.
+    CutOff,
     /// The host finishes its running requests and then stops.
     Draining,
 }
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //!   request, also while some targets are slow, failing or leaving.
 //! - `target_belief`: targets that leave before their entry in the list says so, or that ask for a
 //!   pause.
+//! - `target_reach`: a host that is partitioned from all targets, while the others reach them.
 //! - `permit_granter`, `permit`: overloaded targets that accept few requests from all hosts together.
 //! - `wait_queue`: the order of waiting requests when all slots are in use.
 //! - `shared_bucket`: a customer that sends many times its rate to every host.
@@ -63,6 +64,7 @@
 mod target_entry;
 mod target_health;
 mod target_log;
+mod target_reach;
 mod target_table;
 mod wait_queue;
 
@@ -106,5 +108,6 @@
 pub use self::target_entry::{Residency, ResidentModel, TargetEntry, TargetState};
 pub use self::target_health::{TargetFailure, TargetHealth};
 pub use self::target_log::{TargetChange, TargetChangeBatch, TargetLog};
+pub use self::target_reach::TargetReach;
 pub use self::target_table::{Choice, Chosen, Selection, Target, TargetRequirements, TargetTable};
 pub use self::wait_queue::{WaitQueue, Waiting};
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -28,6 +28,11 @@
     /// `sent_at` of the last report that the sender received from the receiver, by the receiver's
     /// clock.
     pub echo: Option<TimeMs>,
+    /// How long ago a target last answered any host, as far as the sender knows.
+    pub target_answer_age_ms: Option<u64>,
+    /// Whether the sender's probes of targets fail, so that it must know whether other hosts reach
+    /// any.
+    pub lacks_targets: bool,
     /// Whether the sender accepts callers.
     pub state: PeerState,
     /// Whether the sender knows what the other hosts spend.
--- a/crates/lycheeford-policy/src/gateway/target_health.rs
+++ b/crates/lycheeford-policy/src/gateway/target_health.rs
@@ -67,6 +67,13 @@
         self.backoff_until = self.backoff_until.max(now + backoff_ms);
     }
 
+    /// Forgets the recorded failures.
+    pub fn forget_failures(&mut self) {
+        self.failures_in_row = 0;
+        self.backoff_until = TimeMs::default();
+        self.failed_part = 0.0;
+    }
+
     /// Returns whether the target may receive a request.
     pub fn is_usable(&self, now: TimeMs) -> bool {
         now >= self.backoff_until
--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -382,6 +382,13 @@
         }
     }
 
+    /// Forgets the failures of all targets, because this host was cut off from them.
+    pub fn forget_failures(&mut self) {
+        for target in &mut self.targets {
+            target.health.forget_failures();
+        }
+    }
+
     /// Records that a target rejected a request as full although it seemed to have a free slot.
     pub fn was_full(&mut self, now: TimeMs, chosen: &Chosen) {
         if let Some(target) = self.life_mut(&chosen.id, chosen.life) {
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -85,9 +85,9 @@
     RunningAt, Scope, Selection, ServiceRoute, Settling, SharedBucket, SharedWatch, ShortKey,
     StoreAbsence, StreamKey, StreamVersion, StreamVersions, Sums, SwapAction, SwapOrder, SwapPlan,
     SwapPlanner, Target, TargetBelief, TargetChange, TargetChangeBatch, TargetEntry, TargetFailure,
-    TargetHealth, TargetLife, TargetLog, TargetRequirements, TargetService, TargetState,
-    TargetTable, TargetUse, VersionKnowledge, WaitQueue, Waiting, WantedName, WeightedService,
-    combine_knowledge, permit_granter, stream_keepers,
+    TargetHealth, TargetLife, TargetLog, TargetReach, TargetRequirements, TargetService,
+    TargetState, TargetTable, TargetUse, VersionKnowledge, WaitQueue, Waiting, WantedName,
+    WeightedService, combine_knowledge, permit_granter, stream_keepers,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -283,6 +283,8 @@
         declared: 0,
         suspects_digest: 0,
         revision: 1,
+        target_answer_age_ms: None,
+        lacks_targets: false,
         confirmed_age_ms: None,
         targets_changed: 0,
         targets_age_ms: None,
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -15,5 +15,6 @@
 mod stream_versions;
 mod streams;
 mod target_news;
+mod target_reach;
 mod targets;
 mod world;
