Blame no request for a crash while no target can be reached

A host that is partitioned from all targets, with connections refused, took each target for dead, and each request without an event that ran there for the culprit: after two (three for a prompt part) it was refused at all hosts, for ten minutes, and stored. Found by reading, as a place where the same cause acts: what a cut-off host believes was taken for the state of the targets. A refused connection proves a crash now only if this host can open a connection to another target, by a probe of the last second.

--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -9,7 +9,9 @@
 
 pub(crate) use self::deployment_follow::follow_deployment;
 pub(crate) use self::dispatcher::{Dispatcher, merge};
-pub(crate) use self::reach::{record_unanswered, request_probe, until_cut_off, watch_reach};
+pub(crate) use self::reach::{
+    opens_connections, record_unanswered, request_probe, until_cut_off, watch_reach,
+};
 pub(crate) use self::target_follow::follow_targets;
 pub(crate) use self::target_sync::{TargetSync, apply_reported_changes};
 
--- a/crates/lycheeford-gateway/src/fleet/reach.rs
+++ b/crates/lycheeford-gateway/src/fleet/reach.rs
@@ -22,6 +22,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// The interval at which a request without an answer checks whether this host is cut off.
 const CUT_OFF_CHECK: Duration = Duration::from_millis(100);
+/// The interval and the number of the checks whether a probe has ended.
+const CONFIRMATION_CHECK: Duration = Duration::from_millis(20);
+const CONFIRMATIONS_MAX: usize = 60;
 
 /// A target to probe.
 struct ProbedTarget {
@@ -94,6 +97,18 @@
     }
 }
 
+/// Returns whether this host can open connections to any target, by a probe if that isn't known.
+pub(crate) async fn opens_connections(state: &State) -> bool {
+    for _ in 0..CONFIRMATIONS_MAX {
+        if let Some(opens_connections) = state.reach().opens_connections(state.now()) {
+            return opens_connections;
+        }
+        request_probe(state);
+        task::sleep(CONFIRMATION_CHECK).await;
+    }
+    false
+}
+
 /// Returns some targets in random order.
 fn probed_targets(state: &State) -> Vec<ProbedTarget> {
     let now = state.now();
--- a/crates/lycheeford-gateway/src/request/crash.rs
+++ b/crates/lycheeford-gateway/src/request/crash.rs
@@ -6,6 +6,7 @@
 use slog::warn;
 
 use super::admission::Admitted;
+use crate::fleet::opens_connections;
 use crate::state::State;
 
 /// The maximum number of checks whether a target crashed.
@@ -39,8 +40,8 @@
 /// before.
 ///
 /// A cut connection alone proves nothing: a target that loses responses, or whose connections are
-/// reset on the network, keeps running. The target crashed if nothing listens at its address, or if
-/// a later instance of it is listed.
+/// reset on the network, keeps running. The target crashed if nothing listens at its address, while
+/// this host can open connections to others, or if a later instance of it is listed.
 pub(super) async fn check_for_crash(
     state: Arc<State>,
     chosen: Chosen,
@@ -96,8 +97,14 @@
             .await
             .is_err_and(|error| error.is_connection_refused())
         {
-            return true;
+            // To a host that is partitioned, every target seems to refuse connections.
+            return is_only_target(state, chosen) || opens_connections(state).await;
         }
     }
     false
 }
+
+/// Returns whether no other target is listed, so that nothing can be compared with.
+fn is_only_target(state: &State, chosen: &Chosen) -> bool {
+    state.dispatcher().targets.targets().iter().all(|target| target.entry.id == chosen.id)
+}
--- a/crates/lycheeford-policy/src/gateway/target_reach.rs
+++ b/crates/lycheeford-policy/src/gateway/target_reach.rs
@@ -11,6 +11,8 @@
 /// Time after the first failure from which an answer that another host got counts. It may be this
 /// host's own last answer, reported back.
 const ECHO_MARGIN_MS: u64 = 250;
+/// Age up to which an answered probe shows that this host can open connections to targets.
+const RECENT_PROBE_MS: u64 = 1_000;
 /// Age up to which an own answer shows other hosts that targets can be reached.
 const FRESH_ANSWER_MS: u64 = 500;
 /// Age up to which an answer that another host got shows that targets can be reached.
@@ -49,6 +51,7 @@
     /// When the first of these failures was recorded, unless a probe was answered since.
     failing_since: Option<TimeMs>,
     probed_at: Option<TimeMs>,
+    probe_answered_at: Option<TimeMs>,
     has_failed_probe: bool,
 }
 
@@ -82,6 +85,15 @@
         !self.answered_at.is_some_and(is_fresh) && self.may_probe(now)
     }
 
+    /// Returns whether new connections to targets open, by the last probe; `None` if it is too old.
+    pub fn opens_connections(&self, now: TimeMs) -> Option<bool> {
+        if self.has_failed_probe {
+            return Some(false);
+        }
+        let is_recent = |at: TimeMs| now.since_ms(at) < RECENT_PROBE_MS;
+        self.probe_answered_at.is_some_and(is_recent).then_some(true)
+    }
+
     /// Records that a probe starts.
     pub fn probe_started(&mut self, now: TimeMs) {
         self.probed_at = Some(now);
@@ -92,6 +104,7 @@
         self.has_failed_probe = !is_answered;
         if is_answered {
             self.answered_at = Some(now);
+            self.probe_answered_at = Some(now);
             self.failing.clear();
             self.failing_since = None;
         } else {
