Let a connection survive the silence of a sound target

A TCP_USER_TIMEOUT also decides when keep-alive probes give up. The limit says now how long a silence is survived, 2 s; the user timeout follows from it, 4 s.

Not shown on sockets: loopback acknowledges in the kernel whatever the process does.

--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -27,7 +27,7 @@
 const CONFIRMATION_PART: f64 = 0.7;
 /// The time-out for connecting to a target.
 const CONNECT_MS_MAX: u64 = 400;
-/// How long a connection to a target may stay without any sign that the peer is alive.
+/// How long a sound target may be silent and go on.
 const SILENT_MS_MAX: u32 = 2_000;
 /// The most idle connections to each target, since all hosts share the connections that it accepts.
 const POOL_PER_TARGET_MAX: usize = 4;
@@ -119,7 +119,7 @@
             pool_per_target_max: POOL_PER_TARGET_MAX,
             collected_answers_bytes_max: WHOLE_ANSWERS_BYTES_MAX,
             unframed: Unframed::EndWithConnection,
-            unacknowledged_ms_max: Some(SILENT_MS_MAX),
+            silent_ms_max: Some(SILENT_MS_MAX),
             source: Some(settings.target_source),
             ..TargetLimits::default()
         };
--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -25,7 +25,7 @@
 pub use crate::completion::{CompletionEvent, Usage};
 pub use crate::error::{Category, TargetError};
 pub use crate::event::{Event, EventSplitter, EventTooLarge};
-pub use crate::limits::TargetLimits;
+pub use crate::limits::{KEEP_ALIVE_INTERVAL_S, TargetLimits, user_timeout_ms};
 pub use crate::order::Order;
 pub use crate::request::{Connection, TargetRequest};
 pub use crate::response::{BodyEnd, TargetBody, TargetResponse};
--- a/crates/lycheeford-target/src/limits.rs
+++ b/crates/lycheeford-target/src/limits.rs
@@ -22,13 +22,13 @@
     pub collected_answers_bytes_max: usize,
     /// Whether the close of the connection may mark the end of an answer that states no length.
     pub unframed: Unframed,
-    /// How long a connection may get no acknowledgement from the other end; `None` keeps the
-    /// defaults of the operating system.
+    /// How long a sound target may be silent, without acknowledging anything, and go on; `None`
+    /// keeps the defaults of the operating system.
     ///
-    /// Bounds the time for which sent data and keep-alive probes may stay unacknowledged before
-    /// the connection fails. Needed because a middlebox, such as a firewall, can drop the state of
-    /// a connection without either end noticing.
-    pub unacknowledged_ms_max: Option<u32>,
+    /// A connection whose other end is silent for longer fails after [`user_timeout_ms`]. Needed
+    /// because a middlebox, such as a firewall, can drop the state of a connection without either
+    /// end noticing.
+    pub silent_ms_max: Option<u32>,
     /// The local address from which connections are opened; `None` leaves the choice to the
     /// operating system.
     pub source: Option<IpAddr>,
@@ -45,8 +45,24 @@
             answer_bytes_max: 64 * 1024 * 1024,
             collected_answers_bytes_max: 64 * 1024 * 1024,
             unframed: Unframed::Refuse,
-            unacknowledged_ms_max: None,
+            silent_ms_max: None,
             source: None,
         }
     }
 }
+
+/// The idle time before the first keep-alive probe and between probes; the kernel accepts only
+/// whole seconds.
+pub const KEEP_ALIVE_INTERVAL_S: u32 = 1;
+const MS_PER_S: u32 = 1_000;
+
+/// Returns the `TCP_USER_TIMEOUT` with which a connection survives a silence of `silent_ms_max`.
+///
+/// A user timeout also decides when keep-alive probes give up, whatever their count: Linux fails the
+/// connection at the first probe that is due when the last sign of the other end is as old as the
+/// timeout, if one probe is unanswered. That sign may be an interval older than the silence, and a
+/// probe that is sent just before the silence ends is answered, but the next one is due an interval
+/// later.
+pub fn user_timeout_ms(silent_ms_max: u32) -> u32 {
+    silent_ms_max + 2 * KEEP_ALIVE_INTERVAL_S * MS_PER_S
+}
--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -16,6 +16,7 @@
 use rustix::net::{self, sockopt};
 
 use crate::error::Code;
+use crate::limits::{KEEP_ALIVE_INTERVAL_S, user_timeout_ms};
 use crate::{TargetError, TargetLimits};
 
 const HEAD_BYTES_MAX: usize = 16 * 1024;
@@ -29,9 +30,6 @@
 const EARLIER_ANSWERS_MAX: usize = 2;
 /// The largest body of an answer to an earlier request that is skipped.
 const EARLIER_ANSWER_BYTES_MAX: usize = 1 << 20;
-/// The idle time before the first keep-alive probe and between probes; the kernel accepts only
-/// whole seconds.
-const KEEP_ALIVE_INTERVAL_S: u64 = 1;
 
 /// The properties of the answer that is expected on a connection.
 #[derive(Debug)]
@@ -91,8 +89,8 @@
             .map_err(|source| Code::Connect { source })?;
         // With Nagle's algorithm the last part of a request could wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
-        if let Some(unacknowledged_ms_max) = limits.unacknowledged_ms_max {
-            set_liveness_timeouts(&stream, unacknowledged_ms_max)
+        if let Some(silent_ms_max) = limits.silent_ms_max {
+            set_liveness_timeouts(&stream, silent_ms_max)
                 .map_err(|source| Code::Connect { source })?;
         }
         let reader = MessageReader::new(stream.clone());
@@ -325,11 +323,12 @@
     Ok(TcpStream::from(stream.into_inner()?))
 }
 
-/// Makes the kernel fail a connection whose other end stops acknowledging data or probes.
-fn set_liveness_timeouts(stream: &TcpStream, unacknowledged_ms_max: u32) -> io::Result<()> {
-    sockopt::set_tcp_user_timeout(stream, unacknowledged_ms_max)?;
+/// Makes the kernel fail a connection whose other end stops acknowledging data or probes for longer
+/// than `silent_ms_max`.
+fn set_liveness_timeouts(stream: &TcpStream, silent_ms_max: u32) -> io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, user_timeout_ms(silent_ms_max))?;
     sockopt::set_socket_keepalive(stream, true)?;
-    let interval = Duration::from_secs(KEEP_ALIVE_INTERVAL_S);
+    let interval = Duration::from_secs(KEEP_ALIVE_INTERVAL_S.into());
     sockopt::set_tcp_keepidle(stream, interval)?;
     sockopt::set_tcp_keepintvl(stream, interval)?;
     Ok(())
