Keep brittle targets from rejecting requests

Server-Brittle wasn't read: hosts filled a target by what they last heard of each other, so that a burst at all of them overfilled it. A target that says that it is brittle falls over if it has to reject a few requests in a second.

While a service is brittle, each host uses a fixed part of three quarters of each target's slots and memory, by its place in the store's list of hosts; a target that rejects one as full gets nothing from that host for a second.

--- a/crates/lycheeford-gateway/src/membership/exchange.rs
+++ b/crates/lycheeford-gateway/src/membership/exchange.rs
@@ -102,7 +102,7 @@
 /// that are silent or no longer partners.
 fn update_layout(state: &State) -> Vec<(Name, Option<PartnerRole>, SocketAddr)> {
     let now = state.now();
-    let (partners, lapsed) = {
+    let (partners, lapsed, place) = {
         let mut membership = state.membership();
         let layout = membership.hosts.layout(now);
         membership.peers.set_layout(layout);
@@ -116,9 +116,10 @@
         let partners =
             partners.chain(unpaired_hosts.map(|host| (host, None))).filter_map(address).collect();
         let lapsed: Vec<_> = membership.peers.lapsed(now).cloned().collect();
-        (partners, lapsed)
+        (partners, lapsed, membership.hosts.place())
     };
     let mut dispatcher = state.dispatcher();
+    dispatcher.targets.set_host_place(place);
     for host in lapsed {
         dispatcher.targets.runs_elsewhere(&host, &[]);
     }
--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -112,6 +112,8 @@
     pub pause_ms: Option<u64>,
     /// The target's rate limit over all hosts; absent if the header is unreadable.
     pub limit: Option<LimitSignal>,
+    /// The targets of the service fall over if they have to reject many requests in a second.
+    pub is_brittle: bool,
     /// The header that was ignored because it is unreadable.
     pub unreadable: Option<&'static str>,
 }
--- a/crates/lycheeford-gateway/src/request/signals.rs
+++ b/crates/lycheeford-gateway/src/request/signals.rs
@@ -33,6 +33,18 @@
         info!(state.log, "target_pauses";
             "id" => id, "target" => chosen.id.as_str(), "pause_ms" => pause_ms);
     }
+    if signals.is_brittle {
+        let is_new = {
+            let mut dispatcher = state.dispatcher();
+            let target = dispatcher.targets.target(&chosen.id);
+            let service = target.map(|target| target.entry.service.clone());
+            service.is_some_and(|service| dispatcher.targets.record_brittle(now, &service))
+        };
+        if is_new {
+            state.metrics.target_signal("brittle");
+            info!(state.log, "targets_brittle"; "id" => id, "target" => chosen.id.as_str());
+        }
+    }
     match signals.limit {
         Some(LimitSignal::PerSecond(per_s)) => apply_limit(state, id, chosen, Some(per_s), sent_at),
         // Responses to orders and queries may omit the limit header even if the target has a limit.
--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -4,6 +4,7 @@
 use super::report_layout::{DIRECT_HOSTS_MAX, PartnerRole, ReportLayout};
 use super::shared_bucket::LONG_PARTITION_MS;
 use super::short_key::ShortKey;
+use super::target_table::HostPlace;
 use crate::{Name, TimeMs};
 
 /// Minimum time for which a host counts as alive after a report.
@@ -199,6 +200,12 @@
         others.chain([&self.own_record])
     }
 
+    /// Returns the place of this host among all listed ones.
+    pub fn place(&self) -> HostPlace {
+        let index = self.listed_records().filter(|host| host.host < self.own_record.host).count();
+        HostPlace { index, count: self.listed_records().count() }
+    }
+
     /// Returns the signs of life of live hosts to report to another host.
     ///
     /// A relay reports to other relays only the members that report to itself. Signs that travelled
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //!   request, also while some targets are slow, failing or leaving.
 //! - `target_belief`: targets that leave before their entry in the list says so, or that ask for a
 //!   pause.
+//! - `target_table::brittle`: targets that fall over if they reject many requests.
 //! - `target_reach`: a host that is partitioned from all targets, while the others reach them.
 //! - `permit_granter`, `permit`: overloaded targets that accept few requests from all hosts together.
 //! - `wait_queue`: the order of waiting requests when all slots are in use.
@@ -109,5 +110,7 @@
 pub use self::target_health::{TargetFailure, TargetHealth};
 pub use self::target_log::{TargetChange, TargetChangeBatch, TargetLog};
 pub use self::target_reach::TargetReach;
-pub use self::target_table::{Choice, Chosen, Selection, Target, TargetRequirements, TargetTable};
+pub use self::target_table::{
+    Choice, Chosen, HostPlace, Selection, Target, TargetRequirements, TargetTable,
+};
 pub use self::wait_queue::{WaitQueue, Waiting};
--- a/crates/lycheeford-policy/src/gateway/target_table/choice.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/choice.rs
@@ -34,6 +34,7 @@
         let mut limited_until: Option<TimeMs> = None;
         let affinity_target =
             need.affinity.and_then(|(hash, _)| self.affinity_target(now, need, hash));
+        let is_brittle = self.is_brittle(now, &need.service);
         for (index, target) in self.targets.iter().enumerate() {
             let target_use = target.belief.use_at(now);
             if !target.serves(need)
@@ -59,7 +60,8 @@
                 continue;
             }
             selection = Selection::Full;
-            if !target.health.is_usable(now) || !target.has_capacity(now, need) {
+            let has_room = !is_brittle || self.host_place.has_room(target, need);
+            if !target.health.is_usable(now) || !target.has_capacity(now, need) || !has_room {
                 continue;
             }
             let mut cost_ms = self.cost_ms(now, need, target, usual_ms);
--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -1,9 +1,12 @@
 mod beliefs;
+mod brittle;
 mod choice;
 mod running;
 
 use std::net::SocketAddr;
 
+use self::brittle::BRITTLE_FULL_PAUSE_MS;
+pub use self::brittle::HostPlace;
 use crate::gateway::peer_table::RunningAt;
 use crate::gateway::permit::PermitRank;
 use crate::gateway::short_key::ShortKey;
@@ -118,6 +121,9 @@
     /// Sorted by service.
     usual_latency_ms: Vec<(Name, f64)>,
     choices: u64,
+    host_place: HostPlace,
+    /// The services whose targets are brittle, with the end of that; sorted by service.
+    brittle_until: Vec<(Name, TimeMs)>,
     /// Deadline after which a target that turns out to be leaving must not be used, counted from
     /// the last moment up to which this host knows all relevant changes.
     leave_by: Option<TimeMs>,
@@ -391,8 +397,11 @@
 
     /// Records that a target rejected a request as full although it seemed to have a free slot.
     pub fn was_full(&mut self, now: TimeMs, chosen: &Chosen) {
+        let service = self.target(&chosen.id).map(|target| target.entry.service.clone());
+        let is_brittle = service.is_some_and(|service| self.is_brittle(now, &service));
+        let pause_ms = if is_brittle { BRITTLE_FULL_PAUSE_MS } else { FULL_PAUSE_MS };
         if let Some(target) = self.life_mut(&chosen.id, chosen.life) {
-            target.full_until = now + FULL_PAUSE_MS;
+            target.full_until = now + pause_ms;
         }
     }
 
--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -1,7 +1,7 @@
 //! Which target a request is sent to, and the order of waiting requests.
 
 use lycheeford_policy::{
-    Choice, Chosen, Name, RunningAt, Selection, ShortKey, TargetEntry, TargetFailure,
+    Choice, Chosen, HostPlace, Name, RunningAt, Selection, ShortKey, TargetEntry, TargetFailure,
     TargetRequirements, TargetState, TargetTable, WaitQueue, Waiting,
 };
 
@@ -247,3 +247,36 @@
     let ids: Vec<u64> = dispatched.iter().map(|(id, _)| *id).collect();
     assert_eq!(ids, [2]);
 }
+
+struct BrittleCase {
+    slots: u32,
+    hosts: usize,
+    /// The requests that all hosts together send to one brittle target in a burst.
+    sent: usize,
+}
+
+#[test]
+fn hosts_together_never_fill_a_brittle_target() {
+    let cases = [
+        BrittleCase { slots: 64, hosts: 1, sent: 48 },
+        BrittleCase { slots: 64, hosts: 8, sent: 48 },
+        BrittleCase { slots: 24, hosts: 7, sent: 18 },
+        BrittleCase { slots: 16, hosts: 295, sent: 12 },
+    ];
+    for case in cases {
+        let mut sent = 0;
+        for index in 0..case.hosts {
+            let mut targets = table(&[TargetEntry { slots: case.slots, ..entry("t1", &["m1"]) }]);
+            targets.set_host_place(HostPlace { index, count: case.hosts });
+            assert!(targets.record_brittle(at(0), &name("models")));
+            assert!(!targets.record_brittle(at(1), &name("models")), "known already");
+            let need = TargetRequirements { cache_tokens_max: None, ..need("m1") };
+            while let Selection::Chosen(chosen) = targets.choose(at(2), &need) {
+                targets.started(&chosen, Some(&name("m1")), 0);
+                sent += 1;
+            }
+            assert!(!targets.is_brittle(at(10_000), &name("models")), "not said for seconds");
+        }
+        assert_eq!(sent, case.sent, "{} slots, {} hosts", case.slots, case.hosts);
+    }
+}
