Let a first list of targets tell nobody what left before it

In the logs 8 of 47 living hosts wrote target_gone. Cause: a host that starts reads the list at some revision, without having known any target before. Its log counted as all changes from revision 0 on, so that it told a host which knew revision K all that it had listed as the changes since K, without what had left in between; that host then counted as knowing all. 26 hosts had started half a second before.

The first list now begins the log.

--- a/crates/lycheeford-policy/src/gateway/target_log.rs
+++ b/crates/lycheeford-policy/src/gateway/target_log.rs
@@ -63,6 +63,10 @@
 
     /// Records the changes after `after` up to `up_to`, as read from the store.
     pub fn asked(&mut self, after: u64, up_to: u64, changes: Vec<(u64, TargetChange)>) {
+        if self.up_to == 0 {
+            // The first list doesn't say which targets have left before it.
+            return self.restart(up_to);
+        }
         if after > self.up_to {
             self.restart(after);
         }
