Forget failures of targets only when a partition has ended

Found by reading: each probe that was answered forgot the failures of all targets. A probe follows whenever two targets fail, so that after a crash of two the host went back to them every 0.4 s. Only the first answered probe after failed ones forgets now.

--- a/crates/lycheeford-gateway/src/fleet/reach.rs
+++ b/crates/lycheeford-gateway/src/fleet/reach.rs
@@ -76,9 +76,8 @@
     }
     let is_answered = answered.is_some();
     let now = state.now();
-    state.reach().probed(now, is_answered);
-    if is_answered {
-        // What failed during a partition says nothing about the targets.
+    let has_ended = state.reach().probed(now, is_answered);
+    if has_ended {
         state.dispatcher().targets.forget_failures();
     }
     let is_cut_off = state.is_cut_off();
--- a/crates/lycheeford-policy/src/gateway/target_reach.rs
+++ b/crates/lycheeford-policy/src/gateway/target_reach.rs
@@ -33,9 +33,9 @@
 /// assert!(!reach.failed(at(1_000), ShortKey(1)));
 /// assert!(reach.failed(at(1_100), ShortKey(2)), "a probe is due");
 /// reach.heard(at(1_400), Some(PartnerRole::Equal), 30);
-/// reach.probed(at(1_500), false);
+/// assert!(!reach.probed(at(1_500), false));
 /// assert!(reach.is_cut_off(at(1_500)));
-/// reach.probed(at(2_000), true);
+/// assert!(reach.probed(at(2_000), true), "the partition has ended");
 /// assert!(!reach.is_cut_off(at(2_000)));
 /// ```
 #[derive(Debug, Clone, Default)]
@@ -99,9 +99,10 @@
         self.probed_at = Some(now);
     }
 
-    /// Records whether any target answered a probe.
-    pub fn probed(&mut self, now: TimeMs, is_answered: bool) {
-        self.has_failed_probe = !is_answered;
+    /// Records whether any target answered a probe; returns whether this is the first answered one
+    /// after others that failed, so that earlier failures say nothing about the targets.
+    pub fn probed(&mut self, now: TimeMs, is_answered: bool) -> bool {
+        let had_failed_probe = std::mem::replace(&mut self.has_failed_probe, !is_answered);
         if is_answered {
             self.answered_at = Some(now);
             self.probe_answered_at = Some(now);
@@ -111,6 +112,7 @@
             // A probe that another host asked for may fail before any request does.
             self.failing_since = self.failing_since.or(self.probed_at);
         }
+        is_answered && had_failed_probe
     }
 
     /// Records the report of a host that a target answered it, or a host that it reports for,
--- a/crates/lycheeford-policy/tests/gateway/target_reach.rs
+++ b/crates/lycheeford-policy/tests/gateway/target_reach.rs
@@ -108,7 +108,7 @@
                 }
                 Probed(is_answered) => {
                     reach.probe_started(now - 400);
-                    reach.probed(now, is_answered);
+                    assert!(!reach.probed(now, is_answered), "{}", case.what);
                 }
                 Heard(age_ms) => reach.heard(now, Some(PartnerRole::Equal), age_ms),
             }
@@ -117,6 +117,16 @@
     }
 }
 
+/// Regression test: each answered probe forgot the failures of all targets, also if some had crashed.
+#[test]
+fn only_the_end_of_a_partition_forgets_failures() {
+    let mut reach = TargetReach::default();
+    let probes = [(true, false), (true, false), (false, false), (false, false), (true, true)];
+    for (number, (is_answered, has_ended)) in probes.into_iter().enumerate() {
+        assert_eq!(reach.probed(at(1_000), is_answered), has_ended, "probe {number}");
+    }
+}
+
 #[test]
 fn an_answer_is_reported_one_way_only() {
     let mut reach = TargetReach::default();
