Reset the connection of a cancelled call

A cancelled call closed its connection. A target that only writes learns of a close at its second write, and one that is silent and reads nothing not at all; what the kernel hadn't delivered yet still arrived after the call had been given up.

In revoked.rs one row stood for the old behaviour of calls that aren't orders (closed); it asks for the reset now, which is the stricter of the two.

Orders keep their reset from the start, since it also holds if the process is killed.

--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -65,6 +65,14 @@
     reader: MessageReader<TcpStream>,
     writer: TcpStream,
     close_mode: CloseMode,
+    exchange: Exchange,
+}
+
+/// Whether a request was written whose complete answer hasn't been received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exchange {
+    Finished,
+    Unfinished,
 }
 
 /// What happens to undelivered bytes when a connection is dropped.
@@ -94,7 +102,12 @@
                 .map_err(|source| Code::Connect { source })?;
         }
         let reader = MessageReader::new(stream.clone());
-        Ok(Link { reader, writer: stream, close_mode: CloseMode::Close })
+        Ok(Link {
+            reader,
+            writer: stream,
+            close_mode: CloseMode::Close,
+            exchange: Exchange::Finished,
+        })
     }
 
     /// Makes the kernel reset the connection and discard undelivered bytes when this is dropped.
@@ -107,6 +120,7 @@
 
     /// Records that the complete answer was received, so that no reset is needed any more.
     pub(crate) fn mark_answered(&mut self) {
+        self.exchange = Exchange::Finished;
         if self.close_mode == CloseMode::Reset {
             self.close_mode = CloseMode::Close;
             // If this fails, the connection is reset after its complete answer, which is harmless.
@@ -133,6 +147,7 @@
         first_byte_ms_max: u64,
         limits: &TargetLimits,
     ) -> Result<(ResponseHead, Sent), TargetError> {
+        self.exchange = Exchange::Unfinished;
         let Link { reader, writer, .. } = self;
         let sending = pin!(send(writer, request, limits.between_bytes_ms_max));
         let receiving = pin!(receive_head(reader, expected, first_byte_ms_max, limits));
@@ -175,6 +190,20 @@
     }
 }
 
+impl Drop for Link {
+    /// Resets the connection of an unfinished call, so that its target learns at once that nobody
+    /// waits for the answer.
+    ///
+    /// After a close, a target that doesn't read while it works would go on until it writes twice,
+    /// and bytes of the request that are still on their way would be delivered.
+    fn drop(&mut self) {
+        if self.exchange == Exchange::Unfinished {
+            // If this fails, the target learns it from the close.
+            let _ = sockopt::set_socket_linger(&self.writer, Some(Duration::ZERO));
+        }
+    }
+}
+
 async fn send(
     writer: &mut TcpStream,
     request: Request,
--- a/crates/lycheeford-target/tests/revoked.rs
+++ b/crates/lycheeford-target/tests/revoked.rs
@@ -42,7 +42,7 @@
         case("no answer", Connection::Revocable, "", End::Reset),
         case("a part of the answer", Connection::Revocable, part, End::Reset),
         case("the whole answer", Connection::Revocable, whole, End::Closed),
-        case("no answer, another kind", Connection::Fresh, "", End::Closed),
+        case("no answer, another kind", Connection::Fresh, "", End::Reset),
     ];
     for Case { name, connection, answer, end } in cases {
         let (ended, ends) = mpsc::channel();
