Bound the whole wait for the head of an answer

Cause: each skipped answer began the wait for the first byte anew, a copy's body was read for as long as the pause between two bytes allows (10 s), and so was a head. A call whose request can't be retried had no other limit.

The client now counts the wait for the first byte from the start of the exchange and skips within it; the gateway drops a call without a head when its request's time is up, as one that may have run. A connection that is still opening at that moment is counted the same way.

--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -1,5 +1,7 @@
 use std::sync::Arc;
+use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task;
 use futures_util::future::BoxFuture;
 use lycheeford_policy::{
@@ -179,7 +181,12 @@
         let request = self.target_request(&slot.chosen, now, resume_after);
         self.at_targets += 1;
         let (targets, address) = (self.state.targets.clone(), slot.chosen.address);
-        let call = Box::pin(async move { targets.call(address, &request).await });
+        // A head that never ends would hold the request for longer than its caller waits.
+        let left_ms = self.admitted.final_at.since_ms(now).max(1);
+        let call = Box::pin(async move {
+            let answered = timeout(Duration::from_millis(left_ms), targets.call(address, &request));
+            answered.await.unwrap_or_else(|_| Err(TargetError::timed_out(left_ms)))
+        });
         PendingCall { call, slot, sent_at: now }
     }
 
--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -215,26 +215,44 @@
 }
 
 /// Receives the head of the expected answer and skips answers to earlier requests.
+///
+/// The wait for its first byte is limited as a whole: each skipped answer would prolong it
+/// otherwise.
 async fn receive_head(
     reader: &mut MessageReader<TcpStream>,
     expected: &ExpectedAnswer<'_>,
     first_byte_ms_max: u64,
     limits: &TargetLimits,
 ) -> Result<ResponseHead, TargetError> {
+    let wait = Wait { since: Instant::now(), limit_ms: first_byte_ms_max };
     for _ in 0..=EARLIER_ANSWERS_MAX {
-        let head = receive_final_head(reader, expected.method, first_byte_ms_max, limits).await?;
+        let head = receive_final_head(reader, expected.method, wait, limits).await?;
         if expected.is_answered_by(&head) {
             return Ok(head);
         }
-        skip_body(reader, &head, limits).await?;
+        skip_body(reader, &head, wait, limits).await?;
     }
     Err(Code::OtherRequests.into())
 }
 
+/// The wait for the first byte of an answer.
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    since: Instant,
+    limit_ms: u64,
+}
+
+impl Wait {
+    fn left(&self) -> Duration {
+        Duration::from_millis(self.limit_ms).saturating_sub(self.since.elapsed())
+    }
+}
+
 /// Reads and discards the body of an answer to an earlier request.
 async fn skip_body(
     reader: &mut MessageReader<TcpStream>,
     head: &ResponseHead,
+    wait: Wait,
     limits: &TargetLimits,
 ) -> Result<(), TargetError> {
     let mut decoder = BodyDecoder::new(head.framing);
@@ -250,19 +268,19 @@
         }
         Ok(())
     };
-    let skipped = timeout(Duration::from_millis(limits.between_bytes_ms_max), skip).await;
-    Ok(skipped.map_err(|_| Code::OtherRequests)??)
+    let limit = wait.left().min(Duration::from_millis(limits.between_bytes_ms_max));
+    Ok(timeout(limit, skip).await.map_err(|_| Code::OtherRequests)??)
 }
 
 async fn receive_final_head(
     reader: &mut MessageReader<TcpStream>,
     method: Method,
-    first_byte_ms_max: u64,
+    wait: Wait,
     limits: &TargetLimits,
 ) -> Result<ResponseHead, TargetError> {
     for _ in 0..=INTERIM_HEADS_MAX {
         if reader.buffered_bytes() == 0 {
-            wait_for_head(reader, first_byte_ms_max).await?;
+            wait_for_head(reader, wait).await?;
         }
         let head = read_head(reader, method, limits).await?;
         if head.status == STATUS_SWITCHING_PROTOCOLS {
@@ -277,11 +295,11 @@
 
 async fn wait_for_head(
     reader: &mut MessageReader<TcpStream>,
-    limit_ms: u64,
+    wait: Wait,
 ) -> Result<(), TargetError> {
-    let length_bytes = timeout(Duration::from_millis(limit_ms), reader.fill())
+    let length_bytes = timeout(wait.left(), reader.fill())
         .await
-        .map_err(|_| Code::FirstByteTimeout { limit_ms })?
+        .map_err(|_| Code::FirstByteTimeout { limit_ms: wait.limit_ms })?
         .map_err(|source| Code::Read { source })?;
     if length_bytes == 0 { Err(Code::Closed.into()) } else { Ok(()) }
 }
