Break off a stream that its target ended inside an event

Callers of a stream whose engine stopped in the middle of an event and then ended its chunks or reached its length got the bytes of the incomplete event and a proper end: the stream looked complete (ORDER, MIXED).

Cause: only a body that ends with its connection was checked for an event that isn't whole; for any other framing the rest was passed on and the stream finished. A stream that ends inside an event has been broken off whatever states its end, so that it now goes on elsewhere or is broken off. An answer that states another content than an event stream (StatedContent) isn't judged as one, and is passed on unchanged as before.

Ruled out: bodies that break before their length or last chunk, between events, inside one and before the first one are resumed or broken off on the old code.

Evidence: a_stream_goes_on_whatever_its_first_target_broke_off failed before in the cases "inside an event, at its length" and "inside an event, with its last chunk": other bytes in "id: 1\ndata: event 1\n\nid: 2\nda". It passes now; the three other tests of the file pass on the old code as well.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -4,7 +4,7 @@
 use async_std::future::timeout;
 use async_std::prelude::FutureExt;
 use lycheeford_caller::ChunkSender;
-use lycheeford_policy::{Chosen, EVENT_BYTES_MAX, EventBoundary, TimeMs};
+use lycheeford_policy::{Chosen, EVENT_BYTES_MAX, EventBoundary, StatedContent, TimeMs};
 use lycheeford_target::{BodyEnd, TargetBody, TargetError};
 use slog::info;
 
@@ -149,6 +149,7 @@
 
     async fn relay_target(&mut self, started: StartedResponse) -> End {
         let StartedResponse { slot, response, sent_at, .. } = started;
+        let content = StatedContent::of(&response.headers);
         let mut body = response.body;
         let mut is_first = true;
         let mut is_paused = false;
@@ -181,7 +182,7 @@
                 Next::HungUp => return End::HungUp,
                 Next::HostStopping => return End::HostStopping,
                 Next::Chunk(Err(error)) => return End::Broken(error),
-                Next::Chunk(Ok(None)) if self.is_cut_short(body.end()) => {
+                Next::Chunk(Ok(None)) if self.is_cut_short(content, body.end()) => {
                     return End::Broken(TargetError::truncated());
                 }
                 Next::Chunk(Ok(None)) => {
@@ -221,11 +222,11 @@
 
     /// Returns whether a stream whose body has ended is incomplete.
     ///
-    /// If the end of the connection is the end of the body, the target may have crashed instead:
-    /// then the stream ends inside an event, or before the first one.
-    fn is_cut_short(&self, end: BodyEnd) -> bool {
+    /// A target that stops inside an event may still end its chunks properly. If the end of the
+    /// connection is the end of the body, the target may have crashed before the first event.
+    fn is_cut_short(&self, content: StatedContent, end: BodyEnd) -> bool {
         match end {
-            BodyEnd::Declared => false,
+            BodyEnd::Declared => content != StatedContent::Other && self.boundary.is_inside_event(),
             BodyEnd::Connection => {
                 let is_resumed_by_caller = self.attempts.admitted.request.resume_after.is_some();
                 let is_empty = self.boundary.events() == 0 && !is_resumed_by_caller;
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 //! - `log_cursor`: many hosts that receive the same changes at the same time.
 //! - `stream_versions`: streams that are resumed while targets of several software versions serve.
 //! - `event_boundary`: streams that break in the middle of an event, or never end one.
+//! - `stated_content`: answers to requests for streams that are none.
 
 mod adapter_planner;
 mod confirmation;
@@ -58,6 +59,7 @@
 mod shared_bucket;
 mod shared_watch;
 mod short_key;
+mod stated_content;
 mod store_absence;
 mod stream_versions;
 mod swap_planner;
@@ -97,6 +99,7 @@
 pub use self::shared_bucket::SharedBucket;
 pub use self::shared_watch::SharedWatch;
 pub use self::short_key::ShortKey;
+pub use self::stated_content::StatedContent;
 pub use self::store_absence::StoreAbsence;
 pub use self::stream_versions::{
     StreamKey, StreamVersion, StreamVersions, VersionKnowledge, combine_knowledge, stream_keepers,
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod order_lease;
 mod placement;
 mod rates;
+mod stated_content;
 mod stopping;
 mod stream_versions;
 mod streams;
