Answer a request whose handling panics

What callers saw: nothing. A panic while a request was handled dropped its connection, so that the caller got a bare close and couldn't tell whether the request had run, and the log said that the caller had left.

Cause: the future of a connection holds that of its request, and the executor catches the panic only around both.

Ruled out: the process ends by itself. The executor contains the panic of a task; the test's 64 panics leave the server running on the old code, too.

The panic is now caught around the service's own futures. The caller gets 502 with `ran: unknown`, and the connection closes, since half of the state of the request may be left. The gateway logs `request_panicked` with the request's id.

Evidence: a_handler_that_panics_ends_its_request_with_an_answer failed before (request 0: ""), passes now with all tests of the crate. A panic in the task of a stream that has begun still cuts the stream, which its missing last chunk shows.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -13,7 +13,7 @@
 };
 use lycheeford_policy::{Name, Refusal, RefusalCode};
 
-use crate::race::{unless_interrupted, with_timeout};
+use crate::race::{unless_interrupted, unless_panicked, with_timeout};
 use crate::request::bad_request;
 use crate::{CallerResponse, Service, Stop};
 
@@ -177,9 +177,10 @@
         };
         let body = body?;
         let (method, persistence) = (head.method, head.persistence);
-        match self.server.service.read(id.clone(), head, body).await {
-            Ok(request) => Ok((request, method, persistence)),
-            Err(refusal) => Err(Rejection::Framed(refusal, method, persistence)),
+        match unless_panicked(self.server.service.read(id.clone(), head, body)).await {
+            Some(Ok(request)) => Ok((request, method, persistence)),
+            Some(Err(refusal)) => Err(Rejection::Framed(refusal, method, persistence)),
+            None => Err(Rejection::Unframed(host_failed())),
         }
     }
 
@@ -230,9 +231,14 @@
         method: Method,
         persistence: Persistence,
     ) -> Next {
-        let answered = self.server.service.answer(request);
+        // A panic ends this request alone, and its caller gets a response.
+        let answered = unless_panicked(self.server.service.answer(request));
         match unless_interrupted(wait_for_disconnect(&mut self.reader), answered).await {
-            Some(response) => self.write(id, response, method, persistence).await,
+            Some(Some(response)) => self.write(id, response, method, persistence).await,
+            Some(None) => {
+                self.refuse(id, &host_failed()).await;
+                Next::End(End::Answered)
+            }
             None => Next::End(End::Abandoned),
         }
     }
@@ -363,6 +369,11 @@
     Refusal::not_run(RefusalCode::HostStopping, message, Some(RETRY_AFTER_MS))
 }
 
+fn host_failed() -> Refusal {
+    let message = "the host failed while it handled the request; report its id to the operator";
+    Refusal::unknown(RefusalCode::TargetFailed, message)
+}
+
 fn overloaded(message: &str) -> Refusal {
     Refusal::not_run(RefusalCode::Overloaded, message, Some(RETRY_AFTER_MS))
 }
--- a/crates/lycheeford-caller/src/race.rs
+++ b/crates/lycheeford-caller/src/race.rs
@@ -1,8 +1,10 @@
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
 use async_std::future;
 use async_std::prelude::FutureExt;
+use futures_util::FutureExt as _;
 
 /// Returns the output of `work`, or `None` if `interrupt` completes first.
 pub(crate) async fn unless_interrupted<T>(
@@ -21,3 +23,8 @@
 pub(crate) async fn with_timeout<T>(limit_ms: u64, work: impl Future<Output = T>) -> Option<T> {
     future::timeout(Duration::from_millis(limit_ms), work).await.ok()
 }
+
+/// Returns the output of `work`, or `None` if it panics.
+pub(crate) async fn unless_panicked<T>(work: impl Future<Output = T>) -> Option<T> {
+    AssertUnwindSafe(work).catch_unwind().await.ok()
+}
--- a/crates/lycheeford-caller/tests/common/mod.rs
+++ b/crates/lycheeford-caller/tests/common/mod.rs
@@ -110,6 +110,7 @@
                 whole_response(&"x".repeat(LARGE_BYTES))
             }
             "/stream" => self.stream(),
+            "/panic" => panic!("the handler panics on purpose"),
             "/abandon" => abandoned_stream().await,
             _ => whole_response(&describe(&request)),
         }
--- a/crates/lycheeford-caller/tests/hang_up.rs
+++ b/crates/lycheeford-caller/tests/hang_up.rs
@@ -73,6 +73,20 @@
     assert!(matches!(cancelled, Ok(Ok(()))), "{name}: the request wasn't cancelled");
 }
 
+#[test]
+fn a_handler_that_panics_ends_its_request_with_an_answer() {
+    let server = start(Bounds::default());
+    let request = b"GET /panic HTTP/1.1\r\nhost: h\r\n\r\n";
+    // More than the threads that run the connections.
+    for number in 0..64 {
+        let answer = server.exchange(request);
+        assert!(answer.starts_with("HTTP/1.1 502 "), "request {number}: {answer:?}");
+        assert!(answer.contains("\"ran\":\"unknown\""), "request {number}: {answer}");
+    }
+    let answer = server.exchange(b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+}
+
 #[test]
 fn an_aborted_stream_never_ends_cleanly() {
     let server = start(Bounds::default());
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -3,7 +3,7 @@
 use async_std::prelude::FutureExt;
 use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
 use lycheeford_policy::{Name, Ran, Refusal, TimeMs};
-use slog::{info, warn};
+use slog::{error, info, warn};
 
 use super::admission::admit;
 use super::answer::{Answered, answer, stream};
@@ -115,7 +115,8 @@
     }
 }
 
-/// Logs a caller that disconnects before its response, so that every request has a final log line.
+/// Logs a request that ends without a response, because its caller disconnects or its handling
+/// panics, so that every request has a final log line.
 struct DisconnectLog<'a> {
     state: &'a State,
     id: &'a Name,
@@ -125,10 +126,16 @@
 
 impl Drop for DisconnectLog<'_> {
     fn drop(&mut self) {
-        if !self.is_over {
+        if self.is_over {
+            return;
+        }
+        let total_ms = self.state.now().since_ms(self.arrived_at);
+        if std::thread::panicking() {
+            error!(self.state.log, "request_panicked";
+                "id" => self.id.as_str(), "total_ms" => total_ms);
+        } else {
             info!(self.state.log, "caller_left";
-                "id" => self.id.as_str(),
-                "total_ms" => self.state.now().since_ms(self.arrived_at));
+                "id" => self.id.as_str(), "total_ms" => total_ms);
         }
     }
 }
--- a/crates/lycheeford/src/log_command.rs
+++ b/crates/lycheeford/src/log_command.rs
@@ -29,7 +29,8 @@
     "target_pauses",
 ];
 /// The events that end a request.
-const END_EVENTS: [&str; 4] = ["answered", "refused", "stream_cut", "caller_left"];
+const END_EVENTS: [&str; 5] =
+    ["answered", "refused", "stream_cut", "caller_left", "request_panicked"];
 /// Fields that are left out of a line's details, because all lines have them or `trace` prints
 /// them separately.
 const COMMON_FIELDS: [&str; 6] = ["msg", "level", "ts", "host", "id", "version"];
@@ -162,6 +163,7 @@
         }
         "stream_cut" => format!("cut{customer}: {}", text("cause")),
         "caller_left" => "the caller left before an answer".to_owned(),
+        "request_panicked" => "its handling panicked; see the host's standard error".to_owned(),
         _ => format!("answered by {}", text("target")),
     }
 }
