Read on after a refusal until the caller has sent its body

What callers saw: a write error instead of 413 or 431. A caller that takes longer than a second to send what is refused, and reads only then, found its connection reset and reported a request that ended without an answer.

Cause: the server read for one second after its last answer, then closed the connection with unread bytes, which resets it.

Ruled out: a refusal of 429 or 503 is made after the whole body was read, except for the lack of memory and the end of a stopping host, which take the same way as 413.

It now reads on while bytes arrive with pauses under a second, for no longer than a body may take anyway (`body_ms_max`), so that a caller can't hold a connection for longer than before. After a stop it reads for one more second, so that lingering connections don't hold the stop up.

Evidence: a_caller_that_is_refused_while_it_sends_gets_the_refusal failed before ("piece 11: Broken pipe" in all three cases: a large body, the same with a SIGTERM at its start, a large head); now it passed in 3 of 3 runs of all of platform/tests/lost.rs, with all tests of lycheeford-caller.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -19,10 +19,8 @@
 
 /// How long an idle connection stays open after the stop, for a request that is in flight.
 const DRAIN_IDLE_MS: u64 = 1_000;
-/// How long a connection is read from after its write side was closed.
-///
-/// Closing it while the caller still sends would reset the connection, and the
-/// caller could lose the last response.
+/// How long a connection whose write side was closed waits for further bytes of the caller, and how
+/// long it is read from after the stop.
 const LINGER_MS: u64 = 1_000;
 /// Bytes of further requests that are read while a request is handled.
 const READ_AHEAD_BYTES_MAX: usize = 8 * 1024;
@@ -298,16 +296,27 @@
         written.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Closes the write side, and reads what the caller still sends, for no longer than it may take
+    /// to send a body.
+    ///
+    /// Closing the connection while the caller sends would reset it, and the caller could lose the
+    /// last response.
     async fn linger(&mut self) {
         let _ = self.writer.shutdown(Shutdown::Write);
-        let mut discarded = Vec::new();
-        let stream = &mut self.writer;
-        let drain = async {
-            while let Ok(1..) = read_some(stream, &mut discarded).await {
-                discarded.clear();
-            }
-        };
-        with_timeout(LINGER_MS, drain).await;
+        let stop = self.server.stop.clone();
+        let body_ms_max = self.server.service.bounds().body_ms_max;
+        let discarding = with_timeout(body_ms_max, discard(&mut self.writer));
+        if unless_interrupted(stop.triggered(), discarding).await.is_none() {
+            with_timeout(LINGER_MS, discard(&mut self.writer)).await;
+        }
+    }
+}
+
+/// Reads and discards bytes until the caller closes its side or pauses.
+async fn discard(stream: &mut TcpStream) {
+    let mut discarded = Vec::new();
+    while let Some(Ok(1..)) = with_timeout(LINGER_MS, read_some(stream, &mut discarded)).await {
+        discarded.clear();
     }
 }
 
