Never send a request twice over one connection

What callers saw: 503 with the promise that the request hadn't run, though it ran (REFUSED), or the request ran twice (TWICE).

Cause: an answer is attributed to a request by the id that the target repeats. A request that a target rejected may be sent to the same target again, with the same id and over the same pooled connection. If the target writes its first refusal once more after it has begun to run the second send, that copy has the right id: the host took it for the answer to the second send, and sent the request a third time or refused it as not run.

A connection now remembers the ids that it carried (hashes, 64 at most, 512 bytes), and the pool passes it over for a request that it has carried; other requests use it on. A connection that carried 64 requests is closed instead of pooled, so that what is remembered is always complete: one new connection in 64 requests. A copy on another connection than that of the send that it answers can't be read as the answer to a later send.

Ruled out: refusals whose id differs are skipped as before; a request that is sent to another target after a failure had a connection of its own before, too.

--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -59,7 +59,7 @@
         request: &TargetRequest,
     ) -> Result<TargetResponse, TargetError> {
         let encoded = request.to_http(address)?;
-        let mut link = self.link(address, request.connection).await?;
+        let mut link = self.link(address, request).await?;
         let first_byte_ms_max = request.first_byte_ms_max.unwrap_or(self.limits.first_byte_ms_max);
         let expected = ExpectedAnswer { method: request.method, echo: request.echo.as_ref() };
         let (mut head, sent) =
@@ -153,16 +153,21 @@
         }
     }
 
-    async fn link(&self, address: SocketAddr, connection: Connection) -> Result<Link, TargetError> {
-        let pooled = match connection {
-            Connection::Pooled => self.pool.take(address),
+    async fn link(
+        &self,
+        address: SocketAddr,
+        request: &TargetRequest,
+    ) -> Result<Link, TargetError> {
+        let id = request.echo.as_ref().map(|(_, id)| id.as_str());
+        let pooled = match request.connection {
+            Connection::Pooled => self.pool.take(address, id),
             Connection::Fresh | Connection::Revocable => None,
         };
         let mut link = match pooled {
             Some(link) => link,
             None => Link::open(address, &self.limits).await?,
         };
-        if connection == Connection::Revocable {
+        if request.connection == Connection::Revocable {
             link.reset_when_dropped()?;
         }
         Ok(link)
--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -15,6 +15,7 @@
 use rustix::io::Errno;
 use rustix::net::{self, sockopt};
 
+use crate::carried::CarriedIds;
 use crate::error::Code;
 use crate::limits::{KEEP_ALIVE_INTERVAL_S, user_timeout_ms};
 use crate::{TargetError, TargetLimits};
@@ -65,6 +66,7 @@
     reader: MessageReader<TcpStream>,
     writer: TcpStream,
     close_mode: CloseMode,
+    carried: CarriedIds,
 }
 
 /// What happens to undelivered bytes when a connection is dropped.
@@ -94,7 +96,8 @@
                 .map_err(|source| Code::Connect { source })?;
         }
         let reader = MessageReader::new(stream.clone());
-        Ok(Link { reader, writer: stream, close_mode: CloseMode::Close })
+        let carried = CarriedIds::default();
+        Ok(Link { reader, writer: stream, close_mode: CloseMode::Close, carried })
     }
 
     /// Makes the kernel reset the connection and discard undelivered bytes when this is dropped.
@@ -122,6 +125,16 @@
         self.reader.buffered_bytes() == 0 && self.reader.fill().now_or_never().is_none()
     }
 
+    /// Returns whether the connection has carried a request with the id.
+    pub(crate) fn has_carried(&self, id: &str) -> bool {
+        self.carried.contains(id)
+    }
+
+    /// Returns whether the connection has carried as many requests as it may.
+    pub(crate) fn is_worn_out(&self) -> bool {
+        self.carried.is_full()
+    }
+
     /// Sends a request and receives the final head of its answer.
     ///
     /// A target may answer before it has read the whole request, so the request is sent and the
@@ -133,7 +146,10 @@
         first_byte_ms_max: u64,
         limits: &TargetLimits,
     ) -> Result<(ResponseHead, Sent), TargetError> {
-        let Link { reader, writer, .. } = self;
+        let Link { reader, writer, carried, .. } = self;
+        if let Some((_, id)) = expected.echo {
+            carried.record(id);
+        }
         let sending = pin!(send(writer, request, limits.between_bytes_ms_max));
         let receiving = pin!(receive_head(reader, expected, first_byte_ms_max, limits));
         match select(sending, receiving).await {
--- a/crates/lycheeford-target/src/pool.rs
+++ b/crates/lycheeford-target/src/pool.rs
@@ -66,10 +66,11 @@
     /// Removes and returns a connection to `address` that hasn't expired and can be reused.
     ///
     /// Bytes after the last answer would be read as the next answer, so a
-    /// connection with any is closed instead.
-    pub(crate) fn take(&self, address: SocketAddr) -> Option<Link> {
+    /// connection with any is closed instead. A connection that has carried the
+    /// request with this id stays in the pool for other requests.
+    pub(crate) fn take(&self, address: SocketAddr, id: Option<&str>) -> Option<Link> {
         loop {
-            let mut idle = self.pop(address)?;
+            let mut idle = self.remove_last(address, id)?;
             if idle.is_unexpired() && idle.link.is_reusable() {
                 return Some(idle.link);
             }
@@ -79,8 +80,12 @@
     /// Adds a connection whose last answer was read completely.
     ///
     /// It expires after `idle_ms_max` or the pool's own limit, whichever is shorter.
-    /// Closes it instead if the pool already holds the most connections to the target.
+    /// Closes it instead if it has carried as many requests as it may, or if the pool already holds
+    /// the most connections to the target.
     pub(crate) fn put(&self, address: SocketAddr, link: Link, idle_ms_max: u64) {
+        if link.is_worn_out() {
+            return;
+        }
         let mut table = lock(&self.table);
         let limit = self.idle_max.min(Duration::from_millis(idle_ms_max));
         let idle = IdleConnection { link, since: Instant::now(), limit };
@@ -95,14 +100,17 @@
         }
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<IdleConnection> {
+    fn remove_last(&self, address: SocketAddr, id: Option<&str>) -> Option<IdleConnection> {
         let mut table = lock(&self.table);
-        let index = table.position(address).ok()?;
-        let idle = table.targets[index].idle.pop();
-        if table.targets[index].idle.is_empty() {
-            table.targets.remove(index);
+        let target = table.position(address).ok()?;
+        let connections = &mut table.targets[target].idle;
+        let is_usable = |idle: &IdleConnection| id.is_none_or(|id| !idle.link.has_carried(id));
+        let last = connections.iter().rposition(is_usable)?;
+        let idle = connections.remove(last);
+        if connections.is_empty() {
+            table.targets.remove(target);
         }
-        idle
+        Some(idle)
     }
 }
 
--- a/crates/lycheeford-target/src/request.rs
+++ b/crates/lycheeford-target/src/request.rs
@@ -21,7 +21,8 @@
     /// The name and value of a request header that the target may repeat in its answer.
     ///
     /// An answer with another value belongs to an earlier request on the same
-    /// connection and is skipped.
+    /// connection and is skipped. A pooled connection that has carried a request
+    /// with the same value isn't used.
     pub echo: Option<(String, String)>,
     /// The complete body.
     pub body: Vec<u8>,
--- a/crates/lycheeford-target/tests/pool.rs
+++ b/crates/lycheeford-target/tests/pool.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_target::{Category, Connection, TargetClient, TargetLimits};
+use lycheeford_target::{Category, Connection, TargetClient, TargetLimits, TargetRequest};
 
 use crate::common::{get, read_request, short_limits, target};
 
@@ -28,6 +28,17 @@
     }
 }
 
+/// Answers each request with its id and the index of its connection.
+fn answer_with_id(index: usize, mut stream: TcpStream) {
+    while let Some(request) = read_request(&mut stream) {
+        let id = request.lines().find(|line| line.starts_with("x-id: ")).unwrap_or_default();
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n{id}\r\n\r\n{index}");
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
 struct Case {
     name: &'static str,
     first: Connection,
@@ -75,6 +86,29 @@
     }
 }
 
+/// Guards against the answer to an earlier send of a request being taken for that to a later one:
+/// both have the same id.
+#[test]
+fn a_connection_carries_no_request_twice() {
+    let address = target(answer_with_id);
+    let client = TargetClient::new(TargetLimits::default());
+    let cases = [("a", "0"), ("a", "1"), ("b", "1"), ("b", "0"), ("a", "2"), ("c", "2")];
+    for (step, (id, connection)) in cases.into_iter().enumerate() {
+        assert_eq!(call_with_id(&client, address, id), connection, "step {step}, request {id}");
+    }
+}
+
+#[test]
+fn a_connection_is_replaced_after_as_many_requests_as_ids_are_kept() {
+    const REQUESTS_PER_CONNECTION: usize = 64;
+    let address = target(answer_with_id);
+    let client = TargetClient::new(TargetLimits::default());
+    for number in 0..3 * REQUESTS_PER_CONNECTION {
+        let expected = (number / REQUESTS_PER_CONNECTION).to_string();
+        assert_eq!(call_with_id(&client, address, &number.to_string()), expected, "{number}");
+    }
+}
+
 #[test]
 fn surplus_bytes_are_never_taken_for_the_next_answer() {
     for delay in [Duration::ZERO, Duration::from_millis(50)] {
@@ -177,8 +211,20 @@
 }
 
 fn call(client: &TargetClient, address: SocketAddr, path: &str, connection: Connection) -> String {
+    body(client, address, &get(path, connection))
+}
+
+/// Calls the target with an id that it repeats in its answer.
+fn call_with_id(client: &TargetClient, address: SocketAddr, id: &str) -> String {
+    let mut request = get("/", Connection::Pooled);
+    request.headers.push(("x-id".to_owned(), id.to_owned()));
+    request.echo = Some(("x-id".to_owned(), id.to_owned()));
+    body(client, address, &request)
+}
+
+fn body(client: &TargetClient, address: SocketAddr, request: &TargetRequest) -> String {
     task::block_on(async {
-        let response = client.call(address, &get(path, connection)).await.unwrap();
+        let response = client.call(address, request).await.unwrap();
         String::from_utf8(response.body.collect(1_000).await.unwrap()).unwrap()
     })
 }
