--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -15,6 +15,7 @@
 use rustix::io::Errno;
 use rustix::net::{self, sockopt};
 
+use crate::carried::CarriedIds;
 use crate::error::Code;
 use crate::limits::{KEEP_ALIVE_INTERVAL_S, user_timeout_ms};
 use crate::{TargetError, TargetLimits};
@@ -66,6 +67,7 @@
     writer: TcpStream,
     close_mode: CloseMode,
     exchange: Exchange,
+    carried: CarriedIds,
 }
 
 /// Whether a request was written whose complete answer hasn't been received.
@@ -107,6 +109,7 @@
             writer: stream,
             close_mode: CloseMode::Close,
             exchange: Exchange::Finished,
+            carried: CarriedIds::default(),
         })
     }
 
@@ -136,6 +139,16 @@
         self.reader.buffered_bytes() == 0 && self.reader.fill().now_or_never().is_none()
     }
 
+    /// Returns whether the connection has carried a request with the id.
+    pub(crate) fn has_carried(&self, id: &str) -> bool {
+        self.carried.contains(id)
+    }
+
+    /// Returns whether the connection has carried as many requests as it may.
+    pub(crate) fn is_worn_out(&self) -> bool {
+        self.carried.is_full()
+    }
+
     /// Sends a request and receives the final head of its answer.
     ///
     /// A target may answer before it has read the whole request, so the request is sent and the
@@ -148,7 +161,10 @@
         limits: &TargetLimits,
     ) -> Result<(ResponseHead, Sent), TargetError> {
         self.exchange = Exchange::Unfinished;
-        let Link { reader, writer, .. } = self;
+        let Link { reader, writer, carried, .. } = self;
+        if let Some((_, id)) = expected.echo {
+            carried.record(id);
+        }
         let sending = pin!(send(writer, request, limits.between_bytes_ms_max));
         let receiving = pin!(receive_head(reader, expected, first_byte_ms_max, limits));
         match select(sending, receiving).await {
