Don't send a stream without ids to another target after its events

Cause: a broken stream on a resumable route was sent to the next target after the last id that was seen. If the last event had no id, that was an earlier one or none, so that the target sent that event, or all, again. Such a stream is now broken off, and isn't moved while it stalls. An empty id counts as none.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -86,7 +86,10 @@
                     let is_past_deadline = self.is_past_deadline();
                     self.attempts.record_broken(&chosen, &error, self.boundary.events());
                     self.log_cut(&error.to_string(), &chosen.id);
-                    if is_past_deadline || !self.attempts.take_retry() {
+                    if is_past_deadline
+                        || !self.boundary.is_resumable()
+                        || !self.attempts.take_retry()
+                    {
                         return;
                     }
                     self.attempts.exclude(&chosen);
@@ -250,7 +253,7 @@
                 "id" => self.attempts.admitted.request.id.as_str(),
                 "target" => chosen.id.as_str(), "events" => self.boundary.events());
         }
-        if self.attempts.can_retry() {
+        if self.boundary.is_resumable() && self.attempts.can_retry() {
             self.attempts.exclude(chosen);
             let outcome = self.next_or_slot(body).await;
             if !matches!(outcome, StallOutcome::OtherSlot(_)) {
--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -26,6 +26,8 @@
     /// Whether the incomplete event has a line that is not a comment.
     has_field: bool,
     last_id: Option<String>,
+    /// Whether the last complete event had no id.
+    is_last_unnamed: bool,
     events: u64,
     /// Bytes since the last complete event, including comments.
     since_event_bytes: usize,
@@ -45,6 +47,7 @@
                 whole_bytes = end + 1;
                 if std::mem::take(&mut self.has_field) {
                     self.events += 1;
+                    self.is_last_unnamed = self.pending_id.is_none();
                     self.since_event_bytes = self.pending.len() - whole_bytes;
                 }
                 if self.pending_id.is_some() {
@@ -90,6 +93,14 @@
         self.last_id.as_deref()
     }
 
+    /// Returns whether the stream can go on after its last complete event.
+    ///
+    /// It can't after an event without an id: a target that is told an earlier id, or none, sends
+    /// that event again.
+    pub fn is_resumable(&self) -> bool {
+        !self.is_last_unnamed
+    }
+
     /// Returns the number of complete events; comments alone do not count as events.
     pub fn events(&self) -> u64 {
         self.events
@@ -103,5 +114,5 @@
 fn event_id(line: &[u8]) -> Option<String> {
     let value = line.strip_prefix(b"id:")?;
     let value = value.strip_prefix(b" ").unwrap_or(value);
-    std::str::from_utf8(value).ok().map(str::to_owned)
+    std::str::from_utf8(value).ok().filter(|id| !id.is_empty()).map(str::to_owned)
 }
--- a/crates/lycheeford-policy/tests/gateway/streams.rs
+++ b/crates/lycheeford-policy/tests/gateway/streams.rs
@@ -130,3 +130,34 @@
         assert_eq!(boundary.is_inside_event(), is_inside_event, "{what}");
     }
 }
+
+#[test]
+fn a_stream_goes_on_only_after_an_event_with_an_id() {
+    struct Case {
+        what: &'static str,
+        bytes: &'static str,
+        is_resumable: bool,
+    }
+    let cases = [
+        Case { what: "nothing", bytes: "", is_resumable: true },
+        Case { what: "a part of an event", bytes: "data: ice\n", is_resumable: true },
+        Case { what: "an event with an id", bytes: "id: 1\ndata: ice\n\n", is_resumable: true },
+        Case { what: "an event without an id", bytes: "data: ice\n\n", is_resumable: false },
+        Case { what: "an empty id", bytes: "id:\ndata: ice\n\n", is_resumable: false },
+        Case {
+            what: "an event without an id after one",
+            bytes: "id: 1\ndata: ice\n\ndata: ice\n\n",
+            is_resumable: false,
+        },
+        Case {
+            what: "a comment after an event with an id",
+            bytes: "id: 1\ndata: ice\n\n: ice\n\n",
+            is_resumable: true,
+        },
+    ];
+    for Case { what, bytes, is_resumable } in cases {
+        let mut boundary = EventBoundary::default();
+        boundary.push(bytes.as_bytes());
+        assert_eq!(boundary.is_resumable(), is_resumable, "{what}");
+    }
+}
