Pass on nothing of the next target's answer but the rest of the stream

Cause: any 200 of the next target was taken for the rest of the stream. Blocks between empty lines passed as events whatever they held, the bytes after the last one were passed on at a declared end, and ids weren't compared. An answer that ended at once with its connection counted as complete if the caller had resumed the stream. A 4xx of the next target ended the stream although others could go on with it.

Now an answer that resumes a stream, by this host or with the caller's Last-Event-Id, is passed on only as far as each line is a field or a comment, each event has an id after the last one, and the first follows the last one without a gap if the ids before had none (EventBoundary, EventOrder). From the first fault on the target counts as broken off: the stream goes on at another one, or is broken off. The same holds for an answer that states another content than events, for other statuses, and for an empty answer that ends with its connection, after which nobody knows whether events are missing.

What the first target sends is still passed on whatever it is, as its whole answer. A caller names one id, so that a gap right after it isn't found.

Ruled out: 500, 503 with and without Not-Executed never got into a stream; other Weight-Versions go on as before.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -59,10 +59,12 @@
 impl Relay {
     pub(super) fn new(attempts: Attempts, sender: ChunkSender) -> Relay {
         let resume_after = attempts.admitted.request.resume_after.clone();
+        let is_resumable = attempts.admitted.route.kind.is_repeatable();
+        let boundary = resume_after.clone().filter(|_| is_resumable);
         Relay {
             attempts,
             sender,
-            boundary: EventBoundary::default(),
+            boundary: boundary.map(EventBoundary::resumed_after).unwrap_or_default(),
             resume_after,
             first_at: None,
             sent_bytes: 0,
@@ -113,10 +115,29 @@
     }
 
     /// Resumes the stream at another target after the last event sent to the caller.
-    async fn resume(&mut self, slot: Option<Slot>) -> Option<StartedResponse> {
+    async fn resume(&mut self, mut slot: Option<Slot>) -> Option<StartedResponse> {
+        self.boundary.resume();
+        loop {
+            let resumed = self.send_rest(slot.take()).await?;
+            let status = resumed.response.status;
+            let target = &resumed.slot.chosen;
+            if status == 200 && resumed.reply == Reply::Ran {
+                info!(self.attempts.state.log, "stream_resumed";
+                    "id" => self.attempts.admitted.request.id.as_str(),
+                    "target" => target.id.as_str(), "after" => self.resume_after.as_deref());
+                return Some(resumed);
+            }
+            self.log_cut(&format!("the next target answered {status}"), &target.id);
+            if !self.attempts.take_retry() {
+                return None;
+            }
+            self.attempts.exclude(target);
+        }
+    }
+
+    /// Requests the rest of the stream from another target.
+    async fn send_rest(&mut self, slot: Option<Slot>) -> Option<StartedResponse> {
         let resume_after = self.resume_after.clone();
-        // The next target sends an incomplete event again from its start.
-        self.boundary = EventBoundary::default();
         let sending = async {
             let resume_after = resume_after.as_deref();
             Some(match slot {
@@ -128,31 +149,25 @@
             self.sender.caller_disconnected().await;
             None
         };
-        let resumed = match sending.race(hung_up).await {
-            Some(Ok(resumed)) => resumed,
+        match sending.race(hung_up).await {
+            Some(Ok(resumed)) => Some(resumed),
             Some(Err(refusal)) => {
                 self.log_cut(&format!("no other target can resume: {}", refusal.message), "");
-                return None;
+                None
             }
             None => {
                 self.log_cut("caller left", "");
-                return None;
+                None
             }
-        };
-        if resumed.response.status != 200 || resumed.reply != Reply::Ran {
-            let cause = format!("the next target answered {}", resumed.response.status);
-            self.log_cut(&cause, &resumed.slot.chosen.id);
-            return None;
         }
-        info!(self.attempts.state.log, "stream_resumed";
-            "id" => self.attempts.admitted.request.id.as_str(),
-            "target" => resumed.slot.chosen.id.as_str(), "after" => resume_after);
-        Some(resumed)
     }
 
     async fn relay_target(&mut self, started: StartedResponse) -> End {
         let StartedResponse { slot, response, sent_at, .. } = started;
         let content = StatedContent::of(&response.headers);
+        if self.boundary.is_resumed() && content == StatedContent::Other {
+            return End::Broken(TargetError::invalid_stream("the answer isn't one"));
+        }
         let mut body = response.body;
         let mut is_first = true;
         let mut is_paused = false;
@@ -201,7 +216,7 @@
             if self.boundary.is_endless() {
                 return End::Broken(TargetError::event_too_large(EVENT_BYTES_MAX));
             }
-            if whole.is_empty() {
+            if whole.is_empty() && self.boundary.fault().is_none() {
                 continue;
             }
             let is_progress = self.boundary.events() > events_before;
@@ -216,6 +231,9 @@
             if !self.send(whole).await {
                 return End::HungUp;
             }
+            if let Some(fault) = self.boundary.fault() {
+                return End::Broken(TargetError::invalid_stream(&fault.to_string()));
+            }
             if is_progress {
                 is_paused = false;
                 progress_at = self.attempts.state.now();
@@ -230,11 +248,7 @@
     fn is_cut_short(&self, content: StatedContent, end: BodyEnd) -> bool {
         match end {
             BodyEnd::Declared => content != StatedContent::Other && self.boundary.is_inside_event(),
-            BodyEnd::Connection => {
-                let is_resumed_by_caller = self.attempts.admitted.request.resume_after.is_some();
-                let is_empty = self.boundary.events() == 0 && !is_resumed_by_caller;
-                is_empty || self.boundary.is_inside_event()
-            }
+            BodyEnd::Connection => self.boundary.events() == 0 || self.boundary.is_inside_event(),
         }
     }
 
--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -1,3 +1,5 @@
+use super::event_order::{EventFault, EventOrder};
+
 /// Maximum number of bytes within which an event must end. Comments count as well, since they may
 /// also continue without end.
 pub const EVENT_BYTES_MAX: usize = 256 * 1024;
@@ -5,7 +7,9 @@
 /// Finds the boundaries of complete events in a stream, without changing a byte.
 ///
 /// A target may stop in the middle of an event. Only complete events are passed on, so that a
-/// stream can resume at another target after the last of them.
+/// stream can resume at another target after the last of them. What that target sends is passed on
+/// only if it continues the stream; it may also be the text of an error, or the stream from its
+/// start.
 ///
 /// ```
 /// use lycheeford_policy::EventBoundary;
@@ -23,9 +27,11 @@
     scanned: usize,
     line_start: usize,
     pending_id: Option<String>,
-    /// Whether the incomplete event has a line that is not a comment.
-    has_field: bool,
-    last_id: Option<String>,
+    pending_fields: PendingFields,
+    order: EventOrder,
+    /// Whether another target, or another host, sent the events so far.
+    is_resumed: bool,
+    fault: Option<EventFault>,
     /// Whether the last complete event had no id.
     is_last_unnamed: bool,
     events: u64,
@@ -34,8 +40,26 @@
 }
 
 impl EventBoundary {
+    /// Returns the boundary of a stream of which the caller has the events up to `last_id`.
+    pub fn resumed_after(last_id: String) -> EventBoundary {
+        let order = EventOrder::resumed_after(last_id);
+        EventBoundary { order, is_resumed: true, ..EventBoundary::default() }
+    }
+
+    /// Begins with the bytes of another target, which sends an incomplete event again.
+    pub fn resume(&mut self) {
+        let mut order = std::mem::take(&mut self.order);
+        order.resume();
+        *self = EventBoundary { order, is_resumed: true, ..EventBoundary::default() };
+    }
+
     /// Adds bytes and returns those of the events that are now complete.
+    ///
+    /// Nothing is returned from the first fault on; see [`EventBoundary::fault`].
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        if self.fault.is_some() {
+            return Vec::new();
+        }
         self.pending.extend_from_slice(bytes);
         self.since_event_bytes += bytes.len();
         let mut whole_bytes = 0;
@@ -43,19 +67,24 @@
         {
             let end = self.scanned + offset;
             let line = trim_carriage_return(&self.pending[self.line_start..end]);
-            if line.is_empty() {
-                whole_bytes = end + 1;
-                if std::mem::take(&mut self.has_field) {
-                    self.events += 1;
-                    self.is_last_unnamed = self.pending_id.is_none();
-                    self.since_event_bytes = self.pending.len() - whole_bytes;
+            let kind = LineKind::of(line);
+            self.fault = self.line_fault(kind);
+            if self.fault.is_some() {
+                break;
+            }
+            match kind {
+                LineKind::End => {
+                    whole_bytes = end + 1;
+                    self.end_event(self.pending.len() - whole_bytes);
                 }
-                if self.pending_id.is_some() {
-                    self.last_id = self.pending_id.take();
+                LineKind::Comment => {}
+                LineKind::EventField => {
+                    self.pending_fields = PendingFields::OfEvent;
+                    self.pending_id = event_id(line).or(self.pending_id.take());
+                }
+                LineKind::OtherField | LineKind::Other => {
+                    self.pending_fields = self.pending_fields.max(PendingFields::Other);
                 }
-            } else {
-                self.has_field |= !line.starts_with(b":");
-                self.pending_id = event_id(line).or(self.pending_id.take());
             }
             self.scanned = end + 1;
             self.line_start = end + 1;
@@ -67,12 +96,45 @@
         std::mem::replace(&mut self.pending, rest)
     }
 
+    /// Returns why the bytes after the last complete event don't continue the stream, if they
+    /// don't.
+    ///
+    /// Only resumed streams are checked: what the first target sends is the response, whatever it
+    /// is.
+    pub fn fault(&self) -> Option<EventFault> {
+        self.fault
+    }
+
+    fn line_fault(&self, kind: LineKind) -> Option<EventFault> {
+        if !self.is_resumed {
+            return None;
+        }
+        match (kind, self.pending_fields) {
+            (LineKind::Other, _) => Some(EventFault::Line),
+            (LineKind::End, PendingFields::Other) => Some(EventFault::Fields),
+            (LineKind::End, PendingFields::OfEvent) => self.order.fault(self.pending_id.as_deref()),
+            (LineKind::End, PendingFields::None)
+            | (LineKind::Comment | LineKind::EventField | LineKind::OtherField, _) => None,
+        }
+    }
+
+    fn end_event(&mut self, later_bytes: usize) {
+        let id = self.pending_id.take();
+        if std::mem::take(&mut self.pending_fields) == PendingFields::None {
+            return;
+        }
+        self.events += 1;
+        self.is_last_unnamed = id.is_none();
+        self.since_event_bytes = later_bytes;
+        self.order.passed(id);
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Vec<u8> {
         self.scanned = 0;
         self.line_start = 0;
         self.pending_id = None;
-        self.has_field = false;
+        self.pending_fields = PendingFields::None;
         self.since_event_bytes = 0;
         std::mem::take(&mut self.pending)
     }
@@ -80,7 +142,7 @@
     /// Returns whether the bytes so far end inside an event; comments belong to none.
     pub fn is_inside_event(&self) -> bool {
         let line = &self.pending[self.line_start..];
-        self.has_field || !(line.is_empty() || line.starts_with(b":"))
+        self.pending_fields != PendingFields::None || !(line.is_empty() || line.starts_with(b":"))
     }
 
     /// Returns whether no event ended within [`EVENT_BYTES_MAX`] bytes.
@@ -88,9 +150,14 @@
         self.since_event_bytes > EVENT_BYTES_MAX
     }
 
+    /// Returns whether another target, or another host, sent the events so far.
+    pub fn is_resumed(&self) -> bool {
+        self.is_resumed
+    }
+
     /// Returns the id of the last complete event that had one.
     pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+        self.order.last_id()
     }
 
     /// Returns whether the stream can go on after its last complete event.
@@ -107,6 +174,48 @@
     }
 }
 
+/// The fields of an incomplete event; comments are none.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum PendingFields {
+    #[default]
+    None,
+    /// Only lines that readers of events ignore.
+    Other,
+    OfEvent,
+}
+
+/// What a line is within a stream of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LineKind {
+    /// The empty line that ends an event.
+    End,
+    /// A comment, or a field that belongs to no event.
+    Comment,
+    /// A field that only events have.
+    EventField,
+    /// A field with another name, which readers of events ignore.
+    OtherField,
+    /// No field at all, such as a line of a text, of HTML, or the first of a response's head.
+    Other,
+}
+
+impl LineKind {
+    fn of(line: &[u8]) -> LineKind {
+        let name_bytes = line.iter().position(|&byte| byte == b':').unwrap_or(line.len());
+        match &line[..name_bytes] {
+            b"" if line.is_empty() => LineKind::End,
+            b"" | b"retry" => LineKind::Comment,
+            b"data" | b"event" | b"id" => LineKind::EventField,
+            name if name.iter().copied().all(is_name_byte) => LineKind::OtherField,
+            _ => LineKind::Other,
+        }
+    }
+}
+
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_')
+}
+
 fn trim_carriage_return(line: &[u8]) -> &[u8] {
     line.strip_suffix(b"\r").unwrap_or(line)
 }
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 //! - `log_cursor`: many hosts that receive the same changes at the same time.
 //! - `stream_versions`: streams that are resumed while targets of several software versions serve.
 //! - `event_boundary`: streams that break in the middle of an event, or never end one.
+//! - `event_order`: targets that resume a stream with an error, or elsewhere than after its last event.
 //! - `stated_content`: answers to requests for streams that are none.
 
 mod adapter_planner;
@@ -42,6 +43,7 @@
 mod demand_table;
 mod deployment;
 mod event_boundary;
+mod event_order;
 mod host_table;
 mod log_cursor;
 mod order_lease;
@@ -80,6 +82,7 @@
     RateUnit, RatedCustomer, RouteKind, ServiceRoute, TargetService, WeightedService,
 };
 pub use self::event_boundary::{EVENT_BYTES_MAX, EventBoundary};
+pub use self::event_order::EventFault;
 pub use self::host_table::{HostRecord, HostSign, HostTable, KnownHost, PEER_ALIVE_MS, PeerState};
 pub use self::log_cursor::LogCursor;
 pub use self::order_lease::{LeaseExpect, LeaseRecord, LeaseStep, OrderLease};
--- a/crates/lycheeford-policy/tests/gateway/streams.rs
+++ b/crates/lycheeford-policy/tests/gateway/streams.rs
@@ -1,6 +1,6 @@
 //! Only whole events are passed on, wherever the stream of bytes is split.
 
-use lycheeford_policy::{EVENT_BYTES_MAX, EventBoundary};
+use lycheeford_policy::{EVENT_BYTES_MAX, EventBoundary, EventFault};
 use proptest::prelude::*;
 
 struct EventCase {
@@ -161,3 +161,127 @@
         assert_eq!(boundary.is_resumable(), is_resumable, "{what}");
     }
 }
+
+struct ResumedCase {
+    what: &'static str,
+    /// The events of the first target.
+    before: &'static str,
+    resumed: &'static str,
+    /// What is passed on of the bytes of the next target.
+    passed: &'static str,
+    fault: Option<EventFault>,
+}
+
+/// Guards against the text or head of an error within a stream, and against events that are missing
+/// or come twice.
+#[test]
+fn a_resumed_stream_holds_only_the_events_after_the_last() {
+    const TWO: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let resumed =
+        |what, resumed, passed, fault| ResumedCase { what, before: TWO, resumed, passed, fault };
+    let all = |what, bytes| resumed(what, bytes, bytes, None);
+    let none = |what, bytes, fault| resumed(what, bytes, "", Some(fault));
+    let cases = [
+        all("the next events", "id: 3\ndata: c\n\nid: 4\n\n"),
+        all("nothing", ""),
+        all("comments and a retry time", ": here\n\nretry: 10\n\nid: 3\ndata: c\n\n"),
+        all("an event with a field of its own", "weight-versions: 2\nid: 3\ndata: c\n\n"),
+        all("lines that end with both", "id: 3\r\ndata: c\r\n\r\n"),
+        all("a gap after the first event", "id: 3\n\nid: 7\n\n"),
+        none("JSON", "{\"error\":\"full\"}\n\n", EventFault::Line),
+        none("HTML", "<html>\n<p>full</p>\n\n", EventFault::Line),
+        none("a sentence", "out of memory\n\n", EventFault::Line),
+        none("a word", "error\n\n", EventFault::Fields),
+        none("lines like headers", "error: full\n\n", EventFault::Fields),
+        none("a head", "HTTP/1.1 500 Any\r\nid: 3\r\n\r\n", EventFault::Line),
+        none("an event without an id", "data: full\n\n", EventFault::NoId),
+        none("the stream from its start", TWO, EventFault::Repeated),
+        none("the last event", "id: 2\ndata: b\n\n", EventFault::Repeated),
+        none("another kind of id", "id: x\ndata: c\n\n", EventFault::Repeated),
+        none("a later event", "id: 4\ndata: d\n\n", EventFault::Skipped),
+        resumed(
+            "a head after an event",
+            "id: 3\n\nHTTP/1.1 200 OK\r\n\r\nid: 4\n\n",
+            "id: 3\n\n",
+            Some(EventFault::Line),
+        ),
+        ResumedCase {
+            what: "a gap like those before",
+            before: "id: 1\n\nid: 4\n\n",
+            resumed: "id: 9\n\n",
+            passed: "id: 9\n\n",
+            fault: None,
+        },
+        ResumedCase {
+            what: "another id of a kind that has no order",
+            before: "id: x\n\n",
+            resumed: "id: a\n\n",
+            passed: "id: a\n\n",
+            fault: None,
+        },
+        ResumedCase {
+            what: "the same id of a kind that has no order",
+            before: "id: x\n\n",
+            resumed: "id: x\n\n",
+            passed: "",
+            fault: Some(EventFault::Repeated),
+        },
+        ResumedCase {
+            what: "a stream without ids that broke before its first event",
+            before: "",
+            resumed: "data: a\n\n",
+            passed: "data: a\n\n",
+            fault: None,
+        },
+        ResumedCase {
+            what: "an error before the first event",
+            before: "",
+            resumed: "out of memory\n\n",
+            passed: "",
+            fault: Some(EventFault::Line),
+        },
+    ];
+    for case in cases {
+        for piece_bytes in [1, 7, 1_000] {
+            let mut boundary = EventBoundary::default();
+            assert_eq!(boundary.push(case.before.as_bytes()), case.before.as_bytes());
+            boundary.resume();
+            let pieces = case.resumed.as_bytes().chunks(piece_bytes);
+            let passed: Vec<u8> = pieces.flat_map(|piece| boundary.push(piece)).collect();
+            assert_eq!(String::from_utf8(passed).unwrap(), case.passed, "{}", case.what);
+            assert_eq!(boundary.fault(), case.fault, "{}", case.what);
+        }
+    }
+}
+
+/// A caller names one id, so that this host doesn't know whether the ids before had gaps.
+#[test]
+fn a_stream_that_its_caller_resumes_holds_only_later_events() {
+    struct Case {
+        resumed: &'static str,
+        fault: Option<EventFault>,
+    }
+    let cases = [
+        Case { resumed: "id: 8\ndata: h\n\n", fault: None },
+        Case { resumed: "id: 9\ndata: i\n\n", fault: None },
+        Case { resumed: "id: 7\ndata: g\n\n", fault: Some(EventFault::Repeated) },
+        Case { resumed: "data: h\n\n", fault: Some(EventFault::NoId) },
+        Case { resumed: "full up\n\n", fault: Some(EventFault::Line) },
+    ];
+    for Case { resumed, fault } in cases {
+        let mut boundary = EventBoundary::resumed_after("7".to_owned());
+        let passed = boundary.push(resumed.as_bytes());
+        assert_eq!(boundary.fault(), fault, "{resumed}");
+        assert_eq!(passed.is_empty(), fault.is_some(), "{resumed}");
+    }
+}
+
+/// What the first target sends is the response, whatever it is.
+#[test]
+fn a_first_answer_is_not_judged() {
+    for bytes in ["out of memory\n\n", "data: a\nmore\n\n", "id: 2\n\nid: 1\n\n"] {
+        let mut boundary = EventBoundary::default();
+        assert_eq!(boundary.push(bytes.as_bytes()), bytes.as_bytes());
+        assert_eq!(boundary.fault(), None, "{bytes}");
+    }
+}
--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -28,6 +28,7 @@
             | Code::TooLarge { .. }
             | Code::SharedMemoryExhausted { .. }
             | Code::EventTooLarge { .. }
+            | Code::EventStream { .. }
             | Code::Json { .. }
             | Code::Field { .. }
             | Code::Status { .. }
@@ -62,6 +63,11 @@
         Code::Truncated.into()
     }
 
+    /// Returns the error of an answer that is no continuation of an event stream.
+    pub fn invalid_stream(what: &str) -> TargetError {
+        Code::EventStream { what: what.to_owned() }.into()
+    }
+
     /// Returns the error of a stream in which no event ended within `limit_bytes`.
     pub fn event_too_large(limit_bytes: usize) -> TargetError {
         Code::EventTooLarge { limit_bytes }.into()
@@ -146,6 +152,8 @@
         "no event ended within {limit_bytes} bytes of the stream; correct the target"
     ))]
     EventTooLarge { limit_bytes: usize },
+    #[snafu(display("the event stream is invalid: {what}; correct the target"))]
+    EventStream { what: String },
     #[snafu(display(
         "the answer isn't the expected JSON: {source}; check the version of the target"
     ))]
