Don't take an answer for whole after a reset that ended its request

What callers saw: 200 with a part of an answer. A target that answers without a length, before it has read a long body, and then closes its connection, resets it. The part of the answer that had arrived was passed on as the whole one.

Cause: the kernel reports a reset once per socket. If the write of the request got it, the read of the answer ended as after a regular close, and for an answer without a length that is its end. Stand-ins that reset a connection only after they have read the request don't show it.

Ruled out: answers with a length or in chunks. They are whole or short whichever call gets the error; 20 of 20 were passed on whole, both with the reset and without.

The client now fails such an answer with the error of the write, at both places at which sending may end after the head has arrived.

--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{Either, select};
 use futures_util::io::AsyncWriteExt;
 use http_types::{Method, Request};
-use lycheeford_http::{BodyDecoder, Category, MessageReader, ResponseHead, read_some};
+use lycheeford_http::{BodyDecoder, Category, Framing, MessageReader, ResponseHead, read_some};
 use rustix::io::Errno;
 use rustix::net::{self, sockopt};
 
@@ -139,16 +139,14 @@
         match select(sending, receiving).await {
             Either::Left((Ok(()), receiving)) => Ok((receiving.await?, Sent::Whole)),
             Either::Left((Err(error), receiving)) => match receiving.now_or_never() {
-                Some(Ok(head)) => Ok((head, Sent::Partly)),
+                Some(Ok(head)) => after_failed_send(head, error),
                 _ => Err(error),
             },
-            Either::Right((head, sending)) => {
-                let sent = match sending.now_or_never() {
-                    Some(Ok(())) => Sent::Whole,
-                    _ => Sent::Partly,
-                };
-                Ok((head?, sent))
-            }
+            Either::Right((head, sending)) => match sending.now_or_never() {
+                Some(Ok(())) => Ok((head?, Sent::Whole)),
+                Some(Err(error)) => after_failed_send(head?, error),
+                None => Ok((head?, Sent::Partly)),
+            },
         }
     }
 
@@ -175,6 +173,20 @@
     }
 }
 
+/// Returns the head of an answer that arrived although the request couldn't be sent completely.
+///
+/// The kernel reports a reset once. If sending failed of it, reading ends as after a regular close,
+/// so that an answer whose end is that of the connection may be truncated.
+fn after_failed_send(
+    head: ResponseHead,
+    error: TargetError,
+) -> Result<(ResponseHead, Sent), TargetError> {
+    match head.framing {
+        Framing::UntilClose => Err(error),
+        Framing::Empty | Framing::Length(_) | Framing::Chunked => Ok((head, Sent::Partly)),
+    }
+}
+
 async fn send(
     writer: &mut TcpStream,
     request: Request,
