Answer a caller that closes only its sending side

What callers saw: a bare close. A caller that shuts its sending side down after its request, as some clients do, lost its answer without a word.

Cause: a close of the sending side and a hang-up look the same until a write fails, and the server took both for a hang-up. Its request is cancelled, since a target must not go on for a caller that is gone; that stays, and docs/CALLERS.md says so. What changes: once the request is cancelled, a caller without an answer gets 502 with `ran: unknown`, which costs one write that nobody reads if the caller has hung up.

Weighed and not done: to go on until a write fails. A caller that hung up would keep its target at work for as long as the answer takes. To send an interim answer as a probe: clients that don't expect one may fail on it.

Such answers are neither logged as refused nor counted, since most have no reader; the gateway logs `caller_left` as before. For that `Service::refuse` only makes the answer, and `Service::refused` records it.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -124,7 +124,7 @@
                 Next::End(End::Answered)
             }
             Err(Rejection::Framed(refusal, method, persistence)) => {
-                let response = self.server.service.refuse(&id, &refusal);
+                let response = self.refusal(&id, &refusal);
                 self.write(&id, response, method, persistence).await
             }
         }
@@ -237,15 +237,24 @@
                 self.refuse(id, &host_failed()).await;
                 Next::End(End::Answered)
             }
-            None => Next::End(End::Abandoned),
+            // If the caller only closed its sending side, it still reads.
+            None => {
+                let response = self.server.service.refuse(id, &sending_side_closed());
+                self.write(id, response, method, Persistence::Close).await
+            }
         }
     }
 
     async fn refuse(&mut self, id: &Name, refusal: &Refusal) {
-        let response = self.server.service.refuse(id, refusal);
+        let response = self.refusal(id, refusal);
         self.write(id, response, Method::Get, Persistence::Close).await;
     }
 
+    fn refusal(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
+        self.server.service.refused(id, refusal);
+        self.server.service.refuse(id, refusal)
+    }
+
     async fn write(
         &mut self,
         id: &Name,
@@ -378,6 +387,12 @@
     Refusal::not_run(RefusalCode::HostStopping, message, Some(RETRY_AFTER_MS))
 }
 
+fn sending_side_closed() -> Refusal {
+    let message = "the caller closed its sending side, which cancels its request; keep it open \
+                   until the answer is whole";
+    Refusal::unknown(RefusalCode::TargetFailed, message)
+}
+
 fn host_failed() -> Refusal {
     let message = "the host failed while it handled the request; report its id to the operator";
     Refusal::unknown(RefusalCode::TargetFailed, message)
--- a/crates/lycheeford-caller/src/serve.rs
+++ b/crates/lycheeford-caller/src/serve.rs
@@ -68,6 +68,12 @@
     /// Returns the HTTP response for a refused request.
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse;
 
+    /// Records that the server refuses a request, before it calls [`Service::refuse`].
+    ///
+    /// Not called for a caller that closed its side, since it isn't known whether anybody reads the
+    /// response.
+    fn refused(&self, _id: &Name, _refusal: &Refusal) {}
+
     /// Handles a failure to accept a connection, for example for lack of file descriptors.
     fn accept_failed(&self, error: &io::Error);
 }
--- a/crates/lycheeford-caller/tests/hang_up.rs
+++ b/crates/lycheeford-caller/tests/hang_up.rs
@@ -8,7 +8,7 @@
 use async_std::task;
 use lycheeford_caller::{Bounds, chunk_channel};
 
-use crate::common::{Server, TEST_TIMEOUT, read_until, start};
+use crate::common::{Server, TEST_TIMEOUT, half_close, read_to_close, read_until, start};
 
 struct Case {
     name: &'static str,
@@ -73,6 +73,21 @@
     assert!(matches!(cancelled, Ok(Ok(()))), "{name}: the request wasn't cancelled");
 }
 
+#[test]
+fn a_caller_that_closes_its_sending_side_gets_an_answer_and_its_request_is_cancelled() {
+    let server = start(Bounds::default());
+    let mut stream = server.connect();
+    stream.write_all(b"GET /wait HTTP/1.1\r\nhost: h\r\n\r\n").unwrap();
+    while server.calls() == 0 {
+        std::thread::yield_now();
+    }
+    half_close(&stream);
+    let answer = read_to_close(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 502 "), "{answer:?}");
+    assert!(answer.contains("\"ran\":\"unknown\""), "{answer}");
+    assert_cancelled(&server, "a closed sending side");
+}
+
 #[test]
 fn a_handler_that_panics_ends_its_request_with_an_answer() {
     let server = start(Bounds::default());
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -69,11 +69,14 @@
     }
 
     fn refuse(&self, id: &Name, refusal: &Refusal) -> CallerResponse {
+        self.state.protocols.caller.refusal(id, refusal)
+    }
+
+    fn refused(&self, id: &Name, refusal: &Refusal) {
         self.state.metrics.refused(refusal.code);
         info!(self.state.log, "refused";
             "id" => id.as_str(), "code" => ?refusal.code, "ran" => ?refusal.ran,
             "message" => &refusal.message, "retry_after_ms" => refusal.retry_after_ms);
-        self.state.protocols.caller.refusal(id, refusal)
     }
 
     fn accept_failed(&self, error: &std::io::Error) {
