Answer requests that were passed on before a stopping host ends

What callers saw: a connection that ended without an answer. A host that is cut off from all targets passes requests on; told to stop, it answered whatever had no answer 0.6 s before its grace ended, except these.

Cause: only requests at targets raced with the end of the grace. The check for a cut-off host came before that race, and the way from a failed try at targets after it.

Ruled out: at-most-once over two hosts.

All ways to an answer now race with it. A request that was passed on counts as one that may have run until its outcome is known, so that the last answer is 502, not the promise of a 503.

--- a/crates/lycheeford-gateway/src/request/forward.rs
+++ b/crates/lycheeford-gateway/src/request/forward.rs
@@ -10,6 +10,8 @@
 use slog::info;
 
 use super::admission::Admitted;
+use super::answer::Answered;
+use super::attempt::Attempts;
 use crate::state::State;
 
 /// The most hosts to which a request is forwarded until one accepts it.
@@ -25,11 +27,11 @@
 /// # Errors
 ///
 /// Refuses the request if no other host accepts it.
-pub(super) async fn forward(
-    state: &Arc<State>,
-    admitted: &Admitted,
-) -> Result<CallerResponse, Refusal> {
-    for (host, address) in other_hosts(state) {
+pub(super) async fn forward(attempts: &mut Attempts) -> Result<Answered, Refusal> {
+    let state = Arc::clone(&attempts.state);
+    let ran_before = attempts.ran;
+    for (host, address) in other_hosts(&state) {
+        let admitted = &attempts.admitted;
         let left_ms = admitted.final_at.since_ms(state.now());
         if left_ms == 0 {
             break;
@@ -37,22 +39,23 @@
         let request = state.protocols.caller.forward(&admitted.request, left_ms);
         info!(state.log, "forwarded";
             "id" => admitted.request.id.as_str(), "peer" => host.as_str(), "left_ms" => left_ms);
+        // Holds until the outcome is known, also if this future is dropped.
+        attempts.ran = ran_before.max(Ran::Unknown);
         match state.targets.call(address, &request).await {
-            Ok(response) => return Ok(relay(state, admitted, response)),
-            Err(error) if error.may_have_run() => {
-                let message = error.to_string();
-                let refusal = Refusal::not_run(RefusalCode::TargetFailed, message, Some(RETRY_MS));
-                return Err(refusal.after(Ran::Unknown));
+            Ok(response) => {
+                return Ok(Answered::Whole(relay(&state, &attempts.admitted, response)));
             }
+            Err(error) if error.may_have_run() => return Err(attempts.failed(&error)),
             Err(error) => {
+                attempts.ran = ran_before;
                 info!(state.log, "forward_failed";
-                    "id" => admitted.request.id.as_str(), "peer" => host.as_str(),
+                    "id" => attempts.admitted.request.id.as_str(), "peer" => host.as_str(),
                     "error" => %error);
             }
         }
     }
     let message = "this host reaches no target and no other host; try another address";
-    Err(Refusal::not_run(RefusalCode::NoTarget, message, Some(RETRY_MS)))
+    Err(Refusal::not_run(RefusalCode::NoTarget, message, Some(RETRY_MS)).after(attempts.ran))
 }
 
 /// Returns some hosts that accept callers and reach targets, those in this host's failure domain
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -91,29 +91,35 @@
         arrived_at: TimeMs,
     ) -> Result<CallerResponse, Refusal> {
         let admitted = admit(&self.state, request, arrived_at)?;
-        let may_forward = !admitted.request.is_forwarded;
-        if may_forward && self.state.is_cut_off() {
-            return forward(&self.state, &admitted).await;
-        }
         let mut attempts = Attempts::new(Arc::clone(&self.state), admitted);
-        let answered = async { Some(answer(&mut attempts).await) };
+        let answered = async { Some(self.answer_or_forward(&mut attempts).await) };
         let answers_due = async {
             self.state.answers_due.triggered().await;
             None
         };
         let answered = answered.race(answers_due).await;
-        match answered.unwrap_or_else(|| Err(attempts.host_stopping_refusal())) {
-            Ok(Answered::Whole(response)) => Ok(response),
-            Ok(Answered::Stream(answering)) => Ok(stream(attempts, *answering)),
+        match answered.unwrap_or_else(|| Err(attempts.host_stopping_refusal()))? {
+            Answered::Whole(response) => Ok(response),
+            Answered::Stream(answering) => Ok(stream(attempts, *answering)),
+        }
+    }
+
+    /// Sends a request to targets, or on to another host if this one is cut off from them.
+    async fn answer_or_forward(&self, attempts: &mut Attempts) -> Result<Answered, Refusal> {
+        let may_forward = !attempts.admitted.request.is_forwarded;
+        if may_forward && self.state.is_cut_off() {
+            return forward(attempts).await;
+        }
+        match answer(attempts).await {
             // The host turned out to be cut off while it tried targets.
             Err(refusal)
                 if may_forward
                     && (refusal.ran == Ran::NotRun || attempts.can_retry())
                     && self.state.is_cut_off() =>
             {
-                forward(&self.state, &attempts.admitted).await
+                forward(attempts).await
             }
-            Err(refusal) => Err(refusal),
+            answered => answered,
         }
     }
 }
