Understand what can be understood of another build's messages

What callers would see while hosts with different builds run side by side:

- Any state, set of hosts or change of a target that a newer build adds would have cost the whole report, and the log would have said "run one version on all hosts" for each datagram.

Cause: closed enumerations were extended in place, absence meant an empty value, and decoding knew only all or nothing.

Change: a report says that its sender knows the state (builds that added it show it by the fields that came with it); others get the state Ready, which is what holds without it: such a host lives, grants permits and serves callers by passing on. A target's version is an optional field, and a batch with a target without one isn't applied: the host asks the store itself. What is unknown in a report is left out, the rest counts; a host in an unknown state lives but gets no callers. What isn't understood is counted (unread_messages) and logged once a second for each of at most 32 senders, with both builds. A host's build stands in its object in the store (which earlier builds read as before), in its `started` line and in its metrics; it is the crate's version and LYCHEEFORD_COMMIT if that is set when it is compiled, so that it needs no git.

Ruled out: sending Draining instead of the state (earlier builds would take another host for the granter of permits, so that two give a target's rate); telling builds apart by their names (a decision for a commit); the build in each datagram (bytes in every report).

Changed tests: what_is_said_is_understood and a_large_report_is_sent_in_fewer_bytes compare the whole decoded value, which now also says that nothing was left out; the first also covers the large report.

--- a/crates/lycheeford-gateway/src/membership/exchange.rs
+++ b/crates/lycheeford-gateway/src/membership/exchange.rs
@@ -12,7 +12,8 @@
 use super::report::{SharedReport, apply_report};
 use super::send::send;
 use super::streams::{apply_stream_update, handle_stream_reply, reply_to_query};
-use super::wire::{self, Message};
+use super::unread::{count_unread, count_unread_fields};
+use super::wire::{self, Decoded, Message};
 use crate::request::update_limit;
 use crate::state::State;
 
@@ -31,27 +32,12 @@
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length_bytes, _)) => match wire::decode(&buffer[..length_bytes]) {
-                Ok(Message::Report(report)) => apply_report(&state, &report),
-                Ok(Message::WaitingDemand(demand)) => {
-                    if let Some((update, address)) = record_demand(&state, demand) {
-                        send(&state, &socket, Message::PlacementUpdate(update), address).await;
-                    }
+            Ok((length_bytes, address)) => match wire::decode(&buffer[..length_bytes]) {
+                Ok(Decoded { message, unread_fields }) => {
+                    count_unread_fields(&state, address, &unread_fields);
+                    apply(&state, &socket, message).await;
                 }
-                Ok(Message::PlacementUpdate(update)) => apply_placement_update(&state, &update),
-                Ok(Message::PermitRequest(request)) => {
-                    state.queue_event(LimitEvent::PeerRequest(request));
-                }
-                Ok(Message::PermitReply(reply)) => handle_permit_reply(&state, &reply),
-                Ok(Message::LimitReport(limit)) => state.queue_event(LimitEvent::PeerLimit(limit)),
-                Ok(Message::LimitUpdate(limit)) => update_limit(&state, limit.target, limit.per_s),
-                Ok(Message::StreamUpdate(update)) => apply_stream_update(&state, &update),
-                Ok(Message::StreamQuery(query)) => {
-                    let reply = reply_to_query(&state, &query);
-                    send(&state, &socket, Message::StreamReply(reply), query.sender).await;
-                }
-                Ok(Message::StreamReply(reply)) => handle_stream_reply(&state, &reply),
-                Err(error) => warn!(state.log, "report_unreadable"; "error" => %error),
+                Err(error) => count_unread(&state, address, &error),
             },
             Err(error) => {
                 warn!(state.log, "report_unreceived"; "error" => %error);
@@ -61,6 +47,28 @@
     }
 }
 
+async fn apply(state: &State, socket: &UdpSocket, message: Message) {
+    match message {
+        Message::Report(report) => apply_report(state, &report),
+        Message::WaitingDemand(demand) => {
+            if let Some((update, address)) = record_demand(state, demand) {
+                send(state, socket, Message::PlacementUpdate(update), address).await;
+            }
+        }
+        Message::PlacementUpdate(update) => apply_placement_update(state, &update),
+        Message::PermitRequest(request) => state.queue_event(LimitEvent::PeerRequest(request)),
+        Message::PermitReply(reply) => handle_permit_reply(state, &reply),
+        Message::LimitReport(limit) => state.queue_event(LimitEvent::PeerLimit(limit)),
+        Message::LimitUpdate(limit) => update_limit(state, limit.target, limit.per_s),
+        Message::StreamUpdate(update) => apply_stream_update(state, &update),
+        Message::StreamQuery(query) => {
+            let reply = reply_to_query(state, &query);
+            send(state, socket, Message::StreamReply(reply), query.sender).await;
+        }
+        Message::StreamReply(reply) => handle_stream_reply(state, &reply),
+    }
+}
+
 /// Sends reports to this host's partners, to visitors, and to some of the listed hosts that aren't
 /// known to be alive, until the future is dropped.
 pub(crate) async fn send_reports(state: Arc<State>, socket: Arc<UdpSocket>) {
--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -9,6 +9,7 @@
 use slog::{info, warn};
 
 use super::stored_suspects::{keep_stored_suspects, read_stored_suspects};
+use crate::operation::build::build_name;
 use crate::state::State;
 
 /// The kind of the objects by which hosts discover each other.
@@ -32,11 +33,14 @@
 
 /// The stored form of a host. Objects in the store don't expire by themselves.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct StoredHost {
+pub(super) struct StoredHost {
     incarnation: u64,
     peer_address: SocketAddr,
     caller_address: SocketAddr,
     failure_domain: Name,
+    /// The name of the host's build. Absent if the build is older than the field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    build: Option<Name>,
 }
 
 impl StoredHost {
@@ -44,7 +48,8 @@
         let HostRecord { peer_address, caller_address, failure_domain, .. } =
             state.settings.record();
         let incarnation = state.incarnation;
-        StoredHost { incarnation, peer_address, caller_address, failure_domain }
+        let build = Some(build_name());
+        StoredHost { incarnation, peer_address, caller_address, failure_domain, build }
     }
 
     fn record(self, host: &Name) -> HostRecord {
@@ -168,9 +173,12 @@
 }
 
 /// Reads the object of a host; logs and skips an unreadable one.
-fn record(state: &State, object: &Object) -> Option<HostRecord> {
+fn read_host(state: &State, object: &Object) -> Option<(HostRecord, Option<Name>)> {
     match decode(object) {
-        Ok(stored) => Some(stored.record(&object.name)),
+        Ok(stored) => {
+            let build = stored.build.clone();
+            Some((stored.record(&object.name), build))
+        }
         Err(error) => {
             warn!(state.log, "host_unreadable"; "peer" => object.name.as_str(), "error" => %error);
             None
@@ -190,9 +198,15 @@
     /// Updates the table of hosts from a listing.
     fn update(&mut self, state: &State, listing: &Listing) {
         let now = state.now();
+        let hosts = listing.objects.iter().filter_map(|object| read_host(state, object));
+        let (records, builds): (Vec<HostRecord>, Vec<Option<Name>>) = hosts.unzip();
+        let builds = records
+            .iter()
+            .zip(builds)
+            .map(|(record, build)| (record.peer_address, (record.host.clone(), build)));
+        let builds = builds.collect();
         let mut membership = state.membership();
-        let records = listing.objects.iter().filter_map(|object| record(state, object));
-        let records: Vec<HostRecord> = records.collect();
+        membership.set_builds(builds);
         membership.hosts.listed(now, &records);
         membership.settling.listed();
         let is_alive = |name: &Name| membership.hosts.is_alive(now, name);
--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -17,6 +17,9 @@
 mod stored_suspects;
 mod streams;
 mod table;
+#[cfg(test)]
+mod tests;
+mod unread;
 mod wire;
 
 pub(crate) use self::demand::send_demand;
@@ -30,4 +33,5 @@
     send_stream_events, track_versions,
 };
 pub(crate) use self::table::Membership;
+pub(crate) use self::unread::log_unread;
 pub(crate) use self::wire::{LimitReport, PermitRequest, StreamQuery};
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -83,6 +83,7 @@
             declared: state.deployment.load().as_ref().map_or(0, |known| known.version),
             target_answer_age_ms,
             lacks_targets,
+            knows_cut_off: true,
             confirmed_age_ms: confirmation.age_ms(now),
             targets_changed: watch.changed(),
             targets_age_ms: watch.age_ms(now),
@@ -115,7 +116,11 @@
                 None => (Scope::Nobody, Sums::default()),
             };
             report.signs = membership.hosts.signs(now, membership.peers.layout(), role);
-            if let Some(peer) = membership.peers.peer(host) {
+            let peer = membership.peers.peer(host);
+            if !peer.is_some_and(|peer| peer.report.knows_cut_off) {
+                report.hide_cut_off();
+            }
+            if let Some(peer) = peer {
                 report.echo = Some(peer.report.sent_at);
                 report.heard.clone_from(&peer.report.sums.spent);
                 if peer.report.suspects_digest == report.suspects_digest {
@@ -142,7 +147,9 @@
     pub(super) fn for_unknown_host(&self) -> PeerReport {
         let SharedReport { report, own } = self;
         let sums = Sums { spent: own.spent.clone(), ..Sums::default() };
-        PeerReport { sums, ..report.clone() }
+        let mut report = PeerReport { sums, ..report.clone() };
+        report.hide_cut_off();
+        report
     }
 }
 
--- a/crates/lycheeford-gateway/src/membership/stored_suspects.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -19,7 +19,7 @@
 
 /// The stored form of a prompt part for which requests are refused.
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredSuspect {
+pub(super) struct StoredSuspect {
     part: u64,
     /// The lives of targets that crashed.
     crashes: Vec<Name>,
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -5,6 +5,7 @@
     ShortKey, TimeMs, WantedName, rendezvous_rank,
 };
 
+use super::unread::Unread;
 use super::wire::WaitingDemand;
 
 /// How long reported demand is valid without being reported again.
@@ -24,6 +25,9 @@
     /// The lease and the latest time at which it may have been renewed.
     lease: Option<(ReportedLease, TimeMs)>,
     waiting_hosts: Vec<WaitingHost>,
+    /// The name and the build of each listed host, by its peer address.
+    builds: Vec<(SocketAddr, (Name, Option<Name>))>,
+    pub(super) unread: Unread,
 }
 
 /// A host whose requests wait for a model or an adapter.
@@ -74,6 +78,18 @@
 }
 
 impl Membership {
+    /// Replaces what is known of the builds of other hosts.
+    pub(super) fn set_builds(&mut self, mut builds: Vec<(SocketAddr, (Name, Option<Name>))>) {
+        builds.sort();
+        self.builds = builds;
+    }
+
+    /// Returns the name and the build of the host with a peer address.
+    pub(super) fn build(&self, peer_address: SocketAddr) -> Option<&(Name, Option<Name>)> {
+        let found = self.builds.binary_search_by_key(&peer_address, |(address, _)| *address);
+        Some(&self.builds[found.ok()?].1)
+    }
+
     pub(crate) fn new(me: HostRecord) -> Membership {
         Membership {
             hosts: HostTable::new(me),
@@ -81,6 +97,8 @@
             settling: Settling::default(),
             lease: None,
             waiting_hosts: Vec::new(),
+            builds: Vec::new(),
+            unread: Unread::default(),
         }
     }
 
--- a/crates/lycheeford-gateway/src/membership/wire/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/mod.rs
@@ -2,7 +2,13 @@
 //!
 //! A datagram holds one message. No message carries state that isn't sent again, so a lost one
 //! costs only the time until the next.
+//!
+//! Hosts with different builds of this program exchange messages while a fleet is upgraded.
+//! docs/DESIGN.md, "Builds side by side", has the rule by which the format may change; `builds`
+//! checks it against messages of earlier builds.
 
+#[cfg(test)]
+mod builds;
 mod counts;
 mod datagram;
 mod host;
@@ -34,9 +40,11 @@
 pub(super) enum DecodeError {
     #[snafu(display("the datagram isn't a message: {source}; check who sends to this port"))]
     Frame { source: prost::DecodeError },
-    #[snafu(display("the datagram can't be inflated: {source}; run one version on all hosts"))]
+    #[snafu(display("the datagram can't be inflated: {source}; check who sends to this port"))]
     Deflate { source: std::io::Error },
-    #[snafu(display("the field {field} is missing or wrong; run one version on all hosts"))]
+    #[snafu(display(
+        "the field {field} is missing, wrong or unknown; compare the builds of both hosts"
+    ))]
     Field { field: &'static str },
 }
 
@@ -65,6 +73,15 @@
     StreamReply(StreamReply),
 }
 
+/// A decoded message.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Decoded {
+    pub(super) message: Message,
+    /// The fields of which some content was left out, because a newer build gave it a form that this
+    /// one doesn't know.
+    pub(super) unread_fields: Vec<&'static str>,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct WireMessage {
     #[prost(oneof = "WireBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
@@ -117,10 +134,14 @@
 /// # Errors
 ///
 /// Fails if it holds no valid message.
-pub(super) fn decode(datagram: &[u8]) -> Result<Message, DecodeError> {
+pub(super) fn decode(datagram: &[u8]) -> Result<Decoded, DecodeError> {
     let message = WireMessage::decode(&*datagram::unpack(datagram)?).context(FrameSnafu)?;
-    Ok(match message.body.context(FieldSnafu { field: "body" })? {
-        WireBody::Report(report) => Message::Report(Box::new(PeerReport::try_from(*report)?)),
+    let mut unread_fields = Vec::new();
+    let message = match message.body.context(FieldSnafu { field: "body" })? {
+        WireBody::Report(mut report) => {
+            unread_fields = report.remove_unknown();
+            Message::Report(Box::new(PeerReport::try_from(*report)?))
+        }
         WireBody::Wants(demand) => Message::WaitingDemand(WaitingDemand::try_from(demand)?),
         WireBody::News(update) => Message::PlacementUpdate(PlacementUpdate::from(update)),
         WireBody::PermitRequest(request) => {
@@ -132,5 +153,6 @@
         WireBody::StreamUpdate(update) => Message::StreamUpdate(StreamUpdate::from(update)),
         WireBody::StreamQuery(query) => Message::StreamQuery(StreamQuery::try_from(query)?),
         WireBody::StreamReply(reply) => Message::StreamReply(StreamReply::try_from(reply)?),
-    })
+    };
+    Ok(Decoded { message, unread_fields })
 }
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -1,5 +1,5 @@
 use lycheeford_policy::{
-    CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, ReportedLease,
+    CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, PeerState, ReportedLease,
     ReportedPlacement, RunningAt, Scope, ShortKey, Sums, SuspectedCrash, TargetChangeBatch,
     TargetLife, TimeMs,
 };
@@ -74,6 +74,39 @@
     target_answer_age_ms: Option<u64>,
     #[prost(bool, tag = "30")]
     lacks_targets: bool,
+    /// Absent if the sender was built before the field was added.
+    #[prost(bool, tag = "31")]
+    knows_cut_off: bool,
+}
+
+impl WireReport {
+    /// Removes content in a form that only newer builds know, so that the rest of the report is
+    /// understood. Returns the fields that had such content.
+    ///
+    /// A host in an unknown state counts as alive but gets no callers, and the sums of an unknown
+    /// set of hosts aren't counted.
+    pub(super) fn remove_unknown(&mut self) -> Vec<&'static str> {
+        let mut unread_fields = Vec::new();
+        if state_from_wire(self.state).is_err() {
+            self.state = state_to_wire(PeerState::Starting);
+            unread_fields.push("state");
+        }
+        if scope_from_wire(self.scope).is_err() {
+            self.scope = scope_to_wire(Scope::Nobody);
+            unread_fields.push("scope");
+        }
+        let known_signs = self.signs.len();
+        self.signs.retain(|sign| HostSign::try_from(sign.clone()).is_ok());
+        if self.signs.len() < known_signs {
+            unread_fields.push("signs");
+        }
+        let is_unknown =
+            |changes: &mut WireToldChanges| TargetChangeBatch::try_from(changes.clone()).is_err();
+        if self.target_changes.take_if(is_unknown).is_some() {
+            unread_fields.push("target_changes");
+        }
+        unread_fields
+    }
 }
 
 /// A request or a prompt part that may have crashed targets.
@@ -116,6 +149,7 @@
             confirmed_age_ms: report.confirmed_age_ms,
             target_answer_age_ms: report.target_answer_age_ms,
             lacks_targets: report.lacks_targets,
+            knows_cut_off: report.knows_cut_off,
             targets_changed: report.targets_changed,
             targets_age_ms: report.targets_age_ms,
             lease: report.lease.map(WireLease::from),
@@ -159,6 +193,11 @@
             confirmed_age_ms: wire.confirmed_age_ms,
             target_answer_age_ms: wire.target_answer_age_ms,
             lacks_targets: wire.lacks_targets,
+            // The build that added the state added the other fields, too, and reported whichever
+            // applied.
+            knows_cut_off: wire.knows_cut_off
+                || wire.target_answer_age_ms.is_some()
+                || wire.lacks_targets,
             targets_changed: wire.targets_changed,
             targets_age_ms: wire.targets_age_ms,
             lease: wire.lease.map(ReportedLease::from),
--- a/crates/lycheeford-gateway/src/membership/wire/targets.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/targets.rs
@@ -58,8 +58,9 @@
     slots: u32,
     #[prost(message, repeated, tag = "10")]
     models: Vec<WireModel>,
-    #[prost(string, tag = "11")]
-    version: String,
+    /// Absent if the sender doesn't know versions, which isn't the same as an empty one.
+    #[prost(string, optional, tag = "11")]
+    version: Option<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -117,7 +118,7 @@
             remaining_ms,
             slots: entry.slots,
             models: entry.residency.models.into_iter().map(WireModel::from).collect(),
-            version: entry.version.as_str().to_owned(),
+            version: Some(entry.version.as_str().to_owned()),
         }
     }
 }
@@ -135,7 +136,7 @@
             revision: wire.revision,
             life: wire.life,
             service: Name::from(wire.service),
-            version: Name::from(wire.version),
+            version: Name::from(wire.version.context(FieldSnafu { field: "version" })?),
             address: address.context(FieldSnafu { field: "address" })?,
             failure_domain: Name::from(wire.failure_domain),
             state: if wire.is_leaving {
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -17,8 +17,8 @@
 use super::datagram::pack;
 use super::report::WireReport;
 use super::{
-    DecodeError, LimitReport, LimitUpdate, Message, PermitReply, PermitRequest, PlacementUpdate,
-    StreamQuery, StreamReply, StreamUpdate, WaitingDemand, decode, encode,
+    DecodeError, Decoded, LimitReport, LimitUpdate, Message, PermitReply, PermitRequest,
+    PlacementUpdate, StreamQuery, StreamReply, StreamUpdate, WaitingDemand, decode, encode,
 };
 
 fn record(name: &str) -> HostRecord {
@@ -103,6 +103,7 @@
         confirmed_age_ms: Some(0),
         target_answer_age_ms: Some(0),
         lacks_targets: true,
+        knows_cut_off: true,
         targets_changed: 31,
         targets_age_ms: Some(0),
         lease: Some(ReportedLease {
@@ -119,8 +120,8 @@
     }
 }
 
-#[test]
-fn what_is_said_is_understood() {
+/// Returns messages of each kind.
+pub(super) fn messages() -> Vec<Message> {
     let wanted = WantedName {
         service: Name::from("models"),
         model: Name::from("m1"),
@@ -188,8 +189,18 @@
     ];
     let reply = |knowledge| Message::StreamReply(StreamReply { number: 12, knowledge });
     messages.extend(known.map(reply));
-    for message in messages {
-        assert_eq!(decode(&encode(message.clone())).unwrap(), message);
+    messages.push(Message::Report(Box::new(large_report())));
+    messages
+}
+
+fn understood(message: Message) -> Decoded {
+    Decoded { message, unread_fields: Vec::new() }
+}
+
+#[test]
+fn what_is_said_is_understood() {
+    for message in messages() {
+        assert_eq!(decode(&encode(message.clone())).unwrap(), understood(message));
     }
 }
 
@@ -235,7 +246,7 @@
 fn a_large_report_is_sent_in_fewer_bytes() {
     let large = large_report();
     let datagram = encode(Message::Report(Box::new(large.clone())));
-    assert_eq!(decode(&datagram).unwrap(), Message::Report(Box::new(large.clone())));
+    assert_eq!(decode(&datagram).unwrap(), understood(Message::Report(Box::new(large.clone()))));
     let plain = WireReport::from(large).encoded_len();
     assert!(datagram.len() * 10 < plain * 7, "{} of {plain} bytes", datagram.len());
 }
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -7,8 +7,10 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
+use super::build::build_name;
 use crate::OrderedName;
 
 /// The upper bound of the smallest bucket of every histogram, in milliseconds.
@@ -56,6 +58,16 @@
     cause: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnreadLabels {
+    what: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BuildLabels {
+    build: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SourceLabels {
     source: &'static str,
@@ -80,6 +92,7 @@
     signals: Family<SignalLabels, Counter>,
     permits: Family<AnswerLabels, Counter>,
     crash_causes: Family<CauseLabels, Counter>,
+    unread_messages: Family<UnreadLabels, Counter>,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
     ages: Family<SourceLabels, Gauge>,
@@ -115,6 +128,7 @@
             signals: Family::default(),
             permits: Family::default(),
             crash_causes: Family::default(),
+            unread_messages: Family::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
             ages: Family::default(),
@@ -183,6 +197,11 @@
         self.permits.get_or_create(&AnswerLabels { answer }).inc();
     }
 
+    /// Counts a message of another host of which all or a part wasn't understood.
+    pub(crate) fn unread_message(&self, what: &'static str) {
+        self.unread_messages.get_or_create(&UnreadLabels { what }).inc();
+    }
+
     /// Counts a reason for which requests are refused from now on.
     pub(crate) fn crash_cause(&self, cause: CrashCause) {
         let cause = match cause {
@@ -203,6 +222,10 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        let build = BuildLabels { build: build_name().as_str().to_owned() };
+        registry.register("build", "The build of this process", Info::new(build));
+        let help = "Messages of other hosts of which all or a part wasn't understood";
+        registry.register("unread_messages", help, self.unread_messages.clone());
         registry.register("answered_ms", "Time to the end of an answer", self.answered.clone());
         registry.register("first_event_ms", "Time to the first event", self.first_event.clone());
         registry.register("refused", "Refusals by reason", self.refused.clone());
--- a/crates/lycheeford-gateway/src/orders/lease_task.rs
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -17,7 +17,7 @@
 
 /// The stored form of the lease.
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredLease {
+pub(super) struct StoredLease {
     holder: Name,
     incarnation: u64,
     renewals: u64,
--- a/crates/lycheeford-gateway/src/orders/tests.rs
+++ b/crates/lycheeford-gateway/src/orders/tests.rs
@@ -1,4 +1,5 @@
-//! Checks that an order whose sender was suspended while connecting does not reach the engine late.
+//! Checks that an order whose sender was suspended while connecting does not reach the engine late,
+//! and that leases which earlier builds wrote are read.
 
 use std::future::{Future, poll_fn};
 use std::io::Read;
@@ -13,8 +14,14 @@
 use lycheeford_policy::TimeMs;
 use lycheeford_target::{Connection, Method, TargetClient, TargetLimits, TargetRequest};
 
+use super::lease_task::StoredLease;
 use super::withdraw::run_until;
 
+const LEASES: [&str; 2] = [
+    include_str!("../../tests/data/c33a574/lease.json"),
+    include_str!("../../tests/data/7f8999b/lease.json"),
+];
+
 const TIMEOUT_MS: u64 = 750;
 const BODY: &str = "an order";
 
@@ -90,3 +97,12 @@
         assert_eq!(read.is_empty(), !is_sent, "{what}: {read:?}");
     }
 }
+
+#[test]
+fn a_lease_of_an_earlier_build_is_read_whole() {
+    for text in LEASES {
+        let object: serde_json::Value = serde_json::from_str(text).unwrap();
+        let read: StoredLease = serde_json::from_value(object.clone()).unwrap();
+        assert_eq!(serde_json::to_value(read).unwrap(), object);
+    }
+}
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -14,9 +14,10 @@
 
 use crate::fleet::{follow_deployment, follow_targets, watch_reach};
 use crate::membership::{
-    deregister_host, grant_permits, log_unsent, maintain_hosts, receive, send_demand, send_reports,
-    send_stream_events, track_versions,
+    deregister_host, grant_permits, log_unread, log_unsent, maintain_hosts, receive, send_demand,
+    send_reports, send_stream_events, track_versions,
 };
+use crate::operation::build::build_name;
 use crate::operation::{Directory, MetricsPage, Readiness};
 use crate::orders::{keep_lease, plan_orders};
 use crate::request::Front;
@@ -70,7 +71,8 @@
         .await
         .context(ListenSnafu { field: "peer_address", address: peer_address.to_string() })?;
     let state = State::new(settings, protocols, log);
-    info!(state.log, "started"; "incarnation" => state.incarnation);
+    info!(state.log, "started";
+        "incarnation" => state.incarnation, "build" => build_name().as_str());
     start_tasks(&state, Arc::new(peers));
 
     let pages_stop = Stop::new();
@@ -141,6 +143,7 @@
             logged = left_out;
         }
         log_unsent(&state);
+        log_unread(&state);
     }
 }
 
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -33,6 +33,8 @@
     /// Whether the sender's probes of targets fail, so that it must know whether other hosts reach
     /// any.
     pub lacks_targets: bool,
+    /// Whether the sender knows the state [`PeerState::CutOff`]; earlier builds don't.
+    pub knows_cut_off: bool,
     /// Whether the sender accepts callers.
     pub state: PeerState,
     /// Whether the sender knows what the other hosts spend.
@@ -78,6 +80,22 @@
     pub leaving: Vec<TargetLife>,
 }
 
+impl PeerReport {
+    /// Reports hosts that are cut off from the targets as ready, for a receiver that doesn't know
+    /// the state and would ignore the report.
+    ///
+    /// Such hosts live, grant permits and serve callers through other hosts; none of the states that
+    /// an earlier build knows says that of a host that gets no new callers.
+    pub fn hide_cut_off(&mut self) {
+        let signs = self.signs.iter_mut().map(|sign| &mut sign.state);
+        for state in signs.chain([&mut self.state]) {
+            if *state == PeerState::CutOff {
+                *state = PeerState::Ready;
+            }
+        }
+    }
+}
+
 /// Which hosts a report covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -285,6 +285,7 @@
         revision: 1,
         target_answer_age_ms: None,
         lacks_targets: false,
+        knows_cut_off: true,
         confirmed_age_ms: None,
         targets_changed: 0,
         targets_age_ms: None,
