Accept only answers that provably belong to the request

Cause: an answer without the repeated id was accepted on any connection. A target that writes an earlier answer again without its id, at the moment at which the next one is due, so answered the next request, and its own answer the one after that. Calls without an id of their own (reports, orders, requests that are passed on to other hosts) took whatever came first.

An answer is now a call's own if it repeats the call's id, once, or if it has no id and its connection has carried nothing else. Otherwise the call fails as one that may have run, and the connection is closed. After an answer without an id, or one that was skipped, the connection isn't pooled, so that targets that repeat no ids still work, with a connection a request. Calls without an id get a connection of their own, also reports: nothing tells a copy of a report from the next one. So do requests that are passed on to other hosts, whose refusals don't have the id. TargetRequest::echo is a type that says so; a request whose caller sent no id counts as one without.

Answers that were skipped have a log line (answers_skipped), and attempts of which no answer could be attributed are counted apart (unattributed).

Ruled out: an extra id in a new connection's only answer, skipped before, now fails.

--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -200,6 +200,12 @@
         let PendingCall { slot, sent_at, .. } = pending;
         let mut response = result.map_err(|error| self.call_failed(&slot.chosen, error))?;
         self.state.reach().answered(self.state.now());
+        if response.skipped_answers > 0 {
+            info!(self.state.log, "answers_skipped";
+                "id" => self.admitted.request.id.as_str(), "target" => slot.chosen.id.as_str(),
+                "answers" => response.skipped_answers);
+            self.state.metrics.attempt("after_skipped_answers");
+        }
         let target = &self.state.protocols.target;
         let AnswerHead { reply, signals } =
             target.read_head(&slot.chosen.id, response.status, &mut response.headers);
@@ -223,7 +229,8 @@
         info!(self.state.log, "attempt_failed";
             "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
             "error" => %error);
-        self.state.metrics.attempt("failed");
+        let outcome = if error.is_unattributed() { "unattributed" } else { "failed" };
+        self.state.metrics.attempt(outcome);
         self.exclude(chosen);
         if !error.may_have_run() {
             self.note_failure(chosen, TargetFailure::Unreachable);
--- a/crates/lycheeford-gateway/src/request/forward.rs
+++ b/crates/lycheeford-gateway/src/request/forward.rs
@@ -76,7 +76,7 @@
 /// Passes a response on as it arrives.
 fn relay(state: &Arc<State>, admitted: &Admitted, response: TargetResponse) -> CallerResponse {
     let (sender, receiver) = chunk_channel();
-    let TargetResponse { status, headers, body } = response;
+    let TargetResponse { status, headers, body, .. } = response;
     let running = state.request_started();
     let (state, id) = (Arc::clone(state), admitted.request.id.clone());
     let arrived_at = admitted.arrived_at;
--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -8,7 +8,7 @@
 use lycheeford_policy::OrderOutcome;
 
 use crate::error::Code;
-use crate::link::{ExpectedAnswer, Link, Sent};
+use crate::link::{Link, Received, Reuse};
 use crate::pool::Pool;
 use crate::response::AfterAnswer;
 use crate::wire::WireOrder;
@@ -61,11 +61,17 @@
         let encoded = request.to_http(address)?;
         let mut link = self.link(address, request).await?;
         let first_byte_ms_max = request.first_byte_ms_max.unwrap_or(self.limits.first_byte_ms_max);
-        let expected = ExpectedAnswer { method: request.method, echo: request.echo.as_ref() };
-        let (mut head, sent) =
-            link.exchange(encoded, &expected, first_byte_ms_max, &self.limits).await?;
-        let after_answer = match (request.connection, head.persistence, sent) {
-            (Connection::Pooled, Persistence::KeepAlive, Sent::Whole) => AfterAnswer::Pool {
+        let received = link.exchange(
+            encoded,
+            request.method,
+            request.echo.as_ref(),
+            first_byte_ms_max,
+            &self.limits,
+        );
+        let Received { mut head, reuse, skipped_answers } = received.await?;
+        let is_pooled = request.may_share_connection() && reuse == Reuse::Allowed;
+        let after_answer = match head.persistence {
+            Persistence::KeepAlive if is_pooled => AfterAnswer::Pool {
                 pool: self.pool.clone(),
                 address,
                 idle_ms_max: keep_alive_ms(&head).unwrap_or(self.limits.pool_idle_ms_max),
@@ -80,7 +86,7 @@
             &self.limits,
             self.budget.reservation(),
         );
-        Ok(TargetResponse { status: head.status, headers: head.headers, body })
+        Ok(TargetResponse { status: head.status, headers: head.headers, skipped_answers, body })
     }
 
     /// Opens and closes a connection, to check whether a process listens at the address.
@@ -158,11 +164,8 @@
         address: SocketAddr,
         request: &TargetRequest,
     ) -> Result<Link, TargetError> {
-        let id = request.echo.as_ref().map(|(_, id)| id.as_str());
-        let pooled = match request.connection {
-            Connection::Pooled => self.pool.take(address, id),
-            Connection::Fresh | Connection::Revocable => None,
-        };
+        let is_shared = request.may_share_connection();
+        let pooled = if is_shared { self.pool.take(address, request.id()) } else { None };
         let mut link = match pooled {
             Some(link) => link,
             None => Link::open(address, &self.limits).await?,
--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -25,6 +25,7 @@
             | Code::Body { .. }
             | Code::Interim
             | Code::OtherRequests
+            | Code::Unattributed
             | Code::TooLarge { .. }
             | Code::SharedMemoryExhausted { .. }
             | Code::EventTooLarge { .. }
@@ -42,6 +43,11 @@
         self.category() != Category::NotSent
     }
 
+    /// Returns whether answers arrived, but none that could be attributed to this call.
+    pub fn is_unattributed(&self) -> bool {
+        matches!(self.code, Code::OtherRequests | Code::Unattributed)
+    }
+
     /// Returns whether no process listens at the target's address.
     ///
     /// Only a refused connection proves this; after a time-out the network may be at fault.
@@ -134,6 +140,10 @@
     Interim,
     #[snafu(display("the connection carries answers to other requests; correct the target"))]
     OtherRequests,
+    #[snafu(display(
+        "the answer has no id, or two, on a connection that carried other requests; correct the target"
+    ))]
+    Unattributed,
     #[snafu(display(
         "the answer is over {limit_bytes} bytes; raise the limit or correct the target"
     ))]
--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`TargetStatus`], [`Order`]: the status that engines report, and the orders they receive.
 //! - [`EventSplitter`], [`CompletionEvent`]: the events of a streamed completion.
 
+mod attribution;
 mod carried;
 mod client;
 mod completion;
@@ -28,7 +29,7 @@
 pub use crate::event::{Event, EventSplitter, EventTooLarge};
 pub use crate::limits::{KEEP_ALIVE_INTERVAL_S, TargetLimits, user_timeout_ms};
 pub use crate::order::Order;
-pub use crate::request::{Connection, TargetRequest};
+pub use crate::request::{Connection, Echo, TargetRequest};
 pub use crate::response::{BodyEnd, TargetBody, TargetResponse};
 pub use crate::status::{Checkpoint, Loaded, TargetStatus};
 pub use http_types::Method;
--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -15,10 +15,11 @@
 use rustix::io::Errno;
 use rustix::net::{self, sockopt};
 
-use crate::carried::CarriedIds;
+use crate::attribution::{Attribution, ExpectedAnswer};
+use crate::carried::CarriedCalls;
 use crate::error::Code;
 use crate::limits::{KEEP_ALIVE_INTERVAL_S, user_timeout_ms};
-use crate::{TargetError, TargetLimits};
+use crate::{Echo, TargetError, TargetLimits};
 
 const HEAD_BYTES_MAX: usize = 16 * 1024;
 /// The most interim answers, such as 100 Continue, before the final one.
@@ -27,37 +28,27 @@
 /// Bytes after which no more of a request is collected for one write.
 const WRITE_BYTES: usize = 16 * 1024;
 
-/// The most answers to earlier requests that are skipped before the expected one.
-const EARLIER_ANSWERS_MAX: usize = 2;
-/// The largest body of an answer to an earlier request that is skipped.
-const EARLIER_ANSWER_BYTES_MAX: usize = 1 << 20;
+/// The most answers to other calls that are skipped before the expected one.
+const SKIPPED_ANSWERS_MAX: usize = 2;
+/// The largest body of an answer to another call that is skipped.
+const SKIPPED_ANSWER_BYTES_MAX: usize = 1 << 20;
 
-/// The properties of the answer that is expected on a connection.
+/// The final head of an answer.
 #[derive(Debug)]
-pub(crate) struct ExpectedAnswer<'a> {
-    pub(crate) method: Method,
-    /// The request header that the target repeats in its answer, with its value.
-    pub(crate) echo: Option<&'a (String, String)>,
+pub(crate) struct Received {
+    pub(crate) head: ResponseHead,
+    pub(crate) reuse: Reuse,
+    /// How many answers to other calls were skipped before it.
+    pub(crate) skipped_answers: usize,
 }
 
-impl ExpectedAnswer<'_> {
-    /// Returns whether the answer can belong to the request.
-    ///
-    /// An answer without the repeated header is accepted; one with another value is not.
-    fn is_answered_by(&self, head: &ResponseHead) -> bool {
-        let Some((name, value)) = self.echo else { return true };
-        let echoed = head.headers.iter().find(|(header, _)| header.eq_ignore_ascii_case(name));
-        echoed.is_none_or(|(_, echoed)| echoed == value)
-    }
-}
-
-/// How much of a request was sent when its answer arrived.
+/// Whether a connection may carry another call after a complete answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Sent {
-    /// The whole request.
-    Whole,
-    /// Only a part, so the connection can't be reused.
-    Partly,
+pub(crate) enum Reuse {
+    Allowed,
+    /// The call was sent only in part, or the target writes answers that can't be told apart, or
+    /// that belong to other calls.
+    Forbidden,
 }
 
 /// A connection to a target, which is closed when this is dropped.
@@ -66,7 +57,7 @@
     reader: MessageReader<TcpStream>,
     writer: TcpStream,
     close_mode: CloseMode,
-    carried: CarriedIds,
+    carried: CarriedCalls,
 }
 
 /// What happens to undelivered bytes when a connection is dropped.
@@ -96,7 +87,7 @@
                 .map_err(|source| Code::Connect { source })?;
         }
         let reader = MessageReader::new(stream.clone());
-        let carried = CarriedIds::default();
+        let carried = CarriedCalls::default();
         Ok(Link { reader, writer: stream, close_mode: CloseMode::Close, carried })
     }
 
@@ -142,29 +133,26 @@
     pub(crate) async fn exchange(
         &mut self,
         request: Request,
-        expected: &ExpectedAnswer<'_>,
+        method: Method,
+        echo: Option<&Echo>,
         first_byte_ms_max: u64,
         limits: &TargetLimits,
-    ) -> Result<(ResponseHead, Sent), TargetError> {
+    ) -> Result<Received, TargetError> {
         let Link { reader, writer, carried, .. } = self;
-        if let Some((_, id)) = expected.echo {
-            carried.record(id);
-        }
+        let history = carried.record(echo.and_then(|echo| echo.id.as_deref()));
+        let expected = ExpectedAnswer { method, echo, history };
         let sending = pin!(send(writer, request, limits.between_bytes_ms_max));
-        let receiving = pin!(receive_head(reader, expected, first_byte_ms_max, limits));
+        let receiving = pin!(receive_head(reader, &expected, first_byte_ms_max, limits));
         match select(sending, receiving).await {
-            Either::Left((Ok(()), receiving)) => Ok((receiving.await?, Sent::Whole)),
+            Either::Left((Ok(()), receiving)) => receiving.await,
             Either::Left((Err(error), receiving)) => match receiving.now_or_never() {
-                Some(Ok(head)) => Ok((head, Sent::Partly)),
+                Some(Ok(received)) => Ok(Received { reuse: Reuse::Forbidden, ..received }),
                 _ => Err(error),
             },
-            Either::Right((head, sending)) => {
-                let sent = match sending.now_or_never() {
-                    Some(Ok(())) => Sent::Whole,
-                    _ => Sent::Partly,
-                };
-                Ok((head?, sent))
-            }
+            Either::Right((received, sending)) => match sending.now_or_never() {
+                Some(Ok(())) => received,
+                _ => Ok(Received { reuse: Reuse::Forbidden, ..received? }),
+            },
         }
     }
 
@@ -230,7 +218,7 @@
     Ok(())
 }
 
-/// Receives the head of the expected answer and skips answers to earlier requests.
+/// Receives the head of the expected answer and skips answers to other calls.
 ///
 /// The wait for its first byte is limited as a whole: each skipped answer would prolong it
 /// otherwise.
@@ -239,14 +227,20 @@
     expected: &ExpectedAnswer<'_>,
     first_byte_ms_max: u64,
     limits: &TargetLimits,
-) -> Result<ResponseHead, TargetError> {
+) -> Result<Received, TargetError> {
     let wait = Wait { since: Instant::now(), limit_ms: first_byte_ms_max };
-    for _ in 0..=EARLIER_ANSWERS_MAX {
+    for skipped_answers in 0..=SKIPPED_ANSWERS_MAX {
         let head = receive_final_head(reader, expected.method, wait, limits).await?;
-        if expected.is_answered_by(&head) {
-            return Ok(head);
-        }
-        skip_body(reader, &head, wait, limits).await?;
+        let reuse = match expected.attribute(&head) {
+            Attribution::Own if skipped_answers == 0 => Reuse::Allowed,
+            Attribution::Own | Attribution::OnlyCall => Reuse::Forbidden,
+            Attribution::Unclear => return Err(Code::Unattributed.into()),
+            Attribution::Other => {
+                skip_body(reader, &head, wait, limits).await?;
+                continue;
+            }
+        };
+        return Ok(Received { head, reuse, skipped_answers });
     }
     Err(Code::OtherRequests.into())
 }
@@ -264,7 +258,7 @@
     }
 }
 
-/// Reads and discards the body of an answer to an earlier request.
+/// Reads and discards the body of an answer to another call.
 async fn skip_body(
     reader: &mut MessageReader<TcpStream>,
     head: &ResponseHead,
@@ -278,7 +272,7 @@
             reader.body_chunk(&mut decoder).await.map_err(|source| Code::Body { source })?
         {
             skipped_bytes += chunk.len();
-            if skipped_bytes > EARLIER_ANSWER_BYTES_MAX {
+            if skipped_bytes > SKIPPED_ANSWER_BYTES_MAX {
                 return Err(Code::OtherRequests);
             }
         }
--- a/crates/lycheeford-target/src/request.rs
+++ b/crates/lycheeford-target/src/request.rs
@@ -18,12 +18,8 @@
     pub host: Option<String>,
     /// The headers, without those of the connection, which the client sets.
     pub headers: Vec<(String, String)>,
-    /// The name and value of a request header that the target may repeat in its answer.
-    ///
-    /// An answer with another value belongs to an earlier request on the same
-    /// connection and is skipped. A pooled connection that has carried a request
-    /// with the same value isn't used.
-    pub echo: Option<(String, String)>,
+    /// How the answer is recognized if targets repeat the ids of calls; `None` if they don't.
+    pub echo: Option<Echo>,
     /// The complete body.
     pub body: Vec<u8>,
     /// Which kind of connection carries the call.
@@ -32,6 +28,21 @@
     pub first_byte_ms_max: Option<u64>,
 }
 
+/// The header in which targets repeat the id of a call, in every answer to it.
+///
+/// An answer with another id belongs to an earlier call on the same connection and is skipped. An
+/// answer without an id is accepted only on a connection that carried no other call, and one with
+/// two ids never.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Echo {
+    /// The name of the header, in the request and in its answer.
+    pub header: String,
+    /// The id of this call. A pooled connection that has carried a call with the same id isn't used.
+    ///
+    /// `None` for a call without an id, which gets a connection of its own.
+    pub id: Option<String>,
+}
+
 /// Which kind of connection carries a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Connection {
@@ -70,12 +81,23 @@
             }
             request.insert_header("host", host.as_str());
         }
-        if self.connection != Connection::Pooled {
+        if !self.may_share_connection() {
             request.insert_header("connection", "close");
         }
         Ok(request)
     }
 
+    /// Returns whether the call may use a connection that carries other calls, too.
+    pub(crate) fn may_share_connection(&self) -> bool {
+        let has_id = self.echo.as_ref().is_none_or(|echo| echo.id.is_some());
+        self.connection == Connection::Pooled && has_id
+    }
+
+    /// Returns the id of the call, if targets repeat it.
+    pub(crate) fn id(&self) -> Option<&str> {
+        self.echo.as_ref()?.id.as_deref()
+    }
+
     /// Returns the URL, or an error if parsing changes the path: the target must
     /// receive exactly the path that was used for routing.
     fn url(&self, address: SocketAddr) -> Result<Url, TargetError> {
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -21,6 +21,8 @@
     pub status: u16,
     /// The headers, with names in lower case, without those of the connection.
     pub headers: Vec<(String, String)>,
+    /// How many answers to other calls preceded it on the connection and were skipped.
+    pub skipped_answers: usize,
     /// The body, which is received on demand.
     pub body: TargetBody,
 }
--- a/crates/lycheeford-target/tests/endless.rs
+++ b/crates/lycheeford-target/tests/endless.rs
@@ -8,7 +8,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use async_std::task;
-use lycheeford_target::{Category, Connection, TargetClient, TargetError, TargetLimits, Unframed};
+use lycheeford_target::{
+    Category, Connection, Echo, TargetClient, TargetError, TargetLimits, Unframed,
+};
 
 use crate::common::{get, read_request, target};
 
@@ -70,7 +72,7 @@
     for EndlessCase { name, first, again } in CASES {
         let (address, sent_bytes) = endless(first, again);
         let mut request = get("/", Connection::Pooled);
-        request.echo = Some(("attempt-id".to_owned(), "mine".to_owned()));
+        request.echo = Some(Echo { header: "attempt-id".to_owned(), id: Some("mine".to_owned()) });
         let client = TargetClient::new(limits());
         let error = task::block_on(async {
             let response = client.call(address, &request).await?;
--- a/crates/lycheeford-target/tests/pool.rs
+++ b/crates/lycheeford-target/tests/pool.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_target::{Category, Connection, TargetClient, TargetLimits, TargetRequest};
+use lycheeford_target::{Category, Connection, Echo, TargetClient, TargetLimits, TargetRequest};
 
 use crate::common::{get, read_request, short_limits, target};
 
@@ -218,7 +218,7 @@
 fn call_with_id(client: &TargetClient, address: SocketAddr, id: &str) -> String {
     let mut request = get("/", Connection::Pooled);
     request.headers.push(("x-id".to_owned(), id.to_owned()));
-    request.echo = Some(("x-id".to_owned(), id.to_owned()));
+    request.echo = Some(Echo { header: "x-id".to_owned(), id: Some(id.to_owned()) });
     body(client, address, &request)
 }
 
