Believe "not run" only in an answer that doesn't contradict it

What callers saw: a request that must run once was sent to a second target (TWICE) after an answer that says both that the request ran and that it didn't.

Cause: any Not-Executed header was taken for a promise: in a 200, a 302 or a 500, twice in a head, with the value 0 or none, and in an answer that names another target in Instance-Id.

Otherwise the reply is unclear: the request is sent again only if it may be repeated; else its caller gets 502. 421 says by itself that the request didn't run, whoever sends it.

Evidence: promises::a_contradicted_promise_is_not_believed failed before for eight answers on both kinds of routes, as "a success /order/x: (200, 2), expected (502, 1)". It passes now; the cases that are not contradicted (503, 429, 421, an interim head) pass on both.

--- a/crates/lycheeford-gateway/src/lib.rs
+++ b/crates/lycheeford-gateway/src/lib.rs
@@ -39,7 +39,7 @@
 pub use crate::protocol::{
     AddressQuery, AnswerHead, CallerProtocol, DirectoryProtocol, Dispatch, EngineOrder,
     EngineReport, GatewayRequest, LimitSignal, ModelName, NotRun, OrderAnswer, OrderedName,
-    PlatformProtocols, PromptPart, Reply, StoreProtocol, TargetProtocol, TargetSignals,
+    PlatformProtocols, PromptPart, Reply, StoreProtocol, TargetProtocol, TargetSignals, Unclear,
 };
 pub use crate::run::{StartError, run};
 pub use crate::settings::{GatewaySettings, RetryBounds};
--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -143,6 +143,15 @@
     Failed,
     /// The target states that it hasn't run the request and won't.
     NotRun(NotRun),
+    /// The response doesn't show whether the request ran, and callers must not get it.
+    Unclear(Unclear),
+}
+
+/// Why a response doesn't show whether the request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unclear {
+    /// It states that the request wasn't run, and contradicts that.
+    Contradiction,
 }
 
 /// Why a target didn't run a request.
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -1,3 +1,4 @@
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use lycheeford_target::{
     BodyEnd, Category, Connection, TargetError, TargetRequest, TargetResponse,
 };
-use slog::info;
+use slog::{info, warn};
 
 use super::admission::Admitted;
 use super::crash::{InterruptedRequest, check_for_crash};
@@ -18,7 +19,7 @@
 use super::slot::{Slot, acquire_slot, host_stopping};
 use crate::fleet::record_unanswered;
 use crate::state::State;
-use crate::{AnswerHead, Dispatch, NotRun, Reply};
+use crate::{AnswerHead, Dispatch, NotRun, Reply, Unclear};
 
 /// The most attempts per request, counting targets that rejected it without running it.
 const SENDS_MAX: u32 = 5;
@@ -73,6 +74,8 @@
     NotRun(NotRun),
     /// The request may have run.
     Broken(TargetError),
+    /// The target answered with this status, and the request may have run.
+    Unclear(u16),
 }
 
 impl Drop for Attempts {
@@ -215,6 +218,10 @@
             self.not_run(&slot.chosen, cause);
             return Err(AttemptError::NotRun(cause));
         }
+        if let Reply::Unclear(cause) = reply {
+            self.record_unclear(&slot.chosen, response.status, cause);
+            return Err(AttemptError::Unclear(response.status));
+        }
         self.ran = Ran::Ran;
         self.record_run();
         if reply == Reply::Failed {
@@ -265,13 +272,29 @@
         }
     }
 
+    /// Records a response that doesn't show whether the request ran.
+    fn record_unclear(&mut self, chosen: &Chosen, status: u16, cause: Unclear) {
+        warn!(self.state.log, "attempt_unclear";
+            "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
+            "status" => status, "cause" => ?cause);
+        self.state.metrics.attempt("unclear");
+        self.ran = self.ran.max(Ran::Unknown);
+        self.record_run();
+        self.note_failure(chosen, TargetFailure::Error);
+        self.exclude(chosen);
+    }
+
     /// Decides whether to try another target after an attempt that gave no usable response.
     fn may_try_another(&mut self, attempt_error: AttemptError) -> Result<(), Refusal> {
         match attempt_error {
             AttemptError::Unreachable if self.sends < SENDS_MAX => Ok(()),
             AttemptError::Unreachable => Err(no_target()),
-            AttemptError::Broken(_) if self.take_retry() => Ok(()),
+            AttemptError::Broken(_) | AttemptError::Unclear(_) if self.take_retry() => Ok(()),
             AttemptError::Broken(error) => Err(self.failed(&error)),
+            AttemptError::Unclear(status) => Err(self.failed(&format_args!(
+                "the target answered {status} and may have run the request; check whether it took \
+                 effect"
+            ))),
             AttemptError::NotRun(cause) => {
                 let may_send = cause != NotRun::Rejected
                     && self.sends < SENDS_MAX
@@ -447,11 +470,11 @@
     }
 
     /// Returns the refusal of a request that no target completed.
-    pub(super) fn failed(&self, error: &TargetError) -> Refusal {
+    pub(super) fn failed(&self, cause: &impl Display) -> Refusal {
         if self.state.now() >= self.admitted.final_at {
             return self.out_of_time();
         }
-        let message = error.to_string();
+        let message = cause.to_string();
         Refusal::not_run(RefusalCode::TargetFailed, message, Some(RETRY_MS)).after(self.ran)
     }
 
