Don't pass on a 503, 429 or 408 for which the target made no promise

What callers saw: 503, 429 or 408, which promise that the request hasn't run, though the target had run it (REFUSED).

Cause: a target's status was passed on unchanged whatever it was. Of a target's own 503, 429 or 408 without Not-Executed nobody knows whether the request ran, but callers read these statuses as a promise and send the request again. A 429 or 408 even counted as a success of the target.

Such an answer is unclear now: the request is tried again if it may be repeated, and ends with a 502 of this host otherwise, without the target's signature. 500, 502 and 504 promise nothing and are passed on unchanged; 421 is never passed on.

Evidence: promises::a_status_that_callers_take_for_a_promise_is_not_passed_on_without_one failed before for 408, 429, 503, 503 with a pause and 503 after an interim head with Not-Executed, on routes of both kinds that run once, as "429 /order/x: (429, 1), expected (502, 1)"; for 429 and 408 also on repeatable routes, which weren't tried again. It passes now.

Changed checks in decoders.rs: "retry-after without not-executed" expected Failed and "retry-after with another status" (429) expected Ran, which is the fault; both expect Unclear. The 429 no longer says that the target has no limit, as is so of all answers that reject a request.

--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -152,6 +152,9 @@
 pub enum Unclear {
     /// It states that the request wasn't run, and contradicts that.
     Contradiction,
+    /// It has a status that tells callers that the request wasn't run, but the target doesn't state
+    /// that.
+    NoStatement,
 }
 
 /// Why a target didn't run a request.
