Take no second answer for a part of a body without a length

Cause: such a body is whatever comes before the end of the connection, and nothing looked at what came. The client now scans it for a status line that is followed by the header which targets repeat (AnswerScan), whatever its value: then the body isn't known to be whole and fails. A request that may run again is sent to another target, others get 502, a stream goes on elsewhere or is broken off. Beside it, a line of a stream that begins like a status line is no field, so that a second head without an id isn't passed on in a stream either. Bodies with a length or chunks end where they say and aren't scanned.

Not covered: a second head without the id within a plain body without a length, which can't be told from a text about HTTP.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -169,6 +169,9 @@
             return End::Broken(TargetError::invalid_stream("the answer isn't one"));
         }
         let mut body = response.body;
+        if body.end() == BodyEnd::Connection {
+            self.boundary.expect_answers();
+        }
         let mut is_first = true;
         let mut is_paused = false;
         // Only complete events count as progress: a stalled target may still send single bytes or
--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -31,6 +31,8 @@
     order: EventOrder,
     /// Whether another target, or another host, sent the events so far.
     is_resumed: bool,
+    /// Whether another answer may follow within the bytes.
+    may_hold_answers: bool,
     fault: Option<EventFault>,
     /// Whether the last complete event had no id.
     is_last_unnamed: bool,
@@ -53,6 +55,11 @@
         *self = EventBoundary { order, is_resumed: true, ..EventBoundary::default() };
     }
 
+    /// Takes the head of another answer for a fault, since the bytes end with their connection.
+    pub fn expect_answers(&mut self) {
+        self.may_hold_answers = true;
+    }
+
     /// Adds bytes and returns those of the events that are now complete.
     ///
     /// Nothing is returned from the first fault on; see [`EventBoundary::fault`].
@@ -68,7 +75,7 @@
             let end = self.scanned + offset;
             let line = trim_carriage_return(&self.pending[self.line_start..end]);
             let kind = LineKind::of(line);
-            self.fault = self.line_fault(kind);
+            self.fault = self.line_fault(line, kind);
             if self.fault.is_some() {
                 break;
             }
@@ -99,15 +106,15 @@
     /// Returns why the bytes after the last complete event don't continue the stream, if they
     /// don't.
     ///
-    /// Only resumed streams are checked: what the first target sends is the response, whatever it
-    /// is.
+    /// What the first target sends is the response, whatever it is, until another answer follows.
     pub fn fault(&self) -> Option<EventFault> {
         self.fault
     }
 
-    fn line_fault(&self, kind: LineKind) -> Option<EventFault> {
+    fn line_fault(&self, line: &[u8], kind: LineKind) -> Option<EventFault> {
         if !self.is_resumed {
-            return None;
+            let is_answer = self.may_hold_answers && line.starts_with(b"HTTP/1.");
+            return is_answer.then_some(EventFault::Line);
         }
         match (kind, self.pending_fields) {
             (LineKind::Other, _) => Some(EventFault::Line),
--- a/crates/lycheeford-policy/tests/gateway/streams.rs
+++ b/crates/lycheeford-policy/tests/gateway/streams.rs
@@ -285,3 +285,14 @@
         assert_eq!(boundary.fault(), None, "{bytes}");
     }
 }
+
+/// Guards against a second answer behind a stream that ends with its connection.
+#[test]
+fn a_stream_that_ends_with_its_connection_holds_no_other_answer() {
+    let answers = "data: a\n\nHTTP/1.1 200 OK\r\n\r\ndata: a\n\n";
+    let mut boundary = EventBoundary::default();
+    boundary.expect_answers();
+    assert_eq!(boundary.push(answers.as_bytes()), b"data: a\n\n");
+    assert_eq!(boundary.fault(), Some(EventFault::Line));
+    assert_eq!(boundary.push(b"\n\n"), b"");
+}
--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -76,6 +76,7 @@
         let body = TargetBody::new(
             link,
             head.framing,
+            request.echo.as_ref().map(|(name, _)| name.as_str()),
             after_answer,
             &self.limits,
             self.budget.reservation(),
--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -25,6 +25,7 @@
             | Code::Body { .. }
             | Code::Interim
             | Code::OtherRequests
+            | Code::SecondAnswer
             | Code::TooLarge { .. }
             | Code::SharedMemoryExhausted { .. }
             | Code::EventTooLarge { .. }
@@ -140,6 +141,8 @@
     Interim,
     #[snafu(display("the connection carries answers to other requests; correct the target"))]
     OtherRequests,
+    #[snafu(display("the body without a length holds another answer; correct the target"))]
+    SecondAnswer,
     #[snafu(display(
         "the answer is over {limit_bytes} bytes; raise the limit or correct the target"
     ))]
--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`TargetStatus`], [`Order`]: the status that engines report, and the orders they receive.
 //! - [`EventSplitter`], [`CompletionEvent`]: the events of a streamed completion.
 
+mod answer_scan;
 mod client;
 mod completion;
 mod error;
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -4,6 +4,7 @@
 
 use lycheeford_http::{BodyDecoder, Framing, Reservation};
 
+use crate::answer_scan::AnswerScan;
 use crate::error::Code;
 use crate::link::Link;
 use crate::pool::Pool;
@@ -39,6 +40,8 @@
 pub struct TargetBody {
     state: State,
     end: BodyEnd,
+    /// Set if another answer may follow within the body.
+    scan: Option<AnswerScan>,
     between_bytes_ms_max: u64,
     answer_bytes_max: usize,
     received_bytes: usize,
@@ -72,6 +75,7 @@
     pub(crate) fn new(
         link: Link,
         framing: Framing,
+        repeated_header: Option<&str>,
         after_answer: AfterAnswer,
         limits: &TargetLimits,
         memory: Reservation,
@@ -82,6 +86,9 @@
                 Framing::UntilClose => BodyEnd::Connection,
                 Framing::Empty | Framing::Length(_) | Framing::Chunked => BodyEnd::Declared,
             },
+            scan: repeated_header
+                .filter(|_| framing == Framing::UntilClose)
+                .map(|name| AnswerScan::new(name.to_owned())),
             between_bytes_ms_max: limits.between_bytes_ms_max,
             answer_bytes_max: limits.answer_bytes_max,
             received_bytes: 0,
@@ -105,7 +112,8 @@
     /// # Errors
     ///
     /// Fails if the answer is truncated, malformed, too large, or pauses too
-    /// long; the connection is then closed.
+    /// long, or if a body that ends with its connection holds another answer;
+    /// the connection is then closed.
     pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, TargetError> {
         let received = match &mut self.state {
             State::Whole => return Ok(None),
@@ -116,7 +124,7 @@
             }
         };
         self.waiting_since = None;
-        let checked = received.and_then(|chunk| self.count(chunk));
+        let checked = received.and_then(|chunk| self.check(chunk));
         match checked {
             Ok(_) => self.release_if_complete(),
             Err(_) => self.state = State::Failed,
@@ -146,11 +154,16 @@
         Ok(whole)
     }
 
-    fn count(&mut self, chunk: Option<Vec<u8>>) -> Result<Option<Vec<u8>>, TargetError> {
+    fn check(&mut self, chunk: Option<Vec<u8>>) -> Result<Option<Vec<u8>>, TargetError> {
         self.received_bytes += chunk.as_ref().map_or(0, Vec::len);
         if self.received_bytes > self.answer_bytes_max {
             return Err(Code::TooLarge { limit_bytes: self.answer_bytes_max }.into());
         }
+        if let (Some(scan), Some(chunk)) = (&mut self.scan, &chunk)
+            && scan.finds_answer(chunk)
+        {
+            return Err(Code::SecondAnswer.into());
+        }
         Ok(chunk)
     }
 
