Log and count why a stream was broken off for good

`stream_cut` said why a stream broke at a target, and not whether or why it ended with that: a stream that went on elsewhere and one whose attempts were used up had the same line. A last line now gives the cause of the end, and `lycheeford_gateway_streams_cut` counts it: caller_left, deadline_passed, host_stopping, without_ids, no_attempt_left, no_other_target.

--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -76,6 +76,7 @@
     first_event: Histograms,
     refused: Family<ReasonLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
+    streams_cut: Family<CauseLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
     permits: Family<AnswerLabels, Counter>,
@@ -111,6 +112,7 @@
             first_event: Family::new_with_constructor(histogram),
             refused: Family::default(),
             attempts: Family::default(),
+            streams_cut: Family::default(),
             orders: Family::default(),
             signals: Family::default(),
             permits: Family::default(),
@@ -174,6 +176,11 @@
         self.attempts.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts a stream that was broken off for good.
+    pub(crate) fn stream_cut(&self, cause: &'static str) {
+        self.streams_cut.get_or_create(&CauseLabels { cause }).inc();
+    }
+
     /// Counts a signal in a target's response, by its kind.
     pub(crate) fn target_signal(&self, signal: &'static str) {
         self.signals.get_or_create(&SignalLabels { word: signal }).inc();
@@ -207,6 +214,8 @@
         registry.register("first_event_ms", "Time to the first event", self.first_event.clone());
         registry.register("refused", "Refusals by reason", self.refused.clone());
         registry.register("attempts", "Attempts that gave no answer", self.attempts.clone());
+        let help = "Streams that were broken off for good";
+        registry.register("streams_cut", help, self.streams_cut.clone());
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("target_words", "What targets said of themselves", self.signals.clone());
         let help = "Answers to questions for permits of targets that name a limit";
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -42,6 +42,44 @@
     Moved(TargetError, Slot),
 }
 
+/// Why a caller's stream is broken off for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    CallerLeft,
+    DeadlinePassed,
+    HostStopping,
+    /// The last event has no id after which another target could go on.
+    WithoutIds,
+    /// The request may not be sent to another target.
+    NoAttemptLeft,
+    /// No other target took the request.
+    NoOtherTarget,
+}
+
+impl Cut {
+    fn label(self) -> &'static str {
+        match self {
+            Cut::CallerLeft => "caller_left",
+            Cut::DeadlinePassed => "deadline_passed",
+            Cut::HostStopping => "host_stopping",
+            Cut::WithoutIds => "without_ids",
+            Cut::NoAttemptLeft => "no_attempt_left",
+            Cut::NoOtherTarget => "no_other_target",
+        }
+    }
+
+    fn cause(self) -> &'static str {
+        match self {
+            Cut::CallerLeft => "caller left",
+            Cut::DeadlinePassed => "deadline passed",
+            Cut::HostStopping => "this host is stopping",
+            Cut::WithoutIds => "the last event has no id to go on after",
+            Cut::NoAttemptLeft => "the request may not be sent to another target",
+            Cut::NoOtherTarget => "no other target took the stream",
+        }
+    }
+}
+
 /// The next step of a stream.
 enum Next {
     Chunk(Result<Option<Vec<u8>>, TargetError>),
@@ -81,18 +119,20 @@
                     self.attempts.log_answered(200, &chosen.id, self.sent_bytes);
                     return self.sender.finish();
                 }
-                End::HungUp => return self.log_cut("caller left", &chosen.id),
-                End::OutOfTime => return self.log_cut("deadline passed", &chosen.id),
-                End::HostStopping => return self.log_cut("this host is stopping", &chosen.id),
+                End::HungUp => return self.cut(Cut::CallerLeft, &chosen.id),
+                End::OutOfTime => return self.cut(Cut::DeadlinePassed, &chosen.id),
+                End::HostStopping => return self.cut(Cut::HostStopping, &chosen.id),
                 End::Broken(error) => {
-                    let is_past_deadline = self.is_past_deadline();
                     self.attempts.record_broken(&chosen, &error, self.boundary.events());
                     self.log_cut(&error.to_string(), &chosen.id);
-                    if is_past_deadline
-                        || !self.boundary.is_resumable()
-                        || !self.attempts.take_retry()
-                    {
-                        return;
+                    if self.is_past_deadline() {
+                        return self.cut(Cut::DeadlinePassed, &chosen.id);
+                    }
+                    if !self.boundary.is_resumable() {
+                        return self.cut(Cut::WithoutIds, &chosen.id);
+                    }
+                    if !self.attempts.take_retry() {
+                        return self.cut(Cut::NoAttemptLeft, &chosen.id);
                     }
                     self.attempts.exclude(&chosen);
                     None
@@ -129,6 +169,7 @@
             }
             self.log_cut(&format!("the next target answered {status}"), &target.id);
             if !self.attempts.take_retry() {
+                self.cut(Cut::NoAttemptLeft, &target.id);
                 return None;
             }
             self.attempts.exclude(target);
@@ -153,10 +194,11 @@
             Some(Ok(resumed)) => Some(resumed),
             Some(Err(refusal)) => {
                 self.log_cut(&format!("no other target can resume: {}", refusal.message), "");
+                self.cut(Cut::NoOtherTarget, "");
                 None
             }
             None => {
-                self.log_cut("caller left", "");
+                self.cut(Cut::CallerLeft, "");
                 None
             }
         }
@@ -339,6 +381,12 @@
         chunk.race(hung_up).race(host_stopping).await
     }
 
+    /// Records that the caller's stream is broken off for good.
+    fn cut(&self, cut: Cut, target: &str) {
+        self.attempts.state.metrics.stream_cut(cut.label());
+        self.log_cut(cut.cause(), target);
+    }
+
     fn log_cut(&self, cause: &str, target: &str) {
         let admitted = &self.attempts.admitted;
         info!(self.attempts.state.log, "stream_cut";
