--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -26,6 +26,7 @@
             | Code::Interim
             | Code::OtherRequests
             | Code::Unattributed
+            | Code::SecondAnswer
             | Code::TooLarge { .. }
             | Code::SharedMemoryExhausted { .. }
             | Code::EventTooLarge { .. }
@@ -146,6 +147,8 @@
     Interim,
     #[snafu(display("the connection carries answers to other requests; correct the target"))]
     OtherRequests,
+    #[snafu(display("the body without a length holds another answer; correct the target"))]
+    SecondAnswer,
     #[snafu(display(
         "the answer has no id, or two, on a connection that carried other requests; correct the target"
     ))]
