Decode each object in an answer of the store by itself

What callers saw: with one odd entry in the store (200 nested lists, 1e999, a byte that isn't UTF-8, no metadata), no host learned of any other change. A host that started beside one never got ready; one among the hosts' or the crash suspects' own objects had the same effect. The process didn't end: it listed again and again.

Cause: an answer was parsed as a whole, values included, so that one value beyond the parser's bounds failed the list or the watch of all.

Change: both clients of the store find the objects of an answer by brackets and quotes (`RawJson`), in time and memory proportional to its bytes and without recursion, and decode each by itself. `Object::value` is the value or the error; every reader goes through `Object::decode` and skips what isn't readable, as it did values of another type. Objects without a readable name are left out and counted. serde_json's `RawValue` was weighed: it rejects the whole answer for a byte that isn't UTF-8 or a raw line break in a string. `target_unreadable` is logged once a change, with a bounded name and error.

A test's comparisons of `value` changed with its type; no check did.

--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod store_loss;
 mod target_follow;
 mod target_sync;
+mod unreadable_entries;
 
 pub(crate) use self::deployment_follow::follow_deployment;
 pub(crate) use self::dispatcher::{Dispatcher, merge};
--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -84,7 +84,8 @@
 /// Applies the store's changes of targets after revision `after`.
 fn apply_update(state: &State, update: Update, after: u64, grace_ms: u64) {
     let now = state.now();
-    let Update { as_of, revision, change, .. } = update;
+    let Update { as_of, revision, change, unnamed, .. } = update;
+    log_unnamed(state, &change, unnamed);
     let known_at = state.target_sync().watch.asked_at().unwrap_or(now);
     state.dispatcher().targets.leave_by(known_at + state.target_use_ms_max());
     let changes = match change {
@@ -168,6 +169,7 @@
         match event {
             WatchEvent::Put(object) => changes.extend(put(state, now, object, known)),
             WatchEvent::Deleted { name, .. } => {
+                state.target_sync().unreadable.forget(name);
                 is_shareable &= grace_ms == 0;
                 if remove_target(state, now, name, grace_ms) {
                     // A deletion may carry the revision of the change before it, but it happened
@@ -211,11 +213,34 @@
 /// Reads an entry; logs and skips one that isn't a valid target.
 fn read(state: &State, object: &Object) -> Option<TargetEntry> {
     match state.protocols.store.target(object) {
-        Ok(entry) => Some(entry),
+        Ok(entry) => {
+            state.target_sync().unreadable.forget(&object.name);
+            Some(entry)
+        }
         Err(message) => {
-            warn!(state.log, "target_unreadable";
-                "target" => object.name.as_str(), "revision" => object.version, "error" => message);
+            if state.target_sync().unreadable.record(&object.name, object.version) {
+                state.metrics.unreadable_entries.inc();
+                warn!(state.log, "target_unreadable";
+                    "target" => object.name.abbreviated(), "revision" => object.version,
+                    "error" => message);
+            }
             None
         }
     }
 }
+
+/// Logs the entries whose names can't be read: all of a list, or those that changed.
+fn log_unnamed(state: &State, change: &Change, unnamed: usize) {
+    let is_news = match change {
+        Change::Replace(listing) => {
+            let mut sync = state.target_sync();
+            sync.unreadable.retain_listed(listing.objects.iter().map(|object| &object.name));
+            sync.unreadable.record_unnamed(unnamed)
+        }
+        Change::Apply(_) => unnamed > 0,
+    };
+    if is_news {
+        state.metrics.unreadable_entries.inc_by(unnamed as u64);
+        warn!(state.log, "targets_unnamed"; "targets" => unnamed);
+    }
+}
--- a/crates/lycheeford-gateway/src/fleet/target_sync.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_sync.rs
@@ -1,6 +1,7 @@
 use lycheeford_policy::{PeerReport, SharedWatch, TargetChange, TargetLog};
 use slog::info;
 
+use super::unreadable_entries::UnreadableEntries;
 use crate::state::State;
 
 /// The state of the list of targets, as known from the store and from other hosts.
@@ -8,6 +9,7 @@
 pub(crate) struct TargetSync {
     pub(crate) watch: SharedWatch,
     pub(crate) log: TargetLog,
+    pub(crate) unreadable: UnreadableEntries,
 }
 
 /// Applies the changes to the list of targets that another host reports.
--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_platform::{Category, Expect, Listing, Object, PlatformError};
+use lycheeford_platform::{Category, Expect, Listing, Object, PlatformError, UnreadableValue};
 use lycheeford_policy::{HostRecord, Name, TimeMs};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -163,8 +163,8 @@
     decode(object).is_ok_and(|stored| stored.incarnation == state.incarnation)
 }
 
-fn decode(object: &Object) -> Result<StoredHost, serde_json::Error> {
-    serde_json::from_value(object.value.clone())
+fn decode(object: &Object) -> Result<StoredHost, UnreadableValue> {
+    object.decode()
 }
 
 /// Reads the object of a host; logs and skips an unreadable one.
--- a/crates/lycheeford-gateway/src/membership/stored_suspects.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -101,7 +101,7 @@
 }
 
 fn decode(state: &State, object: &Object) -> Option<CrashSuspect> {
-    match serde_json::from_value::<StoredSuspect>(object.value.clone()) {
+    match object.decode::<StoredSuspect>() {
         Ok(stored) => Some(CrashSuspect::from(stored)),
         Err(error) => {
             warn!(state.log, "crash_suspect_unreadable";
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -80,6 +80,7 @@
     signals: Family<SignalLabels, Counter>,
     permits: Family<AnswerLabels, Counter>,
     crash_causes: Family<CauseLabels, Counter>,
+    pub(crate) unreadable_entries: Counter,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
     ages: Family<SourceLabels, Gauge>,
@@ -115,6 +116,7 @@
             signals: Family::default(),
             permits: Family::default(),
             crash_causes: Family::default(),
+            unreadable_entries: Counter::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
             ages: Family::default(),
@@ -213,6 +215,8 @@
         registry.register("target_permits", help, self.permits.clone());
         let help = "Requests and prompt parts that are refused because targets crashed under them";
         registry.register("crash_causes", help, self.crash_causes.clone());
+        let help = "Changes of targets' entries that can't be read";
+        registry.register("unreadable_entries", help, self.unreadable_entries.clone());
         registry.register("revision", "The declaration in force", self.revision.clone());
         registry.register(
             "holds_orders",
--- a/crates/lycheeford-gateway/src/orders/lease_task.rs
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -121,5 +121,5 @@
 }
 
 fn decode(object: &Object) -> Option<LeaseRecord> {
-    serde_json::from_value::<StoredLease>(object.value.clone()).ok().map(LeaseRecord::from)
+    object.decode::<StoredLease>().ok().map(LeaseRecord::from)
 }
--- a/crates/lycheeford-platform/src/error.rs
+++ b/crates/lycheeford-platform/src/error.rs
@@ -1,6 +1,8 @@
 use lycheeford_policy::Name;
 use snafu::Snafu;
 
+use crate::UnreadableValue;
+
 /// The failure of a call to the platform.
 #[derive(Debug, Snafu)]
 pub struct PlatformError(Code);
@@ -32,6 +34,12 @@
     }
 }
 
+impl From<UnreadableValue> for PlatformError {
+    fn from(error: UnreadableValue) -> PlatformError {
+        UndecodableSnafu { message: error.to_string() }.build().into()
+    }
+}
+
 /// The category of a failed call, which decides how the caller handles the failure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Category {
--- a/crates/lycheeford-platform/src/follow.rs
+++ b/crates/lycheeford-platform/src/follow.rs
@@ -40,6 +40,8 @@
     pub failing_since: Option<TimeMs>,
     /// The changes to apply to the known objects.
     pub change: Change,
+    /// The number of objects that are left out because not even their names can be read.
+    pub unnamed: usize,
 }
 
 /// The changes of an update.
@@ -138,7 +140,7 @@
     loop {
         let as_of = clock();
         match follower.step(next).await {
-            Outcome::Current(change) => {
+            Outcome::Current(change, unnamed) => {
                 backoff.reset();
                 has_failed = false;
                 next = Step::Watch;
@@ -148,6 +150,7 @@
                     revision: follower.revision,
                     failing_since: failing_since.take(),
                     change,
+                    unnamed,
                 });
                 pace.pause(is_change, &rest_ms).await;
             }
@@ -174,7 +177,8 @@
 }
 
 enum Outcome {
-    Current(Change),
+    /// Holds the changes, and how many have no readable name.
+    Current(Change, usize),
     ListNow,
     /// Holds the reason.
     Failed(String),
@@ -207,7 +211,8 @@
         match listed {
             Ok(listing) if listing.revision >= self.revision => {
                 self.revision = listing.revision;
-                Outcome::Current(Change::Replace(listing))
+                let unnamed = listing.unnamed;
+                Outcome::Current(Change::Replace(listing), unnamed)
             }
             Ok(listing) => self.outdated(listing.revision),
             Err(error) => Outcome::Failed(error.to_string()),
@@ -221,7 +226,7 @@
                 self.revision = batch.revision;
                 let mut events = batch.events;
                 events.retain(|event| event.version() > after);
-                Outcome::Current(Change::Apply(events))
+                Outcome::Current(Change::Apply(events), batch.unnamed)
             }
             Ok(batch) => self.outdated(batch.revision),
             Err(error) if error.category() == Category::WatchTooOld => Outcome::ListNow,
--- a/crates/lycheeford-platform/src/http.rs
+++ b/crates/lycheeford-platform/src/http.rs
@@ -13,10 +13,10 @@
     AnswerLostSnafu, ConflictSnafu, ReadFailedSnafu, RefusedSnafu, TooLargeSnafu, UnreachableSnafu,
     WatchTooOldSnafu,
 };
-use crate::wire::{self, WireObject};
+use crate::wire;
 use crate::{
     CallCounters, Category, EraGate, Expect, Listing, Object, ObjectStore, PlatformError,
-    PlatformLimits, WatchBatch,
+    PlatformLimits, RawJson, WatchBatch,
 };
 
 /// The header of an answer that states the store's era.
@@ -261,8 +261,8 @@
 
 /// Decodes the answer to a put; if it is malformed, the outcome of the put is unknown.
 fn decode_version(bytes: &[u8]) -> Result<u64, PlatformError> {
-    match wire::decode::<WireObject>(bytes) {
-        Ok(object) => Ok(object.version),
+    match wire::version(RawJson::new(bytes)) {
+        Ok(version) => Ok(version),
         Err(error) => Err(AnswerLostSnafu { message: error.to_string() }.build().into()),
     }
 }
--- a/crates/lycheeford-platform/src/lib.rs
+++ b/crates/lycheeford-platform/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`HttpObjectStore`]: its implementation over HTTP and JSON.
 //! - [`put_settled`]: a conditional put, retried until its outcome is known.
 //! - [`follow`]: keeps a caller up to date with the objects of a kind.
+//! - [`RawJson`]: an answer whose values are decoded one by one, since others write some of them.
 //! - [`EraGate`]: which answers are of a store that was restored since.
 //! - [`PlatformError`] with its [`Category`]: the failure of a call.
 //!
@@ -37,8 +38,10 @@
 mod http;
 mod limits;
 mod object;
+mod raw_json;
 mod settled;
 mod store;
+mod unreadable;
 mod watch;
 mod wire;
 
@@ -52,6 +55,8 @@
 pub use crate::http::HttpObjectStore;
 pub use crate::limits::PlatformLimits;
 pub use crate::object::{Expect, Listing, Object};
+pub use crate::raw_json::RawJson;
 pub use crate::settled::put_settled;
 pub use crate::store::ObjectStore;
+pub use crate::unreadable::UnreadableValue;
 pub use crate::watch::{WatchBatch, WatchEvent};
--- a/crates/lycheeford-platform/src/settled.rs
+++ b/crates/lycheeford-platform/src/settled.rs
@@ -110,7 +110,7 @@
     async fn read_back(&self, history: &mut History) -> Result<u64, PlatformError> {
         let stored = self.store.get(self.kind, self.name).await?;
         match stored {
-            Some(object) if object.value == self.value => Ok(object.version),
+            Some(object) if object.value.as_ref() == Ok(&self.value) => Ok(object.version),
             _ => {
                 *history = History::Overwritten;
                 let (kind, name) = (Name::from(self.kind), Name::from(self.name));
--- a/crates/lycheeford-platform/src/wire.rs
+++ b/crates/lycheeford-platform/src/wire.rs
@@ -1,124 +1,81 @@
 use lycheeford_policy::Name;
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
-use serde_json::Value;
 use snafu::ensure;
 
-use crate::error::{DisorderedSnafu, OtherObjectSnafu, UndecodableSnafu};
-use crate::{Listing, Object, PlatformError, WatchBatch, WatchEvent};
+use crate::error::{DisorderedSnafu, OtherObjectSnafu};
+use crate::{Listing, Object, PlatformError, RawJson, UnreadableValue, WatchBatch, WatchEvent};
 
-/// An object in an answer of the platform; the answer to a put omits the value.
-#[derive(Debug, Deserialize)]
-pub(crate) struct WireObject {
-    kind: String,
-    name: String,
-    pub(crate) version: u64,
-    #[serde(default)]
-    value: Value,
+/// Decodes the answer to a read of one object.
+pub(crate) fn object(raw: RawJson<'_>, kind: &str, name: &str) -> Result<Object, PlatformError> {
+    let version = version(raw)?;
+    let object = any_object(raw, version)?;
+    check_kind(&object, kind)?;
+    ensure!(object.name.as_str() == name, OtherObjectSnafu { kind, name: object.name.clone() });
+    Ok(object)
 }
 
-#[derive(Debug, Deserialize)]
-pub(crate) struct WireListing {
-    revision: u64,
-    objects: Vec<WireObject>,
+/// Decodes the version of an object.
+pub(crate) fn version(raw: RawJson<'_>) -> Result<u64, UnreadableValue> {
+    raw.required("version")?.decode()
 }
 
-#[derive(Debug, Deserialize)]
-pub(crate) struct WireWatch {
-    revision: u64,
-    events: Vec<WireEvent>,
-}
-
-#[derive(Debug, Deserialize)]
-struct WireEvent {
-    object: WireObject,
-    #[serde(default)]
-    deleted: bool,
-}
-
-pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(bytes)
-        .map_err(|source| UndecodableSnafu { message: source.to_string() }.build().into())
-}
-
-pub(crate) fn check_object(
-    object: &Object,
-    kind: &str,
-    name: Option<&str>,
-) -> Result<(), PlatformError> {
-    let is_requested =
-        object.kind.as_str() == kind && name.is_none_or(|name| object.name.as_str() == name);
-    ensure!(
-        is_requested,
-        OtherObjectSnafu { kind: object.kind.clone(), name: object.name.clone() }
-    );
-    Ok(())
-}
-
-impl From<WireObject> for Object {
-    fn from(wire: WireObject) -> Object {
-        Object {
-            kind: Name::from(wire.kind),
-            name: Name::from(wire.name),
-            version: wire.version,
-            value: wire.value,
-        }
+/// Decodes a list of objects of a kind.
+pub(crate) fn listing(raw: RawJson<'_>, kind: &str) -> Result<Listing, PlatformError> {
+    let revision = raw.required("revision")?.decode()?;
+    let mut listing = Listing { revision, ..Listing::default() };
+    for item in raw.required("objects")?.items()? {
+        let Ok(object) = any_object(item, revision) else {
+            listing.unnamed += 1;
+            continue;
+        };
+        check_kind(&object, kind)?;
+        ensure!(object.version <= revision, DisorderedSnafu { version: object.version });
+        listing.objects.push(object);
     }
-}
-
-impl From<WireEvent> for WatchEvent {
-    fn from(wire: WireEvent) -> WatchEvent {
-        let object = Object::from(wire.object);
-        if wire.deleted {
-            let Object { kind, name, version, .. } = object;
-            return WatchEvent::Deleted { kind, name, version };
-        }
-        WatchEvent::Put(object)
+    let objects = &mut listing.objects;
+    objects.sort_unstable_by(|left, right| left.name.cmp(&right.name));
+    if let Some(pair) = objects.windows(2).find(|pair| pair[0].name == pair[1].name) {
+        return Err(DisorderedSnafu { version: pair[1].version }.build().into());
     }
+    Ok(listing)
 }
 
-impl TryFrom<(WireListing, &str)> for Listing {
-    type Error = PlatformError;
-
-    fn try_from((wire, kind): (WireListing, &str)) -> Result<Listing, PlatformError> {
-        let revision = wire.revision;
-        let mut objects: Vec<Object> = wire.objects.into_iter().map(Object::from).collect();
-        for object in &objects {
-            check_object(object, kind, None)?;
-            ensure!(object.version <= revision, DisorderedSnafu { version: object.version });
-        }
-        objects.sort_unstable_by(|left, right| left.name.cmp(&right.name));
-        if let Some(pair) = objects.windows(2).find(|pair| pair[0].name == pair[1].name) {
-            return Err(DisorderedSnafu { version: pair[1].version }.build().into());
+/// Decodes the changes of a kind.
+pub(crate) fn watch_batch(raw: RawJson<'_>, kind: &str) -> Result<WatchBatch, PlatformError> {
+    let revision = raw.required("revision")?.decode()?;
+    let mut batch = WatchBatch { revision, ..WatchBatch::default() };
+    let mut newest = 0;
+    for item in raw.required("events")?.items()? {
+        let Ok(object) = item.required("object").and_then(|raw| any_object(raw, revision)) else {
+            batch.unnamed += 1;
+            continue;
+        };
+        check_kind(&object, kind)?;
+        let version = object.version;
+        // An object without a readable version has that of the batch, whatever comes after it.
+        if item.required("object").and_then(self::version).is_ok() {
+            ensure!(version > newest && version <= revision, DisorderedSnafu { version });
+            newest = version;
         }
-        Ok(Listing { revision, objects })
+        batch.events.push(WatchEvent::new(object, item.field("deleted")));
     }
+    Ok(batch)
 }
 
-impl TryFrom<(WireWatch, &str)> for WatchBatch {
-    type Error = PlatformError;
-
-    fn try_from((wire, kind): (WireWatch, &str)) -> Result<WatchBatch, PlatformError> {
-        let mut events = Vec::with_capacity(wire.events.len());
-        let mut newest = 0;
-        for wire_event in wire.events {
-            let event = WatchEvent::from(wire_event);
-            let version = event.version();
-            ensure!(version > newest && version <= wire.revision, DisorderedSnafu { version });
-            ensure!(
-                event_kind(&event).as_str() == kind,
-                OtherObjectSnafu { kind: event_kind(&event).clone(), name: event.name().clone() }
-            );
-            newest = version;
-            events.push(event);
-        }
-        Ok(WatchBatch { revision: wire.revision, events })
-    }
+/// Decodes an object; an unreadable version counts as `revision`, up to which the answer includes
+/// all changes.
+///
+/// # Errors
+///
+/// Fails if the kind or the name can't be read. An unreadable version or value makes the value
+/// unreadable.
+fn any_object(raw: RawJson<'_>, revision: u64) -> Result<Object, UnreadableValue> {
+    let kind: Name = raw.required("kind")?.decode()?;
+    let name: Name = raw.required("name")?.decode()?;
+    Ok(Object::new(kind, name, version(raw), raw.field("value"), revision))
 }
 
-fn event_kind(event: &WatchEvent) -> &Name {
-    match event {
-        WatchEvent::Put(object) => &object.kind,
-        WatchEvent::Deleted { kind, .. } => kind,
-    }
+fn check_kind(object: &Object, kind: &str) -> Result<(), PlatformError> {
+    let Object { kind: found, name, .. } = object;
+    ensure!(found.as_str() == kind, OtherObjectSnafu { kind: found.clone(), name: name.clone() });
+    Ok(())
 }
--- a/crates/lycheeford-platform/tests/decoders.rs
+++ b/crates/lycheeford-platform/tests/decoders.rs
@@ -1,6 +1,6 @@
 //! Tests the decoders of the platform's answers with valid and arbitrary bytes.
 
-use lycheeford_platform::{Category, Listing, Object, WatchBatch};
+use lycheeford_platform::{Category, Listing, Object, RawJson, WatchBatch};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::{Value, json};
@@ -87,7 +87,7 @@
         prop_assert_eq!(found, wanted);
         prop_assert_eq!(listing.revision, revision);
         for object in &listing.objects {
-            prop_assert_eq!(&object.value, &value);
+            prop_assert_eq!(object.value.as_ref(), Ok(&value));
             prop_assert_eq!(listing.object(&object.name), Some(object));
         }
     }
@@ -157,3 +157,47 @@
         assert_eq!(error.category(), Category::Malformed, "{}", case.name);
     }
 }
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn raw_json_finds_what_a_decoder_finds(value in nested_value(), spaces in "[ \t\r\n]{0,3}") {
+        let text = format!("{spaces}{value:#}{spaces}");
+        let raw = RawJson::new(text.as_bytes());
+        prop_assert_eq!(raw.decode_any(), Ok(value.clone()));
+        if let Value::Array(items) = &value {
+            let found: Result<Vec<Value>, _> =
+                raw.items().unwrap().into_iter().map(RawJson::decode_any).collect();
+            prop_assert_eq!(found.as_ref(), Ok(items));
+        }
+        if let Value::Object(fields) = &value {
+            for (name, field) in fields {
+                let found = raw.required(name).and_then(RawJson::decode_any);
+                prop_assert_eq!(found.as_ref(), Ok(field));
+            }
+        }
+    }
+
+    #[test]
+    fn raw_json_of_arbitrary_bytes_gives_a_value_or_an_error(
+        bytes in prop::collection::vec(prop::sample::select(&b"{}[]\":,\\a1 \xff\n"[..]), 0..40),
+    ) {
+        let raw = RawJson::new(&bytes);
+        let _ = raw.field("a");
+        let _ = raw.decode_any();
+        for item in raw.items().unwrap_or_default() {
+            let _ = item.decode_any();
+        }
+    }
+}
+
+fn nested_value() -> impl Strategy<Value = Value> {
+    any_value().prop_recursive(4, 32, 4, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            prop::collection::btree_map("[a-c\"\\\\\u{e9}]{0,3}", inner, 0..4)
+                .prop_map(|fields| fields.into_iter().collect()),
+        ]
+    })
+}
--- a/crates/lycheeford-platform/tests/faults.rs
+++ b/crates/lycheeford-platform/tests/faults.rs
@@ -41,7 +41,7 @@
     let stale = store.put("replica", name, json!(3), Expect::Version(first)).await;
     assert_eq!(category(stale), Category::Conflict);
     let object = store.get("replica", name).await.unwrap().unwrap();
-    assert_eq!((object.version, object.value), (second, json!(2)));
+    assert_eq!((object.version, object.value), (second, Ok(json!(2))));
     let listing = store.list("replica").await.unwrap();
     assert_eq!(listing.objects.len(), 1);
     assert_eq!(category(store.delete("replica", name, first).await), Category::Conflict);
--- a/crates/lycheeford-platform/tests/follow.rs
+++ b/crates/lycheeford-platform/tests/follow.rs
@@ -76,8 +76,9 @@
             Change::Replace(listing) => {
                 self.seen.clear();
                 let objects = listing.objects.iter();
-                self.seen
-                    .extend(objects.map(|object| (object.name.to_string(), object.value.clone())));
+                self.seen.extend(
+                    objects.map(|object| (object.name.to_string(), object.decode().unwrap())),
+                );
             }
             Change::Apply(events) => events.iter().for_each(|event| self.apply(event)),
         }
@@ -88,7 +89,7 @@
         let name = event.name().to_string();
         self.seen.retain(|(seen, _)| *seen != name);
         if let WatchEvent::Put(object) = event {
-            self.seen.push((name, object.value.clone()));
+            self.seen.push((name, object.decode().unwrap()));
         }
     }
 
--- a/crates/lycheeford-platform/tests/restored.rs
+++ b/crates/lycheeford-platform/tests/restored.rs
@@ -31,7 +31,7 @@
     assert_eq!(platform.calls(), made, "no call is sent");
     // A client that starts afterwards has nothing that the restore could have undone.
     let object = client().get("ledger", "a").await.unwrap().unwrap();
-    assert_eq!((object.version, object.value), (first, json!(1)));
+    assert_eq!((object.version, object.value), (first, Ok(json!(1))));
 }
 
 #[async_std::test]
--- a/crates/lycheeford-policy/src/name.rs
+++ b/crates/lycheeford-policy/src/name.rs
@@ -5,6 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The longest abbreviated name.
+const ABBREVIATED_BYTES_MAX: usize = 64;
+
 /// A shared immutable name of a customer, model, target or other entity.
 ///
 /// Clones share the text, so that tables keyed by name stay small.
@@ -24,6 +27,11 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Returns the beginning of the name, for log lines about names of any length.
+    pub fn abbreviated(&self) -> &str {
+        &self.0[..self.0.floor_char_boundary(ABBREVIATED_BYTES_MAX)]
+    }
 }
 
 impl From<&str> for Name {
--- a/crates/lycheefordd/src/configuration/adopt.rs
+++ b/crates/lycheefordd/src/configuration/adopt.rs
@@ -68,9 +68,9 @@
         }
         let object = state.store.get(CHUNK_KIND, name).await.context(PlatformSnafu)?;
         let object = object.ok_or_else(|| ReadError::MissingChunk { name: name.to_string() })?;
-        let text = object.value.as_str();
+        let text = object.decode::<String>().ok();
         let text = text.ok_or_else(|| ReadError::BadChunk { name: name.to_string() })?;
-        chunks.push(Chunk { name: name.clone(), text: text.to_owned() });
+        chunks.push(Chunk { name: name.clone(), text });
     }
     Committed::assemble(head, &chunks)
 }
--- a/crates/lycheefordd/src/configuration/committed.rs
+++ b/crates/lycheefordd/src/configuration/committed.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use lycheeford_config::{Chunk, Head, assemble};
-use lycheeford_platform::Object;
+use lycheeford_platform::{Object, UnreadableValue};
 use lycheeford_policy::Configuration;
 use snafu::{ResultExt, Snafu};
 
@@ -16,7 +16,7 @@
     #[snafu(display("stored chunk {name} isn't text; apply the configuration again"))]
     BadChunk { name: String },
     #[snafu(display("stored head isn't readable: {source}; apply the configuration again"))]
-    BadHead { source: serde_json::Error },
+    BadHead { source: UnreadableValue },
     #[snafu(display("stored configuration is invalid: {source}"))]
     Assemble { source: lycheeford_config::AssembleError },
 }
@@ -43,5 +43,5 @@
 
 /// Decodes a head from its stored object.
 pub(crate) fn head_of(object: &Object) -> Result<Head, ReadError> {
-    serde_json::from_value(object.value.clone()).context(BadHeadSnafu)
+    object.decode().context(BadHeadSnafu)
 }
--- a/crates/lycheefordd/src/loads/orders.rs
+++ b/crates/lycheefordd/src/loads/orders.rs
@@ -201,12 +201,7 @@
         }
     };
     for object in listing.objects {
-        let decoded = objects::decode::<ReplicaSet, StoredReplicaSet>(
-            REPLICA_KIND,
-            &object.name,
-            object.value,
-        );
-        let set = match decoded {
+        let set = match objects::decode::<ReplicaSet, StoredReplicaSet>(&object) {
             Ok(set) => set,
             Err(error) => {
                 warn!(state.log, "decided replicas not readable"; "error" => %error);
--- a/crates/lycheefordd/src/membership/hosts.rs
+++ b/crates/lycheefordd/src/membership/hosts.rs
@@ -67,9 +67,7 @@
 }
 
 fn host_of(state: &State, object: &Object) -> Option<Host> {
-    let decoded =
-        objects::decode::<Host, StoredHost>(HOST_KIND, &object.name, object.value.clone());
-    match decoded {
+    match objects::decode::<Host, StoredHost>(object) {
         Ok(host) if host.name == object.name => Some(host),
         Ok(host) => {
             warn!(state.log, "listed host has another name than its object";
--- a/crates/lycheefordd/src/objects.rs
+++ b/crates/lycheefordd/src/objects.rs
@@ -1,6 +1,6 @@
 use std::fmt::Display;
 
-use lycheeford_platform::{Category, Expect, ObjectStore, PlatformError, put_settled};
+use lycheeford_platform::{Category, Expect, Object, ObjectStore, PlatformError, put_settled};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
@@ -59,7 +59,7 @@
     let Some(object) = object else {
         return Ok(Versioned { version: None, value: T::default() });
     };
-    Ok(Versioned { version: Some(object.version), value: decode(kind, name, object.value)? })
+    Ok(Versioned { version: Some(object.version), value: decode(&object)? })
 }
 
 /// Decodes a stored value.
@@ -67,22 +67,18 @@
 /// # Errors
 ///
 /// Fails if the value doesn't match the format of its kind.
-pub(crate) fn decode<T, S>(
-    kind: &str,
-    name: &str,
-    value: serde_json::Value,
-) -> Result<T, ObjectError>
+pub(crate) fn decode<T, S>(object: &Object) -> Result<T, ObjectError>
 where
     T: TryFrom<S>,
     T::Error: Display,
     S: DeserializeOwned,
 {
     let unreadable = |reason: String| ObjectError::Unreadable {
-        kind: kind.to_owned(),
-        name: name.to_owned(),
+        kind: object.kind.as_str().to_owned(),
+        name: object.name.as_str().to_owned(),
         reason,
     };
-    let stored: S = serde_json::from_value(value).map_err(|error| unreadable(error.to_string()))?;
+    let stored: S = object.decode().map_err(|error| unreadable(error.to_string()))?;
     T::try_from(stored).map_err(|error| unreadable(error.to_string()))
 }
 
--- a/crates/lycheefordd/src/rates/share_upkeep.rs
+++ b/crates/lycheefordd/src/rates/share_upkeep.rs
@@ -28,12 +28,12 @@
         move || clock.now(),
         |update| match update.change {
             Change::Replace(listing) => {
-                listing.objects.into_iter().for_each(|object| adopt_object(&state, object));
+                listing.objects.iter().for_each(|object| adopt_object(&state, object));
             }
             Change::Apply(events) => {
                 for event in events {
                     if let WatchEvent::Put(object) = event {
-                        adopt_object(&state, object);
+                        adopt_object(&state, &object);
                     }
                 }
             }
@@ -82,10 +82,8 @@
     rate.table = Some(table);
 }
 
-fn adopt_object(state: &State, object: Object) {
-    let decoded =
-        objects::decode::<ShareTable, StoredShareTable>(SHARE_KIND, &object.name, object.value);
-    match decoded {
+fn adopt_object(state: &State, object: &Object) {
+    match objects::decode::<ShareTable, StoredShareTable>(object) {
         Ok(value) => adopt(state, &object.name, Versioned { version: Some(object.version), value }),
         Err(error) => warn!(state.log, "share table not readable"; "error" => %error),
     }
@@ -112,7 +110,7 @@
 
 async fn start_table(state: &State, customer: &Name) -> Result<(), objects::ObjectError> {
     if let Some(object) = read_object(state, customer).await? {
-        adopt_object(state, object);
+        adopt_object(state, &object);
         return Ok(());
     }
     let table = ShareTable::create(customer, &state.me, &live_hosts(state));
@@ -210,7 +208,7 @@
         Err(error) => {
             // Reads the stored table, which is authoritative; the watch may deliver it late.
             if let Ok(Some(object)) = read_object(state, customer).await {
-                adopt_object(state, object);
+                adopt_object(state, &object);
             }
             Err(error)
         }
