Stop using a target whose entry can't be read any more

What callers saw: requests went on to a target for as long as its entry was unreadable, since an unreadable event was skipped and the entry before it stayed in use. Only the next list removed the target, after the grace that a missing entry has after an outage.

Cause: `put` returned before it looked at the table when the entry couldn't be read. Now such an event removes the target, unless another host has reported a newer entry, and a list with an unreadable entry removes it without grace. Other hosts are told as of a deletion. When the entry can be read again, the target is used again.

Evidence: a_target_whose_entry_becomes_odd_is_no_longer_used on the code before: "deeply nested: ["desk", ...] instead of 503". It passes now, for two hosts, in a watch and in a list.

--- a/crates/lycheeford-gateway/src/fleet/target_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/target_follow.rs
@@ -117,26 +117,36 @@
 
 /// Replaces the whole list; returns the changes that hosts without the lease need.
 ///
-/// Returns `None` if entries are missing that are still used for a grace period after a store
-/// outage. The other hosts then ask the store themselves.
+/// A target whose entry can't be read is gone at once. Returns `None` if entries are missing that
+/// are still used for a grace period after a store outage. The other hosts then ask the store
+/// themselves.
 fn replace(
     state: &State,
     now: TimeMs,
     listing: &Listing,
     grace_ms: u64,
 ) -> Option<Vec<(u64, TargetChange)>> {
-    let entries = listing.objects.iter().filter_map(|object| read(state, object));
-    let entries: Vec<TargetEntry> = entries.collect();
+    let mut entries: Vec<TargetEntry> = Vec::with_capacity(listing.objects.len());
+    let mut unreadable: Vec<&Name> = Vec::new();
+    for object in &listing.objects {
+        match read(state, object) {
+            Some(entry) => entries.push(entry),
+            None => unreadable.push(&object.name),
+        }
+    }
     info!(state.log, "targets_listed"; "targets" => entries.len(), "grace_ms" => grace_ms);
     let mut dispatcher = state.dispatcher();
     let other = entries.iter().filter(|entry| dispatcher.targets.is_other(entry));
     let mut changes: Vec<TargetChange> = other.cloned().map(TargetChange::Put).collect();
     let missing = dispatcher.targets.missing_from(&entries);
     let known = state.target_sync().log.known();
-    let is_shareable =
-        (missing.is_empty() || grace_ms == 0) && !is_later_era(known, listing.revision);
+    let is_gone = |name: &Name| grace_ms == 0 || unreadable.binary_search(&name).is_ok();
+    let is_shareable = missing.iter().all(is_gone) && !is_later_era(known, listing.revision);
     changes.extend(missing.into_iter().map(TargetChange::Gone));
     dispatcher.targets.replace(now, entries, grace_ms);
+    for name in unreadable {
+        dispatcher.targets.gone(now, name, 0);
+    }
     let revision = listing.revision;
     is_shareable.then(|| changes.into_iter().map(|change| (revision, change)).collect())
 }
@@ -186,9 +196,16 @@
 /// Applies an entry; returns the change if hosts without the lease need it.
 ///
 /// An entry no newer than `known` whose target isn't listed here belongs to a target that has been
-/// removed since.
+/// removed since. An entry that can't be read removes the target, unless another host reported a
+/// newer one.
 fn put(state: &State, now: TimeMs, object: &Object, known: u64) -> Option<(u64, TargetChange)> {
-    let entry = read(state, object)?;
+    let Some(entry) = read(state, object) else {
+        let listed_revision =
+            state.dispatcher().targets.target(&object.name).map(|target| target.entry.revision);
+        let is_outdated = listed_revision.is_some_and(|revision| revision > object.version);
+        let is_removed = !is_outdated && remove_target(state, now, &object.name, 0);
+        return is_removed.then(|| (object.version, TargetChange::Gone(object.name.clone())));
+    };
     let mut dispatcher = state.dispatcher();
     if object.version <= known && dispatcher.targets.target(&entry.id).is_none() {
         return None;
@@ -205,7 +222,7 @@
     if dispatcher.targets.target(name).is_none() {
         return false;
     }
-    info!(state.log, "target_gone"; "target" => name.as_str(), "grace_ms" => grace_ms);
+    info!(state.log, "target_gone"; "target" => name.abbreviated(), "grace_ms" => grace_ms);
     dispatcher.targets.gone(now, name, grace_ms);
     true
 }
