--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -82,7 +82,7 @@
         let body = TargetBody::new(
             link,
             head.framing,
-            request.echo.as_ref().map(|(name, _)| name.as_str()),
+            request.echo.as_ref().map(|echo| echo.header.as_str()),
             after_answer,
             &self.limits,
             self.budget.reservation(),
