Answer requests that were passed on in their time, and whole

What callers saw: no answer for as long as they waited, up to 30 s past a deadline of 2 s, if the host that a request was passed on to hung, before or after it had read the request; and an answer cut in the middle if that host died while it sent it.

Cause: the call to the other host had the client's own limits, not the time that the request has left. Every response was relayed as it arrived, also those that aren't streams, so that nothing could replace one that broke.

The call, and the relay of a stream, now end with the request's time (504). Other responses are collected first, as those of targets are; one that breaks is 502. A response without a length from another host counts as broken, as before.

--- a/crates/lycheeford-gateway/src/request/forward.rs
+++ b/crates/lycheeford-gateway/src/request/forward.rs
@@ -1,18 +1,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::prelude::FutureExt;
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerResponse, ChunkSender, chunk_channel};
 use lycheeford_policy::{Name, Ran, Refusal, RefusalCode};
-use lycheeford_target::{BodyEnd, TargetBody, TargetResponse};
+use lycheeford_target::{BodyEnd, TargetBody, TargetError, TargetResponse};
 use rand::seq::SliceRandom;
 use slog::info;
 
-use super::admission::Admitted;
 use super::answer::Answered;
 use super::attempt::Attempts;
-use crate::state::State;
+use crate::state::{ANSWER_BYTES_MAX, State};
 
 /// The most hosts to which a request is forwarded until one accepts it.
 const HOSTS_MAX: usize = 3;
@@ -26,7 +27,8 @@
 ///
 /// # Errors
 ///
-/// Refuses the request if no other host accepts it.
+/// Refuses the request if no other host accepts it, or if the one that has it doesn't answer in
+/// time.
 pub(super) async fn forward(attempts: &mut Attempts) -> Result<Answered, Refusal> {
     let state = Arc::clone(&attempts.state);
     let ran_before = attempts.ran;
@@ -34,18 +36,22 @@
         let admitted = &attempts.admitted;
         let left_ms = admitted.final_at.since_ms(state.now());
         if left_ms == 0 {
-            break;
+            return Err(attempts.out_of_time());
         }
-        let request = state.protocols.caller.forward(&admitted.request, left_ms);
+        let mut request = state.protocols.caller.forward(&admitted.request, left_ms);
+        request.first_byte_ms_max = Some(left_ms);
         info!(state.log, "forwarded";
             "id" => admitted.request.id.as_str(), "peer" => host.as_str(), "left_ms" => left_ms);
         // Holds until the outcome is known, also if this future is dropped.
         attempts.ran = ran_before.max(Ran::Unknown);
-        match state.targets.call(address, &request).await {
-            Ok(response) => {
-                return Ok(Answered::Whole(relay(&state, &attempts.admitted, response)));
+        let call = state.targets.call(address, &request);
+        let called = timeout(Duration::from_millis(left_ms), call).await;
+        match called.unwrap_or_else(|_| Err(TargetError::timed_out(left_ms))) {
+            Ok(response) => return relay(attempts, response).await,
+            Err(error) if error.may_have_run() => {
+                log_end(attempts, None, &error.to_string());
+                return Err(attempts.failed(&error));
             }
-            Err(error) if error.may_have_run() => return Err(attempts.failed(&error)),
             Err(error) => {
                 attempts.ran = ran_before;
                 info!(state.log, "forward_failed";
@@ -76,21 +82,55 @@
     hosts.into_iter().take(HOSTS_MAX).map(|(_, host, address)| (host, address)).collect()
 }
 
-/// Passes a response on as it arrives.
-fn relay(state: &Arc<State>, admitted: &Admitted, response: TargetResponse) -> CallerResponse {
-    let (sender, receiver) = chunk_channel();
+/// Passes a response on, a stream as it arrives.
+async fn relay(attempts: &mut Attempts, response: TargetResponse) -> Result<Answered, Refusal> {
     let TargetResponse { status, headers, body } = response;
+    let is_stream = attempts.admitted.route.kind.is_stream() && status == 200;
+    if is_stream {
+        let body = relay_stream(attempts, body);
+        return Ok(Answered::Whole(CallerResponse { status, headers, body }));
+    }
+    let left_ms = attempts.admitted.final_at.since_ms(attempts.state.now()).max(1);
+    let end = body.end();
+    let collected = timeout(Duration::from_millis(left_ms), body.collect(ANSWER_BYTES_MAX)).await;
+    let error = match collected {
+        // Without a length or chunks the response may have been cut off.
+        Ok(Ok(_)) if end == BodyEnd::Connection => TargetError::truncated(),
+        Ok(Ok(body)) => {
+            log_end(attempts, Some(status), "whole");
+            let body = CallerBody::Whole(body);
+            return Ok(Answered::Whole(CallerResponse { status, headers, body }));
+        }
+        Ok(Err(error)) => error,
+        Err(_) => TargetError::timed_out(left_ms),
+    };
+    log_end(attempts, Some(status), &error.to_string());
+    Err(attempts.failed(&error))
+}
+
+/// Relays a stream in a task of its own, until the time of its request is over.
+fn relay_stream(attempts: &Attempts, body: TargetBody) -> CallerBody {
+    let (sender, receiver) = chunk_channel();
+    let state = Arc::clone(&attempts.state);
     let running = state.request_started();
-    let (state, id) = (Arc::clone(state), admitted.request.id.clone());
-    let arrived_at = admitted.arrived_at;
+    let admitted = &attempts.admitted;
+    let (id, arrived_at) = (admitted.request.id.clone(), admitted.arrived_at);
+    let left_ms = admitted.final_at.since_ms(state.now());
     task::spawn(async move {
         let _running = running;
-        let outcome = relay_body(body, sender).await;
+        let relayed = timeout(Duration::from_millis(left_ms), relay_body(body, sender)).await;
         info!(state.log, "forward_ended";
-            "id" => id.as_str(), "status" => status, "outcome" => outcome,
+            "id" => id.as_str(), "status" => 200, "outcome" => relayed.unwrap_or("deadline passed"),
             "total_ms" => state.now().since_ms(arrived_at));
     });
-    CallerResponse { status, headers, body: CallerBody::Stream(receiver) }
+    CallerBody::Stream(receiver)
+}
+
+fn log_end(attempts: &Attempts, status: Option<u16>, outcome: &str) {
+    let Attempts { state, admitted, .. } = attempts;
+    info!(state.log, "forward_ended";
+        "id" => admitted.request.id.as_str(), "status" => status, "outcome" => outcome,
+        "total_ms" => state.now().since_ms(admitted.arrived_at));
 }
 
 async fn relay_body(mut body: TargetBody, sender: ChunkSender) -> &'static str {
