Promise nothing for another host that this host can't promise itself

What callers saw: 503, which says that the request hasn't run, although a target had it. A host that found itself cut off after it had sent a repeatable request to a target passed the request on, and passed the other host's 503 back as it was. That one is true of the other host alone.

Cause: the way from a failed try at targets to another host forgot what the try had left behind (`Attempts::ran`).

Ruled out: requests that may run once. After a try that may have run they aren't passed on (`can_retry`), so that rule REFUSED isn't broken by this; the promise was false for repeatable ones only.

Which statuses make that promise is the callers' protocol's to say (`CallerProtocol::says_not_run`). If this host may have run the request, such a response becomes 502. A response of a target that the other host passes on is unchanged, headers included.

--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -226,6 +226,9 @@
     /// `left_ms` to answer it.
     fn forward(&self, request: &GatewayRequest, left_ms: u64) -> TargetRequest;
 
+    /// Returns whether a response with `status` tells the caller that its request hasn't run.
+    fn says_not_run(&self, status: u16) -> bool;
+
     /// Returns the response for a refusal.
     fn refusal(&self, id: &Name, refusal: &Refusal) -> CallerResponse;
 }
--- a/crates/lycheeford-gateway/src/request/forward.rs
+++ b/crates/lycheeford-gateway/src/request/forward.rs
@@ -27,8 +27,8 @@
 ///
 /// # Errors
 ///
-/// Refuses the request if no other host accepts it, or if the one that has it doesn't answer in
-/// time.
+/// Refuses the request if no other host accepts it, if the one that has it doesn't answer in time,
+/// or if that one hasn't run it but an earlier attempt of this host may have.
 pub(super) async fn forward(attempts: &mut Attempts) -> Result<Answered, Refusal> {
     let state = Arc::clone(&attempts.state);
     let ran_before = attempts.ran;
@@ -47,6 +47,10 @@
         let call = state.targets.call(address, &request);
         let called = timeout(Duration::from_millis(left_ms), call).await;
         match called.unwrap_or_else(|_| Err(TargetError::timed_out(left_ms))) {
+            Ok(response) if state.protocols.caller.says_not_run(response.status) => {
+                attempts.ran = ran_before;
+                return refused_by_other_host(attempts, response).await;
+            }
             Ok(response) => return relay(attempts, response).await,
             Err(error) if error.may_have_run() => {
                 log_end(attempts, None, &error.to_string());
@@ -82,6 +86,20 @@
     hosts.into_iter().take(HOSTS_MAX).map(|(_, host, address)| (host, address)).collect()
 }
 
+/// Passes on the response of a host that hasn't run a request, unless this host may have.
+async fn refused_by_other_host(
+    attempts: &mut Attempts,
+    response: TargetResponse,
+) -> Result<Answered, Refusal> {
+    if attempts.ran == Ran::NotRun {
+        return relay(attempts, response).await;
+    }
+    log_end(attempts, Some(response.status), "refused after an attempt of this host");
+    let message = "no host can serve the request now, and a target may have run it";
+    let refusal = Refusal::not_run(RefusalCode::TargetFailed, message, Some(RETRY_MS));
+    Err(refusal.after(attempts.ran))
+}
+
 /// Passes a response on, a stream as it arrives.
 async fn relay(attempts: &mut Attempts, response: TargetResponse) -> Result<Answered, Refusal> {
     let TargetResponse { status, headers, body } = response;
