Cancel the request of a caller that pipelined much and left

What happened: a target went on with a request, and the gateway held its slot, after the caller had closed its connection, if the caller had sent more than 8 KiB of further requests behind it.

Cause: while a request runs, the server reads ahead to notice the end of the connection, up to 8 KiB. With more buffered it reads nothing, and the end lies behind unread bytes.

Weighed: a larger read-ahead only moves the bound; to read on and drop the bytes would lose requests that were read. The kernel knows that the caller has closed its side once all that was sent has arrived, read or not (POLLRDHUP).

Not covered: a caller that closes while more is on its way than its and our socket buffers hold. Its end can't arrive until the server reads on.

Evidence: a_disconnect_cancels_the_request, case "behind more pipelined requests than are read ahead" (64 KiB), failed before ("the request wasn't cancelled", after 20 s); it and the same in a stream pass now.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -1,9 +1,10 @@
-use std::future;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_h1::server::Encoder;
 use async_std::net::{Shutdown, TcpStream};
+use async_std::task;
 use futures_util::FutureExt;
 use futures_util::io::AsyncWriteExt;
 use http_types::{Method, Response};
@@ -12,6 +13,7 @@
     Reservation, read_some,
 };
 use lycheeford_policy::{Name, Refusal, RefusalCode};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use crate::race::{unless_interrupted, unless_panicked, with_timeout};
 use crate::request::bad_request;
@@ -24,6 +26,8 @@
 const LINGER_MS: u64 = 1_000;
 /// Bytes of further requests that are read while a request is handled.
 const READ_AHEAD_BYTES_MAX: usize = 8 * 1024;
+/// The interval at which a caller that has sent so much is checked for a disconnect.
+const DISCONNECT_CHECK: Duration = Duration::from_millis(100);
 /// Bytes after which no more chunks of a response are gathered for one write.
 const WRITE_BYTES: usize = 8 * 1024;
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -331,14 +335,25 @@
 
 /// Waits until the caller closes its side, and buffers what it sends meanwhile.
 ///
-/// Never completes once [`READ_AHEAD_BYTES_MAX`] bytes are buffered.
+/// Once [`READ_AHEAD_BYTES_MAX`] bytes are buffered, nothing more is read, and the kernel is asked
+/// from time to time.
 async fn wait_for_disconnect(reader: &mut MessageReader<TcpStream>) {
     while reader.buffered_bytes() < READ_AHEAD_BYTES_MAX {
         if !matches!(reader.fill().await, Ok(1..)) {
             return;
         }
     }
-    future::pending::<()>().await;
+    while !is_disconnected(reader.stream()) {
+        task::sleep(DISCONNECT_CHECK).await;
+    }
+}
+
+/// Returns whether the caller has closed its side, even if bytes that it sent before are unread.
+fn is_disconnected(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    // A poll that fails, for example because of a signal, is repeated at the next check.
+    let _ = poll(&mut polled, Some(&Timespec::default()));
+    polled[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
 }
 
 fn new_request_id() -> Name {
--- a/crates/lycheeford-caller/tests/hang_up.rs
+++ b/crates/lycheeford-caller/tests/hang_up.rs
@@ -13,6 +13,8 @@
 struct Case {
     name: &'static str,
     request: &'static [u8],
+    /// Bytes of further requests that are sent behind it.
+    pipelined_bytes: usize,
     until: Option<&'static str>,
 }
 
@@ -22,16 +24,31 @@
         Case {
             name: "while the request waits",
             request: b"GET /wait HTTP/1.1\r\nhost: h\r\n\r\n",
+            pipelined_bytes: 0,
             until: None,
         },
         Case {
             name: "behind a pipelined request",
-            request: b"GET /wait HTTP/1.1\r\nhost: h\r\n\r\nGET / HTTP/1.1\r\nhost: h\r\n\r\n",
+            request: b"GET /wait HTTP/1.1\r\nhost: h\r\n\r\n",
+            pipelined_bytes: 1,
+            until: None,
+        },
+        Case {
+            name: "behind more pipelined requests than are read ahead",
+            request: b"GET /wait HTTP/1.1\r\nhost: h\r\n\r\n",
+            pipelined_bytes: 64 * 1024,
             until: None,
         },
         Case {
             name: "in a stream",
             request: b"GET /stream HTTP/1.1\r\nhost: h\r\n\r\n",
+            pipelined_bytes: 0,
+            until: Some("first\r\n"),
+        },
+        Case {
+            name: "in a stream, behind more pipelined requests than are read ahead",
+            request: b"GET /stream HTTP/1.1\r\nhost: h\r\n\r\n",
+            pipelined_bytes: 64 * 1024,
             until: Some("first\r\n"),
         },
     ];
@@ -39,6 +56,10 @@
         let server = start(Bounds::default());
         let mut stream = server.connect();
         stream.write_all(case.request).unwrap();
+        let pipelined = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+        for _ in 0..case.pipelined_bytes.div_ceil(pipelined.len()) {
+            stream.write_all(pipelined).unwrap();
+        }
         if let Some(until) = case.until {
             read_until(&mut stream, until);
         }
