--- a/crates/lycheeford-target/tests/second_answers.rs
+++ b/crates/lycheeford-target/tests/second_answers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_target::{Category, Connection, TargetClient, TargetLimits, Unframed};
+use lycheeford_target::{Category, Connection, Echo, TargetClient, TargetLimits, Unframed};
 
 use crate::common::{get, read_request, target};
 
@@ -76,7 +76,7 @@
     });
     let limits = TargetLimits { unframed: Unframed::EndWithConnection, ..TargetLimits::default() };
     let mut request = get("/", Connection::Pooled);
-    request.echo = Some((ECHO.to_owned(), "7".to_owned()));
+    request.echo = Some(Echo { header: ECHO.to_owned(), id: Some("7".to_owned()) });
     let received = task::block_on(async {
         let answer = TargetClient::new(limits).call(address, &request).await?;
         answer.body.collect(1 << 20).await
