Close the listener of a stopping host only once nobody connects

What callers saw: a request that ended without an answer, on a connection that had opened. When a host that was told to stop closed its listener, the kernel reset the connections whose handshake was on its way: for a caller it ends one round trip earlier than for the host, and the caller had sent its request. Such a request isn't run, but its caller can't know that.

Cause: the listener was closed at a fixed moment, whoever was connecting. Those that the kernel had already accepted were served; those in between weren't seen. Nothing in a simulated network or in tests over loopback shows it.

The server now accepts until no connection has come for 0.3 s, at most until incomplete requests must be refused, and serves or refuses each as before. So a stopping host ends later while callers still connect to it: within its grace, when their addresses have aged out.

Weighed: a packet filter on the socket that drops new handshakes (each of those callers would wait a second); a pause before the close (doesn't help, as new ones come).

--- a/crates/lycheeford-caller/src/serve.rs
+++ b/crates/lycheeford-caller/src/serve.rs
@@ -1,12 +1,11 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::channel::{self, Sender};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures_util::FutureExt;
 use lycheeford_http::RequestHead;
 use lycheeford_policy::{Name, Refusal};
 
@@ -14,7 +13,7 @@
 
 use crate::bounds::BODIES_BYTES_MAX;
 use crate::connection::{self, Server};
-use crate::race::unless_interrupted;
+use crate::race::{unless_interrupted, with_timeout};
 use crate::refusal::refusal_response;
 use crate::{Bounds, CallerRequest, CallerResponse, Stop};
 
@@ -24,6 +23,10 @@
 /// The pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
+/// How long no connection must have come before a stopping server closes its listener; longer than
+/// a handshake takes.
+const ACCEPT_QUIET_MS: u64 = 300;
+
 /// Handles validated requests in the format of docs/CALLERS.md.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Returns the response to one request.
@@ -123,9 +126,10 @@
 
 /// Serves callers on `listener` until `stop` is triggered.
 ///
-/// The server then accepts no further connections, closes each one after its
-/// outstanding responses, and returns when all are closed. An idle connection
-/// is kept open for a short while, since a request may already be in flight.
+/// The server then accepts no further connections once none has come for a
+/// short while, closes each one after its outstanding responses, and returns
+/// when all are closed. An idle connection is kept open for a short while,
+/// since a request may already be in flight.
 /// After [`Stop::refuse_incomplete`], requests that haven't arrived completely are refused.
 pub async fn serve_service<S: Service>(listener: TcpListener, service: S, stop: Stop) {
     let budget = Arc::new(BodyBudget::new(BODIES_BYTES_MAX));
@@ -147,16 +151,44 @@
             }
         }
     }
-    // The operating system has already accepted these connections, so their callers see them as
-    // open.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        start(stream, &server, &connections, &active_refusals);
-    }
+    accept_until_quiet(&listener, &server, &connections, &active_refusals).await;
     drop(listener);
     drop(connections);
     let _ = all_closed.recv().await;
 }
 
+/// Accepts connections until none has come for a while, or until incomplete requests must be
+/// refused.
+///
+/// A closed listener resets the connections that wait to be accepted and those whose handshake is
+/// on its way, although their callers may see them as open and have sent a request.
+async fn accept_until_quiet<S: Service>(
+    listener: &TcpListener,
+    server: &Arc<Server<S>>,
+    connections: &Sender<()>,
+    active_refusals: &Arc<()>,
+) {
+    let mut accepted_at = Instant::now();
+    loop {
+        let quiet_ms = u64::try_from(accepted_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let accepting = with_timeout(ACCEPT_QUIET_MS.saturating_sub(quiet_ms), listener.accept());
+        let refusal_due = server.stop.incomplete_refusal_triggered();
+        let Some(Some(accepted)) = unless_interrupted(refusal_due, accepting).await else {
+            return;
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                accepted_at = Instant::now();
+                start(stream, server, connections, active_refusals);
+            }
+            Err(error) => {
+                server.service.accept_failed(&error);
+                task::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
 fn start<S: Service>(
     stream: TcpStream,
     server: &Arc<Server<S>>,
--- a/crates/lycheeford-caller/src/stop.rs
+++ b/crates/lycheeford-caller/src/stop.rs
@@ -2,8 +2,8 @@
 
 /// Shuts a server down gracefully.
 ///
-/// A triggered server accepts no further connections and finishes the requests
-/// that it has. Clones share one state, and a triggered stop can't be reset.
+/// A triggered server accepts no further connections once callers no longer open
+/// any, and finishes the requests that it has. Clones share one state, and a triggered stop can't be reset.
 /// A server that must end soon also refuses incomplete requests, see
 /// [`Stop::refuse_incomplete`].
 ///
