Count a host that isn't understood as alive

While builds understand nothing of each other (none do today; a later one might), the hosts of each took the others for gone after 12 s of silence and then the whole of each rate for themselves, and after 20 s the lease holder deleted the others' objects. A message from a listed host's peer address is a sign of life, whatever it says: the host now counts as one that may spend and isn't heard, so that each side takes its part, and its object stays.

The name of the build moves to lycheeford-policy, since the daemon will say it, too.

--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -4,12 +4,11 @@
 
 use async_std::task;
 use lycheeford_platform::{Category, Expect, Listing, Object, PlatformError};
-use lycheeford_policy::{HostRecord, Name, TimeMs};
+use lycheeford_policy::{HostRecord, Name, TimeMs, build_name};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
 use super::stored_suspects::{keep_stored_suspects, read_stored_suspects};
-use crate::operation::build::build_name;
 use crate::state::State;
 
 /// The kind of the objects by which hosts discover each other.
@@ -209,7 +208,9 @@
         membership.set_builds(builds);
         membership.hosts.listed(now, &records);
         membership.settling.listed();
-        let is_alive = |name: &Name| membership.hosts.is_alive(now, name);
+        let is_alive = |name: &Name| {
+            membership.hosts.is_alive(now, name) || membership.hosts.is_unread(now, name)
+        };
         let silent: Vec<&Object> = listing
             .objects
             .iter()
--- a/crates/lycheeford-gateway/src/membership/unread.rs
+++ b/crates/lycheeford-gateway/src/membership/unread.rs
@@ -1,10 +1,9 @@
 use std::net::SocketAddr;
 
-use lycheeford_policy::Name;
+use lycheeford_policy::{Name, build_name};
 use slog::warn;
 
 use super::wire::DecodeError;
-use crate::operation::build::build_name;
 use crate::state::State;
 
 /// The most senders that are logged at a time; the messages of further ones are only counted.
@@ -51,7 +50,9 @@
 /// Counts a message that wasn't understood.
 pub(super) fn count_unread(state: &State, address: SocketAddr, error: &DecodeError) {
     state.metrics.unread_message("message");
-    if let Some(sender) = state.membership().unread.sender(address) {
+    let mut membership = state.membership();
+    membership.hosts.record_unread(state.now(), address);
+    if let Some(sender) = membership.unread.sender(address) {
         sender.messages += 1;
         sender.last = error.to_string();
     }
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::AtomicU64;
 
-use lycheeford_policy::{CrashCause, Name, RefusalCode};
+use lycheeford_policy::{CrashCause, Name, RefusalCode, build_name};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -10,7 +10,6 @@
 use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
-use super::build::build_name;
 use crate::OrderedName;
 
 /// The upper bound of the smallest bucket of every histogram, in milliseconds.
--- a/crates/lycheeford-gateway/src/operation/mod.rs
+++ b/crates/lycheeford-gateway/src/operation/mod.rs
@@ -1,6 +1,5 @@
 //! The interfaces for operators and the platform: directory, readiness, metrics and logs.
 
-pub(crate) mod build;
 mod directory;
 pub(crate) mod log;
 pub(crate) mod metrics;
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -8,7 +8,7 @@
 use async_std::task;
 use futures_util::future::{join, join_all};
 use lycheeford_caller::{Service, Stop, serve_service};
-use lycheeford_policy::TimeMs;
+use lycheeford_policy::{TimeMs, build_name};
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
 
@@ -17,7 +17,6 @@
     deregister_host, grant_permits, log_unread, log_unsent, maintain_hosts, receive, send_demand,
     send_reports, send_stream_events, track_versions,
 };
-use crate::operation::build::build_name;
 use crate::operation::{Directory, MetricsPage, Readiness};
 use crate::orders::{keep_lease, plan_orders};
 use crate::request::Front;
--- a/crates/lycheeford-policy/src/gateway/host_table.rs
+++ b/crates/lycheeford-policy/src/gateway/host_table.rs
@@ -84,6 +84,8 @@
     pub seen_at: Option<TimeMs>,
     /// When the host last reported to this one.
     reported_at: Option<TimeMs>,
+    /// When the host last sent a message that this host doesn't understand.
+    unread_at: Option<TimeMs>,
     appeared_at: TimeMs,
     is_listed: bool,
 }
@@ -112,6 +114,22 @@
         is_changed
     }
 
+    /// Records that a message came from a host's peer address which this host doesn't understand.
+    ///
+    /// A host with another build may live without being understood. It counts as one that spends
+    /// without reporting, not as gone, so that the others don't take its part of the rates.
+    pub fn record_unread(&mut self, now: TimeMs, peer_address: SocketAddr) {
+        let hosts = self.hosts.iter_mut();
+        for host in hosts.filter(|host| host.record.peer_address == peer_address) {
+            host.unread_at = Some(now);
+        }
+    }
+
+    /// Returns whether a host recently sent a message that this host doesn't understand.
+    pub fn is_unread(&self, now: TimeMs, name: &str) -> bool {
+        self.position(name).is_ok_and(|index| is_unread(&self.hosts[index], now))
+    }
+
     /// Applies signs of life passed on by another host; returns the hosts that are new, are alive
     /// again or changed their state.
     pub fn merge_signs(&mut self, now: TimeMs, signs: &[HostSign]) -> Vec<Name> {
@@ -146,6 +164,7 @@
                     state,
                     seen_at: Some(seen_at),
                     reported_at: None,
+                    unread_at: None,
                     appeared_at: now,
                     is_listed: false,
                 };
@@ -182,6 +201,7 @@
                     state: PeerState::Starting,
                     seen_at: None,
                     reported_at: None,
+                    unread_at: None,
                     appeared_at: now,
                     is_listed: true,
                 };
@@ -289,7 +309,10 @@
         // a few survivors.
         let is_partitioned = visible * 2 < self.count();
         let possibly_alive = if !is_partitioned {
-            1 + seen_within(PEER_MAY_BE_ALIVE_MS)
+            let may_be_alive = |host: &&KnownHost| {
+                is_seen(host, now, PEER_MAY_BE_ALIVE_MS) || is_unread(host, now)
+            };
+            1 + self.hosts.iter().filter(may_be_alive).count()
         } else if self.is_presumed_gone(now) {
             // All hosts that are presumed gone together use no more than the fraction of one host.
             self.count() * self.count()
@@ -363,3 +386,7 @@
 fn is_seen(host: &KnownHost, now: TimeMs, limit_ms: u64) -> bool {
     host.seen_at.is_some_and(|at| now.since_ms(at) < limit_ms)
 }
+
+fn is_unread(host: &KnownHost, now: TimeMs) -> bool {
+    host.unread_at.is_some_and(|at| now.since_ms(at) < PEER_MAY_BE_ALIVE_MS)
+}
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -30,6 +30,7 @@
 //! - [`StopPlan`]: which requests a host still starts while it shuts down.
 //! - [`Deployment`], [`TargetTable`], [`WaitQueue`], [`OrderLease`], [`SwapPlanner`]: the gateway
 //!   for arbitrary HTTP routes; see the module `gateway`.
+mod build_name;
 mod configuration;
 mod crash_suspect;
 mod fair_queue;
@@ -64,6 +65,7 @@
 mod time;
 mod token_bucket;
 
+pub use crate::build_name::build_name;
 pub use crate::configuration::{
     Access, Adapter, Configuration, Customer, Key, Model, Repeat, Route, Service, SiteWeights,
 };
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -31,6 +31,8 @@
     pub(crate) record: HostRecord,
     pub(crate) incarnation: u64,
     pub(crate) is_up: bool,
+    /// Hosts don't understand the messages of hosts with another build.
+    pub(crate) build: u32,
     pub(crate) table: HostTable,
     pub(crate) peers: PeerTable,
     pub(crate) own: OwnCounts,
@@ -57,6 +59,7 @@
             record,
             incarnation,
             is_up: true,
+            build: 0,
             peers: PeerTable::default(),
             own: OwnCounts::default(),
             bucket: SharedBucket::new(at(ms)),
@@ -200,8 +203,12 @@
                 *when > ms
             });
             for (to, report) in due {
-                if self.hosts[to].is_up {
-                    self.hosts[to].receive(ms, &report);
+                let sender_build = self.hosts[index_of(&report.sender.host)].build;
+                let host = &mut self.hosts[to];
+                if host.is_up && host.build == sender_build {
+                    host.receive(ms, &report);
+                } else if host.is_up {
+                    host.table.record_unread(at(ms), report.sender.peer_address);
                 }
             }
         }
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions: tables of cases, and properties over random histories.
 
 mod beliefs;
+mod builds;
 mod customer_rates;
 mod deployment;
 mod fleet;
