Count the wait for another replica from a request's first failure

Cause: the coordinator loads another replica beside a ready one when a request has waited 200 ms. A request that failed at the only replica is queued, and each new placement view, published every 100 ms while hosts report demand, takes it out of the queue and sends it to the same engine; after its failure it is queued anew and its wait began at zero. Whether some host's wait reached 200 ms between two views was left to chance, the more so the more hosts report. The wait now counts from the request's first failure.

Ruled out: load as the cause.

--- a/crates/lycheeford-policy/src/fair_queue.rs
+++ b/crates/lycheeford-policy/src/fair_queue.rs
@@ -106,8 +106,8 @@
         }
     }
 
-    /// Adds a request to the queue.
-    pub fn push(&mut self, now: TimeMs, request: QueuedRequest<T>) -> QueueId {
+    /// Adds a request that arrived at `arrival` to the queue.
+    pub fn push(&mut self, arrival: TimeMs, request: QueuedRequest<T>) -> QueueId {
         let id = self.next_id;
         self.next_id += 1;
         let customer = self.customers.find_or_insert(&request.customer);
@@ -125,7 +125,7 @@
             lanes[index].requests.insert((request.deadline, id));
         }
         self.deadlines.insert((request.deadline, id));
-        self.waiting.insert(id, Waiting { request, lane, customer, arrival: now });
+        self.waiting.insert(id, Waiting { request, lane, customer, arrival });
         QueueId(id)
     }
 
--- a/crates/lycheefordd/src/placement/table.rs
+++ b/crates/lycheefordd/src/placement/table.rs
@@ -48,6 +48,9 @@
     pub(crate) deadline: TimeMs,
     pub(crate) cost_tokens: u64,
     pub(crate) prefix_hashes: Vec<u64>,
+    /// When an attempt first failed, if one did. The request has waited for another replica since
+    /// then, also while it was sent to the same one again.
+    pub(crate) failed_since: Option<TimeMs>,
 }
 
 /// The immediate result of placing a request.
@@ -125,7 +128,8 @@
             cost_tokens: request.cost_tokens,
             payload: sender,
         };
-        Place::Queued(self.queue.push(now, queued), receiver)
+        let waits_since = request.failed_since.unwrap_or(now);
+        Place::Queued(self.queue.push(waits_since, queued), receiver)
     }
 
     /// Returns the expected time until a model or adapter without a ready replica has one, or 0
--- a/crates/lycheefordd/src/request/complete.rs
+++ b/crates/lycheefordd/src/request/complete.rs
@@ -62,6 +62,7 @@
         arrived,
         deadline: arrived + deadline_ms,
         failed: Vec::new(),
+        failed_since: None,
         alive_failures: 0,
         ran: Ran::NotRun,
         run_alone_guard,
--- a/crates/lycheefordd/src/request/completion.rs
+++ b/crates/lycheefordd/src/request/completion.rs
@@ -45,7 +45,9 @@
     pub(crate) deadline: TimeMs,
     /// Targets where an attempt of this request failed. Routing skips them, but a request that
     /// has to wait in the queue may be given one of them again.
-    pub(crate) failed: Vec<Name>,
+    pub(super) failed: Vec<Name>,
+    /// When the first of them failed.
+    pub(super) failed_since: Option<TimeMs>,
     /// Failed attempts at targets that were still alive afterwards.
     pub(super) alive_failures: u32,
     /// What is known so far of whether an attempt ran; every later refusal reports it.
@@ -94,7 +96,7 @@
             self.access.recheck(&self.state)?;
             let Some(address) = self.address(&placed.target) else {
                 self.state.placement.lock().forget_target(self.state.now(), &placed.target);
-                self.failed.push(placed.target.clone());
+                self.exclude(placed.target.clone());
                 continue;
             };
             self.dispatch_gate.begin()?;
@@ -123,9 +125,15 @@
         }
     }
 
+    /// Records that routing should skip a target.
+    pub(super) fn exclude(&mut self, target: Name) {
+        self.failed.push(target);
+        self.failed_since.get_or_insert(self.state.now());
+    }
+
     /// Records that an attempt of this request failed at a target.
     pub(crate) async fn target_failed(&mut self, instance: &TargetInstance, error: &TargetError) {
-        self.failed.push(instance.target.clone());
+        self.exclude(instance.target.clone());
         if error.may_have_run() {
             self.ran = self.ran.max(Ran::Unknown);
             let crash_check =
@@ -240,6 +248,7 @@
             deadline: self.deadline,
             cost_tokens: self.call.tokens_max(),
             prefix_hashes: self.call.prefix_hashes.clone(),
+            failed_since: self.failed_since,
         }
     }
 
--- a/crates/lycheefordd/src/request/relay.rs
+++ b/crates/lycheefordd/src/request/relay.rs
@@ -80,7 +80,7 @@
                     if let Some(error) = &error {
                         self.completion.target_failed(&instance, error).await;
                     } else {
-                        self.completion.failed.push(instance.target);
+                        self.completion.exclude(instance.target);
                     }
                     let state = self.completion.state.clone();
                     let resumed = state.run_until_stop(self.resume(error)).await;
--- a/crates/lycheefordd/tests/answers.rs
+++ b/crates/lycheefordd/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use futures_util::future::{join, join_all};
@@ -38,6 +38,7 @@
 struct Callers {
     daemons: Vec<SocketAddr>,
     key: String,
+    model: &'static str,
 }
 
 #[async_std::test]
@@ -71,7 +72,7 @@
     for case in cases {
         callers.await_warm().await;
         callers.fill_retry_budgets().await;
-        let holder = holder(&fleet).await;
+        let holder = holder(&fleet, MODEL).await;
         for (index, engine) in fleet.deployment.engines.iter().enumerate() {
             if case.everywhere || index == holder {
                 fleet.set_faults(engine.address, &case.faults).await;
@@ -99,7 +100,7 @@
     let callers = Callers::new(&fleet);
     callers.await_warm().await;
     callers.fill_retry_budgets().await;
-    let holder = &fleet.deployment.engines[holder(&fleet).await];
+    let holder = &fleet.deployment.engines[holder(&fleet, MODEL).await];
     let faults = EngineFaults { trickle_after_tokens: Some(5), ..EngineFaults::default() };
     fleet.set_faults(holder.address, &faults).await;
     let body = json!({ "model": MODEL, "prompt": "ice", "max_tokens": TOKENS, "stream": true });
@@ -121,6 +122,26 @@
     );
 }
 
+/// Regression test: a request that failed at the only replica was sent to it again and again, and
+/// its wait for another replica began anew each time, so that one was loaded only by chance.
+#[async_std::test]
+async fn another_replica_is_loaded_for_requests_that_fail_at_the_only_one() {
+    let fleet = Fleet::start("failing-replica").await;
+    for model in ["model-001", "model-003", "model-005", "model-007"] {
+        let callers = Callers { model, ..Callers::new(&fleet) };
+        callers.await_warm().await;
+        callers.fill_retry_budgets().await;
+        let holder = &fleet.deployment.engines[holder(&fleet, model).await];
+        let faults = EngineFaults { truncate_after_tokens: Some(0), ..EngineFaults::default() };
+        fleet.set_faults(holder.address, &faults).await;
+        let start = Instant::now();
+        let outcomes = callers.call_all(model, 20).await;
+        println!("{model}: {outcomes:?} after {} ms", start.elapsed().as_millis());
+        assert_eq!(outcomes.get("whole"), Some(&CALLERS), "{model}: {outcomes:?}");
+        fleet.set_faults(holder.address, &EngineFaults::default()).await;
+    }
+}
+
 #[async_std::test]
 async fn answers_of_killed_engines_end_whole_or_with_a_clear_error() {
     let mut fleet = Fleet::start("killed-engines").await;
@@ -128,7 +149,7 @@
     for name in ["one killed", "all killed"] {
         callers.await_warm().await;
         callers.fill_retry_budgets().await;
-        let holder = holder(&fleet).await;
+        let holder = holder(&fleet, MODEL).await;
         let killed: Vec<usize> = (0..fleet.engines.len())
             .filter(|index| name == "all killed" || *index == holder)
             .collect();
@@ -215,11 +236,11 @@
 impl Callers {
     fn new(fleet: &Fleet) -> Callers {
         let daemons = (0..fleet.daemons.len()).map(|daemon| fleet.caller_address(daemon)).collect();
-        Callers { daemons, key: fleet.keys[0].clone() }
+        Callers { daemons, key: fleet.keys[0].clone(), model: MODEL }
     }
 
     async fn await_warm(&self) {
-        let call = Call::completion(&self.key, MODEL, "warm", 1);
+        let call = Call::completion(&self.key, self.model, "warm", 1);
         until("the model is warm for every daemon", async || {
             for daemon in &self.daemons {
                 if !call.send(*daemon).await.is_ok_and(|answer| answer.status == 200) {
@@ -234,7 +255,7 @@
     /// Fills the retry budget of every daemon, which is a fraction of its requests.
     async fn fill_retry_budgets(&self) {
         for daemon in &self.daemons {
-            let call = Call::completion(&self.key, MODEL, "earn", 1);
+            let call = Call::completion(&self.key, self.model, "earn", 1);
             for answer in join_all((0..BUDGET_CALLS).map(|_| call.send(*daemon))).await {
                 assert_eq!(answer.expect("an answer").status, 200);
             }
@@ -258,7 +279,7 @@
     /// Returns `whole`, or the code of the error that the caller received.
     async fn outcome(&self, daemon: SocketAddr, prompt: String, tokens: u64, form: Form) -> String {
         let body = json!({
-            "model": MODEL,
+            "model": self.model,
             "prompt": prompt,
             "max_tokens": tokens,
             "stream": form == Form::Streamed,
@@ -273,7 +294,7 @@
         if let Some(code) = code_received {
             return code;
         }
-        let expected = expected_text(MODEL, &prompt, tokens);
+        let expected = expected_text(self.model, &prompt, tokens);
         match answer {
             Ok(answer) if answer.status == 200 => {
                 let text = match form {
@@ -300,11 +321,11 @@
 }
 
 /// Returns the index of the engine that has the model ready.
-async fn holder(fleet: &Fleet) -> usize {
+async fn holder(fleet: &Fleet, model: &str) -> usize {
     let targets = fleet.operator(0).targets().await.expect("the targets can be listed");
     let ready = |name: &str| {
         let target = targets.iter().find(|target| target.name.as_str() == name);
-        target.is_some_and(|target| target.ready.iter().any(|ready| ready.as_str() == MODEL))
+        target.is_some_and(|target| target.ready.iter().any(|ready| ready.as_str() == model))
     };
     let engines = &fleet.deployment.engines;
     engines.iter().position(|engine| ready(&engine.name)).expect("an engine has the model")
