Count the requests that resume a stream by who knew its version

How many resumed streams are refused because nobody knows the software version that began them wasn't measured. `resume_requested` says in `version_source` who knew it, and the metric `resumes` counts that: `here`, `other_host`, `only_version`, `unknown` (refused).

--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -35,6 +35,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VersionSourceLabels {
+    version_source: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
     order: &'static str,
@@ -76,6 +81,7 @@
     first_event: Histograms,
     refused: Family<ReasonLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
+    resumes: Family<VersionSourceLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
     permits: Family<AnswerLabels, Counter>,
@@ -111,6 +117,7 @@
             first_event: Family::new_with_constructor(histogram),
             refused: Family::default(),
             attempts: Family::default(),
+            resumes: Family::default(),
             orders: Family::default(),
             signals: Family::default(),
             permits: Family::default(),
@@ -170,6 +177,10 @@
         self.refused.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    pub(crate) fn resume(&self, version_source: &'static str) {
+        self.resumes.get_or_create(&VersionSourceLabels { version_source }).inc();
+    }
+
     pub(crate) fn attempt(&self, outcome: &'static str) {
         self.attempts.get_or_create(&OutcomeLabels { outcome }).inc();
     }
@@ -207,6 +218,11 @@
         registry.register("first_event_ms", "Time to the first event", self.first_event.clone());
         registry.register("refused", "Refusals by reason", self.refused.clone());
         registry.register("attempts", "Attempts that gave no answer", self.attempts.clone());
+        registry.register(
+            "resumes",
+            "Requests that resume a stream, by who knew its version",
+            self.resumes.clone(),
+        );
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("target_words", "What targets said of themselves", self.signals.clone());
         let help = "Answers to questions for permits of targets that name a limit";
--- a/crates/lycheeford-gateway/src/request/resume.rs
+++ b/crates/lycheeford-gateway/src/request/resume.rs
@@ -78,12 +78,14 @@
     // A caller that doesn't name the attempt that began the stream expects no other version.
     let version = combine_knowledge(replies.iter().copied().chain([own]))
         .or(only_version.filter(|_| !is_named));
+    let source = version_source(own, &replies, version.is_some());
+    state.metrics.resume(source);
     info!(state.log, "resume_requested";
         "id" => admitted.request.id.as_str(),
         "resumes" => admitted.request.resumes.as_ref().map(Name::as_str),
         "model" => admitted.need.model.as_ref().map(Name::as_str),
         "version_key" => version.map(|version| version.0), "known_here" => ?own,
-        "replies" => replies.len());
+        "replies" => replies.len(), "version_source" => source);
     let Some(version) = version else {
         let message = "the software version that began the stream isn't known; request the whole \
                        stream again";
@@ -94,6 +96,24 @@
     Ok(())
 }
 
+/// Returns who knew the version that began a stream, as a label.
+fn version_source(
+    own: VersionKnowledge,
+    replies: &[VersionKnowledge],
+    is_known: bool,
+) -> &'static str {
+    let has_begun = |knowledge: &VersionKnowledge| matches!(knowledge, VersionKnowledge::Began(_));
+    if !is_known {
+        "unknown"
+    } else if has_begun(&own) {
+        "here"
+    } else if replies.iter().any(has_begun) {
+        "other_host"
+    } else {
+        "only_version"
+    }
+}
+
 /// Asks the hosts that keep the version of a stream; returns what they know.
 async fn query_keepers(
     state: &Arc<State>,
