--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -36,6 +36,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VersionSourceLabels {
+    version_source: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
     order: &'static str,
@@ -88,6 +93,7 @@
     refused: Family<ReasonLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     streams_cut: Family<CauseLabels, Counter>,
+    resumes: Family<VersionSourceLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     signals: Family<SignalLabels, Counter>,
     permits: Family<AnswerLabels, Counter>,
@@ -126,6 +132,7 @@
             refused: Family::default(),
             attempts: Family::default(),
             streams_cut: Family::default(),
+            resumes: Family::default(),
             orders: Family::default(),
             signals: Family::default(),
             permits: Family::default(),
@@ -187,6 +194,10 @@
         self.refused.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    pub(crate) fn resume(&self, version_source: &'static str) {
+        self.resumes.get_or_create(&VersionSourceLabels { version_source }).inc();
+    }
+
     pub(crate) fn attempt(&self, outcome: &'static str) {
         self.attempts.get_or_create(&OutcomeLabels { outcome }).inc();
     }
@@ -240,6 +251,11 @@
         registry.register("attempts", "Attempts that gave no answer", self.attempts.clone());
         let help = "Streams that were broken off for good";
         registry.register("streams_cut", help, self.streams_cut.clone());
+        registry.register(
+            "resumes",
+            "Requests that resume a stream, by who knew its version",
+            self.resumes.clone(),
+        );
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("target_words", "What targets said of themselves", self.signals.clone());
         let help = "Answers to questions for permits of targets that name a limit";
