Lose no other message to one that a daemon doesn't know

A frame of a kind that a daemon doesn't know, as of a newer build, closed the connection: the frames of its batch after it were lost, and sent a second time for nothing. Now such a frame, and one of a known kind that lacks something, is passed over alone, counted (`lycheeford_events`, kind UnreadMessage) and logged at most once a second with both builds; the flush after it is answered, as for a lost message, which every protocol between daemons tolerates. Bytes that aren't a frame still end their connection, and nothing else. A daemon says its build in `started` and in its hello, in an optional field.

--- a/crates/lycheeford-peer/src/inbound.rs
+++ b/crates/lycheeford-peer/src/inbound.rs
@@ -5,7 +5,7 @@
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use lycheeford_wire::{Beat, Hello, Message};
+use lycheeford_wire::{Beat, Hello, Message, WireError};
 
 use crate::link::Link;
 use crate::{PeerHandler, PeerLimits};
@@ -45,11 +45,13 @@
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut link = Link::new(stream, limits);
-    let Message::Hello(from) = link.receive(limits.answer_ms_max).await? else {
+    let Message::Hello(from) = link.receive(limits.answer_ms_max, |_| {}).await? else {
         return Err(io::ErrorKind::InvalidData.into());
     };
     loop {
-        let message = link.receive(limits.idle_ms_max).await?;
+        let unread =
+            |error: &WireError| inbox.message_unread(&from.host, from.build.as_ref(), error);
+        let message = link.receive(limits.idle_ms_max, unread).await?;
         if let Some(reply) = handle_message(&from, message, inbox) {
             link.send(reply, limits.answer_ms_max).await?;
         }
--- a/crates/lycheeford-peer/src/inbox.rs
+++ b/crates/lycheeford-peer/src/inbox.rs
@@ -1,4 +1,5 @@
-use lycheeford_wire::{Hello, HostReport, Message};
+use lycheeford_policy::Name;
+use lycheeford_wire::{Hello, HostReport, Message, WireError};
 
 /// Handles the messages and beats received from other daemons.
 ///
@@ -20,6 +21,10 @@
     /// Records that a beat over a fresh connection to `host` got no valid reply.
     fn beat_failed(&self, host: &str, how: BeatFailure);
 
+    /// Records a message of a member whose content this build doesn't know. `build` is the name of the
+    /// member's build if it said it.
+    fn message_unread(&self, host: &Name, build: Option<&Name>, error: &WireError);
+
     /// Handles any other message.
     fn message_received(&self, from: &Hello, message: Message);
 }
--- a/crates/lycheeford-peer/src/lane.rs
+++ b/crates/lycheeford-peer/src/lane.rs
@@ -6,7 +6,7 @@
 use async_std::channel::Receiver;
 use async_std::task;
 use lycheeford_policy::Name;
-use lycheeford_wire::{Beat, Hello, HostReport, Message};
+use lycheeford_wire::{Beat, Hello, HostReport, Message, WireError};
 
 use crate::link::Link;
 use crate::{BeatFailure, PeerHandler, PeerLimits};
@@ -63,8 +63,9 @@
     let report = HostReport { spare: Vec::new(), ..lane.inbox.report() };
     let beat = Beat { sequence, report };
     link.send(Message::Beat(beat), lane.limits.answer_ms_max).await?;
+    let unread = |error: &WireError| lane.inbox.message_unread(&lane.host, None, error);
     loop {
-        match link.receive(lane.limits.answer_ms_max).await? {
+        match link.receive(lane.limits.answer_ms_max, unread).await? {
             Message::BeatReply(reply) if reply.sequence == sequence => {
                 return Ok((link, reply.report, sent_at.elapsed().as_millis() as u64));
             }
@@ -115,8 +116,9 @@
         link.send(message.clone(), lane.limits.answer_ms_max).await?;
     }
     link.send(Message::Flush(sequence), lane.limits.answer_ms_max).await?;
+    let unread = |error: &WireError| lane.inbox.message_unread(&lane.host, None, error);
     loop {
-        if link.receive(lane.limits.answer_ms_max).await? == Message::Flushed(sequence) {
+        if link.receive(lane.limits.answer_ms_max, unread).await? == Message::Flushed(sequence) {
             return Ok(link);
         }
     }
--- a/crates/lycheeford-peer/src/lib.rs
+++ b/crates/lycheeford-peer/src/lib.rs
@@ -11,7 +11,8 @@
 //! A connection that stops responding is detected by the missing answer, even
 //! if the other side still acknowledges at the TCP level. A member is reported
 //! as unresponsive only when a fresh connection has failed as well. Messages may be
-//! lost or duplicated; every protocol on top of the lanes tolerates both.
+//! lost or duplicated; every protocol on top of the lanes tolerates both. A message whose content
+//! this build doesn't know is lost alone: the connection goes on, and its flush is answered.
 //! docs/DESIGN.md has the reasons.
 //!
 //! Received messages are passed to a [`PeerHandler`], which the daemon implements.
--- a/crates/lycheeford-peer/src/link.rs
+++ b/crates/lycheeford-peer/src/link.rs
@@ -5,7 +5,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_util::{SinkExt, StreamExt};
-use lycheeford_wire::{Hello, Message, decode, encode};
+use lycheeford_wire::{Hello, Message, WireError, decode, encode};
 use prost::bytes::Bytes;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
@@ -40,12 +40,26 @@
         within(ms_max, self.frames.send(Bytes::from(encode(message)))).await
     }
 
-    pub(crate) async fn receive(&mut self, ms_max: u64) -> io::Result<Message> {
-        let frame = within(ms_max, async {
-            self.frames.next().await.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()))
-        })
-        .await?;
-        decode(&frame).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+    /// Receives the next message whose content is known; calls `unread` for each one before it that
+    /// isn't, as a message of another build may be.
+    pub(crate) async fn receive(
+        &mut self,
+        ms_max: u64,
+        unread: impl Fn(&WireError),
+    ) -> io::Result<Message> {
+        loop {
+            let frame = within(ms_max, async {
+                self.frames.next().await.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()))
+            })
+            .await?;
+            match decode(&frame) {
+                Err(error) if error.is_unknown_content() => unread(&error),
+                decoded => {
+                    let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
+                    return decoded.map_err(invalid);
+                }
+            }
+        }
     }
 }
 
--- a/crates/lycheeford-peer/tests/lanes.rs
+++ b/crates/lycheeford-peer/tests/lanes.rs
@@ -9,7 +9,7 @@
 use async_std::task;
 use lycheeford_peer::{BeatFailure, Member, PeerHandler, PeerLimits, Peers, SendOutcome};
 use lycheeford_policy::{AskId, Incarnation, Name};
-use lycheeford_wire::{Hello, HostReport, LoanAsk, Message, SpareTokens};
+use lycheeford_wire::{Hello, HostReport, LoanAsk, Message, SpareTokens, WireError, encode};
 
 #[derive(Debug)]
 struct Recorder {
@@ -17,6 +17,8 @@
     beats: Mutex<Vec<Name>>,
     missed: Mutex<Vec<BeatFailure>>,
     loans: Mutex<Vec<u64>>,
+    /// Why messages weren't understood, with the build of their sender.
+    unread: Mutex<Vec<(Option<Name>, String)>>,
     /// The number of customers with spare tokens in each reply and in each beat.
     answers_spare: Mutex<Vec<usize>>,
     beats_spare: Mutex<Vec<usize>>,
@@ -29,6 +31,7 @@
             beats: Mutex::default(),
             missed: Mutex::default(),
             loans: Mutex::default(),
+            unread: Mutex::default(),
             answers_spare: Mutex::default(),
             beats_spare: Mutex::default(),
         })
@@ -60,6 +63,10 @@
         self.missed.lock().unwrap().push(how);
     }
 
+    fn message_unread(&self, _host: &Name, build: Option<&Name>, error: &WireError) {
+        self.unread.lock().unwrap().push((build.cloned(), error.to_string()));
+    }
+
     fn message_received(&self, _from: &Hello, message: Message) {
         if let Message::LoanAsk(ask) = message {
             self.loans.lock().unwrap().push(ask.ask.0);
@@ -78,7 +85,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let inbox = Recorder::new(host);
-    let me = Hello { host: host.into(), incarnation: Incarnation(1) };
+    let me = Hello { host: host.into(), incarnation: Incarnation(1), build: None };
     (inbox.clone(), Peers::start(listener, me, limits(), inbox), address)
 }
 
@@ -193,3 +200,54 @@
     assert!(north.answers_spare.lock().unwrap().iter().all(|spare| *spare == 1));
     assert!(south.beats_spare.lock().unwrap().iter().all(|spare| *spare == 0));
 }
+
+/// A frame of a newer build: its body has a tag that no build has yet.
+const NEWER_FRAME: [u8; 4] = [0xfa, 0x3e, 1, 0];
+const FLUSHED_FRAME_BYTES: usize = 8;
+
+/// Regression test: one message of an unknown kind closed the connection, and the messages of its
+/// batch that came after it were lost.
+#[async_std::test]
+async fn a_message_of_an_unknown_kind_costs_no_other_message() {
+    use async_std::io::WriteExt;
+    let (inbox, _b, address) = start("b").await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let hello =
+        Hello { host: "a".into(), incarnation: Incarnation(1), build: Some("9.9.9+newer".into()) };
+    let frames = [
+        encode(Message::Hello(hello)),
+        NEWER_FRAME.to_vec(),
+        encode(loan_ask(7)),
+        encode(Message::Flush(1)),
+    ];
+    for frame in frames {
+        stream.write_all(&(frame.len() as u32).to_be_bytes()).await.unwrap();
+        stream.write_all(&frame).await.unwrap();
+    }
+    let mut flushed = [0; FLUSHED_FRAME_BYTES];
+    stream.read_exact(&mut flushed).await.unwrap();
+    assert_eq!(flushed[4..], encode(Message::Flushed(1)));
+    assert_eq!(*inbox.loans.lock().unwrap(), [7]);
+    let unread = inbox.unread.lock().unwrap().clone();
+    let error = "frame has no body of a known type; compare the builds of both hosts".to_owned();
+    assert_eq!(unread, [(Some("9.9.9+newer".into()), error)]);
+}
+
+/// Bytes of no build end the connection, and nothing else.
+#[async_std::test]
+async fn bytes_of_no_build_end_their_connection_alone() {
+    use async_std::io::WriteExt;
+    let (_, a, _) = start("a").await;
+    let (inbox, _b, address) = start("b").await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let hello = Hello { host: "a".into(), incarnation: Incarnation(1), build: None };
+    for frame in [encode(Message::Hello(hello)), vec![0xff; 5]] {
+        stream.write_all(&(frame.len() as u32).to_be_bytes()).await.unwrap();
+        stream.write_all(&frame).await.unwrap();
+    }
+    assert_eq!(stream.read(&mut [0; 8]).await.unwrap_or(0), 0, "the connection ends");
+    a.set_members(vec![member("b", address)]);
+    a.send("b", loan_ask(8));
+    wait_until(|| *inbox.loans.lock().unwrap() == [8]).await;
+    assert!(inbox.unread.lock().unwrap().is_empty());
+}
--- a/crates/lycheeford-wire/src/convert/host.rs
+++ b/crates/lycheeford-wire/src/convert/host.rs
@@ -1,4 +1,4 @@
-use lycheeford_policy::Incarnation;
+use lycheeford_policy::{Incarnation, Name};
 
 use super::{checked_all, checked_name, encoded_all};
 use crate::error::WireError;
@@ -7,7 +7,11 @@
 
 impl From<Hello> for wire::Hello {
     fn from(domain: Hello) -> wire::Hello {
-        wire::Hello { host: domain.host.as_str().to_owned(), incarnation: domain.incarnation.0 }
+        wire::Hello {
+            host: domain.host.as_str().to_owned(),
+            incarnation: domain.incarnation.0,
+            build: domain.build.map(|build| build.as_str().to_owned()),
+        }
     }
 }
 
@@ -18,6 +22,7 @@
         Ok(Hello {
             host: checked_name(wire.host, "host")?,
             incarnation: Incarnation(wire.incarnation),
+            build: wire.build.map(Name::from),
         })
     }
 }
--- a/crates/lycheeford-wire/src/error.rs
+++ b/crates/lycheeford-wire/src/error.rs
@@ -2,10 +2,10 @@
 
 /// A failure to decode a message from the bytes of a peer.
 ///
-/// The remedy is always the same: close the connection and, if it recurs, run
-/// the same release on both hosts.
+/// A frame of another build may have content that this one doesn't know; the frames after it may still
+/// be understood. Bytes that aren't a frame of any build end the connection.
 #[derive(Debug, Snafu)]
-#[snafu(display("{code}; run the same release on both hosts"))]
+#[snafu(display("{code}; compare the builds of both hosts"))]
 pub struct WireError {
     code: Code,
 }
@@ -21,6 +21,15 @@
 }
 
 impl WireError {
+    /// Returns whether the bytes are a frame whose content isn't known or lacks something, as one of
+    /// another build may be.
+    pub fn is_unknown_content(&self) -> bool {
+        match self.code {
+            Code::Protobuf { .. } => false,
+            Code::UnknownBody | Code::Missing { .. } => true,
+        }
+    }
+
     pub(crate) fn protobuf(source: prost::DecodeError) -> WireError {
         WireError { code: Code::Protobuf { source } }
     }
--- a/crates/lycheeford-wire/src/lib.rs
+++ b/crates/lycheeford-wire/src/lib.rs
@@ -10,7 +10,8 @@
 //! use lycheeford_policy::{Incarnation, Name};
 //! use lycheeford_wire::{Hello, Message, decode, encode};
 //!
-//! let hello = Message::Hello(Hello { host: Name::from("entry-1"), incarnation: Incarnation(7) });
+//! let hello = Hello { host: Name::from("entry-1"), incarnation: Incarnation(7), build: None };
+//! let hello = Message::Hello(hello);
 //! assert_eq!(decode(&encode(hello.clone())).unwrap(), hello);
 //! ```
 
--- a/crates/lycheeford-wire/src/message.rs
+++ b/crates/lycheeford-wire/src/message.rs
@@ -50,6 +50,8 @@
     pub host: Name,
     /// The incarnation of its daemon, which increases with each restart.
     pub incarnation: Incarnation,
+    /// The name of the daemon's build; `None` if the build is older than the field.
+    pub build: Option<Name>,
 }
 
 /// A heartbeat or the reply to it.
--- a/crates/lycheeford-wire/tests/frames.rs
+++ b/crates/lycheeford-wire/tests/frames.rs
@@ -52,7 +52,11 @@
     let cases = [
         Case {
             name: "hello",
-            message: Message::Hello(Hello { host: "a".into(), incarnation: Incarnation(1) }),
+            message: Message::Hello(Hello {
+                host: "a".into(),
+                incarnation: Incarnation(1),
+                build: Some("0.1.0".into()),
+            }),
         },
         Case { name: "beat", message: Message::Beat(Beat { sequence: 3, report: report() }) },
         Case {
@@ -107,9 +111,9 @@
 
 #[test]
 fn an_empty_name_is_refused() {
-    let hello = Message::Hello(Hello { host: "".into(), incarnation: Incarnation(1) });
+    let hello = Message::Hello(Hello { host: "".into(), incarnation: Incarnation(1), build: None });
     let error = decode(&encode(hello)).unwrap_err();
-    assert_eq!(error.to_string(), "message has no host; run the same release on both hosts");
+    assert_eq!(error.to_string(), "message has no host; compare the builds of both hosts");
 }
 
 proptest! {
--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -9,7 +9,7 @@
 use lycheeford_config::{STOP_GRACE_MS_MIN, Settings};
 use lycheeford_peer::{Member, PeerLimits, Peers};
 use lycheeford_platform::{Expect, ObjectStore, PlatformError, put_settled};
-use lycheeford_policy::{Instance, TimeMs};
+use lycheeford_policy::{Instance, TimeMs, build_name};
 use lycheeford_wire::Hello;
 use serde_json::json;
 use slog::{Logger, info, warn};
@@ -71,7 +71,7 @@
     // Listens for callers only after registration: callers that connected earlier would have to
     // wait while the platform is unavailable.
     let callers = listen("caller_address", settings.caller_address).await?;
-    info!(log, "started"; "incarnation" => me.incarnation.0);
+    info!(log, "started"; "incarnation" => me.incarnation.0, "build" => build_name().as_str());
     let bounds = bounds(&settings);
     let state = State::new(settings, me, Clock::start(), log);
     connect_peers(&state, peers);
@@ -128,7 +128,11 @@
 }
 
 fn connect_peers(state: &Arc<State>, listener: TcpListener) {
-    let me = Hello { host: state.me.host.clone(), incarnation: state.me.incarnation };
+    let me = Hello {
+        host: state.me.host.clone(),
+        incarnation: state.me.incarnation,
+        build: Some(build_name()),
+    };
     let peers = Peers::start(listener, me, PeerLimits::default(), state.clone());
     let fleet = state.fleet.load();
     let members =
--- a/crates/lycheefordd/src/membership/inbox.rs
+++ b/crates/lycheefordd/src/membership/inbox.rs
@@ -1,9 +1,10 @@
 use lycheeford_peer::{BeatFailure, PeerHandler};
 use lycheeford_policy::{Instance, Name};
-use lycheeford_wire::{Hello, HostReport, Message};
+use lycheeford_wire::{Hello, HostReport, Message, WireError};
 
 use crate::configuration::transfer;
 use crate::loads::demand::record_demand;
+use crate::membership::unread::count_unread;
 use crate::placement::adopt::adopt;
 use crate::rates::loans;
 use crate::state::State;
@@ -49,6 +50,10 @@
         self.rates.lock().record_missed_peer(&Name::from(host));
     }
 
+    fn message_unread(&self, host: &Name, build: Option<&Name>, error: &WireError) {
+        count_unread(self, host, build, error);
+    }
+
     fn message_received(&self, from: &Hello, message: Message) {
         let from = Instance { host: from.host.clone(), incarnation: from.incarnation };
         match message {
--- a/crates/lycheefordd/src/membership/mod.rs
+++ b/crates/lycheefordd/src/membership/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod outbox;
 pub(crate) mod pause_detector;
 pub(crate) mod peer_view;
+pub(crate) mod unread;
--- a/crates/lycheefordd/src/operation/metrics.rs
+++ b/crates/lycheefordd/src/operation/metrics.rs
@@ -66,6 +66,8 @@
     Loan,
     /// A target crashed while it ran a request.
     TargetCrash,
+    /// A message of another daemon wasn't understood.
+    UnreadMessage,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -24,6 +24,7 @@
 use crate::membership::fleet::Fleet;
 use crate::membership::members::Members;
 use crate::membership::pause_detector::PauseDetector;
+use crate::membership::unread::UnreadMessages;
 use crate::operation::decisions::DecisionLog;
 use crate::operation::metrics::Metrics;
 use crate::placement::table::Placement;
@@ -84,6 +85,7 @@
     pub(crate) retry_budget: Table<RetryBudget>,
     pub(crate) ledger_versions: Table<LedgerVersions>,
     pub(crate) service_targets: Table<ServiceTargets>,
+    pub(crate) unread_messages: Table<UnreadMessages>,
     last_number: AtomicU64,
     /// Wakes the task that reports demand.
     pub(crate) demand_changed: Wake,
@@ -125,6 +127,7 @@
             retry_budget: Table::new(retry_budget()),
             ledger_versions: Table::default(),
             service_targets: Table::default(),
+            unread_messages: Table::default(),
             last_number: AtomicU64::new(0),
             demand_changed: Wake::default(),
             plan_due: Wake::default(),
