Read the daemons' stored objects of earlier builds in a test

Today's code reads them whole and writes them again as they were, which matters since these forms refuse unknown fields: an older daemon would neither read nor write an object with a new one. The design note has the rule for that.

--- a/crates/lycheeford-wire/tests/builds.rs
+++ b/crates/lycheeford-wire/tests/builds.rs
@@ -2,12 +2,17 @@
 //! they know of its frames.
 //!
 //! Each line of `frames.txt` is a frame that the build named by the folder encoded, in hexadecimal
-//! digits. Builds c33a574 and 7f8999b have the same frames. The files never change; see "Builds side
+//! digits, and of `stored.txt` an object that it wrote into the store, after its type. Builds c33a574 and 7f8999b have the same frames. The files never change; see "Builds side
 //! by side" in docs/DESIGN.md.
 
 use lycheeford_policy::{
-    Activity, AskId, CrashCause, CrashSuspect, Demand, Incarnation, Instance, Loan, LoanId,
-    LoanReport, LoanState, Name, SuspectedCrash,
+    Activity, AskId, CrashCause, CrashSuspect, Demand, Host, Incarnation, Instance, LedgerBucket,
+    Loan, LoanId, LoanReport, LoanState, Name, ReplicaSet, ShareTable, SuspectedCrash,
+    TargetRecord,
+};
+use lycheeford_wire::stored::{
+    StoredError, StoredHost, StoredLedgerBucket, StoredReplicaSet, StoredShareTable,
+    StoredTargetRecord,
 };
 use lycheeford_wire::{
     Beat, ConfigurationChunk, ConfigurationOffer, CustomerLoanReport, DemandReport, Expected,
@@ -15,6 +20,9 @@
     PlacementReport, Refused, SpareTokens, TargetPlacement, decode, encode,
 };
 use prost::Message as _;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 /// The message types of builds c33a574 and 7f8999b.
 #[allow(dead_code, clippy::pedantic, reason = "generated, and used through the frame")]
@@ -27,6 +35,11 @@
     ("7f8999b", include_str!("data/7f8999b/frames.txt")),
 ];
 
+const STORED: [(&str, &str); 2] = [
+    ("c33a574", include_str!("data/c33a574/stored.txt")),
+    ("7f8999b", include_str!("data/7f8999b/stored.txt")),
+];
+
 /// Returns messages of each kind, with no field that has the value of an absent one.
 fn messages() -> Vec<Message> {
     let customer = || Name::from("north");
@@ -149,6 +162,34 @@
     assert!(!noise.is_unknown_content(), "{noise}");
 }
 
+#[test]
+fn objects_of_earlier_builds_are_read_whole_and_written_as_before() {
+    fn rewrite<S, D>(text: &str) -> Value
+    where
+        S: DeserializeOwned + Serialize + for<'a> From<&'a D>,
+        D: TryFrom<S, Error = StoredError>,
+    {
+        let value = D::try_from(serde_json::from_str::<S>(text).unwrap()).unwrap();
+        serde_json::to_value(S::from(&value)).unwrap()
+    }
+    for (build, objects) in STORED {
+        assert_eq!(objects.lines().count(), 5, "{build}");
+        for line in objects.lines() {
+            let (kind, text) = line.split_once(' ').unwrap();
+            let written = match kind {
+                "StoredHost" => rewrite::<StoredHost, Host>(text),
+                "StoredLedgerBucket" => rewrite::<StoredLedgerBucket, LedgerBucket>(text),
+                "StoredReplicaSet" => rewrite::<StoredReplicaSet, ReplicaSet>(text),
+                "StoredShareTable" => rewrite::<StoredShareTable, ShareTable>(text),
+                "StoredTargetRecord" => rewrite::<StoredTargetRecord, TargetRecord>(text),
+                unknown => panic!("{unknown} isn't a stored form"),
+            };
+            // Earlier builds refuse fields that they don't know, so none may be added.
+            assert_eq!(written, serde_json::from_str::<Value>(text).unwrap(), "{build}: {kind}");
+        }
+    }
+}
+
 fn bytes(line: &str) -> Vec<u8> {
     let byte = |at: usize| u8::from_str_radix(&line[at..at + 2], 16).unwrap();
     (0..line.len()).step_by(2).map(byte).collect()
