Pass on no lines that are no event in the daemon's streams

What comes between empty lines was an event; without data lines it was taken for a comment and passed on unchanged. Such an event (Event::is_foreign) now breaks the stream: a line is no field, or none of its fields is one of server-sent events. The stream resumes after its last token, as after any other break.

Evidence: the stand-in sends an error's head and text after five tokens (EngineFaults::error_after_tokens). an_error_of_an_engine_never_gets_into_a_ stream failed without the check in the daemon: the stream held "HTTP/1.1 500 Internal Server Error", "content-type: text/plain" and "out of memory" three times.

--- a/crates/lycheeford-fakes/src/engine/completion.rs
+++ b/crates/lycheeford-fakes/src/engine/completion.rs
@@ -22,6 +22,9 @@
 const QUEUE_POLL: Duration = Duration::from_millis(2);
 
 /// The completion length if the request sets no `max_tokens`.
+/// What an engine with a fault sends in the middle of a stream.
+const ERROR_IN_STREAM: &[u8] =
+    b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\n\r\nout of memory\n\n";
 const DEFAULT_MAX_TOKENS: u64 = 16;
 
 /// The API format of the request and the response.
@@ -141,6 +144,7 @@
         self.start().await?;
         for index in self.first..self.tokens {
             self.trickle(index - self.first, sender).await?;
+            self.fail_with_text(index - self.first, sender).await?;
             let token = self.token(index).await?;
             send_event(sender, &self.chunk(&token).to_string()).await?;
         }
@@ -158,6 +162,16 @@
         Ok(())
     }
 
+    /// Sends an error in the middle of the stream, if a fault asks for it.
+    async fn fail_with_text(&self, sent: u64, sender: &Sender<Piece>) -> Result<(), Stopped> {
+        let after = lock(&self.shared.state).faults.error_after_tokens;
+        if after.is_none_or(|after| sent < after) {
+            return Ok(());
+        }
+        sender.send(Ok(ERROR_IN_STREAM.to_vec())).await.map_err(|_| Stopped::Cancelled)?;
+        Err(Stopped::Truncated)
+    }
+
     /// Returns the token at `index` after its configured delay.
     async fn token(&self, index: u64) -> Result<String, Stopped> {
         let faults = lock(&self.shared.state).faults.clone();
--- a/crates/lycheeford-fakes/src/engine/faults.rs
+++ b/crates/lycheeford-fakes/src/engine/faults.rs
@@ -14,6 +14,9 @@
     /// Sends only an occasional byte of a comment after this many tokens of each streamed response;
     /// absent means never.
     pub trickle_after_tokens: Option<u64>,
+    /// Sends the head and the text of an error after this many tokens of each streamed response and
+    /// drops the connection; absent means never.
+    pub error_after_tokens: Option<u64>,
     /// The age of the status that the engine reports, in milliseconds; 0 means the current status.
     pub status_lag_ms: u64,
 }
--- a/crates/lycheeford-target/src/event.rs
+++ b/crates/lycheeford-target/src/event.rs
@@ -21,9 +21,23 @@
     line: Vec<u8>,
     raw: Vec<u8>,
     data: Vec<u8>,
+    lines: EventLines,
     after_carriage_return: bool,
 }
 
+/// The lines of an incomplete event, by the strangest of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum EventLines {
+    #[default]
+    Comments,
+    /// Fields that readers of events ignore.
+    OtherFields,
+    /// At least one field of server-sent events.
+    Fields,
+    /// At least one line that is no field, such as a line of a text or a status line.
+    Foreign,
+}
+
 /// A complete server-sent event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -32,6 +46,8 @@
     pub raw: Vec<u8>,
     /// The values of the data lines, joined by line feeds; empty for a comment.
     pub data: Vec<u8>,
+    /// Whether the lines are no event at all, as the text or the head of an error.
+    pub is_foreign: bool,
 }
 
 impl EventSplitter {
@@ -42,6 +58,7 @@
             line: Vec::new(),
             raw: Vec::new(),
             data: Vec::new(),
+            lines: EventLines::default(),
             after_carriage_return: false,
         }
     }
@@ -89,6 +106,7 @@
             self.data.extend_from_slice(data);
             self.data.push(b'\n');
         }
+        self.lines = self.lines.max(EventLines::of(&self.line));
         self.raw.append(&mut self.line);
         self.raw.push(b'\n');
         None
@@ -100,7 +118,26 @@
         }
         self.raw.push(b'\n');
         self.data.pop();
-        Some(Event { raw: mem::take(&mut self.raw), data: mem::take(&mut self.data) })
+        let lines = mem::take(&mut self.lines);
+        Some(Event {
+            raw: mem::take(&mut self.raw),
+            data: mem::take(&mut self.data),
+            is_foreign: matches!(lines, EventLines::OtherFields | EventLines::Foreign),
+        })
+    }
+}
+
+impl EventLines {
+    /// Returns the kind of an event with this line alone.
+    fn of(line: &[u8]) -> EventLines {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        let is_name_byte = |byte: &u8| byte.is_ascii_alphanumeric() || b"-_".contains(byte);
+        match name {
+            b"" => EventLines::Comments,
+            b"data" | b"event" | b"id" | b"retry" => EventLines::Fields,
+            name if name.iter().all(is_name_byte) => EventLines::OtherFields,
+            _ => EventLines::Foreign,
+        }
     }
 }
 
--- a/crates/lycheeford-target/tests/engine.rs
+++ b/crates/lycheeford-target/tests/engine.rs
@@ -135,6 +135,7 @@
             .map(|(raw, data)| Event {
                 raw: raw.as_bytes().to_vec(),
                 data: data.as_bytes().to_vec(),
+                is_foreign: false,
             })
             .collect();
         assert_eq!(events, expected, "{stream:?}");
@@ -144,6 +145,37 @@
     assert!(splitter.push(&[b'a'; 65]).is_err());
 }
 
+/// Guards against the text or the head of an error within a stream.
+#[test]
+fn lines_that_are_no_event_are_foreign() {
+    struct Case {
+        lines: &'static str,
+        is_foreign: bool,
+    }
+    let cases = [
+        Case { lines: ": ping\n\n", is_foreign: false },
+        Case { lines: "id: 1\n\n", is_foreign: false },
+        Case { lines: "retry: 10\n\n", is_foreign: false },
+        Case { lines: "x-tokens: 3\ndata: a\n\n", is_foreign: false },
+        Case { lines: "x-tokens: 3\n\n", is_foreign: true },
+        Case { lines: "error\n\n", is_foreign: true },
+        Case { lines: "out of memory\n\n", is_foreign: true },
+        Case { lines: "{\"error\":\"full\"}\n\n", is_foreign: true },
+        Case { lines: "<html>\r\n\r\n", is_foreign: true },
+        Case { lines: "HTTP/1.1 500 Any\r\ncontent-length: 2\r\n\r\n", is_foreign: true },
+        Case { lines: "out of memory\ndata: a\n\n", is_foreign: true },
+    ];
+    for Case { lines, is_foreign } in cases {
+        // Each event is judged by itself.
+        for (before, foreign) in [("", vec![is_foreign]), ("oh no\n\n", vec![true, is_foreign])] {
+            let stream = [before, lines].concat();
+            let events = EventSplitter::new(256).push(stream.as_bytes()).unwrap();
+            let judged: Vec<bool> = events.iter().map(|event| event.is_foreign).collect();
+            assert_eq!(judged, foreign, "{stream:?}");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 1_000,
--- a/crates/lycheefordd/src/request/relay.rs
+++ b/crates/lycheefordd/src/request/relay.rs
@@ -151,6 +151,9 @@
     }
 
     async fn forward_event(&mut self, event: Event, cold: bool) -> Option<End> {
+        if event.is_foreign {
+            return Some(End::Broken(Some(TargetError::invalid_stream("a line is no field"))));
+        }
         let parsed = match CompletionEvent::parse(&event.data) {
             Ok(parsed) => parsed,
             Err(error) => return Some(End::Broken(Some(error))),
--- a/crates/lycheefordd/tests/answers.rs
+++ b/crates/lycheefordd/tests/answers.rs
@@ -122,6 +122,30 @@
     );
 }
 
+/// Regression test: the head and the text of an engine's error got into the caller's stream, as
+/// events without data.
+#[async_std::test]
+async fn an_error_of_an_engine_never_gets_into_a_stream() {
+    const TOKENS: u64 = 20;
+    let fleet = Fleet::start("errors-in-streams").await;
+    let callers = Callers::new(&fleet);
+    callers.await_warm().await;
+    callers.fill_retry_budgets().await;
+    let faults = EngineFaults { error_after_tokens: Some(5), ..EngineFaults::default() };
+    for engine in &fleet.deployment.engines {
+        fleet.set_faults(engine.address, &faults).await;
+    }
+    let body = json!({ "model": MODEL, "prompt": "ice", "max_tokens": TOKENS, "stream": true });
+    let call = Call::post("/v1/completions", &callers.key, &body)
+        .header("x-deadline-ms", &DEADLINE_MS.to_string());
+    let answer = call.send(fleet.caller_address(0)).await.expect("an answer");
+    let is_event = |line: &str| line.is_empty() || line.starts_with("data: ");
+    assert!(answer.body.lines().all(is_event), "{}", answer.body);
+    // Each attempt adds five tokens, so that the fourth one ends the stream.
+    let expected = expected_text(MODEL, "ice", TOKENS);
+    assert_eq!(answer.streamed_text(), Some(expected), "{}", answer.body);
+}
+
 /// Regression test: a request that failed at the only replica was sent to it again and again, and
 /// its wait for another replica began anew each time, so that one was loaded only by chance.
 #[async_std::test]
