Take over a lease on orders that can't be read

What callers saw: requests for models that weren't loaded were refused for as long as another writer's odd object stood where the lease is. No host gave orders any more: each read the record every 250 ms and waited for a readable one.

Cause: the lease task dropped an unreadable record instead of passing it on. Now it counts as a record of some other host that may just have renewed it, so that a host takes over after the full wait, with a conditional write on its version. A readable record with the largest count of renewals overflowed (a panic of the debug build, 0 in the release build); the count wraps around now, which is still a record that differs from the one before.

--- a/crates/lycheeford-gateway/src/orders/lease_task.rs
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use lycheeford_platform::{Category, Expect, Object};
+use lycheeford_platform::{Category, Expect};
 use lycheeford_policy::{LeaseExpect, LeaseRecord, LeaseStep, Name, StoreVersion};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -84,12 +84,15 @@
     let now = state.now();
     match found {
         Ok(None) => state.orders().lease.read_found(now, None),
-        Ok(Some(object)) => match decode(&object) {
-            Some(record) => {
-                state.orders().lease.read_found(now, Some((object.version, record)));
-            }
-            None => warn!(state.log, "lease_unreadable"; "revision" => object.version),
-        },
+        Ok(Some(object)) => {
+            let record = object.decode::<StoredLease>().map(LeaseRecord::from);
+            let record = record.unwrap_or_else(|error| {
+                warn!(state.log, "lease_unreadable";
+                    "revision" => object.version, "error" => %error);
+                LeaseRecord::unreadable(StoreVersion::from_number(object.version).era)
+            });
+            state.orders().lease.read_found(now, Some((object.version, record)));
+        }
         Err(error) => warn!(state.log, "lease_unread"; "error" => %error),
     }
 }
@@ -119,7 +122,3 @@
         }
     }
 }
-
-fn decode(object: &Object) -> Option<LeaseRecord> {
-    object.decode::<StoredLease>().ok().map(LeaseRecord::from)
-}
--- a/crates/lycheeford-policy/src/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/src/gateway/order_lease.rs
@@ -25,7 +25,7 @@
     pub holder: Name,
     /// Incarnation of the holder's process.
     pub incarnation: u64,
-    /// Number of renewals, so that each write differs from the previous one.
+    /// Number of renewals, so that each write differs from the previous one. It wraps around.
     pub renewals: u64,
     /// Whether the holder may already give orders.
     ///
@@ -38,6 +38,20 @@
     pub era: u64,
 }
 
+impl LeaseRecord {
+    /// Returns the record to assume where the stored one can't be read: some other host may just
+    /// have renewed it.
+    pub fn unreadable(era: u64) -> LeaseRecord {
+        LeaseRecord {
+            holder: Name::from(""),
+            incarnation: 0,
+            renewals: NEW_FLEET_RENEWALS_MAX + 1,
+            is_settled: false,
+            era,
+        }
+    }
+}
+
 /// The next operation on the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -189,7 +203,11 @@
             if now.since_ms(held.renewed_at) < self.valid_ms() / RENEWALS_PER_VALIDITY {
                 return LeaseStep::Idle;
             }
-            return self.write(now, LeaseExpect::Revision(held.revision), held.renewals + 1);
+            return self.write(
+                now,
+                LeaseExpect::Revision(held.revision),
+                held.renewals.wrapping_add(1),
+            );
         }
         let Some(seen) = &self.seen else { return self.read(now) };
         let Some((revision, record)) = &seen.record else {
@@ -199,7 +217,11 @@
         let takeover_at =
             seen.renewed_at + self.valid_ms() + CLOCK_MARGIN_MS + rank * TAKEOVER_DELAY_MS;
         if is_held_here || now >= takeover_at {
-            return self.write(now, LeaseExpect::Revision(*revision), record.renewals + 1);
+            return self.write(
+                now,
+                LeaseExpect::Revision(*revision),
+                record.renewals.wrapping_add(1),
+            );
         }
         LeaseStep::Idle
     }
@@ -266,10 +288,10 @@
         if let Some(held) = &mut self.held {
             held.revision = revision;
             held.renewed_at = began_at;
-            held.renewals += 1;
+            held.renewals = held.renewals.wrapping_add(1);
             return;
         }
-        let renewals = self.seen_record().map_or(0, |record| record.renewals) + 1;
+        let renewals = self.seen_record().map_or(0, |record| record.renewals).wrapping_add(1);
         self.orders_safe_from = self.orders_safe_from.max(self.orders_safe_after_seen());
         self.held = Some(Held { token: revision, revision, renewed_at: began_at, renewals });
     }
--- a/crates/lycheeford-policy/tests/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/tests/gateway/order_lease.rs
@@ -320,3 +320,29 @@
         assert!(lease.token(at(first_ms)) > before, "{what}");
     }
 }
+
+#[test]
+fn a_record_that_cannot_be_read_is_taken_over_after_the_wait_for_another_holder() {
+    let unreadable = LeaseRecord::unreadable(StoreVersion::FIRST_ERA);
+    let other = LeaseRecord { holder: name("b"), incarnation: 1, ..unreadable.clone() };
+    let first_orders = [unreadable, other].map(|record| {
+        let mut store = Store { record: Some((7, record)), revision: 7 };
+        let mut lease = OrderLease::new(name("a"), 1, LEASE_MS);
+        (0..12_000).step_by(10).find(|ms| {
+            step(&mut lease, &mut store, at(*ms), Answer::Given);
+            lease.token(at(*ms)).is_some()
+        })
+    });
+    assert_eq!(first_orders[0], first_orders[1]);
+    assert!(first_orders[0].expect("orders") >= LEASE_MS);
+}
+
+#[test]
+fn renewals_of_another_writer_wrap_around() {
+    let largest =
+        LeaseRecord { renewals: u64::MAX, ..LeaseRecord::unreadable(StoreVersion::FIRST_ERA) };
+    let mut store = Store { record: Some((7, largest)), revision: 7 };
+    let mut lease = OrderLease::new(name("a"), 1, LEASE_MS);
+    hold_until(&mut lease, &mut store, 0, 12_000);
+    assert!(lease.token(at(12_000)).is_some());
+}
