Leave an entry that is too large for a message to the store

Cause: changes of the list of targets go to other hosts in their reports, 24 at a time and whatever their size. An entry with some thousands of adapters, which the store accepts (1 MB), makes the report larger than a datagram of 64 KB, so that it isn't sent and the host looks silent. Found by reading; what callers get on several hosts wasn't run.

Change: `TargetLog::since` sends only as many changes as have 48 KB of names together; for one that is larger alone it sends nothing, and the other host asks the store itself, as for changes that are no longer kept.

--- a/crates/lycheeford-policy/src/gateway/target_log.rs
+++ b/crates/lycheeford-policy/src/gateway/target_log.rs
@@ -6,6 +6,9 @@
 const CHANGES_MAX: usize = 256;
 /// Maximum number of changes of a single revision in one message.
 const ONE_REVISION_MAX: usize = 128;
+/// Maximum length of the names in the changes of one message, which must fit into a datagram of
+/// 64 KB beside the rest of a report.
+const NAME_BYTES_MAX: usize = 48 << 10;
 
 /// A change of the list of targets that matters to hosts that do not give orders.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,6 +19,22 @@
     Gone(Name),
 }
 
+impl TargetChange {
+    /// Returns the length of the names that other hosts are told.
+    fn name_bytes(&self) -> usize {
+        match self {
+            TargetChange::Gone(id) => id.len(),
+            TargetChange::Put(entry) => {
+                let TargetEntry { id, service, version, failure_domain, residency, .. } = entry;
+                let models = residency.models.iter();
+                let loaded = models.flat_map(|model| model.adapters.iter().chain([&model.name]));
+                let names = [id, service, version, failure_domain].into_iter().chain(loaded);
+                names.map(|name| name.len()).sum()
+            }
+        }
+    }
+}
+
 /// Changes that one host sends to another.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetChangeBatch {
@@ -91,15 +110,21 @@
     /// Returns the changes to send to a host that knows all up to `known`.
     ///
     /// Returns at most `changes_max` changes, unless the first ones have the same revision: these
-    /// are sent together or not at all.
+    /// are sent together or not at all. Changes whose names don't fit into a message aren't sent.
     pub fn since(&self, known: u64, changes_max: usize) -> Option<TargetChangeBatch> {
         if known < self.after || known >= self.up_to {
             return None;
         }
         let first = self.changes.partition_point(|(revision, _)| *revision <= known);
         let rest = &self.changes[first..];
-        let count = batch_len(rest, changes_max);
-        if count > changes_max.max(ONE_REVISION_MAX) {
+        let mut name_bytes = 0;
+        let fits = |(_, change): &&(u64, TargetChange)| {
+            name_bytes += change.name_bytes();
+            name_bytes <= NAME_BYTES_MAX
+        };
+        let fitting = rest.iter().take_while(fits).count();
+        let count = batch_len(rest, changes_max.min(fitting));
+        if count > fitting || count > changes_max.max(ONE_REVISION_MAX) {
             return None;
         }
         let up_to = match rest[..count].last() {
--- a/crates/lycheeford-policy/tests/gateway/target_news.rs
+++ b/crates/lycheeford-policy/tests/gateway/target_news.rs
@@ -107,6 +107,21 @@
 /// A list or a batch with deletions gives many changes the same revision. If only the first of them
 /// are sent, the receiver counts the rest as known: a target that was gone came back for good on
 /// 20 of 295 hosts.
+#[test]
+fn an_entry_that_is_too_large_for_a_message_is_left_to_the_store() {
+    let mut large = entry("t3", &["m1"]);
+    large.residency.models[0].adapters =
+        (0..15_000).map(|number| name(&format!("a{number}"))).collect();
+    let mut log = TargetLog::default();
+    log.restart(5);
+    let changes = vec![(6, put_change("t2")), (7, TargetChange::Put(large)), (8, put_change("t4"))];
+    log.asked(5, 8, changes);
+    // The changes before and after it are sent.
+    assert_eq!(log.since(5, 24), Some(shared_changes(5, 6, &[(6, put_change("t2"))])));
+    assert_eq!(log.since(6, 24), None);
+    assert_eq!(log.since(7, 24), Some(shared_changes(7, 8, &[(8, put_change("t4"))])));
+}
+
 #[test]
 fn changes_of_one_revision_are_sent_together() {
     let mut log = TargetLog::default();
