Send the last answers of a stop also if they are due late

What callers saw: a connection that ended without an answer although a target had the request. A host that was told to stop and then got no processor until its grace was nearly over found its last answers due and its end at the same moment, and ended while it wrote them.

Cause: both were fixed moments, 200 ms apart, so that a host that comes to them late has no time between them. What was written then was up to chance: the last calls to the store take up to 200 ms more.

Ruled out: load as such.

The time for the last answers now begins when they are sent. A process that is late ends up to 200 ms later than planned, or is killed then, which it would be anyway.

--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -155,7 +155,7 @@
         sleep_until(state, plan.answer_by()).await;
         state.answers_due.trigger();
         front_stop.refuse_incomplete();
-        sleep_until(state, plan.end_by()).await;
+        sleep_until(state, plan.end_after(state.now())).await;
     };
     serving.race(out_of_grace).await;
     state.ending.trigger();
--- a/crates/lycheeford-policy/src/stop_plan.rs
+++ b/crates/lycheeford-policy/src/stop_plan.rs
@@ -52,4 +52,13 @@
     pub fn end_by(&self) -> TimeMs {
         self.stopped_at + self.times.grace_ms.saturating_sub(self.times.end_ms)
     }
+
+    /// Returns when the process ends all running work if the final responses are sent at `sent_at`.
+    ///
+    /// A host that was paused, or got no processor, sends them late. They take as long as planned
+    /// nevertheless.
+    pub fn end_after(&self, sent_at: TimeMs) -> TimeMs {
+        let sending_ms = self.times.answer_ms.saturating_sub(self.times.end_ms);
+        self.end_by().max(sent_at + sending_ms)
+    }
 }
--- a/crates/lycheeford-policy/tests/gateway/stopping.rs
+++ b/crates/lycheeford-policy/tests/gateway/stopping.rs
@@ -74,6 +74,8 @@
         assert_eq!(refuses_from, case.refuses_from_ms, "{}", case.name);
         assert!(plan.answer_by() <= plan.end_by(), "{}", case.name);
         assert!(plan.end_by().since_ms(STOPPED_AT) <= case.grace_ms, "{}", case.name);
+        let late = plan.end_by() + 1_000;
+        assert_eq!(plan.end_after(late), late + 200, "{}", case.name);
     }
 }
 
