Keep the refusing address of a test from other listeners

only_unsent_requests_are_reported_as_not_run failed once, in a run of all tests of three packages beside other test runs: "refused", left (Silent, true), right (NotSent, false), after 10.15 s.

Cause: the address that was to refuse connections was that of a listener which had been closed. Any listener that asks for a free port, in another test of the file or another process, may get it. Then the test talks to that one: a head that is cut and held, as in answers_are_whole_or_an_error, fails with (Silent, true) after the pause limit of 10 s.

The check is the same.

--- a/crates/lycheeford-target/tests/answers.rs
+++ b/crates/lycheeford-target/tests/answers.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use lycheeford_target::{
     Category, Connection, Method, TargetClient, TargetError, TargetLimits, TargetRequest,
 };
+use rustix::net;
 
 use crate::common::{answer_and_hold, get, read_request, short_limits, target};
 
@@ -100,7 +102,7 @@
 
 #[test]
 fn only_unsent_requests_are_reported_as_not_run() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (closed, _port) = refusing_address();
     let open = target(|_, mut stream| {
         read_request(&mut stream);
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
@@ -121,6 +123,16 @@
     }
 }
 
+/// Returns an address that refuses connections while the socket is held.
+///
+/// The socket is bound and doesn't listen, so that no other listener can get its port.
+fn refusing_address() -> (SocketAddr, OwnedFd) {
+    let socket = net::socket(net::AddressFamily::INET, net::SocketType::STREAM, None).unwrap();
+    net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = SocketAddr::try_from(net::getsockname(&socket).unwrap()).unwrap();
+    (address, socket)
+}
+
 #[test]
 fn the_target_gets_the_request_as_given() {
     let (sender, receiver) = mpsc::channel();
