Give each call of the daemon its own connection to its target

What callers saw: through lycheefordd, the answer to another caller's call, as 200: the text of another prompt, or the answer of a service to another path.

Cause: completions and idempotent calls to services used kept connections, and their answers are tied to nothing: the daemon's calls have no id that targets repeat. A target that writes its last answer again when the next one is due so answered the next call. A repeated 404 of an engine ("not loaded") counted as "not run" in the same way.

Engines and services of the daemon needn't repeat x-request-id, and some set one of their own, so that the id can't be asked for. Each call now has a connection of its own, as calls without an id have in the gateway and as at-most-once calls had already.

Cost: a connection for each call. docs/MEASUREMENTS.md was measured with kept ones; not measured again. Copies of streams, and of 404, aren't tested by themselves.

--- a/crates/lycheefordd/src/request/completion.rs
+++ b/crates/lycheefordd/src/request/completion.rs
@@ -228,7 +228,8 @@
             path_and_query: self.call.path.clone(),
             headers,
             body: self.call.body.clone(),
-            connection: if self.failed.is_empty() { Connection::Pooled } else { Connection::Fresh },
+            // Nothing in the answer tells it from an earlier one.
+            connection: Connection::Fresh,
             host: None,
             echo: None,
             first_byte_ms_max: Some(self.deadline.since_ms(self.state.now()).max(1)),
--- a/crates/lycheefordd/src/service/serve.rs
+++ b/crates/lycheefordd/src/service/serve.rs
@@ -124,8 +124,7 @@
             let Some(place) = self.place() else { break };
             self.recheck().map_err(|refusal| refusal.after(ran))?;
             self.dispatch_gate.begin().map_err(|refusal| refusal.after(ran))?;
-            let connection = if attempt == 0 { Connection::Pooled } else { Connection::Fresh };
-            match self.send(&place, connection).await {
+            match self.send(&place).await {
                 Ok(response) => return Ok(response),
                 Err(error) => {
                     self.record_failure(&place, &error);
@@ -163,7 +162,7 @@
                 entry.release().await;
                 return Err(refusal);
             }
-            let sent = self.send(&place, Connection::Fresh);
+            let sent = self.send(&place);
             let Some(sent) = self.state.run_until_stop(sent).await else {
                 settle_in_background(&self.state, entry.record_unknown_outcome());
                 return Err(stopped_while_running());
@@ -210,11 +209,7 @@
         })
     }
 
-    async fn send(
-        &self,
-        place: &ServiceSlot,
-        connection: Connection,
-    ) -> Result<CallerResponse, TargetError> {
+    async fn send(&self, place: &ServiceSlot) -> Result<CallerResponse, TargetError> {
         self.state.retry_budget.lock().deposit();
         let mut headers = self.request.headers.clone();
         headers.push(("x-request-id".to_owned(), self.request.id.as_str().to_owned()));
@@ -226,7 +221,8 @@
             path_and_query: self.target_path(),
             headers,
             body: self.request.body.clone(),
-            connection,
+            // Nothing in the answer tells it from an earlier one.
+            connection: Connection::Fresh,
             host: None,
             echo: None,
             first_byte_ms_max: Some(self.deadline.since_ms(self.state.now()).max(1)),
