Keep calls with HEAD off connections that carry other calls

What callers saw: 502 for a request that its target had answered in full, and whose earlier answer on the same connection it had written once more.

Cause: a copy is skipped by the framing that the method of the call at hand gives it. An answer to HEAD has no body whatever its length, so that skipping its copy before an answer to GET took as many bytes from that answer, and the body of an answer to GET was read as a head after HEAD. Bytes of a body so were in the place of a head.

Such a call now has a connection of its own, as one without an id.

Evidence, on: repeated_heads "HEAD, then GET, second: the head of the answer is invalid" (the other order wasn't reached in that run). Both orders pass now, with all tests of lycheeford-target.

--- a/crates/lycheeford-target/src/request.rs
+++ b/crates/lycheeford-target/src/request.rs
@@ -88,9 +88,12 @@
     }
 
     /// Returns whether the call may use a connection that carries other calls, too.
+    ///
+    /// A copy of an answer to HEAD has no body, whatever its length, so that the end of a copy is
+    /// known only among calls with other methods.
     pub(crate) fn may_share_connection(&self) -> bool {
         let has_id = self.echo.as_ref().is_none_or(|echo| echo.id.is_some());
-        self.connection == Connection::Pooled && has_id
+        self.connection == Connection::Pooled && has_id && self.method != Method::Head
     }
 
     /// Returns the id of the call, if targets repeat it.
