Take no target's 503 for the promise of another host

What callers saw: 503 ("not run") for a request that a host which is cut off had passed on, and that a target behind the other host may have run.

Cause: 408, 421, 429 and 503 of whoever answers at another host's address counted as that host's word. Hosts of builds before pass on a target's own 503, 429 or 408 without a promise, which matters while builds run side by side, and after a host's end its address may be a target's.

Targets repeat the id of a request, the refusals of hosts don't have it.

A target that repeats no id isn't told from a host.

--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -241,6 +241,9 @@
     /// Returns whether a response with `status` tells the caller that its request hasn't run.
     fn says_not_run(&self, status: u16) -> bool;
 
+    /// Returns whether a response with these headers is a target's, passed on by another host.
+    fn is_from_target(&self, headers: &[(String, String)]) -> bool;
+
     /// Returns the response for a refusal.
     fn refusal(&self, id: &Name, refusal: &Refusal) -> CallerResponse;
 }
--- a/crates/lycheeford-gateway/src/request/forward.rs
+++ b/crates/lycheeford-gateway/src/request/forward.rs
@@ -48,6 +48,13 @@
         let called = timeout(Duration::from_millis(left_ms), call).await;
         match called.unwrap_or_else(|_| Err(TargetError::timed_out(left_ms))) {
             Ok(response) if state.protocols.caller.says_not_run(response.status) => {
+                // Only the other host can promise that it won't run the request later.
+                if state.protocols.caller.is_from_target(&response.headers) {
+                    log_end(attempts, Some(response.status), "refused by a target");
+                    let message = "a target refused the request and may have run it; check whether \
+                                   it took effect";
+                    return Err(attempts.failed(&message));
+                }
                 attempts.ran = ran_before;
                 return refused_by_other_host(attempts, response).await;
             }
