Read a time-out of any size in a target's keep-alive header

What callers saw: in a debug build 502 for a request that its target had answered; in a release build, whose arithmetic wraps, a kept connection with an arbitrary time-out below the pool's own.

Cause: the seconds were multiplied unchecked.

Evidence: the case "far time-out" of pool::connections_are_reused_only_when_clean failed before ("attempt to multiply with overflow").

--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -183,5 +183,5 @@
     let value = head.headers.iter().find(|(name, _)| name == "keep-alive")?.1.as_str();
     let parameter = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     let timeout_s: u64 = parameter.trim().parse().ok()?;
-    Some((timeout_s * MS_PER_S).saturating_sub(KEEP_ALIVE_MARGIN_MS))
+    Some(timeout_s.saturating_mul(MS_PER_S).saturating_sub(KEEP_ALIVE_MARGIN_MS))
 }
--- a/crates/lycheeford-target/tests/pool.rs
+++ b/crates/lycheeford-target/tests/pool.rs
@@ -67,6 +67,14 @@
         case("first fresh", Fresh, Pooled, "", limits, "1/b"),
         case("second fresh", Pooled, Fresh, "", limits, "1/b"),
         case("target closes", Pooled, Pooled, "connection: close\r\n", limits, "1/b"),
+        case(
+            "far time-out",
+            Pooled,
+            Pooled,
+            "keep-alive: timeout=18446744073709551615\r\n",
+            limits,
+            "0/b",
+        ),
         case(
             "no idle connections kept",
             Pooled,
