End no stream inside an event because the next target has nothing to add

What callers saw: a stream that ended as complete although events were missing.

Cause: a target broke off inside an event, and the next one, which was to go on after the last whole event, answered 200 without any. An end that is declared, by a length or the last chunk, counted as that of the stream.

The part of an event shows that there is more. Such an answer now counts as broken off until an event has followed. Parts that may be the text of an error, or the head of a second answer in a body without a length, don't count, so that a stream that broke after its last event is still ended by the next target.

A caller that resumes doesn't say whether it has a part of an event, so that its stream may still be ended like this, as may one that broke between two events.

--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -31,6 +31,8 @@
     order: EventOrder,
     /// Whether another target, or another host, sent the events so far.
     is_resumed: bool,
+    /// Whether the first target broke off inside an event that hasn't followed yet.
+    is_event_due: bool,
     /// Whether another answer may follow within the bytes.
     may_hold_answers: bool,
     fault: Option<EventFault>,
@@ -52,7 +54,11 @@
     pub fn resume(&mut self) {
         let mut order = std::mem::take(&mut self.order);
         order.resume();
-        *self = EventBoundary { order, is_resumed: true, ..EventBoundary::default() };
+        // A part of what a later target sent may be the text of an error, and one of bytes that may
+        // hold answers the head of another.
+        let is_first = !self.is_resumed && !self.may_hold_answers;
+        let is_event_due = self.is_event_due || (is_first && self.is_inside_event());
+        *self = EventBoundary { order, is_resumed: true, is_event_due, ..EventBoundary::default() };
     }
 
     /// Takes the head of another answer for a fault, since the bytes end with their connection.
@@ -131,6 +137,7 @@
             return;
         }
         self.events += 1;
+        self.is_event_due = false;
         self.is_last_unnamed = id.is_none();
         self.since_event_bytes = later_bytes;
         self.order.passed(id);
@@ -152,6 +159,12 @@
         self.pending_fields != PendingFields::None || !(line.is_empty() || line.starts_with(b":"))
     }
 
+    /// Returns whether the stream can't be complete, since its first target broke off inside an
+    /// event and none has followed.
+    pub fn is_event_due(&self) -> bool {
+        self.is_event_due
+    }
+
     /// Returns whether no event ended within [`EVENT_BYTES_MAX`] bytes.
     pub fn is_endless(&self) -> bool {
         self.since_event_bytes > EVENT_BYTES_MAX
