End no stream inside an event because the next target has nothing to add

What callers saw: a stream that ended as complete although events were missing.

Cause: a target broke off inside an event, and the next one, which was to go on after the last whole event, answered 200 without any. An end that is declared, by a length or the last chunk, counted as that of the stream.

The part of an event shows that there is more. Such an answer now counts as broken off until an event has followed. Parts that may be the text of an error, or the head of a second answer in a body without a length, don't count, so that a stream that broke after its last event is still ended by the next target.

Evidence: resumed_streams::an_empty_answer_of_the_next_target_does_not_end_a_stream_inside_an_event failed before ("200 without events, in chunks, resumed by the Host, another target: false: ends as complete after ...") and passes now, with the other nine tests of the file. A caller that resumes doesn't say whether it has a part of an event, so that its stream may still be ended like this, as may one that broke between two events.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -291,6 +291,9 @@
     /// A target that stops inside an event may still end its chunks properly. If the end of the
     /// connection is the end of the body, the target may have crashed before the first event.
     fn is_cut_short(&self, content: StatedContent, end: BodyEnd) -> bool {
+        if self.boundary.is_event_due() {
+            return true;
+        }
         match end {
             BodyEnd::Declared => content != StatedContent::Other && self.boundary.is_inside_event(),
             BodyEnd::Connection => self.boundary.events() == 0 || self.boundary.is_inside_event(),
--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -50,8 +50,12 @@
 
     /// Begins with the bytes of another target, which sends an incomplete event again.
     pub fn resume(&mut self) {
+        // A part of what a later target sent may be the text of an error, and one of bytes that may
+        // hold answers the head of another.
+        let is_first = !self.is_resumed && !self.may_hold_answers;
+        let is_event_due = is_first && self.is_inside_event();
         let mut order = std::mem::take(&mut self.order);
-        order.resume();
+        order.resume(is_event_due);
         *self = EventBoundary { order, is_resumed: true, ..EventBoundary::default() };
     }
 
@@ -152,6 +156,12 @@
         self.pending_fields != PendingFields::None || !(line.is_empty() || line.starts_with(b":"))
     }
 
+    /// Returns whether the stream can't be complete, since its first target broke off inside an
+    /// event and none has followed.
+    pub fn is_event_due(&self) -> bool {
+        self.order.is_event_due()
+    }
+
     /// Returns whether no event ended within [`EVENT_BYTES_MAX`] bytes.
     pub fn is_endless(&self) -> bool {
         self.since_event_bytes > EVENT_BYTES_MAX
--- a/crates/lycheeford-policy/src/gateway/event_order.rs
+++ b/crates/lycheeford-policy/src/gateway/event_order.rs
@@ -38,16 +38,23 @@
     has_no_gaps: Option<bool>,
     /// Whether the next event is the first one of another target.
     is_resuming: bool,
+    /// Whether a part of an event showed that at least one more follows.
+    is_event_due: bool,
 }
 
 impl EventOrder {
     /// Returns the order of a stream of which another host sent the events up to `last_id`.
     pub(crate) fn resumed_after(last_id: String) -> EventOrder {
-        EventOrder { last_id: Some(last_id), has_no_gaps: None, is_resuming: true }
+        EventOrder { last_id: Some(last_id), is_resuming: true, ..EventOrder::default() }
     }
 
-    pub(crate) fn resume(&mut self) {
+    pub(crate) fn resume(&mut self, is_event_due: bool) {
         self.is_resuming = true;
+        self.is_event_due |= is_event_due;
+    }
+
+    pub(crate) fn is_event_due(&self) -> bool {
+        self.is_event_due
     }
 
     pub(crate) fn last_id(&self) -> Option<&str> {
@@ -72,6 +79,7 @@
     /// Records an event that is passed on.
     pub(crate) fn passed(&mut self, id: Option<String>) {
         self.is_resuming = false;
+        self.is_event_due = false;
         let Some(id) = id else { return };
         if let Some(last_id) = self.last_id() {
             let step =
