--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -31,8 +31,6 @@
     order: EventOrder,
     /// Whether another target, or another host, sent the events so far.
     is_resumed: bool,
-    /// Whether the first target broke off inside an event that hasn't followed yet.
-    is_event_due: bool,
     /// Whether another answer may follow within the bytes.
     may_hold_answers: bool,
     fault: Option<EventFault>,
@@ -52,13 +50,13 @@
 
     /// Begins with the bytes of another target, which sends an incomplete event again.
     pub fn resume(&mut self) {
-        let mut order = std::mem::take(&mut self.order);
-        order.resume();
         // A part of what a later target sent may be the text of an error, and one of bytes that may
         // hold answers the head of another.
         let is_first = !self.is_resumed && !self.may_hold_answers;
-        let is_event_due = self.is_event_due || (is_first && self.is_inside_event());
-        *self = EventBoundary { order, is_resumed: true, is_event_due, ..EventBoundary::default() };
+        let is_event_due = is_first && self.is_inside_event();
+        let mut order = std::mem::take(&mut self.order);
+        order.resume(is_event_due);
+        *self = EventBoundary { order, is_resumed: true, ..EventBoundary::default() };
     }
 
     /// Takes the head of another answer for a fault, since the bytes end with their connection.
@@ -137,7 +135,6 @@
             return;
         }
         self.events += 1;
-        self.is_event_due = false;
         self.is_last_unnamed = id.is_none();
         self.since_event_bytes = later_bytes;
         self.order.passed(id);
@@ -162,7 +159,7 @@
     /// Returns whether the stream can't be complete, since its first target broke off inside an
     /// event and none has followed.
     pub fn is_event_due(&self) -> bool {
-        self.is_event_due
+        self.order.is_event_due()
     }
 
     /// Returns whether no event ended within [`EVENT_BYTES_MAX`] bytes.
