--- a/crates/lycheeford-caller/src/race.rs
+++ b/crates/lycheeford-caller/src/race.rs
@@ -25,6 +25,8 @@
 }
 
 /// Returns the output of `work`, or `None` if it panics.
+///
+/// `work` is boxed, so that a connection without a request holds no memory for one.
 pub(crate) async fn unless_panicked<T>(work: impl Future<Output = T>) -> Option<T> {
-    AssertUnwindSafe(work).catch_unwind().await.ok()
+    AssertUnwindSafe(Box::pin(work)).catch_unwind().await.ok()
 }
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -108,7 +108,7 @@
     async fn answer_or_forward(&self, attempts: &mut Attempts) -> Result<Answered, Refusal> {
         let may_forward = !attempts.admitted.request.is_forwarded;
         if may_forward && self.state.is_cut_off() {
-            return forward(attempts).await;
+            return Box::pin(forward(attempts)).await;
         }
         match answer(attempts).await {
             // The host turned out to be cut off while it tried targets.
@@ -117,7 +117,7 @@
                     && (refusal.ran == Ran::NotRun || attempts.can_retry())
                     && self.state.is_cut_off() =>
             {
-                forward(attempts).await
+                Box::pin(forward(attempts)).await
             }
             answered => answered,
         }
