Take no head that is joined from two answers

What callers saw: of targets that write the start of an earlier answer again right before the next one, a request that runs once ran twice, a success of the target came back as refused, or a failure as a success.

Cause: a head that breaks off inside its status line or a value goes on with the status line of the next answer as if that were the rest of its line. The joined head has the status and the promises of the earlier answer and the id of the one that is due, so that it passed for the request's own.

A head within which another status line begins is now invalid. Breaks elsewhere were refused before, as lines without a colon, names with a slash or two ids.

A body without a length that ends with a regular close can't be told from a whole one.

--- a/crates/lycheeford-http/src/head.rs
+++ b/crates/lycheeford-http/src/head.rs
@@ -11,6 +11,8 @@
 const LENGTH_DIGITS_MAX: usize = 18;
 /// The length of the longest method, `UPDATEREDIRECTREF`.
 const METHOD_BYTES_MAX: usize = 17;
+/// How a status line begins; `0` stands for any digit.
+const STATUS_LINE_START: &[u8] = b"HTTP/0.0 000";
 const STATUS_NO_CONTENT: u16 = 204;
 const STATUS_NOT_MODIFIED: u16 = 304;
 
@@ -137,6 +139,7 @@
         unframed: Unframed,
     ) -> Result<ResponseHead, Error> {
         check_line_ends(bytes)?;
+        check_single_status_line(bytes)?;
         let mut header_buffer = [httparse::EMPTY_HEADER; HEADERS_MAX];
         let mut parsed = httparse::Response::new(&mut header_buffer);
         check_complete(parsed.parse(bytes), bytes.len())?;
@@ -218,6 +221,25 @@
     Ok(())
 }
 
+/// Checks that no other response begins within the head of a response.
+///
+/// A sender that breaks off inside a head and sends another response on the same connection would
+/// join the status and the first headers of one with the other headers and the body of the other.
+fn check_single_status_line(bytes: &[u8]) -> Result<(), Error> {
+    let mut later_starts = bytes.windows(STATUS_LINE_START.len()).skip(1);
+    if later_starts.any(is_status_line_start) {
+        return Err(malformed("another response begins inside the head; complete the first one"));
+    }
+    Ok(())
+}
+
+fn is_status_line_start(bytes: &[u8]) -> bool {
+    bytes.iter().zip(STATUS_LINE_START).all(|(byte, expected)| match expected {
+        b'0' => byte.is_ascii_digit(),
+        _ => byte == expected,
+    })
+}
+
 fn check_complete(status: httparse::Result<usize>, length_bytes: usize) -> Result<(), Error> {
     match status {
         Ok(httparse::Status::Complete(parsed_bytes)) if parsed_bytes == length_bytes => Ok(()),
--- a/crates/lycheeford-http/tests/head.rs
+++ b/crates/lycheeford-http/tests/head.rs
@@ -88,6 +88,9 @@
         case("HTTP/1.0 200 OK", "Content-Length: 3", Get, Err("version")),
         case("HTTP/1.1 999 Odd", "Content-Length: 3", Get, Err("status code")),
         case(ok, "Content-Length: 3|X: \u{e9}", Get, Err("ASCII")),
+        case("HTTP/1.1 503 FulHTTP/1.1 200 OK", "Content-Length: 3", Get, Err("another response")),
+        case(ok, "X: HTTP/1.1 500 Error|Content-Length: 3", Get, Err("another response")),
+        case(ok, "Via: HTTP/1.1 proxy|Content-Length: 3", Get, Ok((200, Length(3)))),
     ];
     for case in cases {
         let head = head(case.first_line, case.headers);
