Start background tasks again that panic

What callers would see: a host that serves on with the list of targets, the declaration or the leases of some moment in the past, for as long as its process runs: requests sent to targets that are gone, routes and keys that were withdrawn, no loads. Readiness, the log and the metrics said nothing of it; standard error had one message.

Cause: the executor drops a task that panics. Fourteen tasks of the gateway and six of the daemon run as long as the process and nobody waits for them.

All of them continue from the tables of the process, which survive a panic (their locks pass over poisoning). The task that keeps crash suspects in the store is part of the one that started it, so that a new start doesn't run it twice.

Ruled out: ending the process instead. It would cut what the host serves, and an object in the store, or a message, that makes all hosts panic would end all of them again and again.

--- a/crates/lycheeford-caller/src/lib.rs
+++ b/crates/lycheeford-caller/src/lib.rs
@@ -15,6 +15,7 @@
 //!   refused request.
 //! - [`chunk_channel`]: creates the sender and the receiver of a streamed body.
 //! - [`Stop`]: shuts a server down without cutting a request.
+//! - [`restart_after_panics`]: keeps the background tasks of a serving process alive.
 //!
 //! docs/CALLERS.md describes the interface for callers and operators.
 
@@ -25,6 +26,7 @@
 mod refusal;
 mod request;
 mod response;
+mod restart;
 mod serve;
 mod stop;
 mod stream;
@@ -34,6 +36,7 @@
 pub use crate::refusal::refusal_response;
 pub use crate::request::CallerRequest;
 pub use crate::response::{CallerBody, CallerResponse};
+pub use crate::restart::restart_after_panics;
 pub use crate::serve::{Handler, Service, serve, serve_service};
 pub use crate::stop::Stop;
 pub use crate::stream::{CallerDisconnected, ChunkReceiver, ChunkSender, chunk_channel};
--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use futures_util::future::join;
 use lycheeford_platform::{Category, Expect, Listing, Object, PlatformError, UnreadableValue};
 use lycheeford_policy::{HostRecord, Name, TimeMs, build_name};
 use serde::{Deserialize, Serialize};
@@ -60,9 +61,14 @@
 /// Registers this host, discovers the others and deletes the objects of dead hosts.
 pub(crate) async fn maintain_hosts(state: Arc<State>) {
     let stored = read_stored_suspects(&state).await;
-    let mut era = state.store_era();
-    task::spawn(keep_stored_suspects(Arc::clone(&state), stored, era));
-    while let Err(error) = register(&state).await {
+    let era = state.store_era();
+    let suspects = keep_stored_suspects(Arc::clone(&state), stored, era);
+    join(suspects, list_hosts(&state, era)).await;
+}
+
+/// Registers this host, and lists the others from then on.
+async fn list_hosts(state: &State, mut era: u64) {
+    while let Err(error) = register(state).await {
         warn!(state.log, "host_unregistered"; "error" => %error);
         task::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
     }
@@ -81,18 +87,18 @@
         match listed {
             Ok(listing) => {
                 is_listed = true;
-                silent.update(&state, &listing);
+                silent.update(state, &listing);
                 // Without the list this host doesn't know the number of hosts.
                 state.set_registered();
-                silent.delete_dead(&state, &listing).await;
+                silent.delete_dead(state, &listing).await;
             }
             Err(error) => warn!(state.log, "hosts_unlisted"; "error" => %error),
         }
-        let pause_ms = list_pause_ms(&state, started_at);
-        if era_rises_within(&state, era, pause_ms).await {
+        let pause_ms = list_pause_ms(state, started_at);
+        if era_rises_within(state, era, pause_ms).await {
             warn!(state.log, "store_restored"; "era" => state.store_era(), "era_before" => era);
             // The copy may lack this host, and list others that are gone.
-            match register(&state).await {
+            match register(state).await {
                 Ok(()) => {
                     era = state.store_era();
                     is_listed = false;
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -82,6 +82,11 @@
     host: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TaskLabels {
+    task: &'static str,
+}
+
 type Histograms = Family<CustomerLabels, Histogram, fn() -> Histogram>;
 
 /// The metrics of a gateway; docs/OPERATIONS.md explains each.
@@ -99,6 +104,7 @@
     permits: Family<AnswerLabels, Counter>,
     crash_causes: Family<CauseLabels, Counter>,
     unread_messages: Family<UnreadLabels, Counter>,
+    task_panics: Family<TaskLabels, Counter>,
     pub(crate) unreadable_entries: Counter,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
@@ -138,6 +144,7 @@
             permits: Family::default(),
             crash_causes: Family::default(),
             unread_messages: Family::default(),
+            task_panics: Family::default(),
             unreadable_entries: Counter::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
@@ -221,6 +228,10 @@
         self.unread_messages.get_or_create(&UnreadLabels { what }).inc();
     }
 
+    pub(crate) fn task_panicked(&self, task: &'static str) {
+        self.task_panics.get_or_create(&TaskLabels { task }).inc();
+    }
+
     /// Counts a reason for which requests are refused from now on.
     pub(crate) fn crash_cause(&self, cause: CrashCause) {
         let cause = match cause {
@@ -245,6 +256,8 @@
         registry.register("build", "The build of this process", Info::new(build));
         let help = "Messages of other hosts of which all or a part wasn't understood";
         registry.register("unread_messages", help, self.unread_messages.clone());
+        let help = "Background tasks that panicked and were started again";
+        registry.register("task_panics", help, self.task_panics.clone());
         registry.register("answered_ms", "Time to the end of an answer", self.answered.clone());
         registry.register("first_event_ms", "Time to the first event", self.first_event.clone());
         registry.register("refused", "Refusals by reason", self.refused.clone());
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -1,3 +1,4 @@
+use std::future::Future;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,9 +8,9 @@
 use async_std::prelude::FutureExt;
 use async_std::task;
 use futures_util::future::{join, join_all};
-use lycheeford_caller::{Service, Stop, serve_service};
+use lycheeford_caller::{Service, Stop, restart_after_panics, serve_service};
 use lycheeford_policy::{TimeMs, build_name};
-use slog::{info, warn};
+use slog::{error, info, warn};
 use snafu::{ResultExt, Snafu};
 
 use crate::fleet::{follow_deployment, follow_targets, watch_reach};
@@ -72,7 +73,7 @@
     let state = State::new(settings, protocols, log);
     info!(state.log, "started";
         "incarnation" => state.incarnation, "build" => build_name().as_str());
-    start_tasks(&state, Arc::new(peers));
+    start_tasks(&state, &Arc::new(peers));
 
     let pages_stop = Stop::new();
     let mut pages = vec![
@@ -100,21 +101,49 @@
     Ok(())
 }
 
-fn start_tasks(state: &Arc<State>, socket: Arc<UdpSocket>) {
-    task::spawn(follow_deployment(Arc::clone(state)));
-    task::spawn(follow_targets(Arc::clone(state)));
-    task::spawn(receive(Arc::clone(state), Arc::clone(&socket)));
-    task::spawn(send_reports(Arc::clone(state), Arc::clone(&socket)));
-    task::spawn(grant_permits(Arc::clone(state), Arc::clone(&socket)));
-    task::spawn(send_stream_events(Arc::clone(state), Arc::clone(&socket)));
-    task::spawn(watch_reach(Arc::clone(state)));
-    task::spawn(track_versions(Arc::clone(state)));
-    task::spawn(send_demand(Arc::clone(state), socket));
-    task::spawn(maintain_hosts(Arc::clone(state)));
-    task::spawn(keep_lease(Arc::clone(state)));
-    task::spawn(plan_orders(Arc::clone(state)));
-    task::spawn(dispatch(Arc::clone(state)));
-    task::spawn(log_losses(Arc::clone(state)));
+fn start_tasks(state: &Arc<State>, socket: &Arc<UdpSocket>) {
+    start_task(state, "declaration", follow_deployment);
+    start_task(state, "targets", follow_targets);
+    start_peer_task(state, socket, "receive", receive);
+    start_peer_task(state, socket, "reports", send_reports);
+    start_peer_task(state, socket, "permits", grant_permits);
+    start_peer_task(state, socket, "streams", send_stream_events);
+    start_task(state, "reach", watch_reach);
+    start_task(state, "versions", track_versions);
+    start_peer_task(state, socket, "demand", send_demand);
+    start_task(state, "hosts", maintain_hosts);
+    start_task(state, "lease", keep_lease);
+    start_task(state, "orders", plan_orders);
+    start_task(state, "dispatch", dispatch);
+    start_task(state, "losses", log_losses);
+}
+
+/// Starts a task that runs as long as the process, also after a panic in it.
+///
+/// A new task continues from the tables of the state, which a panic leaves usable.
+fn start_task<T, F>(state: &Arc<State>, name: &'static str, task: T)
+where
+    T: Fn(Arc<State>) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let state = Arc::clone(state);
+    task::spawn(async move {
+        let start = || task(Arc::clone(&state));
+        let panicked = |message: &str| {
+            state.metrics.task_panicked(name);
+            error!(state.log, "task_panicked"; "task" => name, "message" => message);
+        };
+        restart_after_panics(start, panicked).await;
+    });
+}
+
+fn start_peer_task<T, F>(state: &Arc<State>, socket: &Arc<UdpSocket>, name: &'static str, task: T)
+where
+    T: Fn(Arc<State>, Arc<UdpSocket>) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let socket = Arc::clone(socket);
+    start_task(state, name, move |state| task(state, Arc::clone(&socket)));
 }
 
 /// Dispatches waiting requests periodically, since targets become usable by the passing of time
--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -1,3 +1,4 @@
+use std::future::Future;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -5,14 +6,14 @@
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
-use lycheeford_caller::{Bounds, Stop};
+use lycheeford_caller::{Bounds, Stop, restart_after_panics};
 use lycheeford_config::{STOP_GRACE_MS_MIN, Settings};
 use lycheeford_peer::{Member, PeerLimits, Peers};
 use lycheeford_platform::{Expect, ObjectStore, PlatformError, put_settled};
 use lycheeford_policy::{Instance, TimeMs, build_name};
 use lycheeford_wire::Hello;
 use serde_json::json;
-use slog::{Logger, info, warn};
+use slog::{Logger, error, info, warn};
 use snafu::{ResultExt, Snafu};
 
 use crate::clock::Clock;
@@ -22,6 +23,7 @@
 use crate::membership::members::REACHABLE_MS;
 use crate::membership::peer_view::has_contacted_peers;
 use crate::operation::admin::Admin;
+use crate::operation::metrics::Event;
 use crate::placement::demand_report::report_demand;
 use crate::rates::share_upkeep::{follow_shares, maintain_shares};
 use crate::request::caller_handler::{ADDRESS_KEEP_MS, CallerHandler};
@@ -143,12 +145,31 @@
 }
 
 fn start_tasks(state: &Arc<State>) {
-    task::spawn(follow_configuration(state.clone()));
-    task::spawn(follow_hosts(state.clone()));
-    task::spawn(follow_shares(state.clone()));
-    task::spawn(maintain_shares(state.clone()));
-    task::spawn(report_demand(state.clone()));
-    task::spawn(plan_loads(state.clone()));
+    start_task(state, "configuration", follow_configuration);
+    start_task(state, "hosts", follow_hosts);
+    start_task(state, "shares", follow_shares);
+    start_task(state, "share_upkeep", maintain_shares);
+    start_task(state, "demand", report_demand);
+    start_task(state, "loads", plan_loads);
+}
+
+/// Starts a task that runs as long as the process, also after a panic in it.
+///
+/// A new task continues from the tables of the state, which a panic leaves usable.
+fn start_task<T, F>(state: &Arc<State>, name: &'static str, task: T)
+where
+    T: Fn(Arc<State>) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let state = state.clone();
+    task::spawn(async move {
+        let start = || task(state.clone());
+        let panicked = |message: &str| {
+            state.metrics.event(Event::TaskPanic);
+            error!(state.log, "task panicked"; "task" => name, "message" => message);
+        };
+        restart_after_panics(start, panicked).await;
+    });
 }
 
 /// Waits until this daemon has contacted its peers and read its shares. The wait also ends when
--- a/crates/lycheefordd/src/operation/metrics.rs
+++ b/crates/lycheefordd/src/operation/metrics.rs
@@ -68,6 +68,8 @@
     TargetCrash,
     /// A message of another daemon wasn't understood.
     UnreadMessage,
+    /// A background task panicked and was started again.
+    TaskPanic,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
