Split streams whose lines end with a carriage return alone

What callers saw: nothing of such a stream until its end, or until 256 KB of it had come, which broke it off.

Cause: only line feeds ended a line. The format allows a carriage return, a line feed, or both; the daemon's splitter knew that already.

If nothing follows a carriage return yet, its line feed may still come, and the event isn't passed on before that is known: a line feed of one target must not get between the events of the next. Once a line has ended with a carriage return alone, the last event doesn't wait for the next one.

Evidence: lines_end_with_a_carriage_return_or_a_line_feed_or_both, split at each byte, failed before ("CR, split after 0 bytes": nothing passed on) and passes now.

--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -26,6 +26,7 @@
     /// Number of pending bytes that were scanned.
     scanned: usize,
     line_start: usize,
+    last_line_end: LineEnd,
     pending_id: Option<String>,
     pending_fields: PendingFields,
     order: EventOrder,
@@ -74,10 +75,8 @@
         self.pending.extend_from_slice(bytes);
         self.since_event_bytes += bytes.len();
         let mut whole_bytes = 0;
-        while let Some(offset) = self.pending[self.scanned..].iter().position(|&byte| byte == b'\n')
-        {
-            let end = self.scanned + offset;
-            let line = trim_carriage_return(&self.pending[self.line_start..end]);
+        while let Some((line_end, next_start)) = self.next_line() {
+            let line = &self.pending[self.line_start..line_end];
             let kind = LineKind::of(line);
             self.fault = self.line_fault(line, kind);
             if self.fault.is_some() {
@@ -85,7 +84,7 @@
             }
             match kind {
                 LineKind::End => {
-                    whole_bytes = end + 1;
+                    whole_bytes = next_start;
                     self.end_event(self.pending.len() - whole_bytes);
                 }
                 LineKind::Comment => {}
@@ -97,16 +96,34 @@
                     self.pending_fields = self.pending_fields.max(PendingFields::Other);
                 }
             }
-            self.scanned = end + 1;
-            self.line_start = end + 1;
+            self.last_line_end = LineEnd::of(&self.pending[line_end..next_start]);
+            self.scanned = next_start;
+            self.line_start = next_start;
         }
-        self.scanned = self.pending.len();
+        // A carriage return is looked at again when the next byte is known.
+        let is_ended = self.pending.ends_with(b"\r") && self.line_start < self.pending.len();
+        self.scanned = self.pending.len() - usize::from(is_ended);
         let rest = self.pending.split_off(whole_bytes);
         self.scanned -= whole_bytes;
         self.line_start -= whole_bytes;
         std::mem::replace(&mut self.pending, rest)
     }
 
+    /// Returns where the line ends that is being read, and where the next one begins.
+    ///
+    /// A line ends with a line feed, a carriage return, or both. If nothing follows a carriage
+    /// return yet, a line feed may, which mustn't get into the bytes of another target; it won't in
+    /// a stream whose lines end without it, whose last event mustn't wait for the next one.
+    fn next_line(&self) -> Option<(usize, usize)> {
+        let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        let end = self.scanned + self.pending[self.scanned..].iter().position(is_line_end)?;
+        match (self.pending[end], self.pending.get(end + 1)) {
+            (b'\r', Some(b'\n')) => Some((end, end + 2)),
+            (b'\r', None) if self.last_line_end == LineEnd::WithFeed => None,
+            _ => Some((end, end + 1)),
+        }
+    }
+
     /// Returns why the bytes after the last complete event don't continue the stream, if they
     /// don't.
     ///
@@ -153,6 +170,7 @@
     /// Returns whether the bytes so far end inside an event; comments belong to none.
     pub fn is_inside_event(&self) -> bool {
         let line = &self.pending[self.line_start..];
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
         self.pending_fields != PendingFields::None || !(line.is_empty() || line.starts_with(b":"))
     }
 
@@ -201,6 +219,22 @@
     OfEvent,
 }
 
+/// How a line ends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LineEnd {
+    /// With a line feed, or a carriage return and a line feed.
+    #[default]
+    WithFeed,
+    /// With a carriage return alone.
+    ReturnAlone,
+}
+
+impl LineEnd {
+    fn of(bytes: &[u8]) -> LineEnd {
+        if bytes == b"\r" { LineEnd::ReturnAlone } else { LineEnd::WithFeed }
+    }
+}
+
 /// What a line is within a stream of events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LineKind {
@@ -233,10 +267,6 @@
     byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_')
 }
 
-fn trim_carriage_return(line: &[u8]) -> &[u8] {
-    line.strip_suffix(b"\r").unwrap_or(line)
-}
-
 fn event_id(line: &[u8]) -> Option<String> {
     let value = line.strip_prefix(b"id:")?;
     let value = value.strip_prefix(b" ").unwrap_or(value);
--- a/crates/lycheeford-policy/tests/gateway/streams.rs
+++ b/crates/lycheeford-policy/tests/gateway/streams.rs
@@ -74,6 +74,41 @@
     }
 }
 
+/// Guards against a stream whose lines end with a carriage return alone being held back to its end,
+/// and against events that end within a line end.
+#[test]
+fn lines_end_with_a_carriage_return_or_a_line_feed_or_both() {
+    struct Case {
+        what: &'static str,
+        events: &'static [&'static str],
+    }
+    let cases = [
+        Case { what: "LF", events: &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"] },
+        Case { what: "CR LF", events: &["id: 1\r\ndata: a\r\n\r\n", "id: 2\r\ndata: b\r\n\r\n"] },
+        Case { what: "CR", events: &["id: 1\rdata: a\r\r", "id: 2\rdata: b\r\r"] },
+        Case { what: "CR and comments", events: &[": a\r\rid: 1\rdata: a\r\r", "id: 2\r: b\r\r"] },
+        Case { what: "CR, then LF", events: &["id: 1\rdata: a\r\r", "id: 2\ndata: b\n\n"] },
+        Case { what: "LF, then CR", events: &["id: 1\ndata: a\n\n", "id: 2\rdata: b\r\r"] },
+        Case { what: "LF after CR", events: &["id: 1\rdata: a\n\n", "id: 2\ndata: b\r\r"] },
+    ];
+    for Case { what, events } in cases {
+        let stream = events.concat();
+        for split in 0..=stream.len() {
+            let what = format!("{what}, split after {split} bytes");
+            let mut boundary = EventBoundary::default();
+            let first = boundary.push(&stream.as_bytes()[..split]);
+            let whole_events: &[usize] = &[0, events[0].len(), stream.len()];
+            assert!(whole_events.contains(&first.len()) || what.contains("comments"), "{what}");
+            let ended = whole_events.iter().filter(|end| **end > 0 && **end <= split).count();
+            assert_eq!(boundary.events(), ended as u64, "{what}: as soon as it ends");
+            let second = boundary.push(&stream.as_bytes()[split..]);
+            assert_eq!([first, second].concat(), stream.as_bytes(), "{what}");
+            assert_eq!((boundary.events(), boundary.last_id()), (2, Some("2")), "{what}");
+            assert!(!boundary.is_inside_event(), "{what}");
+        }
+    }
+}
+
 /// Guards against an endless event, which fills the memory of the host, and against endless
 /// comments, which keep a stalled stream open.
 #[test]
