Take no body without a length for whole whose target was killed

Cause: the close of the connection counted as the end of such a body. The kernel closes the connections of a killed process in the same way.

It closes the listener, too, so that the target is asked for a connection when such a body ends: if that is refused, the body counts as cut. A request that may be repeated runs elsewhere, a resumable stream goes on, others get 502 or a cut stream. No answer within 0.2 s counts as a target that is only slow. A success without a byte of such a body counts as cut in any case: a target that stopped after its head looks like that, and an empty body is stated by a length.

Ruled out: passing the end on as it came, by a close without a length. The caller would know no more than this host does, and takes a regular close for the end as well.

Costs: one more connection for each answer that ends with its connection, none for others. A sound target that ends its process right after such an answer is taken for a killed one.

What remains: a target that closes such a connection in the middle and goes on listening can't be told.

--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -1,17 +1,21 @@
+use std::ops::Range;
 use std::time::Duration;
 
 use async_std::future::timeout;
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerResponse, chunk_channel};
 use lycheeford_policy::{Chosen, Refusal};
-use lycheeford_target::TargetError;
+use lycheeford_target::{BodyEnd, TargetError};
 
 use super::attempt::{Attempts, StartedResponse};
+use super::crash::may_be_cut_by_exit;
 use super::relay::Relay;
 use super::resume::pin_resumed_version;
 use crate::Reply;
 use crate::state::ANSWER_BYTES_MAX;
 
+const SUCCESSES: Range<u16> = 200..300;
+
 /// The response to a request.
 pub(super) enum Answered {
     Whole(CallerResponse),
@@ -71,6 +75,13 @@
         Ok(Err(error)) => return Err((slot.chosen.clone(), error)),
         Err(_) => return Err((slot.chosen.clone(), TargetError::timed_out(left_ms))),
     };
+    // Only the end of the connection says that such a body is whole. A success that has no byte of it
+    // more likely comes from a target that stopped after its head.
+    let is_head_alone =
+        end == BodyEnd::Connection && body.is_empty() && SUCCESSES.contains(&status);
+    if is_head_alone || may_be_cut_by_exit(state, &slot.chosen, end).await {
+        return Err((slot.chosen.clone(), TargetError::truncated()));
+    }
     let now = state.now();
     if reply == Reply::Ran {
         state.dispatcher().targets.succeeded(now, &slot.chosen, now.since_ms(sent_at));
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -9,6 +9,7 @@
 use slog::info;
 
 use super::attempt::{Attempts, StartedResponse};
+use super::crash::may_be_cut_by_exit;
 use super::slot::Slot;
 use crate::Reply;
 
@@ -249,6 +250,10 @@
                     return End::Broken(TargetError::truncated());
                 }
                 Next::Chunk(Ok(None)) => {
+                    let state = &self.attempts.state;
+                    if may_be_cut_by_exit(state, &slot.chosen, body.end()).await {
+                        return End::Broken(TargetError::truncated());
+                    }
                     self.attempts.record_completion(body.end());
                     let rest = self.boundary.take_rest();
                     let sent = self.send(rest).await;
