Read the store's answers with the decoder of the other clients

What was seen: an answer of the store in an encoding other than "chunked" in small letters ("Chunked", "gzip") was read as a whole answer without a body; one that ended right after the line of its last chunk counted as whole; an interim head before it failed the call.

Cause: the decoder of the HTTP library sets no body for an encoding that it doesn't know, and takes the end of the stream for the end of the trailers. Its users have to check what they get, and this check can't see either.

The client now reads heads and bodies with lycheeford-http, as the clients of targets do. A connection with bytes after the answer isn't used again.

Evidence: cut_answers, each answer cut and paused after each of its bytes, failed before ("chunks in capital letters, Pause after 0 bytes: Ok("")", "chunks, Close after 99 bytes: Ok(..)") and passes now. Not a fault before: answers with a length or in chunks, cut before the last chunk.

--- a/crates/lycheeford-platform/src/connection.rs
+++ b/crates/lycheeford-platform/src/connection.rs
@@ -1,15 +1,21 @@
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use async_h1::client::Encoder;
 use async_std::future::timeout;
-use async_std::io::ReadExt;
+use async_std::io;
 use async_std::net::TcpStream;
-use http_types::{Request, Response, StatusCode};
+use http_types::{Method, Request, StatusCode};
+use lycheeford_http::{BodyDecoder, MessageReader, Persistence, ResponseHead};
 
 use crate::PlatformLimits;
 
+/// The largest head of an answer.
+const HEAD_BYTES_MAX: usize = 8 * 1024;
+/// The most interim answers, such as 100 Continue, before the final one.
+const INTERIM_HEADS_MAX: usize = 8;
+
 /// An answer whose body was received completely.
 #[derive(Debug)]
 pub struct Answer {
@@ -22,9 +28,9 @@
 }
 
 impl Answer {
-    /// Returns the value of a header, by its name in lower case.
+    /// Returns the last value of a header, by its name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(header, _)| header == name);
+        let found = self.headers.iter().rfind(|(header, _)| header == name);
         found.map(|(_, value)| value.as_str())
     }
 }
@@ -110,15 +116,10 @@
     ) -> Result<Answer, String> {
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
         let limit = Duration::from_millis(self.limits.answer_ms_max.saturating_add(wait_ms));
-        let exchange = async {
-            let response = async_h1::connect(stream.clone(), request)
-                .await
-                .map_err(|error| error.to_string())?;
-            read_complete(response, self.limits.answer_bytes_max).await
-        };
-        let (answer, keep_alive) =
+        let exchange = exchange(stream.clone(), request, self.limits.answer_bytes_max);
+        let (answer, persistence) =
             timeout(limit, exchange).await.map_err(|_| "the answer timed out".to_owned())??;
-        if keep_alive {
+        if persistence == Persistence::KeepAlive {
             self.put_idle(stream);
         }
         Ok(answer)
@@ -139,49 +140,46 @@
     }
 }
 
-/// Reads the body and checks that it is complete.
+/// Sends a request, and reads its answer and whether the connection can be reused.
 ///
-/// Returns the answer and whether the connection can be reused. The check is needed because the
-/// HTTP library accepts a body that ends early or has no length.
-async fn read_complete(response: Response, bytes_max: u64) -> Result<(Answer, bool), String> {
-    let status = response.status();
-    let keep_alive = response.header("connection").is_none_or(|value| value.as_str() != "close");
-    let length = announced_length(&response)?;
-    let headers = response.iter().map(|(name, values)| {
-        (name.as_str().to_ascii_lowercase(), values.last().as_str().to_owned())
-    });
-    let headers = headers.collect();
+/// The decoder of the HTTP library isn't used: it accepts a body that ends early, and takes one in
+/// an encoding that it doesn't know for an empty one.
+async fn exchange(
+    mut stream: TcpStream,
+    request: Request,
+    bytes_max: u64,
+) -> Result<(Answer, Persistence), String> {
+    let method = request.method();
+    io::copy(&mut Encoder::new(request), &mut stream).await.map_err(|error| error.to_string())?;
+    let mut reader = MessageReader::new(stream);
+    let head = final_head(&mut reader, method).await?;
+    let status = StatusCode::try_from(head.status).map_err(|error| error.to_string())?;
+    let mut decoder = BodyDecoder::new(head.framing);
     let mut body = Vec::new();
-    let mut reader = response.take(bytes_max.saturating_add(1));
-    reader.read_to_end(&mut body).await.map_err(|error: io::Error| error.to_string())?;
-    if body.len() as u64 > bytes_max {
-        return Err(format!("the answer is larger than {bytes_max} bytes"));
-    }
-    match length {
-        Length::Known(length) if length != body.len() as u64 => {
-            Err(format!("the answer ended after {} of {length} bytes", body.len()))
+    while let Some(chunk) =
+        reader.body_chunk(&mut decoder).await.map_err(|error| error.to_string())?
+    {
+        body.extend_from_slice(&chunk);
+        if body.len() as u64 > bytes_max {
+            return Err(format!("the answer is larger than {bytes_max} bytes"));
         }
-        Length::Known(_) | Length::Chunked => Ok((Answer { status, headers, body }, keep_alive)),
     }
+    // Bytes after the answer would be taken for the next one.
+    let persistence =
+        if reader.buffered_bytes() == 0 { head.persistence } else { Persistence::Close };
+    Ok((Answer { status, headers: head.headers, body }, persistence))
 }
 
-enum Length {
-    Known(u64),
-    Chunked,
-}
-
-fn announced_length(response: &Response) -> Result<Length, String> {
-    if response.status() == StatusCode::NoContent {
-        return Ok(Length::Known(0));
-    }
-    if let Some(value) = response.header("content-length") {
-        return match value.as_str().parse() {
-            Ok(length) => Ok(Length::Known(length)),
-            Err(_) => Err("the answer has an invalid content-length".to_owned()),
-        };
-    }
-    if response.header("transfer-encoding").is_some() {
-        return Ok(Length::Chunked);
+async fn final_head(
+    reader: &mut MessageReader<TcpStream>,
+    method: Method,
+) -> Result<ResponseHead, String> {
+    for _ in 0..=INTERIM_HEADS_MAX {
+        let bytes = reader.head(HEAD_BYTES_MAX).await.map_err(|error| error.to_string())?;
+        let head = ResponseHead::parse(&bytes, method).map_err(|error| error.to_string())?;
+        if !head.is_interim() {
+            return Ok(head);
+        }
     }
-    Err("the answer has neither a length nor chunked encoding".to_owned())
+    Err("the answer has too many interim heads".to_owned())
 }
