Start at a stopping host only what ends in time, or arrives early

Callers of a stopping host saw streams end after their status line with no whole answer, and got 502 for orders and repeatable requests that had run: requests that came late in the grace were sent on and cut at its end.

Cause: `StopPlan::can_finish` asked only whether the work was expected to end, by the last run times of the route at this host. A target that is slower than before, or silent for a second, makes every such guess too short, for all running requests at once. Requests that a cut-off host passes on weren't asked about at all. A request whose final time lies within the grace was refused nevertheless if no request of its route had ended here.

`StopPlan::check` starts what ends by its deadline or time-out before the last answers are due; else what arrived in the first 2.5 s and should end in time with a silence of 2 s; else, if an attempt may have run, what should end.

Failed before (`S stopping`, grace 4 s): "a stream takes longer than those before it": 200, one event, not whole; the same for an order and a repeatable request: 502 "this host stopped before the target answered"; "the target of a late stream/order is silent for a second": cut/502; "a slot becomes free too late for a long request": 502; the deadline of a late order "is before the end of the grace": 503 although it would have ended; "an order/a repeatable request is rejected too late for another target": 502. `S forwarding`: "an order, by a stopping host: 1 runs, answer 502", "a repeatable request, by a stopping host: 2 runs, answer 502", "an order, to a stopping host: 1 runs, answer 502".

Ruled out: the queue and denied permits by themselves (they asked the same question), early requests (a silence of 1.3 s was and is served).

The `refused` line of a stopping host has the inputs of the decision; what a target still had when the grace ended is counted (`unanswered_at_stop`, `ended`), and a stream that was passed on has its last line also if this host ends first.

--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -100,6 +100,8 @@
     crash_causes: Family<CauseLabels, Counter>,
     unread_messages: Family<UnreadLabels, Counter>,
     pub(crate) unreadable_entries: Counter,
+    /// The requests that targets had, or may have had, when this host's grace ended.
+    pub(crate) unanswered_at_stop: Counter,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
     ages: Family<SourceLabels, Gauge>,
@@ -139,6 +141,7 @@
             crash_causes: Family::default(),
             unread_messages: Family::default(),
             unreadable_entries: Counter::default(),
+            unanswered_at_stop: Counter::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
             ages: Family::default(),
@@ -264,6 +267,8 @@
         registry.register("crash_causes", help, self.crash_causes.clone());
         let help = "Changes of targets' entries that can't be read";
         registry.register("unreadable_entries", help, self.unreadable_entries.clone());
+        let help = "Requests that had no answer of a target when the grace of this host ended";
+        registry.register("unanswered_at_stop", help, self.unanswered_at_stop.clone());
         registry.register("revision", "The declaration in force", self.revision.clone());
         registry.register(
             "holds_orders",
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use lycheeford_policy::{
-    CrashCause, CrashVerdict, Deployment, Name, RatedCustomer, Refusal, RefusalCode, ServiceRoute,
-    ShortKey, TargetRequirements, TimeMs,
+    CrashCause, CrashVerdict, Deployment, LateRequest, Name, Ran, RatedCustomer, Refusal,
+    RefusalCode, ServiceRoute, ShortKey, TargetRequirements, TimeMs,
 };
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -14,6 +14,8 @@
 const STARTING_RETRY_MS: u64 = 500;
 /// The longest `Retry-After` time for a customer over its rate limit.
 const OVER_RATE_RETRY_MS_MAX: u64 = 5_000;
+/// The `Retry-After` time that a stopping host returns; the caller should use another host.
+const STOPPING_RETRY_MS: u64 = 50;
 /// The prefill speed of an engine in prompt tokens per millisecond, from which the time that a
 /// cached prompt saves is computed.
 const PROMPT_TOKENS_PER_MS: u64 = 38;
@@ -113,16 +115,24 @@
 }
 
 impl Admitted {
-    /// Returns whether a request sent at `sent_at` is expected to end before this host stops.
-    pub(super) fn can_finish(&self, state: &State, sent_at: TimeMs) -> bool {
-        let Some(plan) = state.stop_plan() else { return true };
+    /// Refuses a request that this host, if it stops, may not send to a target at `sent_at`; `ran`
+    /// says whether an earlier attempt ran.
+    pub(super) fn check_stop(
+        &self,
+        state: &State,
+        sent_at: TimeMs,
+        ran: Ran,
+    ) -> Result<(), Refusal> {
+        let Some(plan) = state.stop_plan() else { return Ok(()) };
         let (service, route) = (&self.need.service, &self.route.name);
         let run_ms = if self.route.kind.is_stream() {
             state.run_times().stream_reserve_ms(service, route)
         } else {
             state.run_times().reserve_ms(service, route)
         };
-        plan.can_finish(sent_at, run_ms)
+        let (arrived_at, final_at) = (self.arrived_at, self.final_at);
+        let request = LateRequest { arrived_at, sent_at, final_at, run_ms, ran };
+        plan.check(&request).map_err(|shortfall| host_stopping().with_shortfall(shortfall))
     }
 
     /// Refuses a request that was found to crash targets while it waited, or whose key was
@@ -137,6 +147,12 @@
     }
 }
 
+/// Returns the refusal of a request that another host can still serve.
+pub(super) fn host_stopping() -> Refusal {
+    let message = "this host is stopping; send the request to another address";
+    Refusal::not_run(RefusalCode::HostStopping, message, Some(STOPPING_RETRY_MS))
+}
+
 fn customer<'a>(
     state: &State,
     deployment: &'a Deployment,
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -13,10 +13,10 @@
 };
 use slog::{info, warn};
 
-use super::admission::Admitted;
+use super::admission::{Admitted, host_stopping};
 use super::crash::{InterruptedRequest, check_for_crash};
 use super::signals::apply_signals;
-use super::slot::{Slot, acquire_slot, host_stopping};
+use super::slot::{Slot, acquire_slot};
 use crate::fleet::record_unanswered;
 use crate::state::State;
 use crate::{AnswerHead, Dispatch, NotRun, Reply, Unclear};
@@ -149,7 +149,7 @@
             }
             let slot = match first.take() {
                 Some(slot) => slot,
-                None => acquire_slot(&self.state, &self.admitted).await?,
+                None => acquire_slot(&self.state, &self.admitted, self.ran).await?,
             };
             self.admitted.recheck(&self.state)?;
             if self.state.now() >= self.admitted.final_at {
@@ -486,6 +486,7 @@
         if self.ran == Ran::NotRun {
             return host_stopping();
         }
+        self.state.metrics.unanswered_at_stop.inc();
         let message =
             "this host stopped before the target answered; check whether the request took effect";
         Refusal::not_run(RefusalCode::TargetFailed, message, Some(RETRY_MS)).after(self.ran)
--- a/crates/lycheeford-gateway/src/request/forward.rs
+++ b/crates/lycheeford-gateway/src/request/forward.rs
@@ -38,6 +38,9 @@
         if left_ms == 0 {
             return Err(attempts.out_of_time());
         }
+        // A request that was passed on ends with this process, like one at a target.
+        let stop_checked = admitted.check_stop(&state, state.now(), ran_before);
+        stop_checked.map_err(|refusal| refusal.after(ran_before))?;
         let mut request = state.protocols.caller.forward(&admitted.request, left_ms);
         request.first_byte_ms_max = Some(left_ms);
         info!(state.log, "forwarded";
@@ -143,9 +146,16 @@
     let left_ms = admitted.final_at.since_ms(state.now());
     task::spawn(async move {
         let _running = running;
-        let relayed = timeout(Duration::from_millis(left_ms), relay_body(body, sender)).await;
+        let relayed = timeout(Duration::from_millis(left_ms), relay_body(body, sender));
+        let relayed = async { relayed.await.unwrap_or("deadline passed") };
+        let host_stopping = async {
+            state.ending.triggered().await;
+            state.metrics.stream_cut("host_stopping");
+            "this host is stopping"
+        };
+        let outcome = relayed.race(host_stopping).await;
         info!(state.log, "forward_ended";
-            "id" => id.as_str(), "status" => 200, "outcome" => relayed.unwrap_or("deadline passed"),
+            "id" => id.as_str(), "status" => 200, "outcome" => outcome,
             "total_ms" => state.now().since_ms(arrived_at));
     });
     CallerBody::Stream(receiver)
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -2,8 +2,8 @@
 
 use async_std::prelude::FutureExt;
 use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
-use lycheeford_policy::{Name, Ran, Refusal, TimeMs};
-use slog::{error, info, warn};
+use lycheeford_policy::{Name, Ran, Refusal, StopShortfall, TimeMs};
+use slog::{KV, Record, Serializer, error, info, warn};
 
 use super::admission::admit;
 use super::answer::{Answered, answer, stream};
@@ -56,7 +56,8 @@
                 info!(state.log, "refused";
                     "id" => id.as_str(), "code" => ?refusal.code, "ran" => ?refusal.ran,
                     "message" => &refusal.message, "retry_after_ms" => refusal.retry_after_ms,
-                    "total_ms" => state.now().since_ms(arrived_at));
+                    "total_ms" => state.now().since_ms(arrived_at),
+                    LoggedShortfall(refusal.shortfall));
                 state.protocols.caller.refusal(&id, &refusal)
             }
         };
@@ -124,6 +125,19 @@
     }
 }
 
+/// Logs what a stopping host knew of a request that it didn't start.
+struct LoggedShortfall(Option<StopShortfall>);
+
+impl KV for LoggedShortfall {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let Some(shortfall) = self.0 else { return Ok(()) };
+        serializer.emit_u64("stop_left_ms", shortfall.left_ms)?;
+        serializer.emit_u64("stop_run_ms", shortfall.run_ms)?;
+        serializer.emit_u64("stop_final_in_ms", shortfall.final_in_ms)?;
+        serializer.emit_u64("stop_arrived_after_ms", shortfall.arrived_after_ms)
+    }
+}
+
 /// Logs a request that ends without a response, because its caller disconnects or its handling
 /// panics, so that every request has a final log line.
 struct DisconnectLog<'a> {
--- a/crates/lycheeford-gateway/src/request/late.rs
+++ b/crates/lycheeford-gateway/src/request/late.rs
@@ -78,7 +78,7 @@
     /// Waits until another target has a slot and the request may be retried there.
     pub(super) async fn wait_for_other_slot(&self) -> Slot {
         loop {
-            if let Ok(slot) = acquire_slot(&self.state, &self.admitted).await
+            if let Ok(slot) = acquire_slot(&self.state, &self.admitted, self.ran).await
                 && self.admitted.recheck(&self.state).is_ok()
                 && self.take_retry()
             {
--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -3,7 +3,7 @@
 
 use async_std::channel::Receiver;
 use async_std::future::timeout;
-use lycheeford_policy::{Chosen, Name, Refusal, RefusalCode, Selection, TimeMs, Waiting};
+use lycheeford_policy::{Chosen, Name, Ran, Refusal, RefusalCode, Selection, TimeMs, Waiting};
 use rand::random_range;
 
 use super::admission::Admitted;
@@ -26,8 +26,6 @@
 /// Divides the route's latency objective, or the remaining time if that is shorter, to get the
 /// longest wait for a permit of a rate-limited target.
 const PERMIT_WAIT_DIVISOR: u64 = 2;
-/// The `Retry-After` time that a stopping host returns; the caller should use another host.
-const STOPPING_RETRY_MS: u64 = 50;
 /// The bounds of the `Retry-After` time of a refusal before jitter, which at most halves it. They
 /// don't apply if the targets asked for a pause or are at their rate limit.
 const RETRY_MS_MIN: u64 = 200;
@@ -88,14 +86,20 @@
 ///
 /// # Errors
 ///
-/// Refuses a request that can't get a slot in time, at once if that is already known.
-pub(super) async fn acquire_slot(state: &Arc<State>, admitted: &Admitted) -> Result<Slot, Refusal> {
+/// Refuses a request that can't get a slot in time, or that may not be sent since this host stops,
+/// at once if that is already known. `ran` says whether an earlier attempt ran.
+pub(super) async fn acquire_slot(
+    state: &Arc<State>,
+    admitted: &Admitted,
+    ran: Ran,
+) -> Result<Slot, Refusal> {
     loop {
-        let slot = wait_for_slot(state, admitted).await?;
+        let slot = wait_for_slot(state, admitted, ran).await?;
         let Some(rank) = slot.chosen.permit else { return Ok(slot) };
         let wait_ms_max = permit_wait_ms_max(admitted, state.now());
         let id = &admitted.request.id;
         if acquire_permit(state, id, &slot.chosen, rank, wait_ms_max).await {
+            admitted.check_stop(state, state.now(), ran)?;
             return Ok(slot);
         }
         // The denial is recorded for this target, so the next round doesn't choose it for a permit
@@ -103,11 +107,9 @@
     }
 }
 
-async fn wait_for_slot(state: &Arc<State>, admitted: &Admitted) -> Result<Slot, Refusal> {
+async fn wait_for_slot(state: &Arc<State>, admitted: &Admitted, ran: Ran) -> Result<Slot, Refusal> {
     let now = state.now();
-    if !admitted.can_finish(state, now) {
-        return Err(host_stopping());
-    }
+    admitted.check_stop(state, now, ran)?;
     let waiting = Waiting {
         id: state.next_number(),
         need: admitted.need.clone(),
@@ -134,7 +136,7 @@
             Err(_) => Err(overloaded(RETRY_MS_MIN)),
         };
     };
-    let wait_ms_max = wait_ms_max(state, admitted, now, &selection)?;
+    let wait_ms_max = wait_ms_max(state, admitted, ran, now, &selection)?;
     if waiting.need.model.is_some() {
         state.wake_demand_task();
         state.wake_planner();
@@ -143,9 +145,7 @@
     let mut is_wait_extended = false;
     loop {
         let now = state.now();
-        if !admitted.can_finish(state, now) {
-            return Err(host_stopping());
-        }
+        admitted.check_stop(state, now, ran)?;
         let interval_ms = give_up_at.since_ms(now).min(CHECK_INTERVAL_MS);
         match timeout(Duration::from_millis(interval_ms), queued.receiver.recv()).await {
             Ok(Ok(chosen)) => return Ok(queued.slot(chosen)),
@@ -170,9 +170,7 @@
             if ready_at + ANSWER_MS_MIN >= admitted.final_at {
                 return Err(not_loaded(ready_at.since_ms(now)));
             }
-            if !admitted.can_finish(state, ready_at) {
-                return Err(host_stopping());
-            }
+            admitted.check_stop(state, ready_at, ran)?;
             // The load is running or scheduled, so waiting is worthwhile. The wait is extended only
             // once: a ready time that is postponed again is not waited for.
             if !is_wait_extended {
@@ -187,12 +185,6 @@
     }
 }
 
-/// Returns the refusal of a request that another host can still serve.
-pub(super) fn host_stopping() -> Refusal {
-    let message = "this host is stopping; send the request to another address";
-    Refusal::not_run(RefusalCode::HostStopping, message, Some(STOPPING_RETRY_MS))
-}
-
 /// Returns when the lease holder expects the model to be ready, if known.
 fn ready_at(state: &State, admitted: &Admitted) -> Option<TimeMs> {
     state.dispatcher().ready_at(admitted.need.model.as_ref()?)
@@ -202,6 +194,7 @@
 fn wait_ms_max(
     state: &State,
     admitted: &Admitted,
+    ran: Ran,
     now: TimeMs,
     selection: &Selection,
 ) -> Result<u64, Refusal> {
@@ -227,9 +220,7 @@
             if expected_ms > share_ms {
                 return Err(overloaded(expected_ms - share_ms));
             }
-            if !admitted.can_finish(state, now + expected_ms) {
-                return Err(host_stopping());
-            }
+            admitted.check_stop(state, now + expected_ms, ran)?;
             Ok(share_ms)
         }
     }
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -96,7 +96,9 @@
     // a page without a pending request needs no response.
     let last = join(deregister_host(&state), pages_end);
     let _ = timeout(Duration::from_millis(LAST_MS_MAX), last).await;
-    info!(state.log, "ended"; "requests_running" => state.requests_running());
+    info!(state.log, "ended";
+        "requests_running" => state.requests_running(),
+        "unanswered" => state.metrics.unanswered_at_stop.get());
     Ok(())
 }
 
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -127,7 +127,7 @@
 pub use crate::retry_budget::RetryBudget;
 pub use crate::router::Router;
 pub use crate::share::{MAX_SHARE_HOLDERS, ShareEntry, ShareFault, ShareTable, TakenShare};
-pub use crate::stop_plan::{StopPlan, StopTimes};
+pub use crate::stop_plan::{LateRequest, StopPlan, StopShortfall, StopTimes};
 pub use crate::store_version::StoreVersion;
 pub use crate::target_record::{
     CancelledReplica, LoadRequest, MAX_CANCELLED_REPLICAS, MAX_ORDERS_SET_ASIDE, MemoryReservation,
--- a/crates/lycheeford-policy/src/refusal.rs
+++ b/crates/lycheeford-policy/src/refusal.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::StopShortfall;
+
 /// A final error response to a request, sent as soon as it is known that the request cannot be
 /// served.
 ///
@@ -14,6 +16,8 @@
     pub message: String,
     /// When the caller should retry; `None` if a retry does not help.
     pub retry_after_ms: Option<u64>,
+    /// Why a stopping host didn't start the request; only for its log.
+    pub shortfall: Option<StopShortfall>,
 }
 
 impl Refusal {
@@ -30,7 +34,8 @@
         message: impl Into<String>,
         retry_after_ms: Option<u64>,
     ) -> Refusal {
-        Refusal { code, ran: Ran::NotRun, message: message.into(), retry_after_ms }
+        let message = message.into();
+        Refusal { code, ran: Ran::NotRun, message, retry_after_ms, shortfall: None }
     }
 
     /// Returns the refusal with `ran` raised to the outcome of an earlier attempt, if that is
@@ -51,7 +56,12 @@
 
     /// Returns a refusal of a request of which bytes may have reached a target.
     pub fn unknown(code: RefusalCode, message: impl Into<String>) -> Refusal {
-        Refusal { code, ran: Ran::Unknown, message: message.into(), retry_after_ms: None }
+        Refusal { ran: Ran::Unknown, ..Refusal::not_run(code, message, None) }
+    }
+
+    /// Returns the refusal with the reason why a stopping host didn't start the request.
+    pub fn with_shortfall(self, shortfall: StopShortfall) -> Refusal {
+        Refusal { shortfall: Some(shortfall), ..self }
     }
 }
 
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod rates;
 mod stated_content;
+mod stop_load;
 mod stopping;
 mod stream_versions;
 mod streams;
--- a/crates/lycheefordd/src/request/relay.rs
+++ b/crates/lycheefordd/src/request/relay.rs
@@ -207,12 +207,9 @@
             return Err(stopped_while_streaming());
         }
         if now > self.completion.deadline {
-            return Err(Refusal {
-                code: RefusalCode::DeadlinePassed,
-                ran: Ran::Ran,
-                message: "the deadline passed before the answer's end; allow more time".to_owned(),
-                retry_after_ms: None,
-            });
+            let message = "the deadline passed before the answer's end; allow more time";
+            let refusal = Refusal::not_run(RefusalCode::DeadlinePassed, message, None);
+            return Err(refusal.after(Ran::Ran));
         }
         let checked = self.completion.access.recheck(&self.completion.state);
         checked.map_err(|refusal| refusal.after(Ran::Ran))
@@ -246,11 +243,6 @@
 }
 
 fn over_reservation() -> Refusal {
-    Refusal {
-        code: RefusalCode::TargetFailed,
-        ran: Ran::Ran,
-        message: "the engine generated more than max_tokens; correct the engine's token limit"
-            .to_owned(),
-        retry_after_ms: None,
-    }
+    let message = "the engine generated more than max_tokens; correct the engine's token limit";
+    Refusal::not_run(RefusalCode::TargetFailed, message, None).after(Ran::Ran)
 }
--- a/crates/lycheefordd/src/service/serve.rs
+++ b/crates/lycheefordd/src/service/serve.rs
@@ -326,12 +326,11 @@
             ],
             body: CallerBody::Whole(body),
         }),
-        ClaimOutcome::Answered(LedgerAnswer { body: None, .. }) => Err(Refusal {
-            code: RefusalCode::OutcomeUnknown,
-            ran: Ran::Ran,
-            message: "the call ran and its answer was too long to keep; ask the service".to_owned(),
-            retry_after_ms: None,
-        }),
+        ClaimOutcome::Answered(LedgerAnswer { body: None, .. }) => {
+            let message = "the call ran and its answer was too long to keep; ask the service";
+            let refusal = Refusal::not_run(RefusalCode::OutcomeUnknown, message, None);
+            Err(refusal.after(Ran::Ran))
+        }
         ClaimOutcome::KeyReused => Err(Refusal::not_run(
             RefusalCode::KeyReused,
             "this idempotency key was already used for a different request; use a new key",
