Let a draining daemon begin only what ends in time, or arrives early

Callers of a daemon with a grace shorter than their deadlines saw streams end with an error event, and 502 for completions and calls, at-most-once ones too, which had been sent on late in the grace: `can_begin` asked with a run time of zero, so that all was begun until the last answers were due. With the default settings (grace 120 s, deadlines of 60 s) nothing changes.

Failed before (`D stop_grace`, grace 8 s, sent 3 s after the signal, targets that were quick before): "late stream": 200, cut at 6.02 s with "this host shuts down before the target has answered"; "late completion", "late idempotent call", "late at-most-once call": 502 `unknown` at 6.00 s. Now each is refused as not run within 0.05 s; a call whose deadline passes in time is sent as before.

The new cases change none of the old ones; the ids of the calls are longer, since paths are called twice now.

--- a/crates/lycheeford-policy/src/stop_plan.rs
+++ b/crates/lycheeford-policy/src/stop_plan.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use crate::{Ran, TimeMs};
 
 /// The time after the stop signal until which a host starts requests that it only expects to end.
@@ -48,6 +50,17 @@
     pub arrived_after_ms: u64,
 }
 
+impl fmt::Display for StopShortfall {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StopShortfall { left_ms, run_ms, final_in_ms, arrived_after_ms } = self;
+        write!(
+            formatter,
+            "arrived {arrived_after_ms} ms after the stop signal; {left_ms} ms left, expected to \
+             take {run_ms} ms and to end in {final_in_ms} ms at the latest"
+        )
+    }
+}
+
 /// The schedule of a stopping host until it is killed.
 ///
 /// Callers keep using a host's address for a while, so that a stopping host still gets requests. It
--- a/crates/lycheefordd/src/placement/place.rs
+++ b/crates/lycheefordd/src/placement/place.rs
@@ -1,8 +1,9 @@
-use std::future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::channel::Receiver;
 use async_std::prelude::FutureExt;
+use async_std::task;
 use lycheeford_policy::{Name, QueueId, Refusal, RefusalCode};
 
 use super::demand_report::REPORT_MS;
@@ -11,6 +12,9 @@
 use crate::dispatch_gate::stopping;
 use crate::state::State;
 
+/// How often a waiting request checks whether a draining host may still send it.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A request's slot at a target, released when it is dropped.
 pub(crate) struct PlacedRequest {
     state: Arc<State>,
@@ -83,14 +87,16 @@
 }
 
 impl Waiting<'_> {
-    /// Completes once this host drains and the model can't be ready early enough for the request
-    /// to finish; otherwise never completes.
+    /// Completes once this host drains and may not send the request when the model is ready.
     async fn stopped_before_ready(&self) {
         self.state.running.draining().await;
-        let now = self.state.now();
-        let ready_in_ms = self.state.placement.lock().ready_in_ms(now, &self.request.name);
-        if self.state.running.can_begin(now, ready_in_ms) {
-            future::pending::<()>().await;
+        loop {
+            let now = self.state.now();
+            let ready_in_ms = self.state.placement.lock().ready_in_ms(now, &self.request.name);
+            if self.state.running.check_stop(&self.request.sent_at(now + ready_in_ms)).is_err() {
+                return;
+            }
+            task::sleep(STOP_CHECK_INTERVAL).await;
         }
     }
 }
--- a/crates/lycheefordd/src/placement/table.rs
+++ b/crates/lycheefordd/src/placement/table.rs
@@ -1,7 +1,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use lycheeford_policy::{
-    Activity, Configuration, Demand, FairQueue, Incarnation, Name, QueueId, QueuedRequest,
-    Readiness, Router, TimeMs,
+    Activity, Configuration, Demand, FairQueue, Incarnation, LateRequest, Name, QueueId,
+    QueuedRequest, Ran, Readiness, Router, TimeMs,
 };
 use lycheeford_wire::{DemandReport, PlacementReport, TargetPlacement};
 
@@ -45,7 +45,12 @@
     pub(crate) name: Name,
     pub(crate) customer: Name,
     pub(crate) class: u8,
+    pub(crate) arrived: TimeMs,
     pub(crate) deadline: TimeMs,
+    /// The time that the request is expected to take at a target.
+    pub(crate) run_ms: u64,
+    /// Whether an earlier attempt ran.
+    pub(crate) ran: Ran,
     pub(crate) cost_tokens: u64,
     pub(crate) prefix_hashes: Vec<u64>,
     /// When an attempt first failed, if one did. The request has waited for another replica since
@@ -53,6 +58,19 @@
     pub(crate) failed_since: Option<TimeMs>,
 }
 
+impl PlaceRequest {
+    /// Returns the request for the decision whether a draining daemon sends it at `sent_at`.
+    pub(crate) fn sent_at(&self, sent_at: TimeMs) -> LateRequest {
+        LateRequest {
+            arrived_at: self.arrived,
+            sent_at,
+            final_at: self.deadline,
+            run_ms: self.run_ms,
+            ran: self.ran,
+        }
+    }
+}
+
 /// The immediate result of placing a request.
 #[derive(Debug)]
 pub(crate) enum Place {
--- a/crates/lycheefordd/src/request/caller_handler.rs
+++ b/crates/lycheefordd/src/request/caller_handler.rs
@@ -56,7 +56,11 @@
         match answered.unwrap_or_else(|| Err(self.end(&dispatch_gate))) {
             Ok(response) => response,
             Err(refusal) => {
-                let what = format!("refused: {:?}: {}", refusal.code, refusal.message);
+                let Refusal { code, message, shortfall, .. } = &refusal;
+                let what = match shortfall {
+                    Some(shortfall) => format!("refused: {code:?}: {message} ({shortfall})"),
+                    None => format!("refused: {code:?}: {message}"),
+                };
                 self.state.decisions.lock().record(self.state.now(), &[&id], what);
                 refusal_response(&id, &refusal)
             }
--- a/crates/lycheefordd/src/request/complete.rs
+++ b/crates/lycheefordd/src/request/complete.rs
@@ -61,6 +61,7 @@
         reserved,
         arrived,
         deadline: arrived + deadline_ms,
+        first_sent: None,
         failed: Vec::new(),
         failed_since: None,
         alive_failures: 0,
--- a/crates/lycheefordd/src/request/completion.rs
+++ b/crates/lycheefordd/src/request/completion.rs
@@ -29,6 +29,8 @@
 const FAILURES_MAX: u32 = 8;
 /// Half the pause after the first such failure; the pause doubles with each further failure.
 const FAILURE_PAUSE_MS: u64 = 25;
+/// The name under which the run times of completions are kept, which no service can have.
+const COMPLETIONS: &str = "/v1/completions";
 /// When a caller should retry after a transient failure.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -43,6 +45,7 @@
     pub(crate) reserved: Reserved,
     pub(crate) arrived: TimeMs,
     pub(crate) deadline: TimeMs,
+    pub(super) first_sent: Option<TimeMs>,
     /// Targets where an attempt of this request failed. Routing skips them, but a request that
     /// has to wait in the queue may be given one of them again.
     pub(super) failed: Vec<Name>,
@@ -85,7 +88,9 @@
                 return Err(self.failure(last_error));
             }
             self.pause_after_failures().await;
-            let placed = place(&self.state, &self.place_request(), &self.failed).await?;
+            let place_request = self.place_request();
+            self.state.running.check_stop(&place_request.sent_at(self.state.now()))?;
+            let placed = place(&self.state, &place_request, &self.failed).await?;
             if let Some(waited_ms) = placed.waited_ms {
                 self.state
                     .metrics
@@ -99,7 +104,10 @@
                 self.exclude(placed.target.clone());
                 continue;
             };
+            let now = self.state.now();
+            self.state.running.check_stop(&place_request.sent_at(now))?;
             self.dispatch_gate.begin()?;
+            self.first_sent.get_or_insert(now);
             match self.send(address, from_token).await {
                 Ok(response) if response.status == NOT_LOADED => {
                     // The placement view was stale: the target no longer has the model, and nothing
@@ -207,6 +215,11 @@
     /// Counts a completely delivered answer.
     pub(crate) fn record_success(&self) {
         self.state.metrics.good_answer(&self.labels);
+        if let Some(first_sent) = self.first_sent {
+            let run_ms = self.state.now().since_ms(first_sent);
+            let completions = Name::from(COMPLETIONS);
+            self.state.run_times.lock().ended(&completions, &completions, run_ms);
+        }
     }
 
     async fn send(
@@ -242,11 +255,21 @@
     }
 
     fn place_request(&self) -> PlaceRequest {
+        let completions = Name::from(COMPLETIONS);
+        let run_times = self.state.run_times.lock();
+        let run_ms = if self.call.streams {
+            run_times.stream_reserve_ms(&completions, &completions)
+        } else {
+            run_times.reserve_ms(&completions, &completions)
+        };
         PlaceRequest {
             name: self.call.name.clone(),
             customer: self.access.customer.name.clone(),
             class: self.access.customer.class,
+            arrived: self.arrived,
             deadline: self.deadline,
+            run_ms,
+            ran: self.ran,
             cost_tokens: self.call.tokens_max(),
             prefix_hashes: self.call.prefix_hashes.clone(),
             failed_since: self.failed_since,
--- a/crates/lycheefordd/src/request/relay.rs
+++ b/crates/lycheefordd/src/request/relay.rs
@@ -203,7 +203,7 @@
 
     fn check(&self) -> Result<(), Refusal> {
         let now = self.completion.state.now();
-        if !self.completion.state.running.can_begin(now, 0) {
+        if !self.completion.state.running.can_run(now) {
             return Err(stopped_while_streaming());
         }
         if now > self.completion.deadline {
--- a/crates/lycheefordd/src/running.rs
+++ b/crates/lycheefordd/src/running.rs
@@ -2,7 +2,9 @@
 use std::sync::{Arc, OnceLock};
 
 use lycheeford_caller::Stop;
-use lycheeford_policy::{StopPlan, TimeMs};
+use lycheeford_policy::{LateRequest, Refusal, StopPlan, TimeMs};
+
+use crate::dispatch_gate::stopping;
 
 /// The number of running requests, and the time limits for them once the daemon drains.
 #[derive(Debug, Default)]
@@ -38,9 +40,15 @@
         self.drain.triggered().await;
     }
 
-    /// Returns whether work that takes `run_ms` can finish before the last answers are due.
-    pub(crate) fn can_begin(&self, now: TimeMs, run_ms: u64) -> bool {
-        self.plan.get().is_none_or(|plan| plan.can_finish(now, run_ms))
+    /// Returns whether the last answers aren't due yet.
+    pub(crate) fn can_run(&self, now: TimeMs) -> bool {
+        self.plan.get().is_none_or(|plan| plan.can_finish(now, 0))
+    }
+
+    /// Refuses a request that this daemon, if it drains, may not send to a target.
+    pub(crate) fn check_stop(&self, request: &LateRequest) -> Result<(), Refusal> {
+        let Some(plan) = self.plan.get() else { return Ok(()) };
+        plan.check(request).map_err(|shortfall| stopping().with_shortfall(shortfall))
     }
 
     /// Counts a request as running until the guard is dropped.
--- a/crates/lycheefordd/src/service/serve.rs
+++ b/crates/lycheefordd/src/service/serve.rs
@@ -4,11 +4,11 @@
 use async_std::task;
 use lycheeford_caller::{CallerBody, CallerRequest, CallerResponse};
 use lycheeford_policy::{
-    ClaimOutcome, LedgerAnswer, Name, Ran, Refusal, RefusalCode, Repeat, Route, TimeMs,
+    ClaimOutcome, LateRequest, LedgerAnswer, Name, Ran, Refusal, RefusalCode, Repeat, Route, TimeMs,
 };
 use lycheeford_target::{Connection, TargetError, TargetRequest};
 
-use crate::dispatch_gate::{DispatchGate, stopped_while_running, stopping};
+use crate::dispatch_gate::{DispatchGate, stopped_while_running};
 use crate::operation::metrics::{CustomerLabels, Event};
 use crate::request::access::{Access, check_configuration_fresh};
 use crate::request::call::fingerprint;
@@ -33,6 +33,7 @@
     dispatch_gate: Arc<DispatchGate>,
     access: Option<Access>,
     route: Route,
+    arrived: TimeMs,
     deadline: TimeMs,
     tried: Vec<Name>,
 }
@@ -78,8 +79,10 @@
         .find(|service| service.name == route.service)
         .map_or(state.settings.caller_limits.deadline_ms_default, |service| service.timeout_ms);
     let deadline_ms = request.deadline_ms.map_or(timeout_ms, |asked_ms| asked_ms.min(timeout_ms));
+    let arrived = state.now();
     let call = ServiceCall {
-        deadline: state.now() + deadline_ms,
+        arrived,
+        deadline: arrived + deadline_ms,
         state: state.clone(),
         request,
         dispatch_gate,
@@ -122,7 +125,7 @@
                 break;
             }
             let Some(place) = self.place() else { break };
-            self.recheck().map_err(|refusal| refusal.after(ran))?;
+            self.recheck(ran).map_err(|refusal| refusal.after(ran))?;
             self.dispatch_gate.begin().map_err(|refusal| refusal.after(ran))?;
             match self.send(&place).await {
                 Ok(response) => return Ok(response),
@@ -150,7 +153,7 @@
             Claimed::Known(outcome) => return known_answer(outcome),
         };
         loop {
-            if let Err(refusal) = self.recheck() {
+            if let Err(refusal) = self.recheck(Ran::NotRun) {
                 entry.release().await;
                 return Err(refusal);
             }
@@ -211,6 +214,7 @@
 
     async fn send(&self, place: &ServiceSlot) -> Result<CallerResponse, TargetError> {
         self.state.retry_budget.lock().deposit();
+        let sent = self.state.now();
         let mut headers = self.request.headers.clone();
         headers.push(("x-request-id".to_owned(), self.request.id.as_str().to_owned()));
         if let Some(key) = &self.request.idempotency_key {
@@ -230,6 +234,8 @@
         let response = self.state.targets.call(place.address, &request).await?;
         let (status, headers) = (response.status, response.headers);
         let body = CallerBody::Whole(response.body.collect(ANSWER_BYTES_MAX).await?);
+        let (service, run_ms) = (&self.route.service, self.state.now().since_ms(sent));
+        self.state.run_times.lock().ended(service, service, run_ms);
         Ok(CallerResponse { status, headers, body })
     }
 
@@ -240,14 +246,18 @@
         }
     }
 
-    fn recheck(&self) -> Result<(), Refusal> {
-        if self.state.now() > self.deadline {
+    /// Checks whether the call may still be sent; `ran` says whether an earlier attempt ran.
+    fn recheck(&self, ran: Ran) -> Result<(), Refusal> {
+        let now = self.state.now();
+        if now > self.deadline {
             let message = "the deadline passed before the call could be sent; allow more time";
             return Err(Refusal::not_run(RefusalCode::DeadlinePassed, message, None));
         }
-        if !self.state.running.can_begin(self.state.now(), 0) {
-            return Err(stopping());
-        }
+        let service = &self.route.service;
+        let run_ms = self.state.run_times.lock().reserve_ms(service, service);
+        let (arrived_at, final_at) = (self.arrived, self.deadline);
+        let request = LateRequest { arrived_at, sent_at: now, final_at, run_ms, ran };
+        self.state.running.check_stop(&request)?;
         self.access.as_ref().map_or(Ok(()), |access| access.recheck(&self.state))
     }
 
--- a/crates/lycheefordd/src/state.rs
+++ b/crates/lycheefordd/src/state.rs
@@ -9,8 +9,8 @@
 use lycheeford_peer::Peers;
 use lycheeford_platform::HttpObjectStore;
 use lycheeford_policy::{
-    Configuration, CrashSuspects, Freshness, GoneProofs, Health, Instance, RetryBudget, StopPlan,
-    StopTimes, TimeMs,
+    Configuration, CrashSuspects, Freshness, GoneProofs, Health, Instance, RetryBudget, RunTimes,
+    StopPlan, StopTimes, TimeMs,
 };
 use lycheeford_target::TargetClient;
 use slog::Logger;
@@ -83,6 +83,7 @@
     pub(crate) decisions: Table<DecisionLog>,
     pub(crate) pause_detector: Table<PauseDetector>,
     pub(crate) retry_budget: Table<RetryBudget>,
+    pub(crate) run_times: Table<RunTimes>,
     pub(crate) ledger_versions: Table<LedgerVersions>,
     pub(crate) service_targets: Table<ServiceTargets>,
     pub(crate) unread_messages: Table<UnreadMessages>,
@@ -125,6 +126,7 @@
             decisions: Table::default(),
             pause_detector: Table::new(PauseDetector::new(now)),
             retry_budget: Table::new(retry_budget()),
+            run_times: Table::default(),
             ledger_versions: Table::default(),
             service_targets: Table::default(),
             unread_messages: Table::default(),
@@ -154,7 +156,7 @@
         // Boxed, because the future of a request is large and the race moves it.
         let work = Box::pin(work);
         async {
-            if !self.running.can_begin(self.now(), 0) {
+            if !self.running.can_run(self.now()) {
                 return None;
             }
             let work = async { Some(work.await) };
--- a/crates/lycheefordd/tests/stop_grace.rs
+++ b/crates/lycheefordd/tests/stop_grace.rs
@@ -18,8 +18,11 @@
 const LONG_MS: u64 = 60_000;
 /// Time for requests to reach the state in which they wait.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
-/// Time after the signal at which the daemon drains and still accepts callers.
+/// Times after the signal at which the daemon drains and still accepts callers.
 const INTO_DRAIN: Duration = Duration::from_secs(1);
+const LATE_IN_DRAIN: Duration = Duration::from_secs(3);
+/// A deadline that passes before the last answers of the grace, also of a request late in it.
+const SHORT_MS: u64 = 1_000;
 
 /// A model that is ready at an engine that stalls.
 const READY_MODEL: &str = "model-001";
@@ -33,6 +36,7 @@
 enum Sent {
     BeforeStop,
     WhileDraining,
+    LateWhileDraining,
 }
 
 struct Case {
@@ -59,8 +63,8 @@
         let body = json!({ "model": model, "prompt": "p", "max_tokens": 40, "stream": stream });
         Call::post("/v1/completions", &key, &body)
     };
-    let service = |path: &str| {
-        let id = format!("stopped {path}");
+    let service = |path: &str, sent: Sent| {
+        let id = format!("stopped {path} {sent:?}");
         Call::post(path, &key, &json!({ "id": id })).header("idempotency-key", &id)
     };
     let case = |name, sent, call: Call, status, ran| {
@@ -69,14 +73,27 @@
     };
     let waits = "waits for a load";
     let too_late = ["waits for a load that ends too late", "taken while draining, for such a load"];
+    let (before, late) = (Sent::BeforeStop, Sent::LateWhileDraining);
+    let ends_in_time = Case {
+        name: "late call with a short deadline",
+        sent: late,
+        call: service("/notes", late).header("x-deadline-ms", &SHORT_MS.to_string()),
+        status: 502,
+        ran: "unknown",
+    };
     let cases = [
         case(waits, Sent::BeforeStop, completion(LOADING_MODEL, true), 503, "not_run"),
         case("streams", Sent::BeforeStop, completion(READY_MODEL, true), 200, "ran"),
         case("runs", Sent::BeforeStop, completion(READY_MODEL, false), 502, "unknown"),
-        case("idempotent call", Sent::BeforeStop, service("/notes"), 502, "unknown"),
-        case("at-most-once call", Sent::BeforeStop, service("/charges"), 502, "unknown"),
+        case("idempotent call", before, service("/notes", before), 502, "unknown"),
+        case("at-most-once call", before, service("/charges", before), 502, "unknown"),
         case(too_late[0], Sent::BeforeStop, completion(SLOW_MODEL, true), 503, "not_run"),
         case(too_late[1], Sent::WhileDraining, completion(SLOW_MODEL, true), 503, "not_run"),
+        case("late stream", late, completion(READY_MODEL, true), 503, "not_run"),
+        case("late completion", late, completion(READY_MODEL, false), 503, "not_run"),
+        case("late idempotent call", late, service("/notes", late), 503, "not_run"),
+        case("late at-most-once call", late, service("/charges", late), 503, "not_run"),
+        ends_in_time,
     ];
     let address = fleet.caller_address(0);
     let start_callers = |sent: Sent, signal: Instant| -> Vec<(usize, JoinHandle<CallerOutcome>)> {
@@ -92,6 +109,8 @@
     fleet.daemons[0].terminate();
     task::sleep(INTO_DRAIN).await;
     callers.extend(start_callers(Sent::WhileDraining, signal));
+    task::sleep(LATE_IN_DRAIN.saturating_sub(signal.elapsed())).await;
+    callers.extend(start_callers(Sent::LateWhileDraining, signal));
 
     // The supervisor of the daemon kills it after the grace.
     let grace = Duration::from_millis(STOP_GRACE_MS).saturating_sub(signal.elapsed());
@@ -164,6 +183,15 @@
         warm.send(fleet.caller_address(0)).await.is_ok_and(|answer| answer.status == 200)
     })
     .await;
+    // The calls before the stop are short.
+    for path in ["/notes", "/charges"] {
+        for number in 0..3 {
+            let id = format!("before {path} {number}");
+            let call = Call::post(path, &fleet.keys[0], &json!({ "id": id }));
+            let answer = call.header("idempotency-key", &id).send(fleet.caller_address(0)).await;
+            assert_eq!(answer.expect("an answer").status, 200, "{path}");
+        }
+    }
     let silent = EngineFaults { silent_after_tokens: Some(5), ..EngineFaults::default() };
     for engine in &fleet.deployment.engines {
         fleet.set_faults(engine.address, &silent).await;
