Keep the daemon running after a SIGHUP

A SIGHUP ended the daemon at once, since it had no handler: its callers' connections closed without an answer, also those of at-most-once calls.

--- a/crates/lycheefordd/src/main.rs
+++ b/crates/lycheefordd/src/main.rs
@@ -44,8 +44,9 @@
 use async_std::task;
 use lycheeford_caller::Stop;
 use lycheeford_config::Settings;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
+use slog::{Logger, info, warn};
 
 /// The exit code after invalid usage or settings.
 const EXIT_USAGE: u8 = 2;
@@ -75,7 +76,7 @@
         return ExitCode::SUCCESS;
     }
     let (log, guard) = operation::log::logger(settings.log_level, &settings.host);
-    let ended = task::block_on(run(settings, log));
+    let ended = task::block_on(run(settings, arguments.settings, log));
     operation::log::finish(guard);
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -86,19 +87,35 @@
     }
 }
 
-async fn run(settings: Settings, log: slog::Logger) -> Result<(), String> {
+async fn run(settings: Settings, path: PathBuf, log: Logger) -> Result<(), String> {
     let stop = Stop::new();
-    let mut signals = Signals::new([SIGTERM, SIGINT])
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|error| format!("can't install signal handlers: {error}"))?;
-    let stopped = stop.clone();
-    task::spawn(async move {
-        if signals.next().await.is_some() {
-            stopped.trigger();
-        }
-    });
+    task::spawn(handle_signals(signals, settings.clone(), path, stop.clone(), log.clone()));
     daemon::run(settings, log, stop).await.map_err(|error| error.to_string())
 }
 
+/// Stops the daemon on SIGTERM and SIGINT, and checks the settings file on SIGHUP, which would end
+/// the process if it weren't handled.
+async fn handle_signals(
+    mut signals: Signals,
+    current: Settings,
+    path: PathBuf,
+    stop: Stop,
+    log: Logger,
+) {
+    while let Some(signal) = signals.next().await {
+        if signal != SIGHUP {
+            return stop.trigger();
+        }
+        match read_settings(&path) {
+            // Settings are fixed while the process runs; a change is only logged.
+            Ok(settings) => info!(log, "settings_reread"; "changed" => settings != current),
+            Err(message) => warn!(log, "settings_unreadable"; "error" => message),
+        }
+    }
+}
+
 fn read_settings(path: &PathBuf) -> Result<Settings, String> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path)
--- a/crates/lycheefordd/tests/support/process.rs
+++ b/crates/lycheefordd/tests/support/process.rs
@@ -73,6 +73,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Tells the process that its settings file has changed.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Asks the process to shut down.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
