Count the grace of a stop from when its signal may have come

A process that gets no processor notices SIGTERM late, but is killed when the grace of the signal is over: its callers lost requests without an answer. The process counted its grace from when it noticed, with a margin of 0.4 s. `SignalDelay` sees the gaps in the running of the process itself; a signal that is noticed within 0.25 s of a gap counts from its begin. So requests late in the grace aren't taken for early ones either.

A process that is held up right before a stop ends earlier than it would have to, by the time that it was held up: what it still runs is answered as at the end of any grace.

The time in which it takes connections counts from the notice, as before.

--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -8,7 +8,7 @@
 use async_std::task;
 use futures_util::future::{join, join_all};
 use lycheeford_caller::{Service, Stop, serve_service};
-use lycheeford_policy::{TimeMs, build_name};
+use lycheeford_policy::{SignalDelay, TimeMs, build_name};
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
 
@@ -27,6 +27,9 @@
 const DISPATCH_MS: u64 = 40;
 /// The interval at which dropped lines and unsent messages are logged.
 const LOSSES_MS: u64 = 1_000;
+/// The interval at which a process checks that it runs, so that it can tell how late it may notice
+/// the stop signal.
+const RUNNING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The part of the grace period during which a stopping host accepts connections.
 const ACCEPT_PART: f64 = 0.55;
 /// The time-out for the last calls to the store and the last responses of the pages.
@@ -86,8 +89,8 @@
     let front = Front { state: Arc::clone(&state) };
     let serving = task::spawn(serve_service(callers, front, front_stop.clone()));
 
-    stop.triggered().await;
-    drain(&state, &front_stop, serving).await;
+    let stopped_at = stop_signal(&state, &stop).await;
+    drain(&state, stopped_at, &front_stop, serving).await;
     let pages_end = async {
         pages_stop.refuse_incomplete();
         join_all(pages).await
@@ -148,10 +151,26 @@
     }
 }
 
+/// Waits for the stop signal; returns the earliest time at which it may have come.
+async fn stop_signal(state: &State, stop: &Stop) -> TimeMs {
+    let mut delay = SignalDelay::new(state.now());
+    while timeout(RUNNING_CHECK_INTERVAL, stop.triggered()).await.is_err() {
+        delay.ran(state.now());
+    }
+    delay.earliest(state.now())
+}
+
 /// Keeps serving until callers know that this host stops, then completes the running requests.
-async fn drain(state: &Arc<State>, front_stop: &Stop, serving: task::JoinHandle<()>) {
-    let plan = state.start_draining();
-    info!(state.log, "draining"; "requests_running" => state.requests_running());
+async fn drain(
+    state: &Arc<State>,
+    stopped_at: TimeMs,
+    front_stop: &Stop,
+    serving: task::JoinHandle<()>,
+) {
+    let plan = state.start_draining(stopped_at);
+    info!(state.log, "draining";
+        "requests_running" => state.requests_running(),
+        "noticed_after_ms" => state.now().since_ms(stopped_at));
     let accept_ms = (state.settings.stop_grace_ms as f64 * ACCEPT_PART) as u64;
     sleep_until(state, plan.answer_by().min(state.now() + accept_ms)).await;
     front_stop.trigger();
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -282,13 +282,13 @@
     }
 
     /// Returns the times of the stop sequence, which starts with the first call.
-    pub(crate) fn start_draining(&self) -> StopPlan {
+    pub(crate) fn start_draining(&self, stopped_at: TimeMs) -> StopPlan {
         let times = StopTimes {
             grace_ms: self.settings.stop_grace_ms,
             answer_ms: STOP_ANSWER_MS,
             end_ms: STOP_END_MS,
         };
-        *self.stop_plan.get_or_init(|| StopPlan::new(self.now(), times))
+        *self.stop_plan.get_or_init(|| StopPlan::new(stopped_at, times))
     }
 
     pub(crate) fn is_draining(&self) -> bool {
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -27,7 +27,8 @@
 //!   arrival.
 //! - [`RetryBudget`]: which part of the load may consist of retries.
 //! - [`StoreVersion`]: which of two states of the store is newer, also after it was restored.
-//! - [`StopPlan`]: which requests a host still starts while it shuts down.
+//! - [`StopPlan`]: which requests a host still starts while it shuts down; [`SignalDelay`]: when
+//!   its signal came.
 //! - [`Deployment`], [`TargetTable`], [`WaitQueue`], [`OrderLease`], [`SwapPlanner`]: the gateway
 //!   for arbitrary HTTP routes; see the module `gateway`.
 mod build_name;
@@ -59,6 +60,7 @@
 mod retry_budget;
 mod router;
 mod share;
+mod signal_delay;
 mod stop_plan;
 mod store_version;
 mod target_record;
@@ -127,6 +129,7 @@
 pub use crate::retry_budget::RetryBudget;
 pub use crate::router::Router;
 pub use crate::share::{MAX_SHARE_HOLDERS, ShareEntry, ShareFault, ShareTable, TakenShare};
+pub use crate::signal_delay::SignalDelay;
 pub use crate::stop_plan::{LateRequest, StopPlan, StopShortfall, StopTimes};
 pub use crate::store_version::StoreVersion;
 pub use crate::target_record::{
--- a/crates/lycheeford-policy/tests/gateway/stopping.rs
+++ b/crates/lycheeford-policy/tests/gateway/stopping.rs
@@ -1,6 +1,6 @@
 //! Which requests a stopping host still sends to targets.
 
-use lycheeford_policy::{Name, RunTimes, StopPlan, StopTimes, TimeMs};
+use lycheeford_policy::{Name, RunTimes, SignalDelay, StopPlan, StopTimes, TimeMs};
 
 const STOPPED_AT: TimeMs = TimeMs::from_ms(10_000);
 
@@ -93,3 +93,48 @@
     (0..20).for_each(|_| runs.ended(&service, &route, 2_500));
     assert_eq!(runs.reserve_ms(&service, &route), 3_750);
 }
+
+/// When a process ran, and when it noticed a signal that came at the earliest at another time.
+struct NoticeCase {
+    name: &'static str,
+    ran_ms: &'static [u64],
+    noticed_ms: u64,
+    earliest_ms: u64,
+}
+
+#[test]
+fn a_signal_that_is_noticed_late_may_have_come_since_the_process_last_ran() {
+    let cases = [
+        NoticeCase { name: "at once", ran_ms: &[100, 200], noticed_ms: 250, earliest_ms: 250 },
+        NoticeCase {
+            name: "on a busy host",
+            ran_ms: &[100, 300, 500],
+            noticed_ms: 700,
+            earliest_ms: 700,
+        },
+        NoticeCase {
+            name: "before the process has recorded that it runs again",
+            ran_ms: &[100, 200],
+            noticed_ms: 1_700,
+            earliest_ms: 200,
+        },
+        NoticeCase {
+            name: "after that",
+            ran_ms: &[100, 200, 1_700],
+            noticed_ms: 1_710,
+            earliest_ms: 200,
+        },
+        NoticeCase {
+            name: "long after the process was held up",
+            ran_ms: &[100, 200, 1_700, 1_800, 1_900, 2_000],
+            noticed_ms: 2_050,
+            earliest_ms: 2_050,
+        },
+    ];
+    for case in cases {
+        let mut delay = SignalDelay::new(TimeMs::from_ms(0));
+        case.ran_ms.iter().for_each(|ms| delay.ran(TimeMs::from_ms(*ms)));
+        let earliest = delay.earliest(TimeMs::from_ms(case.noticed_ms));
+        assert_eq!(earliest, TimeMs::from_ms(case.earliest_ms), "{}", case.name);
+    }
+}
