Apply a changed idle limit to connections that wait

Callers may use a connection again for four fifths of the idle limit in force. After a declaration that raised it, connections that waited were closed after the old one, so that such a caller's request met a closed connection; after one that lowered it they stayed open for the old one.

Cause: wait_for_request read the limit once, when the wait began. Waking all connections at each declaration was weighed: it needs a notification of its own between the gateway and the caller's server, and gains only that a lowered limit is noticed sooner.

--- a/crates/lycheeford-caller/src/bounds.rs
+++ b/crates/lycheeford-caller/src/bounds.rs
@@ -15,7 +15,8 @@
     pub body_bytes_max: usize,
     /// The longest time from the end of a head to the end of its body.
     pub body_ms_max: u64,
-    /// How long a connection may wait for the first byte of a request.
+    /// How long a connection may wait for the first byte of a request; a change holds for waits
+    /// that have begun.
     pub idle_ms_max: u64,
     /// How long one write may wait for a caller that stopped reading.
     pub write_ms_max: u64,
