Read a request under the limits in force at its first byte

A request whose head crossed a declaration with a lower body limit was refused with 413, although its head had been checked against the old limit; one with a chunked body was judged by the new limit, one with a length by the old one. The head's limits were read at its first byte, the body's again at its first byte. Now one reading of the limits holds for a whole request.

The rule costs a chunked request whose head crosses a raised limit its success (it gets 413 like one with a length), which its caller can't expect yet.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -17,7 +17,7 @@
 
 use crate::race::{unless_interrupted, unless_panicked, with_timeout};
 use crate::request::bad_request;
-use crate::{CallerResponse, Service, Stop};
+use crate::{Bounds, CallerResponse, Service, Stop};
 
 /// The interval at which an idle connection is checked for a changed idle limit.
 const IDLE_CHECK_MS: u64 = 5_000;
@@ -173,6 +173,7 @@
         }
     }
 
+    /// Reads a request under the limits that are in force at its first byte.
     async fn read_request(
         &mut self,
         id: &Name,
@@ -188,7 +189,7 @@
         check_declared_length(&head, bounds.body_bytes_max)?;
         self.confirm_expectation(&head).await?;
         let Some(body) =
-            with_timeout(bounds.body_ms_max, self.read_body(head.framing, memory)).await
+            with_timeout(bounds.body_ms_max, self.read_body(head.framing, &bounds, memory)).await
         else {
             return Err(too_slow("the body didn't arrive in time; send it faster or in parts"));
         };
@@ -219,16 +220,16 @@
     async fn read_body(
         &mut self,
         framing: Framing,
+        bounds: &Bounds,
         memory: &mut Reservation,
     ) -> Result<Vec<u8>, Rejection> {
-        let body_bytes_max = self.server.service.bounds().body_bytes_max;
         let mut decoder = BodyDecoder::new(framing);
         let mut body = Vec::new();
         while let Some(chunk) =
             self.reader.body_chunk(&mut decoder).await.map_err(|error| rejection(&error))?
         {
-            if memory.held_bytes() + chunk.len() > body_bytes_max {
-                return Err(body_too_large(body_bytes_max));
+            if memory.held_bytes() + chunk.len() > bounds.body_bytes_max {
+                return Err(body_too_large(bounds.body_bytes_max));
             }
             if memory.grow(chunk.len()).is_none() {
                 let refusal = overloaded(
