Leave callers time to learn a lowered idle limit

A caller that reuses a connection by the idle limit that it knows met a closed connection when the limit was lowered in that moment: the next check closed connections that had waited for longer than the new limit. They now stay open for one more check, as far as the old limit allows; the decision is a type of its own, IdleWait.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -15,12 +15,11 @@
 use lycheeford_policy::{Name, Refusal, RefusalCode};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use crate::idle_wait::IdleWait;
 use crate::race::{unless_interrupted, unless_panicked, with_timeout};
 use crate::request::bad_request;
 use crate::{Bounds, CallerResponse, Service, Stop};
 
-/// The interval at which an idle connection is checked for a changed idle limit.
-const IDLE_CHECK_MS: u64 = 5_000;
 /// How long an idle connection stays open after the stop, for a request that is in flight.
 const DRAIN_IDLE_MS: u64 = 1_000;
 /// How long a connection whose write side was closed waits for further bytes of the caller, and how
@@ -149,27 +148,24 @@
     /// Waits for bytes of a request, and returns whether any arrived within the idle limit, which
     /// may change meanwhile.
     async fn wait_for_request(&mut self) -> bool {
-        let idle_since = Instant::now();
         let stop = self.server.stop.clone();
+        let mut wait = IdleWait::new(Instant::now(), self.server.service.bounds().idle_ms_max);
         loop {
-            let idle_ms_max = self.server.service.bounds().idle_ms_max;
-            let left_ms = idle_ms_max.saturating_sub(idle_since.elapsed().as_millis() as u64);
-            if left_ms == 0 {
+            let check_ms = wait.next_check_ms(Instant::now());
+            if check_ms == 0 {
                 return false;
             }
-            let check_ms = left_ms.min(IDLE_CHECK_MS);
             let filling = with_timeout(check_ms, self.reader.fill());
             match unless_interrupted(stop.triggered(), filling).await {
                 Some(Some(filled)) => return matches!(filled, Ok(1..)),
                 Some(None) => {}
                 None => {
-                    let drain_ms = DRAIN_IDLE_MS.min(idle_ms_max);
-                    return matches!(
-                        with_timeout(drain_ms, self.reader.fill()).await,
-                        Some(Ok(1..))
-                    );
+                    let idle_ms_max = self.server.service.bounds().idle_ms_max;
+                    let filling = with_timeout(DRAIN_IDLE_MS.min(idle_ms_max), self.reader.fill());
+                    return matches!(filling.await, Some(Ok(1..)));
                 }
             }
+            wait.apply(Instant::now(), self.server.service.bounds().idle_ms_max);
         }
     }
 
--- a/crates/lycheeford-caller/src/lib.rs
+++ b/crates/lycheeford-caller/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod bounds;
 mod connection;
+mod idle_wait;
 mod key;
 mod race;
 mod refusal;
