Show operators each daemon's build

While a fleet of daemons is upgraded nothing showed which host runs which build: daemons said it to each other in their Hello, for the log of unread messages only. lycheeford hosts has a column, GET /hosts a field, and /metrics build_info, as the gateway's. A daemon knows a peer's build from the Hello of the connection that the peer's beats come on; it is unknown until the peer has connected.

A report without the field, as earlier daemons send it, is read; a lycheeford that is older than the field refuses the answer of a newer daemon, since reports allow no unknown fields.

--- a/crates/lycheeford-operator/src/report.rs
+++ b/crates/lycheeford-operator/src/report.rs
@@ -62,6 +62,10 @@
     pub reachable: bool,
     /// The number of callers' connections, or `None` if it isn't known.
     pub connections: Option<u64>,
+    /// The name of the build of the host's daemon, or `None` if it isn't known, as of a daemon that
+    /// is older than the field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub build: Option<Name>,
 }
 
 /// A target, as the responding daemon sees it.
--- a/crates/lycheeford-operator/tests/api.rs
+++ b/crates/lycheeford-operator/tests/api.rs
@@ -367,3 +367,22 @@
         assert_eq!(error.category(), ClientCategory::Unreachable, "{}: {error}", case.name);
     }
 }
+
+/// The reports of daemons of different builds about a host, and the build that they say.
+const BUILDS: &[(&str, Option<&str>)] = &[
+    (HOST_BEFORE_BUILDS, None),
+    (
+        r#"{"host":{"name":"entry-1","role":"entry","peer_address":"127.0.1.1:7101","address":"127.0.1.1:7001","failure_domain":"north","state":"live"},"reachable":true,"connections":null,"build":"0.1.0+c0ffee"}"#,
+        Some("0.1.0+c0ffee"),
+    ),
+];
+const HOST_BEFORE_BUILDS: &str = r#"{"host":{"name":"entry-1","role":"entry","peer_address":"127.0.1.1:7101","address":"127.0.1.1:7001","failure_domain":"north","state":"live"},"reachable":true,"connections":null}"#;
+
+#[test]
+fn a_report_of_a_daemon_that_knows_no_builds_is_read() {
+    for (text, build) in BUILDS {
+        let report: HostReport = serde_json::from_str(text).unwrap();
+        assert_eq!(report.build.as_ref().map(Name::as_str), *build, "{text}");
+        assert_eq!(serde_json::to_string(&report).unwrap(), *text);
+    }
+}
--- a/crates/lycheeford-peer/src/inbound.rs
+++ b/crates/lycheeford-peer/src/inbound.rs
@@ -61,7 +61,7 @@
 fn handle_message<I: PeerHandler>(from: &Hello, message: Message, inbox: &I) -> Option<Message> {
     match message {
         Message::Beat(beat) => {
-            inbox.beat_received(beat.report);
+            inbox.beat_received(from, beat.report);
             let reply = Beat { sequence: beat.sequence, report: inbox.report() };
             Some(Message::BeatReply(reply))
         }
--- a/crates/lycheeford-peer/src/inbox.rs
+++ b/crates/lycheeford-peer/src/inbox.rs
@@ -16,7 +16,7 @@
     /// The beat may have waited in a buffer for as long as this process was
     /// paused. Its report doesn't contain the tokens that the member could
     /// lend; only replies do.
-    fn beat_received(&self, report: HostReport);
+    fn beat_received(&self, from: &Hello, report: HostReport);
 
     /// Records that a beat over a fresh connection to `host` got no valid reply.
     fn beat_failed(&self, host: &str, how: BeatFailure);
--- a/crates/lycheeford-peer/tests/lanes.rs
+++ b/crates/lycheeford-peer/tests/lanes.rs
@@ -55,7 +55,7 @@
         self.beats.lock().unwrap().push(report.host);
     }
 
-    fn beat_received(&self, report: HostReport) {
+    fn beat_received(&self, _from: &Hello, report: HostReport) {
         self.beats_spare.lock().unwrap().push(report.spare.len());
     }
 
--- a/crates/lycheeford/src/list_command.rs
+++ b/crates/lycheeford/src/list_command.rs
@@ -1,5 +1,5 @@
 use lycheeford_operator::{ExplainRequest, ModelReport, ReplicaState};
-use lycheeford_policy::HostState;
+use lycheeford_policy::{HostState, Name};
 
 use crate::daemons::Daemons;
 use crate::failure::Failure;
@@ -8,8 +8,15 @@
 
 pub(crate) async fn hosts(daemons: &Daemons, output: Output) -> Result<(), Failure> {
     let hosts = daemons.call(async |client| client.hosts().await).await?;
-    let mut table =
-        Table::new(&["HOST", "FAILURE DOMAIN", "ADDRESS", "STATE", "REACHABLE", "CONNECTIONS"]);
+    let mut table = Table::new(&[
+        "HOST",
+        "FAILURE DOMAIN",
+        "ADDRESS",
+        "STATE",
+        "REACHABLE",
+        "CONNECTIONS",
+        "BUILD",
+    ]);
     for report in &hosts {
         table.add_row(vec![
             report.host.name.to_string(),
@@ -18,6 +25,7 @@
             state_name(report.host.state).to_owned(),
             yes_no(report.reachable),
             report.connections.map_or_else(|| "-".to_owned(), |count| count.to_string()),
+            report.build.as_ref().map_or_else(|| "-".to_owned(), Name::to_string),
         ]);
     }
     output.result(&hosts, table);
--- a/crates/lycheefordd/src/membership/inbox.rs
+++ b/crates/lycheefordd/src/membership/inbox.rs
@@ -39,7 +39,8 @@
         self.members.lock().record_report(asked_at, report);
     }
 
-    fn beat_received(&self, report: HostReport) {
+    fn beat_received(&self, from: &Hello, report: HostReport) {
+        self.members.lock().record_build(from);
         transfer::request_configuration(self, &report.host, report.configuration_revision);
         let instance = Instance { host: report.host, incarnation: report.incarnation };
         self.gone.lock().answered(&instance);
--- a/crates/lycheefordd/src/membership/members.rs
+++ b/crates/lycheefordd/src/membership/members.rs
@@ -1,6 +1,6 @@
 use lycheeford_peer::BeatFailure;
 use lycheeford_policy::{Name, TimeMs, rendezvous_owner};
-use lycheeford_wire::HostReport;
+use lycheeford_wire::{Hello, HostReport};
 
 /// How long a member counts as reachable after its last answer.
 pub(crate) const REACHABLE_MS: u64 = 1_500;
@@ -19,6 +19,8 @@
     pub(crate) host: Name,
     pub(crate) last_report: Option<(TimeMs, HostReport)>,
     pub(crate) missed: Option<BeatFailure>,
+    /// The name of its build, if its latest daemon has connected and said it.
+    pub(crate) build: Option<Name>,
 }
 
 impl Members {
@@ -30,7 +32,7 @@
             .into_iter()
             .map(|host| match known.iter().position(|member| member.host == host) {
                 Some(index) => known.swap_remove(index),
-                None => Member { host, last_report: None, missed: None },
+                None => Member { host, last_report: None, missed: None, build: None },
             })
             .collect();
     }
@@ -46,6 +48,13 @@
         }
     }
 
+    /// Records which build a member runs.
+    pub(crate) fn record_build(&mut self, from: &Hello) {
+        if let Some(member) = self.member_mut(&from.host) {
+            member.build.clone_from(&from.build);
+        }
+    }
+
     pub(crate) fn record_missed(&mut self, host: &str, how: BeatFailure) {
         if let Some(member) = self.member_mut(host) {
             member.missed = Some(how);
--- a/crates/lycheefordd/src/operation/admin.rs
+++ b/crates/lycheefordd/src/operation/admin.rs
@@ -6,7 +6,7 @@
     DrainReport, ExplainRequest, Explanation, GrantReport, GrantRequest, HealthReport, HealthState,
     HostReport, HostRevision, KeyReport, ModelReport, OperatorError, TargetReport, WithdrawRequest,
 };
-use lycheeford_policy::{ConfigurationState, HostRole, Name};
+use lycheeford_policy::{ConfigurationState, HostRole, Name, build_name};
 
 use super::explain::explain;
 use super::facts::replicas;
@@ -149,13 +149,18 @@
         let now = state.now();
         let fleet = state.fleet.load();
         let members = state.members.lock();
-        let entries = fleet.entries().map(|(host, _)| HostReport {
-            host: host.clone(),
-            reachable: host.name == state.me.host
-                || members.member(&host.name).is_some_and(|member| member.is_reachable(now)),
-            connections: None,
-        });
-        entries.collect()
+        let report = |host: &lycheeford_policy::Host| {
+            let is_own = host.name == state.me.host;
+            let member = members.member(&host.name);
+            let build = member.and_then(|member| member.build.clone());
+            HostReport {
+                host: host.clone(),
+                reachable: is_own || member.is_some_and(|member| member.is_reachable(now)),
+                connections: None,
+                build: if is_own { Some(build_name()) } else { build },
+            }
+        };
+        fleet.entries().map(|(host, _)| report(host)).collect()
     }
 
     fn target_reports(&self) -> Vec<TargetReport> {
--- a/crates/lycheefordd/src/operation/metrics.rs
+++ b/crates/lycheefordd/src/operation/metrics.rs
@@ -1,12 +1,13 @@
 use std::sync::atomic::AtomicU64;
 
-use lycheeford_policy::{Configuration, Name, RefusalCode};
+use lycheeford_policy::{Configuration, Name, RefusalCode, build_name};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
 /// The upper bound of the first bucket of every histogram.
@@ -157,6 +158,8 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        let build = [("build", build_name().as_str().to_owned())];
+        registry.register("build", "The build of this process", Info::new(build.to_vec()));
         let mut histogram = |name: &str, help: &str, metric: &Histograms| {
             registry.register(name, help, metric.clone());
         };
