--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -106,6 +106,8 @@
     unread_messages: Family<UnreadLabels, Counter>,
     task_panics: Family<TaskLabels, Counter>,
     pub(crate) unreadable_entries: Counter,
+    /// The requests that targets had, or may have had, when this host's grace ended.
+    pub(crate) unanswered_at_stop: Counter,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
     ages: Family<SourceLabels, Gauge>,
@@ -146,6 +148,7 @@
             unread_messages: Family::default(),
             task_panics: Family::default(),
             unreadable_entries: Counter::default(),
+            unanswered_at_stop: Counter::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
             ages: Family::default(),
@@ -277,6 +280,8 @@
         registry.register("crash_causes", help, self.crash_causes.clone());
         let help = "Changes of targets' entries that can't be read";
         registry.register("unreadable_entries", help, self.unreadable_entries.clone());
+        let help = "Requests that had no answer of a target when the grace of this host ended";
+        registry.register("unanswered_at_stop", help, self.unanswered_at_stop.clone());
         registry.register("revision", "The declaration in force", self.revision.clone());
         registry.register(
             "holds_orders",
