Find a second answer without an id in a body without a length

What callers would see: a success whose body goes on with the head and body of another answer, from a target that answers twice, with neither a length nor chunks, and leaves the request's id out of the second answer.

Cause: a second head in such a body was recognized by the id alone. Behind a status line, a head with the same header names as the answer's own counts now, too, unless content-type is the only one: a text about HTTP shows such heads.

Evidence: second_answers "the same answer again without an id, 1 bytes at once: whole" before; it and an answer to another request with the same headers are found now, at each split, and texts about answers still pass.

What remains: a second answer with other headers than the first and without an id.

--- a/crates/lycheeford-target/src/answer_scan.rs
+++ b/crates/lycheeford-target/src/answer_scan.rs
@@ -1,3 +1,6 @@
+use lycheeford_http::Header;
+
+const CONTENT_TYPE: &str = "content-type";
 /// How every answer begins.
 const START: &[u8] = b"HTTP/1.";
 const STATUS_LINE_BYTES_MAX: usize = 256;
@@ -8,10 +11,12 @@
 ///
 /// A target that answers twice appends its second answer to such a body, whose own end is then
 /// unknown. The second head is recognized by the request header that targets repeat, which no body
-/// has behind a status line.
+/// has behind a status line, or, if it lacks that one, by having the same headers as the first.
 #[derive(Debug)]
 pub(crate) struct AnswerScan {
     repeated_header: String,
+    /// The names of the other headers of the answer, sorted; none if they are too common.
+    names: Vec<String>,
     /// The bytes from the first one at which a head may begin.
     pending: Vec<u8>,
 }
@@ -25,8 +30,17 @@
 }
 
 impl AnswerScan {
-    pub(crate) fn new(repeated_header: String) -> AnswerScan {
-        AnswerScan { repeated_header, pending: Vec::new() }
+    /// Returns a scan of the body of an answer with `headers`, whose names are in lower case.
+    pub(crate) fn new(repeated_header: String, headers: &[Header]) -> AnswerScan {
+        let names = headers.iter().map(|(name, _)| name.clone());
+        let mut names: Vec<String> =
+            names.filter(|name| !name.eq_ignore_ascii_case(&repeated_header)).collect();
+        names.sort_unstable();
+        // A text about HTTP may show such a head.
+        if names == [CONTENT_TYPE] {
+            names.clear();
+        }
+        AnswerScan { repeated_header, names, pending: Vec::new() }
     }
 
     /// Adds the next bytes of the body and returns whether they reveal another answer.
@@ -55,16 +69,23 @@
         if !may_be_status_line(status_line) {
             return Candidate::NoAnswer;
         }
+        let mut names = Vec::new();
         for line in lines {
             if !line.ends_with(b"\n") {
                 break;
             }
+            if line == b"\r\n" {
+                names.sort_unstable();
+                let is_same = !names.is_empty() && names == self.names;
+                return if is_same { Candidate::Answer } else { Candidate::NoAnswer };
+            }
             let Some(colon) = line.iter().position(|byte| *byte == b':') else {
                 return Candidate::NoAnswer;
             };
             if line[..colon].eq_ignore_ascii_case(self.repeated_header.as_bytes()) {
                 return Candidate::Answer;
             }
+            names.push(String::from_utf8_lossy(&line[..colon]).to_ascii_lowercase());
         }
         if bytes.len() < HEAD_BYTES_MAX { Candidate::Incomplete } else { Candidate::NoAnswer }
     }
--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -4,9 +4,10 @@
 
 use async_std::future::timeout;
 use http_types::Method;
-use lycheeford_http::{BodyBudget, Persistence, ResponseHead, strip_connection_headers};
+use lycheeford_http::{BodyBudget, Framing, Persistence, ResponseHead, strip_connection_headers};
 use lycheeford_policy::OrderOutcome;
 
+use crate::answer_scan::AnswerScan;
 use crate::error::Code;
 use crate::link::{Link, Received, Reuse};
 use crate::pool::Pool;
@@ -78,11 +79,13 @@
             },
             _ => AfterAnswer::Close,
         };
+        let echo = request.echo.as_ref().filter(|_| head.framing == Framing::UntilClose);
+        let scan = echo.map(|echo| Box::new(AnswerScan::new(echo.header.clone(), &head.headers)));
         strip_connection_headers(&mut head.headers);
         let body = TargetBody::new(
             link,
             head.framing,
-            request.echo.as_ref().map(|echo| echo.header.as_str()),
+            scan,
             after_answer,
             &self.limits,
             self.budget.reservation(),
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -43,7 +43,7 @@
     state: State,
     end: BodyEnd,
     /// Set if another answer may follow within the body.
-    scan: Option<AnswerScan>,
+    scan: Option<Box<AnswerScan>>,
     between_bytes_ms_max: u64,
     answer_bytes_max: usize,
     received_bytes: usize,
@@ -77,7 +77,7 @@
     pub(crate) fn new(
         link: Link,
         framing: Framing,
-        repeated_header: Option<&str>,
+        scan: Option<Box<AnswerScan>>,
         after_answer: AfterAnswer,
         limits: &TargetLimits,
         memory: Reservation,
@@ -88,9 +88,7 @@
                 Framing::UntilClose => BodyEnd::Connection,
                 Framing::Empty | Framing::Length(_) | Framing::Chunked => BodyEnd::Declared,
             },
-            scan: repeated_header
-                .filter(|_| framing == Framing::UntilClose)
-                .map(|name| AnswerScan::new(name.to_owned())),
+            scan,
             between_bytes_ms_max: limits.between_bytes_ms_max,
             answer_bytes_max: limits.answer_bytes_max,
             received_bytes: 0,
--- a/crates/lycheeford-target/tests/second_answers.rs
+++ b/crates/lycheeford-target/tests/second_answers.rs
@@ -51,6 +51,21 @@
         },
         Case { what: "a text that ends in a version", body: "ice over HTTP/1.1", is_whole: true },
         Case { what: "no status", body: "HTTP/1.1 many\r\nrequest-id: 7\r\n\r\n", is_whole: true },
+        Case {
+            what: "the same answer again without an id",
+            body: "iceHTTP/1.1 200 OK\r\nserver: s\r\n\r\nice",
+            is_whole: false,
+        },
+        Case {
+            what: "an answer to another request without an id",
+            body: "HTTP/1.1 500 Error\r\nServer: t\r\n\r\n",
+            is_whole: false,
+        },
+        Case {
+            what: "a text about answers with the same header and another",
+            body: "It sends HTTP/1.1 200 OK\r\nserver: s\r\nvary: x\r\n\r\nand so on",
+            is_whole: true,
+        },
         Case { what: "a long head without an id", body: long_head.leak(), is_whole: true },
     ];
     for case in cases {
