--- a/crates/lycheefordd/tests/repeated_answers.rs
+++ b/crates/lycheefordd/tests/repeated_answers.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
 
@@ -12,6 +12,7 @@
 use lycheeford_policy::HostRole;
 use serde_json::json;
 
+use crate::support::message::{Message, exchange};
 use crate::support::{Fleet, until};
 
 const CALLS: usize = 8;
@@ -71,31 +72,6 @@
     assert!(others.is_empty(), "{others:#?}");
 }
 
-/// A request or an answer.
-#[derive(Debug)]
-struct Message {
-    head: String,
-    body: Vec<u8>,
-}
-
-impl Message {
-    /// Reads a message with a declared length, or returns `None` at the end of the connection.
-    fn read(reader: &mut impl BufRead) -> Option<Message> {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            reader.read_line(&mut head).ok().filter(|length| *length > 0)?;
-        }
-        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-        let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
-        reader.read_exact(&mut body).ok()?;
-        Some(Message { head, body })
-    }
-
-    fn to_bytes(&self) -> Vec<u8> {
-        [self.head.as_bytes(), &self.body].concat()
-    }
-}
-
 /// Starts a target that repeats its last answer before each further one on a connection; returns
 /// its address.
 fn start_stuttering<F>(address: SocketAddr, answer: F) -> SocketAddr
@@ -123,10 +99,3 @@
     });
     address
 }
-
-/// Passes a request on and returns its answer.
-fn exchange(address: SocketAddr, request: &Message) -> Message {
-    let mut stream = TcpStream::connect(address).expect("the engine runs");
-    stream.write_all(&request.to_bytes()).expect("the engine reads");
-    Message::read(&mut BufReader::new(stream)).expect("the engine answers")
-}
--- a/crates/lycheefordd/tests/support/mod.rs
+++ b/crates/lycheefordd/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod message;
 mod process;
 mod relay;
 
