Read the daemons' responses with the decoder of the other clients

What operators would see: an empty page of metrics as a success, if a response has neither a length nor chunks, and a response whose last chunk has come but not its end as a whole one.

Cause: as in the store's client, the decoder of the HTTP library takes a body without a length for an empty one, and the check behind it compared that with a length of zero.

Evidence: cut_answers, each response cut at each byte, failed before ("neither, 45 bytes: Ok("")", "chunks, 76 bytes") and passes now. JSON responses failed as unreadable before, so that only the metrics could look whole.

--- a/crates/lycheeford-operator/src/client.rs
+++ b/crates/lycheeford-operator/src/client.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_h1::client::Encoder;
 use async_std::future::timeout;
-use async_std::io::ReadExt;
+use async_std::io;
 use async_std::net::TcpStream;
 use http_types::headers::{CONNECTION, CONTENT_TYPE};
-use http_types::{Method, Request, Response, Url};
+use http_types::{Method, Request, Url};
+use lycheeford_http::{BodyDecoder, MessageReader, ResponseHead};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -21,7 +23,9 @@
 };
 
 /// The maximum size of a response body.
-const RESPONSE_BYTES_MAX: u64 = 64 * 1024 * 1024;
+const RESPONSE_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// The largest head of a response.
+const HEAD_BYTES_MAX: usize = 8 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -247,24 +251,27 @@
     }
 }
 
-async fn exchange(stream: TcpStream, request: Request) -> http_types::Result<(u16, Vec<u8>)> {
-    let mut response = Box::pin(async_h1::connect(stream, request)).await?;
-    let bytes = read_whole_body(&mut response).await?;
-    Ok((u16::from(response.status()), bytes))
-}
-
-/// Reads a whole body and checks it against the declared length, as the HTTP library doesn't.
-async fn read_whole_body(response: &mut Response) -> http_types::Result<Vec<u8>> {
-    let declared_bytes = response.len();
+/// Sends a request, and reads the status and the whole body of its response.
+///
+/// The decoder of the HTTP library isn't used: it takes a body without a length for an empty one, and
+/// accepts one that ends early.
+async fn exchange(mut stream: TcpStream, request: Request) -> Result<(u16, Vec<u8>), String> {
+    let method = request.method();
+    io::copy(&mut Encoder::new(request), &mut stream).await.map_err(|error| error.to_string())?;
+    let mut reader = MessageReader::new(stream);
+    let head = reader.head(HEAD_BYTES_MAX).await.map_err(|error| error.to_string())?;
+    let head = ResponseHead::parse(&head, method).map_err(|error| error.to_string())?;
+    let mut decoder = BodyDecoder::new(head.framing);
     let mut bytes = Vec::new();
-    response.take(RESPONSE_BYTES_MAX + 1).read_to_end(&mut bytes).await?;
-    if bytes.len() as u64 > RESPONSE_BYTES_MAX {
-        return Err(http_types::format_err!("the response body is too long"));
-    }
-    if declared_bytes.is_some_and(|declared| declared != bytes.len()) {
-        return Err(http_types::format_err!("the response body was truncated"));
+    while let Some(chunk) =
+        reader.body_chunk(&mut decoder).await.map_err(|error| error.to_string())?
+    {
+        bytes.extend_from_slice(&chunk);
+        if bytes.len() > RESPONSE_BYTES_MAX {
+            return Err("the response body is too long".to_owned());
+        }
     }
-    Ok(bytes)
+    Ok((head.status, bytes))
 }
 
 /// Returns the error for a lost response.
