Keep a target's limit while all hosts are replaced by a build that understands nothing

Permits across builds in virtual time, at the worst: no message between the builds is understood, so that each has a host of its own that grants.

--- a/crates/lycheeford-policy/tests/gateway/limited_fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/limited_fleet.rs
@@ -28,6 +28,9 @@
 /// How long a host asks for no permit of a rank after a question without an answer.
 const SILENT_PAUSE_MS: u64 = 300;
 
+/// How long hosts take for one that they no longer understand to be one that they hear.
+const UNREAD_WITHIN_MS: u64 = 1_500;
+
 /// A change or a fault of the fleet or the target.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Event {
@@ -43,6 +46,9 @@
     KeeperJoins { seen_ms: u64 },
     /// For `for_ms`, each half of the hosts gets reports from its own half only.
     Cut { for_ms: u64 },
+    /// Within `for_ms` all hosts are replaced, one after the other, by a build that understands
+    /// nothing of the one before, nor the other way round.
+    Upgrade { for_ms: u64 },
 }
 
 pub(crate) struct LimitCase {
@@ -86,11 +92,15 @@
     views: Vec<(u64, usize, usize, bool)>,
     lost_part: f64,
     last_number: u64,
+    /// Coming replacements by another build: the time and the host.
+    replacements: Vec<(u64, usize)>,
 }
 
 pub(crate) struct Host {
     name: Name,
     is_up: bool,
+    /// Whether the host was replaced by another build.
+    is_replaced: bool,
     frozen_until_ms: u64,
     /// The time until which the rule doesn't count the host, which has just started or was
     /// suspended.
@@ -143,6 +153,7 @@
             views: Vec::new(),
             lost_part: case.lost_part,
             last_number: 0,
+            replacements: Vec::new(),
         }
     }
 
@@ -153,6 +164,7 @@
             for (_, event) in events.iter().filter(|(at_ms, _)| *at_ms == ms) {
                 self.apply_event(*event);
             }
+            self.replace_due();
             self.apply_view_changes();
             self.deliver();
             for host in 0..self.hosts.len() {
@@ -221,6 +233,10 @@
                 self.discover_all_within(index, seen_ms);
                 self.change_views_within(index, true, seen_ms);
             }
+            Event::Upgrade { for_ms } => {
+                let due_ms = |index: usize| ms + for_ms * index as u64 / hosts as u64;
+                self.replacements = (0..hosts).map(|index| (due_ms(index), index)).collect();
+            }
             Event::Cut { for_ms } => {
                 for index in 0..hosts {
                     for other in (0..hosts).filter(|other| other % 2 != index % 2) {
@@ -233,6 +249,29 @@
         }
     }
 
+    /// Replaces the hosts that are due by another build; those of either build soon see only each
+    /// other.
+    fn replace_due(&mut self) {
+        let ms = self.ms;
+        let is_due = |(due_ms, _): &(u64, usize)| *due_ms <= ms;
+        let due: Vec<usize> =
+            self.replacements.iter().filter(|at| is_due(at)).map(|at| at.1).collect();
+        self.replacements.retain(|at| !is_due(at));
+        for index in due {
+            let hosts = self.hosts.len();
+            self.hosts[index] = Host::start(index, hosts);
+            self.hosts[index].is_replaced = true;
+            self.hosts[index].exempt_until_ms = ms + BINDS_AFTER_MS;
+            self.hosts[index].sees.fill(false);
+            for other in (0..hosts).filter(|other| *other != index) {
+                let is_understood = self.hosts[other].is_replaced;
+                let noticed_ms = ms + self.random.random_range(0..UNREAD_WITHIN_MS);
+                self.views.push((noticed_ms, other, index, is_understood));
+                self.views.push((noticed_ms, index, other, is_understood));
+            }
+        }
+    }
+
     /// Returns a host name that makes its host the one that grants the target's permits.
     fn name_of_next_granter(&self) -> Name {
         let known = |host: &Host| (host.name.clone(), PeerState::Ready);
@@ -303,6 +342,9 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message) {
+        if self.hosts[from].is_replaced != self.hosts[to].is_replaced {
+            return;
+        }
         if from != to && self.random.random_bool(self.lost_part) {
             return;
         }
@@ -502,6 +544,7 @@
         Host {
             name: name(&format!("host-{index}")),
             is_up: true,
+            is_replaced: false,
             frozen_until_ms: 0,
             exempt_until_ms: 0,
             belief: TargetBelief::default(),
--- a/crates/lycheeford-policy/tests/gateway/limits.rs
+++ b/crates/lycheeford-policy/tests/gateway/limits.rs
@@ -131,6 +131,13 @@
             used_from_ms: 14_000,
             ..base
         },
+        LimitCase {
+            what: "all hosts are replaced by a build that understands nothing of the other",
+            events: &[NAMED, (6_000, Event::Upgrade { for_ms: 12_000 })],
+            used_from_ms: 18_000,
+            for_ms: 30_000,
+            ..base
+        },
         LimitCase {
             what: "the fleet is cut into halves",
             events: &[NAMED, (6_000, Event::Cut { for_ms: 6_000 })],
