Tell a silent target from a broken one

A target that sent nothing for a second counted as broken, whatever other targets of its service did, and stayed out of use after it had gone on.

`TargetSilence` keeps when this host last heard a target and whether requests wait for it. Beside one that has been silent for some time another one counts as heard, as silent too, or as unknown; `SilentService` decides for which of them the silent one may be left.

Ruled out: a fixed age up to which a target counts as heard. A target with one long prompt is quiet for longer than one with many streams; half of the silence in question grows with it, so that a dead target is left later, not never.

--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -70,6 +70,7 @@
 mod target_health;
 mod target_log;
 mod target_reach;
+mod target_silence;
 mod target_table;
 mod wait_queue;
 
@@ -116,7 +117,8 @@
 pub use self::target_health::{TargetFailure, TargetHealth};
 pub use self::target_log::{TargetChange, TargetChangeBatch, TargetLog};
 pub use self::target_reach::TargetReach;
+pub use self::target_silence::{Sign, SilentService, TargetSilence};
 pub use self::target_table::{
-    Choice, Chosen, HostPlace, Selection, Target, TargetRequirements, TargetTable,
+    Choice, Chosen, HostPlace, Selection, SilenceView, Target, TargetRequirements, TargetTable,
 };
 pub use self::wait_queue::{WaitQueue, Waiting};
--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -2,17 +2,20 @@
 mod brittle;
 mod choice;
 mod running;
+mod silence;
 
 use std::net::SocketAddr;
 
 use self::brittle::BRITTLE_FULL_PAUSE_MS;
 pub use self::brittle::HostPlace;
+pub use self::silence::SilenceView;
 use crate::gateway::peer_table::RunningAt;
 use crate::gateway::permit::PermitRank;
 use crate::gateway::short_key::ShortKey;
 use crate::gateway::target_belief::{TargetBelief, TargetLife};
 use crate::gateway::target_entry::{Residency, TargetEntry, TargetState};
 use crate::gateway::target_health::{TargetFailure, TargetHealth};
+use crate::gateway::target_silence::TargetSilence;
 use crate::{Name, StoreVersion, TimeMs};
 
 /// Assumed latency of a service without samples.
@@ -147,6 +150,7 @@
     pub entry: TargetEntry,
     key: ShortKey,
     health: TargetHealth,
+    silence: TargetSilence,
     running_here: Vec<Running>,
     running_elsewhere: Vec<(Name, RunningAt)>,
     /// Models and adapters at the target, as announced by the holder of the order lease. Sorted by
@@ -496,6 +500,7 @@
             key,
             belief,
             health: TargetHealth::default(),
+            silence: TargetSilence::default(),
             running_here: Vec::new(),
             running_elsewhere: Vec::new(),
             announced: Vec::new(),
--- a/crates/lycheeford-policy/src/gateway/target_table/running.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/running.rs
@@ -28,6 +28,7 @@
             running.tokens = running.tokens.saturating_sub(tokens);
         }
         target.running_here.retain(|running| running.requests > 0);
+        target.silence.ended();
     }
 
     /// Replaces the requests that run at each target through another host and the hosts that it
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -85,12 +85,12 @@
     PermitRank, PlacementLog, RateUnit, RatedCustomer, ReportDifference, ReportLayout, ReportPace,
     ReportedLease, ReportedPlacement, Residency, ResidentModel, ResidentView, RetryShare,
     RouteKind, RunTimes, RunningAt, Scope, Selection, ServiceRoute, Settling, SharedBucket,
-    SharedWatch, ShortKey, StatedContent, StoreAbsence, StreamKey, StreamVersion, StreamVersions,
-    Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetBelief, TargetChange,
-    TargetChangeBatch, TargetEntry, TargetFailure, TargetHealth, TargetLife, TargetLog,
-    TargetReach, TargetRequirements, TargetService, TargetState, TargetTable, TargetUse,
-    VersionKnowledge, WaitQueue, Waiting, WantedName, WeightedService, combine_knowledge,
-    permit_granter, stream_keepers,
+    SharedWatch, ShortKey, Sign, SilenceView, SilentService, StatedContent, StoreAbsence,
+    StreamKey, StreamVersion, StreamVersions, Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner,
+    Target, TargetBelief, TargetChange, TargetChangeBatch, TargetEntry, TargetFailure,
+    TargetHealth, TargetLife, TargetLog, TargetReach, TargetRequirements, TargetService,
+    TargetSilence, TargetState, TargetTable, TargetUse, VersionKnowledge, WaitQueue, Waiting,
+    WantedName, WeightedService, combine_knowledge, permit_granter, stream_keepers,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -18,5 +18,6 @@
 mod streams;
 mod target_news;
 mod target_reach;
+mod target_silence;
 mod targets;
 mod world;
