Keep a silent target's request until another target has it

What callers saw: a stream whose sound target fell silent for over 1.2 s (1 s before the head) was taken from it as soon as another target had a slot. If that one rejected, failed, reset or closed, the stream ended half-way, or a repeatable request got 502 or 500, though its first target went on a moment later. When all targets of a service were silent at once, every stream moved to another silent one.

Cause: leaving was final. The call was dropped before the next target had sent anything, the target that was left was excluded for good and its attempt was used up, so that nothing was left when the next one failed.

The first target now keeps the request until the next one answers (a stream for 250 ms at most), and gets it back if the next one fails afterwards, without using another attempt. It is left only for a target that was heard meanwhile or of which nothing is known. Logs say what decided. One more fault of the same place: with two attempts a stream with a head and no event never left its target, since the attempt counted twice.

Ruled out: silence accuses no prompt (`Category::Silent` starts no check for a crash). A service that is silent twice makes no host believe that it is cut off, nothing is refused and all targets are in use again at once (`a_service_that_was_silent_is_in_use_again_at_once`; on the code before it failed only for a stream that was cut).

--- a/crates/lycheeford-gateway/src/orders/send.rs
+++ b/crates/lycheeford-gateway/src/orders/send.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 
 use super::withdraw::run_until;
-use crate::request::apply_signals;
+use crate::request::{apply_signals, record_heard};
 use crate::state::State;
 use crate::{AnswerHead, EngineOrder, EngineReport, OrderAnswer, OrderedName};
 
@@ -263,6 +263,7 @@
     let sent_at = state.now();
     let exchange = async {
         let mut response = state.targets.call(planned.address, request).await?;
+        record_heard(state, &planned.chosen());
         let status = response.status;
         let AnswerHead { signals, .. } =
             state.protocols.target.read_head(&planned.engine, status, &mut response.headers);
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -37,7 +37,7 @@
             Ok(response) => return Ok(Answered::Whole(response)),
             Err((chosen, error)) => {
                 attempts.record_broken(&chosen, &error, 0);
-                if !attempts.take_retry() {
+                if !attempts.wait_for_retry().await {
                     return Err(attempts.failed(&error));
                 }
                 attempts.exclude(&chosen);
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -16,7 +16,7 @@
 use super::admission::Admitted;
 use super::crash::{InterruptedRequest, check_for_crash};
 use super::signals::apply_signals;
-use super::slot::{Slot, acquire_slot, host_stopping};
+use super::slot::{Slot, host_stopping};
 use crate::fleet::record_unanswered;
 use crate::state::State;
 use crate::{AnswerHead, Dispatch, NotRun, Reply, Unclear};
@@ -50,6 +50,9 @@
     first_sent_at: Option<TimeMs>,
     /// The number of targets that have received the request and not yet responded.
     pub(super) at_targets: u32,
+    /// The targets, counted in `runs`, that were left only because they sent nothing, or because
+    /// another one answered first. The request may go back to them.
+    pub(super) left: Vec<Chosen>,
 }
 
 /// A target's response whose head has arrived.
@@ -100,6 +103,7 @@
             sends: 0,
             first_sent_at: None,
             at_targets: 0,
+            left: Vec::new(),
         }
     }
 
@@ -120,23 +124,23 @@
         sent.map_err(|refusal| refusal.after(self.ran))
     }
 
-    /// Sends the request like [`Attempts::send`], with the slot given for the first attempt.
+    /// Sends the request like [`Attempts::send`], with a call that has begun as the first attempt.
     ///
     /// # Errors
     ///
     /// Returns a refusal that states whether any attempt ran, as far as is known.
-    pub(super) async fn send_to(
+    pub(super) async fn go_on_with(
         &mut self,
-        slot: Slot,
+        pending: PendingCall,
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, Refusal> {
-        let sent = self.try_targets(Some(slot), resume_after).await;
+        let sent = self.try_targets(Some(pending), resume_after).await;
         sent.map_err(|refusal| refusal.after(self.ran))
     }
 
     async fn try_targets(
         &mut self,
-        mut first: Option<Slot>,
+        mut begun: Option<PendingCall>,
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, Refusal> {
         if self.sends == 0 {
@@ -144,18 +148,19 @@
             self.state.retries().requested(self.state.now(), service);
         }
         loop {
-            if self.state.is_cut_off() && !self.admitted.request.is_forwarded {
-                return Err(no_target());
-            }
-            let slot = match first.take() {
-                Some(slot) => slot,
-                None => acquire_slot(&self.state, &self.admitted).await?,
+            let pending = if let Some(pending) = begun.take() {
+                pending
+            } else {
+                if self.state.is_cut_off() && !self.admitted.request.is_forwarded {
+                    return Err(no_target());
+                }
+                let slot = self.slot_for_attempt().await?;
+                self.admitted.recheck(&self.state)?;
+                if self.state.now() >= self.admitted.final_at {
+                    return Err(self.out_of_time());
+                }
+                self.begin(slot, resume_after)
             };
-            self.admitted.recheck(&self.state)?;
-            if self.state.now() >= self.admitted.final_at {
-                return Err(self.out_of_time());
-            }
-            let pending = self.begin(slot, resume_after);
             if let Some(started) = self.await_outcome(pending, resume_after).await? {
                 return Ok(started);
             }
@@ -169,9 +174,11 @@
         resume_after: Option<&str>,
     ) -> Result<Option<StartedResponse>, Refusal> {
         match self.wait_for_answer(pending, resume_after).await {
-            Ok(started) if started.reply == Reply::Failed && self.take_retry() => Ok(None),
+            Ok(started) if started.reply == Reply::Failed && self.wait_for_retry().await => {
+                Ok(None)
+            }
             Ok(started) => Ok(Some(started)),
-            Err(attempt_error) => self.may_try_another(attempt_error).map(|()| None),
+            Err(attempt_error) => self.may_try_another(attempt_error).await.map(|()| None),
         }
     }
 
@@ -179,6 +186,7 @@
     pub(super) fn begin(&mut self, slot: Slot, resume_after: Option<&str>) -> PendingCall {
         let now = self.state.now();
         self.sends += 1;
+        self.go_back_to(&slot.chosen);
         self.first_sent_at.get_or_insert(now);
         self.log_sent(&slot.chosen, now);
         let request = self.target_request(&slot.chosen, now, resume_after);
@@ -203,6 +211,7 @@
         let PendingCall { slot, sent_at, .. } = pending;
         let mut response = result.map_err(|error| self.call_failed(&slot.chosen, error))?;
         self.state.reach().answered(self.state.now());
+        self.heard(&slot.chosen);
         if response.skipped_answers > 0 {
             info!(self.state.log, "answers_skipped";
                 "id" => self.admitted.request.id.as_str(), "target" => slot.chosen.id.as_str(),
@@ -249,7 +258,7 @@
     }
 
     /// Records that a target did not run the request.
-    fn not_run(&self, chosen: &Chosen, cause: NotRun) {
+    fn not_run(&mut self, chosen: &Chosen, cause: NotRun) {
         let now = self.state.now();
         info!(self.state.log, "attempt_not_run";
             "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
@@ -270,6 +279,10 @@
         if cause == NotRun::NotHeld {
             self.forget_adapter(chosen);
         }
+        if !self.left.is_empty() {
+            // A target that was left may answer sooner than this one has room.
+            self.exclude(chosen);
+        }
     }
 
     /// Records a response that doesn't show whether the request ran.
@@ -285,11 +298,13 @@
     }
 
     /// Decides whether to try another target after an attempt that gave no usable response.
-    fn may_try_another(&mut self, attempt_error: AttemptError) -> Result<(), Refusal> {
+    async fn may_try_another(&mut self, attempt_error: AttemptError) -> Result<(), Refusal> {
         match attempt_error {
             AttemptError::Unreachable if self.sends < SENDS_MAX => Ok(()),
             AttemptError::Unreachable => Err(no_target()),
-            AttemptError::Broken(_) | AttemptError::Unclear(_) if self.take_retry() => Ok(()),
+            AttemptError::Broken(_) | AttemptError::Unclear(_) if self.wait_for_retry().await => {
+                Ok(())
+            }
             AttemptError::Broken(error) => Err(self.failed(&error)),
             AttemptError::Unclear(status) => Err(self.failed(&format_args!(
                 "the target answered {status} and may have run the request; check whether it took \
@@ -300,7 +315,7 @@
                     && self.sends < SENDS_MAX
                     && self.state.now() < self.admitted.final_at
                     && self.take_from_retry_budget();
-                if may_send {
+                if may_send || (self.may_go_back() && self.wait_for_retry().await) {
                     return Ok(());
                 }
                 Err(Refusal::not_run(
@@ -356,13 +371,37 @@
 
     /// Returns whether the request may run again, apart from the retry budget.
     pub(super) fn can_retry(&self) -> bool {
+        self.may_repeat() && (self.has_attempt_left() || !self.left.is_empty())
+    }
+
+    /// Returns whether the request may run more than once, and there is time for it.
+    pub(super) fn may_repeat(&self) -> bool {
         self.admitted.route.kind.is_repeatable()
-            && self.runs + self.at_targets < self.admitted.route.attempts_max
             && self.sends < SENDS_MAX
             && self.state.now() < self.admitted.final_at
             && !self.is_suspect()
     }
 
+    /// Returns whether the route allows one more target.
+    pub(super) fn has_attempt_left(&self) -> bool {
+        self.runs + self.at_targets < self.admitted.route.attempts_max
+    }
+
+    /// Returns whether the request has only one send left, or none.
+    pub(super) fn is_last_send(&self) -> bool {
+        self.sends + 1 >= SENDS_MAX
+    }
+
+    /// Counts a target that was left as one of those to come, since the request is sent there
+    /// again.
+    fn go_back_to(&mut self, chosen: &Chosen) {
+        let is_same = |left: &Chosen| left.id == chosen.id && left.life == chosen.life;
+        if let Some(index) = self.left.iter().position(is_same) {
+            self.left.remove(index);
+            self.runs = self.runs.saturating_sub(1);
+        }
+    }
+
     /// Logs the choice of a target.
     fn log_sent(&self, chosen: &Chosen, now: TimeMs) {
         let choice = &chosen.choice;
@@ -411,11 +450,6 @@
         self.admitted.need.excluded.push(chosen.id.clone());
     }
 
-    /// Makes the target that was excluded last eligible again.
-    pub(super) fn undo_last_exclusion(&mut self) {
-        self.admitted.need.excluded.pop();
-    }
-
     fn is_suspect(&self) -> bool {
         let causes = &self.admitted.crash_causes;
         self.state.suspects().verdict(self.state.now(), causes) == CrashVerdict::Refuse
@@ -444,7 +478,7 @@
         };
         let mut request = self.state.protocols.target.forward(&admitted.request, &dispatch);
         request.first_byte_ms_max = Some(admitted.final_at.since_ms(now).max(1));
-        if !admitted.need.excluded.is_empty() {
+        if !admitted.need.excluded.is_empty() || self.runs + self.at_targets > 0 {
             request.connection = Connection::Fresh;
         }
         request
@@ -454,9 +488,7 @@
     pub(super) fn first_byte_ms_max(&self, now: TimeMs) -> u64 {
         let admitted = &self.admitted;
         let left_ms = admitted.final_at.since_ms(now).max(1);
-        let has_attempt_left =
-            admitted.route.kind.is_repeatable() && self.runs + 1 < admitted.route.attempts_max;
-        if !has_attempt_left {
+        if !self.can_retry() {
             return left_ms;
         }
         let first_byte_ms = (admitted.route.objective_ms as f64 * FIRST_BYTE_FACTOR) as u64;
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -13,9 +13,11 @@
 mod relay;
 mod resume;
 mod signals;
+mod silence;
 mod slot;
 
 pub(crate) use self::crash::log_refused;
 pub(crate) use self::front::Front;
 pub(crate) use self::permit::PermitWaiters;
 pub(crate) use self::signals::{apply_reported_leaving, apply_signals, update_limit};
+pub(crate) use self::silence::record_heard;
--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -3,19 +3,23 @@
 
 use async_std::future::timeout;
 use async_std::prelude::FutureExt;
+use async_std::task;
 use lycheeford_caller::ChunkSender;
 use lycheeford_policy::{Chosen, EVENT_BYTES_MAX, EventBoundary, StatedContent, TimeMs};
-use lycheeford_target::{BodyEnd, TargetBody, TargetError};
+use lycheeford_target::{BodyEnd, TargetBody, TargetError, TargetResponse};
 use slog::info;
 
-use super::attempt::{Attempts, StartedResponse};
+use super::attempt::{Attempts, PendingCall, StartedResponse};
+use super::silence::{LeaveIf, OVERLAP_MS_MAX, Silence};
 use super::slot::Slot;
 use crate::Reply;
 
-/// The pause between events after which a resumable stream is moved to another target with a free
-/// slot, as a multiple of the longest pause that the route allows.
+/// The pause between events after which another target is sought for a resumable stream, as a
+/// multiple of the longest pause that the route allows.
 const STALL_FACTOR: u64 = 3;
 const STALL_MS_MIN: u64 = 1_000;
+/// The pause before another target is sought after one that didn't take a stream.
+const SEEK_PAUSE_MS: u64 = 500;
 
 /// Relays a stream to the caller, event by event.
 ///
@@ -37,9 +41,32 @@
     HungUp,
     OutOfTime,
     HostStopping,
-    Broken(TargetError),
-    /// The stream stalled, and another target has a slot for it.
-    Moved(TargetError, Slot),
+    /// The target failed, while this call to the next one was pending, if any.
+    Broken(TargetError, Option<Box<PendingCall>>),
+    /// The stream has stalled since this time, and the next target has it.
+    Moved(TimeMs, Box<NextTarget>),
+}
+
+impl End {
+    fn broken(error: TargetError, stall: Stall) -> End {
+        End::Broken(error, stall.next.map(Box::new))
+    }
+}
+
+/// A target that goes on with a stream.
+enum NextTarget {
+    Started(Box<StartedResponse>),
+    /// It hasn't answered yet.
+    Pending(PendingCall),
+}
+
+impl NextTarget {
+    fn chosen(&self) -> &Chosen {
+        match self {
+            NextTarget::Started(started) => &started.slot.chosen,
+            NextTarget::Pending(pending) => &pending.slot.chosen,
+        }
+    }
 }
 
 /// Why a caller's stream is broken off for good.
@@ -91,9 +118,32 @@
 enum StallOutcome {
     Next(Next),
     OtherSlot(Slot),
+    /// The next target answered, or the call to it failed.
+    Answered(Result<TargetResponse, TargetError>),
+    /// The stream may not be at two targets for longer.
+    OverlapOver,
     OutOfTime,
 }
 
+/// A pause of a stream.
+struct Stall {
+    /// When the last event came, or the request was sent if none has.
+    since: TimeMs,
+    leave_if: LeaveIf,
+    /// Whether the pause has been long enough to look for another target.
+    is_long: bool,
+    /// The call to the next target. Until it answers, the stream may still go on at the current one.
+    next: Option<PendingCall>,
+    /// When another target may be sought, after one that didn't take the stream.
+    seek_at: TimeMs,
+}
+
+impl Stall {
+    fn new(now: TimeMs, leave_if: LeaveIf) -> Stall {
+        Stall { since: now, leave_if, is_long: false, next: None, seek_at: now }
+    }
+}
+
 impl Relay {
     pub(super) fn new(attempts: Attempts, sender: ChunkSender) -> Relay {
         let resume_after = attempts.admitted.request.resume_after.clone();
@@ -114,7 +164,7 @@
         let mut started = started;
         loop {
             let chosen = started.slot.chosen.clone();
-            let next_slot = match self.relay_target(started).await {
+            let next = match self.relay_target(started).await {
                 End::Done => {
                     self.attempts.log_answered(200, &chosen.id, self.sent_bytes);
                     return self.sender.finish();
@@ -122,7 +172,7 @@
                 End::HungUp => return self.cut(Cut::CallerLeft, &chosen.id),
                 End::OutOfTime => return self.cut(Cut::DeadlinePassed, &chosen.id),
                 End::HostStopping => return self.cut(Cut::HostStopping, &chosen.id),
-                End::Broken(error) => {
+                End::Broken(error, pending) => {
                     self.attempts.record_broken(&chosen, &error, self.boundary.events());
                     self.log_cut(&error.to_string(), &chosen.id);
                     if self.is_past_deadline() {
@@ -131,34 +181,46 @@
                     if !self.boundary.is_resumable() {
                         return self.cut(Cut::WithoutIds, &chosen.id);
                     }
-                    if !self.attempts.take_retry() {
+                    self.attempts.exclude(&chosen);
+                    if pending.is_none() && !self.may_retry().await {
                         return self.cut(Cut::NoAttemptLeft, &chosen.id);
                     }
-                    self.attempts.exclude(&chosen);
-                    None
+                    pending.map(|pending| NextTarget::Pending(*pending))
                 }
-                End::Moved(error, slot) => {
-                    self.attempts.record_broken(&chosen, &error, self.boundary.events());
-                    self.log_cut(&error.to_string(), &chosen.id);
-                    Some(slot)
+                End::Moved(silent_since, next) => {
+                    self.attempts.record_left(&chosen, next.chosen(), silent_since);
+                    Some(*next)
                 }
             };
-            match self.resume(next_slot).await {
+            match self.resume(next).await {
                 Some(resumed) => started = resumed,
                 None => return,
             }
         }
     }
 
+    /// Waits until a retry may be taken; returns whether it was.
+    async fn may_retry(&self) -> bool {
+        let hung_up = async {
+            self.sender.caller_disconnected().await;
+            false
+        };
+        self.attempts.wait_for_retry().race(hung_up).await
+    }
+
     fn is_past_deadline(&self) -> bool {
         self.attempts.state.now() >= self.attempts.admitted.deadline_at
     }
 
     /// Resumes the stream at another target after the last event sent to the caller.
-    async fn resume(&mut self, mut slot: Option<Slot>) -> Option<StartedResponse> {
+    async fn resume(&mut self, mut next: Option<NextTarget>) -> Option<StartedResponse> {
         self.boundary.resume();
         loop {
-            let resumed = self.send_rest(slot.take()).await?;
+            let resumed = match next.take() {
+                Some(NextTarget::Started(started)) => *started,
+                Some(NextTarget::Pending(pending)) => self.send_rest(Some(pending)).await?,
+                None => self.send_rest(None).await?,
+            };
             let status = resumed.response.status;
             let target = &resumed.slot.chosen;
             if status == 200 && resumed.reply == Reply::Ran {
@@ -168,21 +230,21 @@
                 return Some(resumed);
             }
             self.log_cut(&format!("the next target answered {status}"), &target.id);
-            if !self.attempts.take_retry() {
+            self.attempts.exclude(target);
+            if !self.may_retry().await {
                 self.cut(Cut::NoAttemptLeft, &target.id);
                 return None;
             }
-            self.attempts.exclude(target);
         }
     }
 
     /// Requests the rest of the stream from another target.
-    async fn send_rest(&mut self, slot: Option<Slot>) -> Option<StartedResponse> {
+    async fn send_rest(&mut self, begun: Option<PendingCall>) -> Option<StartedResponse> {
         let resume_after = self.resume_after.clone();
         let sending = async {
             let resume_after = resume_after.as_deref();
-            Some(match slot {
-                Some(slot) => self.attempts.send_to(slot, resume_after).await,
+            Some(match begun {
+                Some(pending) => self.attempts.go_on_with(pending, resume_after).await,
                 None => self.attempts.send(resume_after).await,
             })
         };
@@ -208,17 +270,16 @@
         let StartedResponse { slot, response, sent_at, .. } = started;
         let content = StatedContent::of(&response.headers);
         if self.boundary.is_resumed() && content == StatedContent::Other {
-            return End::Broken(TargetError::invalid_stream("the answer isn't one"));
+            return End::Broken(TargetError::invalid_stream("the answer isn't one"), None);
         }
         let mut body = response.body;
         if body.end() == BodyEnd::Connection {
             self.boundary.expect_answers();
         }
         let mut is_first = true;
-        let mut is_paused = false;
         // Only complete events count as progress: a stalled target may still send single bytes or
         // comments.
-        let mut progress_at = self.attempts.state.now();
+        let mut stall = Stall::new(self.attempts.state.now(), LeaveIf::TargetIsSilent);
         loop {
             let now = self.attempts.state.now();
             let final_at = self.attempts.admitted.final_at;
@@ -226,17 +287,35 @@
                 return End::OutOfTime;
             }
             let left_ms = final_at.since_ms(now);
-            let idle_ms = now.since_ms(progress_at);
-            let event_timeout_ms = self.event_timeout_ms(is_first, now, idle_ms).min(left_ms);
+            let idle_ms = now.since_ms(stall.since);
+            let event_timeout_ms = if stall.is_long {
+                0
+            } else {
+                self.event_timeout_ms(is_first, now, idle_ms).min(left_ms)
+            };
             let next = timeout(Duration::from_millis(event_timeout_ms), self.next(&mut body)).await;
             let next = match next {
                 Ok(next) => next,
                 Err(_) if event_timeout_ms >= left_ms => return End::OutOfTime,
-                Err(_) => match self.wait_past_stall(&slot.chosen, &mut body, &mut is_paused).await
-                {
+                Err(_) => match self.wait_past_stall(&slot.chosen, &mut body, &mut stall).await {
                     StallOutcome::Next(next) => next,
                     StallOutcome::OtherSlot(slot) => {
-                        return End::Moved(TargetError::timed_out(event_timeout_ms), slot);
+                        let resume_after = self.resume_after.clone();
+                        let pending = self.attempts.begin(slot, resume_after.as_deref());
+                        stall.next = Some(pending);
+                        continue;
+                    }
+                    StallOutcome::Answered(result) => {
+                        if let Some(started) = self.taken_by_next(&mut stall, result) {
+                            let next = NextTarget::Started(Box::new(started));
+                            return End::Moved(stall.since, Box::new(next));
+                        }
+                        continue;
+                    }
+                    StallOutcome::OverlapOver => {
+                        let Some(pending) = stall.next.take() else { continue };
+                        let next = NextTarget::Pending(pending);
+                        return End::Moved(stall.since, Box::new(next));
                     }
                     StallOutcome::OutOfTime => return End::OutOfTime,
                 },
@@ -244,11 +323,12 @@
             let chunk = match next {
                 Next::HungUp => return End::HungUp,
                 Next::HostStopping => return End::HostStopping,
-                Next::Chunk(Err(error)) => return End::Broken(error),
+                Next::Chunk(Err(error)) => return End::broken(error, stall),
                 Next::Chunk(Ok(None)) if self.is_cut_short(content, body.end()) => {
-                    return End::Broken(TargetError::truncated());
+                    return End::broken(TargetError::truncated(), stall);
                 }
                 Next::Chunk(Ok(None)) => {
+                    self.cancel_next(&mut stall);
                     self.attempts.record_completion(body.end());
                     let rest = self.boundary.take_rest();
                     let sent = self.send(rest).await;
@@ -256,10 +336,11 @@
                 }
                 Next::Chunk(Ok(Some(chunk))) => chunk,
             };
+            self.attempts.heard(&slot.chosen);
             let events_before = self.boundary.events();
             let whole = self.boundary.push(&chunk);
             if self.boundary.is_endless() {
-                return End::Broken(TargetError::event_too_large(EVENT_BYTES_MAX));
+                return End::broken(TargetError::event_too_large(EVENT_BYTES_MAX), stall);
             }
             if whole.is_empty() && self.boundary.fault().is_none() {
                 continue;
@@ -277,11 +358,11 @@
                 return End::HungUp;
             }
             if let Some(fault) = self.boundary.fault() {
-                return End::Broken(TargetError::invalid_stream(&fault.to_string()));
+                return End::broken(TargetError::invalid_stream(&fault.to_string()), stall);
             }
             if is_progress {
-                is_paused = false;
-                progress_at = self.attempts.state.now();
+                self.cancel_next(&mut stall);
+                stall = Stall::new(self.attempts.state.now(), LeaveIf::RequestIsSilent);
             }
         }
     }
@@ -300,37 +381,66 @@
         }
     }
 
-    /// Waits for a stalled stream until it continues or another target can resume it.
+    /// Waits for a stalled stream until it continues or another target has it.
     ///
     /// A target that is only overloaded continues later, so a stream that no other target can
     /// resume is not cut for being silent.
     async fn wait_past_stall(
-        &mut self,
+        &self,
         chosen: &Chosen,
         body: &mut TargetBody,
-        is_logged: &mut bool,
+        stall: &mut Stall,
     ) -> StallOutcome {
-        if !std::mem::replace(is_logged, true) {
-            info!(self.attempts.state.log, "stream_paused";
-                "id" => self.attempts.admitted.request.id.as_str(),
-                "target" => chosen.id.as_str(), "events" => self.boundary.events());
+        let silence = Silence {
+            targets: vec![chosen.id.clone()],
+            since: stall.since,
+            leave_if: stall.leave_if,
+        };
+        if !std::mem::replace(&mut stall.is_long, true) {
+            self.log_paused(chosen, &silence);
         }
-        if self.boundary.is_resumable() && self.attempts.can_retry() {
-            self.attempts.exclude(chosen);
-            let outcome = self.next_or_slot(body).await;
-            if !matches!(outcome, StallOutcome::OtherSlot(_)) {
-                self.attempts.undo_last_exclusion();
-            }
-            return outcome;
+        let next = async { StallOutcome::Next(self.next(body).await) };
+        if let Some(pending) = &mut stall.next {
+            let overlap_ms = self.attempts.state.now().since_ms(pending.sent_at);
+            let left_ms = OVERLAP_MS_MAX.saturating_sub(overlap_ms);
+            let answered = async { StallOutcome::Answered((&mut pending.call).await) };
+            let outcome = timeout(Duration::from_millis(left_ms), next.race(answered)).await;
+            return outcome.unwrap_or(StallOutcome::OverlapOver);
+        }
+        if self.boundary.is_resumable() && self.attempts.may_move() {
+            let pause_ms = stall.seek_at.since_ms(self.attempts.state.now());
+            let other_slot = async {
+                task::sleep(Duration::from_millis(pause_ms)).await;
+                StallOutcome::OtherSlot(self.attempts.wait_for_other_slot(&silence).await)
+            };
+            return self.until_deadline(next.race(other_slot)).await;
         }
-        self.until_deadline(async { StallOutcome::Next(self.next(body).await) }).await
+        self.until_deadline(next).await
     }
 
-    async fn next_or_slot(&self, body: &mut TargetBody) -> StallOutcome {
-        let next = async { StallOutcome::Next(self.next(body).await) };
-        let other_slot =
-            async { StallOutcome::OtherSlot(self.attempts.wait_for_other_slot().await) };
-        self.until_deadline(next.race(other_slot)).await
+    /// Processes the outcome of the call to the next target; returns its response if it goes on
+    /// with the stream.
+    fn taken_by_next(
+        &mut self,
+        stall: &mut Stall,
+        result: Result<TargetResponse, TargetError>,
+    ) -> Option<StartedResponse> {
+        stall.seek_at = self.attempts.state.now() + SEEK_PAUSE_MS;
+        let pending = stall.next.take()?;
+        let started = self.attempts.finish_call(pending, result).ok()?;
+        let status = started.response.status;
+        if status == 200 && started.reply == Reply::Ran {
+            return Some(started);
+        }
+        self.attempts.exclude(&started.slot.chosen);
+        None
+    }
+
+    /// Cancels the call to the next target, since the stream goes on at the current one.
+    fn cancel_next(&mut self, stall: &mut Stall) {
+        if let Some(pending) = stall.next.take() {
+            self.attempts.cancel(pending);
+        }
     }
 
     async fn until_deadline(&self, outcome: impl Future<Output = StallOutcome>) -> StallOutcome {
@@ -384,6 +494,16 @@
         chunk.race(hung_up).race(host_stopping).await
     }
 
+    fn log_paused(&self, chosen: &Chosen, silence: &Silence) {
+        let view = self.attempts.silence_view(silence);
+        info!(self.attempts.state.log, "stream_paused";
+            "id" => self.attempts.admitted.request.id.as_str(),
+            "target" => chosen.id.as_str(), "events" => self.boundary.events(),
+            "silent_ms" => self.attempts.state.now().since_ms(silence.since),
+            "target_sign" => ?view.own, "others_heard_ms" => view.others_heard_ms,
+            "not_better" => view.not_better.len());
+    }
+
     /// Records that the caller's stream is broken off for good.
     fn cut(&self, cut: Cut, target: &str) {
         self.attempts.state.metrics.stream_cut(cut.label());
--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -84,14 +84,19 @@
     }
 }
 
-/// Waits for a slot at a target, and for a permit if the target is rate-limited.
+/// Waits for a slot at a target that isn't excluded, and for a permit if the target is
+/// rate-limited.
 ///
 /// # Errors
 ///
 /// Refuses a request that can't get a slot in time, at once if that is already known.
-pub(super) async fn acquire_slot(state: &Arc<State>, admitted: &Admitted) -> Result<Slot, Refusal> {
+pub(super) async fn acquire_slot(
+    state: &Arc<State>,
+    admitted: &Admitted,
+    excluded: &[Name],
+) -> Result<Slot, Refusal> {
     loop {
-        let slot = wait_for_slot(state, admitted).await?;
+        let slot = wait_for_slot(state, admitted, excluded).await?;
         let Some(rank) = slot.chosen.permit else { return Ok(slot) };
         let wait_ms_max = permit_wait_ms_max(admitted, state.now());
         let id = &admitted.request.id;
@@ -103,14 +108,20 @@
     }
 }
 
-async fn wait_for_slot(state: &Arc<State>, admitted: &Admitted) -> Result<Slot, Refusal> {
+async fn wait_for_slot(
+    state: &Arc<State>,
+    admitted: &Admitted,
+    excluded: &[Name],
+) -> Result<Slot, Refusal> {
     let now = state.now();
     if !admitted.can_finish(state, now) {
         return Err(host_stopping());
     }
+    let mut need = admitted.need.clone();
+    need.excluded.extend_from_slice(excluded);
     let waiting = Waiting {
         id: state.next_number(),
-        need: admitted.need.clone(),
+        need,
         priority: admitted.priority,
         arrived_at: admitted.arrived_at,
     };
