--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -82,7 +82,8 @@
     }
 }
 
-/// Waits for a slot at a target, and for a permit if the target is rate-limited.
+/// Waits for a slot at a target that isn't excluded, and for a permit if the target is
+/// rate-limited.
 ///
 /// # Errors
 ///
@@ -92,9 +93,10 @@
     state: &Arc<State>,
     admitted: &Admitted,
     ran: Ran,
+    excluded: &[Name],
 ) -> Result<Slot, Refusal> {
     loop {
-        let slot = wait_for_slot(state, admitted, ran).await?;
+        let slot = wait_for_slot(state, admitted, ran, excluded).await?;
         let Some(rank) = slot.chosen.permit else { return Ok(slot) };
         let wait_ms_max = permit_wait_ms_max(admitted, state.now());
         let id = &admitted.request.id;
@@ -107,12 +109,19 @@
     }
 }
 
-async fn wait_for_slot(state: &Arc<State>, admitted: &Admitted, ran: Ran) -> Result<Slot, Refusal> {
+async fn wait_for_slot(
+    state: &Arc<State>,
+    admitted: &Admitted,
+    ran: Ran,
+    excluded: &[Name],
+) -> Result<Slot, Refusal> {
     let now = state.now();
     admitted.check_stop(state, now, ran)?;
+    let mut need = admitted.need.clone();
+    need.excluded.extend_from_slice(excluded);
     let waiting = Waiting {
         id: state.next_number(),
-        need: admitted.need.clone(),
+        need,
         priority: admitted.priority,
         arrived_at: admitted.arrived_at,
     };
