--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -325,12 +325,8 @@
                 Next::HungUp => return End::HungUp,
                 Next::HostStopping => return End::HostStopping,
                 Next::Chunk(Err(error)) => return End::broken(error, stall),
-                Next::Chunk(Ok(None)) if self.is_cut_short(content, body.end()) => {
-                    return End::broken(TargetError::truncated(), stall);
-                }
                 Next::Chunk(Ok(None)) => {
-                    let state = &self.attempts.state;
-                    if may_be_cut_by_exit(state, &slot.chosen, body.end()).await {
+                    if self.is_cut_short(content, body.end(), &slot.chosen).await {
                         return End::broken(TargetError::truncated(), stall);
                     }
                     self.cancel_next(&mut stall);
@@ -376,13 +372,17 @@
     ///
     /// A target that stops inside an event may still end its chunks properly. If the end of the
     /// connection is the end of the body, the target may have crashed before the first event.
-    fn is_cut_short(&self, content: StatedContent, end: BodyEnd) -> bool {
+    async fn is_cut_short(&self, content: StatedContent, end: BodyEnd, chosen: &Chosen) -> bool {
         if self.boundary.is_event_due() {
             return true;
         }
         match end {
             BodyEnd::Declared => content != StatedContent::Other && self.boundary.is_inside_event(),
-            BodyEnd::Connection => self.boundary.events() == 0 || self.boundary.is_inside_event(),
+            BodyEnd::Connection => {
+                self.boundary.events() == 0
+                    || self.boundary.is_inside_event()
+                    || may_be_cut_by_exit(&self.attempts.state, chosen, end).await
+            }
         }
     }
 
