--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -325,19 +325,8 @@
                 Next::HungUp => return End::HungUp,
                 Next::HostStopping => return End::HostStopping,
                 Next::Chunk(Err(error)) => return End::broken(error, stall),
-                Next::Chunk(Ok(None)) if self.is_cut_short(content, body.end()) => {
-                    return End::broken(TargetError::truncated(), stall);
-                }
                 Next::Chunk(Ok(None)) => {
-                    let state = &self.attempts.state;
-                    if may_be_cut_by_exit(state, &slot.chosen, body.end()).await {
-                        return End::broken(TargetError::truncated(), stall);
-                    }
-                    self.cancel_next(&mut stall);
-                    self.attempts.record_completion(body.end());
-                    let rest = self.boundary.take_rest();
-                    let sent = self.send(rest).await;
-                    return if sent { End::Done } else { End::HungUp };
+                    return self.end(&slot.chosen, content, body.end(), stall).await;
                 }
                 Next::Chunk(Ok(Some(chunk))) => chunk,
             };
@@ -372,6 +361,25 @@
         }
     }
 
+    /// Ends a stream whose body has ended, if it is complete.
+    async fn end(
+        &mut self,
+        chosen: &Chosen,
+        content: StatedContent,
+        body_end: BodyEnd,
+        mut stall: Stall,
+    ) -> End {
+        let state = &self.attempts.state;
+        if self.is_cut_short(content, body_end) || may_be_cut_by_exit(state, chosen, body_end).await
+        {
+            return End::broken(TargetError::truncated(), stall);
+        }
+        self.cancel_next(&mut stall);
+        self.attempts.record_completion(body_end);
+        let rest = self.boundary.take_rest();
+        if self.send(rest).await { End::Done } else { End::HungUp }
+    }
+
     /// Returns whether a stream whose body has ended is incomplete.
     ///
     /// A target that stops inside an event may still end its chunks properly. If the end of the
