Leave dead targets also for one of which nothing is known

What callers would see, on the code just before this: requests and streams at two targets that are dead without a sign stayed there until their deadline (504), though a sound target was idle.

Cause: `SilentService` takes a target of which this host knows nothing for one like the others. If all that are known are silent, nothing was left for it, however long the silence lasted; only the host that holds the lease hears idle engines, by their reports, and no host hears idle targets of other services.

A silence longer than that of a sound target (2 s, as in `StopPlan` and the keep-alive limits) is none that a whole service recovers from, so that an unknown target is tried then. Shorter silences of a whole service still move nothing.

`G target_silence`: the table has the same cases with a silence of 1.2 s, and two with 2.5 s.

--- a/crates/lycheeford-policy/src/gateway/target_silence.rs
+++ b/crates/lycheeford-policy/src/gateway/target_silence.rs
@@ -4,6 +4,8 @@
 /// to count as better off. Targets that fall silent together are heard for the last time within a
 /// moment of each other.
 const HEARD_WITHIN_DIVISOR: u64 = 2;
+/// How long a sound target may be silent.
+const SILENCE_MS_MAX: u64 = 2_000;
 
 /// When this host last heard a target, and whether requests wait for it.
 ///
@@ -100,12 +102,13 @@
     }
 
     /// Returns whether the silent target may be left for one of which `next` is known.
-    pub fn may_leave_for(&self, next: Sign) -> bool {
+    pub fn may_leave_for(&self, next: Sign, silent_ms: u64) -> bool {
         match next {
             Sign::Heard => true,
             Sign::Silent => false,
-            // One of which nothing is known is likely to be like the others.
-            Sign::Unknown => self.heard > 0 || self.silent == 0,
+            // One of which nothing is known is likely to be like the others, unless these have been
+            // silent for longer than sound targets are.
+            Sign::Unknown => self.heard > 0 || self.silent == 0 || silent_ms > SILENCE_MS_MAX,
         }
     }
 }
--- a/crates/lycheeford-policy/src/gateway/target_table/silence.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/silence.rs
@@ -54,7 +54,7 @@
         };
         SilenceView {
             own: own.unwrap_or(Sign::Unknown),
-            not_better: others_with(&|sign| !known.may_leave_for(sign)),
+            not_better: others_with(&|sign| !known.may_leave_for(sign, silent_ms)),
             heard: others_with(&|sign| sign == Sign::Heard),
             others_heard_ms: others().filter_map(|target| target.silence.heard_age_ms(now)).min(),
         }
--- a/crates/lycheeford-policy/tests/gateway/target_silence.rs
+++ b/crates/lycheeford-policy/tests/gateway/target_silence.rs
@@ -10,6 +10,8 @@
 /// How long the silent target has been silent, and the time at which that is looked at.
 const SILENT_MS: u64 = 1_200;
 const NOW_MS: u64 = 10_000;
+/// Longer than a sound target is silent.
+const DEAD_MS: u64 = 2_500;
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
@@ -83,13 +85,19 @@
         ("unknown among silent ones", vec![Unknown, Silent], Unknown, false),
         ("unknown while another is heard", vec![Unknown, Silent, Heard], Unknown, true),
     ];
-    for (what, others, next, may_leave) in cases {
+    let may_leave_for = |others: &[Sign], next, silent_ms| {
         let mut service = SilentService::default();
         for sign in others {
-            service.count(sign);
+            service.count(*sign);
         }
-        assert_eq!(service.may_leave_for(next), may_leave, "{what}");
+        service.may_leave_for(next, silent_ms)
+    };
+    for (what, others, next, may_leave) in cases {
+        assert_eq!(may_leave_for(&others, next, SILENT_MS), may_leave, "{what}");
     }
+    let others = [Unknown, Silent];
+    assert!(may_leave_for(&others, Unknown, DEAD_MS), "the silent ones are dead");
+    assert!(!may_leave_for(&others, Silent, DEAD_MS), "it is as silent");
 }
 
 /// Eight targets with a stream each that pauses for 1.2 s, all of them or some, every 6 s: what a
