End a request that waits to go back to a target at its deadline

What callers would see: a stream whose first target was left and whose next one failed ended up to half a second after its deadline, and so did requests without an answer.

Cause: the pauses between two tries, and the wait for a retry in the budget, were 500 ms whatever time the request had left.

--- a/crates/lycheeford-gateway/src/request/silence.rs
+++ b/crates/lycheeford-gateway/src/request/silence.rs
@@ -107,9 +107,9 @@
         while self.may_go_back() {
             let excluded = self.beyond_attempts();
             let acquired = acquire_slot(&self.state, &self.admitted, self.ran, &excluded);
-            match timeout(RETRY_PAUSE, acquired).await {
+            match timeout(self.retry_pause(), acquired).await {
                 Ok(Ok(slot)) => return Ok(slot),
-                Ok(Err(_)) => task::sleep(RETRY_PAUSE).await,
+                Ok(Err(_)) => task::sleep(self.retry_pause()).await,
                 Err(_) => {}
             }
             self.admitted.recheck(&self.state)?;
@@ -132,10 +132,16 @@
             if !self.may_go_back() {
                 return false;
             }
-            task::sleep(RETRY_PAUSE).await;
+            task::sleep(self.retry_pause()).await;
         }
     }
 
+    /// Returns the pause before a retry, which ends with the time of the request.
+    fn retry_pause(&self) -> Duration {
+        let left_ms = self.admitted.final_at.since_ms(self.state.now());
+        RETRY_PAUSE.min(Duration::from_millis(left_ms))
+    }
+
     /// Records that a silent target was left for another one; it counts in `runs` already.
     pub(super) fn record_left(&mut self, chosen: &Chosen, next: &Chosen, silent_since: TimeMs) {
         let leave_if = LeaveIf::RequestIsSilent;
