List the hosts again soon while a starting host hasn't read them

Cause: a host is ready once it has read the list of hosts. 4 s after the start it reads the list every 5 or 20 s only, also if no list has succeeded yet. Now the interval of the start, 0.7 s, applies until one has.

The test failed before: "not ready 3.006085214s after" the store lists again (bound 3 s; the next list would have come after 5 s at this host, and after 20 s at most others).

--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -16,9 +16,9 @@
 const HOST_KIND: &str = "lycheeford-hosts";
 /// The pause before registration is retried.
 const REGISTER_PAUSE_MS: u64 = 150;
-/// The interval at which the list of hosts is read after this host's start.
+/// The interval at which the list of hosts is read after this host's start, and until it was read.
 const LIST_EARLY_MS: u64 = 700;
-/// How long after the start `LIST_EARLY_MS` applies.
+/// How long after the start `LIST_EARLY_MS` applies at least.
 const EARLY_MS: u64 = 4_000;
 /// The later intervals: the first for hosts that watch the store on behalf of others, the second
 /// for the rest.
@@ -94,7 +94,7 @@
             }
             Err(error) => warn!(state.log, "hosts_unlisted"; "error" => %error),
         }
-        let pause_ms = list_pause_ms(state, started_at);
+        let pause_ms = list_pause_ms(state, started_at, is_listed);
         if era_rises_within(state, era, pause_ms).await {
             warn!(state.log, "store_restored"; "era" => state.store_era(), "era_before" => era);
             // The copy may lack this host, and list others that are gone.
@@ -128,10 +128,10 @@
     }
 }
 
-fn list_pause_ms(state: &State, started_at: TimeMs) -> u64 {
+fn list_pause_ms(state: &State, started_at: TimeMs, is_listed: bool) -> u64 {
     let now = state.now();
     let holds_orders = state.orders().lease.held(now).is_some();
-    if now.since_ms(started_at) < EARLY_MS {
+    if !is_listed || now.since_ms(started_at) < EARLY_MS {
         LIST_EARLY_MS
     } else if holds_orders || state.membership().watches_declaration(now, &state.settings.host) {
         LIST_MS
