Pass a request on to another host only if its route allows one more target

Found in review, by reading: since requests may go back to a silent target that they left, can_retry is true without an attempt left. A cut-off host passed such a request on then, and the other host could choose one target more than the route allows (BUDGET).

--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -382,6 +382,11 @@
             && !self.is_suspect()
     }
 
+    /// Returns whether the request may run at one more target, which another host may choose.
+    pub(super) fn may_run_elsewhere(&self) -> bool {
+        self.may_repeat() && self.has_attempt_left()
+    }
+
     /// Returns whether the route allows one more target.
     pub(super) fn has_attempt_left(&self) -> bool {
         self.runs + self.at_targets < self.admitted.route.attempts_max
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -115,7 +115,7 @@
             // The host turned out to be cut off while it tried targets.
             Err(refusal)
                 if may_forward
-                    && (refusal.ran == Ran::NotRun || attempts.can_retry())
+                    && (refusal.ran == Ran::NotRun || attempts.may_run_elsewhere())
                     && self.state.is_cut_off() =>
             {
                 Box::pin(forward(attempts)).await
