--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -151,7 +151,7 @@
             let pending = if let Some(pending) = begun.take() {
                 pending
             } else {
-                if self.state.is_cut_off() && !self.admitted.request.is_forwarded {
+                if self.is_for_another_host() {
                     return Err(no_target());
                 }
                 let slot = self.slot_for_attempt().await?;
@@ -174,9 +174,8 @@
         resume_after: Option<&str>,
     ) -> Result<Option<StartedResponse>, Refusal> {
         match self.wait_for_answer(pending, resume_after).await {
-            Ok(started) if started.reply == Reply::Failed && self.wait_for_retry().await => {
-                Ok(None)
-            }
+            // An answer in hand is passed on rather than held until a retry may be taken.
+            Ok(started) if started.reply == Reply::Failed && self.take_retry() => Ok(None),
             Ok(started) => Ok(Some(started)),
             Err(attempt_error) => self.may_try_another(attempt_error).await.map(|()| None),
         }
@@ -382,6 +381,11 @@
             && !self.is_suspect()
     }
 
+    /// Returns whether this host reaches no target, so that another one has to serve the request.
+    pub(super) fn is_for_another_host(&self) -> bool {
+        self.state.is_cut_off() && !self.admitted.request.is_forwarded
+    }
+
     /// Returns whether the request may run at one more target, which another host may choose.
     pub(super) fn may_run_elsewhere(&self) -> bool {
         self.may_repeat() && self.has_attempt_left()
@@ -539,7 +543,7 @@
     }
 }
 
-fn no_target() -> Refusal {
+pub(super) fn no_target() -> Refusal {
     let message = "no target can be reached; retry soon";
     Refusal::not_run(RefusalCode::NoTarget, message, Some(RETRY_MS))
 }
--- a/crates/lycheeford-gateway/src/request/silence.rs
+++ b/crates/lycheeford-gateway/src/request/silence.rs
@@ -4,10 +4,12 @@
 
 use async_std::future::timeout;
 use async_std::task;
-use lycheeford_policy::{Chosen, Name, Ran, Refusal, Sign, SilenceView, TargetFailure, TimeMs};
+use lycheeford_policy::{
+    Chosen, Name, Ran, Refusal, RefusalCode, Sign, SilenceView, TargetFailure, TimeMs,
+};
 use slog::info;
 
-use super::attempt::{Attempts, PendingCall};
+use super::attempt::{Attempts, PendingCall, no_target};
 use super::slot::{Slot, acquire_slot};
 use crate::state::State;
 
@@ -108,18 +110,23 @@
             let excluded = self.beyond_attempts();
             let acquired = acquire_slot(&self.state, &self.admitted, self.ran, &excluded);
             match timeout(self.retry_pause(), acquired).await {
-                Ok(Ok(slot)) => return Ok(slot),
-                Ok(Err(_)) => task::sleep(self.retry_pause()).await,
+                Ok(Err(refusal)) if refusal.code != RefusalCode::HostStopping => {
+                    task::sleep(self.retry_pause()).await;
+                }
+                Ok(acquired) => return acquired,
                 Err(_) => {}
             }
             self.admitted.recheck(&self.state)?;
         }
+        if self.is_for_another_host() {
+            return Err(no_target());
+        }
         acquire_slot(&self.state, &self.admitted, self.ran, &[]).await
     }
 
     /// Returns whether a target that was left may go on with the request.
     pub(super) fn may_go_back(&self) -> bool {
-        !self.left.is_empty() && self.may_repeat()
+        !self.left.is_empty() && self.may_repeat() && !self.is_for_another_host()
     }
 
     /// Takes a retry like [`Attempts::take_retry`]; waits for one in the budget if a target that
