Log a stream that a stop cuts while its rest is requested

Found in review, by reading: a moved stream that waited for its next target when the grace of its host was over ended with the process, without a last log line and uncounted. It is cut as one of a stopping host now. No test of its own.

--- a/crates/lycheeford-gateway/src/request/relay.rs
+++ b/crates/lycheeford-gateway/src/request/relay.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -242,26 +243,31 @@
     /// Requests the rest of the stream from another target.
     async fn send_rest(&mut self, begun: Option<PendingCall>) -> Option<StartedResponse> {
         let resume_after = self.resume_after.clone();
+        let state = Arc::clone(&self.attempts.state);
         let sending = async {
             let resume_after = resume_after.as_deref();
-            Some(match begun {
+            Ok(match begun {
                 Some(pending) => self.attempts.go_on_with(pending, resume_after).await,
                 None => self.attempts.send(resume_after).await,
             })
         };
         let hung_up = async {
             self.sender.caller_disconnected().await;
-            None
+            Err(Cut::CallerLeft)
         };
-        match sending.race(hung_up).await {
-            Some(Ok(resumed)) => Some(resumed),
-            Some(Err(refusal)) => {
+        let host_stopping = async {
+            state.ending.triggered().await;
+            Err(Cut::HostStopping)
+        };
+        match sending.race(hung_up).race(host_stopping).await {
+            Ok(Ok(resumed)) => Some(resumed),
+            Ok(Err(refusal)) => {
                 self.log_cut(&format!("no other target can resume: {}", refusal.message), "");
                 self.cut(Cut::NoOtherTarget, "");
                 None
             }
-            None => {
-                self.cut(Cut::CallerLeft, "");
+            Err(cut) => {
+                self.cut(cut, "");
                 None
             }
         }
