--- a/crates/lycheeford-policy/src/gateway/target_silence.rs
+++ b/crates/lycheeford-policy/src/gateway/target_silence.rs
@@ -1,11 +1,10 @@
 use crate::TimeMs;
+use crate::stop_plan::SILENCE_MS_MAX;
 
 /// Divides the silence of a target to get the time within which another one must have been heard
 /// to count as better off. Targets that fall silent together are heard for the last time within a
 /// moment of each other.
 const HEARD_WITHIN_DIVISOR: u64 = 2;
-/// How long a sound target may be silent.
-const SILENCE_MS_MAX: u64 = 2_000;
 
 /// When this host last heard a target, and whether requests wait for it.
 ///
--- a/crates/lycheeford-policy/src/stop_plan.rs
+++ b/crates/lycheeford-policy/src/stop_plan.rs
@@ -7,7 +7,7 @@
 /// Most callers that send a request so early don't know of the stop yet.
 const EARLY_MS: u64 = 2_500;
 /// How long a sound target may be silent in the middle of a request.
-const SILENCE_MS_MAX: u64 = 2_000;
+pub(crate) const SILENCE_MS_MAX: u64 = 2_000;
 
 /// The time that a stopping host has, and the times that its shutdown steps need.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
