--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Reads the head of a request, or returns `None` if the connection ends before it begins.
+    pub fn request_head(&mut self) -> io::Result<Option<HeadOnly>> {
+        let Some(lines) = self.head()? else { return Ok(None) };
+        let mut words = lines[0].split(' ');
+        let method = words.next().unwrap_or_default().to_owned();
+        let target = words.next().unwrap_or_default().to_owned();
+        Ok(Some(HeadOnly { method, target, headers: headers(&lines) }))
+    }
+
     /// Reads the body that the headers declare.
     pub fn body(&mut self, headers: &[(String, String)]) -> io::Result<Vec<u8>> {
         if header(headers, "transfer-encoding").is_some() {
@@ -174,11 +183,7 @@
             let handler = Arc::clone(&handler);
             thread::spawn(move || {
                 let mut connection = Connection::new(stream);
-                while let Ok(Some(lines)) = connection.head() {
-                    let mut words = lines[0].split(' ');
-                    let method = words.next().unwrap_or_default().to_owned();
-                    let target = words.next().unwrap_or_default().to_owned();
-                    let head = HeadOnly { method, target, headers: headers(&lines) };
+                while let Ok(Some(head)) = connection.request_head() {
                     if !matches!(handler(&mut connection, head), Ok(true)) {
                         return;
                     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod http;
 mod memory;
+mod poison;
 mod record;
 mod store;
 
@@ -18,6 +19,7 @@
     let record = std::env::args().nth(2).unwrap_or_default();
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match scenario.as_str() {
+        "poison" => poison::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
         _ => NOT_RUN,
     };
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -40,6 +40,17 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes an object as the workers do.
+    pub fn delete(&self, kind: &str, name: &str) {
+        let mut objects = self.shared.0.lock().unwrap();
+        objects.revision += 1;
+        let revision = objects.revision;
+        objects.stored.retain(|stored| stored.0 != kind || stored.1 != name);
+        objects.changes.push((kind.to_owned(), name.to_owned(), revision, None));
+        drop(objects);
+        self.shared.1.notify_all();
+    }
+
     fn handle(&self, connection: &mut Connection, head: HeadOnly) -> io::Result<bool> {
         let received = http::receive(connection, head)?;
         let path: Vec<String> = received.path().split('/').skip(3).map(decode).collect();
