--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod poison;
 mod record;
 mod store;
+mod streams;
 
 use std::process::exit;
 
@@ -20,6 +21,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match scenario.as_str() {
         "poison" => poison::run(&record, has_trouble),
+        "streams" => streams::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
         _ => NOT_RUN,
     };
