--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,7 +16,6 @@
 pub struct Gateway {
     pub ip: String,
     pub child: Child,
-    settings: PathBuf,
 }
 
 /// Returns a loopback address that no other run of the scripts uses at the same time.
@@ -96,7 +95,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the program is built");
-        Gateway { ip, child, settings }
+        Gateway { ip, child }
     }
 
     pub fn front(&self) -> SocketAddr {
@@ -118,6 +117,13 @@
         false
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        const SIGTERM: i32 = 15;
+        // SAFETY: the process is a child that hasn't been waited for.
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+    }
+
     /// Returns the resident memory of the process in bytes, or `None` if it has ended.
     pub fn memory_bytes(&mut self) -> Option<u64> {
         if !matches!(self.child.try_wait(), Ok(None)) {
@@ -133,12 +139,12 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = fs::remove_file(&self.settings);
     }
 }
 
 unsafe extern "C" {
     fn sysconf(name: i32) -> i64;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// The size of a memory page, which differs between machines.
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -1,4 +1,4 @@
-//! Streams that their callers take up again after all gateways were killed.
+//! Streams that their callers take up again after all gateways were restarted in turn.
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -23,6 +23,9 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(250);
 /// As the longest deadline of the site's table.
 const DEADLINE: Duration = Duration::from_millis(11_000);
+/// `GraceS`.
+const GRACE: Duration = Duration::from_secs(8);
+const UPTIME: Duration = Duration::from_secs(33);
 const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
 
 static LAST_ID: AtomicU64 = AtomicU64::new(0);
@@ -32,7 +35,8 @@
     first_attempt: String,
     started_at: Instant,
     last_event: Option<u64>,
-    gateway: usize,
+    /// Which of the other gateways takes it up.
+    is_even: bool,
 }
 
 /// How an attempt to read a stream ended.
@@ -66,52 +70,49 @@
     }
     store.put("config", "main", CONFIGURATION);
     let ips: Vec<String> = (1..=GATEWAYS).map(loopback).collect();
-    let start_all = || -> Vec<Gateway> {
-        (1..=GATEWAYS).map(|number| Gateway::start(number, folder, store.address, &ips)).collect()
-    };
-    let mut gateways = start_all();
+    let start_one = |number: u32| Gateway::start(number, folder, store.address, &ips);
+    let mut gateways: Vec<Gateway> = (1..=GATEWAYS).map(start_one).collect();
     if !gateways.iter().all(Gateway::wait_ready) {
         record.note("a gateway wasn't ready");
         return NOT_RUN;
     }
-    thread::sleep(STABLE_WINDOW + Duration::from_millis(500));
+    // The gateways have run for longer than they remember streams.
+    thread::sleep(UPTIME);
+    if has_trouble {
+        for number in 0..GATEWAYS as usize - 1 {
+            if !restart(&mut gateways, number, &start_one, record) {
+                return NOT_RUN;
+            }
+        }
+        thread::sleep(STABLE_WINDOW);
+    }
     let fronts: Vec<SocketAddr> = gateways.iter().map(Gateway::front).collect();
-    // Callers without trouble break their streams off by themselves at the same moment.
-    let broken_at = Instant::now() + Duration::from_secs(2);
+    // All streams begin at the last gateway. Callers without trouble break them off by themselves
+    // when that gateway would.
+    let last = GATEWAYS as usize - 1;
+    let broken_at = Instant::now() + Duration::from_millis(8_000);
     let mut callers = Vec::new();
-    for number in 0..STREAMS {
-        let (record, fronts) = (record.clone(), fronts.clone());
-        callers.push(thread::spawn(move || begin(number, &fronts, broken_at, has_trouble, &record)));
+    for _ in 0..STREAMS {
+        let (record, front) = (record.clone(), fronts[last]);
+        callers.push(thread::spawn(move || begin(front, broken_at, has_trouble, &record)));
     }
-    thread::sleep(broken_at.saturating_duration_since(Instant::now()));
+    thread::sleep(Duration::from_millis(400));
     if has_trouble {
-        record.note("all gateways are killed at the same moment");
-        for gateway in &mut gateways {
-            let _ = gateway.child.kill();
-        }
-        drop(gateways);
-        thread::sleep(Duration::from_millis(500));
-        gateways = start_all();
-        if !gateways.iter().all(Gateway::wait_ready) {
-            record.note("a gateway wasn't ready again");
-            return NOT_RUN;
-        }
-        record.note("all gateways are ready again");
+        record.note("the last gateway gets SIGTERM");
+        gateways[last].terminate();
     }
     let streams: Vec<Stream> = callers.into_iter().filter_map(|caller| caller.join().ok()).collect();
-    // The machines are in touch again.
-    thread::sleep(STABLE_WINDOW + Duration::from_millis(300));
     let begun: Vec<Stream> = streams.into_iter().filter(|one| one.last_event.is_some()).collect();
     let taking_up = begun.into_iter().map(|stream| {
-        let (record, fronts) = (record.clone(), fronts.clone());
-        thread::spawn(move || take_up(&stream, &fronts, &record))
+        let (record, front) = (record.clone(), fronts[usize::from(stream.is_even)]);
+        thread::spawn(move || take_up(&stream, front, &record))
     });
     let taking_up: Vec<_> = taking_up.collect();
     let starting: Vec<_> = (0..STREAMS)
         .map(|number| {
-            let (record, fronts) = (record.clone(), fronts.clone());
+            let (record, front) = (record.clone(), fronts[number as usize % last]);
             let until = Instant::now() + Duration::from_secs(2);
-            thread::spawn(move || begin(number, &fronts, until, false, &record))
+            thread::spawn(move || begin(front, until, false, &record))
         })
         .collect();
     let count = |threads: Vec<thread::JoinHandle<bool>>| -> (usize, usize) {
@@ -133,40 +134,55 @@
     if going_share < begin_share / 2.0 { BROKEN } else { HELD }
 }
 
-/// Begins a stream and reads it until its connection breaks, or until the caller breaks it off.
-fn begin(
-    number: u64,
-    fronts: &[SocketAddr],
-    until: Instant,
-    reads_on: bool,
+/// Stops a gateway as the platform does and starts it again; returns whether it is ready in time.
+fn restart(
+    gateways: &mut [Gateway],
+    number: usize,
+    start_one: &impl Fn(u32) -> Gateway,
     record: &Record,
-) -> Stream {
-    let gateway = number as usize % fronts.len();
-    let attempt = format!("{:016x}", LAST_ID.fetch_add(1, Ordering::SeqCst) + 1);
+) -> bool {
+    record.note(&format!("gateway {} gets SIGTERM", gateways[number].ip));
+    gateways[number].terminate();
+    let asked_at = Instant::now();
+    while matches!(gateways[number].child.try_wait(), Ok(None)) {
+        if asked_at.elapsed() > GRACE {
+            let _ = gateways[number].child.kill();
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    gateways[number] = start_one(number as u32 + 1);
+    let is_ready = gateways[number].wait_ready();
+    record.note(&format!("gateway {} was started again, ready: {is_ready}", gateways[number].ip));
+    is_ready
+}
+
+/// Begins a stream and reads it until its connection breaks, or until the caller breaks it off.
+fn begin(front: SocketAddr, until: Instant, reads_on: bool, record: &Record) -> Stream {
+    let number = LAST_ID.fetch_add(1, Ordering::SeqCst) + 1;
+    let attempt = format!("{number:016x}");
     let started_at = Instant::now();
     let until = if reads_on { started_at + DEADLINE } else { until };
-    let reading = read(fronts[gateway], &attempt, DEADLINE, "", until);
+    let reading = read(front, &attempt, DEADLINE, "", until);
     let last_event = reading.events.last().copied();
     record.note(&format!(
-        "{attempt} at {} got {:?} and events up to {last_event:?}",
-        fronts[gateway], reading.status
+        "{attempt} at {front} got {:?} and events up to {last_event:?}",
+        reading.status
     ));
-    Stream { first_attempt: attempt, started_at, last_event, gateway }
+    Stream { first_attempt: attempt, started_at, last_event, is_even: number % 2 == 0 }
 }
 
-/// Takes a stream up again at the next gateway; returns whether it goes on.
-fn take_up(stream: &Stream, fronts: &[SocketAddr], record: &Record) -> bool {
+/// Takes a stream up again at another gateway; returns whether it goes on.
+fn take_up(stream: &Stream, front: SocketAddr, record: &Record) -> bool {
     let Some(last_event) = stream.last_event else { return false };
-    let gateway = (stream.gateway + 1) % fronts.len();
     let attempt = format!("{:016x}", LAST_ID.fetch_add(1, Ordering::SeqCst) + 1);
     let left = DEADLINE.saturating_sub(stream.started_at.elapsed());
     let headers =
         format!("last-event-id: {last_event}\r\nresumes: {}\r\n", stream.first_attempt);
     let until = Instant::now() + Duration::from_millis(1_500).min(left);
-    let reading = read(fronts[gateway], &attempt, left, &headers, until);
+    let reading = read(front, &attempt, left, &headers, until);
     record.note(&format!(
-        "{attempt} takes {} up after event {last_event} at {}, {} ms left: {:?}, events {:?}",
-        stream.first_attempt, fronts[gateway], left.as_millis(), reading.status, reading.events
+        "{attempt} takes {} up after event {last_event} at {front}, {} ms left: {:?}, events {:?}",
+        stream.first_attempt, left.as_millis(), reading.status, reading.events
     ));
     reading.status == Some(200) && reading.events.first() == Some(&(last_event + 1))
 }
