--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod record;
 mod store;
 mod streams;
+mod versions;
 
 use std::process::exit;
 
@@ -22,6 +23,7 @@
     let code = match scenario.as_str() {
         "poison" => poison::run(&record, has_trouble),
         "streams" => streams::run(&record, has_trouble),
+        "versions" => versions::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
         _ => NOT_RUN,
     };
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -22,7 +22,7 @@
 const EVENTS: u64 = 40;
 const EVENT_PAUSE: Duration = Duration::from_millis(250);
 /// As the longest deadline of the site's table.
-const DEADLINE: Duration = Duration::from_millis(11_000);
+pub const DEADLINE: Duration = Duration::from_millis(11_000);
 /// `GraceS`.
 const GRACE: Duration = Duration::from_secs(8);
 const UPTIME: Duration = Duration::from_secs(33);
@@ -40,9 +40,9 @@
 }
 
 /// How an attempt to read a stream ended.
-struct Reading {
-    status: Option<u16>,
-    events: Vec<u64>,
+pub struct Reading {
+    pub status: Option<u16>,
+    pub events: Vec<u64>,
 }
 
 pub fn run(record_path: &str, has_trouble: bool) -> i32 {
@@ -162,7 +162,7 @@
     let attempt = format!("{number:016x}");
     let started_at = Instant::now();
     let until = if reads_on { started_at + DEADLINE } else { until };
-    let reading = read(front, &attempt, DEADLINE, "", until);
+    let reading = read(front, &attempt, "m1", DEADLINE, "", until);
     let last_event = reading.events.last().copied();
     record.note(&format!(
         "{attempt} at {front} got {:?} and events up to {last_event:?}",
@@ -179,7 +179,7 @@
     let headers =
         format!("last-event-id: {last_event}\r\nresumes: {}\r\n", stream.first_attempt);
     let until = Instant::now() + Duration::from_millis(1_500).min(left);
-    let reading = read(front, &attempt, left, &headers, until);
+    let reading = read(front, &attempt, "m1", left, &headers, until);
     record.note(&format!(
         "{attempt} takes {} up after event {last_event} at {front}, {} ms left: {:?}, events {:?}",
         stream.first_attempt, left.as_millis(), reading.status, reading.events
@@ -187,9 +187,10 @@
     reading.status == Some(200) && reading.events.first() == Some(&(last_event + 1))
 }
 
-fn read(
+pub fn read(
     front: SocketAddr,
     attempt: &str,
+    model: &str,
     deadline: Duration,
     headers: &str,
     until: Instant,
@@ -197,7 +198,7 @@
     let mut reading = Reading { status: None, events: Vec::new() };
     let Ok(mut stream) = TcpStream::connect(front) else { return reading };
     let head = format!(
-        "POST /brief/1 HTTP/1.1\r\nhost: site.example\r\nattempt-id: {attempt}\r\ncredential: k3y-of-the-office\r\nmodel: m1\r\ntoken-count: 600,200\r\nprompt-prefix: aa:150,{attempt}:450\r\n{headers}deadline-ms: {}\r\ncontent-length: 5\r\n\r\nbrief",
+        "POST /brief/1 HTTP/1.1\r\nhost: site.example\r\nattempt-id: {attempt}\r\ncredential: k3y-of-the-office\r\nmodel: {model}\r\ntoken-count: 600,200\r\nprompt-prefix: aa:150,{attempt}:450\r\n{headers}deadline-ms: {}\r\ncontent-length: 5\r\n\r\nbrief",
         deadline.as_millis()
     );
     let _ = stream.write_all(head.as_bytes());
