Keep the versions that serve in the store, so that streams go on after a restart of all hosts

Cause: which versions have served is known from a process's own uptime alone. A host that has run for less than 30 s reports `Recent`; if all do, nobody knows the version, and the host of the stream had told nobody of it, since it had known a single version for long enough.

Change: the holder of the lease on orders stores the versions at which streams may have begun that can still be resumed (`lycheeford-versions`/`services`), and writes only changes. A host reads them before it takes requests. The first holder in the life of a store knows that nobody served before, so the record exists from the start of a fleet.

Why this works: the record covers the lives of all earlier hosts, and lists a version for as long as a stream that it began may last, so a single stored and listed version began every stream. With several, the request is refused as before.

Ruled out: telling all streams to other hosts, since a rolling restart takes those hosts, too.

--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use async_std::task;
-use futures_util::future::join;
+use futures_util::future::{join, join3};
 use lycheeford_platform::{Category, Expect, Listing, Object, PlatformError, UnreadableValue};
 use lycheeford_policy::{HostRecord, Name, TimeMs, build_name};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
 use super::stored_suspects::{keep_stored_suspects, read_stored_suspects};
+use super::stored_versions::{keep_stored_versions, read_stored_versions};
 use crate::state::State;
 
 /// The kind of the objects by which hosts discover each other.
@@ -60,10 +61,12 @@
 
 /// Registers this host, discovers the others and deletes the objects of dead hosts.
 pub(crate) async fn maintain_hosts(state: Arc<State>) {
-    let stored = read_stored_suspects(&state).await;
+    let reads = join(read_stored_suspects(&state), read_stored_versions(&state));
+    let (suspects, versions) = reads.await;
     let era = state.store_era();
-    let suspects = keep_stored_suspects(Arc::clone(&state), stored, era);
-    join(suspects, list_hosts(&state, era)).await;
+    let suspects = keep_stored_suspects(Arc::clone(&state), suspects, era);
+    let versions = keep_stored_versions(Arc::clone(&state), versions);
+    join3(suspects, versions, list_hosts(&state, era)).await;
 }
 
 /// Registers this host, and lists the others from then on.
--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -6,7 +6,8 @@
 //! host that grants them (`limits`). The models that requests wait for are reported directly to the
 //! lease holder (`demand`). The software versions that began streams are told to a few hosts, which
 //! are asked when a caller resumes a stream elsewhere (`streams`). Hosts discover each other by a list in the store (`hosts`), which also
-//! keeps the prompt parts that crash targets (`stored_suspects`).
+//! keeps the prompt parts that crash targets (`stored_suspects`) and the software versions that
+//! serve (`stored_versions`).
 
 mod demand;
 mod exchange;
@@ -15,6 +16,7 @@
 mod report;
 mod send;
 mod stored_suspects;
+mod stored_versions;
 mod streams;
 mod table;
 #[cfg(test)]
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -108,7 +108,8 @@
 pub use self::stated_content::StatedContent;
 pub use self::store_absence::StoreAbsence;
 pub use self::stream_versions::{
-    StreamKey, StreamVersion, StreamVersions, VersionKnowledge, combine_knowledge, stream_keepers,
+    ServiceVersions, StreamKey, StreamVersion, StreamVersions, VersionKnowledge, combine_knowledge,
+    stream_keepers,
 };
 pub use self::swap_planner::{
     EngineOperation, EngineView, ModelDemand, ResidentView, SwapAction, SwapOrder, SwapPlan,
--- a/crates/lycheeford-policy/src/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/src/gateway/order_lease.rs
@@ -110,8 +110,18 @@
     era: u64,
     /// Whether this host held the lease when the era began.
     holds_across_eras: bool,
-    /// Whether the first read showed that the lease had existed for only a short time.
-    was_new_fleet: bool,
+    fleet_start: FleetStart,
+}
+
+/// When the fleet started, as far as the lease shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FleetStart {
+    /// The lease is old, or hasn't been read yet.
+    Earlier,
+    /// The first read showed that the lease had existed for only a short time.
+    WithThisHost,
+    /// This host wrote the first lease that the store has ever held.
+    ThisHostIsFirst,
 }
 
 /// The record as last observed.
@@ -146,7 +156,7 @@
             is_record_uncertain: false,
             era: StoreVersion::FIRST_ERA,
             holds_across_eras: false,
-            was_new_fleet: false,
+            fleet_start: FleetStart::Earlier,
         }
     }
 
@@ -189,7 +199,13 @@
     /// The record outlives every host, so it distinguishes a new fleet from a fleet that was
     /// restarted as a whole.
     pub fn began_with_fleet(&self) -> bool {
-        self.was_new_fleet
+        self.fleet_start != FleetStart::Earlier
+    }
+
+    /// Returns whether this host wrote the first lease that the store has ever held, so that no host
+    /// of an earlier fleet can have served.
+    pub fn is_first_holder(&self) -> bool {
+        self.fleet_start == FleetStart::ThisHostIsFirst
     }
 
     /// Returns the next operation on the store; `rank` is this host's position among those that
@@ -248,7 +264,8 @@
         self.is_record_uncertain = false;
         if self.seen.is_none() && self.held.is_none() {
             let renewals = record.as_ref().map_or(0, |(_, record)| record.renewals);
-            self.was_new_fleet = renewals <= NEW_FLEET_RENEWALS_MAX;
+            let is_new = renewals <= NEW_FLEET_RENEWALS_MAX;
+            self.fleet_start = if is_new { FleetStart::WithThisHost } else { FleetStart::Earlier };
         }
         let is_own_incarnation = |record: &LeaseRecord| {
             record.holder == self.own_host && record.incarnation == self.incarnation
@@ -299,6 +316,10 @@
             held.renewals = held.renewals.wrapping_add(1);
             return;
         }
+        // A store that was restored from a copy may have lost an earlier lease.
+        if self.era == StoreVersion::FIRST_ERA && self.seen_record().is_none() {
+            self.fleet_start = FleetStart::ThisHostIsFirst;
+        }
         let renewals = self.seen_record().map_or(0, |record| record.renewals).wrapping_add(1);
         self.orders_safe_from = self.orders_safe_from.max(self.orders_safe_after_seen());
         self.held = Some(Held { token: revision, revision, renewed_at: began_at, renewals });
--- a/crates/lycheeford-policy/src/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/src/gateway/stream_versions.rs
@@ -29,6 +29,15 @@
     pub version: ShortKey,
 }
 
+/// The versions of a service at which a stream may have begun that can still be resumed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceVersions {
+    /// Name of the service.
+    pub service: Name,
+    /// Keys of the versions, sorted.
+    pub versions: Vec<ShortKey>,
+}
+
 /// What one host knows about the version that began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionKnowledge {
@@ -39,7 +48,7 @@
     Sole(ShortKey),
     /// The stream is unknown, and the service has had several versions.
     Several,
-    /// The host started too recently to exclude other versions.
+    /// The host started too recently to exclude other versions, and has no stored history.
     Recent,
 }
 
@@ -49,7 +58,11 @@
 /// version that began it. A caller can resume a stream at any host, also after the host that began
 /// it has died. Therefore each host tells the version of each stream to the few hosts that every
 /// host computes with [`stream_keepers`], unless the service has had one version alone for as long
-/// as a stream may last. See docs/DESIGN.md.
+/// as a stream may last.
+///
+/// A host that has just started can't know which versions served before. The versions of the whole
+/// fleet are therefore stored ([`StreamVersions::history`]), so that a restart of all hosts doesn't
+/// lose them. See docs/DESIGN.md.
 ///
 /// ```
 /// use lycheeford_policy::{ShortKey, StreamKey, StreamVersions, TimeMs, VersionKnowledge};
@@ -69,6 +82,8 @@
 pub struct StreamVersions {
     started_at: TimeMs,
     retention_ms: u64,
+    /// Whether `serving` covers the time before this host started.
+    has_earlier_history: bool,
     /// Sorted by stream.
     streams: Vec<Record>,
     /// Sorted by service and version.
@@ -92,6 +107,7 @@
         StreamVersions {
             started_at: now,
             retention_ms: StreamVersions::RETENTION_MS_MIN,
+            has_earlier_history: false,
             streams: Vec::new(),
             serving: Vec::new(),
         }
@@ -121,6 +137,46 @@
         }
     }
 
+    /// Adds the versions that served before this host started, as stored by an earlier lease holder.
+    ///
+    /// Each one counts as serving until `now`, since it isn't known how long ago it was last listed.
+    pub fn add_earlier(&mut self, now: TimeMs, earlier: &[ServiceVersions]) {
+        for ServiceVersions { service, versions } in earlier {
+            for version in versions {
+                self.record_serving(now, service, *version);
+            }
+        }
+        self.has_earlier_history = true;
+    }
+
+    /// Records that no host of the fleet ran before this one, so that no stream can have begun at a
+    /// version that this host doesn't know.
+    pub fn is_first_of_fleet(&mut self) {
+        self.has_earlier_history = true;
+    }
+
+    /// Returns the versions of each service at which a stream may have begun that can still be
+    /// resumed, sorted by service; `None` if this host can't know all of them.
+    pub fn history(&self, now: TimeMs) -> Option<Vec<ServiceVersions>> {
+        if !self.knows_history(now) {
+            return None;
+        }
+        let mut history: Vec<ServiceVersions> = Vec::new();
+        let is_retained = |at: TimeMs| now.since_ms(at) < self.retention_ms;
+        for (service, version, _) in self.serving.iter().filter(|(_, _, at)| is_retained(*at)) {
+            match history.last_mut().filter(|last| last.service == *service) {
+                Some(last) => last.versions.push(*version),
+                None => history
+                    .push(ServiceVersions { service: service.clone(), versions: vec![*version] }),
+            }
+        }
+        Some(history)
+    }
+
+    fn knows_history(&self, now: TimeMs) -> bool {
+        self.has_earlier_history || now.since_ms(self.started_at) >= self.retention_ms
+    }
+
     /// Records the version that began a stream.
     pub fn record_stream(&mut self, now: TimeMs, stream: StreamKey, version: ShortKey) {
         let record = Record { known: StreamVersion { stream, version }, at: now };
@@ -140,9 +196,7 @@
         let mut versions = self.versions(now, service);
         match (versions.next(), versions.next()) {
             (Some(_), Some(_)) => VersionKnowledge::Several,
-            (Some(version), None) if now.since_ms(self.started_at) >= self.retention_ms => {
-                VersionKnowledge::Sole(version)
-            }
+            (Some(version), None) if self.knows_history(now) => VersionKnowledge::Sole(version),
             _ => VersionKnowledge::Recent,
         }
     }
@@ -155,8 +209,7 @@
 
     /// Returns whether other hosts must be told the versions of the streams of a service.
     pub fn must_tell(&self, now: TimeMs, service: &Name, version: ShortKey) -> bool {
-        let is_recent = now.since_ms(self.started_at) < self.retention_ms;
-        is_recent || self.versions(now, service).any(|other| other != version)
+        !self.knows_history(now) || self.versions(now, service).any(|other| other != version)
     }
 
     /// Returns all streams whose version is known.
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -87,13 +87,13 @@
     PermitAnswer, PermitAsk, PermitGranter, PermitRank, PlacementLog, RateUnit, RatedCustomer,
     ReportDifference, ReportLayout, ReportPace, ReportedLease, ReportedPlacement, Residency,
     ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes, RunningAt, Scope, Selection,
-    ServiceRoute, Settling, SharedBucket, SharedWatch, ShortKey, Sign, SilenceView, SilentService,
-    StatedContent, StoreAbsence, StreamKey, StreamVersion, StreamVersions, Sums, SwapAction,
-    SwapOrder, SwapPlan, SwapPlanner, Target, TargetBelief, TargetChange, TargetChangeBatch,
-    TargetEntry, TargetFailure, TargetHealth, TargetLife, TargetLog, TargetReach,
-    TargetRequirements, TargetService, TargetSilence, TargetState, TargetTable, TargetUse,
-    UnstatedEnds, VersionKnowledge, WaitQueue, Waiting, WantedName, WeightedService,
-    combine_knowledge, permit_granter, stream_keepers,
+    ServiceRoute, ServiceVersions, Settling, SharedBucket, SharedWatch, ShortKey, Sign,
+    SilenceView, SilentService, StatedContent, StoreAbsence, StreamKey, StreamVersion,
+    StreamVersions, Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetBelief,
+    TargetChange, TargetChangeBatch, TargetEntry, TargetFailure, TargetHealth, TargetLife,
+    TargetLog, TargetReach, TargetRequirements, TargetService, TargetSilence, TargetState,
+    TargetTable, TargetUse, UnstatedEnds, VersionKnowledge, WaitQueue, Waiting, WantedName,
+    WeightedService, combine_knowledge, permit_granter, stream_keepers,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/tests/gateway/order_lease.rs
@@ -70,6 +70,7 @@
     let (mut lease, mut store) = (OrderLease::new(name("a"), 1, LEASE_MS), Store::default());
     hold_until(&mut lease, &mut store, 0, 400);
     assert_eq!(lease.token(at(400)), Some(1));
+    assert!(lease.is_first_holder());
 }
 
 #[test]
@@ -111,6 +112,7 @@
     let mut restarted = OrderLease::new(name("a"), 2, LEASE_MS);
     hold_until(&mut restarted, &mut store, 1_600, 1_800);
     assert!(restarted.token(at(1_800)).unwrap() > token);
+    assert!(first.is_first_holder() && !restarted.is_first_holder());
 }
 
 #[test]
--- a/crates/lycheeford-policy/tests/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/tests/gateway/stream_versions.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use lycheeford_policy::{
-    HostRecord, Name, ShortKey, StreamKey, StreamVersions, VersionKnowledge, combine_knowledge,
-    stream_keepers,
+    HostRecord, Name, ServiceVersions, ShortKey, StreamKey, StreamVersions, VersionKnowledge,
+    combine_knowledge, stream_keepers,
 };
 
 use crate::world::{at, name};
@@ -90,6 +90,90 @@
     assert_eq!(streams.streams().count(), 0);
 }
 
+struct EarlierCase {
+    what: &'static str,
+    earlier: Option<Vec<ShortKey>>,
+    listed: ShortKey,
+    knowledge: VersionKnowledge,
+    /// The versions that this host would store.
+    history: Option<Vec<ShortKey>>,
+}
+
+/// Guards against a fleet that forgets with a restart of all hosts which versions served before.
+#[test]
+fn a_host_that_has_just_started_knows_the_stored_versions() {
+    let cases = [
+        EarlierCase {
+            what: "nothing is stored",
+            earlier: None,
+            listed: old(),
+            knowledge: VersionKnowledge::Recent,
+            history: None,
+        },
+        EarlierCase {
+            what: "the version that is listed was the only one",
+            earlier: Some(vec![old()]),
+            listed: old(),
+            knowledge: VersionKnowledge::Sole(old()),
+            history: Some(vec![old()]),
+        },
+        EarlierCase {
+            what: "another version was listed",
+            earlier: Some(vec![old()]),
+            listed: new(),
+            knowledge: VersionKnowledge::Several,
+            history: Some(vec![old(), new()]),
+        },
+        EarlierCase {
+            what: "one of two versions is gone",
+            earlier: Some(vec![old(), new()]),
+            listed: new(),
+            knowledge: VersionKnowledge::Several,
+            history: Some(vec![old(), new()]),
+        },
+    ];
+    let (service, stream) = (name("models"), StreamKey::of("stream"));
+    for case in cases {
+        let mut streams = StreamVersions::new(at(1_000));
+        if let Some(versions) = case.earlier {
+            let earlier = ServiceVersions { service: service.clone(), versions };
+            streams.add_earlier(at(1_000), &[earlier]);
+        }
+        streams.record_serving(at(1_100), &service, case.listed);
+        let what = case.what;
+        assert_eq!(streams.knowledge(at(1_200), &service, stream), case.knowledge, "{what}");
+        let history = streams.history(at(1_200)).map(|services| match &services[..] {
+            [service] => sorted(&service.versions),
+            _ => panic!("{what}: {services:?}"),
+        });
+        assert_eq!(history, case.history.as_deref().map(sorted), "{what}");
+        // What served before counts for as long as a stream may last.
+        let later = at(1_000 + RETENTION_MS);
+        streams.record_serving(later, &service, case.listed);
+        streams.expire(later);
+        let knowledge = streams.knowledge(later, &service, stream);
+        assert_eq!(knowledge, VersionKnowledge::Sole(case.listed), "{what}");
+    }
+}
+
+fn sorted(versions: &[ShortKey]) -> Vec<ShortKey> {
+    let mut versions = versions.to_vec();
+    versions.sort();
+    versions
+}
+
+#[test]
+fn the_first_host_of_a_fleet_knows_all_versions() {
+    let service = name("models");
+    let mut streams = StreamVersions::new(at(0));
+    streams.is_first_of_fleet();
+    streams.record_serving(at(10), &service, old());
+    let knowledge = streams.knowledge(at(20), &service, StreamKey::of("stream"));
+    assert_eq!(knowledge, VersionKnowledge::Sole(old()));
+    assert!(!streams.must_tell(at(20), &service, old()));
+    assert!(streams.must_tell(at(20), &service, new()));
+}
+
 #[test]
 fn the_version_that_began_a_stream_never_changes() {
     let mut streams = StreamVersions::new(at(0));
