Add the order of requests that compete for a resource that is short

`Claim` orders waiting requests by due time and priority; `select_rejected` selects those whose refusal costs callers least, so that the others are served in time.

--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 //! - `target_table::brittle`: targets that fall over if they reject many requests.
 //! - `target_reach`: a host that is partitioned from all targets, while the others reach them.
 //! - `permit_granter`, `permit`: overloaded targets that accept few requests from all hosts together.
+//! - `claim`: the order of requests that compete for a resource that is short, and which of them to
+//!   turn away.
 //! - `wait_queue`: the order of waiting requests when all slots are in use.
 //! - `shared_bucket`: a customer that sends many times its rate to every host.
 //! - `settling`: hosts that start together and do not know what was spent before.
@@ -38,6 +40,7 @@
 //! - `unstated_ends`: answers that end with their connection, whether they are complete or not.
 
 mod adapter_planner;
+mod claim;
 mod confirmation;
 mod counters;
 mod demand_share;
@@ -77,6 +80,7 @@
 mod wait_queue;
 
 pub use self::adapter_planner::{AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant};
+pub use self::claim::{Claim, PRIORITY_STEP_MS, Supply, forecast_grants, select_rejected};
 pub use self::confirmation::Confirmation;
 pub use self::counters::Counters;
 pub use self::demand_table::DemandTable;
--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -78,22 +78,23 @@
 pub use crate::fair_queue::{FairQueue, QueueDepth, QueueId, QueuedRequest};
 pub use crate::freshness::{ConfigurationState, Freshness, KEY_STALENESS_MS_MAX};
 pub use crate::gateway::{
-    AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, CallerLimits, Choice, Chosen,
+    AdapterEngine, AdapterPlanner, AdapterStep, AdapterWant, CallerLimits, Choice, Chosen, Claim,
     Confirmation, Counters, CustomerKey, CustomerRate, DemandTable, Deployment, EVENT_BYTES_MAX,
     EndDoubt, EndSign, EngineLimits, EngineModel, EngineOperation, EngineView, EventBoundary,
     EventFault, HostPlace, HostRecord, HostSign, HostTable, KeyDigest, KnownHost, LeaseExpect,
     LeaseRecord, LeaseStep, LeavingSource, LogCursor, ModelDemand, OrderLease, OwnCounts,
-    PEER_ALIVE_MS, PartnerRole, Peer, PeerReport, PeerState, PeerTable, PeerVisibility,
-    PermitAnswer, PermitAsk, PermitGranter, PermitRank, PlacementLog, RateUnit, RatedCustomer,
-    ReportDifference, ReportLayout, ReportPace, ReportedLease, ReportedPlacement, Residency,
-    ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes, RunningAt, Scope, Selection,
-    ServiceRoute, ServiceVersions, Settling, SharedBucket, SharedWatch, ShortKey, Sign,
+    PEER_ALIVE_MS, PRIORITY_STEP_MS, PartnerRole, Peer, PeerReport, PeerState, PeerTable,
+    PeerVisibility, PermitAnswer, PermitAsk, PermitGranter, PermitRank, PlacementLog, RateUnit,
+    RatedCustomer, ReportDifference, ReportLayout, ReportPace, ReportedLease, ReportedPlacement,
+    Residency, ResidentModel, ResidentView, RetryShare, RouteKind, RunTimes, RunningAt, Scope,
+    Selection, ServiceRoute, ServiceVersions, Settling, SharedBucket, SharedWatch, ShortKey, Sign,
     SilenceView, SilentService, StatedContent, StoreAbsence, StreamKey, StreamVersion,
-    StreamVersions, Sums, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target, TargetBelief,
-    TargetChange, TargetChangeBatch, TargetEntry, TargetFailure, TargetHealth, TargetLife,
-    TargetLog, TargetReach, TargetRequirements, TargetService, TargetSilence, TargetState,
-    TargetTable, TargetUse, UnstatedEnds, VersionKnowledge, WaitQueue, Waiting, WantedName,
-    WeightedService, combine_knowledge, permit_granter, stream_keepers,
+    StreamVersions, Sums, Supply, SwapAction, SwapOrder, SwapPlan, SwapPlanner, Target,
+    TargetBelief, TargetChange, TargetChangeBatch, TargetEntry, TargetFailure, TargetHealth,
+    TargetLife, TargetLog, TargetReach, TargetRequirements, TargetService, TargetSilence,
+    TargetState, TargetTable, TargetUse, UnstatedEnds, VersionKnowledge, WaitQueue, Waiting,
+    WantedName, WeightedService, combine_knowledge, forecast_grants, permit_granter,
+    select_rejected, stream_keepers,
 };
 pub use crate::gone::GoneProofs;
 pub use crate::health::{
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod builds;
+mod claims;
 mod customer_rates;
 mod deployment;
 mod fleet;
