Serve cold targets and evacuated failure domains

Two terms of a deployment that came into force with this work weren't served: hosts didn't read evacuations at all, and sent a target that had just started as much as any other, though it crashes well above `ColdPerS`.

- Cold targets: `ColdRemainingMs` of an entry was read and ignored.
Hosts now take turns at a cold target in an order that each computes for itself, at 0.8 of `ColdPerS` together. tests/gateway/cold_targets.rs replays 1 to 300 hosts that want it all at once, also when they learn late: 35 requests in any second at most, as the rule allows.

Ruled out: permits, as for targets that state a limit: a round trip a request, and a target is cold for a few seconds only. Homes (`AllowedRegions`) aren't implemented; no deployment so far has a second region.

Nothing changes where the settings have no `EvacuateMs` and the services no `ColdPerS`.

--- a/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/deployment_follow.rs
@@ -150,6 +150,11 @@
             if let Some(known) = known.filter(|known| known.version == deployment.version) {
                 state.confirmation().written_again(known.revision, deployment.revision);
             }
+            let cold_rates = deployment
+                .services
+                .iter()
+                .filter_map(|service| Some((service.name.clone(), service.cold_requests_per_s?)));
+            state.dispatcher().targets.set_cold_rates(state.now(), cold_rates.collect());
             confirm(&deployment);
             state.deployment.store(Some(Arc::new(deployment)));
             state.dispatch_waiting();
--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -1,7 +1,9 @@
-//! The declaration and the targets, kept up to date from the store, and the queue of requests.
+//! The declaration, the targets and the evacuated failure domains, kept up to date from the store,
+//! and the queue of requests.
 
 mod deployment_follow;
 mod dispatcher;
+mod evacuation_follow;
 mod reach;
 mod store_loss;
 mod target_follow;
@@ -10,6 +12,7 @@
 
 pub(crate) use self::deployment_follow::follow_deployment;
 pub(crate) use self::dispatcher::{Dispatcher, merge};
+pub(crate) use self::evacuation_follow::follow_evacuations;
 pub(crate) use self::reach::{
     opens_connections, record_unanswered, request_probe, until_cut_off, watch_reach,
 };
--- a/crates/lycheeford-gateway/src/membership/wire/targets.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/targets.rs
@@ -61,6 +61,9 @@
     /// Absent if the sender doesn't know versions, which isn't the same as an empty one.
     #[prost(string, optional, tag = "11")]
     version: Option<String>,
+    /// Absent from builds that don't know of cold targets.
+    #[prost(uint64, tag = "12")]
+    cold_remaining_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -119,6 +122,7 @@
             slots: entry.slots,
             models: entry.residency.models.into_iter().map(WireModel::from).collect(),
             version: Some(entry.version.as_str().to_owned()),
+            cold_remaining_ms: entry.cold_remaining_ms,
         }
     }
 }
@@ -145,6 +149,7 @@
                 TargetState::Ready
             },
             slots: wire.slots,
+            cold_remaining_ms: wire.cold_remaining_ms,
             residency: Residency { models, ..Residency::default() },
         })
     }
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -46,6 +46,7 @@
         failure_domain: Name::from("b"),
         state: TargetState::Leaving { remaining_ms: Some(0) },
         slots: 4,
+        cold_remaining_ms: 0,
         residency: Residency {
             models: vec![ResidentModel {
                 name: Name::from("m1"),
@@ -204,6 +205,21 @@
     }
 }
 
+/// Earlier builds know nothing of cold targets, so the data of their messages has none.
+#[test]
+fn a_cold_target_is_told_to_other_hosts() {
+    let mut changes = target_changes();
+    for (_, change) in &mut changes.changes {
+        if let TargetChange::Put(entry) = change {
+            entry.cold_remaining_ms = 1_200;
+        }
+    }
+    let report =
+        PeerReport { target_changes: Some(changes), ..report(Scope::Cell, PeerState::Ready) };
+    let message = Message::Report(Box::new(report));
+    assert_eq!(decode(&encode(message.clone())).unwrap(), understood(message));
+}
+
 #[test]
 fn what_makes_no_sense_is_refused() {
     assert_matches!(decode(&[0xff; 40]), Err(DecodeError::Field { field: "form" }));
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -122,6 +122,7 @@
     pub(crate) unanswered_at_stop: Counter,
     pub(crate) revision: Gauge<u64, AtomicU64>,
     pub(crate) holds_orders: Gauge,
+    pub(crate) evacuated_domains: Gauge,
     ages: Family<SourceLabels, Gauge>,
     store_era: Gauge,
     hosts_alive: Gauge,
@@ -165,6 +166,7 @@
             unanswered_at_stop: Counter::default(),
             revision: Gauge::default(),
             holds_orders: Gauge::default(),
+            evacuated_domains: Gauge::default(),
             ages: Family::default(),
             store_era: Gauge::default(),
             hosts_alive: Gauge::default(),
@@ -317,6 +319,11 @@
             "Whether this host gives orders to engines",
             self.holds_orders.clone(),
         );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose targets get no requests",
+            self.evacuated_domains.clone(),
+        );
         registry.register(
             "store_era",
             "Rises by one with each restore of the store from an older copy",
--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -300,6 +300,9 @@
     /// Returns a description of the fault if the declaration is invalid.
     fn deployment(&self, object: &Object) -> Result<Deployment, String>;
 
+    /// Returns the kind of the objects whose names are the evacuated failure domains.
+    fn evacuation_kind(&self) -> &str;
+
     /// Returns the kind of the targets' entries.
     fn target_kind(&self) -> &str;
 
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -13,7 +13,7 @@
 use slog::{error, info, warn};
 use snafu::{ResultExt, Snafu};
 
-use crate::fleet::{follow_deployment, follow_targets, watch_reach};
+use crate::fleet::{follow_deployment, follow_evacuations, follow_targets, watch_reach};
 use crate::membership::{
     deregister_host, grant_permits, log_unread, log_unsent, maintain_hosts, receive, send_demand,
     send_reports, send_stream_events, track_versions,
@@ -109,6 +109,7 @@
 fn start_tasks(state: &Arc<State>, socket: &Arc<UdpSocket>) {
     start_task(state, "declaration", follow_deployment);
     start_task(state, "targets", follow_targets);
+    start_task(state, "evacuations", follow_evacuations);
     start_peer_task(state, socket, "receive", receive);
     start_peer_task(state, socket, "reports", send_reports);
     start_peer_task(state, socket, "permits", grant_permits);
--- a/crates/lycheeford-gateway/src/settings.rs
+++ b/crates/lycheeford-gateway/src/settings.rs
@@ -31,6 +31,9 @@
     pub key_revocation_ms_max: u64,
     /// The time after its leaving is stored within which a target may still get requests.
     pub target_leave_ms_max: u64,
+    /// The time within which a stored evacuation of a failure domain must be in force; absent if the
+    /// deployment has no evacuations.
+    pub evacuation_ms_max: Option<u64>,
     /// The time within which a stored declaration must be in force.
     pub declaration_apply_ms_max: u64,
     /// The least time between the orders of two successive lease holders.
--- a/crates/lycheeford-policy/src/gateway/deployment.rs
+++ b/crates/lycheeford-policy/src/gateway/deployment.rs
@@ -152,6 +152,9 @@
     pub name: Name,
     /// Limits of the service's engines; `None` if its targets are not model engines.
     pub engine: Option<EngineLimits>,
+    /// Requests per second that a target takes from all hosts together while it is cold; `None` if
+    /// cold targets take any number.
+    pub cold_requests_per_s: Option<f64>,
 }
 
 /// Capacity of the engines of a service, and the models that they load.
--- a/crates/lycheeford-policy/src/gateway/target_entry.rs
+++ b/crates/lycheeford-policy/src/gateway/target_entry.rs
@@ -25,6 +25,9 @@
     pub state: TargetState,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
+    /// How much longer the target is cold after its start, as of the entry. A cold target may crash
+    /// if it gets many requests.
+    pub cold_remaining_ms: u64,
     /// Models that the target holds, if it is a model engine.
     pub residency: Residency,
 }
--- a/crates/lycheeford-policy/src/gateway/target_table/choice.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/choice.rs
@@ -3,6 +3,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::cold::COLD_FACTOR;
 use super::{Choice, Chosen, Selection, Target, TargetRequirements, TargetTable};
 use crate::TimeMs;
 use crate::gateway::permit::PermitRank;
@@ -39,6 +40,7 @@
             let target_use = target.belief.use_at(now);
             if !target.serves(need)
                 || target_use == TargetUse::Never
+                || target.is_evacuated
                 || need.excluded.contains(&target.entry.id)
             {
                 continue;
@@ -150,6 +152,9 @@
         if !target.is_ready() {
             cost_ms += objective_ms * LEAVING_FACTOR;
         }
+        if target.cold.is_some_and(|cold| cold.is_cold(now)) {
+            cost_ms += objective_ms * COLD_FACTOR;
+        }
         let tie_break = xxh3_64_with_seed(&self.choices.to_le_bytes(), u64::from(target.key.0));
         cost_ms + usual_ms * TIE_BREAK_PART * (tie_break as f64 / u64::MAX as f64)
     }
@@ -159,6 +164,7 @@
         let holders = self.targets.iter().enumerate().filter(|(_, target)| {
             target.serves(need)
                 && target.belief.use_at(now) == TargetUse::Free
+                && !target.is_evacuated
                 && target.belief.limit().is_none()
                 && target.holds(now, need)
         });
--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -1,6 +1,7 @@
 mod beliefs;
 mod brittle;
 mod choice;
+mod cold;
 mod running;
 mod silence;
 
@@ -8,6 +9,7 @@
 
 use self::brittle::BRITTLE_FULL_PAUSE_MS;
 pub use self::brittle::HostPlace;
+use self::cold::ColdTurns;
 pub use self::silence::SilenceView;
 use crate::gateway::peer_table::RunningAt;
 use crate::gateway::permit::PermitRank;
@@ -127,6 +129,10 @@
     host_place: HostPlace,
     /// The services whose targets are brittle, with the end of that; sorted by service.
     brittle_until: Vec<(Name, TimeMs)>,
+    /// The failure domains whose targets must get no requests, sorted.
+    evacuated: Vec<Name>,
+    /// Requests per second that a cold target of a service takes; sorted by service.
+    cold_rates: Vec<(Name, f64)>,
     /// Deadline after which a target that turns out to be leaving must not be used, counted from
     /// the last moment up to which this host knows all relevant changes.
     leave_by: Option<TimeMs>,
@@ -157,6 +163,10 @@
     /// key.
     announced: Vec<(ShortKey, bool)>,
     full_until: TimeMs,
+    /// Whether the target's failure domain is evacuated.
+    is_evacuated: bool,
+    /// Set while the target is cold and its service limits what cold targets get.
+    cold: Option<ColdTurns>,
     /// Whether the target accepts work, from all sources of information.
     pub belief: TargetBelief,
     /// When the target is removed, if its entry has disappeared from the store.
@@ -188,9 +198,10 @@
             + running_elsewhere.map(|(_, at)| at.running).sum::<u32>()
     }
 
-    /// Returns whether no source reported that the target is leaving.
+    /// Returns whether no source reported that the target is leaving, and its failure domain isn't
+    /// evacuated.
     pub fn is_ready(&self) -> bool {
-        !self.belief.is_leaving()
+        !self.belief.is_leaving() && !self.is_evacuated
     }
 
     /// Returns whether the target may receive requests, which is not the case for a while after
@@ -250,7 +261,8 @@
 
     fn has_capacity(&self, now: TimeMs, need: &TargetRequirements) -> bool {
         let running = self.running();
-        if running >= self.entry.slots || now < self.full_until {
+        let has_turn = self.cold.is_none_or(|cold| cold.allows(now));
+        if running >= self.entry.slots || now < self.full_until || !has_turn {
             return false;
         }
         let Some(cache_tokens_max) = need.cache_tokens_max else { return true };
@@ -272,6 +284,18 @@
         self.leave_by = Some(leave_by);
     }
 
+    /// Sets the failure domains whose targets must get no requests, sorted.
+    pub fn set_evacuated(&mut self, domains: Vec<Name>) {
+        self.evacuated = domains;
+        for index in 0..self.targets.len() {
+            self.targets[index].is_evacuated = self.is_evacuated(&self.targets[index].entry);
+        }
+    }
+
+    fn is_evacuated(&self, entry: &TargetEntry) -> bool {
+        self.evacuated.binary_search(&entry.failure_domain).is_ok()
+    }
+
     /// Stores an entry received from another host. Such an entry does not list the weights in host
     /// memory and on disk, so the known lists are kept.
     pub fn put_from_peer(&mut self, now: TimeMs, mut entry: TargetEntry) {
@@ -314,6 +338,8 @@
         };
         let leave_by = self.leave_by.unwrap_or(TimeMs::from_ms(u64::MAX));
         self.targets[index].belief.record_entry_state(now, state, leave_by);
+        self.targets[index].is_evacuated = self.is_evacuated(&self.targets[index].entry);
+        self.record_cold(now, index);
     }
 
     /// Records that an entry disappeared; the target is removed after `grace_ms`.
@@ -444,6 +470,7 @@
         (known.life, known.address, known.slots) != (entry.life, entry.address, entry.slots)
             || (&known.service, &known.failure_domain) != (&entry.service, &entry.failure_domain)
             || is_leaving(known) != is_leaving(entry)
+            || (known.cold_remaining_ms > 0) != (entry.cold_remaining_ms > 0)
     }
 
     /// Returns the listed targets that are missing from `entries`.
@@ -505,6 +532,8 @@
             running_elsewhere: Vec::new(),
             announced: Vec::new(),
             full_until: TimeMs::default(),
+            is_evacuated: false,
+            cold: None,
             forget_at: None,
             refused: Vec::new(),
         }
--- a/crates/lycheeford-policy/src/gateway/target_table/running.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/running.rs
@@ -1,14 +1,17 @@
 //! Requests that run at each target, through this host and others.
 
 use super::{Chosen, Running, ShortKey, Target, TargetTable};
-use crate::Name;
 use crate::gateway::peer_table::RunningAt;
+use crate::{Name, TimeMs};
 
 impl TargetTable {
     /// Counts a request as running at a target.
-    pub fn started(&mut self, chosen: &Chosen, model: Option<&Name>, tokens: u64) {
+    pub fn started(&mut self, now: TimeMs, chosen: &Chosen, model: Option<&Name>, tokens: u64) {
         let model = model.map_or(ShortKey(0), |name| ShortKey::of(name));
         let Some(target) = self.life_mut(&chosen.id, chosen.life) else { return };
+        if let Some(cold) = &mut target.cold {
+            cold.sent(now);
+        }
         match target.running_here.iter_mut().find(|running| running.model == model) {
             Some(running) => {
                 running.requests += 1;
--- a/crates/lycheeford-policy/src/gateway/wait_queue.rs
+++ b/crates/lycheeford-policy/src/gateway/wait_queue.rs
@@ -71,7 +71,7 @@
                 }
                 return true;
             };
-            targets.started(&chosen, waiting.need.model.as_ref(), waiting.need.tokens);
+            targets.started(now, &chosen, waiting.need.model.as_ref(), waiting.need.tokens);
             targets.waited_for(now, &chosen);
             dispatched.push((waiting.id, chosen));
             false
--- a/crates/lycheeford-policy/tests/gateway/beliefs.rs
+++ b/crates/lycheeford-policy/tests/gateway/beliefs.rs
@@ -198,7 +198,7 @@
     let mut queue = WaitQueue::default();
     let busy = [at_target("t1", LIFE), at_target("t2", LIFE)];
     for target in &busy {
-        targets.started(target, Some(&name("m1")), 10);
+        targets.started(at(0), target, Some(&name("m1")), 10);
     }
     for (id, model) in [(1, "m1"), (2, "m2")] {
         queue.push(Waiting { id, need: need(model), priority: 0, arrived_at: at(0) });
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod beliefs;
 mod builds;
 mod claims;
+mod cold_targets;
 mod customer_rates;
 mod deployment;
 mod fleet;
--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -113,7 +113,7 @@
     let mut targets = table(&[entry("a", &["m1"]), entry("b", &["m1"]), entry("c", &["m2"])]);
     let busy = choose_target(&mut targets, 0, &need("m1"));
     for _ in 0..3 {
-        targets.started(&busy, Some(&name("m1")), 100);
+        targets.started(at(0), &busy, Some(&name("m1")), 100);
     }
     let free = choose_target(&mut targets, 0, &need("m1"));
     assert_ne!(free.id, busy.id);
@@ -152,13 +152,13 @@
 fn a_restarted_target_begins_with_no_running_requests() {
     let mut targets = table(&[entry("t1", &["m1"])]);
     let first = choose_target(&mut targets, 1, &need("m1"));
-    targets.started(&first, Some(&name("m1")), 100);
+    targets.started(at(0), &first, Some(&name("m1")), 100);
     targets.put(at(2), TargetEntry { life: 2, ..entry("t1", &["m1"]) });
     assert!(!targets.is_listed("t1", 1));
     assert_eq!(targets.target("t1").unwrap().running(), 0);
     // A request that was sent before the restart doesn't count when it ends.
     let second = choose_target(&mut targets, 3, &need("m1"));
-    targets.started(&second, Some(&name("m1")), 100);
+    targets.started(at(0), &second, Some(&name("m1")), 100);
     targets.ended(&first, Some(&name("m1")), 100);
     assert_eq!(targets.target("t1").unwrap().running(), 1);
 }
@@ -272,7 +272,7 @@
             assert!(!targets.record_brittle(at(1), &name("models")), "known already");
             let need = TargetRequirements { cache_tokens_max: None, ..need("m1") };
             while let Selection::Chosen(chosen) = targets.choose(at(2), &need) {
-                targets.started(&chosen, Some(&name("m1")), 0);
+                targets.started(at(0), &chosen, Some(&name("m1")), 0);
                 sent += 1;
             }
             assert!(!targets.is_brittle(at(10_000), &name("models")), "not said for seconds");
--- a/crates/lycheeford-policy/tests/gateway/world.rs
+++ b/crates/lycheeford-policy/tests/gateway/world.rs
@@ -26,6 +26,7 @@
         failure_domain: name("a"),
         state: TargetState::Ready,
         slots: 4,
+        cold_remaining_ms: 0,
         residency: Residency {
             models: models.iter().map(resident).collect(),
             ..Residency::default()
