Take no answer to a report of an earlier process as an answer to this one's

Cause: a host confirms its declaration by the time of its own last report, which another host returns. That time comes from a clock that starts anew with a loss of power, and was returned for the earlier process, too. So a restarted host had a confirmation that lay in its future by its earlier uptime, and told all others.

Change: the times in reports are offset by the incarnation, and a returned time outside the life of this process confirms nothing (`ReportStamp`). Other hosts compare these times only within an incarnation, so builds without the offset understand them.

The rows of tests/gateway/report_stamps.rs with an earlier process fail with a stamp without offset.

Ruled out: only refusing times in the future, since a time of an earlier life may lie within this one.

--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -68,7 +68,7 @@
         let report = PeerReport {
             sender: state.settings.record(),
             incarnation: state.incarnation,
-            sent_at: now,
+            sent_at: state.report_stamp.mark(now),
             echo: None,
             state: state.serving_state(now),
             is_settled,
@@ -248,18 +248,19 @@
 /// The report answers one of this host's own reports, so its contents were true at some moment
 /// after that report was sent, however long the answer lay in a buffer.
 fn apply_store_state(state: &State, report: &PeerReport) {
+    let sent_at = report.echo.and_then(|echo| state.report_stamp.own_time(state.now(), echo));
     let deployment = state.deployment.load_full();
     let (known, declared) =
         deployment.map_or((0, 0), |deployment| (deployment.revision, deployment.version));
     {
         let mut confirmation = state.confirmation();
         confirmation.require_declared(declared, report.declared);
-        if let (Some(echo), Some(age_ms)) = (report.echo, report.confirmed_age_ms)
+        if let (Some(sent_at), Some(age_ms)) = (sent_at, report.confirmed_age_ms)
             && report.revision == known
             && known > 0
             && confirmation.may_confirm(declared)
         {
-            confirmation.confirm(known, echo - age_ms);
+            confirmation.confirm(known, sent_at - age_ms);
         }
     }
     if report.revision > known {
@@ -268,8 +269,8 @@
         }
         state.declaration_pace.wake();
     }
-    let as_of = match (report.echo, report.targets_age_ms) {
-        (Some(echo), Some(age_ms)) => Some(echo - age_ms),
+    let as_of = match (sent_at, report.targets_age_ms) {
+        (Some(sent_at), Some(age_ms)) => Some(sent_at - age_ms),
         _ => None,
     };
     let mut sync = state.target_sync();
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -6,8 +6,8 @@
 use lycheeford_caller::Stop;
 use lycheeford_platform::FollowWaker;
 use lycheeford_policy::{
-    Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, RetryShare, RunTimes,
-    StopPlan, StopTimes, TargetReach, TimeMs, UnstatedEnds,
+    Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, ReportStamp, RetryShare,
+    RunTimes, StopPlan, StopTimes, TargetReach, TimeMs, UnstatedEnds,
 };
 use lycheeford_target::{TargetClient, TargetLimits, Unframed};
 use slog::Logger;
@@ -64,6 +64,8 @@
     pub(crate) left_out: GatewayLog,
     pub(crate) metrics: Metrics,
     pub(crate) incarnation: u64,
+    /// Marks the reports of this process.
+    pub(crate) report_stamp: ReportStamp,
     pub(crate) targets: TargetClient,
     pub(crate) deployment: ArcSwapOption<Deployment>,
     dispatcher: Mutex<Dispatcher>,
@@ -141,6 +143,7 @@
             left_out: log,
             metrics: Metrics::new(),
             incarnation,
+            report_stamp: ReportStamp::new(clock.now(), incarnation),
             targets: TargetClient::new(limits),
             deployment: ArcSwapOption::empty(),
             dispatcher: Mutex::default(),
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 //! - `confirmation`: a key that is withdrawn while this host is partitioned.
 //! - `host_table`, `report_layout`: hosts that die, freeze, leave or cannot reach each other, and
 //!   fleets in which not every host can report to every other one.
+//! - `report_stamp`: machines that lose power, whose clocks start anew.
 //! - `report_pace`: reports that together exceed the queue of a link.
 //! - `peer_table`, `counters`: running requests and spending of all hosts, passed on by relays.
 //! - `store_absence`: entries that expire while the store is unavailable.
@@ -59,6 +60,7 @@
 mod portion;
 mod report_layout;
 mod report_pace;
+mod report_stamp;
 mod retry_share;
 mod run_times;
 mod settling;
@@ -103,6 +105,7 @@
 pub use self::placement_log::PlacementLog;
 pub use self::report_layout::{PartnerRole, ReportLayout};
 pub use self::report_pace::ReportPace;
+pub use self::report_stamp::ReportStamp;
 pub use self::retry_share::RetryShare;
 pub use self::run_times::RunTimes;
 pub use self::settling::Settling;
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod order_lease;
 mod placement;
 mod rates;
+mod report_stamps;
 mod stated_content;
 mod stop_load;
 mod stopping;
