Keep refused requests in the store beside deadly prompt parts

Cause: the lease holder stored only prompt parts. Which whole requests crash targets was known to processes alone.

Change: each suspect for which requests are refused is stored. The object of a request has the field `request` in place of `part`, and a name of its own; an earlier build logs it as unreadable and passes over it.

--- a/crates/lycheeford-gateway/src/membership/stored_suspects.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -6,21 +6,27 @@
 use lycheeford_policy::{CrashCause, CrashSuspect, Name, SuspectedCrash};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use snafu::Snafu;
 
 use crate::request::log_refused;
 use crate::state::State;
 
-/// The kind of the objects that name deadly prompt parts.
+/// The kind of the objects that name deadly prompt parts and requests.
 const SUSPECT_KIND: &str = "lycheeford-crash-suspects";
 /// The pause before a failed read is repeated.
 const READ_PAUSE_MS: u64 = 150;
-/// The interval at which the known parts are compared with the stored ones.
+/// The interval at which the known suspects are compared with the stored ones.
 const CHECK_MS: u64 = 500;
 
-/// The stored form of a prompt part for which requests are refused.
+/// The stored form of a prompt part for which requests are refused, or of a refused request.
+///
+/// Builds that know only prompt parts pass over the objects of requests.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct StoredSuspect {
-    part: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    part: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    request: Option<u64>,
     /// The lives of targets that crashed.
     crashes: Vec<Name>,
     /// When the last of them crashed, as Unix time.
@@ -28,33 +34,52 @@
 }
 
 impl StoredSuspect {
-    fn of(suspect: &CrashSuspect) -> Option<StoredSuspect> {
-        let CrashCause::PromptPart(part) = suspect.cause else { return None };
+    fn of(suspect: &CrashSuspect) -> StoredSuspect {
+        let (part, request) = match suspect.cause {
+            CrashCause::PromptPart(part) => (Some(part), None),
+            CrashCause::Request(request) => (None, Some(request)),
+        };
         let unexcused = suspect.crashes.iter().filter(|crash| !crash.is_excused);
-        Some(StoredSuspect {
+        StoredSuspect {
             part,
+            request,
             crashes: unexcused.map(|crash| crash.life.clone()).collect(),
             last_crash_unix_ms: unix_ms().saturating_sub(suspect.age_ms),
-        })
+        }
     }
 
     fn name(&self) -> Name {
-        Name::from(format!("{:016x}", self.part))
+        Name::from(match (self.part, self.request) {
+            (Some(part), _) => format!("{part:016x}"),
+            (None, request) => format!("request-{:016x}", request.unwrap_or_default()),
+        })
     }
 }
 
-impl From<StoredSuspect> for CrashSuspect {
-    fn from(stored: StoredSuspect) -> CrashSuspect {
+impl TryFrom<StoredSuspect> for CrashSuspect {
+    type Error = UnnamedSuspect;
+
+    fn try_from(stored: StoredSuspect) -> Result<CrashSuspect, UnnamedSuspect> {
         let crash = |life| SuspectedCrash { life, is_excused: false };
-        CrashSuspect {
-            cause: CrashCause::PromptPart(stored.part),
+        let cause = match (stored.part, stored.request) {
+            (Some(part), _) => CrashCause::PromptPart(part),
+            (None, Some(request)) => CrashCause::Request(request),
+            (None, None) => return Err(UnnamedSuspect),
+        };
+        Ok(CrashSuspect {
+            cause,
             crashes: stored.crashes.into_iter().map(crash).collect(),
             age_ms: unix_ms().saturating_sub(stored.last_crash_unix_ms),
-        }
+        })
     }
 }
 
-/// Reads the deadly prompt parts from the store, and returns the names of their objects.
+/// A stored suspect that is neither a prompt part nor a request.
+#[derive(Debug, Snafu)]
+#[snafu(display("it names neither a part nor a request; delete the object"))]
+pub(super) struct UnnamedSuspect;
+
+/// Reads the suspects from the store, and returns the names of their objects.
 ///
 /// A host does this before it takes requests; it learns later ones from the reports of the others.
 pub(super) async fn read_stored_suspects(state: &State) -> Vec<Name> {
@@ -67,8 +92,8 @@
     }
 }
 
-/// Keeps the deadly prompt parts in the store while this host is the lease holder, so that they are
-/// known after all hosts were replaced at once.
+/// Keeps the suspects for which requests are refused in the store while this host is the lease
+/// holder, so that they are known after all hosts were replaced at once.
 ///
 /// `stored` are the names of their objects, as read in `era`.
 pub(super) async fn keep_stored_suspects(state: Arc<State>, mut stored: Vec<Name>, mut era: u64) {
@@ -83,8 +108,8 @@
         if state.orders().lease.token(now).is_none() {
             continue;
         }
-        let refused = state.suspects().refused_parts(now);
-        let refused: Vec<StoredSuspect> = refused.iter().filter_map(StoredSuspect::of).collect();
+        let refused = state.suspects().over_limit(now);
+        let refused: Vec<StoredSuspect> = refused.iter().map(StoredSuspect::of).collect();
         if let Err(error) = write_changes(&state, &mut stored, &refused).await {
             warn!(state.log, "crash_suspects_unwritten"; "error" => %error);
         }
@@ -101,17 +126,18 @@
 }
 
 fn decode(state: &State, object: &Object) -> Option<CrashSuspect> {
-    match object.decode::<StoredSuspect>() {
-        Ok(stored) => Some(CrashSuspect::from(stored)),
-        Err(error) => {
+    let decoded = object.decode::<StoredSuspect>().map_err(|error| error.to_string());
+    let suspect = decoded
+        .and_then(|stored| CrashSuspect::try_from(stored).map_err(|error| error.to_string()));
+    suspect
+        .map_err(|error| {
             warn!(state.log, "crash_suspect_unreadable";
-                "name" => object.name.as_str(), "error" => %error);
-            None
-        }
-    }
+                "name" => object.name.as_str(), "error" => error);
+        })
+        .ok()
 }
 
-/// Writes the parts that are not stored yet, and deletes those that are refused no longer.
+/// Writes the suspects that are not stored yet, and deletes those that are refused no longer.
 async fn write_changes(
     state: &State,
     stored: &mut Vec<Name>,
--- a/crates/lycheeford-policy/src/crash_suspect.rs
+++ b/crates/lycheeford-policy/src/crash_suspect.rs
@@ -238,14 +238,12 @@
         self.suspects.iter().map(|suspect| suspect.report(now)).collect()
     }
 
-    /// Returns the prompt parts for which requests are refused.
-    pub fn refused_parts(&self, now: TimeMs) -> Vec<CrashSuspect> {
-        let refused = self.suspects.iter().filter(|suspect| {
-            matches!(suspect.cause, CrashCause::PromptPart(_))
-                && suspect.is_over_limit()
-                && !suspect.is_expired(now)
-        });
-        refused.map(|suspect| suspect.report(now)).collect()
+    /// Returns the suspects with so many crashes that requests are refused for them.
+    pub fn over_limit(&self, now: TimeMs) -> Vec<CrashSuspect> {
+        let suspects = self.suspects.iter();
+        let over_limit =
+            suspects.filter(|suspect| suspect.is_over_limit() && !suspect.is_expired(now));
+        over_limit.map(|suspect| suspect.report(now)).collect()
     }
 
     /// Returns a digest of all suspects.
