Share the list of evacuated failure domains between hosts

Now the hosts that watch the declaration for the others report the list with its revision and age, and the others ask the store only when that is too old. The newest revision holds, whoever reports it.

--- a/crates/lycheeford-gateway/src/fleet/evacuation_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/evacuation_follow.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use lycheeford_platform::{Change, Update, WatchEvent, follow};
-use lycheeford_policy::Name;
+use lycheeford_platform::{Change, FollowWaker, Update, WatchEvent, follow_with_pauses};
+use lycheeford_policy::{Name, TimeMs};
 use slog::info;
 
 use super::follow_limits;
@@ -10,6 +10,10 @@
 /// The duration of a watch, as a part of the time within which an evacuation must be in force. The
 /// rest covers a connection that falls silent and the list that follows.
 const WAIT_PART: f64 = 0.5;
+/// The part of that time for which a host relies on the reports of the hosts that watch.
+const RELY_PART: f64 = 0.7;
+/// The interval at which such a host checks the age of what was reported.
+const CHECK_MS: u64 = 150;
 
 /// Keeps the list of evacuated failure domains up to date until the future is dropped.
 ///
@@ -21,26 +25,51 @@
     };
     let protocol = Arc::clone(&state.protocols.store);
     let limits = follow_limits((evacuation_ms_max as f64 * WAIT_PART) as u64);
+    let rely_ms = (evacuation_ms_max as f64 * RELY_PART) as u64;
     let clock = state.clock;
     let mut domains: Vec<Name> = Vec::new();
-    follow(
+    follow_with_pauses(
         protocol.objects(),
         protocol.evacuation_kind(),
         &limits,
         || clock.now(),
         |update| {
-            let before = domains.clone();
-            apply(&mut domains, update);
-            if domains != before {
-                set_evacuated(&state, &domains);
-            }
+            let (revision, as_of) = (update.revision, update.as_of);
+            apply_update(&mut domains, update);
+            apply_evacuations(&state, revision, as_of, domains.clone());
         },
+        |_| {},
+        &FollowWaker::default(),
+        |_| rest_ms(&state, rely_ms),
     )
     .await;
 }
 
+/// Applies a list of evacuated domains, unless a newer one is known.
+pub(crate) fn apply_evacuations(state: &State, revision: u64, as_of: TimeMs, domains: Vec<Name>) {
+    if !state.evacuations().record(revision, as_of, domains.clone()) {
+        return;
+    }
+    let names: Vec<&str> = domains.iter().map(Name::as_str).collect();
+    info!(state.log, "domains_evacuated"; "domains" => names.join(","), "revision" => revision);
+    state.metrics.evacuated_domains.set(i64::try_from(domains.len()).unwrap_or(i64::MAX));
+    state.dispatcher().targets.set_evacuated(domains);
+    state.dispatch_waiting();
+    state.wake_planner();
+}
+
+/// Returns how much longer to rely on the reports of the hosts that watch for the others.
+fn rest_ms(state: &State, rely_ms: u64) -> u64 {
+    let now = state.now();
+    if state.membership().watches_declaration(now, &state.settings.host) {
+        return 0;
+    }
+    let age_ms = state.evacuations().age_ms(now);
+    age_ms.map_or(0, |age_ms| rely_ms.saturating_sub(age_ms)).min(CHECK_MS)
+}
+
 /// Applies the store's changes to the sorted list of evacuated failure domains.
-fn apply(domains: &mut Vec<Name>, update: Update) {
+fn apply_update(domains: &mut Vec<Name>, update: Update) {
     match update.change {
         Change::Replace(listing) => {
             *domains = listing.objects.into_iter().map(|object| object.name).collect();
@@ -63,12 +92,3 @@
         }
     }
 }
-
-fn set_evacuated(state: &State, domains: &[Name]) {
-    let names: Vec<&str> = domains.iter().map(Name::as_str).collect();
-    info!(state.log, "domains_evacuated"; "domains" => names.join(","));
-    state.metrics.evacuated_domains.set(i64::try_from(domains.len()).unwrap_or(i64::MAX));
-    state.dispatcher().targets.set_evacuated(domains.to_vec());
-    state.dispatch_waiting();
-    state.wake_planner();
-}
--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 
 pub(crate) use self::deployment_follow::follow_deployment;
 pub(crate) use self::dispatcher::{Dispatcher, merge};
-pub(crate) use self::evacuation_follow::follow_evacuations;
+pub(crate) use self::evacuation_follow::{apply_evacuations, follow_evacuations};
 pub(crate) use self::reach::{
     opens_connections, record_unanswered, request_probe, until_cut_off, watch_reach,
 };
--- a/crates/lycheeford-gateway/src/membership/report.rs
+++ b/crates/lycheeford-gateway/src/membership/report.rs
@@ -4,7 +4,7 @@
 };
 use slog::info;
 
-use crate::fleet::{apply_reported_changes, request_probe};
+use crate::fleet::{apply_evacuations, apply_reported_changes, request_probe};
 use crate::request::{apply_reported_leaving, log_refused};
 use crate::state::State;
 
@@ -93,6 +93,7 @@
             targets_known,
             target_changes: None,
             leaving,
+            evacuations: state.evacuations().report(now),
         };
         SharedReport { report, own }
     }
@@ -269,6 +270,14 @@
         }
         state.declaration_pace.wake();
     }
+    if let (Some(sent_at), Some(reported)) = (sent_at, &report.evacuations) {
+        apply_evacuations(
+            state,
+            reported.revision,
+            sent_at - reported.age_ms,
+            reported.domains.clone(),
+        );
+    }
     let as_of = match (sent_at, report.targets_age_ms) {
         (Some(sent_at), Some(age_ms)) => Some(sent_at - age_ms),
         _ => None,
--- a/crates/lycheeford-gateway/src/membership/wire/report.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/report.rs
@@ -1,7 +1,7 @@
 use lycheeford_policy::{
-    CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, PeerState, ReportedLease,
-    ReportedPlacement, RunningAt, Scope, ShortKey, Sums, SuspectedCrash, TargetChangeBatch,
-    TargetLife, TimeMs,
+    CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, PeerState,
+    ReportedEvacuations, ReportedLease, ReportedPlacement, RunningAt, Scope, ShortKey, Sums,
+    SuspectedCrash, TargetChangeBatch, TargetLife, TimeMs,
 };
 use snafu::OptionExt;
 
@@ -77,6 +77,36 @@
     /// Absent if the sender was built before the field was added.
     #[prost(bool, tag = "31")]
     knows_cut_off: bool,
+    /// Absent if the sender doesn't follow evacuations.
+    #[prost(message, optional, tag = "32")]
+    evacuations: Option<WireEvacuations>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireEvacuations {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    #[prost(string, repeated, tag = "3")]
+    domains: Vec<String>,
+}
+
+impl From<ReportedEvacuations> for WireEvacuations {
+    fn from(reported: ReportedEvacuations) -> WireEvacuations {
+        let ReportedEvacuations { revision, age_ms, domains } = reported;
+        let domains = domains.iter().map(|domain| domain.as_str().to_owned()).collect();
+        WireEvacuations { revision, age_ms, domains }
+    }
+}
+
+impl From<WireEvacuations> for ReportedEvacuations {
+    fn from(wire: WireEvacuations) -> ReportedEvacuations {
+        let WireEvacuations { revision, age_ms, domains } = wire;
+        let mut domains: Vec<Name> = domains.into_iter().map(Name::from).collect();
+        domains.sort();
+        ReportedEvacuations { revision, age_ms, domains }
+    }
 }
 
 impl WireReport {
@@ -159,6 +189,7 @@
             suspects_digest: report.suspects_digest,
             is_settled: report.is_settled,
             leaving: report.leaving.into_iter().map(WireTargetLife::from).collect(),
+            evacuations: report.evacuations.map(WireEvacuations::from),
             targets_known: report.targets_known,
             target_changes: report.target_changes.map(WireToldChanges::from),
         }
@@ -206,6 +237,7 @@
             suspects_digest: wire.suspects_digest,
             is_settled: wire.is_settled,
             leaving: wire.leaving.into_iter().map(TargetLife::from).collect(),
+            evacuations: wire.evacuations.map(ReportedEvacuations::from),
             targets_known: wire.targets_known,
             target_changes: wire.target_changes.map(TargetChangeBatch::try_from).transpose()?,
         })
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -5,9 +5,10 @@
 use assert_matches::assert_matches;
 use lycheeford_policy::{
     CrashCause, CrashSuspect, HostRecord, HostSign, Name, PeerReport, PeerState, PermitAnswer,
-    PermitAsk, PermitRank, ReportedLease, ReportedPlacement, Residency, ResidentModel, RunningAt,
-    Scope, ShortKey, StreamKey, StreamVersion, Sums, SuspectedCrash, TargetChange,
-    TargetChangeBatch, TargetEntry, TargetLife, TargetState, TimeMs, VersionKnowledge, WantedName,
+    PermitAsk, PermitRank, ReportedEvacuations, ReportedLease, ReportedPlacement, Residency,
+    ResidentModel, RunningAt, Scope, ShortKey, StreamKey, StreamVersion, Sums, SuspectedCrash,
+    TargetChange, TargetChangeBatch, TargetEntry, TargetLife, TargetState, TimeMs,
+    VersionKnowledge, WantedName,
 };
 
 use proptest::collection::vec;
@@ -118,6 +119,7 @@
         targets_known: 32,
         target_changes: Some(target_changes()),
         leaving: vec![TargetLife { target: ShortKey(5), life: 1_700_000_000_123 }],
+        evacuations: None,
     }
 }
 
@@ -205,17 +207,25 @@
     }
 }
 
-/// Earlier builds know nothing of cold targets, so the data of their messages has none.
+/// Earlier builds know nothing of cold targets and evacuations, so the data of their messages has
+/// none.
 #[test]
-fn a_cold_target_is_told_to_other_hosts() {
+fn cold_targets_and_evacuations_are_told_to_other_hosts() {
     let mut changes = target_changes();
     for (_, change) in &mut changes.changes {
         if let TargetChange::Put(entry) = change {
             entry.cold_remaining_ms = 1_200;
         }
     }
-    let report =
-        PeerReport { target_changes: Some(changes), ..report(Scope::Cell, PeerState::Ready) };
+    let report = PeerReport {
+        target_changes: Some(changes),
+        evacuations: Some(ReportedEvacuations {
+            revision: 33,
+            age_ms: 0,
+            domains: vec![Name::from("a"), Name::from("b")],
+        }),
+        ..report(Scope::Cell, PeerState::Ready)
+    };
     let message = Message::Report(Box::new(report));
     assert_eq!(decode(&encode(message.clone())).unwrap(), understood(message));
 }
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -6,8 +6,8 @@
 use lycheeford_caller::Stop;
 use lycheeford_platform::FollowWaker;
 use lycheeford_policy::{
-    Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, ReportStamp, RetryShare,
-    RunTimes, StopPlan, StopTimes, TargetReach, TimeMs, UnstatedEnds,
+    Confirmation, CrashSuspects, DemandTable, Deployment, Evacuations, PeerState, ReportStamp,
+    RetryShare, RunTimes, StopPlan, StopTimes, TargetReach, TimeMs, UnstatedEnds,
 };
 use lycheeford_target::{TargetClient, TargetLimits, Unframed};
 use slog::Logger;
@@ -53,7 +53,8 @@
 ///
 /// A task holds one lock at a time and never across an await. Where two locks are needed, they are
 /// taken in the order of the fields: `dispatcher`, `membership`, `orders`, `demand`, `rates`,
-/// `retries`, `run_times`, `suspects`, `streams`, `unstated_ends`, `reach`, `confirmation`, `target_sync`, `unsent`,
+/// `retries`, `run_times`, `suspects`, `streams`, `unstated_ends`, `reach`, `confirmation`, `target_sync`,
+/// `evacuations`, `unsent`,
 /// `permits`.
 pub(crate) struct State {
     pub(crate) settings: GatewaySettings,
@@ -81,6 +82,7 @@
     reach: Mutex<TargetReach>,
     confirmation: Mutex<Confirmation>,
     target_sync: Mutex<TargetSync>,
+    evacuations: Mutex<Evacuations>,
     unsent: Mutex<Unsent>,
     permits: Mutex<PermitWaiters>,
     /// Wake the store followers before their pause is over.
@@ -156,6 +158,7 @@
             reach: Mutex::default(),
             confirmation: Mutex::default(),
             target_sync: Mutex::default(),
+            evacuations: Mutex::default(),
             unsent: Mutex::default(),
             permits: Mutex::default(),
             declaration_pace: FollowWaker::default(),
@@ -246,6 +249,10 @@
         lock(&self.target_sync)
     }
 
+    pub(crate) fn evacuations(&self) -> MutexGuard<'_, Evacuations> {
+        lock(&self.evacuations)
+    }
+
     pub(crate) fn unsent(&self) -> MutexGuard<'_, Unsent> {
         lock(&self.unsent)
     }
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! - `settling`: hosts that start together and do not know what was spent before.
 //! - `retry_share`: targets that fail together, so that retries multiply the load.
 //! - `confirmation`: a key that is withdrawn while this host is partitioned.
+//! - `evacuations`: many hosts that would all watch the store for the same rare changes.
 //! - `host_table`, `report_layout`: hosts that die, freeze, leave or cannot reach each other, and
 //!   fleets in which not every host can report to every other one.
 //! - `report_stamp`: machines that lose power, whose clocks start anew.
@@ -47,6 +48,7 @@
 mod demand_share;
 mod demand_table;
 mod deployment;
+mod evacuations;
 mod event_boundary;
 mod event_order;
 mod host_table;
@@ -90,6 +92,7 @@
     CallerLimits, CustomerKey, CustomerRate, Deployment, EngineLimits, EngineModel, KeyDigest,
     RateUnit, RatedCustomer, RouteKind, ServiceRoute, TargetService, WeightedService,
 };
+pub use self::evacuations::{Evacuations, ReportedEvacuations};
 pub use self::event_boundary::{EVENT_BYTES_MAX, EventBoundary};
 pub use self::event_order::EventFault;
 pub use self::host_table::{HostRecord, HostSign, HostTable, KnownHost, PEER_ALIVE_MS, PeerState};
--- a/crates/lycheeford-policy/src/gateway/peer_table.rs
+++ b/crates/lycheeford-policy/src/gateway/peer_table.rs
@@ -1,4 +1,5 @@
 use super::counters::Counters;
+use super::evacuations::ReportedEvacuations;
 use super::host_table::{HostRecord, HostSign, PeerState};
 use super::report_layout::{PartnerRole, ReportLayout};
 use super::short_key::ShortKey;
@@ -78,6 +79,8 @@
     pub target_changes: Option<TargetChangeBatch>,
     /// Targets that were recently reported to the sender as leaving.
     pub leaving: Vec<TargetLife>,
+    /// The evacuated failure domains; `None` if the sender doesn't follow them.
+    pub evacuations: Option<ReportedEvacuations>,
 }
 
 impl PeerReport {
--- a/crates/lycheeford-policy/tests/gateway/cold_targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/cold_targets.rs
@@ -1,7 +1,7 @@
 //! Targets that have just started, and evacuated failure domains.
 
 use lycheeford_policy::{
-    HostPlace, Name, Selection, TargetEntry, TargetRequirements, TargetTable, TimeMs,
+    Evacuations, HostPlace, Name, Selection, TargetEntry, TargetRequirements, TargetTable, TimeMs,
 };
 
 use crate::world::{at, entry, name, need};
@@ -133,3 +133,50 @@
         assert!(matches!(chosen, Selection::Chosen(chosen) if chosen.id.as_str() == "t1"));
     }
 }
+
+struct ListCase {
+    what: &'static str,
+    /// Revision, time of the query, and domains of each list, in the order in which they arrive.
+    lists: &'static [(u64, u64, &'static [&'static str])],
+    domains: &'static [&'static str],
+    age_ms: Option<u64>,
+}
+
+/// Guards against a list that another host asked for earlier and that takes back a newer one.
+#[test]
+fn the_newest_list_of_evacuations_holds_whoever_reports_it() {
+    let cases = [
+        ListCase { what: "nothing is known", lists: &[], domains: &[], age_ms: None },
+        ListCase {
+            what: "a list without changes",
+            lists: &[(3, 500, &[]), (3, 700, &[])],
+            domains: &[],
+            age_ms: Some(300),
+        },
+        ListCase {
+            what: "an older revision that was asked for later",
+            lists: &[(4, 500, &["a"]), (3, 700, &[])],
+            domains: &["a"],
+            age_ms: Some(500),
+        },
+        ListCase {
+            what: "an evacuation that is taken back",
+            lists: &[(4, 500, &["a", "b"]), (5, 400, &["b"])],
+            domains: &["b"],
+            age_ms: Some(500),
+        },
+    ];
+    for case in cases {
+        let mut evacuations = Evacuations::default();
+        for (revision, asked_ms, domains) in case.lists {
+            let domains = domains.iter().copied().map(name).collect();
+            evacuations.record(*revision, at(*asked_ms), domains);
+        }
+        let known: Vec<&str> = evacuations.domains().iter().map(Name::as_str).collect();
+        assert_eq!(known, case.domains, "{}", case.what);
+        assert_eq!(evacuations.age_ms(at(1_000)), case.age_ms, "{}", case.what);
+        let told = evacuations.report(at(1_000)).map(|report| (report.age_ms, report.domains));
+        let domains = case.domains.iter().copied().map(name).collect();
+        assert_eq!(told, case.age_ms.map(|age_ms| (age_ms, domains)), "{}", case.what);
+    }
+}
--- a/crates/lycheeford-policy/tests/gateway/fleet.rs
+++ b/crates/lycheeford-policy/tests/gateway/fleet.rs
@@ -302,5 +302,6 @@
         targets_known: 0,
         target_changes: None,
         leaving: Vec::new(),
+        evacuations: None,
     }
 }
