Add a queue of requests that wait for their customer's rate, and a forecast of the rate

Change: `RateQueue` decides on arrival whether a request is granted, waits with a forecast, or is refused with the forecast, in the order and by the costs of `claim`. Nothing waits longer than half of its objective. `SharedBucket::supply` forecasts the supply that binds, without a change of the bucket; `take` decides as before. No caller uses the queue yet.

Ruled out: relying on the whole forecast refill and letting newcomers displace any claim.

--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //!   turn away.
 //! - `wait_queue`: the order of waiting requests when all slots are in use.
 //! - `shared_bucket`: a customer that sends many times its rate to every host.
+//! - `rate_queue`: requests that their customer's rate can't pay for yet, but can soon.
 //! - `settling`: hosts that start together and do not know what was spent before.
 //! - `retry_share`: targets that fail together, so that retries multiply the load.
 //! - `confirmation`: a key that is withdrawn while this host is partitioned.
@@ -57,6 +58,7 @@
 mod permit_granter;
 mod placement_log;
 mod portion;
+mod rate_queue;
 mod report_layout;
 mod report_pace;
 mod retry_share;
@@ -101,6 +103,9 @@
 pub use self::permit::{PermitAnswer, PermitAsk, PermitRank};
 pub use self::permit_granter::{PermitGranter, permit_granter};
 pub use self::placement_log::PlacementLog;
+pub use self::rate_queue::{
+    RATE_HOST_WAITING_MAX, RATE_WAITING_MAX, RateDecision, RateForecast, RateQueue, RateRefusal,
+};
 pub use self::report_layout::{PartnerRole, ReportLayout};
 pub use self::report_pace::ReportPace;
 pub use self::retry_share::RetryShare;
--- a/crates/lycheeford-policy/src/gateway/portion.rs
+++ b/crates/lycheeford-policy/src/gateway/portion.rs
@@ -70,11 +70,24 @@
         if bucket_level <= 0.0 {
             return;
         }
+        let filled_per_ms = self.refill_per_ms(bucket_level, burst_units, refill_per_ms);
+        let filled = self.level + filled_per_ms * elapsed_ms;
+        self.level = filled.min(refill_per_ms * CAPACITY_MS * self.share);
+    }
+
+    /// Returns the units per millisecond by which the portion is refilled once the bucket has no
+    /// debt.
+    pub(super) fn refill_per_ms(
+        &self,
+        bucket_level: f64,
+        burst_units: f64,
+        refill_per_ms: f64,
+    ) -> f64 {
         let setpoint_units = (refill_per_ms * SETPOINT_MS).min(burst_units * SETPOINT_PART_MAX);
         let span_units = refill_per_ms * CORRECTION_MS;
-        let excess_part = (bucket_level - setpoint_units) / span_units.max(f64::MIN_POSITIVE);
+        let excess_units = bucket_level.max(0.0) - setpoint_units;
+        let excess_part = excess_units / span_units.max(f64::MIN_POSITIVE);
         let speed = (1.0 + GAIN * excess_part).clamp(0.0, SPEED_MAX);
-        let filled = self.level + refill_per_ms * self.share * speed * elapsed_ms;
-        self.level = filled.min(refill_per_ms * CAPACITY_MS * self.share);
+        refill_per_ms * self.share * speed
     }
 }
--- a/crates/lycheeford-policy/src/gateway/shared_bucket.rs
+++ b/crates/lycheeford-policy/src/gateway/shared_bucket.rs
@@ -1,3 +1,4 @@
+use super::claim::Supply;
 use super::demand_share::DemandShare;
 use super::peer_visibility::PeerVisibility;
 use super::portion::Portion;
@@ -122,19 +123,10 @@
         visibility: &PeerVisibility,
         units: f64,
     ) -> Result<(), u64> {
-        self.refill(now, rate, visibility);
-        self.demand.asked_here(now, units, visibility.pause_ms);
-        self.update_portion(now, visibility.pause_ms);
-        let pause_ms = visibility.pause_ms as f64;
-        self.average_ms = pause_ms * AVERAGE_PAUSES;
+        self.ask(now, rate, visibility, units);
         // `refill` has set the level.
         let level = self.level.unwrap_or_default();
-        // At several times the rate, all hosts would spend the same refill before they receive each
-        // other's reports.
-        let unreported_units = match self.portion {
-            Some(_) => 0.0,
-            None => self.elsewhere_decayed_per_ms(now) * pause_ms * UNREPORTED_PAUSES,
-        };
+        let unreported_units = self.unreported_units(now, visibility);
         let own_level = self.partition.map_or(f64::INFINITY, |partition| partition.level);
         let portion = self.portion.map_or(f64::INFINITY, |portion| portion.level());
         if level <= unreported_units || own_level <= 0.0 || portion <= 0.0 {
@@ -149,12 +141,89 @@
             let longest_ms = waits.into_iter().fold(1.0, f64::max);
             return Err(longest_ms.min(WAIT_MS_MAX).ceil() as u64);
         }
+        self.spend_here(units);
+        Ok(())
+    }
+
+    /// Records that a request asks for `units`, without taking them.
+    ///
+    /// Each request is recorded once, also if it waits for its units.
+    pub fn ask(
+        &mut self,
+        now: TimeMs,
+        rate: &CustomerRate,
+        visibility: &PeerVisibility,
+        units: f64,
+    ) {
+        self.refill(now, rate, visibility);
+        self.demand.asked_here(now, units, visibility.pause_ms);
+        self.update_portion(now, visibility.pause_ms);
+        self.average_ms = visibility.pause_ms as f64 * AVERAGE_PAUSES;
+    }
+
+    /// Refills the bucket without a request, before a forecast for those that wait.
+    pub fn update(&mut self, now: TimeMs, rate: &CustomerRate, visibility: &PeerVisibility) {
+        self.refill(now, rate, visibility);
+        self.update_portion(now, visibility.pause_ms);
+    }
+
+    /// Takes the units of a request that [`SharedBucket::supply`] says is granted now.
+    pub fn spend_here(&mut self, units: f64) {
         if let Some(portion) = &mut self.portion {
             portion.spend(units);
         }
         self.spend(units);
         self.spent_here += units;
-        Ok(())
+    }
+
+    /// Returns the supply that grants last after `work_ahead` units: that of the level, of this
+    /// host's own part while reports are missing, or of its portion.
+    ///
+    /// The bucket must have been refilled for `now` by [`SharedBucket::ask`] or
+    /// [`SharedBucket::update`]. A claim is granted at `now` exactly if [`SharedBucket::take`] would
+    /// admit it.
+    pub fn supply(&self, now: TimeMs, visibility: &PeerVisibility, work_ahead: f64) -> Supply {
+        let level = self.level.unwrap_or_default();
+        let share = self.portion.map_or_else(|| self.demand.share(now), |portion| portion.share());
+        // Without portions, the other hosts take what they ask for, of which the last report interval
+        // isn't known. A forecast from the whole refill less what is known was too early by seconds
+        // while demand rose.
+        let level_part = if self.portion.is_some() { 1.0 } else { share };
+        let level_supply = Supply {
+            available: level - self.unreported_units(now, visibility),
+            per_ms: self.refill_per_ms * level_part,
+            grant_units: f64::MIN_POSITIVE,
+        };
+        let own_supply = self.partition.map(|partition| Supply {
+            available: partition.level,
+            per_ms: self.refill_per_ms * partition.part,
+            grant_units: f64::MIN_POSITIVE,
+        });
+        let portion_supply = self.portion.map(|portion| Supply {
+            // Portions aren't refilled while a debt is paid off.
+            available: portion.level() + level.min(0.0) * portion.share(),
+            per_ms: portion.refill_per_ms(level, self.burst_units, self.refill_per_ms),
+            grant_units: f64::MIN_POSITIVE,
+        });
+        let supplies = [Some(level_supply), own_supply, portion_supply];
+        let granted_ms =
+            |supply: &Supply| supply.granted_at(now, work_ahead).map_or(u64::MAX, TimeMs::as_ms);
+        let is_short = supplies.iter().flatten().any(|supply| supply.available <= 0.0);
+        let last = supplies.into_iter().flatten().max_by_key(granted_ms).unwrap_or(level_supply);
+        // Whichever supply grants last in the end, nothing is granted before all of them are above
+        // zero.
+        let available = if is_short { last.available.min(0.0) } else { last.available };
+        Supply { available, ..last }
+    }
+
+    /// Returns what other hosts spent and have yet to report.
+    fn unreported_units(&self, now: TimeMs, visibility: &PeerVisibility) -> f64 {
+        if self.portion.is_some() {
+            // At several times the rate, all hosts would spend the same refill before they receive
+            // each other's reports.
+            return 0.0;
+        }
+        self.elsewhere_decayed_per_ms(now) * visibility.pause_ms as f64 * UNREPORTED_PAUSES
     }
 
     /// Starts, updates or ends the portion, depending on the demand.
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod order_lease;
 mod placement;
+mod rate_queue;
 mod rates;
 mod stated_content;
 mod stop_load;
