Let requests wait for their customer's rate if it pays for them in time

Cause: the gateway refused each request over its customer's rate at once, also if the missing units would come back well before its deadline.

Change: such a request waits in `RateQueue`, for at most half of its objective or of its time. One task a host grants and refuses what is due, at the forecast time and every 50 ms. Units are taken when they are granted, and refunded if the caller leaves or the key is withdrawn meanwhile. A stopping host begins no wait and refuses those that wait with `HostStopping`. Requests that other hosts passed on are charged or refused at once as before.

Ruled out: a timer a request, since hosts have a tenth of a core.

--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -97,6 +97,11 @@
     task: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StepLabels {
+    step: &'static str,
+}
+
 type Histograms = Family<CustomerLabels, Histogram, fn() -> Histogram>;
 
 /// The metrics of a gateway; docs/OPERATIONS.md explains each.
@@ -117,6 +122,8 @@
     crash_causes: Family<CauseLabels, Counter>,
     unread_messages: Family<UnreadLabels, Counter>,
     task_panics: Family<TaskLabels, Counter>,
+    rate_waits: Family<StepLabels, Counter>,
+    units_refused_below_level: Counter<f64, AtomicU64>,
     pub(crate) unreadable_entries: Counter,
     /// The requests that targets had, or may have had, when this host's grace ended.
     pub(crate) unanswered_at_stop: Counter,
@@ -161,6 +168,8 @@
             crash_causes: Family::default(),
             unread_messages: Family::default(),
             task_panics: Family::default(),
+            rate_waits: Family::default(),
+            units_refused_below_level: Counter::default(),
             unreadable_entries: Counter::default(),
             unanswered_at_stop: Counter::default(),
             revision: Gauge::default(),
@@ -259,6 +268,16 @@
         self.task_panics.get_or_create(&TaskLabels { task }).inc();
     }
 
+    /// Counts a step of a request's wait for its customer's rate.
+    pub(crate) fn rate_wait(&self, step: &'static str) {
+        self.rate_waits.get_or_create(&StepLabels { step }).inc();
+    }
+
+    /// Counts units that were refused although this host's view of the fleet's level held them.
+    pub(crate) fn units_refused_below_level(&self, units: f64) {
+        self.units_refused_below_level.inc_by(units);
+    }
+
     /// Counts a reason for which requests are refused from now on.
     pub(crate) fn crash_cause(&self, cause: CrashCause) {
         let cause = match cause {
@@ -285,6 +304,11 @@
         registry.register("unread_messages", help, self.unread_messages.clone());
         let help = "Background tasks that panicked and were started again";
         registry.register("task_panics", help, self.task_panics.clone());
+        let help = "Waits of requests for their customers' rates, by step";
+        registry.register("rate_waits", help, self.rate_waits.clone());
+        let help = "Units refused although the level of the whole rate held them";
+        let below_level = self.units_refused_below_level.clone();
+        registry.register("units_refused_below_level", help, below_level);
         registry.register("answered_ms", "Time to the end of an answer", self.answered.clone());
         registry.register("first_event_ms", "Time to the first event", self.first_event.clone());
         registry.register("refused", "Refusals by reason", self.refused.clone());
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -1,19 +1,18 @@
 use std::sync::Arc;
 
 use lycheeford_policy::{
-    CrashCause, CrashVerdict, Deployment, LateRequest, Name, Ran, RatedCustomer, Refusal,
+    Claim, CrashCause, CrashVerdict, Deployment, LateRequest, Name, Ran, RatedCustomer, Refusal,
     RefusalCode, ServiceRoute, ShortKey, TargetRequirements, TimeMs,
 };
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::charge::Charge;
+use super::rates::RateRequest;
 use crate::GatewayRequest;
 use crate::state::State;
 
 /// The `Retry-After` time while this host has no current declaration.
 const STARTING_RETRY_MS: u64 = 500;
-/// The longest `Retry-After` time for a customer over its rate limit.
-const OVER_RATE_RETRY_MS_MAX: u64 = 5_000;
 /// The `Retry-After` time that a stopping host returns; the caller should use another host.
 const STOPPING_RETRY_MS: u64 = 50;
 /// The prefill speed of an engine in prompt tokens per millisecond, from which the time that a
@@ -42,13 +41,14 @@
     pub(super) revision: u64,
 }
 
-/// Decides whether a request is admitted, and computes what it needs from a target.
+/// Decides whether a request is admitted, and computes what it needs from a target. A request that
+/// its customer's rate can't pay for yet waits, if the rate does so in time.
 ///
 /// # Errors
 ///
 /// Refuses a request that has no route or no valid key, exceeds its customer's rate limit, or has
 /// crashed targets before.
-pub(super) fn admit(
+pub(super) async fn admit(
     state: &Arc<State>,
     request: GatewayRequest,
     arrived_at: TimeMs,
@@ -69,13 +69,6 @@
         return Err(no_route(state, &request, arrived_at));
     };
     let tokens = request.tokens.map(|(prompt, output)| prompt + output);
-    let rate = customer.and_then(|customer| customer.rate.as_ref().map(|rate| (customer, rate)));
-    let charge = match rate {
-        Some((customer, rate)) => {
-            Some(Charge::take(state, &customer.name, rate, tokens).map_err(over_rate)?)
-        }
-        None => None,
-    };
     let engine = deployment.service(&service).and_then(|service| service.engine.as_ref());
     let customer_priority = customer.and_then(|customer| customer.priority);
     let priority = customer_priority.unwrap_or(route.priority);
@@ -97,13 +90,31 @@
         excluded: Vec::new(),
         priority,
     };
-    count_demand(state, arrived_at, &need);
     let deadline_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
-    Ok(Admitted {
+    let rate = customer.and_then(|customer| Some((customer, customer.rate.as_ref()?)));
+    let rate_request = rate.map(|(customer, rate)| {
+        // The other half of the objective, or of the time if that is shorter, is left to run.
+        let latest_at = arrived_at + route.objective_ms.min(deadline_ms).min(route.timeout_ms) / 2;
+        RateRequest {
+            id: request.id.clone(),
+            customer: customer.name.clone(),
+            rate: rate.clone(),
+            claim: Claim {
+                id: state.next_number(),
+                arrived_at,
+                due_at: latest_at,
+                latest_at,
+                priority,
+                work: rate.unit.cost(tokens),
+            },
+            may_wait: !request.is_forwarded && !state.is_draining(),
+        }
+    });
+    let mut admitted = Admitted {
         priority,
         customer: customer.map(|customer| customer.name.clone()),
         need,
-        charge,
+        charge: None,
         crash_causes,
         arrived_at,
         deadline_at: arrived_at + deadline_ms,
@@ -111,7 +122,18 @@
         revision: deployment.revision,
         request,
         route,
-    })
+    };
+    if let Some(rate_request) = rate_request {
+        let charge = Charge::take(state, &rate_request).await?;
+        let has_waited = charge.has_waited;
+        admitted.charge = Some(charge);
+        if has_waited {
+            // The key may have been withdrawn in the meantime.
+            admitted.recheck(state)?;
+        }
+    }
+    count_demand(state, state.now(), &admitted.need);
+    Ok(admitted)
 }
 
 impl Admitted {
@@ -255,9 +277,3 @@
     let message = format!("no route for {} at {}; correct the URL", request.path, request.host);
     Refusal::not_run(RefusalCode::NotFound, message, None)
 }
-
-fn over_rate(wait_ms: u64) -> Refusal {
-    let message = "the customer is over its rate limit; send less or retry later";
-    let wait_ms = wait_ms.min(OVER_RATE_RETRY_MS_MAX);
-    Refusal::not_run(RefusalCode::OverRate, message, Some(wait_ms))
-}
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -91,7 +91,7 @@
         request: GatewayRequest,
         arrived_at: TimeMs,
     ) -> Result<CallerResponse, Refusal> {
-        let admitted = admit(&self.state, request, arrived_at)?;
+        let admitted = admit(&self.state, request, arrived_at).await?;
         let mut attempts = Attempts::new(Arc::clone(&self.state), admitted);
         let answered = async { Some(self.answer_or_forward(&mut attempts).await) };
         let answers_due = async {
--- a/crates/lycheeford-gateway/src/request/mod.rs
+++ b/crates/lycheeford-gateway/src/request/mod.rs
@@ -17,6 +17,7 @@
 mod slot;
 mod unstated_end;
 
+pub(crate) use self::charge::pay_from_rates;
 pub(crate) use self::crash::log_refused;
 pub(crate) use self::front::Front;
 pub(crate) use self::permit::PermitWaiters;
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -20,7 +20,7 @@
 };
 use crate::operation::{Directory, MetricsPage, Readiness};
 use crate::orders::{keep_lease, plan_orders};
-use crate::request::Front;
+use crate::request::{Front, pay_from_rates};
 use crate::state::State;
 use crate::{GatewayLog, GatewaySettings, PlatformProtocols};
 
@@ -120,6 +120,7 @@
     start_task(state, "lease", keep_lease);
     start_task(state, "orders", plan_orders);
     start_task(state, "dispatch", dispatch);
+    start_task(state, "rates", pay_from_rates);
     start_task(state, "losses", log_losses);
 }
 
