--- a/crates/lycheeford-policy/src/lib.rs
+++ b/crates/lycheeford-policy/src/lib.rs
@@ -85,6 +85,7 @@
     LeaseExpect, LeaseRecord, LeaseStep, LeavingSource, LogCursor, ModelDemand, OrderLease,
     OwnCounts, PEER_ALIVE_MS, PRIORITY_STEP_MS, PartnerRole, Peer, PeerReport, PeerState,
     PeerTable, PeerVisibility, PermitAnswer, PermitAsk, PermitGranter, PermitRank, PlacementLog,
+    RATE_HOST_WAITING_MAX, RATE_WAITING_MAX, RateDecision, RateForecast, RateQueue, RateRefusal,
     RateUnit, RatedCustomer, ReportDifference, ReportLayout, ReportPace, ReportStamp,
     ReportedEvacuations, ReportedLease, ReportedPlacement, Residency, ResidentModel, ResidentView,
     RetryShare, RouteKind, RunTimes, RunningAt, Scope, Selection, ServiceRoute, ServiceVersions,
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod membership;
 mod order_lease;
 mod placement;
+mod rate_queue;
 mod rates;
 mod report_stamps;
 mod stated_content;
