--- a/crates/lycheeford-policy/tests/gateway/rate_queue.rs
+++ b/crates/lycheeford-policy/tests/gateway/rate_queue.rs
@@ -480,6 +480,8 @@
 
 /// Guards against a queue by which a customer gets more than its rate and burst, which refuses more
 /// than without one, or which holds requests for long only to refuse them.
+///
+/// With 80 hosts the last of these isn't reached; docs/design/rate-queue.md has the figures.
 #[test]
 fn a_queue_refuses_less_and_keeps_the_rate() {
     const SECONDS: u64 = 40;
