Tell refused callers when the whole rate pays, unless portions are in force

Cause: without portions, the forecast for waiting requests counts on the host's own part of the refill, so that it isn't too early while demand rises. As `Retry-After` of a refusal it is too late by the inverse of that part, 80 times with 80 hosts and evenly spread demand.

Change: without portions, `Retry-After` and `forecast_ms` of a request refused on arrival are computed as before the queue, plus the units that wait before the request. Found by reading; no test shows it.

Ruled out: the whole refill in the forecast for waits, by which requests waited for seconds in the first second of an overload and were then refused.

--- a/crates/lycheeford-gateway/src/request/rates.rs
+++ b/crates/lycheeford-gateway/src/request/rates.rs
@@ -159,8 +159,17 @@
                 self.bucket_of(now, key).spend_here(claim.work);
                 RateArrival::Granted
             }
-            RateDecision::Refused(forecast) => {
+            RateDecision::Refused(mut forecast) => {
                 self.refused.add(now, key, claim.work);
+                let bucket = self.bucket_of(now, key);
+                // Without portions, the forecast counts on this host's part of the refill alone, so
+                // that no wait is too short; a caller would be told to return far too late.
+                if bucket.portion().is_none()
+                    && let Err(wait_ms) = bucket.clone().take(now, rate, visibility, 0.0)
+                {
+                    let ahead_ms = forecast.units_ahead * 1_000.0 / rate.units_per_s;
+                    forecast.granted_at = Some(now + wait_ms + ahead_ms as u64);
+                }
                 RateArrival::Refused(forecast)
             }
             RateDecision::Waits { forecast, displaced } => {
