Decide by a forecast of the load whether a request waits for its model

Cause: a request for a model that no target holds waits for twice its route's objective without knowing whether the model will be loaded, and is then refused.

Change: `LoadWait::decide` takes the forecast of the lease holder (ready at a time, or no load before a time), its age and how long its sender has held the lease. A request that can't be served in time is refused at once, one that can waits for the planned time and 500 ms, and one without a forecast waits for its objective, at least 1 s. Nothing calls it yet.

Ruled out: refusing by a forecast that is older than 1 s, or by "no load before" of a host that has held the lease for less than 1 s, which may not know yet what the engines do.

--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 //! - `order_lease`: which host gives orders to engines, while holders freeze.
 //! - `demand_table`: demand that moves to other models.
 //! - `swap_planner`: rare models that are requested at the same time on few engines.
+//! - `load_forecast`: requests for a model that nobody holds, which may be loaded in time or not.
 //! - `adapter_planner`: many adapters on few adapter slots.
 //! - `placement_log`: hosts that would all query the store for the same placement changes.
 //! - `run_times`: requests that arrive while the host is being restarted.
@@ -49,6 +50,7 @@
 mod event_boundary;
 mod event_order;
 mod host_table;
+mod load_forecast;
 mod log_cursor;
 mod order_lease;
 mod peer_table;
@@ -91,6 +93,7 @@
 pub use self::event_boundary::{EVENT_BYTES_MAX, EventBoundary};
 pub use self::event_order::EventFault;
 pub use self::host_table::{HostRecord, HostSign, HostTable, KnownHost, PEER_ALIVE_MS, PeerState};
+pub use self::load_forecast::{LoadDecision, LoadForecast, LoadTime, LoadWait};
 pub use self::log_cursor::LogCursor;
 pub use self::order_lease::{LeaseExpect, LeaseRecord, LeaseStep, OrderLease};
 pub use self::peer_table::{
