Forecast when a model that gets no order yet is ready, or that no engine has room for it

Cause: a model without an order was given 900 ms, or the time of one load from the store, again with each plan, also if no engine could evict a model for it or the store's rate was used up.

Change: the planner counts the loads that the store's rate must still bring back, and looks whether any engine has room or is about to have it. If none has had room for 100 ms and none holds the model, the model is listed in `no_room` with the earliest time of a load. A model that requests wait for by a promise (`is_promised`, not set yet) isn't preceded by later demand of the same or a less urgent priority.

Ruled out: saying so as soon as no engine has room. A model that was just loaded can't be evicted until the requests that wait for it were sent.

`ModelDemand` has a new field, set to false in the builder of the tests; no case changed.

--- a/crates/lycheeford-gateway/src/orders/plan_task.rs
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -234,6 +234,7 @@
             running: found.map_or(0, |index| running[index].1),
             // A model without requests ranks as the least recently requested.
             asked_at: asked_at.unwrap_or_default(),
+            is_promised: false,
         })
     };
     let any_version = limits.models.iter().filter_map(of_model);
@@ -266,6 +267,7 @@
             rate_per_s: 0.0,
             running,
             asked_at: now,
+            is_promised: false,
         });
     }
     demands
--- a/crates/lycheeford-policy/src/gateway/swap_planner.rs
+++ b/crates/lycheeford-policy/src/gateway/swap_planner.rs
@@ -45,6 +45,13 @@
 /// Expected wait for an engine that has the weights in memory or on disk but carries out other
 /// work.
 const LOCAL_WEIGHTS_WAIT_MS: u64 = 900;
+/// Usual time until a model that is in use may be evicted.
+const EVICTABLE_MS: u64 = 400;
+/// How long no engine must have room for a model before its requests are told so. Room is often
+/// missing only until the requests that wait for a model that was just loaded have been sent.
+const NO_ROOM_MS: u64 = 100;
+/// How long it is remembered since when no engine has room for a model that no request waits for.
+const NO_ROOM_KEPT_MS: u64 = 2_000;
 const MS_PER_S: f64 = 1_000.0;
 
 /// An engine as seen by the planner.
@@ -119,6 +126,8 @@
     pub running: u32,
     /// When the model was last requested.
     pub asked_at: TimeMs,
+    /// Whether requests were told when the model would be ready.
+    pub is_promised: bool,
 }
 
 /// Result of a planning round.
@@ -128,6 +137,9 @@
     pub orders: Vec<SwapOrder>,
     /// Models that receive no order yet, with the expected remaining wait in milliseconds.
     pub waits: Vec<(Name, u64)>,
+    /// Models that no engine holds and none has had room for during some time, with the least time
+    /// in milliseconds until a load could be done.
+    pub no_room: Vec<(Name, u64)>,
 }
 
 /// An order for an engine.
@@ -172,6 +184,9 @@
     /// When the loads from the store that may still run will end.
     store_loads_until: Vec<TimeMs>,
     spare_at: TimeMs,
+    /// The models that no engine has room for, each with the times since when and at which that was
+    /// last found; sorted by model.
+    no_room: Vec<(Name, TimeMs, TimeMs)>,
 }
 
 impl SwapPlanner {
@@ -183,6 +198,7 @@
             refilled_at: now,
             store_loads_until: Vec::new(),
             spare_at: TimeMs::default(),
+            no_room: Vec::new(),
         }
     }
 
@@ -190,7 +206,8 @@
     ///
     /// Models are ordered by the requests that wait for them: a model that many requests wait for
     /// and no engine holds precedes a model with a single request, also when the weight store is
-    /// the bottleneck.
+    /// the bottleneck. Only a model whose requests wait since they were told when it would be ready
+    /// isn't preceded by models of the same or a less urgent priority whose requests weren't.
     pub fn plan(
         &mut self,
         now: TimeMs,
@@ -203,30 +220,119 @@
         let mut round = PlanningRound { now, slots, engines, demands, ordered_engines: Vec::new() };
         let mut plan = SwapPlan::default();
         let mut waits_for_store = 0;
+        self.no_room.retain(|(_, _, found_at)| now.since_ms(*found_at) < NO_ROOM_KEPT_MS);
         for (demand, urgency) in round.needs() {
             let Some(model) = limits.model(&demand.model) else { continue };
             if urgency == Urgency::Spare && now.since_ms(self.spare_at) < SPARE_PAUSE_MS {
                 continue;
             }
             if let Some(order) = self.choose(&round, model, demand, urgency) {
+                self.forget_no_room(&demand.model);
                 if urgency == Urgency::Spare {
                     self.spare_at = now;
                 }
                 round.ordered_engines.push(order.engine.clone());
                 plan.orders.push(order);
             } else if demand.waiting > 0 {
-                let wait_ms = if round.has_local_weights(demand) {
-                    LOCAL_WEIGHTS_WAIT_MS
-                } else {
-                    waits_for_store += 1;
-                    self.store_wait_ms(now, waits_for_store - 1, model.load_store_ms)
-                };
-                plan.waits.push((demand.model.clone(), wait_ms));
+                match self.wait_ms(&round, limits, model, demand, &mut waits_for_store) {
+                    Some(wait_ms) => {
+                        self.forget_no_room(&demand.model);
+                        plan.waits.push((demand.model.clone(), wait_ms));
+                    }
+                    None => plan.no_room.extend(self.no_room(&round, model, demand)),
+                }
             }
         }
         plan
     }
 
+    /// Returns how long a model that gets no order yet is expected to wait, if an engine has room
+    /// for it or carries out another order.
+    fn wait_ms(
+        &self,
+        round: &PlanningRound<'_>,
+        limits: &EngineLimits,
+        model: &EngineModel,
+        demand: &ModelDemand,
+        waits_for_store: &mut usize,
+    ) -> Option<u64> {
+        let is_busy = demand.rate_per_s >= BUSY_PER_S;
+        let (mut local_ms, mut has_room_for_store) = (None, false);
+        for engine in round.engines.iter().filter(|engine| may_load(engine, demand)) {
+            let tier = Tier::of(engine, &model.name);
+            if engine.is_limited && (is_busy || tier == Tier::Store) {
+                continue;
+            }
+            let is_free = engine.operation.is_none() && !round.ordered_engines.contains(&engine.id);
+            if is_free && round.make_room(engine, model, Urgency::Waiting).is_none() {
+                continue;
+            }
+            if tier == Tier::Store {
+                has_room_for_store = true;
+                continue;
+            }
+            let wait_ms = LOCAL_WEIGHTS_WAIT_MS.max(EVICTABLE_MS + tier.load_ms(model));
+            local_ms = Some(local_ms.map_or(wait_ms, |least_ms: u64| least_ms.min(wait_ms)));
+        }
+        if local_ms.is_some() || !has_room_for_store {
+            return local_ms;
+        }
+        let ahead = *waits_for_store;
+        *waits_for_store += 1;
+        let start_ms = if round.has_local_weights(demand) {
+            LOCAL_WEIGHTS_WAIT_MS_MAX.saturating_sub(demand.oldest_ms)
+        } else {
+            0
+        };
+        let rate_per_s = limits.store_loads_per_s * STORE_RATE_PART;
+        let missing_loads = ((ahead + 1) as f64 - self.store_loads).max(0.0);
+        if missing_loads > 0.0 && rate_per_s <= 0.0 {
+            return None;
+        }
+        let refill_ms = if missing_loads > 0.0 {
+            (missing_loads / rate_per_s * MS_PER_S).ceil() as u64
+        } else {
+            0
+        };
+        let load_ms = model.load_store_ms;
+        let turn_ms = self.store_wait_ms(round.now, ahead, load_ms);
+        Some(turn_ms.max(start_ms.max(refill_ms) + load_ms))
+    }
+
+    /// Records that no engine has room for a model; returns the model with the least time until a
+    /// load could be done, if that has been so for some time.
+    ///
+    /// A model that some engine holds isn't lacking, and without an engine that takes orders nothing
+    /// is known.
+    fn no_room(
+        &mut self,
+        round: &PlanningRound<'_>,
+        model: &EngineModel,
+        demand: &ModelDemand,
+    ) -> Option<(Name, u64)> {
+        let now = round.now;
+        let is_held = round.engines.iter().any(|engine| holds(engine, &demand.model));
+        let usable = round.engines.iter().filter(|engine| may_load(engine, demand));
+        let load_ms = usable.map(|engine| Tier::of(engine, &model.name).load_ms(model)).min()?;
+        if is_held || demand.version.is_some() {
+            return None;
+        }
+        let found = self.no_room.binary_search_by(|(known, ..)| known.cmp(&demand.model));
+        let index = found.unwrap_or_else(|index| {
+            self.no_room.insert(index, (demand.model.clone(), now, now));
+            index
+        });
+        let (_, since, found_at) = &mut self.no_room[index];
+        *found_at = now;
+        (now.since_ms(*since) >= NO_ROOM_MS).then(|| (demand.model.clone(), EVICTABLE_MS + load_ms))
+    }
+
+    fn forget_no_room(&mut self, model: &Name) {
+        if let Ok(index) = self.no_room.binary_search_by(|(known, ..)| known.cmp(model)) {
+            self.no_room.remove(index);
+        }
+    }
+
     fn choose(
         &mut self,
         round: &PlanningRound<'_>,
@@ -349,7 +455,25 @@
             Some((weight / (1.0 + f64::from(demand.priority.min(9)) / 2.0), demand, urgency))
         };
         let mut needs: Vec<_> = self.demands.iter().filter_map(weighted).collect();
-        needs.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let heaviest = |needs: &[(f64, &ModelDemand, Urgency)], priority: u8| {
+            let later = needs.iter().filter(|(_, demand, urgency)| {
+                *urgency == Urgency::Waiting && !demand.is_promised && demand.priority >= priority
+            });
+            later.map(|(weight, ..)| *weight).fold(0.0, f64::max)
+        };
+        let weights: Vec<f64> = needs
+            .iter()
+            .map(|(weight, demand, urgency)| {
+                let is_bound = demand.is_promised && *urgency == Urgency::Waiting;
+                if is_bound { weight.max(heaviest(&needs, demand.priority)) } else { *weight }
+            })
+            .collect();
+        for (need, weight) in needs.iter_mut().zip(weights) {
+            need.0 = weight;
+        }
+        needs.sort_by(|left, right| {
+            right.0.total_cmp(&left.0).then(right.1.is_promised.cmp(&left.1.is_promised))
+        });
         needs.into_iter().map(|(_, demand, urgency)| (demand, urgency)).collect()
     }
 
@@ -517,6 +641,11 @@
     engine.is_ready && is_enough && accepts(demand, engine) && holds(engine, &demand.model)
 }
 
+/// Returns whether an engine may load a model, now or after its current order.
+fn may_load(engine: &EngineView, demand: &ModelDemand) -> bool {
+    engine.is_ready && accepts(demand, engine) && !holds(engine, &demand.model)
+}
+
 /// Returns whether the requests may run at the software version of an engine.
 fn accepts(demand: &ModelDemand, engine: &EngineView) -> bool {
     demand.version.is_none_or(|version| version == engine.version)
--- a/crates/lycheeford-policy/tests/gateway/placement.rs
+++ b/crates/lycheeford-policy/tests/gateway/placement.rs
@@ -270,6 +270,124 @@
     assert!(waits.iter().all(|(_, ms)| *ms == 12_000), "{waits:?}");
 }
 
+struct ForecastCase {
+    what: &'static str,
+    engines: Vec<EngineView>,
+    demands: Vec<ModelDemand>,
+    /// The expected waits of the models that get no order.
+    waits: Vec<(&'static str, u64)>,
+    /// The models that no engine has had room for during 100 ms.
+    no_room: Vec<(&'static str, u64)>,
+}
+
+/// Guards against requests that wait for a model that nobody loads, and against requests that are
+/// refused although an engine is about to have room.
+#[test]
+fn the_wait_for_a_model_without_an_order_is_forecast() {
+    let just_now = at(19_900);
+    let full = || engine("e1", &["m1", "m2"], &["m3"]);
+    let in_use = || vec![demand("m1", 1, 0.1, just_now), demand("m2", 0, 9.0, just_now)];
+    let with = |mut demands: Vec<ModelDemand>, model| {
+        demands.push(demand(model, 1, 0.1, just_now));
+        demands
+    };
+    let cases = [
+        ForecastCase {
+            what: "no model can be evicted",
+            engines: vec![full()],
+            demands: with(in_use(), "m3"),
+            waits: vec![],
+            no_room: vec![("m3", 900)],
+        },
+        ForecastCase {
+            what: "no model can be evicted for a load from the store",
+            engines: vec![full()],
+            demands: with(in_use(), "m4"),
+            waits: vec![],
+            no_room: vec![("m4", 6_400)],
+        },
+        ForecastCase {
+            what: "an engine with the weights carries out another order",
+            engines: vec![EngineView {
+                operation: Some(EngineOperation::Load(name("m1"))),
+                ..engine("e1", &["m2"], &["m3"])
+            }],
+            demands: with(in_use(), "m3"),
+            waits: vec![("m3", 900)],
+            no_room: vec![],
+        },
+        ForecastCase {
+            what: "the state of the engine is unknown",
+            engines: vec![EngineView { operation: Some(EngineOperation::Unknown), ..full() }],
+            demands: with(in_use(), "m3"),
+            waits: vec![("m3", 900)],
+            no_room: vec![],
+        },
+        ForecastCase {
+            what: "the model is held by an engine that takes no orders",
+            engines: vec![full(), EngineView { is_ready: false, ..engine("e2", &["m3"], &[]) }],
+            demands: with(in_use(), "m3"),
+            waits: vec![],
+            no_room: vec![],
+        },
+        ForecastCase {
+            what: "no engine takes orders",
+            engines: vec![EngineView { is_ready: false, ..full() }],
+            demands: with(in_use(), "m3"),
+            waits: vec![],
+            no_room: vec![],
+        },
+        ForecastCase {
+            what: "the rate of the store is used up",
+            engines: vec![engine("e1", &[], &[]), engine("e2", &[], &[])],
+            demands: with(vec![demand("m5", 2, 0.1, just_now)], "m6"),
+            // Of the two loads that are needed, 0.68 came back in the 100 ms before.
+            waits: vec![("m5", 6_048), ("m6", 6_195)],
+            no_room: vec![],
+        },
+    ];
+    for case in cases {
+        let limits = limits(&["m1", "m2", "m3", "m4", "m5", "m6"]);
+        let mut planner = SwapPlanner::new(at(20_000));
+        let first = planner.plan(at(20_000), &limits, SLOTS, &case.engines, &case.demands);
+        assert!(first.no_room.is_empty(), "{}", case.what);
+        let plan = planner.plan(at(20_100), &limits, SLOTS, &case.engines, &case.demands);
+        assert_eq!(plan.orders, [], "{}", case.what);
+        let named = |forecasts: &[(&str, u64)]| -> Vec<_> {
+            forecasts.iter().map(|(model, ms)| (name(model), *ms)).collect()
+        };
+        assert_eq!(plan.waits, named(&case.waits), "{}", case.what);
+        assert_eq!(plan.no_room, named(&case.no_room), "{}", case.what);
+    }
+}
+
+/// Guards against a load that requests were told to wait for and that later demand takes the place
+/// of.
+#[test]
+fn a_promised_load_precedes_demand_that_is_not_more_urgent() {
+    struct Case {
+        what: &'static str,
+        is_promised: bool,
+        other_priority: u8,
+        first: &'static str,
+    }
+    let cases = [
+        Case { what: "not promised", is_promised: false, other_priority: 1, first: "busy" },
+        Case { what: "promised", is_promised: true, other_priority: 1, first: "m3" },
+        Case { what: "less urgent demand", is_promised: true, other_priority: 2, first: "m3" },
+        Case { what: "more urgent demand", is_promised: true, other_priority: 0, first: "busy" },
+    ];
+    for Case { what, is_promised, other_priority, first } in cases {
+        let just_now = at(19_900);
+        let demands = [
+            ModelDemand { priority: other_priority, ..demand("busy", 30, 1.0, just_now) },
+            ModelDemand { priority: 1, is_promised, ..demand("m3", 1, 0.1, just_now) },
+        ];
+        let orders = plan(&[engine("e1", &["m1"], &["busy", "m3"])], &demands);
+        assert_eq!(orders, [load("e1", first, 500)], "{what}");
+    }
+}
+
 proptest! {
     #[test]
     fn no_engine_is_ordered_to_hold_more_than_it_can(
--- a/crates/lycheeford-policy/tests/gateway/world.rs
+++ b/crates/lycheeford-policy/tests/gateway/world.rs
@@ -115,5 +115,6 @@
         rate_per_s,
         running: 0,
         asked_at,
+        is_promised: false,
     }
 }
