Answer demand for models with the time of the load, and refuse at once what it can't serve

Cause: the lease holder sent its update before it planned, so the wait for a model came with the answer to the next report of demand, or never. A request that heard nothing was held for twice its objective and then refused, and its demand was then forgotten: a load for which room was made first was never ordered.

Change: after each plan the holder sends a new datagram, `LoadForecasts` (field 11 of the message), to the hosts that reported demand: its token, how long it has held the lease, and for each model the time until it is ready or the least time until a load could be done. A forecast with an earlier token is discarded. The request decides by `LoadWait::decide`; without a forecast it waits for its objective, at least 1 s, no longer twice that. What requests were told stays promised until 1 s after its time: those that wait aren't preceded by later demand that isn't more urgent, and if all were refused, the model stays wanted as by one request. The forecast of a load that needs an unload first counts where the weights are. Line `load_forecast`, counter `load_forecasts`.

Ruled out: a binding also for those that were refused, since loads that nobody waits for would precede others; refusing a request that was told to wait because an engine has no room meanwhile; refusing by a forecast while some target holds the model.

--- a/crates/lycheeford-gateway/src/fleet/dispatcher.rs
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -1,9 +1,11 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use lycheeford_policy::{
-    Chosen, Name, PlacementLog, ReportedPlacement, Selection, ShortKey, TargetTable, TimeMs,
-    WaitQueue, Waiting, WantedName,
+    Chosen, LoadForecast, LoadTime, Name, PlacementLog, ReportedPlacement, Selection, ShortKey,
+    TargetTable, TimeMs, WaitQueue, Waiting, WantedName,
 };
 
+use crate::membership::{LoadForecasts, RemainingLoad};
+
 /// How long a ready time is kept after it has passed, since the load may be late.
 const READY_SLACK_MS: u64 = 1_000;
 
@@ -18,8 +20,10 @@
     placements_token: u64,
     /// The placements by that lease holder, kept to relay them to other hosts.
     pub(crate) placements: PlacementLog,
-    /// When requests for a model are expected to be servable, as last reported by the lease holder.
-    ready_at: Vec<(ShortKey, TimeMs)>,
+    /// When models are expected to be ready, as last reported by the lease holder; sorted by model.
+    forecasts: Vec<(ShortKey, LoadForecast)>,
+    /// The token of the lease holder that sent forecasts last.
+    forecasts_token: u64,
 }
 
 impl Dispatcher {
@@ -97,16 +101,56 @@
 
     /// Updates the ready times from the remaining waits that the lease holder reports.
     pub(crate) fn update_waits(&mut self, now: TimeMs, waits: &[(ShortKey, u64)]) {
-        self.ready_at.retain(|(model, at)| {
-            now < *at + READY_SLACK_MS && !waits.iter().any(|(other, _)| other == model)
-        });
-        self.ready_at.extend(waits.iter().map(|(model, wait_ms)| (*model, now + *wait_ms)));
+        self.expire_forecasts(now);
+        for (model, wait_ms) in waits {
+            let time = LoadTime::Ready { at: now + *wait_ms };
+            self.set_forecast(*model, LoadForecast { time, heard_at: now, held_ms: None });
+        }
+    }
+
+    /// Applies the forecasts of a lease holder, unless a later holder is known.
+    pub(crate) fn apply_forecasts(&mut self, now: TimeMs, forecasts: &LoadForecasts) {
+        if forecasts.token < self.forecasts_token.max(self.placements_token) {
+            return;
+        }
+        if forecasts.token > self.forecasts_token {
+            self.forecasts_token = forecasts.token;
+            self.forecasts.clear();
+        }
+        self.expire_forecasts(now);
+        for (model, load) in &forecasts.loads {
+            let time = match load {
+                RemainingLoad::Ready { in_ms } => LoadTime::Ready { at: now + *in_ms },
+                RemainingLoad::NotBefore { in_ms } => LoadTime::NotBefore { at: now + *in_ms },
+            };
+            let held_ms = Some(forecasts.held_ms);
+            self.set_forecast(*model, LoadForecast { time, heard_at: now, held_ms });
+        }
+    }
+
+    /// Applies all forecasts that this host made as the lease holder: each model without one can be
+    /// loaded again.
+    pub(crate) fn apply_own_forecasts(&mut self, now: TimeMs, forecasts: &LoadForecasts) {
+        self.forecasts.retain(|(_, known)| matches!(known.time, LoadTime::Ready { .. }));
+        self.apply_forecasts(now, forecasts);
+    }
+
+    fn expire_forecasts(&mut self, now: TimeMs) {
+        self.forecasts.retain(|(_, known)| now < known.time.at() + READY_SLACK_MS);
+    }
+
+    fn set_forecast(&mut self, model: ShortKey, forecast: LoadForecast) {
+        match self.forecasts.binary_search_by_key(&model, |(known, _)| *known) {
+            Ok(index) => self.forecasts[index].1 = forecast,
+            Err(index) => self.forecasts.insert(index, (model, forecast)),
+        }
     }
 
-    /// Returns when requests for a model are expected to be servable, if known.
-    pub(crate) fn ready_at(&self, model: &Name) -> Option<TimeMs> {
+    /// Returns when a model is expected to be ready, if known.
+    pub(crate) fn load_forecast(&self, model: &Name) -> Option<LoadForecast> {
         let key = ShortKey::of(model);
-        self.ready_at.iter().find(|(model, _)| *model == key).map(|(_, at)| *at)
+        let index = self.forecasts.binary_search_by_key(&key, |(known, _)| *known).ok()?;
+        Some(self.forecasts[index].1)
     }
 
     /// Returns the result of choosing a target for a request now.
--- a/crates/lycheeford-gateway/src/membership/demand.rs
+++ b/crates/lycheeford-gateway/src/membership/demand.rs
@@ -9,7 +9,7 @@
 
 use super::send::send;
 use super::table::DueUpdate;
-use super::wire::{Message, PlacementUpdate, WaitingDemand};
+use super::wire::{LoadForecasts, Message, PlacementUpdate, WaitingDemand};
 use crate::state::State;
 
 /// The least interval between two demand messages.
@@ -23,6 +23,7 @@
 pub(crate) async fn send_demand(state: Arc<State>, socket: Arc<UdpSocket>) {
     while state.demand_changed.1.recv().await.is_ok() {
         report_demand(&state, &socket).await;
+        send_load_forecasts(&state, &socket).await;
         send_placement_updates(&state, &socket).await;
         task::sleep(Duration::from_millis(DEMAND_INTERVAL_MS)).await;
     }
@@ -54,6 +55,27 @@
     send(state, socket, Message::WaitingDemand(demand), address).await;
 }
 
+/// Sends the forecasts of loads to the hosts with waiting requests, if this host holds the lease.
+///
+/// They are sent to the host that reported the demand, whether or not it is a partner of this one.
+async fn send_load_forecasts(state: &State, socket: &UdpSocket) {
+    let now = state.now();
+    let Some(forecasts) = state.orders().load_forecasts(now) else { return };
+    let LoadForecasts { token, held_ms, .. } = forecasts;
+    let due = state.membership().due_forecasts(now, &forecasts);
+    for due in due {
+        state.membership().record_forecasts(&due);
+        let forecasts = LoadForecasts { token, held_ms, loads: due.loads };
+        send(state, socket, Message::LoadForecasts(forecasts), due.address).await;
+    }
+}
+
+/// Applies the forecasts of the lease holder.
+pub(super) fn apply_load_forecasts(state: &State, forecasts: &LoadForecasts) {
+    let now = state.now();
+    state.dispatcher().apply_forecasts(now, forecasts);
+}
+
 /// Sends the placements to the hosts with waiting requests, if this host holds the lease.
 async fn send_placement_updates(state: &State, socket: &UdpSocket) {
     let due = state.membership().due_updates(state.now());
--- a/crates/lycheeford-gateway/src/membership/exchange.rs
+++ b/crates/lycheeford-gateway/src/membership/exchange.rs
@@ -7,7 +7,7 @@
 use lycheeford_policy::{Name, PartnerRole, ReportPace};
 use slog::warn;
 
-use super::demand::{apply_placement_update, record_demand, report_demand};
+use super::demand::{apply_load_forecasts, apply_placement_update, record_demand, report_demand};
 use super::limits::{LimitEvent, handle_permit_reply};
 use super::report::{SharedReport, apply_report};
 use super::send::send;
@@ -56,6 +56,7 @@
             }
         }
         Message::PlacementUpdate(update) => apply_placement_update(state, &update),
+        Message::LoadForecasts(forecasts) => apply_load_forecasts(state, &forecasts),
         Message::PermitRequest(request) => state.queue_event(LimitEvent::PeerRequest(request)),
         Message::PermitReply(reply) => handle_permit_reply(state, &reply),
         Message::LimitReport(limit) => state.queue_event(LimitEvent::PeerLimit(limit)),
--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -36,4 +36,6 @@
 };
 pub(crate) use self::table::Membership;
 pub(crate) use self::unread::log_unread;
-pub(crate) use self::wire::{LimitReport, PermitRequest, StreamQuery};
+pub(crate) use self::wire::{
+    LimitReport, LoadForecasts, PermitRequest, RemainingLoad, StreamQuery,
+};
--- a/crates/lycheeford-gateway/src/membership/table.rs
+++ b/crates/lycheeford-gateway/src/membership/table.rs
@@ -6,7 +6,7 @@
 };
 
 use super::unread::Unread;
-use super::wire::WaitingDemand;
+use super::wire::{LoadForecasts, RemainingLoad, WaitingDemand};
 
 /// How long reported demand is valid without being reported again.
 const DEMAND_MS_MAX: u64 = 1_500;
@@ -40,6 +40,16 @@
     placements: LogCursor,
     /// The models whose remaining wait was in the last update.
     waits: Vec<ShortKey>,
+    /// The models whose forecast the host got since it last reported its demand.
+    answered: Vec<ShortKey>,
+}
+
+/// A host whose requests wait, with forecasts that it hasn't got.
+#[derive(Debug)]
+pub(super) struct DueForecasts {
+    pub(super) host: Name,
+    pub(super) address: SocketAddr,
+    pub(super) loads: Vec<(ShortKey, RemainingLoad)>,
 }
 
 /// What an update to a host with waiting requests depends on.
@@ -150,6 +160,7 @@
                 updated_at: None,
                 placements: LogCursor::default(),
                 waits: Vec::new(),
+                answered: Vec::new(),
             });
             self.waiting_hosts.len() - 1
         });
@@ -157,6 +168,7 @@
         waiting_host.placements.heard(demand.placements_known);
         waiting_host.reported_at = now;
         waiting_host.demand = demand;
+        waiting_host.answered.clear();
         Some(waiting_host.due_update(now))
     }
 
@@ -189,6 +201,46 @@
         }
     }
 
+    /// Returns the forecasts that hosts with waiting requests haven't got since they last reported
+    /// their demand.
+    pub(super) fn due_forecasts(
+        &self,
+        now: TimeMs,
+        forecasts: &LoadForecasts,
+    ) -> Vec<DueForecasts> {
+        let waiting = self
+            .waiting_hosts
+            .iter()
+            .filter(|waiting_host| now.since_ms(waiting_host.reported_at) < DEMAND_MS_MAX);
+        let due = waiting.map(|waiting_host| {
+            let WaitingDemand { sender, names, .. } = &waiting_host.demand;
+            let is_wanted = |model: ShortKey| {
+                let mut models = names.iter().map(|name| ShortKey::of(&name.model));
+                models.any(|wanted| wanted == model) && !waiting_host.answered.contains(&model)
+            };
+            let loads = forecasts.loads.iter().filter(|(model, _)| is_wanted(*model));
+            DueForecasts {
+                host: sender.host.clone(),
+                address: sender.peer_address,
+                loads: loads.copied().collect(),
+            }
+        });
+        due.filter(|due| !due.loads.is_empty()).collect()
+    }
+
+    /// Returns whether a host with waiting requests hasn't got a forecast yet.
+    pub(crate) fn has_unanswered(&self, now: TimeMs, forecasts: &LoadForecasts) -> bool {
+        !self.due_forecasts(now, forecasts).is_empty()
+    }
+
+    /// Records that a host was sent the forecasts of some models.
+    pub(super) fn record_forecasts(&mut self, due: &DueForecasts) {
+        let mut hosts = self.waiting_hosts.iter_mut();
+        if let Some(waiting_host) = hosts.find(|known| known.demand.sender.host == due.host) {
+            waiting_host.answered.extend(due.loads.iter().map(|(model, _)| *model));
+        }
+    }
+
     /// Returns the models and adapters that requests at other hosts wait for.
     pub(crate) fn wanted(&self, now: TimeMs) -> Vec<WantedName> {
         let waiting = self
--- a/crates/lycheeford-gateway/src/membership/wire/builds/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/builds/mod.rs
@@ -43,7 +43,7 @@
         name: "7f8999b",
         datagrams: DATAGRAMS_7F8999B,
         reencode: reencode::<schema_7f8999b::WireMessage>,
-        known: Some,
+        known: known_to_7f8999b,
         unread_fields: &[],
     },
 ];
@@ -198,6 +198,14 @@
             Some(Message::WaitingDemand(demand))
         }
         Message::StreamUpdate(_) | Message::StreamQuery(_) | Message::StreamReply(_) => None,
+        known => known_to_7f8999b(known),
+    }
+}
+
+/// Build 7f8999b knows no forecasts of loads.
+fn known_to_7f8999b(message: Message) -> Option<Message> {
+    match message {
+        Message::LoadForecasts(_) => None,
         known => Some(known),
     }
 }
--- a/crates/lycheeford-gateway/src/membership/wire/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/mod.rs
@@ -13,6 +13,7 @@
 mod datagram;
 mod host;
 mod limits;
+mod loads;
 mod orders;
 mod report;
 mod streams;
@@ -27,6 +28,8 @@
 pub(crate) use self::limits::{LimitReport, PermitRequest};
 pub(super) use self::limits::{LimitUpdate, PermitReply};
 use self::limits::{WireLimit, WirePermitReply, WirePermitRequest};
+use self::loads::WireLoadForecasts;
+pub(crate) use self::loads::{LoadForecasts, RemainingLoad};
 pub(super) use self::orders::{PlacementUpdate, WaitingDemand};
 use self::orders::{WireNews, WireWants};
 use self::report::WireReport;
@@ -71,6 +74,8 @@
     StreamQuery(StreamQuery),
     /// The reply to such a question.
     StreamReply(StreamReply),
+    /// When models will be ready, sent by the lease holder to the hosts with waiting requests.
+    LoadForecasts(LoadForecasts),
 }
 
 /// A decoded message.
@@ -84,7 +89,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct WireMessage {
-    #[prost(oneof = "WireBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "WireBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     body: Option<WireBody>,
 }
 
@@ -110,6 +115,8 @@
     StreamQuery(WireStreamQuery),
     #[prost(message, tag = "10")]
     StreamReply(WireStreamReply),
+    #[prost(message, tag = "11")]
+    LoadForecasts(WireLoadForecasts),
 }
 
 /// Encodes a message into a datagram.
@@ -125,6 +132,7 @@
         Message::StreamUpdate(update) => WireBody::StreamUpdate(update.into()),
         Message::StreamQuery(query) => WireBody::StreamQuery(query.into()),
         Message::StreamReply(reply) => WireBody::StreamReply(reply.into()),
+        Message::LoadForecasts(forecasts) => WireBody::LoadForecasts(forecasts.into()),
     };
     datagram::pack(&WireMessage { body: Some(body) }.encode_to_vec())
 }
@@ -153,6 +161,9 @@
         WireBody::StreamUpdate(update) => Message::StreamUpdate(StreamUpdate::from(update)),
         WireBody::StreamQuery(query) => Message::StreamQuery(StreamQuery::try_from(query)?),
         WireBody::StreamReply(reply) => Message::StreamReply(StreamReply::try_from(reply)?),
+        WireBody::LoadForecasts(forecasts) => {
+            Message::LoadForecasts(LoadForecasts::from(forecasts))
+        }
     };
     Ok(Decoded { message, unread_fields })
 }
--- a/crates/lycheeford-gateway/src/membership/wire/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/wire/tests.rs
@@ -15,10 +15,12 @@
 use prost::Message as _;
 
 use super::datagram::pack;
+use super::loads::RemainingLoad;
 use super::report::WireReport;
 use super::{
-    DecodeError, Decoded, LimitReport, LimitUpdate, Message, PermitReply, PermitRequest,
-    PlacementUpdate, StreamQuery, StreamReply, StreamUpdate, WaitingDemand, decode, encode,
+    DecodeError, Decoded, LimitReport, LimitUpdate, LoadForecasts, Message, PermitReply,
+    PermitRequest, PlacementUpdate, StreamQuery, StreamReply, StreamUpdate, WaitingDemand, decode,
+    encode,
 };
 
 fn record(name: &str) -> HostRecord {
@@ -189,6 +191,12 @@
     ];
     let reply = |knowledge| Message::StreamReply(StreamReply { number: 12, knowledge });
     messages.extend(known.map(reply));
+    let loads = vec![
+        (ShortKey(2), RemainingLoad::Ready { in_ms: 450 }),
+        (ShortKey(3), RemainingLoad::Ready { in_ms: 0 }),
+        (ShortKey(4), RemainingLoad::NotBefore { in_ms: 900 }),
+    ];
+    messages.push(Message::LoadForecasts(LoadForecasts { token: 5, held_ms: 700, loads }));
     messages.push(Message::Report(Box::new(large_report())));
     messages
 }
@@ -204,6 +212,23 @@
     }
 }
 
+/// Guards against a forecast that a newer build extends and that costs the models beside it.
+#[test]
+fn what_is_unknown_of_one_model_costs_only_that_model() {
+    // Token 5; model 2 is ready in 450 ms, and of model 3 the unknown field 9 says something.
+    let forecasts = [
+        &[0x08, 5][..],
+        &[0x1a, 8, 0x0d, 2, 0, 0, 0, 0x10, 0xc2, 0x03],
+        &[0x1a, 7, 0x0d, 3, 0, 0, 0, 0x48, 1],
+    ]
+    .concat();
+    let length = u8::try_from(forecasts.len()).unwrap();
+    let datagram = [&[0, 0x5a, length][..], &forecasts].concat();
+    let loads = vec![(ShortKey(2), RemainingLoad::Ready { in_ms: 450 })];
+    let expected = Message::LoadForecasts(LoadForecasts { token: 5, held_ms: 0, loads });
+    assert_eq!(decode(&datagram).unwrap(), understood(expected));
+}
+
 #[test]
 fn what_makes_no_sense_is_refused() {
     assert_matches!(decode(&[0xff; 40]), Err(DecodeError::Field { field: "form" }));
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -115,6 +115,7 @@
     signals: Family<SignalLabels, Counter>,
     permits: Family<AnswerLabels, Counter>,
     crash_causes: Family<CauseLabels, Counter>,
+    load_forecasts: Family<OutcomeLabels, Counter>,
     unread_messages: Family<UnreadLabels, Counter>,
     task_panics: Family<TaskLabels, Counter>,
     pub(crate) unreadable_entries: Counter,
@@ -159,6 +160,7 @@
             signals: Family::default(),
             permits: Family::default(),
             crash_causes: Family::default(),
+            load_forecasts: Family::default(),
             unread_messages: Family::default(),
             task_panics: Family::default(),
             unreadable_entries: Counter::default(),
@@ -259,6 +261,11 @@
         self.task_panics.get_or_create(&TaskLabels { task }).inc();
     }
 
+    /// Counts a request for a model that no target held, by what became of its forecast.
+    pub(crate) fn load_forecast(&self, outcome: &'static str) {
+        self.load_forecasts.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Counts a reason for which requests are refused from now on.
     pub(crate) fn crash_cause(&self, cause: CrashCause) {
         let cause = match cause {
@@ -307,6 +314,8 @@
         registry.register("target_permits", help, self.permits.clone());
         let help = "Requests and prompt parts that are refused because targets crashed under them";
         registry.register("crash_causes", help, self.crash_causes.clone());
+        let help = "Requests for models that no target held, by what became of the forecast";
+        registry.register("load_forecasts", help, self.load_forecasts.clone());
         let help = "Changes of targets' entries that can't be read";
         registry.register("unreadable_entries", help, self.unreadable_entries.clone());
         let help = "Requests that had no answer of a target when the grace of this host ended";
--- a/crates/lycheeford-gateway/src/orders/engine_records.rs
+++ b/crates/lycheeford-gateway/src/orders/engine_records.rs
@@ -1,10 +1,15 @@
 use lycheeford_policy::{
-    AdapterPlanner, AdapterWant, EngineOperation, Name, OrderLease, PlacementLog, ShortKey,
-    SwapPlanner, TargetTable, TimeMs,
+    AdapterPlanner, AdapterWant, EngineLimits, EngineOperation, Name, OrderLease, PlacementLog,
+    ShortKey, SwapPlanner, TargetTable, TimeMs,
 };
 
+use crate::membership::{LoadForecasts, RemainingLoad};
 use crate::{Clock, GatewaySettings};
 
+/// How long after the promised time the load of a model is still planned for callers that were
+/// refused and told to come back at that time.
+const PROMISE_GRACE_MS: u64 = 1_000;
+
 /// The lease, the planners and the state of each engine.
 #[derive(Debug)]
 pub(crate) struct Orders {
@@ -17,8 +22,22 @@
     engines: Vec<EngineRecord>,
     /// When requests for each model are expected to be servable.
     ready_at: Vec<(Name, TimeMs)>,
+    /// The models that can't be loaded now, and the earliest time at which a load could be done.
+    no_room: Vec<(Name, TimeMs)>,
+    /// The models of which requests were told when they would be ready, by service and model.
+    promises: Vec<((Name, Name), Promise)>,
     /// The fencing token under which `engines` was recorded.
     token: Option<u64>,
+    /// When that token was first used.
+    token_since: TimeMs,
+}
+
+/// The load of a model for which requests were told to wait, or when to come back.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Promise {
+    /// The most urgent priority of the requests.
+    pub(crate) priority: u8,
+    until: TimeMs,
 }
 
 /// The state of one instance of an engine as far as orders are concerned.
@@ -52,7 +71,10 @@
             planners: Vec::new(),
             engines: Vec::new(),
             ready_at: Vec::new(),
+            no_room: Vec::new(),
+            promises: Vec::new(),
             token: None,
+            token_since: TimeMs::default(),
         }
     }
 
@@ -62,6 +84,10 @@
         let token = self.lease.token(now)?;
         if self.token != Some(token) {
             self.token = Some(token);
+            self.token_since = now;
+            self.ready_at.clear();
+            self.no_room.clear();
+            self.promises.clear();
             self.engines.clear();
             self.adapters = AdapterPlanner::default();
             self.placements = PlacementLog::default();
@@ -82,6 +108,61 @@
         self.ready_at.iter().filter(|(_, at)| now < *at).map(wait).collect()
     }
 
+    /// Replaces the models of a service that can't be loaded now.
+    pub(crate) fn set_no_room(&mut self, limits: &EngineLimits, no_room: Vec<(Name, TimeMs)>) {
+        self.no_room.retain(|(model, _)| limits.model(model).is_none());
+        self.ready_at.retain(|(model, _)| !no_room.iter().any(|(other, _)| other == model));
+        self.no_room.extend(no_room);
+    }
+
+    /// Returns the fencing token, how long it has been in use, and the time until each model is
+    /// ready, if this host holds the lease.
+    pub(crate) fn load_forecasts(&self, now: TimeMs) -> Option<LoadForecasts> {
+        let (token, _, _) = self.lease.held(now)?;
+        if self.token != Some(token) {
+            return None;
+        }
+        let ready = self.ready_at.iter().filter(|(_, at)| now < *at).map(|(model, at)| {
+            (ShortKey::of(model), RemainingLoad::Ready { in_ms: at.since_ms(now) })
+        });
+        let no_room = self.no_room.iter().filter(|(_, at)| now < *at).map(|(model, at)| {
+            (ShortKey::of(model), RemainingLoad::NotBefore { in_ms: at.since_ms(now) })
+        });
+        let loads = ready.chain(no_room).collect();
+        Some(LoadForecasts { token, held_ms: now.since_ms(self.token_since), loads })
+    }
+
+    /// Records that requests of a priority wait for a model, or come back for it, whose load is
+    /// running or planned.
+    pub(crate) fn promise(&mut self, service: &Name, model: &Name, priority: u8) {
+        let ready_at = self.ready_at.iter().find(|(known, _)| known == model);
+        let Some((_, ready_at)) = ready_at else { return };
+        let until = *ready_at + PROMISE_GRACE_MS;
+        let key = (service.clone(), model.clone());
+        match self.promises.binary_search_by(|(known, _)| known.cmp(&key)) {
+            Ok(index) => {
+                let promise = &mut self.promises[index].1;
+                promise.priority = promise.priority.min(priority);
+                promise.until = until;
+            }
+            Err(index) => self.promises.insert(index, (key, Promise { priority, until })),
+        }
+    }
+
+    /// Returns the promise of a load, if there is one.
+    pub(crate) fn promised(&self, now: TimeMs, service: &Name, model: &Name) -> Option<Promise> {
+        let found = self
+            .promises
+            .binary_search_by(|((of, name), _)| (of, name).cmp(&(service, model)))
+            .ok()?;
+        let promise = self.promises[found].1;
+        (now < promise.until).then_some(promise)
+    }
+
+    pub(crate) fn expire_promises(&mut self, now: TimeMs) {
+        self.promises.retain(|(_, promise)| now < promise.until);
+    }
+
     /// Returns the planner of a service.
     pub(crate) fn planner(&mut self, now: TimeMs, service: &Name) -> &mut SwapPlanner {
         let found = self.planners.binary_search_by(|(name, _)| name.cmp(service));
--- a/crates/lycheeford-gateway/src/orders/plan_task.rs
+++ b/crates/lycheeford-gateway/src/orders/plan_task.rs
@@ -21,6 +21,8 @@
 const LOAD_SLACK_MS: u64 = 700;
 /// The usual duration of an unload.
 const UNLOAD_MS: u64 = 150;
+/// The usual duration of an unload of a model that requests run.
+const UNLOAD_RUNNING_MS: u64 = 500;
 /// The time after which the engine is queried about an unload, which waits for running requests.
 const UNLOAD_MS_MAX: u64 = 1_500;
 
@@ -44,6 +46,18 @@
             plan_service(state, now, service, limits);
         }
     }
+    let forecasts = {
+        let mut orders = state.orders();
+        orders.expire_promises(now);
+        orders.load_forecasts(now)
+    };
+    if let Some(forecasts) = &forecasts {
+        state.dispatcher().apply_own_forecasts(now, forecasts);
+        let has_unanswered = state.membership().has_unanswered(now, forecasts);
+        if has_unanswered {
+            state.wake_demand_task();
+        }
+    }
     if state.orders().announce_adapters(now) {
         // Waiting requests can now be dispatched to the engines whose adapter is ready.
         crate::membership::apply_own_placements(state);
@@ -83,23 +97,28 @@
             ));
         }
         let running = dispatcher.targets.running_by_model(&service.name);
-        let demands = demands(state, now, limits, &wanted, &running, &views);
+        let demands = demands(state, &orders, now, service, limits, &wanted, &running, &views);
         let slots = engines.iter().map(|target| target.entry.slots).min().unwrap_or(1);
         let plan = orders.planner(now, &service.name).plan(now, limits, slots, &views, &demands);
         for (model, wait_ms) in &plan.waits {
             orders.set_ready_at(model, now + *wait_ms);
         }
+        let no_room = plan.no_room.into_iter().map(|(model, wait_ms)| (model, now + wait_ms));
+        orders.set_no_room(limits, no_room.collect());
         let mut planned = Vec::new();
         for swap in plan.orders {
-            expect_ready(&mut orders, now, limits, &swap);
-            let entry = dispatcher.targets.target(&swap.engine).map(|target| &target.entry);
-            let Some(entry) = entry else { continue };
+            let Some(target) = dispatcher.targets.target(&swap.engine) else { continue };
+            let entry = &target.entry;
+            expect_ready(&mut orders, now, limits, target, &swap);
             let order = swap_order(now, entry, &swap);
             let record = orders.engine_or_new(now, &swap.engine, entry.life);
             record.has_call_in_flight = true;
             record.operation_in_flight = order.operation();
             planned.push(order);
         }
+        for name in wanted.iter().filter(|name| name.version.is_none()) {
+            orders.promise(&service.name, &name.model, name.priority);
+        }
         let adapter_wants =
             wanted.iter().filter_map(|name| Some((adapter_want(name)?, name.version)));
         for (want, version) in adapter_wants {
@@ -200,9 +219,12 @@
     adapters.held_at(engine).map(size_mb).sum()
 }
 
+#[allow(clippy::too_many_arguments, reason = "each is a part of what the planner sees")]
 fn demands(
     state: &State,
+    orders: &super::Orders,
     now: TimeMs,
+    service: &TargetService,
     limits: &EngineLimits,
     wanted: &[WantedName],
     running: &[(ShortKey, u32)],
@@ -220,6 +242,13 @@
                 (waiting + name.waiting, oldest_ms.max(name.oldest_ms), priority.min(name.priority))
             });
         let asked_at = demand.asked_at(key);
+        let has_waiting = waiting > 0;
+        let promise = orders.promised(now, &service.name, &model.name);
+        // Requests that were refused until a promised time come back for the model.
+        let (waiting, priority) = match promise {
+            Some(promise) if waiting == 0 && !is_held(model) => (1, promise.priority),
+            _ => (waiting, priority),
+        };
         if waiting == 0 && asked_at.is_none() && !is_held(model) {
             return None;
         }
@@ -234,7 +263,7 @@
             running: found.map_or(0, |index| running[index].1),
             // A model without requests ranks as the least recently requested.
             asked_at: asked_at.unwrap_or_default(),
-            is_promised: false,
+            is_promised: promise.is_some() && has_waiting,
         })
     };
     let any_version = limits.models.iter().filter_map(of_model);
@@ -274,12 +303,31 @@
 }
 
 /// Records when the model that an order loads, or makes room for, is expected to be ready.
-fn expect_ready(orders: &mut super::Orders, now: TimeMs, limits: &EngineLimits, swap: &SwapOrder) {
+fn expect_ready(
+    orders: &mut super::Orders,
+    now: TimeMs,
+    limits: &EngineLimits,
+    target: &Target,
+    swap: &SwapOrder,
+) {
     match &swap.action {
         SwapAction::Load { model, load_ms } => orders.set_ready_at(model, now + *load_ms),
-        SwapAction::Unload { room_for, .. } => {
-            let load_ms = limits.model(room_for).map_or(0, |model| model.load_disk_ms);
-            orders.set_ready_at(room_for, now + UNLOAD_MS + load_ms);
+        SwapAction::Unload { model, room_for } => {
+            let residency = &target.entry.residency;
+            let is_running = target.running_model(ShortKey::of(model)) > 0;
+            let unload_ms = if is_running { UNLOAD_RUNNING_MS } else { UNLOAD_MS };
+            let is_in = |names: &[Name]| names.binary_search(room_for).is_ok();
+            let load_ms = |model: &EngineModel| {
+                if is_in(&residency.in_memory) {
+                    model.load_memory_ms
+                } else if is_in(&residency.on_disk) {
+                    model.load_disk_ms
+                } else {
+                    model.load_store_ms
+                }
+            };
+            let load_ms = limits.model(room_for).map_or(0, load_ms);
+            orders.set_ready_at(room_for, now + unload_ms + load_ms);
         }
     }
 }
--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -3,15 +3,17 @@
 
 use async_std::channel::Receiver;
 use async_std::future::timeout;
-use lycheeford_policy::{Chosen, Name, Ran, Refusal, RefusalCode, Selection, TimeMs, Waiting};
+use lycheeford_policy::{
+    Chosen, LoadDecision, LoadForecast, LoadTime, LoadWait, Name, Ran, Refusal, RefusalCode,
+    Selection, TimeMs, Waiting,
+};
 use rand::random_range;
+use slog::info;
 
 use super::admission::Admitted;
 use super::permit::acquire_permit;
 use crate::state::State;
 
-/// The allowed delay of a model beyond its expected ready time.
-const LOAD_SLACK_MS: u64 = 500;
 /// The interval at which a queued request checks the load progress and the state of its targets.
 const CHECK_INTERVAL_MS: u64 = 50;
 /// The least time that a target needs for a response. A request with no more time left is refused
@@ -20,9 +22,16 @@
 /// The largest part of its remaining time that a request may spend in the queue. Only the wait for
 /// a model load that is running or scheduled may be longer.
 const QUEUE_WAIT_SHARE: f64 = 0.6;
-/// The longest wait for a model whose load is neither running nor scheduled, as a multiple of the
-/// route's latency objective.
-const LOAD_WAIT_FACTOR: u64 = 2;
+/// How long a request that waits for a model checks for its forecast at the short interval: the
+/// lease holder answers within a round trip.
+const FORECAST_WAIT_MS: u64 = 150;
+const FORECAST_CHECK_MS: u64 = 10;
+/// The longest wait for a load that is postponed again and again, as a multiple of the route's
+/// latency objective, and the least objective for that.
+const POSTPONED_WAIT_FACTOR: u64 = 2;
+const OBJECTIVE_MS_MIN: u64 = 1_000;
+/// The allowed delay of a load beyond its forecast, for the counts of forecasts.
+const FORECAST_SLACK_MS: u64 = 500;
 /// Divides the route's latency objective, or the remaining time if that is shorter, to get the
 /// longest wait for a permit of a rate-limited target.
 const PERMIT_WAIT_DIVISOR: u64 = 2;
@@ -30,6 +39,7 @@
 /// don't apply if the targets asked for a pause or are at their rate limit.
 const RETRY_MS_MIN: u64 = 200;
 const RETRY_MS_MAX: u64 = 1_200;
+const NOT_LOADED: &str = "the model can't be loaded in time; retry later";
 /// Divides a pause to get the interval over which retries after the pause are spread.
 const PAUSE_SPREAD_DIVISOR: u64 = 4;
 const PAUSE_SPREAD_MS_MIN: u64 = 50;
@@ -146,18 +156,29 @@
         };
     };
     let wait_ms_max = wait_ms_max(state, admitted, ran, now, &selection)?;
+    let mut load = (selection == Selection::NotResident).then(|| AwaitedLoad::new(admitted, now));
+    if let Some(load) = &mut load {
+        load.check(state, admitted, ran, now)?;
+    }
     if waiting.need.model.is_some() {
         state.wake_demand_task();
         state.wake_planner();
     }
-    let mut give_up_at = now + wait_ms_max;
-    let mut is_wait_extended = false;
+    let give_up_at = now + wait_ms_max;
     loop {
         let now = state.now();
         admitted.check_stop(state, now, ran)?;
-        let interval_ms = give_up_at.since_ms(now).min(CHECK_INTERVAL_MS);
+        let interval_ms = match &load {
+            Some(load) => load.check_interval_ms(now),
+            None => give_up_at.since_ms(now).min(CHECK_INTERVAL_MS),
+        };
         match timeout(Duration::from_millis(interval_ms), queued.receiver.recv()).await {
-            Ok(Ok(chosen)) => return Ok(queued.slot(chosen)),
+            Ok(Ok(chosen)) => {
+                if let Some(load) = &load {
+                    load.count_end(state, state.now());
+                }
+                return Ok(queued.slot(chosen));
+            }
             Ok(Err(_)) => return Err(overloaded(wait_ms_max)),
             // The check interval is over: look at the load progress again.
             Err(_) => {}
@@ -169,34 +190,144 @@
             Some(Selection::Limited { until }) => return Err(limited(until.since_ms(now))),
             _ => {}
         }
-        if selection != Selection::NotResident {
-            if now >= give_up_at {
-                return Err(overloaded(wait_ms_max));
+        match &mut load {
+            Some(load) => {
+                load.check(state, admitted, ran, now)?;
+                if now >= load.until {
+                    load.count_end(state, now);
+                    return Err(not_loaded(RETRY_MS_MAX));
+                }
             }
-            continue;
+            None if now >= give_up_at => return Err(overloaded(wait_ms_max)),
+            None => {}
         }
-        if let Some(ready_at) = ready_at(state, admitted) {
-            if ready_at + ANSWER_MS_MIN >= admitted.final_at {
-                return Err(not_loaded(ready_at.since_ms(now)));
-            }
-            admitted.check_stop(state, ready_at, ran)?;
-            // The load is running or scheduled, so waiting is worthwhile. The wait is extended only
-            // once: a ready time that is postponed again is not waited for.
-            if !is_wait_extended {
-                is_wait_extended = true;
-                let expected_at = ready_at + LOAD_SLACK_MS;
-                give_up_at = give_up_at.max(expected_at.min(admitted.final_at - ANSWER_MS_MIN));
+    }
+}
+
+/// The wait of a request for a model that no usable target holds.
+struct AwaitedLoad {
+    wait: LoadWait,
+    /// When the request gives up.
+    until: TimeMs,
+    /// When the load was expected to be done, by the first forecast that it is running or planned.
+    ///
+    /// If that time is postponed, the wait is extended only within a multiple of the objective.
+    expected_at: Option<TimeMs>,
+    is_logged: bool,
+}
+
+impl AwaitedLoad {
+    fn new(admitted: &Admitted, now: TimeMs) -> AwaitedLoad {
+        let wait = LoadWait {
+            started_at: now,
+            final_at: admitted.final_at,
+            objective_ms: admitted.route.objective_ms,
+        };
+        AwaitedLoad { wait, until: now, expected_at: None, is_logged: false }
+    }
+
+    /// Decides by the latest forecast whether and until when the request waits.
+    fn check(
+        &mut self,
+        state: &State,
+        admitted: &Admitted,
+        ran: Ran,
+        now: TimeMs,
+    ) -> Result<(), Refusal> {
+        let forecast = load_forecast(state, admitted);
+        // A request that was told to wait isn't refused because an engine has no room meanwhile.
+        let forecast = forecast.filter(|forecast| {
+            self.expected_at.is_none() || matches!(forecast.time, LoadTime::Ready { .. })
+        });
+        let decision = self.wait.decide(now, forecast.as_ref());
+        let is_refused = matches!(decision, LoadDecision::Refuse { .. });
+        if let Some(forecast) = forecast.filter(|_| is_refused || !self.is_logged) {
+            self.is_logged = true;
+            log_forecast(state, admitted, now, &forecast, is_refused);
+        }
+        let until = match decision {
+            LoadDecision::Refuse { retry_after_ms } => {
+                state.metrics.load_forecast("refused");
+                return Err(not_loaded_until(retry_after_ms));
             }
+            LoadDecision::Wait { until } => until,
+        };
+        let planned_at = match forecast.map(|forecast| forecast.time) {
+            Some(LoadTime::Ready { at }) if at > now && at < admitted.final_at => Some(at),
+            _ => None,
+        };
+        if let Some(at) = planned_at {
+            admitted.check_stop(state, at, ran)?;
         }
-        if now >= give_up_at {
-            return Err(not_loaded(RETRY_MS_MAX));
+        if self.expected_at.is_none() {
+            self.expected_at = planned_at;
+            self.until = until;
+        } else if planned_at.is_some() {
+            let objective_ms = admitted.route.objective_ms.max(OBJECTIVE_MS_MIN);
+            let postponed_until = self.wait.started_at + POSTPONED_WAIT_FACTOR * objective_ms;
+            self.until = self.until.max(until.min(postponed_until));
         }
+        Ok(())
+    }
+
+    fn check_interval_ms(&self, now: TimeMs) -> u64 {
+        let awaits_forecast =
+            !self.is_logged && now.since_ms(self.wait.started_at) < FORECAST_WAIT_MS;
+        let interval_ms = if awaits_forecast { FORECAST_CHECK_MS } else { CHECK_INTERVAL_MS };
+        self.until.since_ms(now).min(interval_ms)
+    }
+
+    /// Counts the end of the wait by how its forecast was met.
+    fn count_end(&self, state: &State, now: TimeMs) {
+        let outcome = match self.expected_at {
+            None => "none",
+            Some(at) if now <= at + FORECAST_SLACK_MS => "met",
+            Some(_) => "late",
+        };
+        state.metrics.load_forecast(outcome);
     }
 }
 
+fn log_forecast(
+    state: &State,
+    admitted: &Admitted,
+    now: TimeMs,
+    forecast: &LoadForecast,
+    is_refused: bool,
+) {
+    let (ready_in_ms, not_before_ms) = match forecast.time {
+        LoadTime::Ready { at } => (Some(at.since_ms(now)), None),
+        LoadTime::NotBefore { at } => (None, Some(at.since_ms(now))),
+    };
+    let holder = state.membership().lease(now).map(|lease| lease.holder);
+    let holder = holder.unwrap_or_else(|| state.settings.host.clone());
+    let model = admitted.need.model.as_ref().map_or("", |model| model.as_str());
+    info!(state.log, "load_forecast";
+        "id" => admitted.request.id.as_str(), "model" => model, "ready_in_ms" => ready_in_ms,
+        "not_before_ms" => not_before_ms, "age_ms" => now.since_ms(forecast.heard_at),
+        "holder" => holder.as_str(), "left_ms" => admitted.final_at.since_ms(now),
+        "refused" => is_refused);
+}
+
 /// Returns when the lease holder expects the model to be ready, if known.
-fn ready_at(state: &State, admitted: &Admitted) -> Option<TimeMs> {
-    state.dispatcher().ready_at(admitted.need.model.as_ref()?)
+///
+/// A forecast that no load is done in time concerns only a model that no target holds: a target that
+/// is at its limit, or that lacks only the adapter, may serve the request sooner. That no engine has
+/// room isn't known for the streams that must go on at one software version.
+fn load_forecast(state: &State, admitted: &Admitted) -> Option<LoadForecast> {
+    let need = &admitted.need;
+    let model = need.model.as_ref()?;
+    let dispatcher = state.dispatcher();
+    let forecast = dispatcher.load_forecast(model)?;
+    let mut targets = dispatcher.targets.of_service(&need.service);
+    let is_refusing = match forecast.time {
+        LoadTime::Ready { at } => at + ANSWER_MS_MIN >= admitted.final_at,
+        LoadTime::NotBefore { .. } if need.version.is_some() => return None,
+        LoadTime::NotBefore { .. } => true,
+    };
+    let is_held =
+        is_refusing && targets.any(|target| target.entry.residency.model(model).is_some());
+    (!is_held).then_some(forecast)
 }
 
 /// Returns how long a request may wait if no slot is free now.
@@ -220,10 +351,8 @@
         )),
         Selection::Paused { until } => Err(paused(until.since_ms(now))),
         Selection::Limited { until } => Err(limited(until.since_ms(now))),
-        Selection::NotResident => {
-            let objective_ms = admitted.route.objective_ms.max(1_000);
-            Ok(share_ms.min(LOAD_WAIT_FACTOR * objective_ms))
-        }
+        // The forecast of the load decides.
+        Selection::NotResident => Ok(share_ms),
         Selection::Full | Selection::Chosen(_) => {
             let expected_ms = expected_wait_ms(state, admitted, now);
             if expected_ms > share_ms {
@@ -281,9 +410,13 @@
 }
 
 fn not_loaded(wait_ms: u64) -> Refusal {
-    let message = "the model can't be loaded in time; retry later";
-    let retry_after_ms = retry_ms(wait_ms);
-    Refusal::not_run(RefusalCode::DeadlineUnreachable, message, Some(retry_after_ms))
+    Refusal::not_run(RefusalCode::DeadlineUnreachable, NOT_LOADED, Some(retry_ms(wait_ms)))
+}
+
+/// Returns the refusal of a request whose model is ready after `wait_ms`, which is too late.
+fn not_loaded_until(wait_ms: u64) -> Refusal {
+    let Refusal { retry_after_ms, .. } = refuse_until(NOT_LOADED, wait_ms);
+    Refusal::not_run(RefusalCode::DeadlineUnreachable, NOT_LOADED, retry_after_ms)
 }
 
 /// Adds jitter, so that callers refused together don't retry together.
