Name the lease holder truthfully in the log line of a forecast

Cause: `load_forecast` took the holder from what other hosts report, which at the holder itself may be an earlier one, and named this host where none was known.

Change: this host is named while it holds the lease, else the reported holder, else none.

--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -299,14 +299,18 @@
         LoadTime::Ready { at } => (Some(at.since_ms(now)), None),
         LoadTime::NotBefore { at } => (None, Some(at.since_ms(now))),
     };
-    let holder = state.membership().lease(now).map(|lease| lease.holder);
-    let holder = holder.unwrap_or_else(|| state.settings.host.clone());
+    let is_holder = state.orders().lease.held(now).is_some();
+    let holder = if is_holder {
+        Some(state.settings.host.clone())
+    } else {
+        state.membership().lease(now).map(|lease| lease.holder)
+    };
     let model = admitted.need.model.as_ref().map_or("", |model| model.as_str());
     info!(state.log, "load_forecast";
         "id" => admitted.request.id.as_str(), "model" => model, "ready_in_ms" => ready_in_ms,
         "not_before_ms" => not_before_ms, "age_ms" => now.since_ms(forecast.heard_at),
-        "holder" => holder.as_str(), "left_ms" => admitted.final_at.since_ms(now),
-        "refused" => is_refused);
+        "holder" => holder.as_ref().map(Name::as_str),
+        "left_ms" => admitted.final_at.since_ms(now), "refused" => is_refused);
 }
 
 /// Returns when the lease holder expects the model to be ready, if known.
