Order claims by what an objective adds to its priority's strictest one

Cause: `Claim::due_at` had two meanings, the place in the order and the limit beyond which an answer is late. In the order, an objective counts only as far as it exceeds the strictest one of the same service and priority; whether an answer is late follows from the whole objective.

Change: `Claim::order_at` is the time for the order, `due_at` remains the one for the cost. `Deployment::objective_offset_ms` returns the excess.

Tests: the case of the old request in claims.rs states its objective through the builder, which sets both times; its values and its result are as before. A new table covers the excess.

--- a/crates/lycheeford-policy/src/gateway/claim.rs
+++ b/crates/lycheeford-policy/src/gateway/claim.rs
@@ -19,6 +19,8 @@
     pub id: u64,
     /// When the request arrived.
     pub arrived_at: TimeMs,
+    /// Arrival plus what the request's objective adds to it in the order, before the priority.
+    pub order_at: TimeMs,
     /// Until when the resource must be granted for a response within the objective.
     pub due_at: TimeMs,
     /// Until when the resource must be granted for a response before the deadline.
@@ -30,12 +32,12 @@
 }
 
 impl Claim {
-    /// Returns the key by which claims are served: by due time, with a bounded preference for the
-    /// more urgent priority.
+    /// Returns the key by which claims are served: by `order_at`, with a bounded preference for
+    /// the more urgent priority.
     ///
     /// The key of a claim never changes, so that every claim comes first in the end.
     pub fn sort_key(&self) -> (u64, u64) {
-        (self.due_at.as_ms() + u64::from(self.priority) * PRIORITY_STEP_MS, self.id)
+        (self.order_at.as_ms() + u64::from(self.priority) * PRIORITY_STEP_MS, self.id)
     }
 
     /// Returns what it costs callers to turn this claim away, if it were granted at `granted_at`.
--- a/crates/lycheeford-policy/src/gateway/deployment.rs
+++ b/crates/lycheeford-policy/src/gateway/deployment.rs
@@ -38,6 +38,19 @@
         })
     }
 
+    /// Returns how much later requests of `route` for `service` are due than those of the strictest
+    /// route of the same service and priority.
+    pub fn objective_offset_ms(&self, route: &ServiceRoute, service: &Name) -> u64 {
+        let is_like = |other: &&ServiceRoute| {
+            other.priority == route.priority
+                && other.objective_ms < route.objective_ms
+                && other.split.iter().any(|part| part.service == *service)
+        };
+        let stricter = self.routes.iter().filter(is_like);
+        let strictest_ms = stricter.map(|other| other.objective_ms).min();
+        strictest_ms.map_or(0, |strictest_ms| route.objective_ms - strictest_ms)
+    }
+
     /// Returns the service with this `name`.
     pub fn service(&self, name: &str) -> Option<&TargetService> {
         let found = self.services.binary_search_by(|service| service.name.as_str().cmp(name));
--- a/crates/lycheeford-policy/tests/gateway/claims.rs
+++ b/crates/lycheeford-policy/tests/gateway/claims.rs
@@ -12,6 +12,7 @@
     Claim {
         id,
         arrived_at: at(arrived_ms),
+        order_at: at(arrived_ms + objective_ms),
         due_at: at(arrived_ms + objective_ms),
         latest_at: at(arrived_ms + deadline_ms),
         priority: 0,
@@ -98,7 +99,7 @@
             what: "an old request doesn't give way to one of the next priority that has just come",
             now_ms: 10_000,
             claims: vec![
-                Claim { priority: 1, due_at: at(10_100), ..claim(1, 0, 0, 10_100) },
+                Claim { priority: 1, ..claim(1, 0, 10_100, 10_100) },
                 claim(2, 10_000, 1_700, 1_700),
             ],
             rejected: vec![],
--- a/crates/lycheeford-policy/tests/gateway/deployment.rs
+++ b/crates/lycheeford-policy/tests/gateway/deployment.rs
@@ -1,4 +1,4 @@
-use lycheeford_policy::{CustomerKey, Deployment, KeyDigest, Name, RatedCustomer};
+use lycheeford_policy::{CustomerKey, Deployment, KeyDigest, Name, RatedCustomer, ServiceRoute};
 
 use crate::world::{name, route};
 
@@ -62,3 +62,28 @@
     assert_eq!(deployment.key_holder("secret-kex"), None);
     assert!(!format!("{deployment:?}").contains("secret-key"));
 }
+
+/// Guards against another order where the routes of a priority share one objective.
+#[test]
+fn an_objective_counts_only_against_stricter_ones_of_its_service_and_priority() {
+    let declared = |path: &str, service: &str, priority: u8, objective_ms: u64| ServiceRoute {
+        priority,
+        objective_ms,
+        ..route("a.example", path, &[(service, 1)])
+    };
+    let deployment = Deployment {
+        routes: vec![
+            declared("/batch/", "models", 2, 5_000),
+            declared("/fast/", "models", 0, 400),
+            declared("/page/", "desk", 0, 100),
+            declared("/slow/", "models", 0, 2_000),
+        ],
+        ..Deployment::default()
+    };
+    let cases = [("/batch/", 0), ("/fast/", 0), ("/page/", 0), ("/slow/", 1_600)];
+    for (path, expected_ms) in cases {
+        let route = deployment.route("a.example", path).unwrap();
+        let service = &route.split[0].service;
+        assert_eq!(deployment.objective_offset_ms(route, service), expected_ms, "{path}");
+    }
+}
