Forecast the wait for a slot from the slots that became free

Cause: the wait was forecast as the requests ahead times the route's objective, over the slots of all hosts. An objective isn't the time for which a request holds a slot, and other hosts use the slots, too.

Change: `slot_forecast` keeps the rate at which slots become free for the waiting requests of this host, by requirement (service, model, adapter, version), with a time constant of 3 s. Only time in which requests wait for a slot counts. The unit of work is the expected time in a slot, learnt by route and scaled by the stated tokens. A request that would get its slot after its final time, less the time that its answer needs, is refused at once with the excess as Retry-After. Without 4 slots and 200 ms observed, and 5 s after the last slot, the forecast and the longest wait are as before.

An entry of the queue holds the claim and the caller's id of the request.

Ruled out: the rate of all slots that become free at targets, since other hosts take most of them; the rate also without waiting requests, since that is the demand, which would refuse the start of a burst.

New: tables for the forecast and for the time in a slot.

--- a/crates/lycheeford-gateway/src/fleet/dispatcher.rs
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -1,7 +1,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use lycheeford_policy::{
-    Chosen, Name, PlacementLog, ReportedPlacement, Selection, ShortKey, TargetTable, TimeMs,
-    WaitQueue, Waiting, WantedName,
+    Chosen, HoldTimes, Name, PlacementLog, ReportedPlacement, Selection, ShortKey, TargetTable,
+    TimeMs, WaitQueue, Waiting, WantedName,
 };
 
 /// How long a ready time is kept after it has passed, since the load may be late.
@@ -12,6 +12,8 @@
 pub(crate) struct Dispatcher {
     pub(crate) targets: TargetTable,
     pub(crate) queue: WaitQueue,
+    /// How long the requests of each route hold a slot.
+    pub(crate) hold_times: HoldTimes,
     /// Sorted by the id of the waiting request.
     waiters: Vec<(u64, Sender<Chosen>)>,
     /// The token of the lease holder whose placements are known.
@@ -26,8 +28,9 @@
     /// Queues a request. The receiver gets its target, on which the request then counts as running.
     pub(crate) fn submit(&mut self, now: TimeMs, waiting: Waiting) -> Receiver<Chosen> {
         let (sender, receiver) = bounded(1);
-        let index = self.waiters.partition_point(|(id, _)| *id < waiting.id);
-        self.waiters.insert(index, (waiting.id, sender));
+        let id = waiting.claim.id;
+        let index = self.waiters.partition_point(|(other, _)| *other < id);
+        self.waiters.insert(index, (id, sender));
         self.queue.push(waiting);
         self.dispatch(now);
         receiver
@@ -67,8 +70,8 @@
                 adapter: waiting.need.adapter.clone(),
                 version: waiting.need.version,
                 waiting: 1,
-                oldest_ms: now.since_ms(waiting.arrived_at),
-                priority: waiting.priority,
+                oldest_ms: now.since_ms(waiting.claim.arrived_at),
+                priority: waiting.claim.priority,
             };
             merge(&mut wanted, name);
         }
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -28,6 +28,9 @@
     pub(super) route: ServiceRoute,
     pub(super) customer: Option<Name>,
     pub(super) priority: u8,
+    /// How much later the request is due than those of the strictest route of its service and
+    /// priority.
+    pub(super) objective_offset_ms: u64,
     pub(super) need: TargetRequirements,
     pub(super) charge: Option<Charge>,
     /// What targets could crash from, if they crash while they run the request.
@@ -79,6 +82,7 @@
     let engine = deployment.service(&service).and_then(|service| service.engine.as_ref());
     let customer_priority = customer.and_then(|customer| customer.priority);
     let priority = customer_priority.unwrap_or(route.priority);
+    let objective_offset_ms = deployment.objective_offset_ms(&route, &service);
     let need = TargetRequirements {
         service,
         model: request.model.as_ref().filter(|_| engine.is_some()).map(|name| name.model.clone()),
@@ -102,6 +106,7 @@
     Ok(Admitted {
         priority,
         customer: customer.map(|customer| customer.name.clone()),
+        objective_offset_ms,
         need,
         charge,
         crash_causes,
--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -3,7 +3,10 @@
 
 use async_std::channel::Receiver;
 use async_std::future::timeout;
-use lycheeford_policy::{Chosen, Name, Ran, Refusal, RefusalCode, Selection, TimeMs, Waiting};
+use lycheeford_policy::{
+    Chosen, Claim, HoldTimes, Name, PRIORITY_STEP_MS, Ran, Refusal, RefusalCode, Selection,
+    SlotGrant, TargetRequirements, TimeMs, Waiting,
+};
 use rand::random_range;
 
 use super::admission::Admitted;
@@ -17,8 +20,11 @@
 /// The least time that a target needs for a response. A request with no more time left is refused
 /// instead of queued.
 const ANSWER_MS_MIN: u64 = 60;
-/// The largest part of its remaining time that a request may spend in the queue. Only the wait for
-/// a model load that is running or scheduled may be longer.
+/// The largest part of its time that a request's answer is expected to need. Without this bound, a
+/// route whose answers have become slow would refuse every request that has to wait.
+const ANSWER_SHARE_MAX: f64 = 0.5;
+/// The largest part of its remaining time that a request may spend in the queue without a forecast.
+/// Only the wait for a model load that is running or scheduled may be longer.
 const QUEUE_WAIT_SHARE: f64 = 0.6;
 /// The longest wait for a model whose load is neither running nor scheduled, as a multiple of the
 /// route's latency objective.
@@ -38,6 +44,15 @@
 pub(super) struct Slot {
     state: Arc<State>,
     pub(super) chosen: Chosen,
+    assigned_at: TimeMs,
+    used_by: Arc<SlotUse>,
+}
+
+/// What a request takes of a target.
+#[derive(Debug)]
+struct SlotUse {
+    service: Name,
+    route: Name,
     model: Option<Name>,
     tokens: u64,
 }
@@ -45,8 +60,14 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.state.now();
+        let SlotUse { service, route, model, tokens } = &*self.used_by;
         let mut dispatcher = self.state.dispatcher();
-        dispatcher.targets.ended(&self.chosen, self.model.as_ref(), self.tokens);
+        let hold_ms = now.since_ms(self.assigned_at);
+        // A slot that wasn't used says nothing about the next request.
+        if hold_ms > 0 {
+            dispatcher.hold_times.ended(service, route, hold_ms, *tokens);
+        }
+        dispatcher.targets.ended(&self.chosen, model.as_ref(), *tokens);
         dispatcher.dispatch(now);
     }
 }
@@ -56,8 +77,7 @@
     state: Arc<State>,
     id: u64,
     receiver: Receiver<Chosen>,
-    model: Option<Name>,
-    tokens: u64,
+    used_by: Arc<SlotUse>,
 }
 
 impl QueuedRequest {
@@ -66,8 +86,8 @@
         Slot {
             state: Arc::clone(&self.state),
             chosen,
-            model: self.model.clone(),
-            tokens: self.tokens,
+            assigned_at: self.state.now(),
+            used_by: Arc::clone(&self.used_by),
         }
     }
 }
@@ -119,25 +139,25 @@
     admitted.check_stop(state, now, ran)?;
     let mut need = admitted.need.clone();
     need.excluded.extend_from_slice(excluded);
-    let waiting = Waiting {
-        id: state.next_number(),
-        need,
-        priority: admitted.priority,
-        arrived_at: admitted.arrived_at,
-    };
-    let (queued, selection) = {
+    let id = state.next_number();
+    let (queued, waiting, selection) = {
         let mut dispatcher = state.dispatcher();
+        let waiting = waiting(&dispatcher.hold_times, admitted, id, need);
         let receiver = dispatcher.submit(now, waiting.clone());
         let selection =
             if receiver.is_empty() { Some(dispatcher.try_choose(now, &waiting)) } else { None };
         let queued = QueuedRequest {
             state: Arc::clone(state),
-            id: waiting.id,
+            id,
             receiver,
-            model: waiting.need.model.clone(),
-            tokens: waiting.need.tokens,
+            used_by: Arc::new(SlotUse {
+                service: waiting.need.service.clone(),
+                route: admitted.route.name.clone(),
+                model: waiting.need.model.clone(),
+                tokens: waiting.need.tokens,
+            }),
         };
-        (queued, selection)
+        (queued, waiting, selection)
     };
     let Some(selection) = selection else {
         return match queued.receiver.try_recv() {
@@ -145,7 +165,7 @@
             Err(_) => Err(overloaded(RETRY_MS_MIN)),
         };
     };
-    let wait_ms_max = wait_ms_max(state, admitted, ran, now, &selection)?;
+    let wait_ms_max = wait_ms_max(state, admitted, ran, now, &waiting, &selection)?;
     if waiting.need.model.is_some() {
         state.wake_demand_task();
         state.wake_planner();
@@ -194,6 +214,31 @@
     }
 }
 
+/// Returns the entry of a request in the queue.
+fn waiting(
+    hold_times: &HoldTimes,
+    admitted: &Admitted,
+    id: u64,
+    need: TargetRequirements,
+) -> Waiting {
+    let Admitted { route, arrived_at, final_at, .. } = admitted;
+    let hold_ms = hold_times.known_ms(&need.service, &route.name, need.tokens);
+    // The first event of a stream comes long before the slot is freed.
+    let answer_ms = hold_ms.filter(|_| !route.kind.is_stream()).map_or(0, |ms| ms as u64);
+    let answer_ms_max = (final_at.since_ms(*arrived_at) as f64 * ANSWER_SHARE_MAX) as u64;
+    let answer_ms = answer_ms.min(answer_ms_max);
+    let claim = Claim {
+        id,
+        arrived_at: *arrived_at,
+        order_at: *arrived_at + admitted.objective_offset_ms,
+        due_at: *arrived_at + route.objective_ms.saturating_sub(answer_ms),
+        latest_at: *final_at - answer_ms.max(ANSWER_MS_MIN),
+        priority: admitted.priority,
+        work: hold_times.expected_ms(&need.service, &route.name, need.tokens),
+    };
+    Waiting { request: admitted.request.id.clone(), need, claim }
+}
+
 /// Returns when the lease holder expects the model to be ready, if known.
 fn ready_at(state: &State, admitted: &Admitted) -> Option<TimeMs> {
     state.dispatcher().ready_at(admitted.need.model.as_ref()?)
@@ -205,6 +250,7 @@
     admitted: &Admitted,
     ran: Ran,
     now: TimeMs,
+    waiting: &Waiting,
     selection: &Selection,
 ) -> Result<u64, Refusal> {
     let left_ms = admitted.final_at.since_ms(now);
@@ -225,6 +271,14 @@
             Ok(share_ms.min(LOAD_WAIT_FACTOR * objective_ms))
         }
         Selection::Full | Selection::Chosen(_) => {
+            let forecast = state.dispatcher().queue.forecast_grant(now, waiting);
+            if let Some(SlotGrant { granted_at, .. }) = forecast {
+                if granted_at > waiting.claim.latest_at {
+                    return Err(overloaded(granted_at.since_ms(waiting.claim.latest_at)));
+                }
+                admitted.check_stop(state, granted_at, ran)?;
+                return Ok(waiting.claim.latest_at.since_ms(now));
+            }
             let expected_ms = expected_wait_ms(state, admitted, now);
             if expected_ms > share_ms {
                 return Err(overloaded(expected_ms - share_ms));
@@ -245,12 +299,14 @@
     admitted.route.objective_ms.min(left_ms) / PERMIT_WAIT_DIVISOR
 }
 
-/// Returns the expected queueing time of a new request: the requests ahead of it, each taking the
-/// route's objective, divided by the slots.
+/// Returns the expected queueing time of a new request without a forecast: the requests ahead of
+/// it, each taking the route's objective, divided by the slots.
 fn expected_wait_ms(state: &State, admitted: &Admitted, now: TimeMs) -> u64 {
     let dispatcher = state.dispatcher();
     let service = &admitted.need.service;
-    let ahead = dispatcher.queue.ahead(service, admitted.priority, now) as u64;
+    let order_at = now + admitted.objective_offset_ms;
+    let sort_key = (order_at.as_ms() + u64::from(admitted.priority) * PRIORITY_STEP_MS, u64::MAX);
+    let ahead = dispatcher.queue.ahead(service, sort_key) as u64;
     let (slots, _) = dispatcher.slots(service);
     ahead * admitted.route.objective_ms / u64::from(slots.max(1))
 }
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //! - `claim`: the order of requests that compete for a resource that is short, and which of them to
 //!   turn away.
 //! - `wait_queue`: the order of waiting requests when all slots are in use.
+//! - `slot_forecast`: when a waiting request gets a slot, as the slots that became free before show.
 //! - `shared_bucket`: a customer that sends many times its rate to every host.
 //! - `settling`: hosts that start together and do not know what was spent before.
 //! - `retry_share`: targets that fail together, so that retries multiply the load.
@@ -65,6 +66,7 @@
 mod shared_bucket;
 mod shared_watch;
 mod short_key;
+mod slot_forecast;
 mod stated_content;
 mod store_absence;
 mod stream_versions;
@@ -109,6 +111,7 @@
 pub use self::shared_bucket::SharedBucket;
 pub use self::shared_watch::SharedWatch;
 pub use self::short_key::ShortKey;
+pub use self::slot_forecast::{HoldTimes, SlotForecast, SlotSupply};
 pub use self::stated_content::StatedContent;
 pub use self::store_absence::StoreAbsence;
 pub use self::stream_versions::{
@@ -129,4 +132,4 @@
     Choice, Chosen, HostPlace, Selection, SilenceView, Target, TargetRequirements, TargetTable,
 };
 pub use self::unstated_ends::{EndDoubt, EndSign, UnstatedEnds};
-pub use self::wait_queue::{WaitQueue, Waiting};
+pub use self::wait_queue::{SlotGrant, WaitQueue, Waiting};
--- /dev/null
+++ b/crates/lycheeford-policy/src/gateway/slot_forecast.rs
@@ -0,0 +1,209 @@
+use super::claim::Supply;
+use super::wait_queue::RequirementKey;
+use crate::{Name, TimeMs};
+
+/// Time constant of the rate of slots. It is long enough for several slots of slow answers, and
+/// short enough to follow a change of capacity within seconds.
+const RATE_WINDOW_MS: f64 = 3_000.0;
+/// Age of the last slot beyond which a rate is no longer used.
+const AGE_MS_MAX: u64 = 5_000;
+/// Slots that must have been observed before a rate is used. Fewer give a rate that is wrong by
+/// more than half too often.
+const SLOTS_MIN: u32 = 4;
+/// Time with requests waiting that must have been observed before a rate is used.
+const OBSERVED_MS_MIN: f64 = 200.0;
+/// Weight of a new sample in the time that a route's requests hold a slot.
+const HOLD_SAMPLE_PART: f64 = 0.05;
+/// Time that a request is assumed to hold a slot while none of its service has ended.
+const DEFAULT_HOLD_MS: f64 = 100.0;
+/// Largest ratio between the expected time of a request and the average of its route.
+const SIZE_RATIO_MAX: f64 = 20.0;
+
+/// The rate at which slots become free for the waiting requests of this host, by requirement.
+///
+/// Only the time during which requests wait for a slot counts, since the rate of a service with
+/// spare slots shows the demand and not the capacity. The unit of work is the expected time, in
+/// milliseconds, for which a request holds its slot.
+#[derive(Debug, Clone, Default)]
+pub struct SlotForecast {
+    /// Sorted by requirement.
+    groups: Vec<GroupRate>,
+}
+
+#[derive(Debug, Clone)]
+struct GroupRate {
+    key: RequirementKey,
+    /// Whether requests wait for a slot, as of `updated_at`.
+    is_short: bool,
+    updated_at: TimeMs,
+    granted_at: TimeMs,
+    /// Slots granted since the rate was last reset.
+    slots: u32,
+    /// Slots and their work, and the time in which they were granted, each with exponential decay.
+    recent_slots: f64,
+    recent_work: f64,
+    recent_ms: f64,
+}
+
+/// A forecast supply of slots with the age of the last observation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlotSupply {
+    /// Supply of slots, in milliseconds for which requests hold them.
+    pub supply: Supply,
+    /// Time since the last slot became free.
+    pub age_ms: u64,
+}
+
+impl SlotForecast {
+    /// Records the work of the slots that were granted at once, and whether requests still wait for
+    /// one.
+    pub(super) fn observe(
+        &mut self,
+        now: TimeMs,
+        key: &RequirementKey,
+        granted: &[f64],
+        is_short: bool,
+    ) {
+        let index = match self.groups.binary_search_by(|group| group.key.cmp(key)) {
+            Ok(index) => index,
+            Err(_) if !is_short => return,
+            Err(_) => {
+                // A requirement without recent requests may never come back.
+                self.groups.retain(|group| now.since_ms(group.updated_at) <= AGE_MS_MAX);
+                let index = self.groups.partition_point(|group| group.key < *key);
+                self.groups.insert(index, GroupRate::new(now, key.clone()));
+                index
+            }
+        };
+        self.groups[index].observe(now, granted, is_short);
+    }
+
+    /// Records that no request waits any more.
+    pub(super) fn ended(&mut self, key: &RequirementKey) {
+        if let Ok(index) = self.groups.binary_search_by(|group| group.key.cmp(key)) {
+            self.groups[index].is_short = false;
+        }
+    }
+
+    /// Returns the forecast supply, or `None` without recent observations.
+    pub(super) fn supply(&self, now: TimeMs, key: &RequirementKey) -> Option<SlotSupply> {
+        let index = self.groups.binary_search_by(|group| group.key.cmp(key)).ok()?;
+        let mut group = self.groups[index].clone();
+        let age_ms = now.since_ms(group.granted_at);
+        group.advance(now);
+        let is_known = group.slots >= SLOTS_MIN
+            && age_ms <= AGE_MS_MAX
+            && group.recent_ms >= OBSERVED_MS_MIN
+            && group.recent_work > 0.0;
+        let supply = Supply {
+            available: 0.0,
+            per_ms: group.recent_work / group.recent_ms,
+            grant_units: group.recent_work / group.recent_slots,
+        };
+        is_known.then_some(SlotSupply { supply, age_ms })
+    }
+}
+
+impl GroupRate {
+    fn new(now: TimeMs, key: RequirementKey) -> GroupRate {
+        GroupRate {
+            key,
+            is_short: false,
+            updated_at: now,
+            granted_at: now,
+            slots: 0,
+            recent_slots: 0.0,
+            recent_work: 0.0,
+            recent_ms: 0.0,
+        }
+    }
+
+    fn observe(&mut self, now: TimeMs, granted: &[f64], is_short: bool) {
+        if !self.is_short && now.since_ms(self.granted_at) > AGE_MS_MAX {
+            *self = GroupRate::new(now, self.key.clone());
+        }
+        self.advance(now);
+        // A slot that was free when its request came says nothing about the capacity.
+        if self.is_short {
+            for work in granted {
+                self.slots = self.slots.saturating_add(1);
+                self.recent_slots += 1.0;
+                self.recent_work += work;
+                self.granted_at = now;
+            }
+        }
+        self.is_short = is_short;
+    }
+
+    /// Counts the time up to `now`, if requests waited.
+    fn advance(&mut self, now: TimeMs) {
+        if self.is_short {
+            let elapsed_ms = now.since_ms(self.updated_at) as f64;
+            let kept = (-elapsed_ms / RATE_WINDOW_MS).exp();
+            self.recent_slots *= kept;
+            self.recent_work *= kept;
+            self.recent_ms = self.recent_ms * kept + RATE_WINDOW_MS * (1.0 - kept);
+        }
+        self.updated_at = now;
+    }
+}
+
+/// How long the requests of each route hold a slot, and how large they are, on average.
+#[derive(Debug, Clone, Default)]
+pub struct HoldTimes {
+    /// Sorted by service and route.
+    routes: Vec<RouteHold>,
+}
+
+#[derive(Debug, Clone)]
+struct RouteHold {
+    service: Name,
+    route: Name,
+    hold_ms: f64,
+    /// Average of the stated tokens; 0 if none are stated.
+    tokens: f64,
+}
+
+impl HoldTimes {
+    /// Records a request that held a slot for `hold_ms`; `tokens` is 0 if it stated none.
+    pub fn ended(&mut self, service: &Name, route: &Name, hold_ms: u64, tokens: u64) {
+        let (hold_ms, tokens) = (hold_ms as f64, tokens as f64);
+        match self.index(service, route) {
+            Ok(index) => {
+                let known = &mut self.routes[index];
+                known.hold_ms += (hold_ms - known.hold_ms) * HOLD_SAMPLE_PART;
+                known.tokens += (tokens - known.tokens) * HOLD_SAMPLE_PART;
+            }
+            Err(index) => {
+                let (service, route) = (service.clone(), route.clone());
+                self.routes.insert(index, RouteHold { service, route, hold_ms, tokens });
+            }
+        }
+    }
+
+    /// Returns how long the next request of a route is expected to hold a slot, if one of the route
+    /// has ended here.
+    pub fn known_ms(&self, service: &Name, route: &Name, tokens: u64) -> Option<f64> {
+        let known = &self.routes[self.index(service, route).ok()?];
+        let is_sized = tokens > 0 && known.tokens >= 1.0;
+        let ratio = if is_sized { tokens as f64 / known.tokens } else { 1.0 };
+        Some((known.hold_ms * ratio.clamp(1.0 / SIZE_RATIO_MAX, SIZE_RATIO_MAX)).max(1.0))
+    }
+
+    /// Returns how long the next request of a route is expected to hold a slot; a route without
+    /// ended requests is assumed to be like the others of its service.
+    pub fn expected_ms(&self, service: &Name, route: &Name, tokens: u64) -> f64 {
+        if let Some(known_ms) = self.known_ms(service, route, tokens) {
+            return known_ms;
+        }
+        let first = self.routes.partition_point(|known| known.service < *service);
+        let of_service = self.routes[first..].iter().take_while(|known| known.service == *service);
+        let (count, sum_ms) =
+            of_service.fold((0.0, 0.0), |(count, sum), known| (count + 1.0, sum + known.hold_ms));
+        if count > 0.0 { (sum_ms / count).max(1.0) } else { DEFAULT_HOLD_MS }
+    }
+
+    fn index(&self, service: &Name, route: &Name) -> Result<usize, usize> {
+        self.routes.binary_search_by(|known| (&known.service, &known.route).cmp(&(service, route)))
+    }
+}
--- a/crates/lycheeford-policy/tests/gateway/beliefs.rs
+++ b/crates/lycheeford-policy/tests/gateway/beliefs.rs
@@ -3,10 +3,10 @@
 
 use lycheeford_policy::{
     Choice, Chosen, Selection, ShortKey, StoreVersion, TargetEntry, TargetLife, TargetRequirements,
-    TargetState, TargetTable, WaitQueue, Waiting,
+    TargetState, TargetTable, WaitQueue,
 };
 
-use crate::world::{at, entry, name, need};
+use crate::world::{at, entry, name, need, queued, slot_claim};
 
 const LIFE: u64 = 1;
 
@@ -201,7 +201,7 @@
         targets.started(target, Some(&name("m1")), 10);
     }
     for (id, model) in [(1, "m1"), (2, "m2")] {
-        queue.push(Waiting { id, need: need(model), priority: 0, arrived_at: at(0) });
+        queue.push(queued(slot_claim(id, 0), need(model)));
     }
     targets.pause(at(1), &busy[0], 900);
     for target in &busy {
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod order_lease;
 mod placement;
 mod rates;
+mod slot_forecast;
 mod stated_content;
 mod stop_load;
 mod stopping;
--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -1,11 +1,11 @@
 //! Which target a request is sent to, and the order of waiting requests.
 
 use lycheeford_policy::{
-    Choice, Chosen, HostPlace, Name, RunningAt, Selection, ShortKey, TargetEntry, TargetFailure,
-    TargetRequirements, TargetState, TargetTable, WaitQueue, Waiting,
+    Choice, Chosen, Claim, HostPlace, Name, RunningAt, Selection, ShortKey, TargetEntry,
+    TargetFailure, TargetRequirements, TargetState, TargetTable, WaitQueue, Waiting,
 };
 
-use crate::world::{at, entry, name, need};
+use crate::world::{at, entry, name, need, queued, slot_claim};
 
 fn table(entries: &[TargetEntry]) -> TargetTable {
     let mut targets = TargetTable::default();
@@ -209,7 +209,7 @@
 }
 
 fn waiting(id: u64, model: &str, priority: u8, arrived_ms: u64) -> Waiting {
-    Waiting { id, need: need(model), priority, arrived_at: at(arrived_ms) }
+    queued(Claim { priority, ..slot_claim(id, arrived_ms) }, need(model))
 }
 
 #[test]
--- a/crates/lycheeford-policy/tests/gateway/world.rs
+++ b/crates/lycheeford-policy/tests/gateway/world.rs
@@ -1,9 +1,9 @@
 //! Builders of the values that the tests use.
 
 use lycheeford_policy::{
-    EngineLimits, EngineModel, EngineView, ModelDemand, Name, Residency, ResidentModel,
+    Claim, EngineLimits, EngineModel, EngineView, ModelDemand, Name, Residency, ResidentModel,
     ResidentView, RouteKind, ServiceRoute, ShortKey, TargetEntry, TargetRequirements, TargetState,
-    TimeMs, WeightedService,
+    TimeMs, Waiting, WeightedService,
 };
 
 pub fn at(ms: u64) -> TimeMs {
@@ -117,3 +117,20 @@
         asked_at,
     }
 }
+
+/// Returns the claim of a request with an objective of 400 ms and a deadline of 4 s.
+pub fn slot_claim(id: u64, arrived_ms: u64) -> Claim {
+    Claim {
+        id,
+        arrived_at: at(arrived_ms),
+        order_at: at(arrived_ms),
+        due_at: at(arrived_ms + 400),
+        latest_at: at(arrived_ms + 4_000),
+        priority: 0,
+        work: 100.0,
+    }
+}
+
+pub fn queued(claim: Claim, need: TargetRequirements) -> Waiting {
+    Waiting { request: name(&format!("request-{}", claim.id)), need, claim }
+}
