Select the waiting requests that give way when slots are short

Cause: a newcomer was refused whatever waited, by requests ahead times its own objective.

Change: `WaitQueue::shed_for` selects by `claim` who gives way to a newcomer, `shed_late` who can't be served in time any more (at most every 100 ms for a requirement). A selection has at most 128 claims: the newcomer, at most 32 that are late, and the cheapest per unit; the work of the others is subtracted from the time of those after them. It runs only if a claim is late by the forecast.

While the overload lasts, the cost per unit decides (`claim::Overload::Lasting`), and a newcomer that is cheap by that is turned away, except for a tenth of the supply, so that no size starves. - With over 128 waiting, the newcomer wasn't among the claims compared.

Ruled out: the cost per unit alone as in `Lasting` also without a lasting overload, since a single large request would give way to a small one although nothing uses what is left.

Tests: `WaitQueue::push` takes the time; the tests that call it pass the arrival.

--- a/crates/lycheeford-gateway/src/fleet/dispatcher.rs
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -31,7 +31,7 @@
         let id = waiting.claim.id;
         let index = self.waiters.partition_point(|(other, _)| *other < id);
         self.waiters.insert(index, (id, sender));
-        self.queue.push(waiting);
+        self.queue.push(now, waiting);
         self.dispatch(now);
         receiver
     }
--- a/crates/lycheeford-policy/src/gateway/claim.rs
+++ b/crates/lycheeford-policy/src/gateway/claim.rs
@@ -45,7 +45,7 @@
     /// A caller's loss grows with the size of its request, but not in proportion, so that neither
     /// small nor large requests starve. It grows with the time that the request has waited, so that
     /// a stream of more urgent requests doesn't displace it time and again.
-    fn cost(&self, now: TimeMs, granted_at: TimeMs, mean_work: f64) -> f64 {
+    pub(super) fn cost(&self, now: TimeMs, granted_at: TimeMs, mean_work: f64) -> f64 {
         let weight = PRIORITY_WEIGHT.powi(-i32::from(self.priority));
         let timeliness = if granted_at <= self.due_at { 1.0 } else { LATE_PART };
         let size = f64::midpoint(1.0, self.work / mean_work.max(f64::MIN_POSITIVE));
@@ -97,9 +97,32 @@
 /// costs: in the order of service, claims that would be granted too late either give way, or
 /// displace earlier claims that cost callers less per unit and less in all.
 pub fn select_rejected(now: TimeMs, supply: &Supply, claims: &[Claim]) -> Vec<u64> {
+    select(now, supply, claims, Overload::Passing)
+}
+
+/// Whether more is asked for than becomes available, beyond the claims that wait now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Overload {
+    /// The waiting claims are all there is to serve.
+    Passing,
+    /// Whatever a claim leaves unused is used by later ones, so that the cost per unit decides.
+    Lasting,
+}
+
+/// Part of a claim's cost per unit below which another gives way to it while an overload lasts, so
+/// that claims of one kind don't replace each other.
+pub(super) const CHEAP_PART: f64 = 0.75;
+
+/// Returns the ids of the claims to turn away, like [`select_rejected`].
+pub(super) fn select(
+    now: TimeMs,
+    supply: &Supply,
+    claims: &[Claim],
+    overload: Overload,
+) -> Vec<u64> {
     let work_total: f64 = claims.iter().map(|claim| claim.work).sum();
     let mean_work = work_total / claims.len().max(1) as f64;
-    let mut selection = Selection { now, supply, mean_work, kept: Vec::new() };
+    let mut selection = Selection { now, supply, mean_work, overload, kept: Vec::new() };
     let mut rejected = Vec::new();
     // Successive claims that are too late: one of them may cost less than what it would displace,
     // while all of them cost more.
@@ -133,6 +156,7 @@
     now: TimeMs,
     supply: &'a Supply,
     mean_work: f64,
+    overload: Overload,
     kept: Vec<Kept>,
 }
 
@@ -164,13 +188,19 @@
         let soonest = self.supply.granted_at(self.now, 0.0)?;
         let cost_max: f64 =
             late.iter().map(|claim| claim.cost(self.now, soonest, self.mean_work)).sum();
+        let work: f64 = late.iter().map(|claim| claim.work).sum();
+        let density_max = CHEAP_PART * cost_max / work.max(f64::MIN_POSITIVE);
         let density = |kept: &Kept| kept.cost / kept.work.max(f64::MIN_POSITIVE);
         let mut by_density: Vec<&Kept> = self.kept.iter().collect();
         by_density.sort_by(|a, b| density(a).total_cmp(&density(b)));
         let (mut freed, mut cost, mut victims) = (0.0, 0.0, Vec::new());
         for kept in by_density {
             cost += kept.cost;
-            if cost >= cost_max {
+            let is_too_dear = match self.overload {
+                Overload::Passing => cost >= cost_max,
+                Overload::Lasting => density(kept) >= density_max,
+            };
+            if is_too_dear {
                 return None;
             }
             freed += kept.work;
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -132,4 +132,4 @@
     Choice, Chosen, HostPlace, Selection, SilenceView, Target, TargetRequirements, TargetTable,
 };
 pub use self::unstated_ends::{EndDoubt, EndSign, UnstatedEnds};
-pub use self::wait_queue::{SlotGrant, WaitQueue, Waiting};
+pub use self::wait_queue::{Shedding, SlotGrant, WaitQueue, Waiting};
--- a/crates/lycheeford-policy/src/gateway/slot_forecast.rs
+++ b/crates/lycheeford-policy/src/gateway/slot_forecast.rs
@@ -5,6 +5,12 @@
 /// Time constant of the rate of slots. It is long enough for several slots of slow answers, and
 /// short enough to follow a change of capacity within seconds.
 const RATE_WINDOW_MS: f64 = 3_000.0;
+/// Time constant of the rate at which work is asked for. A burst must last for about as long before
+/// requests are turned away for the sake of later ones.
+const DEMAND_WINDOW_MS: f64 = 1_000.0;
+/// Part of the supply that is kept for claims that cost less per unit than all others, so that no
+/// size and no priority starves.
+const RESERVE_PART: f64 = 0.1;
 /// Age of the last slot beyond which a rate is no longer used.
 const AGE_MS_MAX: u64 = 5_000;
 /// Slots that must have been observed before a rate is used. Fewer give a rate that is wrong by
@@ -37,12 +43,19 @@
     is_short: bool,
     updated_at: TimeMs,
     granted_at: TimeMs,
+    /// When the waiting requests were last checked against the forecast.
+    checked_at: TimeMs,
     /// Slots granted since the rate was last reset.
     slots: u32,
     /// Slots and their work, and the time in which they were granted, each with exponential decay.
     recent_slots: f64,
     recent_work: f64,
     recent_ms: f64,
+    /// Work asked for, with exponential decay, as of `asked_at`.
+    asked_work: f64,
+    asked_at: TimeMs,
+    /// When the reserve is next available; the claims that took it have used it up to then.
+    reserve_at: TimeMs,
 }
 
 /// A forecast supply of slots with the age of the last observation.
@@ -78,6 +91,37 @@
         self.groups[index].observe(now, granted, is_short);
     }
 
+    /// Records a request for a slot, if requests had to wait for one in the last seconds.
+    pub(super) fn asked(&mut self, now: TimeMs, key: &RequirementKey, work: f64) {
+        if let Ok(index) = self.groups.binary_search_by(|group| group.key.cmp(key)) {
+            let group = &mut self.groups[index];
+            group.asked_work = group.asked_work(now) + work;
+            group.asked_at = now;
+        }
+    }
+
+    /// Returns the part of the work asked for lately for which no slots become free.
+    pub(super) fn excess_part(&self, now: TimeMs, key: &RequirementKey) -> f64 {
+        let Some(SlotSupply { supply, .. }) = self.supply(now, key) else { return 0.0 };
+        let index = self.groups.binary_search_by(|group| group.key.cmp(key));
+        let asked_work = index.map_or(0.0, |index| self.groups[index].asked_work(now));
+        let asked_per_ms = asked_work / DEMAND_WINDOW_MS;
+        if asked_per_ms > supply.per_ms { 1.0 - supply.per_ms / asked_per_ms } else { 0.0 }
+    }
+
+    /// Takes `work` of the part of the supply that is kept for the cheapest claims; returns false if
+    /// that is used up.
+    pub(super) fn take_reserve(&mut self, now: TimeMs, key: &RequirementKey, work: f64) -> bool {
+        let Some(SlotSupply { supply, .. }) = self.supply(now, key) else { return true };
+        let index = self.groups.binary_search_by(|group| group.key.cmp(key));
+        let Some(group) = index.ok().map(|index| &mut self.groups[index]) else { return true };
+        if group.reserve_at > now {
+            return false;
+        }
+        group.reserve_at = now + (work / (supply.per_ms * RESERVE_PART)) as u64;
+        true
+    }
+
     /// Records that no request waits any more.
     pub(super) fn ended(&mut self, key: &RequirementKey) {
         if let Ok(index) = self.groups.binary_search_by(|group| group.key.cmp(key)) {
@@ -85,6 +129,19 @@
         }
     }
 
+    /// Records that the waiting requests were checked against the forecast.
+    pub(super) fn checked(&mut self, now: TimeMs, key: &RequirementKey) {
+        if let Ok(index) = self.groups.binary_search_by(|group| group.key.cmp(key)) {
+            self.groups[index].checked_at = now;
+        }
+    }
+
+    /// Returns whether the waiting requests haven't been checked for `interval_ms`.
+    pub(super) fn is_check_due(&self, now: TimeMs, key: &RequirementKey, interval_ms: u64) -> bool {
+        let index = self.groups.binary_search_by(|group| group.key.cmp(key));
+        index.is_ok_and(|index| now.since_ms(self.groups[index].checked_at) >= interval_ms)
+    }
+
     /// Returns the forecast supply, or `None` without recent observations.
     pub(super) fn supply(&self, now: TimeMs, key: &RequirementKey) -> Option<SlotSupply> {
         let index = self.groups.binary_search_by(|group| group.key.cmp(key)).ok()?;
@@ -111,16 +168,26 @@
             is_short: false,
             updated_at: now,
             granted_at: now,
+            checked_at: now,
             slots: 0,
             recent_slots: 0.0,
             recent_work: 0.0,
             recent_ms: 0.0,
+            asked_work: 0.0,
+            asked_at: now,
+            reserve_at: now,
         }
     }
 
     fn observe(&mut self, now: TimeMs, granted: &[f64], is_short: bool) {
         if !self.is_short && now.since_ms(self.granted_at) > AGE_MS_MAX {
-            *self = GroupRate::new(now, self.key.clone());
+            let GroupRate { asked_work, asked_at, reserve_at, .. } = *self;
+            *self = GroupRate {
+                asked_work,
+                asked_at,
+                reserve_at,
+                ..GroupRate::new(now, self.key.clone())
+            };
         }
         self.advance(now);
         // A slot that was free when its request came says nothing about the capacity.
@@ -135,6 +202,11 @@
         self.is_short = is_short;
     }
 
+    /// Returns the work that was asked for and hasn't decayed.
+    fn asked_work(&self, now: TimeMs) -> f64 {
+        self.asked_work * (-(now.since_ms(self.asked_at) as f64) / DEMAND_WINDOW_MS).exp()
+    }
+
     /// Counts the time up to `now`, if requests waited.
     fn advance(&mut self, now: TimeMs) {
         if self.is_short {
--- a/crates/lycheeford-policy/tests/gateway/beliefs.rs
+++ b/crates/lycheeford-policy/tests/gateway/beliefs.rs
@@ -201,7 +201,7 @@
         targets.started(target, Some(&name("m1")), 10);
     }
     for (id, model) in [(1, "m1"), (2, "m2")] {
-        queue.push(queued(slot_claim(id, 0), need(model)));
+        queue.push(at(0), queued(slot_claim(id, 0), need(model)));
     }
     targets.pause(at(1), &busy[0], 900);
     for target in &busy {
--- a/crates/lycheeford-policy/tests/gateway/main.rs
+++ b/crates/lycheeford-policy/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod lease_history;
 mod limited_fleet;
 mod limits;
+mod load_shedding;
 mod membership;
 mod order_lease;
 mod placement;
--- a/crates/lycheeford-policy/tests/gateway/slot_forecast.rs
+++ b/crates/lycheeford-policy/tests/gateway/slot_forecast.rs
@@ -22,7 +22,7 @@
     /// Adds requests that arrive at `now_ms`, with the ids from `first_id` on.
     fn push(&mut self, now_ms: u64, first_id: u64, count: u64) {
         for id in first_id..first_id + count {
-            self.queue.push(queued(slot_claim(id, now_ms), need("m1")));
+            self.queue.push(at(now_ms), queued(slot_claim(id, now_ms), need("m1")));
             self.dispatch(now_ms);
         }
     }
--- a/crates/lycheeford-policy/tests/gateway/targets.rs
+++ b/crates/lycheeford-policy/tests/gateway/targets.rs
@@ -216,12 +216,12 @@
 fn better_priority_goes_first_and_no_request_starves() {
     let mut targets = table(&[TargetEntry { slots: 1, ..entry("t1", &["m1"]) }]);
     let mut queue = WaitQueue::default();
-    queue.push(waiting(1, "m1", 2, 0));
-    queue.push(waiting(2, "m1", 0, 1_000));
+    queue.push(at(0), waiting(1, "m1", 2, 0));
+    queue.push(at(1_000), waiting(2, "m1", 0, 1_000));
     // Request 3 arrives so much later than request 1 that request 1 goes first despite its lower
     // priority.
-    queue.push(waiting(3, "m1", 0, 4_000));
-    queue.push(waiting(4, "cold", 0, 0));
+    queue.push(at(4_000), waiting(3, "m1", 0, 4_000));
+    queue.push(at(0), waiting(4, "cold", 0, 0));
     let mut order = Vec::new();
     for ms in 4_001..4_010 {
         for (id, chosen) in queue.dispatch(at(ms), &mut targets) {
@@ -241,8 +241,8 @@
     let mut queue = WaitQueue::default();
     let mut repeated = waiting(1, "m1", 0, 0);
     repeated.need.excluded = vec![name("t1")];
-    queue.push(repeated);
-    queue.push(waiting(2, "m1", 0, 10));
+    queue.push(at(0), repeated);
+    queue.push(at(10), waiting(2, "m1", 0, 10));
     let dispatched = queue.dispatch(at(20), &mut targets);
     let ids: Vec<u64> = dispatched.iter().map(|(id, _)| *id).collect();
     assert_eq!(ids, [2]);
