Refuse displaced requests at once, and show which one was preferred

Cause: a newcomer that found no slot was refused whatever waited, and nothing said what was served instead.

Change: a newcomer that finds all slots taken starts a selection. A request that was sent before, or that excludes targets, displaces nobody.

--- a/crates/lycheeford-gateway/src/fleet/dispatcher.rs
+++ b/crates/lycheeford-gateway/src/fleet/dispatcher.rs
@@ -1,12 +1,32 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use lycheeford_policy::{
-    Chosen, HoldTimes, Name, PlacementLog, ReportedPlacement, Selection, ShortKey, TargetTable,
-    TimeMs, WaitQueue, Waiting, WantedName,
+    Chosen, Claim, HoldTimes, Name, PlacementLog, ReportedPlacement, Selection, Shedding, ShortKey,
+    SlotSupply, TargetRequirements, TargetTable, TimeMs, WaitQueue, Waiting, WantedName,
 };
 
 /// How long a ready time is kept after it has passed, since the load may be late.
 const READY_SLACK_MS: u64 = 1_000;
 
+/// What a waiting request gets.
+#[derive(Debug)]
+pub(crate) enum Granted {
+    /// A target, on which the request counts as running.
+    Target(Chosen),
+    /// A refusal, since it can't be served in time, or others cost callers more to lose.
+    TurnedAway(Box<TurnedAway>),
+}
+
+/// Why a waiting request is turned away.
+#[derive(Debug)]
+pub(crate) struct TurnedAway {
+    /// The request that is preferred to it with its claim, if a newcomer is.
+    pub(crate) preferred: Option<(Name, Claim)>,
+    /// The supply on which this rests.
+    pub(crate) supply: SlotSupply,
+    /// How long the request would have waited.
+    pub(crate) wait_ms: u64,
+}
+
 /// The targets and the queue of requests.
 #[derive(Debug, Default)]
 pub(crate) struct Dispatcher {
@@ -15,7 +35,7 @@
     /// How long the requests of each route hold a slot.
     pub(crate) hold_times: HoldTimes,
     /// Sorted by the id of the waiting request.
-    waiters: Vec<(u64, Sender<Chosen>)>,
+    waiters: Vec<(u64, Sender<Granted>)>,
     /// The token of the lease holder whose placements are known.
     placements_token: u64,
     /// The placements by that lease holder, kept to relay them to other hosts.
@@ -26,7 +46,7 @@
 
 impl Dispatcher {
     /// Queues a request. The receiver gets its target, on which the request then counts as running.
-    pub(crate) fn submit(&mut self, now: TimeMs, waiting: Waiting) -> Receiver<Chosen> {
+    pub(crate) fn submit(&mut self, now: TimeMs, waiting: Waiting) -> Receiver<Granted> {
         let (sender, receiver) = bounded(1);
         let id = waiting.claim.id;
         let index = self.waiters.partition_point(|(other, _)| *other < id);
@@ -47,7 +67,7 @@
             };
             let (_, sender) = self.waiters.remove(index);
             // The receiver exists as long as the request is in the queue.
-            let _ = sender.try_send(chosen);
+            let _ = sender.try_send(Granted::Target(chosen));
         }
     }
 
@@ -59,6 +79,57 @@
         }
     }
 
+    /// Turns away the waiting requests that a newcomer displaces; returns why the newcomer itself is
+    /// turned away, if it is. Without a forecast, nobody is turned away.
+    pub(crate) fn shed_for(&mut self, now: TimeMs, newcomer: &Waiting) -> Option<TurnedAway> {
+        let Shedding { supply, rejected } = self.queue.shed_for(now, newcomer)?;
+        let id = newcomer.claim.id;
+        let is_rejected = rejected.contains(&id);
+        let preferred = (!is_rejected).then(|| (newcomer.request.clone(), newcomer.claim.clone()));
+        self.turn_away(
+            now,
+            supply,
+            rejected.iter().filter(|other| **other != id),
+            preferred.as_ref(),
+        );
+        is_rejected.then(|| {
+            let ahead = self.queue.last_ahead(newcomer);
+            let preferred = ahead.map(|ahead| (ahead.request.clone(), ahead.claim.clone()));
+            TurnedAway { preferred, supply, wait_ms: self.wait_ms(now, newcomer) }
+        })
+    }
+
+    /// Turns away the requests with these requirements that can't be served in time any more.
+    pub(crate) fn shed_late(&mut self, now: TimeMs, need: &TargetRequirements) {
+        if let Some(Shedding { supply, rejected }) = self.queue.shed_late(now, need) {
+            self.turn_away(now, supply, rejected.iter(), None);
+        }
+    }
+
+    fn turn_away<'a>(
+        &mut self,
+        now: TimeMs,
+        supply: SlotSupply,
+        ids: impl Iterator<Item = &'a u64>,
+        preferred: Option<&(Name, Claim)>,
+    ) {
+        for id in ids {
+            let Some(waiting) = self.queue.find(*id) else { continue };
+            let wait_ms = self.wait_ms(now, waiting);
+            self.queue.remove(*id);
+            let Ok(index) = self.waiters.binary_search_by_key(id, |(id, _)| *id) else { continue };
+            let (_, sender) = self.waiters.remove(index);
+            let turned_away = TurnedAway { preferred: preferred.cloned(), supply, wait_ms };
+            // The receiver exists as long as the request is in the queue.
+            let _ = sender.try_send(Granted::TurnedAway(Box::new(turned_away)));
+        }
+    }
+
+    fn wait_ms(&self, now: TimeMs, waiting: &Waiting) -> u64 {
+        let grant = self.queue.forecast_grant(now, waiting);
+        grant.map_or(0, |grant| grant.granted_at.since_ms(now))
+    }
+
     /// Returns the models and adapters that requests wait for.
     pub(crate) fn wanted(&mut self, now: TimeMs) -> Vec<WantedName> {
         let mut wanted: Vec<WantedName> = Vec::new();
--- a/crates/lycheeford-gateway/src/fleet/mod.rs
+++ b/crates/lycheeford-gateway/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 mod unreadable_entries;
 
 pub(crate) use self::deployment_follow::follow_deployment;
-pub(crate) use self::dispatcher::{Dispatcher, merge};
+pub(crate) use self::dispatcher::{Dispatcher, Granted, TurnedAway, merge};
 pub(crate) use self::reach::{
     opens_connections, record_unanswered, request_probe, until_cut_off, watch_reach,
 };
--- a/crates/lycheeford-gateway/src/operation/directory.rs
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -156,7 +156,12 @@
     };
     let declaration_age_ms = state.confirmation().age_ms(now);
     let targets_age_ms = state.target_sync().watch.age_ms(now);
+    let waiting = {
+        let dispatcher = state.dispatcher();
+        dispatcher.queue.waiting().iter().map(|waiting| waiting.claim.priority).collect()
+    };
     MetricsSnapshot {
+        waiting,
         declaration_age_ms,
         targets_age_ms,
         store_era: state.store_era(),
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -97,6 +97,11 @@
     task: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PriorityLabels {
+    priority: u32,
+}
+
 type Histograms = Family<CustomerLabels, Histogram, fn() -> Histogram>;
 
 /// The metrics of a gateway; docs/OPERATIONS.md explains each.
@@ -127,6 +132,9 @@
     hosts_alive: Gauge,
     holder: Family<HolderLabels, Gauge>,
     lines_left_out: Gauge,
+    waiting: Family<PriorityLabels, Gauge>,
+    displaced: Family<PriorityLabels, Counter>,
+    held_before_refusal: Histogram,
 }
 
 /// The values that are sampled when the metrics are read.
@@ -141,6 +149,8 @@
     /// The lease holder and the age of the last renewal.
     pub(crate) holder: Option<(Name, u64)>,
     pub(crate) lines_left_out: u64,
+    /// The priorities of the requests that wait for a slot.
+    pub(crate) waiting: Vec<u8>,
 }
 
 impl Metrics {
@@ -170,6 +180,9 @@
             hosts_alive: Gauge::default(),
             holder: Family::default(),
             lines_left_out: Gauge::default(),
+            waiting: Family::default(),
+            displaced: Family::default(),
+            held_before_refusal: histogram(),
         };
         metrics.register();
         metrics
@@ -201,6 +214,11 @@
             self.holder.get_or_create(&labels).set(gauge(*age_ms));
         }
         self.lines_left_out.set(gauge(snapshot.lines_left_out));
+        self.waiting.clear();
+        for priority in &snapshot.waiting {
+            let labels = PriorityLabels { priority: u32::from(*priority) };
+            self.waiting.get_or_create(&labels).inc();
+        }
     }
 
     pub(crate) fn answered(&self, customer: Option<&Name>, priority: u8, total_ms: u64) {
@@ -246,6 +264,16 @@
         self.signals.get_or_create(&SignalLabels { word: signal }).inc();
     }
 
+    /// Counts a request that gave way to others for a slot.
+    pub(crate) fn displaced(&self, priority: u8) {
+        self.displaced.get_or_create(&PriorityLabels { priority: u32::from(priority) }).inc();
+    }
+
+    /// Records how long a request had waited for a slot when it was refused.
+    pub(crate) fn held_before_refusal(&self, held_ms: u64) {
+        self.held_before_refusal.observe(held_ms as f64);
+    }
+
     pub(crate) fn permit(&self, answer: &'static str) {
         self.permits.get_or_create(&AnswerLabels { answer }).inc();
     }
@@ -325,6 +353,11 @@
         registry.register("age_ms", "Age of what the store last said", self.ages.clone());
         registry.register("hosts_alive", "Other hosts that report", self.hosts_alive.clone());
         registry.register("orders_holder", "Age of the lease by its holder", self.holder.clone());
+        registry.register("waiting", "Requests that wait for a slot", self.waiting.clone());
+        let help = "Requests that gave way to others for a slot";
+        registry.register("displaced", help, self.displaced.clone());
+        let help = "Time for which requests waited for a slot before they were refused";
+        registry.register("held_before_refusal_ms", help, self.held_before_refusal.clone());
         registry.register(
             "lines_left_out",
             "Lines that the log left out",
--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -8,9 +8,11 @@
     SlotGrant, TargetRequirements, TimeMs, Waiting,
 };
 use rand::random_range;
+use slog::info;
 
 use super::admission::Admitted;
 use super::permit::acquire_permit;
+use crate::fleet::{Granted, TurnedAway};
 use crate::state::State;
 
 /// The allowed delay of a model beyond its expected ready time.
@@ -76,7 +78,7 @@
 struct QueuedRequest {
     state: Arc<State>,
     id: u64,
-    receiver: Receiver<Chosen>,
+    receiver: Receiver<Granted>,
     used_by: Arc<SlotUse>,
 }
 
@@ -96,7 +98,7 @@
     fn drop(&mut self) {
         self.state.dispatcher().withdraw(self.id);
         // A target assigned in the meantime must be released.
-        if let Ok(chosen) = self.receiver.try_recv() {
+        if let Ok(Granted::Target(chosen)) = self.receiver.try_recv() {
             drop(self.slot(chosen));
         }
     }
@@ -129,11 +131,26 @@
     }
 }
 
+/// Waits for a slot, and records how long the request was held if it is refused.
 async fn wait_for_slot(
     state: &Arc<State>,
     admitted: &Admitted,
     ran: Ran,
     excluded: &[Name],
+) -> Result<Slot, Refusal> {
+    let began_at = state.now();
+    let slot = wait_in_queue(state, admitted, ran, excluded).await;
+    if slot.is_err() {
+        state.metrics.held_before_refusal(state.now().since_ms(began_at));
+    }
+    slot
+}
+
+async fn wait_in_queue(
+    state: &Arc<State>,
+    admitted: &Admitted,
+    ran: Ran,
+    excluded: &[Name],
 ) -> Result<Slot, Refusal> {
     let now = state.now();
     admitted.check_stop(state, now, ran)?;
@@ -161,8 +178,8 @@
     };
     let Some(selection) = selection else {
         return match queued.receiver.try_recv() {
-            Ok(chosen) => Ok(queued.slot(chosen)),
-            Err(_) => Err(overloaded(RETRY_MS_MIN)),
+            Ok(Granted::Target(chosen)) => Ok(queued.slot(chosen)),
+            Ok(Granted::TurnedAway(_)) | Err(_) => Err(overloaded(RETRY_MS_MIN)),
         };
     };
     let wait_ms_max = wait_ms_max(state, admitted, ran, now, &waiting, &selection)?;
@@ -177,7 +194,10 @@
         admitted.check_stop(state, now, ran)?;
         let interval_ms = give_up_at.since_ms(now).min(CHECK_INTERVAL_MS);
         match timeout(Duration::from_millis(interval_ms), queued.receiver.recv()).await {
-            Ok(Ok(chosen)) => return Ok(queued.slot(chosen)),
+            Ok(Ok(Granted::Target(chosen))) => return Ok(queued.slot(chosen)),
+            Ok(Ok(Granted::TurnedAway(why))) => {
+                return Err(turned_away(state, &waiting, &why));
+            }
             Ok(Err(_)) => return Err(overloaded(wait_ms_max)),
             // The check interval is over: look at the load progress again.
             Err(_) => {}
@@ -193,6 +213,8 @@
             if now >= give_up_at {
                 return Err(overloaded(wait_ms_max));
             }
+            // Turns away those that a worse forecast no longer serves, also if no request comes.
+            state.dispatcher().shed_late(now, &waiting.need);
             continue;
         }
         if let Some(ready_at) = ready_at(state, admitted) {
@@ -271,7 +293,17 @@
             Ok(share_ms.min(LOAD_WAIT_FACTOR * objective_ms))
         }
         Selection::Full | Selection::Chosen(_) => {
-            let forecast = state.dispatcher().queue.forecast_grant(now, waiting);
+            let mut dispatcher = state.dispatcher();
+            // A request that excludes targets or ran before isn't served before others for that.
+            if ran == Ran::NotRun
+                && waiting.need.excluded.is_empty()
+                && let Some(why) = dispatcher.shed_for(now, waiting)
+            {
+                drop(dispatcher);
+                return Err(turned_away(state, waiting, &why));
+            }
+            let forecast = dispatcher.queue.forecast_grant(now, waiting);
+            drop(dispatcher);
             if let Some(SlotGrant { granted_at, .. }) = forecast {
                 if granted_at > waiting.claim.latest_at {
                     return Err(overloaded(granted_at.since_ms(waiting.claim.latest_at)));
@@ -311,6 +343,19 @@
     ahead * admitted.route.objective_ms / u64::from(slots.max(1))
 }
 
+/// Returns the refusal of a request that gives way to others, and logs which one was preferred.
+fn turned_away(state: &State, waiting: &Waiting, why: &TurnedAway) -> Refusal {
+    let preferred = why.preferred.as_ref().map(|(request, _)| request.as_str());
+    let preferred_claim = why.preferred.as_ref().map(|(_, claim)| claim);
+    state.metrics.displaced(waiting.claim.priority);
+    info!(state.log, "displaced";
+        "id" => waiting.request.as_str(), "preferred" => preferred,
+        "claim" => ?waiting.claim, "preferred_claim" => ?preferred_claim,
+        "forecast_ms" => why.wait_ms, "slot_interval_ms" => why.supply.interval_ms(),
+        "forecast_age_ms" => why.supply.age_ms);
+    overloaded(why.wait_ms)
+}
+
 fn overloaded(wait_ms: u64) -> Refusal {
     let message = "every target is busy; retry later";
     Refusal::not_run(RefusalCode::Overloaded, message, Some(retry_ms(wait_ms)))
--- a/crates/lycheeford-policy/src/gateway/slot_forecast.rs
+++ b/crates/lycheeford-policy/src/gateway/slot_forecast.rs
@@ -67,6 +67,13 @@
     pub age_ms: u64,
 }
 
+impl SlotSupply {
+    /// Returns the average time between two slots.
+    pub fn interval_ms(&self) -> u64 {
+        (self.supply.grant_units / self.supply.per_ms) as u64
+    }
+}
+
 impl SlotForecast {
     /// Records the work of the slots that were granted at once, and whether requests still wait for
     /// one.
--- a/crates/lycheeford-policy/src/gateway/wait_queue.rs
+++ b/crates/lycheeford-policy/src/gateway/wait_queue.rs
@@ -12,6 +12,9 @@
 /// Part of its time within which a newcomer must be expected to get its slot, so that a forecast
 /// that is somewhat too good doesn't turn it away after it has waited.
 const NEWCOMER_TIME_PART: f64 = 0.8;
+/// Part of its time that the forecast of a waiting request must exceed before it is turned away
+/// without a newcomer. The rate over a few slots is off by as much between two of them.
+const CHECK_TIME_PART: f64 = 1.25;
 /// Shortest interval between two checks of the requests that wait for the same requirement, if none
 /// comes.
 const CHECK_INTERVAL_MS: u64 = 100;
@@ -188,6 +191,12 @@
             let timely = claims.iter_mut().filter(|claim| claim.due_at > now);
             timely.for_each(|claim| claim.latest_at = claim.latest_at.min(claim.due_at));
         }
+        if newcomer.is_none() {
+            for claim in &mut claims {
+                let left_ms = claim.latest_at.since_ms(now) as f64 * CHECK_TIME_PART;
+                claim.latest_at = now + left_ms as u64;
+            }
+        }
         if let Some(claim) = claims.iter_mut().find(|claim| Some(claim.id) == newcomer) {
             let left_ms = claim.latest_at.since_ms(now) as f64 * NEWCOMER_TIME_PART;
             claim.latest_at = now + left_ms as u64;
@@ -210,6 +219,18 @@
         Some(Shedding { supply, rejected })
     }
 
+    /// Returns the request with this id in the queue, if it still waits.
+    pub fn find(&self, id: u64) -> Option<&Waiting> {
+        self.waiting.iter().find(|waiting| waiting.claim.id == id)
+    }
+
+    /// Returns the last request with the same requirement that is served before this one.
+    pub fn last_ahead(&self, waiting: &Waiting) -> Option<&Waiting> {
+        let (key, sort_key) = (RequirementKey::of(&waiting.need), waiting.claim.sort_key());
+        let end = self.waiting.partition_point(|other| other.claim.sort_key() < sort_key);
+        self.waiting[..end].iter().rev().find(|other| key.is_of(&other.need))
+    }
+
     /// Returns the requests in the order in which they are served.
     pub fn waiting(&self) -> &[Waiting] {
         &self.waiting
