--- a/crates/lycheeford-gateway/src/request/slot.rs
+++ b/crates/lycheeford-gateway/src/request/slot.rs
@@ -4,14 +4,16 @@
 use async_std::channel::Receiver;
 use async_std::future::timeout;
 use lycheeford_policy::{
-    Chosen, LoadDecision, LoadForecast, LoadTime, LoadWait, Name, Ran, Refusal, RefusalCode,
-    Selection, TimeMs, Waiting,
+    Chosen, Claim, HoldTimes, LoadDecision, LoadForecast, LoadTime, LoadWait, Name,
+    PRIORITY_STEP_MS, Ran, Refusal, RefusalCode, Selection, SlotGrant, TargetRequirements, TimeMs,
+    Waiting,
 };
 use rand::random_range;
 use slog::info;
 
 use super::admission::Admitted;
 use super::permit::acquire_permit;
+use crate::fleet::{Granted, TurnedAway};
 use crate::state::State;
 
 /// The interval at which a queued request checks the load progress and the state of its targets.
@@ -19,8 +21,11 @@
 /// The least time that a target needs for a response. A request with no more time left is refused
 /// instead of queued.
 const ANSWER_MS_MIN: u64 = 60;
-/// The largest part of its remaining time that a request may spend in the queue. Only the wait for
-/// a model load that is running or scheduled may be longer.
+/// The largest part of its time that a request's answer is expected to need. Without this bound, a
+/// route whose answers have become slow would refuse every request that has to wait.
+const ANSWER_SHARE_MAX: f64 = 0.5;
+/// The largest part of its remaining time that a request may spend in the queue without a forecast.
+/// Only the wait for a model load that is running or scheduled may be longer.
 const QUEUE_WAIT_SHARE: f64 = 0.6;
 /// How long a request that waits for a model checks for its forecast at the short interval: the
 /// lease holder answers within a round trip.
@@ -48,6 +53,15 @@
 pub(super) struct Slot {
     state: Arc<State>,
     pub(super) chosen: Chosen,
+    assigned_at: TimeMs,
+    used_by: Arc<SlotUse>,
+}
+
+/// What a request takes of a target.
+#[derive(Debug)]
+struct SlotUse {
+    service: Name,
+    route: Name,
     model: Option<Name>,
     tokens: u64,
 }
@@ -55,8 +69,14 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.state.now();
+        let SlotUse { service, route, model, tokens } = &*self.used_by;
         let mut dispatcher = self.state.dispatcher();
-        dispatcher.targets.ended(&self.chosen, self.model.as_ref(), self.tokens);
+        let hold_ms = now.since_ms(self.assigned_at);
+        // A slot that wasn't used says nothing about the next request.
+        if hold_ms > 0 {
+            dispatcher.hold_times.ended(service, route, hold_ms, *tokens);
+        }
+        dispatcher.targets.ended(&self.chosen, model.as_ref(), *tokens);
         dispatcher.dispatch(now);
     }
 }
@@ -65,9 +85,8 @@
 struct QueuedRequest {
     state: Arc<State>,
     id: u64,
-    receiver: Receiver<Chosen>,
-    model: Option<Name>,
-    tokens: u64,
+    receiver: Receiver<Granted>,
+    used_by: Arc<SlotUse>,
 }
 
 impl QueuedRequest {
@@ -76,8 +95,8 @@
         Slot {
             state: Arc::clone(&self.state),
             chosen,
-            model: self.model.clone(),
-            tokens: self.tokens,
+            assigned_at: self.state.now(),
+            used_by: Arc::clone(&self.used_by),
         }
     }
 }
@@ -86,7 +105,7 @@
     fn drop(&mut self) {
         self.state.dispatcher().withdraw(self.id);
         // A target assigned in the meantime must be released.
-        if let Ok(chosen) = self.receiver.try_recv() {
+        if let Ok(Granted::Target(chosen)) = self.receiver.try_recv() {
             drop(self.slot(chosen));
         }
     }
@@ -119,43 +138,58 @@
     }
 }
 
+/// Waits for a slot, and records how long the request was held if it is refused.
 async fn wait_for_slot(
     state: &Arc<State>,
     admitted: &Admitted,
     ran: Ran,
     excluded: &[Name],
+) -> Result<Slot, Refusal> {
+    let began_at = state.now();
+    let slot = wait_in_queue(state, admitted, ran, excluded).await;
+    if slot.is_err() {
+        state.metrics.held_before_refusal(state.now().since_ms(began_at));
+    }
+    slot
+}
+
+async fn wait_in_queue(
+    state: &Arc<State>,
+    admitted: &Admitted,
+    ran: Ran,
+    excluded: &[Name],
 ) -> Result<Slot, Refusal> {
     let now = state.now();
     admitted.check_stop(state, now, ran)?;
     let mut need = admitted.need.clone();
     need.excluded.extend_from_slice(excluded);
-    let waiting = Waiting {
-        id: state.next_number(),
-        need,
-        priority: admitted.priority,
-        arrived_at: admitted.arrived_at,
-    };
-    let (queued, selection) = {
+    let id = state.next_number();
+    let (queued, waiting, selection) = {
         let mut dispatcher = state.dispatcher();
+        let waiting = waiting(&dispatcher.hold_times, admitted, id, need);
         let receiver = dispatcher.submit(now, waiting.clone());
         let selection =
             if receiver.is_empty() { Some(dispatcher.try_choose(now, &waiting)) } else { None };
         let queued = QueuedRequest {
             state: Arc::clone(state),
-            id: waiting.id,
+            id,
             receiver,
-            model: waiting.need.model.clone(),
-            tokens: waiting.need.tokens,
+            used_by: Arc::new(SlotUse {
+                service: waiting.need.service.clone(),
+                route: admitted.route.name.clone(),
+                model: waiting.need.model.clone(),
+                tokens: waiting.need.tokens,
+            }),
         };
-        (queued, selection)
+        (queued, waiting, selection)
     };
     let Some(selection) = selection else {
         return match queued.receiver.try_recv() {
-            Ok(chosen) => Ok(queued.slot(chosen)),
-            Err(_) => Err(overloaded(RETRY_MS_MIN)),
+            Ok(Granted::Target(chosen)) => Ok(queued.slot(chosen)),
+            Ok(Granted::TurnedAway(_)) | Err(_) => Err(overloaded(RETRY_MS_MIN)),
         };
     };
-    let wait_ms_max = wait_ms_max(state, admitted, ran, now, &selection)?;
+    let wait_ms_max = wait_ms_max(state, admitted, ran, now, &waiting, &selection)?;
     let mut load = (selection == Selection::NotResident).then(|| AwaitedLoad::new(admitted, now));
     if let Some(load) = &mut load {
         load.check(state, admitted, ran, now)?;
@@ -173,12 +207,15 @@
             None => give_up_at.since_ms(now).min(CHECK_INTERVAL_MS),
         };
         match timeout(Duration::from_millis(interval_ms), queued.receiver.recv()).await {
-            Ok(Ok(chosen)) => {
+            Ok(Ok(Granted::Target(chosen))) => {
                 if let Some(load) = &load {
                     load.count_end(state, state.now());
                 }
                 return Ok(queued.slot(chosen));
             }
+            Ok(Ok(Granted::TurnedAway(why))) => {
+                return Err(turned_away(state, &waiting, &why));
+            }
             Ok(Err(_)) => return Err(overloaded(wait_ms_max)),
             // The check interval is over: look at the load progress again.
             Err(_) => {}
@@ -199,7 +236,8 @@
                 }
             }
             None if now >= give_up_at => return Err(overloaded(wait_ms_max)),
-            None => {}
+            // Turns away those that a worse forecast no longer serves, also if no request comes.
+            None => state.dispatcher().shed_late(now, &waiting.need),
         }
     }
 }
@@ -313,6 +351,31 @@
         "left_ms" => admitted.final_at.since_ms(now), "refused" => is_refused);
 }
 
+/// Returns the entry of a request in the queue.
+fn waiting(
+    hold_times: &HoldTimes,
+    admitted: &Admitted,
+    id: u64,
+    need: TargetRequirements,
+) -> Waiting {
+    let Admitted { route, arrived_at, final_at, .. } = admitted;
+    let hold_ms = hold_times.known_ms(&need.service, &route.name, need.tokens);
+    // The first event of a stream comes long before the slot is freed.
+    let answer_ms = hold_ms.filter(|_| !route.kind.is_stream()).map_or(0, |ms| ms as u64);
+    let answer_ms_max = (final_at.since_ms(*arrived_at) as f64 * ANSWER_SHARE_MAX) as u64;
+    let answer_ms = answer_ms.min(answer_ms_max);
+    let claim = Claim {
+        id,
+        arrived_at: *arrived_at,
+        order_at: *arrived_at + admitted.objective_offset_ms,
+        due_at: *arrived_at + route.objective_ms.saturating_sub(answer_ms),
+        latest_at: *final_at - answer_ms.max(ANSWER_MS_MIN),
+        priority: admitted.priority,
+        work: hold_times.expected_ms(&need.service, &route.name, need.tokens),
+    };
+    Waiting { request: admitted.request.id.clone(), need, claim }
+}
+
 /// Returns when the lease holder expects the model to be ready, if known.
 ///
 /// A forecast that no load is done in time concerns only a model that no target holds: a target that
@@ -340,6 +403,7 @@
     admitted: &Admitted,
     ran: Ran,
     now: TimeMs,
+    waiting: &Waiting,
     selection: &Selection,
 ) -> Result<u64, Refusal> {
     let left_ms = admitted.final_at.since_ms(now);
@@ -358,6 +422,24 @@
         // The forecast of the load decides.
         Selection::NotResident => Ok(share_ms),
         Selection::Full | Selection::Chosen(_) => {
+            let mut dispatcher = state.dispatcher();
+            // A request that excludes targets or ran before isn't served before others for that.
+            if ran == Ran::NotRun
+                && waiting.need.excluded.is_empty()
+                && let Some(why) = dispatcher.shed_for(now, waiting)
+            {
+                drop(dispatcher);
+                return Err(turned_away(state, waiting, &why));
+            }
+            let forecast = dispatcher.queue.forecast_grant(now, waiting);
+            drop(dispatcher);
+            if let Some(SlotGrant { granted_at, .. }) = forecast {
+                if granted_at > waiting.claim.latest_at {
+                    return Err(overloaded(granted_at.since_ms(waiting.claim.latest_at)));
+                }
+                admitted.check_stop(state, granted_at, ran)?;
+                return Ok(waiting.claim.latest_at.since_ms(now));
+            }
             let expected_ms = expected_wait_ms(state, admitted, now);
             if expected_ms > share_ms {
                 return Err(overloaded(expected_ms - share_ms));
@@ -378,16 +460,31 @@
     admitted.route.objective_ms.min(left_ms) / PERMIT_WAIT_DIVISOR
 }
 
-/// Returns the expected queueing time of a new request: the requests ahead of it, each taking the
-/// route's objective, divided by the slots.
+/// Returns the expected queueing time of a new request without a forecast: the requests ahead of
+/// it, each taking the route's objective, divided by the slots.
 fn expected_wait_ms(state: &State, admitted: &Admitted, now: TimeMs) -> u64 {
     let dispatcher = state.dispatcher();
     let service = &admitted.need.service;
-    let ahead = dispatcher.queue.ahead(service, admitted.priority, now) as u64;
+    let order_at = now + admitted.objective_offset_ms;
+    let sort_key = (order_at.as_ms() + u64::from(admitted.priority) * PRIORITY_STEP_MS, u64::MAX);
+    let ahead = dispatcher.queue.ahead(service, sort_key) as u64;
     let (slots, _) = dispatcher.slots(service);
     ahead * admitted.route.objective_ms / u64::from(slots.max(1))
 }
 
+/// Returns the refusal of a request that gives way to others, and logs which one was preferred.
+fn turned_away(state: &State, waiting: &Waiting, why: &TurnedAway) -> Refusal {
+    let preferred = why.preferred.as_ref().map(|(request, _)| request.as_str());
+    let preferred_claim = why.preferred.as_ref().map(|(_, claim)| claim);
+    state.metrics.displaced(waiting.claim.priority);
+    info!(state.log, "displaced";
+        "id" => waiting.request.as_str(), "preferred" => preferred,
+        "claim" => ?waiting.claim, "preferred_claim" => ?preferred_claim,
+        "forecast_ms" => why.wait_ms, "slot_interval_ms" => why.supply.interval_ms(),
+        "forecast_age_ms" => why.supply.age_ms);
+    overloaded(why.wait_ms)
+}
+
 fn overloaded(wait_ms: u64) -> Refusal {
     let message = "every target is busy; retry later";
     Refusal::not_run(RefusalCode::Overloaded, message, Some(retry_ms(wait_ms)))
--- a/crates/lycheeford-policy/src/gateway/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //! - `claim`: the order of requests that compete for a resource that is short, and which of them to
 //!   turn away.
 //! - `wait_queue`: the order of waiting requests when all slots are in use.
+//! - `slot_forecast`: when a waiting request gets a slot, as the slots that became free before show.
 //! - `shared_bucket`: a customer that sends many times its rate to every host.
 //! - `rate_queue`: requests that their customer's rate can't pay for yet, but can soon.
 //! - `settling`: hosts that start together and do not know what was spent before.
@@ -73,6 +74,7 @@
 mod shared_bucket;
 mod shared_watch;
 mod short_key;
+mod slot_forecast;
 mod stated_content;
 mod store_absence;
 mod stream_versions;
@@ -123,6 +125,7 @@
 pub use self::shared_bucket::SharedBucket;
 pub use self::shared_watch::SharedWatch;
 pub use self::short_key::ShortKey;
+pub use self::slot_forecast::{HoldTimes, SlotForecast, SlotSupply};
 pub use self::stated_content::StatedContent;
 pub use self::store_absence::StoreAbsence;
 pub use self::stream_versions::{
@@ -143,4 +146,4 @@
     Choice, Chosen, HostPlace, Selection, SilenceView, Target, TargetRequirements, TargetTable,
 };
 pub use self::unstated_ends::{EndDoubt, EndSign, UnstatedEnds};
-pub use self::wait_queue::{WaitQueue, Waiting};
+pub use self::wait_queue::{Shedding, SlotGrant, WaitQueue, Waiting};
--- a/crates/lycheeford-policy/tests/gateway/rate_queue.rs
+++ b/crates/lycheeford-policy/tests/gateway/rate_queue.rs
@@ -24,7 +24,15 @@
 /// Returns a claim that may wait for half of `objective_ms`.
 fn claim(id: u64, arrived_ms: u64, objective_ms: u64, units: f64) -> Claim {
     let latest_at = at(arrived_ms + objective_ms / 2);
-    Claim { id, arrived_at: at(arrived_ms), due_at: latest_at, latest_at, priority: 0, work: units }
+    Claim {
+        id,
+        arrived_at: at(arrived_ms),
+        order_at: latest_at,
+        due_at: latest_at,
+        latest_at,
+        priority: 0,
+        work: units,
+    }
 }
 
 #[derive(Debug, PartialEq)]
