Don't allocate for each part of an event that isn't complete

What callers saw: nothing directly; with many streams of large events, the process held more memory than their bytes, and went over the memory of its machine sooner.

Cause: `EventBoundary::push` split the pending bytes at 0 while no event was complete, and `Vec::split_off(0)` allocates a new block of the old capacity, up to 512 KiB for each 8 KiB of such an event.

Change: it returns before the split if nothing is complete.

--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -106,6 +106,10 @@
         // A carriage return is looked at again when the next byte is known.
         let is_ended = self.pending.ends_with(b"\r") && self.line_start < self.pending.len();
         self.scanned = self.pending.len() - usize::from(is_ended);
+        if whole_bytes == 0 {
+            // A split at the start would allocate as much again.
+            return Vec::new();
+        }
         let rest = self.pending.split_off(whole_bytes);
         self.scanned -= whole_bytes;
         self.line_start -= whole_bytes;
