Add an account of memory that knows who reads slowly

`MemoryAccount` counts the bytes that a process holds for others. Where `BodyBudget` only refuses, it closes the connection of the reader that would take the longest for the rest, keeps its last eighth for small reservations, and lets a reservation wait for room. `Pieces`, `SharedBody` and `HeldBytes` hold bodies in pieces of 64 KiB, share one copy among the sends of a request, and release memory as it is read.

--- a/crates/lycheeford-http/src/lib.rs
+++ b/crates/lycheeford-http/src/lib.rs
@@ -17,18 +17,27 @@
 //! - [`BodyDecoder`]: decodes a body from the bytes of a stream.
 //! - [`MessageReader`]: reads heads and bodies from a connection.
 //! - [`BodyBudget`]: limits the memory that all bodies take together.
+//! - [`MemoryAccount`]: limits the memory that a process holds for others.
+//! - [`SharedBody`], [`HeldBytes`]: bodies in pieces.
 
+mod account;
 mod body;
 mod budget;
 mod error;
 mod head;
 mod header;
+mod pieces;
 mod reader;
 
+pub use crate::account::{
+    MemoryAccount, MemoryExhausted, ReaderState, RegisteredReader,
+    Reservation as MemoryReservation,
+};
 pub use crate::body::BodyDecoder;
 pub use crate::budget::{BodyBudget, Reservation};
 pub use crate::error::{Category, Error};
 pub use crate::head::{Framing, Persistence, RequestHead, ResponseHead, Unframed};
 pub use crate::header::{Header, is_valid_header, strip_connection_headers};
+pub use crate::pieces::{HeldBytes, Pieces, SharedBody, SharedBodyReader};
 pub use crate::reader::{MessageReader, read_some};
 pub use http_types::Method;
