--- a/crates/lycheeford-caller/src/bounds.rs
+++ b/crates/lycheeford-caller/src/bounds.rs
@@ -1,4 +1,4 @@
-/// The memory that all request bodies together may take.
+/// The memory that all request bodies together may take, unless the server shares an account.
 pub(crate) const BODIES_BYTES_MAX: usize = 64 * 1024 * 1024;
 
 /// Limits on the size of requests, on waiting for callers, and on connections.
@@ -20,6 +20,9 @@
     pub idle_ms_max: u64,
     /// How long one write may wait for a caller that stopped reading.
     pub write_ms_max: u64,
+    /// The memory that a request takes besides its body, from its first byte until its response is
+    /// written.
+    pub request_bytes: usize,
     /// The most connections open at the same time; further ones are refused immediately.
     pub connections_max: usize,
 }
@@ -33,6 +36,7 @@
             body_ms_max: 20_000,
             idle_ms_max: 60_000,
             write_ms_max: 20_000,
+            request_bytes: 0,
             connections_max: 4_096,
         }
     }
--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -1,16 +1,17 @@
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::{Duration, Instant};
 
 use async_h1::server::Encoder;
 use async_std::net::{Shutdown, TcpStream};
 use async_std::task;
 use futures_util::FutureExt;
-use futures_util::io::AsyncWriteExt;
+use futures_util::io::{AsyncRead, AsyncWriteExt};
 use http_types::{Method, Response};
 use lycheeford_http::{
-    BodyBudget, BodyDecoder, Category, Error, Framing, MessageReader, Persistence, RequestHead,
-    Reservation, read_some,
+    BodyDecoder, Category, Error, Framing, MemoryAccount, MessageReader, Persistence, Pieces,
+    RegisteredReader, RequestHead, Reservation, SharedBody, read_some,
 };
 use lycheeford_policy::{Name, Refusal, RefusalCode};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -19,7 +20,7 @@
 use crate::idle_wait::IdleWait;
 use crate::race::{unless_interrupted, unless_panicked, with_timeout};
 use crate::request::bad_request;
-use crate::{Bounds, CallerBody, CallerResponse, ChunkReceiver, Service, Stop};
+use crate::{Bounds, CallerBody, CallerResponse, Service, Stop};
 
 /// How long an idle connection stays open after the stop, for a request that is in flight.
 const DRAIN_IDLE_MS: u64 = 1_000;
@@ -33,13 +34,17 @@
 /// Bytes after which no more chunks of a response are gathered for one write.
 const WRITE_BYTES: usize = 8 * 1024;
 const RETRY_AFTER_MS: u64 = 1_000;
+/// How long a request waits for memory before it is refused; long enough to close a few connections
+/// that are read slowly.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// What async-h1 writes for a response without a body.
 const NO_LENGTH_LINE: &[u8] = b"content-length: 0\r\n";
 
 /// The state that all connections share.
 pub(crate) struct Server<S> {
-    pub(crate) budget: Arc<BodyBudget>,
+    /// The account of all bodies and answers.
+    pub(crate) memory: Arc<MemoryAccount>,
     pub(crate) service: S,
     pub(crate) stop: Stop,
 }
@@ -73,6 +78,33 @@
     server: Arc<Server<S>>,
 }
 
+/// The caller of a response, as long as it is written.
+struct Recipient<'a> {
+    id: &'a Name,
+    /// The bytes in the account that are held for it.
+    unread_bytes: Arc<AtomicUsize>,
+    /// Set once it has been behind.
+    reader: Option<RegisteredReader>,
+}
+
+impl Recipient<'_> {
+    fn new(id: &Name, unread_bytes: Arc<AtomicUsize>) -> Recipient<'_> {
+        Recipient { id, unread_bytes, reader: None }
+    }
+
+    fn has_caught_up(&self) {
+        if let Some(reader) = &self.reader {
+            reader.has_caught_up();
+        }
+    }
+
+    fn has_read(&self, bytes: usize) {
+        if let Some(reader) = &self.reader {
+            reader.has_read(bytes);
+        }
+    }
+}
+
 /// What happens to the connection after a request.
 enum Next {
     KeepAlive,
@@ -115,7 +147,7 @@
             }
         }
         let id = new_request_id();
-        let mut memory = self.server.budget.reservation();
+        let mut memory = self.server.memory.reservation();
         let stop = self.server.stop.clone();
         let read = unless_interrupted(
             stop.incomplete_refusal_triggered(),
@@ -179,6 +211,9 @@
         memory: &mut Reservation,
     ) -> Result<(S::Request, Method, Persistence), Rejection> {
         let bounds = self.server.service.bounds();
+        if memory.grow_within(bounds.request_bytes, MEMORY_WAIT).await.is_err() {
+            return Err(no_memory());
+        }
         let head = self.reader.request_head(bounds.head_bytes_max);
         let Some(head) = with_timeout(bounds.head_ms_max, head).await else {
             return Err(too_slow("the request head didn't arrive in time; send it without pauses"));
@@ -221,24 +256,21 @@
         framing: Framing,
         bounds: &Bounds,
         memory: &mut Reservation,
-    ) -> Result<Vec<u8>, Rejection> {
+    ) -> Result<SharedBody, Rejection> {
         let mut decoder = BodyDecoder::new(framing);
-        let mut body = Vec::new();
+        let mut body = Pieces::default();
         while let Some(chunk) =
             self.reader.body_chunk(&mut decoder).await.map_err(|error| rejection(&error))?
         {
-            if memory.held_bytes() + chunk.len() > bounds.body_bytes_max {
+            if body.len() + chunk.len() > bounds.body_bytes_max {
                 return Err(body_too_large(bounds.body_bytes_max));
             }
-            if memory.grow(chunk.len()).is_none() {
-                let refusal = overloaded(
-                    "the host has no memory left for bodies; use another host or retry later",
-                );
-                return Err(Rejection::Unframed(refusal));
+            if memory.grow_within(chunk.len(), MEMORY_WAIT).await.is_err() {
+                return Err(no_memory());
             }
-            body.extend_from_slice(&chunk);
+            body.push(&chunk);
         }
-        Ok(body)
+        Ok(body.into())
     }
 
     async fn answer(
@@ -281,35 +313,58 @@
         method: Method,
         persistence: Persistence,
     ) -> Next {
-        if let CallerBody::UntilClose(body) = response.body {
-            let head = CallerResponse { body: CallerBody::Whole(Vec::new()), ..response };
-            return match self.write_until_close(id, head, body).await {
-                Ok(()) => Next::End(End::Answered),
-                Err(_) => Next::End(End::Abandoned),
-            };
+        let mut recipient = Recipient::new(id, response.body.unread_bytes());
+        let no_body = CallerBody::Whole(Vec::new());
+        let written = match response.body {
+            CallerBody::UntilClose(body) => {
+                let head = CallerResponse { body: no_body, ..response };
+                self.write_until_close(&mut recipient, head, body).await
+            }
+            CallerBody::HeldUntilClose(body) => {
+                let head = CallerResponse { body: no_body, ..response };
+                self.write_until_close(&mut recipient, head, body).await
+            }
+            CallerBody::Whole(_) | CallerBody::Held(_) | CallerBody::Stream(_) => {
+                return self.write_framed(&mut recipient, response, method, persistence).await;
+            }
+        };
+        match written {
+            Ok(()) => Next::End(End::Answered),
+            Err(_) => Next::End(End::Abandoned),
         }
+    }
+
+    /// Writes a response whose end is stated.
+    async fn write_framed(
+        &mut self,
+        recipient: &mut Recipient<'_>,
+        response: CallerResponse,
+        method: Method,
+        persistence: Persistence,
+    ) -> Next {
         let is_last = persistence == Persistence::Close
             || response.persistence() == Persistence::Close
             || (self.server.stop.is_triggered() && self.reader.buffered_bytes() == 0);
         let persistence = if is_last { Persistence::Close } else { Persistence::KeepAlive };
-        let response = response.into_http(id, persistence);
-        match self.write_response(response, method).await {
+        let response = response.into_http(recipient.id, persistence);
+        match self.write_response(recipient, response, method).await {
             Ok(()) if is_last => Next::End(End::Answered),
             Ok(()) => Next::KeepAlive,
             Err(_) => Next::End(End::Abandoned),
         }
     }
 
-    async fn write_response(&mut self, response: Response, method: Method) -> io::Result<()> {
+    async fn write_response(
+        &mut self,
+        recipient: &mut Recipient<'_>,
+        response: Response,
+        method: Method,
+    ) -> io::Result<()> {
         let mut encoder = Encoder::new(response, method);
         let mut buffer = Vec::new();
         loop {
             buffer.clear();
-            let read = unless_interrupted(
-                wait_for_disconnect(&mut self.reader),
-                read_some(&mut encoder, &mut buffer),
-            );
-            let mut read = read.await.ok_or(io::ErrorKind::ConnectionAborted)?;
+            let mut read = self.read_body_part(recipient, &mut encoder, &mut buffer).await?;
             // Adds chunks that are available now, without waiting for others.
             while buffer.len() < WRITE_BYTES && matches!(read, Ok(1..)) {
                 match read_some(&mut encoder, &mut buffer).now_or_never() {
@@ -317,38 +372,93 @@
                     None => break,
                 }
             }
-            self.write_bytes(&buffer).await?;
+            self.write_part(recipient, &buffer).await?;
             if read? == 0 {
                 return Ok(());
             }
         }
     }
 
+    /// Reads the next part of a response, which may have to be produced first.
+    async fn read_body_part<R: AsyncRead + Unpin>(
+        &mut self,
+        recipient: &Recipient<'_>,
+        body: &mut R,
+        buffer: &mut Vec<u8>,
+    ) -> io::Result<io::Result<usize>> {
+        if let Some(read) = read_some(body, buffer).now_or_never() {
+            return Ok(read);
+        }
+        recipient.has_caught_up();
+        let disconnected = wait_for_disconnect(&mut self.reader);
+        let read = unless_interrupted(disconnected, read_some(body, buffer)).await;
+        Ok(read.ok_or(io::ErrorKind::ConnectionAborted)?)
+    }
+
     /// Writes a response whose body ends with its connection.
     ///
     /// Until the body has ended, the connection is reset when it closes, also if this process is
     /// killed: a regular close would look like the end of the body.
-    async fn write_until_close(
+    async fn write_until_close<R: AsyncRead + Unpin>(
         &mut self,
-        id: &Name,
+        recipient: &mut Recipient<'_>,
         head: CallerResponse,
-        mut body: ChunkReceiver,
+        mut body: R,
     ) -> io::Result<()> {
         sockopt::set_socket_linger(&self.writer, Some(Duration::ZERO))?;
-        let mut buffer = head_until_close(head.into_http(id, Persistence::Close)).await?;
+        let mut buffer = head_until_close(head.into_http(recipient.id, Persistence::Close)).await?;
         loop {
-            self.write_bytes(&buffer).await?;
+            self.write_part(recipient, &buffer).await?;
             buffer.clear();
-            let read = unless_interrupted(
-                wait_for_disconnect(&mut self.reader),
-                read_some(&mut body, &mut buffer),
-            );
-            if read.await.ok_or(io::ErrorKind::ConnectionAborted)?? == 0 {
+            if self.read_body_part(recipient, &mut body, &mut buffer).await?? == 0 {
                 return Ok(sockopt::set_socket_linger(&self.writer, None)?);
             }
         }
     }
 
+    /// Writes a part of a response, unless the caller reads so slowly that its connection must be
+    /// closed.
+    async fn write_part(&mut self, recipient: &mut Recipient<'_>, bytes: &[u8]) -> io::Result<()> {
+        let write_ms_max = self.server.service.bounds().write_ms_max;
+        let written = with_timeout(write_ms_max, self.write_to(recipient, bytes)).await;
+        written.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    async fn write_to(&mut self, recipient: &mut Recipient<'_>, bytes: &[u8]) -> io::Result<()> {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let written_bytes = match self.writer.write(rest).now_or_never() {
+                Some(written) => written?,
+                None => self.write_when_read(recipient, rest).await?,
+            };
+            if written_bytes == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            recipient.has_read(written_bytes);
+            rest = &rest[written_bytes..];
+        }
+        Ok(())
+    }
+
+    /// Writes bytes to a caller that has to read others first.
+    async fn write_when_read(
+        &mut self,
+        recipient: &mut Recipient<'_>,
+        bytes: &[u8],
+    ) -> io::Result<usize> {
+        let memory = &self.server.memory;
+        let reader =
+            recipient.reader.get_or_insert_with(|| memory.register_reader(&recipient.unread_bytes));
+        reader.is_behind();
+        if let Some(written) = unless_interrupted(reader.closed(), self.writer.write(bytes)).await {
+            return written;
+        }
+        self.server.service.slow_caller_closed(recipient.id, &reader.state());
+        // What the kernel still holds for the caller is discarded, too.
+        let _ = sockopt::set_socket_linger(&self.writer, Some(Duration::ZERO));
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
     async fn write_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
         let written =
             with_timeout(self.server.service.bounds().write_ms_max, self.writer.write_all(bytes))
@@ -449,6 +559,11 @@
     Rejection::Unframed(Refusal::not_run(RefusalCode::TooLarge, message, None))
 }
 
+fn no_memory() -> Rejection {
+    let message = "the host has no memory left for bodies; use another host or retry later";
+    Rejection::Unframed(overloaded(message))
+}
+
 fn too_slow(message: &str) -> Rejection {
     Rejection::Unframed(Refusal::not_run(RefusalCode::TooSlow, message, None))
 }
--- a/crates/lycheeford-caller/src/lib.rs
+++ b/crates/lycheeford-caller/src/lib.rs
@@ -42,4 +42,7 @@
 pub use crate::stop::Stop;
 pub use crate::stream::{CallerDisconnected, ChunkReceiver, ChunkSender, chunk_channel};
 pub use http_types::Method;
-pub use lycheeford_http::{RequestHead, strip_connection_headers};
+pub use lycheeford_http::{
+    HeldBytes, MemoryAccount, ReaderState, RequestHead, Reservation, SharedBody,
+    strip_connection_headers,
+};
--- a/crates/lycheeford-caller/src/response.rs
+++ b/crates/lycheeford-caller/src/response.rs
@@ -1,5 +1,8 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+
 use http_types::{Body, Response, StatusCode};
-use lycheeford_http::{Persistence, is_valid_header, strip_connection_headers};
+use lycheeford_http::{HeldBytes, Persistence, is_valid_header, strip_connection_headers};
 use lycheeford_policy::Name;
 
 use crate::{ChunkReceiver, chunk_channel};
@@ -27,6 +30,8 @@
 pub enum CallerBody {
     /// A complete body, sent with its length.
     Whole(Vec<u8>),
+    /// A complete body, sent with its length, whose memory is released as it is read.
+    Held(HeldBytes),
     /// Chunks that are sent as the handler produces them.
     Stream(ChunkReceiver),
     /// A body whose end nobody states, which ends with its connection.
@@ -34,6 +39,8 @@
     /// It is sent with neither a length nor chunks, so that it claims no more than its origin did.
     /// If it fails, the connection is reset.
     UntilClose(ChunkReceiver),
+    /// A complete body whose end nobody states; see [`CallerBody::UntilClose`].
+    HeldUntilClose(HeldBytes),
 }
 
 impl CallerBody {
@@ -45,6 +52,20 @@
         sender.finish();
         CallerBody::UntilClose(receiver)
     }
+
+    /// Returns the number of bytes in the account that are held for the caller, which stays current
+    /// while the body is written.
+    pub(crate) fn unread_bytes(&self) -> Arc<AtomicUsize> {
+        match self {
+            CallerBody::Whole(_) => Arc::default(),
+            CallerBody::Held(held) | CallerBody::HeldUntilClose(held) => {
+                Arc::clone(held.unread_bytes())
+            }
+            CallerBody::Stream(receiver) | CallerBody::UntilClose(receiver) => {
+                Arc::clone(receiver.unread_bytes())
+            }
+        }
+    }
 }
 
 impl CallerResponse {
@@ -67,9 +88,14 @@
         headers.retain(|(name, value)| is_valid_header(name, value));
         response.set_body(match self.body {
             CallerBody::Whole(bytes) => Body::from_bytes(bytes),
+            CallerBody::Held(held) => {
+                let length_bytes = held.pieces().len();
+                Body::from_reader(held, Some(length_bytes))
+            }
             CallerBody::Stream(receiver) | CallerBody::UntilClose(receiver) => {
                 Body::from_reader(receiver, None)
             }
+            CallerBody::HeldUntilClose(held) => Body::from_reader(held, None),
         });
         response.remove_header("content-type");
         for (name, value) in &headers {
--- a/crates/lycheeford-caller/src/serve.rs
+++ b/crates/lycheeford-caller/src/serve.rs
@@ -6,11 +6,9 @@
 use async_std::channel::{self, Sender};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use lycheeford_http::RequestHead;
+use lycheeford_http::{MemoryAccount, ReaderState, RequestHead, SharedBody};
 use lycheeford_policy::{Name, Refusal};
 
-use lycheeford_http::BodyBudget;
-
 use crate::bounds::BODIES_BYTES_MAX;
 use crate::connection::{self, Server};
 use crate::race::{unless_interrupted, with_timeout};
@@ -60,7 +58,7 @@
         &self,
         id: Name,
         head: RequestHead,
-        body: Vec<u8>,
+        body: SharedBody,
     ) -> impl Future<Output = Result<Self::Request, Refusal>> + Send;
 
     /// Returns the response to a request.
@@ -77,6 +75,10 @@
     /// response.
     fn refused(&self, _id: &Name, _refusal: &Refusal) {}
 
+    /// Records that the connection of a caller that reads slowly is closed, since the memory is
+    /// needed for others.
+    fn slow_caller_closed(&self, _id: &Name, _state: &ReaderState) {}
+
     /// Handles a failure to accept a connection, for example for lack of file descriptors.
     fn accept_failed(&self, error: &io::Error);
 }
@@ -99,9 +101,9 @@
         &self,
         id: Name,
         head: RequestHead,
-        body: Vec<u8>,
+        body: SharedBody,
     ) -> Result<CallerRequest, Refusal> {
-        CallerRequest::new(id, head, body).await
+        CallerRequest::new(id, head, body.into_vec()).await
     }
 
     async fn answer(&self, request: CallerRequest) -> CallerResponse {
@@ -121,19 +123,24 @@
 ///
 /// See [`serve_service`] for how it stops.
 pub async fn serve<H: Handler>(listener: TcpListener, bounds: Bounds, handler: H, stop: Stop) {
-    serve_service(listener, HandlerService { bounds, handler }, stop).await;
+    let memory = MemoryAccount::new(BODIES_BYTES_MAX);
+    serve_service(listener, HandlerService { bounds, handler }, memory, stop).await;
 }
 
-/// Serves callers on `listener` until `stop` is triggered.
+/// Serves callers on `listener` until `stop` is triggered, with bodies in the account `memory`.
 ///
 /// The server then accepts no further connections once none has come for a
 /// short while, closes each one after its outstanding responses, and returns
 /// when all are closed. An idle connection is kept open for a short while,
 /// since a request may already be in flight.
 /// After [`Stop::refuse_incomplete`], requests that haven't arrived completely are refused.
-pub async fn serve_service<S: Service>(listener: TcpListener, service: S, stop: Stop) {
-    let budget = Arc::new(BodyBudget::new(BODIES_BYTES_MAX));
-    let server = Arc::new(Server { budget, service, stop });
+pub async fn serve_service<S: Service>(
+    listener: TcpListener,
+    service: S,
+    memory: Arc<MemoryAccount>,
+    stop: Stop,
+) {
+    let server = Arc::new(Server { memory, service, stop });
     // Each connection holds a clone of the sender: their number is the number of open
     // connections, and the channel closes when the last one is dropped.
     let (connections, all_closed) = channel::bounded::<()>(1);
--- a/crates/lycheeford-gateway/src/operation/directory.rs
+++ b/crates/lycheeford-gateway/src/operation/directory.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use lycheeford_caller::{Bounds, CallerBody, CallerResponse, RequestHead, Service};
+use lycheeford_caller::{Bounds, CallerBody, CallerResponse, RequestHead, Service, SharedBody};
 use lycheeford_policy::{Name, PeerState, Refusal, RefusalCode};
 use slog::warn;
 
@@ -30,7 +30,7 @@
         &self,
         _id: Name,
         head: RequestHead,
-        _body: Vec<u8>,
+        _body: SharedBody,
     ) -> Result<AddressQuery, Refusal> {
         self.state.protocols.directory.address_query(&head).ok_or_else(no_page)
     }
@@ -88,7 +88,7 @@
         small_bounds()
     }
 
-    async fn read(&self, _id: Name, head: RequestHead, _body: Vec<u8>) -> Result<(), Refusal> {
+    async fn read(&self, _id: Name, head: RequestHead, _body: SharedBody) -> Result<(), Refusal> {
         if self.state.protocols.directory.is_readiness_request(&head) {
             Ok(())
         } else {
@@ -126,7 +126,7 @@
         small_bounds()
     }
 
-    async fn read(&self, _id: Name, _head: RequestHead, _body: Vec<u8>) -> Result<(), Refusal> {
+    async fn read(&self, _id: Name, _head: RequestHead, _body: SharedBody) -> Result<(), Refusal> {
         Ok(())
     }
 
@@ -163,6 +163,8 @@
         hosts_alive,
         holder: own.or(reported),
         lines_left_out: state.left_out.left_out(),
+        memory_held_bytes: state.memory.held_bytes(),
+        memory_bytes_max: state.memory.total_bytes(),
     }
 }
 
--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -127,6 +127,9 @@
     hosts_alive: Gauge,
     holder: Family<HolderLabels, Gauge>,
     lines_left_out: Gauge,
+    pub(crate) slow_callers_closed: Counter,
+    memory_held_bytes: Gauge,
+    memory_bytes_max: Gauge,
 }
 
 /// The values that are sampled when the metrics are read.
@@ -141,6 +144,8 @@
     /// The lease holder and the age of the last renewal.
     pub(crate) holder: Option<(Name, u64)>,
     pub(crate) lines_left_out: u64,
+    pub(crate) memory_held_bytes: usize,
+    pub(crate) memory_bytes_max: usize,
 }
 
 impl Metrics {
@@ -170,6 +175,9 @@
             hosts_alive: Gauge::default(),
             holder: Family::default(),
             lines_left_out: Gauge::default(),
+            slow_callers_closed: Counter::default(),
+            memory_held_bytes: Gauge::default(),
+            memory_bytes_max: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -201,6 +209,8 @@
             self.holder.get_or_create(&labels).set(gauge(*age_ms));
         }
         self.lines_left_out.set(gauge(snapshot.lines_left_out));
+        self.memory_held_bytes.set(gauge(snapshot.memory_held_bytes as u64));
+        self.memory_bytes_max.set(gauge(snapshot.memory_bytes_max as u64));
     }
 
     pub(crate) fn answered(&self, customer: Option<&Name>, priority: u8, total_ms: u64) {
@@ -330,6 +340,12 @@
             "Lines that the log left out",
             self.lines_left_out.clone(),
         );
+        let help = "Connections closed because their callers read slowly and memory was short";
+        registry.register("slow_callers_closed", help, self.slow_callers_closed.clone());
+        let help = "Memory for bodies, answers and parts of streams that is in use";
+        registry.register("memory_held_bytes", help, self.memory_held_bytes.clone());
+        let help = "The limit of that memory";
+        registry.register("memory_bytes_max", help, self.memory_bytes_max.clone());
     }
 }
 
--- a/crates/lycheeford-gateway/src/orders/tests.rs
+++ b/crates/lycheeford-gateway/src/orders/tests.rs
@@ -32,7 +32,7 @@
         host: None,
         headers: Vec::new(),
         echo: None,
-        body: BODY.into(),
+        body: BODY.as_bytes().to_vec().into(),
         connection: Connection::Revocable,
         first_byte_ms_max: None,
     }
--- a/crates/lycheeford-gateway/src/protocol.rs
+++ b/crates/lycheeford-gateway/src/protocol.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use lycheeford_caller::{CallerResponse, Method, PresentedKey, RequestHead};
+use lycheeford_caller::{CallerResponse, Method, PresentedKey, RequestHead, SharedBody};
 use lycheeford_platform::{Object, ObjectStore};
 use lycheeford_policy::{Deployment, Name, Refusal, Residency, TargetEntry};
 use lycheeford_target::TargetRequest;
@@ -34,7 +34,7 @@
     /// The headers to forward, with names in lower case.
     pub headers: Vec<(String, String)>,
     /// The complete body.
-    pub body: Vec<u8>,
+    pub body: SharedBody,
     /// The caller's key, if the request has one.
     pub key: Option<PresentedKey>,
     /// The caller's deadline, counted from the arrival of the request; the route's time-out if
@@ -231,7 +231,7 @@
         &self,
         id: Name,
         head: RequestHead,
-        body: Vec<u8>,
+        body: SharedBody,
     ) -> Result<GatewayRequest, Refusal>;
 
     /// Returns the request in the format of callers, to forward it to another host that has
--- a/crates/lycheeford-gateway/src/request/admission.rs
+++ b/crates/lycheeford-gateway/src/request/admission.rs
@@ -4,7 +4,7 @@
     CrashCause, CrashVerdict, Deployment, LateRequest, Name, Ran, RatedCustomer, Refusal,
     RefusalCode, ServiceRoute, ShortKey, TargetRequirements, TimeMs,
 };
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
 use super::charge::Charge;
 use crate::GatewayRequest;
@@ -202,7 +202,9 @@
 fn fingerprint(request: &GatewayRequest, customer: Option<&Name>) -> u64 {
     let customer = customer.map_or(0, |customer| xxh3_64(customer.as_bytes()));
     let path = xxh3_64_with_seed(request.path_and_query.as_bytes(), customer);
-    xxh3_64_with_seed(&request.body, path)
+    let mut hash = Xxh3::with_seed(path);
+    request.body.iter().for_each(|piece| hash.update(piece));
+    hash.digest()
 }
 
 /// Returns a hash of the shared prompt parts and the milliseconds that a cached prefix saves.
--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -4,7 +4,7 @@
 
 use async_std::future::timeout;
 use async_std::task;
-use lycheeford_caller::{CallerBody, CallerResponse, chunk_channel};
+use lycheeford_caller::{CallerBody, CallerResponse, HeldBytes, chunk_channel};
 use lycheeford_policy::{Chosen, EndDoubt, Refusal};
 use lycheeford_target::{BodyEnd, TargetError};
 use slog::info;
@@ -41,11 +41,12 @@
         match collect(attempts, started).await {
             Ok(collected) => {
                 let collected = repeat_if_doubted(attempts, collected).await;
-                return Ok(Answered::Whole(collected.into_response(attempts).await));
+                return Ok(Answered::Whole(collected.into_response(attempts)));
             }
             Err((chosen, error)) => {
                 attempts.record_broken(&chosen, &error, 0);
-                if !attempts.wait_for_retry().await {
+                // Another target's answer wouldn't find more memory.
+                if error.is_for_want_of_memory() || !attempts.wait_for_retry().await {
                     return Err(attempts.failed(&error));
                 }
                 attempts.exclude(&chosen);
@@ -72,7 +73,7 @@
 struct Collected {
     status: u16,
     headers: Vec<(String, String)>,
-    body: Vec<u8>,
+    body: HeldBytes,
     end: BodyEnd,
     target: Chosen,
     /// Why the body may be incomplete, if anything says so.
@@ -80,12 +81,12 @@
 }
 
 impl Collected {
-    async fn into_response(self, attempts: &Attempts) -> CallerResponse {
+    fn into_response(self, attempts: &Attempts) -> CallerResponse {
         let Collected { status, mut headers, body, end, target, .. } = self;
-        attempts.log_answered(status, &target.id, body.len(), end);
+        attempts.log_answered(status, &target.id, body.pieces().len(), end);
         let body = match caller_end(attempts, end, &mut headers) {
-            BodyEnd::Declared => CallerBody::Whole(body),
-            BodyEnd::Connection => CallerBody::until_close(body).await,
+            BodyEnd::Declared => CallerBody::Held(body),
+            BodyEnd::Connection => CallerBody::HeldUntilClose(body),
         };
         CallerResponse { status, headers, body }
     }
@@ -102,16 +103,15 @@
     let (status, headers) = (response.status, response.headers);
     let left_ms = attempts.admitted.final_at.since_ms(state.now()).max(1);
     let end = response.body.end();
-    let read = timeout(Duration::from_millis(left_ms), response.body.collect(ANSWER_BYTES_MAX));
-    let body = match read.await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => return Err((target, error)),
-        Err(_) => return Err((target, TargetError::timed_out(left_ms))),
+    let limit = Duration::from_millis(left_ms);
+    let body = match response.body.collect_held(ANSWER_BYTES_MAX, limit).await {
+        Ok(body) => body,
+        Err(error) => return Err((target, error)),
     };
     let mut doubt = None;
     if end == BodyEnd::Connection {
         // A success without a byte more likely comes from a target that stopped after its head.
-        if body.is_empty() && SUCCESSES.contains(&status) {
+        if body.pieces().is_empty() && SUCCESSES.contains(&status) {
             return Err((target, TargetError::ended_early("it has no body")));
         }
         match attempts.check_unstated_end(&target, 0).await {
@@ -144,13 +144,14 @@
     attempts.exclude(&first.target);
     let repeated = timeout(wait, repeat(attempts)).await.ok().flatten();
     let is_better = |again: &Collected| {
-        again.status == first.status && (again.end == BodyEnd::Declared || again.body == first.body)
+        again.status == first.status
+            && (again.end == BodyEnd::Declared || again.body.pieces() == first.body.pieces())
     };
     let repeated = repeated.filter(is_better);
     info!(state.log, "answer_repeated";
         "id" => attempts.admitted.request.id.as_str(), "target" => first.target.id.as_str(),
-        "doubt" => doubt.label(), "bytes" => first.body.len(),
-        "repeated_bytes" => repeated.as_ref().map(|again| again.body.len()));
+        "doubt" => doubt.label(), "bytes" => first.body.pieces().len(),
+        "repeated_bytes" => repeated.as_ref().map(|again| again.body.pieces().len()));
     repeated.unwrap_or(first)
 }
 
--- a/crates/lycheeford-gateway/src/request/attempt.rs
+++ b/crates/lycheeford-gateway/src/request/attempt.rs
@@ -348,6 +348,12 @@
     /// many events of it had arrived.
     pub(super) fn record_broken(&mut self, chosen: &Chosen, error: &TargetError, events: u64) {
         self.ran = self.ran.max(Ran::Unknown);
+        if error.is_for_want_of_memory() {
+            info!(self.state.log, "answer_not_kept";
+                "id" => self.admitted.request.id.as_str(), "target" => chosen.id.as_str(),
+                "error" => %error, "memory_bytes" => self.state.memory.held_bytes());
+            return;
+        }
         self.note_failure(chosen, TargetFailure::Broken);
         if matches!(error.category(), Category::Broken | Category::Truncated) {
             self.state.unstated_ends().broke_off(self.state.now(), &chosen.id);
--- a/crates/lycheeford-gateway/src/request/forward.rs
+++ b/crates/lycheeford-gateway/src/request/forward.rs
@@ -13,7 +13,7 @@
 
 use super::answer::Answered;
 use super::attempt::Attempts;
-use crate::state::{ANSWER_BYTES_MAX, State};
+use crate::state::{ANSWER_BYTES_MAX, MEMORY_WAIT, State};
 
 /// The most hosts to which a request is forwarded until one accepts it.
 const HOSTS_MAX: usize = 3;
@@ -126,21 +126,17 @@
     }
     let left_ms = attempts.admitted.final_at.since_ms(attempts.state.now()).max(1);
     let end = body.end();
-    let collected = timeout(Duration::from_millis(left_ms), body.collect(ANSWER_BYTES_MAX)).await;
-    let error = match collected {
+    let limit = Duration::from_millis(left_ms);
+    let error = match body.collect_held(ANSWER_BYTES_MAX, limit).await {
         // Without a length or chunks the response may have been cut off.
-        Ok(Ok(_)) if end == BodyEnd::Connection => TargetError::ended_early("its end isn't stated"),
-        Ok(Ok(body)) => {
+        Ok(_) if end == BodyEnd::Connection => TargetError::ended_early("its end isn't stated"),
+        Ok(body) => {
             log_end(attempts, Some(status), "whole");
-            let body = if is_unstated {
-                CallerBody::until_close(body).await
-            } else {
-                CallerBody::Whole(body)
-            };
+            let body =
+                if is_unstated { CallerBody::HeldUntilClose(body) } else { CallerBody::Held(body) };
             return Ok(Answered::Whole(CallerResponse { status, headers, body }));
         }
-        Ok(Err(error)) => error,
-        Err(_) => TargetError::timed_out(left_ms),
+        Err(error) => error,
     };
     log_end(attempts, Some(status), &error.to_string());
     Err(attempts.failed(&error))
@@ -156,7 +152,7 @@
     let left_ms = admitted.final_at.since_ms(state.now());
     task::spawn(async move {
         let _running = running;
-        let relayed = timeout(Duration::from_millis(left_ms), relay_body(body, sender));
+        let relayed = timeout(Duration::from_millis(left_ms), relay_body(body, sender, &state));
         let relayed = async { relayed.await.unwrap_or("deadline passed") };
         let host_stopping = async {
             state.ending.triggered().await;
@@ -178,7 +174,7 @@
         "total_ms" => state.now().since_ms(admitted.arrived_at));
 }
 
-async fn relay_body(mut body: TargetBody, sender: ChunkSender) -> &'static str {
+async fn relay_body(mut body: TargetBody, sender: ChunkSender, state: &State) -> &'static str {
     loop {
         let chunk = async { Some(body.next_chunk().await) };
         let caller_left = async {
@@ -187,7 +183,11 @@
         };
         match chunk.race(caller_left).await {
             Some(Ok(Some(chunk))) => {
-                if sender.send(chunk).await.is_err() {
+                let mut memory = state.memory.reservation();
+                if memory.grow_within(chunk.len(), MEMORY_WAIT).await.is_err() {
+                    return "no memory";
+                }
+                if sender.send_held(chunk, memory).await.is_err() {
                     return "caller left";
                 }
             }
--- a/crates/lycheeford-gateway/src/request/front.rs
+++ b/crates/lycheeford-gateway/src/request/front.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use async_std::prelude::FutureExt;
-use lycheeford_caller::{Bounds, CallerResponse, RequestHead, Service};
+use lycheeford_caller::{Bounds, CallerResponse, ReaderState, RequestHead, Service, SharedBody};
 use lycheeford_policy::{Name, Ran, Refusal, StopShortfall, TimeMs};
 use slog::{KV, Record, Serializer, error, info, warn};
 
@@ -12,6 +12,10 @@
 use crate::GatewayRequest;
 use crate::state::State;
 
+/// The memory that a request takes besides its body: its head, its state, and the buffers of its two
+/// connections, each of up to 8 or 16 KiB.
+const REQUEST_BYTES: usize = 24 * 1024;
+
 /// Serves the callers' port.
 #[derive(Clone)]
 pub(crate) struct Front {
@@ -29,6 +33,7 @@
             head_ms_max: limits.head_ms_max,
             body_bytes_max: limits.body_bytes_max,
             idle_ms_max: limits.idle_ms_max,
+            request_bytes: REQUEST_BYTES,
             connections_max: self.state.settings.caller_connections_max,
             ..Bounds::default()
         }
@@ -38,7 +43,7 @@
         &self,
         id: Name,
         head: RequestHead,
-        body: Vec<u8>,
+        body: SharedBody,
     ) -> Result<GatewayRequest, Refusal> {
         self.state.protocols.caller.request(id, head, body)
     }
@@ -80,6 +85,13 @@
             "message" => &refusal.message, "retry_after_ms" => refusal.retry_after_ms);
     }
 
+    fn slow_caller_closed(&self, id: &Name, reader: &ReaderState) {
+        self.state.metrics.slow_callers_closed.inc();
+        info!(self.state.log, "slow_caller_closed";
+            "id" => id.as_str(), "bytes" => reader.unread_bytes, "unread_ms" => reader.unread_ms,
+            "memory_bytes" => reader.held_bytes, "memory_bytes_max" => reader.total_bytes);
+    }
+
     fn accept_failed(&self, error: &std::io::Error) {
         warn!(self.state.log, "accept_failed"; "error" => %error);
     }
--- a/crates/lycheeford-gateway/src/request/relay/mod.rs
+++ b/crates/lycheeford-gateway/src/request/relay/mod.rs
@@ -4,12 +4,12 @@
 
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use async_std::prelude::FutureExt;
 use async_std::task;
-use lycheeford_caller::ChunkSender;
+use lycheeford_caller::{ChunkSender, Reservation};
 use lycheeford_policy::{Chosen, EVENT_BYTES_MAX, EndSign, EventBoundary, StatedContent, TimeMs};
 use lycheeford_target::{BodyEnd, TargetBody, TargetError, TargetResponse};
 use slog::info;
@@ -19,6 +19,7 @@
 use super::silence::{LeaveIf, OVERLAP_MS_MAX, Silence};
 use super::slot::Slot;
 use crate::Reply;
+use crate::state::MEMORY_WAIT;
 
 /// The pause between events after which another target is sought for a resumable stream, as a
 /// multiple of the longest pause that the route allows.
@@ -27,6 +28,14 @@
 /// The pause before another target is sought after one that didn't take a stream.
 const SEEK_PAUSE_MS: u64 = 500;
 
+/// The unused memory that is kept with the bytes of an event.
+const SPARE_BYTES_MAX: usize = 4 * 1024;
+/// The shortest pause in reading a response that may make its target cut it off.
+const PAUSE_MIN: Duration = Duration::from_millis(500);
+/// How long after such a pause the end of the response is put down to it: what the kernel holds of
+/// the response is read first.
+const PAUSE_EFFECT_MS: u64 = 5_000;
+
 /// Relays a stream to the caller, event by event.
 ///
 /// Until the target ends the stream, only complete events are forwarded, so that a resumable stream
@@ -41,6 +50,10 @@
     resume_after: Option<String>,
     first_at: Option<TimeMs>,
     sent_bytes: usize,
+    /// The memory for the bytes that weren't sent yet.
+    memory: Reservation,
+    /// Until when the end of a response is put down to a pause in reading it, and how long that was.
+    paused: Option<(TimeMs, Duration)>,
     /// The end of an earlier target's response, while another one is asked whether it was the end.
     doubted_end: Option<DoubtedEnd>,
 }
@@ -54,6 +67,7 @@
     HungUp,
     OutOfTime,
     HostStopping,
+    NoMemory,
     /// The target failed, while this call to the next one was pending, if any.
     Broken(TargetError, Option<Box<PendingCall>>),
     /// The stream has stalled since this time, and the next target has it.
@@ -88,6 +102,8 @@
     CallerLeft,
     DeadlinePassed,
     HostStopping,
+    /// This host has no memory for the stream.
+    NoMemory,
     /// The last event has no id after which another target could go on.
     WithoutIds,
     /// The request may not be sent to another target.
@@ -102,6 +118,7 @@
             Cut::CallerLeft => "caller_left",
             Cut::DeadlinePassed => "deadline_passed",
             Cut::HostStopping => "host_stopping",
+            Cut::NoMemory => "no_memory",
             Cut::WithoutIds => "without_ids",
             Cut::NoAttemptLeft => "no_attempt_left",
             Cut::NoOtherTarget => "no_other_target",
@@ -113,6 +130,7 @@
             Cut::CallerLeft => "caller left",
             Cut::DeadlinePassed => "deadline passed",
             Cut::HostStopping => "this host is stopping",
+            Cut::NoMemory => "this host has no memory for the stream",
             Cut::WithoutIds => "the last event has no id to go on after",
             Cut::NoAttemptLeft => "the request may not be sent to another target",
             Cut::NoOtherTarget => "no other target took the stream",
@@ -166,6 +184,7 @@
         let resume_after = attempts.admitted.request.resume_after.clone();
         let is_resumable = attempts.admitted.route.kind.is_repeatable();
         let boundary = resume_after.clone().filter(|_| is_resumable);
+        let memory = attempts.state.memory.reservation();
         Relay {
             attempts,
             sender,
@@ -174,6 +193,8 @@
             resume_after,
             first_at: None,
             sent_bytes: 0,
+            memory,
+            paused: None,
             doubted_end: None,
         }
     }
@@ -210,6 +231,7 @@
                 End::HungUp => return self.cut(Cut::CallerLeft, &chosen.id),
                 End::OutOfTime => return self.cut(Cut::DeadlinePassed, &chosen.id),
                 End::HostStopping => return self.cut(Cut::HostStopping, &chosen.id),
+                End::NoMemory => return self.cut(Cut::NoMemory, &chosen.id),
                 End::Broken(error, pending) => {
                     self.attempts.record_broken(&chosen, &error, self.boundary.events());
                     self.log_cut(&error.to_string(), &chosen.id);
@@ -376,7 +398,7 @@
             let chunk = match next {
                 Next::HungUp => return End::HungUp,
                 Next::HostStopping => return End::HostStopping,
-                Next::Chunk(Err(error)) => return End::broken(error, stall),
+                Next::Chunk(Err(error)) => return End::broken(self.after_pause(error), stall),
                 Next::Chunk(Ok(None)) => {
                     return self.end(&slot.chosen, content, body.end(), stall).await;
                 }
@@ -384,10 +406,18 @@
             };
             self.attempts.heard(&slot.chosen);
             let events_before = self.boundary.events();
-            let whole = self.boundary.push(&chunk);
+            let mut whole = self.boundary.push(&chunk);
+            if whole.capacity() - whole.len() > SPARE_BYTES_MAX {
+                whole.shrink_to_fit();
+            }
             if self.boundary.is_endless() {
                 return End::broken(TargetError::event_too_large(EVENT_BYTES_MAX), stall);
             }
+            let Some(waited_ms) = self.take_memory(whole.len()).await else {
+                return End::NoMemory;
+            };
+            // A pause of this host is no silence of the target.
+            stall.since = stall.since + waited_ms;
             if whole.is_empty() && self.boundary.fault().is_none() {
                 continue;
             }
@@ -563,7 +593,45 @@
 
     async fn send(&mut self, bytes: Vec<u8>) -> bool {
         self.sent_bytes += bytes.len();
-        self.sender.send(bytes).await.is_ok()
+        let memory = self.memory.split(bytes.len());
+        let start = Instant::now();
+        let is_sent = self.sender.send_held(bytes, memory).await.is_ok();
+        self.note_pause(start.elapsed());
+        is_sent
+    }
+
+    /// Reserves memory for the event in progress and for the bytes that are sent next, and waits
+    /// for it without reading from the target; returns how long, or `None` if there is none in time.
+    async fn take_memory(&mut self, next_bytes: usize) -> Option<u64> {
+        let needed_bytes = next_bytes + self.boundary.pending_bytes();
+        let held_bytes = self.memory.held_bytes();
+        self.memory.shrink(held_bytes.saturating_sub(needed_bytes));
+        let missing_bytes = needed_bytes.saturating_sub(held_bytes);
+        let growing = self.memory.grow_within(missing_bytes, MEMORY_WAIT);
+        let hung_up = async {
+            self.sender.caller_disconnected().await;
+            // The send that follows ends the stream.
+            Ok(Duration::ZERO)
+        };
+        let waited = growing.race(hung_up).await.ok()?;
+        self.note_pause(waited);
+        u64::try_from(waited.as_millis()).ok()
+    }
+
+    /// Records how long nothing was read from the target.
+    fn note_pause(&mut self, pause: Duration) {
+        if pause >= PAUSE_MIN {
+            let until = self.attempts.state.now() + PAUSE_EFFECT_MS;
+            self.paused = Some((until, pause));
+        }
+    }
+
+    /// Returns the error of a response, which is put down to a pause in reading it if there was one.
+    fn after_pause(&self, error: TargetError) -> TargetError {
+        match self.paused {
+            Some((until, pause)) if self.attempts.state.now() <= until => error.after_pause(pause),
+            _ => error,
+        }
     }
 
     /// Returns how long to wait for the next event if the last one came `idle_ms` ago.
--- a/crates/lycheeford-gateway/src/run.rs
+++ b/crates/lycheeford-gateway/src/run.rs
@@ -80,15 +80,17 @@
 
     let pages_stop = Stop::new();
     let mut pages = vec![
-        serve_page(readiness, Readiness { state: Arc::clone(&state) }, &pages_stop),
-        serve_page(metrics, MetricsPage { state: Arc::clone(&state) }, &pages_stop),
+        serve_page(&state, readiness, Readiness { state: Arc::clone(&state) }, &pages_stop),
+        serve_page(&state, metrics, MetricsPage { state: Arc::clone(&state) }, &pages_stop),
     ];
     if let Some(directory) = directory {
-        pages.push(serve_page(directory, Directory { state: Arc::clone(&state) }, &pages_stop));
+        let page = Directory { state: Arc::clone(&state) };
+        pages.push(serve_page(&state, directory, page, &pages_stop));
     }
     let front_stop = Stop::new();
     let front = Front { state: Arc::clone(&state) };
-    let serving = task::spawn(serve_service(callers, front, front_stop.clone()));
+    let serving =
+        task::spawn(serve_service(callers, front, Arc::clone(&state.memory), front_stop.clone()));
 
     let stopped_at = stop_signal(&state, &stop).await;
     drain(&state, stopped_at, &front_stop, serving).await;
@@ -217,8 +219,13 @@
     task::sleep(Duration::from_millis(at.since_ms(state.now()))).await;
 }
 
-fn serve_page<S: Service>(listener: TcpListener, page: S, stop: &Stop) -> task::JoinHandle<()> {
-    task::spawn(serve_service(listener, page, stop.clone()))
+fn serve_page<S: Service>(
+    state: &State,
+    listener: TcpListener,
+    page: S,
+    stop: &Stop,
+) -> task::JoinHandle<()> {
+    task::spawn(serve_service(listener, page, Arc::clone(&state.memory), stop.clone()))
 }
 
 async fn listen(
--- a/crates/lycheeford-gateway/src/settings.rs
+++ b/crates/lycheeford-gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub store_address: SocketAddr,
     /// The most concurrent connections of callers.
     pub caller_connections_max: usize,
+    /// The memory of the machine that this process may use, in millions of bytes.
+    pub memory_mb: u64,
     /// How long callers may cache the addresses from the directory.
     pub address_cache_ms: u64,
     /// The time within which a withdrawn key must stop working on every host.
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -1,9 +1,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use async_std::channel::{Receiver, Sender, bounded};
-use lycheeford_caller::Stop;
+use lycheeford_caller::{MemoryAccount, Stop};
 use lycheeford_platform::FollowWaker;
 use lycheeford_policy::{
     Confirmation, CrashSuspects, DemandTable, Deployment, PeerState, RetryShare, RunTimes,
@@ -46,8 +47,20 @@
 const STREAM_EVENTS_MAX: usize = 4_096;
 /// The size limit of a target's response that isn't a stream.
 pub(crate) const ANSWER_BYTES_MAX: usize = 16 << 20;
-/// The memory limit of all such responses while they are read; the smallest hosts have 160 MB.
-const WHOLE_ANSWERS_BYTES_MAX: usize = 24 << 20;
+/// How long a part of a stream waits for memory before the stream is cut; long enough to close
+/// several connections that are read slowly.
+pub(crate) const MEMORY_WAIT: Duration = Duration::from_secs(3);
+/// The memory of a process without requests: its code, tables of 300 hosts, threads and logs.
+const OWN_MEMORY_MB: u64 = 40;
+const BYTES_PER_MB: u64 = 1_000_000;
+/// The part of the other memory that the account may use.
+///
+/// The rest is for what the allocator keeps between blocks, and for connections that wait for a
+/// request. With six tenths, a debug build with 20 slow callers reached 102 of 120 MB.
+const ACCOUNT_PART: f64 = 0.5;
+/// The least memory of the account: seven eighths of it, which large reservations may use, hold an
+/// answer of the largest size and a body of as many bytes.
+const ACCOUNT_BYTES_MIN: usize = 2 * ANSWER_BYTES_MAX + (ANSWER_BYTES_MAX >> 1);
 
 /// The tables that all tasks of a gateway share.
 ///
@@ -65,6 +78,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) incarnation: u64,
     pub(crate) targets: TargetClient,
+    /// The account of all bytes that this process holds for callers and targets.
+    pub(crate) memory: Arc<MemoryAccount>,
     pub(crate) deployment: ArcSwapOption<Deployment>,
     dispatcher: Mutex<Dispatcher>,
     membership: Mutex<Membership>,
@@ -119,13 +134,13 @@
             connect_ms_max: CONNECT_MS_MAX,
             pool_idle_ms_max: POOL_IDLE_MS_MAX,
             pool_per_target_max: POOL_PER_TARGET_MAX,
-            collected_answers_bytes_max: WHOLE_ANSWERS_BYTES_MAX,
             unframed: Unframed::EndWithConnection,
             silent_ms_max: Some(SILENT_MS_MAX),
             source: Some(settings.target_source),
             ..TargetLimits::default()
         };
         let retries = settings.retries;
+        let memory = MemoryAccount::new(account_bytes(settings.memory_mb));
         Arc::new(State {
             orders: Mutex::new(Orders::new(&settings, incarnation)),
             retries: Mutex::new(RetryShare::new(
@@ -141,7 +156,8 @@
             left_out: log,
             metrics: Metrics::new(),
             incarnation,
-            targets: TargetClient::new(limits),
+            targets: TargetClient::within(limits, Arc::clone(&memory)),
+            memory,
             deployment: ArcSwapOption::empty(),
             dispatcher: Mutex::default(),
             demand: Mutex::default(),
@@ -374,6 +390,12 @@
     }
 }
 
+/// Returns the size of the account of a process that may use `memory_mb`.
+fn account_bytes(memory_mb: u64) -> usize {
+    let others_bytes = memory_mb.saturating_sub(OWN_MEMORY_MB).saturating_mul(BYTES_PER_MB);
+    ((others_bytes as f64 * ACCOUNT_PART) as usize).max(ACCOUNT_BYTES_MIN)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/lycheeford-http/src/lib.rs
+++ b/crates/lycheeford-http/src/lib.rs
@@ -16,13 +16,11 @@
 //! - [`Framing`]: where the body of a message ends.
 //! - [`BodyDecoder`]: decodes a body from the bytes of a stream.
 //! - [`MessageReader`]: reads heads and bodies from a connection.
-//! - [`BodyBudget`]: limits the memory that all bodies take together.
 //! - [`MemoryAccount`]: limits the memory that a process holds for others.
 //! - [`SharedBody`], [`HeldBytes`]: bodies in pieces.
 
 mod account;
 mod body;
-mod budget;
 mod error;
 mod head;
 mod header;
@@ -30,11 +28,9 @@
 mod reader;
 
 pub use crate::account::{
-    MemoryAccount, MemoryExhausted, ReaderState, RegisteredReader,
-    Reservation as MemoryReservation,
+    MemoryAccount, MemoryExhausted, ReaderState, RegisteredReader, Reservation,
 };
 pub use crate::body::BodyDecoder;
-pub use crate::budget::{BodyBudget, Reservation};
 pub use crate::error::{Category, Error};
 pub use crate::head::{Framing, Persistence, RequestHead, ResponseHead, Unframed};
 pub use crate::header::{Header, is_valid_header, strip_connection_headers};
--- a/crates/lycheeford-measure/src/request.rs
+++ b/crates/lycheeford-measure/src/request.rs
@@ -32,7 +32,7 @@
         method: Method::Post,
         path_and_query: "/v1/completions".to_owned(),
         headers: headers.map(|(name, value)| (name.to_owned(), value)).to_vec(),
-        body: body.to_string().into_bytes(),
+        body: body.to_string().into_bytes().into(),
         connection,
         host: None,
         echo: None,
--- a/crates/lycheeford-policy/src/gateway/event_boundary.rs
+++ b/crates/lycheeford-policy/src/gateway/event_boundary.rs
@@ -177,6 +177,11 @@
         std::mem::take(&mut self.pending)
     }
 
+    /// Returns the memory that the bytes after the last complete event take.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Returns whether the bytes so far end inside an event; comments belong to none.
     pub fn is_inside_event(&self) -> bool {
         let line = &self.pending[self.line_start..];
--- a/crates/lycheeford-target/src/client.rs
+++ b/crates/lycheeford-target/src/client.rs
@@ -4,7 +4,9 @@
 
 use async_std::future::timeout;
 use http_types::Method;
-use lycheeford_http::{BodyBudget, Framing, Persistence, ResponseHead, strip_connection_headers};
+use lycheeford_http::{
+    Framing, MemoryAccount, Persistence, ResponseHead, SharedBody, strip_connection_headers,
+};
 use lycheeford_policy::OrderOutcome;
 
 use crate::answer_scan::AnswerScan;
@@ -33,14 +35,20 @@
     limits: Arc<TargetLimits>,
     pool: Pool,
     /// The memory shared by all answers that are collected in memory.
-    budget: Arc<BodyBudget>,
+    memory: Arc<MemoryAccount>,
 }
 
 impl TargetClient {
     /// Returns a client with an empty connection pool.
     pub fn new(limits: TargetLimits) -> TargetClient {
-        let budget = Arc::new(BodyBudget::new(limits.collected_answers_bytes_max));
-        TargetClient { pool: Pool::new(&limits), limits: Arc::new(limits), budget }
+        let memory = MemoryAccount::new(limits.collected_answers_bytes_max);
+        TargetClient::within(limits, memory)
+    }
+
+    /// Returns a client with an empty connection pool, whose collected answers are in the account
+    /// `memory` rather than in one of their own.
+    pub fn within(limits: TargetLimits, memory: Arc<MemoryAccount>) -> TargetClient {
+        TargetClient { pool: Pool::new(&limits), limits: Arc::new(limits), memory }
     }
 
     /// Sends a request and returns the answer as soon as its head is received.
@@ -88,7 +96,7 @@
             scan,
             after_answer,
             &self.limits,
-            self.budget.reservation(),
+            self.memory.reservation(),
         );
         Ok(TargetResponse { status: head.status, headers: head.headers, skipped_answers, body })
     }
@@ -120,7 +128,7 @@
             host: None,
             echo: None,
             headers: Vec::new(),
-            body: Vec::new(),
+            body: SharedBody::default(),
             connection: Connection::Fresh,
             first_byte_ms_max: Some(STATUS_MS_MAX),
         };
@@ -156,7 +164,7 @@
             host: None,
             echo: None,
             headers: vec![("content-type".to_owned(), "application/json".to_owned())],
-            body,
+            body: body.into(),
             connection: Connection::Fresh,
             first_byte_ms_max: Some(ORDER_MS_MAX),
         };
--- a/crates/lycheeford-target/src/error.rs
+++ b/crates/lycheeford-target/src/error.rs
@@ -1,7 +1,11 @@
 use std::fmt::{self, Display};
+use std::time::Duration;
 
 use snafu::Snafu;
 
+/// The shortest pause after which the end of an answer is put down to the pause.
+const UNREAD_MIN: Duration = Duration::from_millis(500);
+
 /// The failure of a call to a target.
 #[derive(Debug)]
 pub struct TargetError {
@@ -29,6 +33,7 @@
             | Code::SecondAnswer
             | Code::TooLarge { .. }
             | Code::SharedMemoryExhausted { .. }
+            | Code::FailedAfterPause { .. }
             | Code::EventTooLarge { .. }
             | Code::EventStream { .. }
             | Code::Json { .. }
@@ -50,6 +55,12 @@
         matches!(self.code, Code::OtherRequests | Code::Unattributed)
     }
 
+    /// Returns whether the answer failed for want of memory in this process, which is no failure of
+    /// the target: there was no room for it, or it was left unread for a while before it failed.
+    pub fn is_for_want_of_memory(&self) -> bool {
+        matches!(self.code, Code::SharedMemoryExhausted { .. } | Code::FailedAfterPause { .. })
+    }
+
     /// Returns whether no process listens at the target's address.
     ///
     /// Only a refused connection proves this; after a time-out the network may be at fault.
@@ -71,6 +82,19 @@
         Code::EndedEarly { evidence }.into()
     }
 
+    /// Returns the error of an answer that this process left unread for `unread` before it failed.
+    ///
+    /// A pause of some length explains why its target cut it off, or why it wasn't complete in time.
+    pub fn after_pause(self, unread: Duration) -> TargetError {
+        let is_effect =
+            matches!(self.category(), Category::Silent | Category::Broken | Category::Truncated);
+        if !is_effect || unread < UNREAD_MIN {
+            return self;
+        }
+        let unread_ms = u64::try_from(unread.as_millis()).unwrap_or(u64::MAX);
+        Code::FailedAfterPause { unread_ms }.into()
+    }
+
     /// Returns the error of an answer that is no continuation of an event stream.
     pub fn invalid_stream(what: &str) -> TargetError {
         Code::EventStream { what: what.to_owned() }.into()
@@ -161,9 +185,13 @@
     ))]
     TooLarge { limit_bytes: usize },
     #[snafu(display(
-        "the answer is over {held_bytes} bytes and others use up the memory; correct the targets"
+        "others use up the memory for the answer, of which {held_bytes} bytes were read; check the target before a resend"
     ))]
     SharedMemoryExhausted { held_bytes: usize },
+    #[snafu(display(
+        "the answer was unread for {unread_ms} ms and then failed; check the target before a resend"
+    ))]
+    FailedAfterPause { unread_ms: u64 },
     #[snafu(display(
         "no event ended within {limit_bytes} bytes of the stream; correct the target"
     ))]
--- a/crates/lycheeford-target/src/lib.rs
+++ b/crates/lycheeford-target/src/lib.rs
@@ -34,4 +34,4 @@
 pub use crate::response::{BodyEnd, TargetBody, TargetResponse};
 pub use crate::status::{Checkpoint, Loaded, TargetStatus};
 pub use http_types::Method;
-pub use lycheeford_http::Unframed;
+pub use lycheeford_http::{MemoryAccount, SharedBody, Unframed};
--- a/crates/lycheeford-target/src/limits.rs
+++ b/crates/lycheeford-target/src/limits.rs
@@ -18,7 +18,7 @@
     /// The largest answer body that is accepted.
     pub answer_bytes_max: usize,
     /// The memory that all answers being collected in memory may use together, besides the first
-    /// 64 KiB of each.
+    /// 64 KiB of each; without effect on a client that shares an account.
     pub collected_answers_bytes_max: usize,
     /// Whether the close of the connection may mark the end of an answer that states no length.
     pub unframed: Unframed,
--- a/crates/lycheeford-target/src/request.rs
+++ b/crates/lycheeford-target/src/request.rs
@@ -2,7 +2,7 @@
 
 use http_types::url::Position;
 use http_types::{Body, Method, Request, Url};
-use lycheeford_http::{is_valid_header, strip_connection_headers};
+use lycheeford_http::{SharedBody, is_valid_header, strip_connection_headers};
 
 use crate::TargetError;
 use crate::error::Code;
@@ -21,7 +21,7 @@
     /// How the answer is recognized if targets repeat the ids of calls; `None` if they don't.
     pub echo: Option<Echo>,
     /// The complete body.
-    pub body: Vec<u8>,
+    pub body: SharedBody,
     /// Which kind of connection carries the call.
     pub connection: Connection,
     /// Replaces [`TargetLimits::first_byte_ms_max`](crate::TargetLimits) for this call.
@@ -62,7 +62,8 @@
     /// Converts the request to the type that async-h1 encodes.
     pub(crate) fn to_http(&self, address: SocketAddr) -> Result<Request, TargetError> {
         let mut request = Request::new(self.method, self.url(address)?);
-        request.set_body(Body::from_bytes(self.body.clone()));
+        let body = Body::from_reader(self.body.reader(), Some(self.body.len()));
+        request.set_body(body);
         request.remove_header("content-type");
         let mut headers = self.headers.clone();
         for (name, _) in &mut headers {
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -1,8 +1,9 @@
 use std::mem;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use lycheeford_http::{BodyDecoder, Framing, Reservation};
+use async_std::future::timeout;
+use lycheeford_http::{BodyDecoder, Framing, HeldBytes, Reservation};
 
 use crate::answer_scan::AnswerScan;
 use crate::error::Code;
@@ -13,6 +14,10 @@
 /// How much of each collected answer isn't counted against the shared memory.
 const UNRESERVED_BYTES_MAX: usize = 64 * 1024;
 
+/// How long an answer waits for memory before it is given up; targets cut off an answer that stays
+/// unread for some seconds.
+const MEMORY_WAIT: Duration = Duration::from_secs(3);
+
 /// An answer of a target, whose body may not have arrived yet.
 ///
 /// Dropping it before the body is complete closes the connection, which cancels the call.
@@ -59,6 +64,8 @@
     received_bytes: usize,
     /// The reserved part of the memory that collected answers share.
     memory: Reservation,
+    /// The length that the answer states.
+    stated_bytes: Option<usize>,
     waiting_since: Option<Instant>,
 }
 
@@ -103,6 +110,10 @@
             answer_bytes_max: limits.answer_bytes_max,
             received_bytes: 0,
             memory,
+            stated_bytes: match framing {
+                Framing::Length(bytes) => Some(usize::try_from(bytes).unwrap_or(usize::MAX)),
+                Framing::Empty | Framing::Chunked | Framing::UntilClose => None,
+            },
             waiting_since: None,
         };
         body.release_if_complete();
@@ -156,7 +167,7 @@
                 return Err(Code::TooLarge { limit_bytes: bytes_max }.into());
             }
             let large_bytes = (whole.len() + chunk.len()).saturating_sub(UNRESERVED_BYTES_MAX);
-            if self.memory.grow(large_bytes - self.memory.held_bytes()).is_none() {
+            if self.memory.grow(large_bytes - self.memory.held_bytes()).is_err() {
                 return Err(Code::SharedMemoryExhausted { held_bytes: whole.len() }.into());
             }
             whole.extend_from_slice(&chunk);
@@ -164,6 +175,57 @@
         Ok(whole)
     }
 
+    /// Receives the complete body like [`TargetBody::collect`], in memory that stays reserved until
+    /// it is read.
+    ///
+    /// If there is no memory, nothing is read from the target for a while. The memory for a body of
+    /// stated length is reserved at once: if several bodies each held a part, none could be
+    /// completed.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`TargetBody::collect`] does, and if the body isn't complete within `limit`;
+    /// [`TargetError::is_for_want_of_memory`] tells whether that is due to this process.
+    pub async fn collect_held(
+        mut self,
+        bytes_max: usize,
+        limit: Duration,
+    ) -> Result<HeldBytes, TargetError> {
+        let mut unread = Duration::ZERO;
+        let collecting = self.collect_in_memory(bytes_max, MEMORY_WAIT.min(limit / 2), &mut unread);
+        let collected = timeout(limit, collecting).await.unwrap_or_else(|_| {
+            Err(TargetError::timed_out(u64::try_from(limit.as_millis()).unwrap_or(u64::MAX)))
+        });
+        collected.map_err(|error| error.after_pause(unread))
+    }
+
+    /// Collects the body, and adds to `unread` how long it waited for memory.
+    async fn collect_in_memory(
+        &mut self,
+        bytes_max: usize,
+        memory_wait: Duration,
+        unread: &mut Duration,
+    ) -> Result<HeldBytes, TargetError> {
+        let mut memory = self.memory.split(0);
+        if let Some(stated_bytes) = self.stated_bytes {
+            if stated_bytes > bytes_max {
+                return Err(Code::TooLarge { limit_bytes: bytes_max }.into());
+            }
+            let waited = memory.grow_within(stated_bytes, memory_wait).await;
+            *unread += waited.map_err(|_| Code::SharedMemoryExhausted { held_bytes: 0 })?;
+        }
+        let mut held = HeldBytes::new(memory);
+        while let Some(chunk) = self.next_chunk().await? {
+            let held_bytes = held.pieces().len();
+            if held_bytes + chunk.len() > bytes_max {
+                return Err(Code::TooLarge { limit_bytes: bytes_max }.into());
+            }
+            let waited = held.push(&chunk, memory_wait).await;
+            *unread += waited.map_err(|_| Code::SharedMemoryExhausted { held_bytes })?;
+        }
+        Ok(held)
+    }
+
     fn check(&mut self, chunk: Option<Vec<u8>>) -> Result<Option<Vec<u8>>, TargetError> {
         self.received_bytes += chunk.as_ref().map_or(0, Vec::len);
         if self.received_bytes > self.answer_bytes_max {
--- a/crates/lycheeford-target/tests/answers.rs
+++ b/crates/lycheeford-target/tests/answers.rs
@@ -143,7 +143,7 @@
     let mut request = get("/v1/x?a=%20b&c", Connection::Fresh);
     request.method = Method::Post;
     request.headers.push(("Transfer-Encoding".to_owned(), "chunked".to_owned()));
-    request.body = b"ice".to_vec();
+    request.body = b"ice".to_vec().into();
     let client = TargetClient::new(TargetLimits::default());
     let response = task::block_on(client.call(address, &request)).unwrap();
     assert_eq!(response.headers, [("x-a".to_owned(), "b".to_owned())]);
--- a/crates/lycheeford-target/tests/common/mod.rs
+++ b/crates/lycheeford-target/tests/common/mod.rs
@@ -53,7 +53,7 @@
         method: Method::Get,
         path_and_query: path.to_owned(),
         headers: vec![("x-priority".to_owned(), "0".to_owned())],
-        body: Vec::new(),
+        body: Vec::new().into(),
         connection,
         host: None,
         echo: None,
--- a/crates/lycheeford-target/tests/cut_short.rs
+++ b/crates/lycheeford-target/tests/cut_short.rs
@@ -124,7 +124,7 @@
     request.echo = Some(Echo { header: ECHO.to_owned(), id: Some("7".to_owned()) });
     if !request_body.is_empty() {
         request.method = Method::Post;
-        request.body = request_body;
+        request.body = request_body.into();
     }
     let mut violations = Vec::new();
     for written in 0..=form.answer.len() {
--- a/crates/lycheefordd/src/daemon.rs
+++ b/crates/lycheefordd/src/daemon.rs
@@ -247,6 +247,7 @@
         idle_ms_max: limits.idle_ms_max,
         write_ms_max: limits.write_ms_max,
         connections_max: limits.connections_max as usize,
+        ..Bounds::default()
     }
 }
 
--- a/crates/lycheefordd/src/request/completion.rs
+++ b/crates/lycheefordd/src/request/completion.rs
@@ -240,7 +240,7 @@
             method: Method::Post,
             path_and_query: self.call.path.clone(),
             headers,
-            body: self.call.body.clone(),
+            body: self.call.body.clone().into(),
             // Nothing in the answer tells it from an earlier one.
             connection: Connection::Fresh,
             host: None,
--- a/crates/lycheefordd/src/service/serve.rs
+++ b/crates/lycheefordd/src/service/serve.rs
@@ -224,7 +224,7 @@
             method: self.request.method,
             path_and_query: self.target_path(),
             headers,
-            body: self.request.body.clone(),
+            body: self.request.body.clone().into(),
             // Nothing in the answer tells it from an earlier one.
             connection: Connection::Fresh,
             host: None,
@@ -310,7 +310,10 @@
 fn store_answer(state: &Arc<State>, entry: LedgerEntry, response: &CallerResponse) {
     let body = match &response.body {
         CallerBody::Whole(body) => body.clone(),
-        CallerBody::Stream(_) | CallerBody::UntilClose(_) => Vec::new(),
+        CallerBody::Held(_)
+        | CallerBody::Stream(_)
+        | CallerBody::UntilClose(_)
+        | CallerBody::HeldUntilClose(_) => Vec::new(),
     };
     let status = response.status;
     settle_in_background(state, async move { entry.record_answer(status, &body).await });
