--- a/crates/lycheeford-gateway/src/operation/metrics.rs
+++ b/crates/lycheeford-gateway/src/operation/metrics.rs
@@ -144,6 +144,9 @@
     waiting: Family<PriorityLabels, Gauge>,
     displaced: Family<PriorityLabels, Counter>,
     held_before_refusal: Histogram,
+    pub(crate) slow_callers_closed: Counter,
+    memory_held_bytes: Gauge,
+    memory_bytes_max: Gauge,
 }
 
 /// The values that are sampled when the metrics are read.
@@ -160,6 +163,8 @@
     pub(crate) lines_left_out: u64,
     /// The priorities of the requests that wait for a slot.
     pub(crate) waiting: Vec<u8>,
+    pub(crate) memory_held_bytes: usize,
+    pub(crate) memory_bytes_max: usize,
 }
 
 impl Metrics {
@@ -196,6 +201,9 @@
             waiting: Family::default(),
             displaced: Family::default(),
             held_before_refusal: histogram(),
+            slow_callers_closed: Counter::default(),
+            memory_held_bytes: Gauge::default(),
+            memory_bytes_max: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -232,6 +240,8 @@
             let labels = PriorityLabels { priority: u32::from(*priority) };
             self.waiting.get_or_create(&labels).inc();
         }
+        self.memory_held_bytes.set(gauge(snapshot.memory_held_bytes as u64));
+        self.memory_bytes_max.set(gauge(snapshot.memory_bytes_max as u64));
     }
 
     pub(crate) fn answered(&self, customer: Option<&Name>, priority: u8, total_ms: u64) {
@@ -403,6 +413,12 @@
             "Lines that the log left out",
             self.lines_left_out.clone(),
         );
+        let help = "Connections closed because their callers read slowly and memory was short";
+        registry.register("slow_callers_closed", help, self.slow_callers_closed.clone());
+        let help = "Memory for bodies, answers and parts of streams that is in use";
+        registry.register("memory_held_bytes", help, self.memory_held_bytes.clone());
+        let help = "The limit of that memory";
+        registry.register("memory_bytes_max", help, self.memory_bytes_max.clone());
     }
 }
 
