Let patient requests wait for an engine that may become free within their objective

Cause: a request was refused at once when no engine had room for its model yet, although one was expected to have within the request's objective. Its caller comes back once at most.

Change: "no load before N" refuses at once only if the objective is over by then. Requests with a shorter objective, which were held the longest in proportion, are refused as before the change.

--- a/crates/lycheeford-policy/src/gateway/load_forecast.rs
+++ b/crates/lycheeford-policy/src/gateway/load_forecast.rs
@@ -101,9 +101,12 @@
                 let expected_until = (at + LOAD_SLACK_MS).min(self.final_at - ANSWER_MS_MIN);
                 LoadDecision::Wait { until: unplanned_until.max(expected_until) }
             }
-            LoadTime::NotBefore { .. } => {
+            LoadTime::NotBefore { at } => {
                 let is_settled = forecast.held_ms.is_none_or(|ms| ms >= HOLDER_SETTLED_MS);
-                if is_fresh && is_settled && retry_after_ms > 0 {
+                // A patient request is served by a load that an engine becomes free for, whereas its
+                // caller may not come back after a refusal.
+                let is_in_objective = at < self.started_at + self.objective_ms;
+                if is_fresh && is_settled && retry_after_ms > 0 && !is_in_objective {
                     LoadDecision::Refuse { retry_after_ms }
                 } else {
                     wait
