Remember what urgent requests asked of a rate while nothing waits for it

A customer's queue was dropped with its last waiting request, and with it what more urgent requests had asked for in the last second, so that the next patient request waited and took the units. It is kept for two seconds now.

--- a/crates/lycheeford-gateway/src/request/rates.rs
+++ b/crates/lycheeford-gateway/src/request/rates.rs
@@ -88,7 +88,7 @@
 #[derive(Debug)]
 pub(crate) struct Rates {
     /// The requests that wait for the rate of each customer, sorted by key. An entry without
-    /// requests is removed.
+    /// requests is kept for a while, since it knows what the customer asked for lately.
     queues: Vec<(ShortKey, CustomerQueue)>,
     /// Wakes the task that checks the queues.
     wait_begun: (Sender<()>, Receiver<()>),
@@ -187,7 +187,7 @@
                 RateArrival::Waits { forecast, outcome }
             }
         };
-        self.queues.retain(|(_, queue)| !queue.waiters.is_empty());
+        self.queues.retain(|(_, queue)| !queue.queue.is_idle(now));
         arrival
     }
 
@@ -205,9 +205,6 @@
         let queue = &mut self.queues[index].1;
         queue.queue.remove(claim_id);
         queue.waiters.retain(|waiter| waiter.claim_id != claim_id);
-        if queue.waiters.is_empty() {
-            self.queues.remove(index);
-        }
     }
 
     /// Returns a receiver of the wake-ups of the task that checks the queues.
@@ -217,7 +214,8 @@
 
     /// Returns when a queue has to be checked, or `None` if nothing waits.
     pub(super) fn next_check_at(&self) -> Option<TimeMs> {
-        self.queues.iter().map(|(_, queue)| queue.check_at).min()
+        let waiting = self.queues.iter().filter(|(_, queue)| !queue.waiters.is_empty());
+        waiting.map(|(_, queue)| queue.check_at).min()
     }
 
     /// Grants what the rates pay for now, and refuses what they don't pay for in time.
@@ -232,7 +230,7 @@
         let due: Vec<(ShortKey, CustomerRate)> = self
             .queues
             .iter()
-            .filter(|(_, queue)| queue.check_at <= now)
+            .filter(|(_, queue)| !queue.waiters.is_empty() && queue.check_at <= now)
             // For a customer that no longer has a rate, the last one holds until its requests have
             // left the queue.
             .map(|(key, queue)| (*key, rate(&queue.customer).unwrap_or(queue.rate.clone())))
@@ -242,7 +240,7 @@
             self.grant_due(now, key, visibility);
             self.refuse_late(now, key, visibility);
         }
-        self.queues.retain(|(_, queue)| !queue.waiters.is_empty());
+        self.queues.retain(|(_, queue)| !queue.queue.is_idle(now));
     }
 
     /// Refuses all requests that wait, since this host stops.
--- a/crates/lycheeford-policy/src/gateway/rate_queue.rs
+++ b/crates/lycheeford-policy/src/gateway/rate_queue.rs
@@ -19,6 +19,8 @@
 const DISPLACED_MS_MAX: u64 = 200;
 /// Time constant of the demand of each priority.
 const DEMAND_WINDOW_MS: f64 = 1_000.0;
+/// How long the demand of a customer matters after its last request.
+const DEMAND_MS_MAX: u64 = 2_000;
 /// Longest time between two looks at the queue, since reports of other hosts change the supply.
 const CHECK_INTERVAL_MS: u64 = 50;
 
@@ -204,6 +206,12 @@
         Some(check_at.max(now + 1))
     }
 
+    /// Returns whether nothing waits, and the customer hasn't asked for anything lately.
+    pub fn is_idle(&self, now: TimeMs) -> bool {
+        let is_recent = |(_, _, at): &(u8, f64, TimeMs)| now.since_ms(*at) < DEMAND_MS_MAX;
+        self.waiting.is_empty() && !self.asked.iter().any(is_recent)
+    }
+
     /// Removes the claim of a caller that left; returns whether it was still waiting.
     pub fn remove(&mut self, id: u64) -> bool {
         let before = self.waiting.len();
--- a/crates/lycheeford-policy/tests/gateway/rate_queue.rs
+++ b/crates/lycheeford-policy/tests/gateway/rate_queue.rs
@@ -225,6 +225,10 @@
         let decision = queue.arrive(now, &supply(-100.0), patient, 0);
         let waits = matches!(decision, RateDecision::Waits { .. });
         assert_eq!(waits, case.waits, "{}: {decision:?}", case.what);
+        // What was asked for is known for a while, also if nothing waits any more.
+        queue.remove(9);
+        assert!(!queue.is_idle(now + 1_999), "{}", case.what);
+        assert!(queue.is_idle(now + 2_000), "{}", case.what);
     }
 }
 
