Wait as long as before for a load of which nothing is known, and watch evacuations more closely

Cause, suspected: without a forecast, or while no engine has room, a request waited for its objective in place of twice the objective, and was refused before a load that was planned later. The calls: the list of evacuations that a host heard was as old as the watch of 2.5 s and the way of the report, more than the 3.5 s after which the host asks by itself.

Change: the wait without a forecast is twice the objective again, at least 1 s. The hosts that watch for the others do so by watches of 1 s, and a host asks by itself after 4 s.

--- a/crates/lycheeford-gateway/src/fleet/evacuation_follow.rs
+++ b/crates/lycheeford-gateway/src/fleet/evacuation_follow.rs
@@ -9,9 +9,9 @@
 
 /// The duration of a watch, as a part of the time within which an evacuation must be in force. The
 /// rest covers a connection that falls silent and the list that follows.
-const WAIT_PART: f64 = 0.5;
+const WAIT_PART: f64 = 0.2;
 /// The part of that time for which a host relies on the reports of the hosts that watch.
-const RELY_PART: f64 = 0.7;
+const RELY_PART: f64 = 0.8;
 /// The interval at which such a host checks the age of what was reported.
 const CHECK_MS: u64 = 150;
 
--- a/crates/lycheeford-policy/src/gateway/load_forecast.rs
+++ b/crates/lycheeford-policy/src/gateway/load_forecast.rs
@@ -6,9 +6,11 @@
 const ANSWER_MS_MIN: u64 = 60;
 /// The largest part of its remaining time that a request may wait without a planned load.
 const UNPLANNED_WAIT_SHARE: f64 = 0.6;
-/// The least objective for the wait without a planned load, since a load takes longer than the
-/// objective of many routes.
-const OBJECTIVE_MS_MIN: u64 = 1_000;
+/// Longest wait without a forecast, as a multiple of the objective. Patient requests are often
+/// served by a load that is planned only later, and their callers may not come back after a refusal.
+const UNPLANNED_WAIT_FACTOR: u64 = 2;
+/// Least such wait, since a load takes longer than a short objective.
+const UNPLANNED_WAIT_MS_MIN: u64 = 1_000;
 /// The age from which a forecast refuses nobody. The holder forecasts again for each report of
 /// demand, which is more frequent.
 const FORECAST_MS_MAX: u64 = 1_000;
@@ -82,7 +84,7 @@
     ///
     /// A refusal that was too eager costs the caller more than a wait that ends with its response,
     /// so a forecast that is old, that has passed or that comes from a new holder refuses nobody.
-    /// The request then waits as without a forecast, at most for the objective.
+    /// The request then waits as without a forecast, at most for twice the objective.
     pub fn decide(&self, now: TimeMs, forecast: Option<&LoadForecast>) -> LoadDecision {
         let unplanned_until = self.unplanned_until();
         let wait = LoadDecision::Wait { until: unplanned_until };
@@ -119,6 +121,7 @@
     fn unplanned_until(&self) -> TimeMs {
         let left_ms = self.final_at.since_ms(self.started_at);
         let share_ms = (left_ms as f64 * UNPLANNED_WAIT_SHARE) as u64;
-        self.started_at + share_ms.min(self.objective_ms.max(OBJECTIVE_MS_MIN))
+        let wait_ms = UNPLANNED_WAIT_FACTOR * self.objective_ms;
+        self.started_at + share_ms.min(wait_ms.max(UNPLANNED_WAIT_MS_MIN))
     }
 }
