--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,3 +1,4 @@
+pub mod forgotten;
 pub mod holder;
 
 /// A configuration of one route to a service without an engine. The route is public, so that no
