--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 pub mod forgotten;
 pub mod holder;
+pub mod replaced;
 pub mod versions;
 
 /// A configuration of one route to a service without an engine. The route is public, so that no
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -37,6 +37,7 @@
     let run = || match case.as_str() {
         "forgotten" => cases::forgotten::run(&record, has_trouble),
         "holder" => cases::holder::run(&record, has_trouble),
+        "replaced" => cases::replaced::run(&record, has_trouble),
         "versions" => cases::versions::run(&record, has_trouble),
         other => panic!("no case is named {other}"),
     };
