--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,3 +1,4 @@
+pub mod exits;
 pub mod forgotten;
 pub mod holder;
 pub mod replaced;
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -35,6 +35,7 @@
     record.line(&format!("case {case}, TROUBLE={}", u8::from(has_trouble)));
     gateway::start_watchdog(Duration::from_secs(100));
     let run = || match case.as_str() {
+        "exits" => cases::exits::run(&record, has_trouble),
         "forgotten" => cases::forgotten::run(&record, has_trouble),
         "holder" => cases::holder::run(&record, has_trouble),
         "replaced" => cases::replaced::run(&record, has_trouble),
