--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,7 +1,11 @@
 pub mod exits;
 pub mod forgotten;
 pub mod holder;
+pub mod orders;
 pub mod replaced;
+pub mod silent;
+pub mod skewed;
+pub mod statuses;
 pub mod versions;
 
 /// A configuration of one route to a service without an engine. The route is public, so that no
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -38,7 +38,11 @@
         "exits" => cases::exits::run(&record, has_trouble),
         "forgotten" => cases::forgotten::run(&record, has_trouble),
         "holder" => cases::holder::run(&record, has_trouble),
+        "orders" => cases::orders::run(&record, number("SECONDS", 60), number("SEED", 1)),
         "replaced" => cases::replaced::run(&record, has_trouble),
+        "silent" => cases::silent::run(&record, has_trouble),
+        "skewed" => cases::skewed::run(&record, number("SECONDS", 60), number("SEED", 1)),
+        "statuses" => cases::statuses::run(&record, has_trouble),
         "versions" => cases::versions::run(&record, has_trouble),
         other => panic!("no case is named {other}"),
     };
