Don't take the planned exit of a target for a crash

Cause: check_unstated_end took a refused connection, or a later life, for a crash. Both only say that the process has ended.

A host now remembers since when it knows that a life ends (a report of its target or of a peer, an entry that disappeared or was replaced while requests run there). If bytes came after that and the target has served for as long as one that leaves must, its exit is no evidence against the answer; the end stays doubted. Targets that named the time at which they are gone are left out: they end whatever they run. check_for_crash uses the same rule, so that requests aren't accused for a planned exit.

--- a/crates/lycheeford-gateway/src/request/answer.rs
+++ b/crates/lycheeford-gateway/src/request/answer.rs
@@ -114,7 +114,7 @@
         if body.pieces().is_empty() && SUCCESSES.contains(&status) {
             return Err((target, TargetError::ended_early("it has no body")));
         }
-        match attempts.check_unstated_end(&target, 0).await {
+        match attempts.check_unstated_end(&target, 0, state.now()).await {
             Ok(sign) => doubt = state.unstated_ends().body_doubt(state.now(), &target.id, sign),
             Err(error) => return Err((target, error)),
         }
--- a/crates/lycheeford-gateway/src/request/crash.rs
+++ b/crates/lycheeford-gateway/src/request/crash.rs
@@ -41,13 +41,16 @@
 ///
 /// A cut connection alone proves nothing: a target that loses responses, or whose connections are
 /// reset on the network, keeps running. The target crashed if nothing listens at its address, while
-/// this host can open connections to others, or if a later instance of it is listed.
+/// this host can open connections to others, or if a later instance of it is listed. One that has
+/// served for long enough since it announced that it leaves may have exited as planned.
 pub(super) async fn check_for_crash(
     state: Arc<State>,
     chosen: Chosen,
     interrupted: InterruptedRequest,
 ) {
-    if !has_died(&state, &chosen).await {
+    let (now, serve_ms_min) = (state.now(), state.target_use_ms_max());
+    let may_have_left = state.dispatcher().targets.may_have_left(now, &chosen, now, serve_ms_min);
+    if may_have_left || !has_died(&state, &chosen).await {
         return;
     }
     let life = Name::from(format!("{}@{}", chosen.id, chosen.life));
--- a/crates/lycheeford-gateway/src/request/relay/mod.rs
+++ b/crates/lycheeford-gateway/src/request/relay/mod.rs
@@ -469,7 +469,8 @@
         if self.doubted_end.is_some() {
             return End::Unstated(EndSign::Listens, None);
         }
-        let sign = match self.attempts.check_unstated_end(chosen, self.boundary.events()).await {
+        let events = self.boundary.events();
+        let sign = match self.attempts.check_unstated_end(chosen, events, stall.since).await {
             Ok(sign) => sign,
             Err(error) => return End::broken(error, stall),
         };
--- a/crates/lycheeford-policy/src/gateway/target_belief.rs
+++ b/crates/lycheeford-policy/src/gateway/target_belief.rs
@@ -221,7 +221,13 @@
             || self.leaving.iter().any(|(source, _)| *source != LeavingSource::Entry)
     }
 
-    fn leaving_since(&self) -> Option<TimeMs> {
+    /// Returns since when this host knows that the target is leaving.
+    pub(super) fn leaving_since(&self) -> Option<TimeMs> {
         self.leaving.iter().map(|(_, at)| *at).min()
     }
+
+    /// Returns whether the target is gone at a set time, whatever it runs then.
+    pub(super) fn has_set_end(&self) -> bool {
+        self.remaining_ms.is_some()
+    }
 }
--- a/crates/lycheeford-policy/src/gateway/target_table/beliefs.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/beliefs.rs
@@ -80,13 +80,59 @@
         due.map(|(target, life, _)| TargetLife { target, life }).collect()
     }
 
+    /// Returns whether the process of a chosen life may have ended as planned after its last bytes
+    /// arrived at `heard_at`.
+    ///
+    /// A target that leaves goes on serving for `serve_ms_min`, and ends its responses before it
+    /// exits. One whose entry disappeared leaves as well if it sent anything afterwards. One that is
+    /// gone at a set time ends whatever it runs, and doesn't count.
+    pub fn may_have_left(
+        &self,
+        now: TimeMs,
+        chosen: &Chosen,
+        heard_at: TimeMs,
+        serve_ms_min: u64,
+    ) -> bool {
+        let since = self.leaving_since(chosen);
+        since.is_some_and(|since| heard_at >= since && now.since_ms(since) >= serve_ms_min)
+    }
+
+    /// Returns since when this host knows that a chosen life ends without a set time.
+    fn leaving_since(&self, chosen: &Chosen) -> Option<TimeMs> {
+        let listed = self.target(&chosen.id).filter(|target| target.entry.life == chosen.life);
+        let (belief, unlisted_since) = match listed {
+            Some(target) => (&target.belief, None),
+            None => {
+                let unlisted = self.unlisted(chosen.target_life())?;
+                (&unlisted.belief, Some(unlisted.since))
+            }
+        };
+        if belief.has_set_end() {
+            return None;
+        }
+        belief.leaving_since().into_iter().chain(unlisted_since).min()
+    }
+
     pub(super) fn remove(&mut self, now: TimeMs, index: usize) {
-        let Target { entry, key, belief, .. } = self.targets.remove(index);
-        if belief.has_state_beyond_entry(now) {
+        let target = self.targets.remove(index);
+        self.keep_if_needed(now, target);
+    }
+
+    /// Keeps the state of a life that is no longer listed, if it says more than its entry did or if
+    /// requests of this host still run there.
+    pub(super) fn keep_if_needed(&mut self, now: TimeMs, target: Target) {
+        let Target { entry, key, belief, running_here, .. } = target;
+        if belief.has_state_beyond_entry(now) || !running_here.is_empty() {
             self.keep_unlisted(now, key, entry.life, belief);
         }
     }
 
+    fn unlisted(&self, life: TargetLife) -> Option<&UnlistedTarget> {
+        self.unlisted
+            .iter()
+            .find(|unlisted| (unlisted.target, unlisted.life) == (life.target, life.life))
+    }
+
     pub(super) fn take_unlisted(&mut self, target: ShortKey, life: u64) -> TargetBelief {
         let is_same_life =
             |unlisted: &UnlistedTarget| (unlisted.target, unlisted.life) == (target, life);
--- a/crates/lycheeford-policy/src/gateway/target_table/mod.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/mod.rs
@@ -326,7 +326,9 @@
                     target.entry = entry;
                 } else {
                     let belief = self.take_unlisted(key, entry.life);
-                    self.targets[index] = Target::new(entry, key, belief);
+                    let next = Target::new(entry, key, belief);
+                    let earlier = std::mem::replace(&mut self.targets[index], next);
+                    self.keep_if_needed(now, earlier);
                 }
                 index
             }
--- a/crates/lycheeford-policy/tests/gateway/beliefs.rs
+++ b/crates/lycheeford-policy/tests/gateway/beliefs.rs
@@ -304,3 +304,119 @@
         assert_eq!(found(&mut targets, 2_000, &need("m1")), expected, "{what}");
     }
 }
+
+/// How long a leaving target serves at least, in milliseconds.
+const SERVE_MS_MIN: u64 = 1_500;
+
+struct ExitCase {
+    what: &'static str,
+    steps: &'static [(u64, Step)],
+    /// When the last bytes of a response arrived, and when its connection ended.
+    heard_ms: u64,
+    ended_ms: u64,
+    may_have_left: bool,
+}
+
+const LEAVING: Step = Step::Listed(TargetState::Leaving { remaining_ms: None }, LIFE);
+
+const EXIT_CASES: [ExitCase; 10] = [
+    ExitCase {
+        what: "it is listed as ready",
+        steps: &[(0, READY)],
+        heard_ms: 4_900,
+        ended_ms: 5_000,
+        may_have_left: false,
+    },
+    ExitCase {
+        what: "it is listed as leaving",
+        steps: &[(0, READY), (1_000, LEAVING)],
+        heard_ms: 2_400,
+        ended_ms: 2_500,
+        may_have_left: true,
+    },
+    ExitCase {
+        what: "it must serve for longer",
+        steps: &[(0, READY), (1_000, LEAVING)],
+        heard_ms: 2_400,
+        ended_ms: 2_499,
+        may_have_left: false,
+    },
+    ExitCase {
+        what: "nothing came since it was listed as leaving",
+        steps: &[(0, READY), (1_000, LEAVING)],
+        heard_ms: 999,
+        ended_ms: 5_000,
+        may_have_left: false,
+    },
+    ExitCase {
+        what: "an answer said that it leaves",
+        steps: &[(0, READY), (1_000, Step::Leaves { life: LIFE })],
+        heard_ms: 2_400,
+        ended_ms: 2_500,
+        may_have_left: true,
+    },
+    ExitCase {
+        what: "another host reported that it leaves, and its entry is gone",
+        steps: &[
+            (0, READY),
+            (1_000, Step::ReportedLeaving { life: LIFE }),
+            (2_000, Step::Unlisted),
+        ],
+        heard_ms: 2_400,
+        ended_ms: 2_500,
+        may_have_left: true,
+    },
+    ExitCase {
+        what: "its entry disappeared, and it went on",
+        steps: &[(0, READY), (1_000, Step::Unlisted)],
+        heard_ms: 2_400,
+        ended_ms: 2_500,
+        may_have_left: true,
+    },
+    ExitCase {
+        what: "a later life is listed, and it went on",
+        steps: &[(0, READY), (1_000, Step::RestartedAs(2))],
+        heard_ms: 2_400,
+        ended_ms: 2_500,
+        may_have_left: true,
+    },
+    ExitCase {
+        what: "it is gone at a set time",
+        steps: &[
+            (0, READY),
+            (1_000, Step::Listed(TargetState::Leaving { remaining_ms: Some(3_000) }, LIFE)),
+        ],
+        heard_ms: 4_000,
+        ended_ms: 4_000,
+        may_have_left: false,
+    },
+    ExitCase {
+        what: "its entry expired and came back",
+        steps: &[(0, READY), (1_000, Step::Unlisted), (2_000, READY)],
+        heard_ms: 4_000,
+        ended_ms: 4_000,
+        may_have_left: false,
+    },
+];
+
+/// Guards against a planned exit that is taken for a crash, and the other way round.
+#[test]
+fn a_target_has_left_only_after_notice() {
+    for case in &EXIT_CASES {
+        let mut targets = TargetTable::default();
+        for (index, (ms, step)) in case.steps.iter().enumerate() {
+            apply(&mut targets, *ms, *step);
+            if index == 0 {
+                // The response whose end is judged runs meanwhile.
+                targets.started(at(*ms), &at_target("t1", LIFE), None, 0);
+            }
+        }
+        let may_have_left = targets.may_have_left(
+            at(case.ended_ms),
+            &at_target("t1", LIFE),
+            at(case.heard_ms),
+            SERVE_MS_MIN,
+        );
+        assert_eq!(may_have_left, case.may_have_left, "{}", case.what);
+    }
+}
