Store the versions of open streams while a service has several

Cause: which version began a stream was in the memory of processes alone; the store holds only which versions served. The log of the refused ones has known_here = Several, and no host that was asked knew more.

Each host now keeps the versions of its open streams in an object of its own while a service has several, and reads all such objects before it takes requests. A version never changes for a stream, so a record needs no age and no era. The lease holder deletes objects that outlived their hosts.

--- a/crates/lycheeford-gateway/src/membership/hosts.rs
+++ b/crates/lycheeford-gateway/src/membership/hosts.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use async_std::task;
-use futures_util::future::{join, join3};
+use futures_util::future::{join3, join4};
 use lycheeford_platform::{Category, Expect, Listing, Object, PlatformError, UnreadableValue};
 use lycheeford_policy::{HostRecord, Name, TimeMs, build_name};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
+use super::stored_streams::{keep_stored_streams, read_stored_streams};
 use super::stored_suspects::{keep_stored_suspects, read_stored_suspects};
 use super::stored_versions::{keep_stored_versions, read_stored_versions};
 use crate::state::State;
@@ -61,12 +62,17 @@
 
 /// Registers this host, discovers the others and deletes the objects of dead hosts.
 pub(crate) async fn maintain_hosts(state: Arc<State>) {
-    let reads = join(read_stored_suspects(&state), read_stored_versions(&state));
-    let (suspects, versions) = reads.await;
+    let reads = join3(
+        read_stored_suspects(&state),
+        read_stored_versions(&state),
+        read_stored_streams(&state),
+    );
+    let (suspects, versions, streams) = reads.await;
     let era = state.store_era();
     let suspects = keep_stored_suspects(Arc::clone(&state), suspects, era);
     let versions = keep_stored_versions(Arc::clone(&state), versions);
-    join3(suspects, versions, list_hosts(&state, era)).await;
+    let streams = keep_stored_streams(Arc::clone(&state), streams);
+    join4(suspects, versions, streams, list_hosts(&state, era)).await;
 }
 
 /// Registers this host, and lists the others from then on.
--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -5,9 +5,10 @@
 //! ([`lycheeford_policy::ReportLayout`]). Permits of rate-limited targets are requested from the
 //! host that grants them (`limits`). The models that requests wait for are reported directly to the
 //! lease holder (`demand`). The software versions that began streams are told to a few hosts, which
-//! are asked when a caller resumes a stream elsewhere (`streams`). Hosts discover each other by a list in the store (`hosts`), which also
-//! keeps the prompt parts that crash targets (`stored_suspects`) and the software versions that
-//! serve (`stored_versions`).
+//! are asked when a caller resumes a stream elsewhere (`streams`). Hosts discover each other by a
+//! list in the store (`hosts`), which also keeps the requests and prompt parts that crash targets
+//! (`stored_suspects`), the software versions that serve (`stored_versions`) and, while a service
+//! has several, those that began streams (`stored_streams`).
 
 mod demand;
 mod exchange;
@@ -15,6 +16,7 @@
 mod limits;
 mod report;
 mod send;
+mod stored_streams;
 mod stored_suspects;
 mod stored_versions;
 mod streams;
--- a/crates/lycheeford-gateway/src/membership/streams.rs
+++ b/crates/lycheeford-gateway/src/membership/streams.rs
@@ -58,12 +58,12 @@
     }
 }
 
-/// Records the version that began a stream here, and tells it to the hosts that keep it.
+/// Records the version that began a stream of this host, and tells it to the hosts that keep it.
 pub(crate) fn record_stream(state: &State, service: &Name, known: StreamVersion) {
     let now = state.now();
     let must_tell = {
         let versions = &mut state.streams().versions;
-        versions.record_stream(now, known.stream, known.version);
+        versions.record_own_stream(now, known.stream, known.version);
         versions.must_tell(now, service, known.version)
     };
     if must_tell {
--- a/crates/lycheeford-gateway/src/request/relay/mod.rs
+++ b/crates/lycheeford-gateway/src/request/relay/mod.rs
@@ -264,6 +264,7 @@
         if let Some(doubted) = &self.doubted_end {
             doubted.log_confirmed(&self.attempts, chosen);
         }
+        self.attempts.admitted.record_completed_stream(&self.attempts.state);
         self.attempts.log_answered(200, &chosen.id, self.sent_bytes, end);
         self.sender.finish();
     }
--- a/crates/lycheeford-gateway/src/request/resume.rs
+++ b/crates/lycheeford-gateway/src/request/resume.rs
@@ -38,6 +38,13 @@
         StreamKey::of(self.request.resumes.as_ref().unwrap_or(&self.request.id))
     }
 
+    /// Records that the caller has all of the stream.
+    pub(super) fn record_completed_stream(&self, state: &State) {
+        if self.route.kind.is_stream() && self.route.kind.is_repeatable() {
+            state.streams().versions.completed(self.stream_key());
+        }
+    }
+
     /// Restricts the request to the version of the target that sends the first event of its stream.
     pub(super) fn pin_to_version_of(&mut self, state: &State, chosen: &Chosen) {
         if self.need.version.is_some() || !self.route.kind.is_repeatable() {
--- a/crates/lycheeford-gateway/src/settings.rs
+++ b/crates/lycheeford-gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub metrics_address: SocketAddr,
     /// The address of the platform's store.
     pub store_address: SocketAddr,
+    /// The writes per second that the store takes from all hosts together.
+    pub store_writes_per_s: f64,
     /// The most concurrent connections of callers.
     pub caller_connections_max: usize,
     /// The memory of the machine that this process may use, in millions of bytes.
--- a/crates/lycheeford-policy/src/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/src/gateway/stream_versions.rs
@@ -8,6 +8,8 @@
 const KEEPERS: usize = 3;
 /// Maximum number of streams of which a host knows the version.
 const STREAMS_MAX: usize = 20_000;
+/// Maximum number of streams that a host stores; the ones recorded last go first.
+const STORED_STREAMS_MAX: usize = 4_000;
 
 /// Identifies a stream in messages between hosts, by the id of the attempt that began it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -62,7 +64,8 @@
 ///
 /// A host that has just started can't know which versions served before. The versions of the whole
 /// fleet are therefore stored ([`StreamVersions::history`]), so that a restart of all hosts doesn't
-/// lose them. See docs/DESIGN.md.
+/// lose them. While a service has several versions, each host also stores the versions of its own
+/// streams ([`StreamVersions::own_streams_to_store`]). See docs/DESIGN.md.
 ///
 /// ```
 /// use lycheeford_policy::{ShortKey, StreamKey, StreamVersions, TimeMs, VersionKnowledge};
@@ -94,6 +97,8 @@
 struct Record {
     known: StreamVersion,
     at: TimeMs,
+    /// Whether this host relays the stream, or did and hasn't completed it.
+    is_own: bool,
 }
 
 impl StreamVersions {
@@ -177,17 +182,77 @@
         self.has_earlier_history || now.since_ms(self.started_at) >= self.retention_ms
     }
 
-    /// Records the version that began a stream.
+    /// Records the version that began a stream, as another host knows it.
     pub fn record_stream(&mut self, now: TimeMs, stream: StreamKey, version: ShortKey) {
-        let record = Record { known: StreamVersion { stream, version }, at: now };
-        match self.position(stream) {
+        self.record(now, StreamVersion { stream, version }, false);
+    }
+
+    /// Records the version that began a stream that this host relays.
+    pub fn record_own_stream(&mut self, now: TimeMs, stream: StreamKey, version: ShortKey) {
+        self.record(now, StreamVersion { stream, version }, true);
+    }
+
+    /// Records that the caller of a stream that this host relays has all of it.
+    pub fn completed(&mut self, stream: StreamKey) {
+        if let Ok(index) = self.position(stream) {
+            self.streams[index].is_own = false;
+        }
+    }
+
+    /// Returns the streams of this host whose versions must outlive all hosts, sorted: those of
+    /// services with several versions.
+    pub fn own_streams_to_store(&self, now: TimeMs) -> Vec<StreamVersion> {
+        let mixed = self.mixed_versions(now);
+        if mixed.is_empty() {
+            return Vec::new();
+        }
+        let is_needed =
+            |record: &&Record| record.is_own && mixed.binary_search(&record.known.version).is_ok();
+        let mut needed: Vec<&Record> = self.streams.iter().filter(is_needed).collect();
+        if needed.len() > STORED_STREAMS_MAX {
+            needed.sort_by_key(|record| std::cmp::Reverse(record.at));
+            needed.truncate(STORED_STREAMS_MAX);
+            needed.sort_by_key(|record| record.known.stream);
+        }
+        needed.into_iter().map(|record| record.known).collect()
+    }
+
+    /// Returns for how long streams and versions are retained.
+    pub fn retention_ms(&self) -> u64 {
+        self.retention_ms
+    }
+
+    fn record(&mut self, now: TimeMs, known: StreamVersion, is_own: bool) {
+        match self.position(known.stream) {
             // Versions don't change: the first record is that of the attempt that began the stream.
-            Ok(index) => self.streams[index].at = now,
-            Err(index) if self.streams.len() < STREAMS_MAX => self.streams.insert(index, record),
+            Ok(index) => {
+                let record = &mut self.streams[index];
+                record.at = now;
+                record.is_own |= is_own;
+            }
+            Err(index) if self.streams.len() < STREAMS_MAX => {
+                self.streams.insert(index, Record { known, at: now, is_own });
+            }
             Err(_) => {}
         }
     }
 
+    /// Returns the versions of all services that have several, sorted.
+    fn mixed_versions(&self, now: TimeMs) -> Vec<ShortKey> {
+        let retained: Vec<(&Name, ShortKey)> = self
+            .serving
+            .iter()
+            .filter(|(_, _, at)| now.since_ms(*at) < self.retention_ms)
+            .map(|(service, version, _)| (service, *version))
+            .collect();
+        let of_services = retained.chunk_by(|(one, _), (other, _)| one == other);
+        let mixed = of_services.filter(|versions| versions.len() > 1).flatten();
+        let mut mixed: Vec<ShortKey> = mixed.map(|(_, version)| *version).collect();
+        mixed.sort_unstable();
+        mixed.dedup();
+        mixed
+    }
+
     /// Returns what this host knows about the version that began a stream.
     pub fn knowledge(&self, now: TimeMs, service: &Name, stream: StreamKey) -> VersionKnowledge {
         if let Ok(index) = self.position(stream) {
--- a/crates/lycheeford-policy/src/gateway/target_table/beliefs.rs
+++ b/crates/lycheeford-policy/src/gateway/target_table/beliefs.rs
@@ -100,12 +100,11 @@
     /// Returns since when this host knows that a chosen life ends without a set time.
     fn leaving_since(&self, chosen: &Chosen) -> Option<TimeMs> {
         let listed = self.target(&chosen.id).filter(|target| target.entry.life == chosen.life);
-        let (belief, unlisted_since) = match listed {
-            Some(target) => (&target.belief, None),
-            None => {
-                let unlisted = self.unlisted(chosen.target_life())?;
-                (&unlisted.belief, Some(unlisted.since))
-            }
+        let (belief, unlisted_since) = if let Some(target) = listed {
+            (&target.belief, None)
+        } else {
+            let unlisted = self.unlisted(chosen.target_life())?;
+            (&unlisted.belief, Some(unlisted.since))
         };
         if belief.has_set_end() {
             return None;
--- a/crates/lycheeford-policy/tests/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/tests/gateway/stream_versions.rs
@@ -220,3 +220,75 @@
     assert_eq!(stream_keepers(StreamKey::of("attempt"), &one_domain).len(), 3);
     assert_eq!(stream_keepers(StreamKey::of("attempt"), &one_domain[..1]).len(), 1);
 }
+
+struct StoreCase {
+    what: &'static str,
+    /// The versions of the service, with the times at which they were listed last.
+    serving: Vec<(ShortKey, u64)>,
+    is_completed: bool,
+    now_ms: u64,
+    is_stored: bool,
+}
+
+/// Guards against streams that a kill of all hosts makes unknown, and against records of all others.
+#[test]
+fn a_host_stores_its_open_streams_while_several_versions_serve() {
+    let mixed = || vec![(old(), 0), (new(), 0)];
+    let cases = [
+        StoreCase {
+            what: "one version",
+            serving: vec![(old(), 0)],
+            is_completed: false,
+            now_ms: 100,
+            is_stored: false,
+        },
+        StoreCase {
+            what: "two versions",
+            serving: mixed(),
+            is_completed: false,
+            now_ms: 100,
+            is_stored: true,
+        },
+        StoreCase {
+            what: "its caller has all of it",
+            serving: mixed(),
+            is_completed: true,
+            now_ms: 100,
+            is_stored: false,
+        },
+        StoreCase {
+            what: "the other version left a while ago",
+            serving: vec![(old(), 0), (new(), 20_000)],
+            is_completed: false,
+            now_ms: RETENTION_MS - 1,
+            is_stored: true,
+        },
+        StoreCase {
+            what: "the other version left long ago",
+            serving: vec![(old(), 0), (new(), 20_000)],
+            is_completed: false,
+            now_ms: RETENTION_MS,
+            is_stored: false,
+        },
+    ];
+    let service = name("models");
+    let [own, told] = ["own", "told"].map(StreamKey::of);
+    for case in cases {
+        let mut streams = StreamVersions::new(at(0));
+        for (version, listed_ms) in case.serving {
+            streams.record_serving(at(listed_ms), &service, version);
+        }
+        streams.record_serving(at(0), &name("desk"), new());
+        streams.record_stream(at(10), told, old());
+        streams.record_own_stream(at(10), own, old());
+        // A message about it that comes later makes it no other host's.
+        streams.record_stream(at(20), own, old());
+        if case.is_completed {
+            streams.completed(own);
+        }
+        let stored = streams.own_streams_to_store(at(case.now_ms));
+        let stored: Vec<StreamKey> = stored.into_iter().map(|known| known.stream).collect();
+        let expected = if case.is_stored { vec![own] } else { Vec::new() };
+        assert_eq!(stored, expected, "{}", case.what);
+    }
+}
