Tell versions of streams until this host has run for long enough, and ask the store

Cause: the first holder knows all versions, and told nobody which began its streams. The others had started before the record was stored and answer that they started too recently to know.

A host now tells versions until it has run for as long as a stream may last; what it read of the time before says nothing of what others know. And a host that would refuse a stream reads the stored versions once more, since it may have started before they were written, or all hosts that were told may be dead.

Changed check: the_first_host_of_a_fleet_knows_all_versions asked that the first host tells nobody, which is the fault. It now asks that it tells until it has run for long enough, and nobody after.

--- a/crates/lycheeford-gateway/src/membership/mod.rs
+++ b/crates/lycheeford-gateway/src/membership/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod hosts;
 mod limits;
+mod recall;
 mod report;
 mod send;
 mod stored_streams;
@@ -30,6 +31,7 @@
 pub(crate) use self::exchange::{receive, send_reports};
 pub(crate) use self::hosts::{deregister_host, maintain_hosts};
 pub(crate) use self::limits::{LimitEvent, grant_permits};
+pub(crate) use self::recall::recall_versions;
 pub(crate) use self::report::apply_own_placements;
 pub(crate) use self::send::{Unsent, log_unsent};
 pub(crate) use self::streams::{
--- a/crates/lycheeford-gateway/src/membership/stored_streams.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_streams.rs
@@ -93,6 +93,15 @@
     }
 }
 
+/// Reads the versions of the streams of all hosts once more, since other hosts may have died.
+///
+/// # Errors
+///
+/// Fails if the store doesn't answer.
+pub(super) async fn reread_stored_streams(state: &State) -> Result<(), PlatformError> {
+    read_all(state).await.map(|_| ())
+}
+
 /// Keeps the versions of this host's streams in the store while they can't be derived from which
 /// versions serve.
 ///
--- a/crates/lycheeford-gateway/src/membership/stored_versions.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_versions.rs
@@ -63,18 +63,32 @@
 /// can be resumed only if its version is known.
 pub(super) async fn read_stored_versions(state: &State) -> LastStored {
     let stored = read_until_answered(state).await;
-    let is_current = |record: &&StoredVersions| record.era >= state.store_era();
-    if let Some(record) = stored.record.as_ref().filter(is_current) {
-        let services = record.services.iter().cloned();
-        let earlier: Vec<ServiceVersions> = services.map(ServiceVersions::from).collect();
-        let now = state.now();
-        state.streams().versions.add_earlier(now, &earlier);
-        let versions: usize = earlier.iter().map(|service| service.versions.len()).sum();
-        info!(state.log, "versions_read"; "services" => earlier.len(), "versions" => versions);
-    }
+    add_current(state, &stored);
     stored
 }
 
+/// Reads the versions that served once more, for a host that couldn't read them at its start.
+///
+/// # Errors
+///
+/// Fails if the store doesn't answer.
+pub(super) async fn reread_stored_versions(state: &State) -> Result<(), PlatformError> {
+    add_current(state, &read(state).await?);
+    Ok(())
+}
+
+/// Adds the versions of a record, unless it comes from an older copy of the store.
+fn add_current(state: &State, stored: &LastStored) {
+    let is_current = |record: &&StoredVersions| record.era >= state.store_era();
+    let Some(record) = stored.record.as_ref().filter(is_current) else { return };
+    let services = record.services.iter().cloned();
+    let earlier: Vec<ServiceVersions> = services.map(ServiceVersions::from).collect();
+    let now = state.now();
+    state.streams().versions.add_earlier(now, &earlier);
+    let versions: usize = earlier.iter().map(|service| service.versions.len()).sum();
+    info!(state.log, "versions_read"; "services" => earlier.len(), "versions" => versions);
+}
+
 /// Keeps the versions of all services in the store while this host is the lease holder.
 pub(super) async fn keep_stored_versions(state: Arc<State>, mut stored: LastStored) {
     let mut era = state.store_era();
@@ -128,20 +142,25 @@
 
 async fn read_until_answered(state: &State) -> LastStored {
     loop {
-        match state.protocols.store.objects().get(VERSIONS_KIND, VERSIONS_NAME).await {
-            Ok(None) => return LastStored { expect: Expect::Absent, record: None },
-            Ok(Some(object)) => {
-                let record = object.decode().map_err(|error| {
-                    warn!(state.log, "versions_unreadable"; "error" => %error);
-                });
-                return LastStored { expect: Expect::Version(object.version), record: record.ok() };
-            }
+        match read(state).await {
+            Ok(stored) => return stored,
             Err(error) => warn!(state.log, "versions_unread"; "error" => %error),
         }
         task::sleep(Duration::from_millis(READ_PAUSE_MS)).await;
     }
 }
 
+async fn read(state: &State) -> Result<LastStored, PlatformError> {
+    let found = state.protocols.store.objects().get(VERSIONS_KIND, VERSIONS_NAME).await?;
+    let Some(object) = found else {
+        return Ok(LastStored { expect: Expect::Absent, record: None });
+    };
+    let record = object.decode().map_err(|error| {
+        warn!(state.log, "versions_unreadable"; "error" => %error);
+    });
+    Ok(LastStored { expect: Expect::Version(object.version), record: record.ok() })
+}
+
 /// Writes the record, and returns the version of its object.
 async fn write(
     state: &State,
--- a/crates/lycheeford-gateway/src/request/resume.rs
+++ b/crates/lycheeford-gateway/src/request/resume.rs
@@ -11,7 +11,8 @@
 
 use super::admission::Admitted;
 use crate::membership::{
-    StreamEvent, StreamQuery, keeper_addresses, record_serving_versions, record_stream,
+    StreamEvent, StreamQuery, keeper_addresses, recall_versions, record_serving_versions,
+    record_stream,
 };
 use crate::state::State;
 
@@ -71,20 +72,29 @@
     }
     record_serving_versions(state);
     let stream = admitted.stream_key();
-    let (own, only_version) = {
+    let knowledge = || {
         let versions = &state.streams().versions;
-        let (now, service) = (state.now(), &admitted.need.service);
-        (versions.knowledge(now, service, stream), versions.only_version(now, service))
+        versions.knowledge(state.now(), &admitted.need.service, stream)
     };
+    let mut own = knowledge();
     let is_named = admitted.request.resumes.is_some();
     let replies = if is_named && !matches!(own, VersionKnowledge::Began(_)) {
         query_keepers(state, admitted, stream).await
     } else {
         Vec::new()
     };
-    // A caller that doesn't name the attempt that began the stream expects no other version.
-    let version = combine_knowledge(replies.iter().copied().chain([own]))
-        .or(only_version.filter(|_| !is_named));
+    let combined = |own| combine_knowledge(replies.iter().copied().chain([own]));
+    let mut version = combined(own);
+    if version.is_none() && is_named {
+        recall_versions(state).await;
+        own = knowledge();
+        version = combined(own);
+    }
+    if !is_named {
+        // A caller that doesn't name the attempt that began the stream expects no other version.
+        let versions = &state.streams().versions;
+        version = version.or(versions.only_version(state.now(), &admitted.need.service));
+    }
     let source = version_source(own, &replies, version.is_some());
     state.metrics.resume(source);
     info!(state.log, "resume_requested";
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -69,6 +69,8 @@
 /// `retries`, `run_times`, `suspects`, `streams`, `unstated_ends`, `reach`, `confirmation`, `target_sync`,
 /// `evacuations`, `unsent`,
 /// `permits`.
+///
+/// `versions_recalled_at` is held across the calls that it stands for, and taken with no other lock.
 pub(crate) struct State {
     pub(crate) settings: GatewaySettings,
     pub(crate) protocols: PlatformProtocols,
@@ -100,6 +102,8 @@
     evacuations: Mutex<Evacuations>,
     unsent: Mutex<Unsent>,
     permits: Mutex<PermitWaiters>,
+    /// When the versions that began streams were last read again from the store.
+    pub(crate) versions_recalled_at: async_std::sync::Mutex<Option<TimeMs>>,
     /// Wake the store followers before their pause is over.
     pub(crate) declaration_pace: FollowWaker,
     pub(crate) target_pace: FollowWaker,
@@ -177,6 +181,7 @@
             evacuations: Mutex::default(),
             unsent: Mutex::default(),
             permits: Mutex::default(),
+            versions_recalled_at: async_std::sync::Mutex::default(),
             declaration_pace: FollowWaker::default(),
             target_pace: FollowWaker::default(),
             has_reported_demand: AtomicBool::new(false),
--- a/crates/lycheeford-policy/src/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/src/gateway/stream_versions.rs
@@ -59,8 +59,8 @@
 /// Targets of several software versions may serve one service, and a stream may go on only at the
 /// version that began it. A caller can resume a stream at any host, also after the host that began
 /// it has died. Therefore each host tells the version of each stream to the few hosts that every
-/// host computes with [`stream_keepers`], unless the service has had one version alone for as long
-/// as a stream may last.
+/// host computes with [`stream_keepers`], unless it has itself seen the service with one version
+/// alone for as long as a stream may last.
 ///
 /// A host that has just started can't know which versions served before. The versions of the whole
 /// fleet are therefore stored ([`StreamVersions::history`]), so that a restart of all hosts doesn't
@@ -142,7 +142,8 @@
         }
     }
 
-    /// Adds the versions that served before this host started, as stored by an earlier lease holder.
+    /// Adds the versions at which streams may have begun that can still be resumed, as stored by a
+    /// lease holder.
     ///
     /// Each one counts as serving until `now`, since it isn't known how long ago it was last listed.
     pub fn add_earlier(&mut self, now: TimeMs, earlier: &[ServiceVersions]) {
@@ -179,7 +180,12 @@
     }
 
     fn knows_history(&self, now: TimeMs) -> bool {
-        self.has_earlier_history || now.since_ms(self.started_at) >= self.retention_ms
+        self.has_earlier_history || self.has_seen_history(now)
+    }
+
+    /// Returns whether this host has run for as long as a stream may last.
+    fn has_seen_history(&self, now: TimeMs) -> bool {
+        now.since_ms(self.started_at) >= self.retention_ms
     }
 
     /// Records the version that began a stream, as another host knows it.
@@ -273,8 +279,11 @@
     }
 
     /// Returns whether other hosts must be told the versions of the streams of a service.
+    ///
+    /// What this host read of the time before its start says nothing of what the others know: they
+    /// may have started before it was stored.
     pub fn must_tell(&self, now: TimeMs, service: &Name, version: ShortKey) -> bool {
-        !self.knows_history(now) || self.versions(now, service).any(|other| other != version)
+        !self.has_seen_history(now) || self.versions(now, service).any(|other| other != version)
     }
 
     /// Returns all streams whose version is known.
--- a/crates/lycheeford-policy/tests/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/tests/gateway/stream_versions.rs
@@ -170,8 +170,12 @@
     streams.record_serving(at(10), &service, old());
     let knowledge = streams.knowledge(at(20), &service, StreamKey::of("stream"));
     assert_eq!(knowledge, VersionKnowledge::Sole(old()));
-    assert!(!streams.must_tell(at(20), &service, old()));
     assert!(streams.must_tell(at(20), &service, new()));
+    // The others may have started before they could read that.
+    assert!(streams.must_tell(at(20), &service, old()));
+    let later = at(RETENTION_MS);
+    streams.record_serving(later, &service, old());
+    assert!(!streams.must_tell(later, &service, old()));
 }
 
 #[test]
