Store crash suspects where their crashes were seen, without waiting for a lease holder

Cause of these: suspects were stored by the holder of the lease on orders alone, at its next check. While nobody holds the lease, or until the check, a kill of all hosts forgets them.

A host that saw one of the crashes now stores a suspect as soon as it is refused. The holder stores the others and deletes what is refused no longer; an error costs its own object alone. The log says when a suspect was stored, and what a host read at its start.

--- a/crates/lycheeford-gateway/src/membership/stored_suspects.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_suspects.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use async_std::future::timeout;
 use async_std::task;
 use lycheeford_platform::{Category, Expect, Object, PlatformError};
 use lycheeford_policy::{CrashCause, CrashSuspect, Name, SuspectedCrash};
@@ -92,26 +93,34 @@
     }
 }
 
-/// Keeps the suspects for which requests are refused in the store while this host is the lease
-/// holder, so that they are known after all hosts were replaced at once.
+/// Keeps the suspects for which requests are refused in the store, so that they are known after all
+/// hosts were replaced at once.
 ///
-/// `stored` are the names of their objects, as read in `era`.
+/// A host stores those of which it saw a crash, since there may be no lease holder, or one that
+/// doesn't know them yet. The lease holder stores the others as well, and deletes those that are
+/// refused no longer. `stored` are the names of the objects, as read in `era`.
 pub(super) async fn keep_stored_suspects(state: Arc<State>, mut stored: Vec<Name>, mut era: u64) {
     loop {
-        task::sleep(Duration::from_millis(CHECK_MS)).await;
+        // A time-out and a wake-up are the same here.
+        let _ = timeout(Duration::from_millis(CHECK_MS), state.suspects_due.1.recv()).await;
         if state.store_era() > era {
             // The store was restored from a copy, which may lack some of them.
             era = state.store_era();
             stored = read_stored_suspects(&state).await;
         }
         let now = state.now();
-        if state.orders().lease.token(now).is_none() {
-            continue;
-        }
-        let refused = state.suspects().over_limit(now);
+        let is_holder = state.orders().lease.token(now).is_some();
+        let refused = {
+            let suspects = state.suspects();
+            if is_holder { suspects.over_limit(now) } else { suspects.over_limit_seen_here(now) }
+        };
         let refused: Vec<StoredSuspect> = refused.iter().map(StoredSuspect::of).collect();
-        if let Err(error) = write_changes(&state, &mut stored, &refused).await {
-            warn!(state.log, "crash_suspects_unwritten"; "error" => %error);
+        create_missing(&state, &mut stored, &refused).await;
+        if is_holder {
+            delete_others(&state, &mut stored, &refused).await;
+        } else {
+            // The holder deletes them.
+            stored.retain(|name| refused.iter().any(|suspect| suspect.name() == *name));
         }
     }
 }
@@ -121,6 +130,9 @@
     let suspects: Vec<CrashSuspect> =
         listing.objects.iter().filter_map(|object| decode(state, object)).collect();
     let refused = state.suspects().merge(state.now(), &suspects);
+    info!(state.log, "crash_suspects_read";
+        "objects" => listing.objects.len(), "suspects" => suspects.len(),
+        "refused" => refused.len(), "era" => state.store_era());
     log_refused(state, &refused, &Name::from("store"));
     Ok(listing.objects.into_iter().map(|object| object.name).collect())
 }
@@ -137,26 +149,34 @@
         .ok()
 }
 
-/// Writes the suspects that are not stored yet, and deletes those that are refused no longer.
-async fn write_changes(
-    state: &State,
-    stored: &mut Vec<Name>,
-    refused: &[StoredSuspect],
-) -> Result<(), PlatformError> {
+/// Writes the suspects that are not stored yet. One that can't be written doesn't keep others from
+/// it.
+async fn create_missing(state: &State, stored: &mut Vec<Name>, refused: &[StoredSuspect]) {
     for suspect in refused {
         let name = suspect.name();
-        if !stored.contains(&name) {
-            create(state, &name, suspect).await?;
-            stored.push(name);
+        if stored.contains(&name) {
+            continue;
+        }
+        match create(state, &name, suspect).await {
+            Ok(()) => stored.push(name),
+            Err(error) => warn!(state.log, "crash_suspect_unwritten";
+                "name" => name.as_str(), "error" => %error),
         }
     }
-    while let Some(index) =
-        stored.iter().position(|name| !refused.iter().any(|suspect| suspect.name() == *name))
-    {
-        delete(state, &stored[index]).await?;
-        stored.swap_remove(index);
+}
+
+/// Deletes the stored suspects that are refused no longer.
+async fn delete_others(state: &State, stored: &mut Vec<Name>, refused: &[StoredSuspect]) {
+    let is_refused = |name: &Name| refused.iter().any(|suspect| suspect.name() == *name);
+    let (mut kept, others): (Vec<Name>, Vec<Name>) = stored.drain(..).partition(is_refused);
+    for name in others {
+        if let Err(error) = delete(state, &name).await {
+            warn!(state.log, "crash_suspect_undeleted";
+                "name" => name.as_str(), "error" => %error);
+            kept.push(name);
+        }
     }
-    Ok(())
+    *stored = kept;
 }
 
 async fn create(state: &State, name: &Name, suspect: &StoredSuspect) -> Result<(), PlatformError> {
@@ -164,10 +184,11 @@
         .map_err(|error| PlatformError::new(Category::Malformed, error.to_string()))?;
     match state.protocols.store.objects().put(SUSPECT_KIND, name, value, Expect::Absent).await {
         Ok(_) => {
-            info!(state.log, "crash_suspect_stored"; "name" => name.as_str());
+            let age_ms = unix_ms().saturating_sub(suspect.last_crash_unix_ms);
+            info!(state.log, "crash_suspect_stored"; "name" => name.as_str(), "age_ms" => age_ms);
             Ok(())
         }
-        // An earlier lease holder has written it.
+        // Another host has written it.
         Err(error) if error.category() == Category::Conflict => Ok(()),
         Err(error) => Err(error),
     }
--- a/crates/lycheeford-gateway/src/request/crash.rs
+++ b/crates/lycheeford-gateway/src/request/crash.rs
@@ -62,6 +62,9 @@
     }
     let refused = state.suspects().record_crash(state.now(), &interrupted.causes, &life);
     log_refused(&state, &refused, &state.settings.host);
+    if !refused.is_empty() {
+        state.wake_suspects_task();
+    }
 }
 
 /// Logs that requests are refused from now on because of what they have in common with others that
--- a/crates/lycheeford-gateway/src/state.rs
+++ b/crates/lycheeford-gateway/src/state.rs
@@ -126,6 +126,8 @@
     pub(crate) limit_events: (Sender<LimitEvent>, Receiver<LimitEvent>),
     /// Events for the task that sends messages about streams.
     pub(crate) stream_events: (Sender<StreamEvent>, Receiver<StreamEvent>),
+    /// Wakes the task that stores crash suspects.
+    pub(crate) suspects_due: (Sender<()>, Receiver<()>),
     /// Wakes the task that probes whether this host reaches any target.
     pub(crate) probe_due: (Sender<()>, Receiver<()>),
 }
@@ -196,6 +198,7 @@
             plan_due: bounded(1),
             limit_events: bounded(LIMIT_EVENTS_MAX),
             stream_events: bounded(STREAM_EVENTS_MAX),
+            suspects_due: bounded(1),
             probe_due: bounded(1),
         })
     }
@@ -388,6 +391,11 @@
         let _ = self.demand_changed.0.try_send(());
     }
 
+    pub(crate) fn wake_suspects_task(&self) {
+        // A full channel already holds a wake-up.
+        let _ = self.suspects_due.0.try_send(());
+    }
+
     pub(crate) fn wake_planner(&self) {
         // A full channel already holds a wake-up.
         let _ = self.plan_due.0.try_send(());
--- a/crates/lycheeford-policy/src/crash_suspect.rs
+++ b/crates/lycheeford-policy/src/crash_suspect.rs
@@ -99,6 +99,8 @@
     /// Position of the last crash in the order of all crashes recorded by this daemon; a greater
     /// number is more recent.
     crash_number: u64,
+    /// Whether this daemon saw one of the crashes itself.
+    is_seen_here: bool,
 }
 
 impl Suspect {
@@ -202,6 +204,9 @@
             }
             let crash = SuspectedCrash { life: life.clone(), is_excused: false };
             refused.extend(self.add_crash(now, *cause, now, crash));
+            if let Ok(index) = self.position(*cause) {
+                self.suspects[index].is_seen_here = true;
+            }
         }
         refused
     }
@@ -240,10 +245,18 @@
 
     /// Returns the suspects with so many crashes that requests are refused for them.
     pub fn over_limit(&self, now: TimeMs) -> Vec<CrashSuspect> {
+        self.refused(now).map(|suspect| suspect.report(now)).collect()
+    }
+
+    /// Returns those of [`CrashSuspects::over_limit`] of which this daemon saw a crash itself.
+    pub fn over_limit_seen_here(&self, now: TimeMs) -> Vec<CrashSuspect> {
+        let seen_here = self.refused(now).filter(|suspect| suspect.is_seen_here);
+        seen_here.map(|suspect| suspect.report(now)).collect()
+    }
+
+    fn refused(&self, now: TimeMs) -> impl Iterator<Item = &Suspect> {
         let suspects = self.suspects.iter();
-        let over_limit =
-            suspects.filter(|suspect| suspect.is_over_limit() && !suspect.is_expired(now));
-        over_limit.map(|suspect| suspect.report(now)).collect()
+        suspects.filter(move |suspect| suspect.is_over_limit() && !suspect.is_expired(now))
     }
 
     /// Returns a digest of all suspects.
@@ -383,7 +396,13 @@
 
     fn position_or_insert(&mut self, cause: CrashCause, last_crash_at: TimeMs) -> usize {
         self.position(cause).unwrap_or_else(|index| {
-            let suspect = Suspect { cause, crashes: Vec::new(), last_crash_at, crash_number: 0 };
+            let suspect = Suspect {
+                cause,
+                crashes: Vec::new(),
+                last_crash_at,
+                crash_number: 0,
+                is_seen_here: false,
+            };
             self.suspects.insert(index, suspect);
             index
         })
