Pass statuses without a registered name on unchanged

Cause: http-types knows registered statuses alone, so the server encoded the first one of the class instead.

The status line of such a response is replaced in the encoded head. What isn't between 200 and 599 is still sent as 502; a target's answer with a status such as 000 or 600 is no answer, as before.

--- a/crates/lycheeford-caller/src/connection.rs
+++ b/crates/lycheeford-caller/src/connection.rs
@@ -20,6 +20,7 @@
 use crate::idle_wait::IdleWait;
 use crate::race::{unless_interrupted, unless_panicked, with_timeout};
 use crate::request::bad_request;
+use crate::response::restore_status;
 use crate::{Bounds, CallerBody, CallerResponse, Service, Stop};
 
 /// How long an idle connection stays open after the stop, for a request that is in flight.
@@ -346,8 +347,9 @@
             || response.persistence() == Persistence::Close
             || (self.server.stop.is_triggered() && self.reader.buffered_bytes() == 0);
         let persistence = if is_last { Persistence::Close } else { Persistence::KeepAlive };
+        let status = response.status;
         let response = response.into_http(recipient.id, persistence);
-        match self.write_response(recipient, response, method).await {
+        match self.write_response(recipient, response, status, method).await {
             Ok(()) if is_last => Next::End(End::Answered),
             Ok(()) => Next::KeepAlive,
             Err(_) => Next::End(End::Abandoned),
@@ -358,13 +360,18 @@
         &mut self,
         recipient: &mut Recipient<'_>,
         response: Response,
+        status: u16,
         method: Method,
     ) -> io::Result<()> {
         let mut encoder = Encoder::new(response, method);
         let mut buffer = Vec::new();
+        let mut has_head = false;
         loop {
             buffer.clear();
             let mut read = self.read_body_part(recipient, &mut encoder, &mut buffer).await?;
+            if !std::mem::replace(&mut has_head, true) {
+                restore_status(&mut buffer, status);
+            }
             // Adds chunks that are available now, without waiting for others.
             while buffer.len() < WRITE_BYTES && matches!(read, Ok(1..)) {
                 match read_some(&mut encoder, &mut buffer).now_or_never() {
@@ -406,7 +413,9 @@
         mut body: R,
     ) -> io::Result<()> {
         sockopt::set_socket_linger(&self.writer, Some(Duration::ZERO))?;
+        let status = head.status;
         let mut buffer = head_until_close(head.into_http(recipient.id, Persistence::Close)).await?;
+        restore_status(&mut buffer, status);
         loop {
             self.write_part(recipient, &buffer).await?;
             buffer.clear();
--- a/crates/lycheeford-caller/src/response.rs
+++ b/crates/lycheeford-caller/src/response.rs
@@ -8,12 +8,12 @@
 use crate::{ChunkReceiver, chunk_channel};
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
+const LINE_END: &[u8] = b"\r\n";
 
 /// A response to a caller.
 #[derive(Debug)]
 pub struct CallerResponse {
-    /// The HTTP status code; the first code of its class is sent for one that `http-types`
-    /// doesn't know.
+    /// The HTTP status code, from 200 to 599; 502 is sent instead of any other.
     pub status: u16,
     /// The headers, as name and value.
     ///
@@ -109,7 +109,7 @@
     }
 }
 
-/// Returns the code, or the first code of its class if `http-types` doesn't know it.
+/// Returns the code, or one of its class if `http-types` doesn't know it; see [`restore_status`].
 fn status_code(status: u16) -> StatusCode {
     StatusCode::try_from(status).unwrap_or(match status {
         200..300 => StatusCode::Ok,
@@ -119,3 +119,16 @@
         _ => StatusCode::BadGateway,
     })
 }
+
+/// Puts a status that `http-types` doesn't know into the encoded head of its response.
+///
+/// A caller must get the status that the target gave: another one has another meaning.
+pub(crate) fn restore_status(head: &mut Vec<u8>, status: u16) {
+    if !(200..600).contains(&status) || StatusCode::try_from(status).is_ok() {
+        return;
+    }
+    if let Some(line_end) = head.windows(LINE_END.len()).position(|bytes| bytes == LINE_END) {
+        // The reason may be empty, but not the space before it.
+        head.splice(..line_end, format!("HTTP/1.1 {status} ").into_bytes());
+    }
+}
