Look for a reset behind the end of an answer to an unread upload

A target that answered a long upload before it had read it, with neither a length nor chunks, and then closed between two reads, made its caller take the part of the answer for a complete one (reported by operators of other systems; a reset alone was noticed before).

Cause: the upload was given up once the head of the answer came. If the target had just read all that was sent, its close is regular, and no more bytes came that it would have reset.

After such an end the rest of the upload is sent on for up to 100 ms, and the answer counts as broken off if the connection is reset meanwhile. A target that ends its answer and reads on is still passed on.

--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -1,12 +1,15 @@
+use std::fmt;
+use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::{Duration, Instant};
 
 use async_h1::client::Encoder;
 use async_io::Async;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use async_std::task;
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
 use futures_util::io::AsyncWriteExt;
@@ -27,6 +30,10 @@
 const STATUS_SWITCHING_PROTOCOLS: u16 = 101;
 /// Bytes after which no more of a request is collected for one write.
 const WRITE_BYTES: usize = 16 * 1024;
+/// How long a reset may come after the end of an answer whose target may not have read the request:
+/// longer than a round trip.
+const RESET_WAIT: Duration = Duration::from_millis(100);
+const RESET_CHECK: Duration = Duration::from_millis(5);
 
 /// The most answers to other calls that are skipped before the expected one.
 const SKIPPED_ANSWERS_MAX: usize = 2;
@@ -58,9 +65,36 @@
     writer: TcpStream,
     close_mode: CloseMode,
     exchange: Exchange,
+    upload: Upload,
     carried: CarriedCalls,
 }
 
+/// How far the request was sent that a target has answered.
+enum Upload {
+    /// It was written at once, before the answer came.
+    Sent,
+    /// It was written in several parts, of which the last ones may still be on their way.
+    OnItsWay,
+    /// A part of it wasn't written.
+    Unsent(Sending),
+    /// Nothing is known.
+    Failed,
+}
+
+/// The rest of a request that is being sent.
+type Sending = Pin<Box<dyn Future<Output = Result<Upload, TargetError>> + Send>>;
+
+impl fmt::Debug for Upload {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Upload::Sent => "Sent",
+            Upload::OnItsWay => "OnItsWay",
+            Upload::Unsent(_) => "Unsent",
+            Upload::Failed => "Failed",
+        })
+    }
+}
+
 /// Whether a request was written whose complete answer hasn't been received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Exchange {
@@ -100,6 +134,7 @@
             writer: stream,
             close_mode: CloseMode::Close,
             exchange: Exchange::Finished,
+            upload: Upload::Sent,
             carried: CarriedCalls::default(),
         })
     }
@@ -153,21 +188,35 @@
         limits: &TargetLimits,
     ) -> Result<Received, TargetError> {
         self.exchange = Exchange::Unfinished;
-        let Link { reader, writer, carried, .. } = self;
+        let Link { reader, writer, carried, upload, .. } = self;
+        *upload = Upload::Failed;
         let history = carried.record(echo.and_then(|echo| echo.id.as_deref()));
         let expected = ExpectedAnswer { method, echo, history };
-        let sending = pin!(send(writer, request, limits.between_bytes_ms_max));
+        let mut sending: Sending =
+            Box::pin(send(writer.clone(), request, limits.between_bytes_ms_max));
         let receiving = pin!(receive_head(reader, &expected, first_byte_ms_max, limits));
-        match select(sending, receiving).await {
-            Either::Left((Ok(()), receiving)) => receiving.await,
+        match select(&mut sending, receiving).await {
+            Either::Left((Ok(sent), receiving)) => {
+                *upload = sent;
+                receiving.await
+            }
             Either::Left((Err(error), receiving)) => match receiving.now_or_never() {
                 Some(Ok(received)) => after_failed_send(received, error),
                 _ => Err(error),
             },
-            Either::Right((received, sending)) => match sending.now_or_never() {
-                Some(Ok(())) => received,
+            Either::Right((received, _)) => match (&mut sending).now_or_never() {
+                Some(Ok(sent)) => {
+                    *upload = sent;
+                    received
+                }
                 Some(Err(error)) => after_failed_send(received?, error),
-                None => Ok(Received { reuse: Reuse::Forbidden, ..received? }),
+                None => {
+                    let received = received?;
+                    if received.head.framing == Framing::UntilClose {
+                        *upload = Upload::Unsent(sending);
+                    }
+                    Ok(Received { reuse: Reuse::Forbidden, ..received })
+                }
             },
         }
     }
@@ -193,6 +242,38 @@
             code.into()
         })
     }
+
+    /// Checks that the connection wasn't reset behind the regular end of an answer that ended with
+    /// it.
+    ///
+    /// A target that stops before it has read the whole request may close the connection at a moment
+    /// at which it has read all that came, and reset it when more arrives. Reading then ends as
+    /// after a complete answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection was reset.
+    pub(crate) async fn check_for_reset(&mut self) -> Result<(), TargetError> {
+        let start = Instant::now();
+        match &mut self.upload {
+            Upload::Sent => return Ok(()),
+            Upload::Unsent(sending) => {
+                if let Ok(Err(_)) = timeout(RESET_WAIT, sending).await {
+                    return Err(Code::Truncated.into());
+                }
+            }
+            Upload::OnItsWay | Upload::Failed => {}
+        }
+        loop {
+            if !matches!(sockopt::socket_error(&self.writer), Ok(Ok(()))) {
+                return Err(Code::Truncated.into());
+            }
+            if start.elapsed() >= RESET_WAIT {
+                return Ok(());
+            }
+            task::sleep(RESET_CHECK).await;
+        }
+    }
 }
 
 impl Drop for Link {
@@ -223,24 +304,28 @@
 }
 
 async fn send(
-    writer: &mut TcpStream,
+    mut writer: TcpStream,
     request: Request,
     between_bytes_ms_max: u64,
-) -> Result<(), TargetError> {
+) -> Result<Upload, TargetError> {
     let mut encoder = Encoder::new(request);
     let mut buffer = Vec::new();
     let mut sent_bytes = 0;
+    let mut parts = 0;
     loop {
         buffer.clear();
         while buffer.len() < WRITE_BYTES {
             match read_some(&mut encoder, &mut buffer).await {
                 Ok(1..) => {}
-                Ok(0) if buffer.is_empty() => return Ok(()),
+                Ok(0) if buffer.is_empty() => {
+                    return Ok(if parts > 1 { Upload::OnItsWay } else { Upload::Sent });
+                }
                 Ok(0) => break,
                 Err(source) => return Err(write_error(sent_bytes, source)),
             }
         }
-        send_all(writer, &buffer, &mut sent_bytes, between_bytes_ms_max).await?;
+        send_all(&mut writer, &buffer, &mut sent_bytes, between_bytes_ms_max).await?;
+        parts += 1;
     }
 }
 
--- a/crates/lycheeford-target/src/response.rs
+++ b/crates/lycheeford-target/src/response.rs
@@ -71,7 +71,7 @@
 
 #[derive(Debug)]
 enum State {
-    Open { link: Link, decoder: BodyDecoder, after_answer: AfterAnswer },
+    Open { link: Box<Link>, decoder: BodyDecoder, after_answer: AfterAnswer },
     Whole,
     Failed,
 }
@@ -100,7 +100,11 @@
         memory: Reservation,
     ) -> TargetBody {
         let mut body = TargetBody {
-            state: State::Open { link, decoder: BodyDecoder::new(framing), after_answer },
+            state: State::Open {
+                link: Box::new(link),
+                decoder: BodyDecoder::new(framing),
+                after_answer,
+            },
             end: match framing {
                 Framing::UntilClose => BodyEnd::Connection,
                 Framing::Empty | Framing::Length(_) | Framing::Chunked => BodyEnd::Declared,
@@ -141,7 +145,12 @@
             State::Failed => return Err(Code::Truncated.into()),
             State::Open { link, decoder, .. } => {
                 let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
-                link.receive_chunk(decoder, waiting_since, self.between_bytes_ms_max).await
+                match link.receive_chunk(decoder, waiting_since, self.between_bytes_ms_max).await {
+                    Ok(None) if self.end == BodyEnd::Connection => {
+                        link.check_for_reset().await.map(|()| None)
+                    }
+                    received => received,
+                }
             }
         };
         self.waiting_since = None;
@@ -247,7 +256,7 @@
         let State::Open { mut link, after_answer, .. } = state else { return };
         link.mark_answered();
         if let AfterAnswer::Pool { pool, address, idle_ms_max } = after_answer {
-            pool.put(address, link, idle_ms_max);
+            pool.put(address, *link, idle_ms_max);
         }
     }
 }
