End a stream that two targets have no further event for

Cause: an answer without a stated end and without an event proves nothing by itself, but two such answers of targets that still run were not weighed together.

The stream now ends as its targets end it, without a stated end, if a second target has no event behind the same one.

--- a/crates/lycheeford-gateway/src/request/relay/mod.rs
+++ b/crates/lycheeford-gateway/src/request/relay/mod.rs
@@ -10,7 +10,9 @@
 use async_std::prelude::FutureExt;
 use async_std::task;
 use lycheeford_caller::{ChunkSender, Reservation};
-use lycheeford_policy::{Chosen, EVENT_BYTES_MAX, EndSign, EventBoundary, StatedContent, TimeMs};
+use lycheeford_policy::{
+    Chosen, EVENT_BYTES_MAX, EndSign, EventBoundary, Name, StatedContent, TimeMs,
+};
 use lycheeford_target::{BodyEnd, TargetBody, TargetError, TargetResponse};
 use slog::info;
 
@@ -56,6 +58,15 @@
     paused: Option<(TimeMs, Duration)>,
     /// The end of an earlier target's response, while another one is asked whether it was the end.
     doubted_end: Option<DoubtedEnd>,
+    /// The last target that had no further event for a stream that it was to go on with.
+    empty_rest: Option<EmptyRest>,
+}
+
+/// A response with no event behind the last one that the caller has, ended by its connection.
+#[derive(Debug, PartialEq)]
+struct EmptyRest {
+    target: Name,
+    after: Option<String>,
 }
 
 /// How a stream ended at one target.
@@ -64,6 +75,8 @@
     /// The connection ended, and nothing shows that the stream is incomplete. The next target may
     /// have the stream already, since this one was silent before.
     Unstated(EndSign, Option<Box<PendingCall>>),
+    /// This target has no further event, as another one before it, and neither states the end.
+    Agreed,
     HungUp,
     OutOfTime,
     HostStopping,
@@ -196,6 +209,7 @@
             memory,
             paused: None,
             doubted_end: None,
+            empty_rest: None,
         }
     }
 
@@ -206,6 +220,7 @@
             let chosen = started.slot.chosen.clone();
             let next = match self.relay_target(started).await {
                 End::Done => return self.finish(&chosen, BodyEnd::Declared),
+                End::Agreed => return self.finish(&chosen, BodyEnd::Connection),
                 End::Unstated(..) if self.doubted_end.is_some() => {
                     return self.finish_unconfirmed(&"the next target states no end either");
                 }
@@ -454,6 +469,10 @@
         mut stall: Stall,
     ) -> End {
         if let Some(evidence) = self.cut_evidence(content, body_end) {
+            if body_end == BodyEnd::Connection && self.is_agreed_end(chosen, stall.since).await {
+                self.cancel_next(&mut stall);
+                return End::Agreed;
+            }
             return End::broken(TargetError::ended_early(evidence), stall);
         }
         if body_end == BodyEnd::Connection {
@@ -465,6 +484,28 @@
         if self.send(rest).await { End::Done } else { End::HungUp }
     }
 
+    /// Returns whether a target has no further event for a stream, and another one had none either.
+    ///
+    /// One of them may have broken off before its first event, but hardly both. A stream that began
+    /// with chunks isn't ended by that, since its caller would take the last chunk for a statement.
+    async fn is_agreed_end(&mut self, chosen: &Chosen, heard_at: TimeMs) -> bool {
+        let is_empty = self.boundary.events() == 0
+            && !self.boundary.is_event_due()
+            && !self.boundary.is_inside_block();
+        if !is_empty || self.first_at.is_none() || self.caller_end == BodyEnd::Declared {
+            return false;
+        }
+        let sign = self.attempts.check_unstated_end(chosen, 0, heard_at).await;
+        if !matches!(sign, Ok(EndSign::Listens)) {
+            return false;
+        }
+        let rest = EmptyRest { target: chosen.id.clone(), after: self.resume_after.clone() };
+        let earlier = self.empty_rest.replace(rest);
+        let agrees =
+            |earlier: EmptyRest| earlier.after == self.resume_after && earlier.target != chosen.id;
+        earlier.is_some_and(agrees)
+    }
+
     /// Ends a stream whose connection has ended, if nothing shows that it is incomplete.
     async fn end_unstated(&mut self, chosen: &Chosen, stall: Stall) -> End {
         if self.doubted_end.is_some() {
