Tell the holder of the lease on orders by its machine as well as by its name

Cause: a record with the own name counted as that of an earlier process on this machine, whose successor may go on at once.

The record now has the address of the machine. A record without one (an earlier build's) counts as before. A lease that is only reported under the own name counts as another machine's.

Tests: order_lease, a_machine_that_replaces_the_holder_under_its_name_waits_for_the_lease, fails without the comparison of addresses (first order after 20 ms) and passes with it.

--- a/crates/lycheeford-gateway/src/orders/engine_records.rs
+++ b/crates/lycheeford-gateway/src/orders/engine_records.rs
@@ -64,6 +64,7 @@
 impl Orders {
     pub(crate) fn new(settings: &GatewaySettings, incarnation: u64) -> Orders {
         let lease = OrderLease::new(settings.host.clone(), incarnation, settings.order_lease_ms);
+        let lease = lease.on_machine(settings.target_source);
         Orders {
             lease,
             adapters: AdapterPlanner::default(),
--- a/crates/lycheeford-gateway/src/orders/lease_task.rs
+++ b/crates/lycheeford-gateway/src/orders/lease_task.rs
@@ -1,3 +1,4 @@
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct StoredLease {
     holder: Name,
+    /// Absent in a record that an earlier version of this program wrote.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    machine: Option<IpAddr>,
     incarnation: u64,
     renewals: u64,
     is_settled: bool,
@@ -36,15 +40,15 @@
 
 impl From<LeaseRecord> for StoredLease {
     fn from(record: LeaseRecord) -> StoredLease {
-        let LeaseRecord { holder, incarnation, renewals, is_settled, era } = record;
-        StoredLease { holder, incarnation, renewals, is_settled, era }
+        let LeaseRecord { holder, machine, incarnation, renewals, is_settled, era } = record;
+        StoredLease { holder, machine, incarnation, renewals, is_settled, era }
     }
 }
 
 impl From<StoredLease> for LeaseRecord {
     fn from(stored: StoredLease) -> LeaseRecord {
-        let StoredLease { holder, incarnation, renewals, is_settled, era } = stored;
-        LeaseRecord { holder, incarnation, renewals, is_settled, era }
+        let StoredLease { holder, machine, incarnation, renewals, is_settled, era } = stored;
+        LeaseRecord { holder, machine, incarnation, renewals, is_settled, era }
     }
 }
 
--- a/crates/lycheeford-policy/src/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/src/gateway/order_lease.rs
@@ -1,3 +1,5 @@
+use std::net::IpAddr;
+
 use crate::{Name, StoreVersion, TimeMs};
 
 /// Fraction of the lease time for which a renewal is valid.
@@ -25,6 +27,9 @@
 pub struct LeaseRecord {
     /// Host that holds the lease.
     pub holder: Name,
+    /// Address of the holder's machine: another machine may have the same name later. `None` if an
+    /// earlier build wrote the record.
+    pub machine: Option<IpAddr>,
     /// Incarnation of the holder's process.
     pub incarnation: u64,
     /// Number of renewals, so that each write differs from the previous one. It wraps around.
@@ -46,6 +51,7 @@
     pub fn unreadable(era: u64) -> LeaseRecord {
         LeaseRecord {
             holder: Name::from(""),
+            machine: None,
             incarnation: 0,
             renewals: NEW_FLEET_RENEWALS_MAX + 1,
             is_settled: false,
@@ -87,7 +93,8 @@
 /// last order arrives or is withdrawn while the renewal is still valid. The next holder waits
 /// `lease_ms` beyond that before its first order. Tokens are versions of the store
 /// ([`StoreVersion::to_number`](crate::StoreVersion::to_number)), which only increase. A host that
-/// restarts may continue at once, since it is the same holder.
+/// restarts may continue at once, since it is the same holder. A machine that replaces another one
+/// under its name is another holder.
 ///
 /// A store that is restored from an older copy has lost the lease, or has an earlier one. The
 /// holder then stops giving orders until it has written the lease again. No other host may give
@@ -95,6 +102,7 @@
 #[derive(Debug, Clone)]
 pub struct OrderLease {
     own_host: Name,
+    own_machine: Option<IpAddr>,
     incarnation: u64,
     lease_ms: u64,
     seen: Option<Seen>,
@@ -146,6 +154,7 @@
     pub fn new(own_host: Name, incarnation: u64, lease_ms: u64) -> OrderLease {
         OrderLease {
             own_host,
+            own_machine: None,
             incarnation,
             lease_ms,
             seen: None,
@@ -160,6 +169,11 @@
         }
     }
 
+    /// Sets the address of this host's machine.
+    pub fn on_machine(self, machine: IpAddr) -> OrderLease {
+        OrderLease { own_machine: Some(machine), ..self }
+    }
+
     /// Records the era of the store; a later one than before means that the store was restored.
     pub fn enter_era(&mut self, now: TimeMs, era: u64) {
         if era <= self.era {
@@ -237,7 +251,7 @@
                 LeaseStep::Idle
             };
         };
-        let is_held_here = record.holder == self.own_host;
+        let is_held_here = self.is_own(record);
         let takeover_at =
             seen.renewed_at + self.valid_ms() + CLOCK_MARGIN_MS + rank * TAKEOVER_DELAY_MS;
         if is_held_here || now >= takeover_at {
@@ -267,9 +281,8 @@
             let is_new = renewals <= NEW_FLEET_RENEWALS_MAX;
             self.fleet_start = if is_new { FleetStart::WithThisHost } else { FleetStart::Earlier };
         }
-        let is_own_incarnation = |record: &LeaseRecord| {
-            record.holder == self.own_host && record.incarnation == self.incarnation
-        };
+        let is_own_incarnation =
+            |record: &LeaseRecord| self.is_own(record) && record.incarnation == self.incarnation;
         match record {
             Some((revision, record)) if is_own_incarnation(&record) => match &mut self.held {
                 // A renewal took effect although its answer was lost.
@@ -295,10 +308,17 @@
         if known.is_some_and(|(known, _)| *known > revision) {
             return;
         }
+        if known.is_some_and(|(known, record)| *known == revision && self.is_own(record)) {
+            // Other hosts repeat what this machine's earlier process told them.
+            return;
+        }
         self.held = None;
         let era = StoreVersion::from_number(revision).era;
+        // A renewal that isn't known here is another machine's, whatever its name.
+        let is_foreign = *holder == self.own_host;
         let record = LeaseRecord {
-            holder: holder.clone(),
+            holder: if is_foreign { Name::from("") } else { holder.clone() },
+            machine: None,
             incarnation: 0,
             renewals: 0,
             is_settled: true,
@@ -342,7 +362,7 @@
             // The copy from which the store was restored may lack the lease.
             None => self.era == StoreVersion::FIRST_ERA || self.holds_across_eras,
             Some((_, record)) if record.era < self.era => self.holds_across_eras,
-            Some((_, record)) => record.holder == self.own_host && record.is_settled,
+            Some((_, record)) => self.is_own(record) && record.is_settled,
         };
         if is_safe_now {
             return TimeMs::default();
@@ -363,6 +383,15 @@
         self.seen = Some(Seen { record, renewed_at });
     }
 
+    /// Returns whether a process on this host's machine wrote a record.
+    fn is_own(&self, record: &LeaseRecord) -> bool {
+        let is_same_machine = match (record.machine, self.own_machine) {
+            (Some(machine), Some(own_machine)) => machine == own_machine,
+            _ => true,
+        };
+        record.holder == self.own_host && is_same_machine
+    }
+
     fn seen_record(&self) -> Option<&LeaseRecord> {
         self.seen.as_ref()?.record.as_ref().map(|(_, record)| record)
     }
@@ -380,6 +409,7 @@
         };
         let record = LeaseRecord {
             holder: self.own_host.clone(),
+            machine: self.own_machine,
             incarnation: self.incarnation,
             renewals,
             is_settled,
--- a/crates/lycheeford-policy/tests/gateway/order_lease.rs
+++ b/crates/lycheeford-policy/tests/gateway/order_lease.rs
@@ -237,6 +237,7 @@
         assert!(!lease.began_with_fleet(), "{what}: before the first read");
         let record = |renewals| LeaseRecord {
             holder: name("b"),
+            machine: None,
             incarnation: 1,
             renewals,
             is_settled: true,
@@ -302,7 +303,14 @@
         store.record = in_copy.map(|(holder, incarnation)| {
             let era = StoreVersion::FIRST_ERA;
             let holder = name(holder);
-            let record = LeaseRecord { holder, incarnation, renewals: 5, is_settled: true, era };
+            let record = LeaseRecord {
+                holder,
+                machine: None,
+                incarnation,
+                renewals: 5,
+                is_settled: true,
+                era,
+            };
             (store.revision, record)
         });
         let before = lease.token(at(1_000));
@@ -375,3 +383,66 @@
         assert_eq!(lease.next(at(writes_at_ms), rank), LeaseStep::Idle, "{what}");
     }
 }
+
+/// A host that starts under the name of the holder.
+struct ReplacedCase {
+    what: &'static str,
+    /// The last parts of the addresses of the two machines.
+    machines: [u8; 2],
+    /// Whether another host reports the lease to it before it reads the record.
+    is_told: bool,
+    is_at_once: bool,
+}
+
+/// Regression test (review/9): a machine with the name of the one that it replaced gave orders as if it
+/// were the same holder.
+#[test]
+fn a_machine_that_replaces_the_holder_under_its_name_waits_for_the_lease() {
+    let cases = [
+        ReplacedCase {
+            what: "the same machine",
+            machines: [1, 1],
+            is_told: false,
+            is_at_once: true,
+        },
+        ReplacedCase {
+            what: "the same machine, told by another host",
+            machines: [1, 1],
+            is_told: true,
+            is_at_once: true,
+        },
+        ReplacedCase {
+            what: "another machine",
+            machines: [1, 2],
+            is_told: false,
+            is_at_once: false,
+        },
+        ReplacedCase {
+            what: "another machine, told by another host",
+            machines: [1, 2],
+            is_told: true,
+            is_at_once: false,
+        },
+    ];
+    for ReplacedCase { what, machines, is_told, is_at_once } in cases {
+        let mut store = Store::default();
+        let [mut first, mut second] = [1, 2].map(|incarnation| {
+            let lease = OrderLease::new(name("a"), incarnation, LEASE_MS);
+            lease.on_machine([10, 1, 0, machines[incarnation as usize - 1]].into())
+        });
+        hold_until(&mut first, &mut store, 0, 2_000);
+        let last_ms = 1_990;
+        assert!(first.token(at(last_ms)).is_some(), "{what}");
+        second.read_found(at(2_000), store.record.clone());
+        if is_told {
+            second.heard(at(2_010), &name("a"), store.revision, 100);
+        }
+        let first_ms = (2_020..14_000).step_by(10).find(|ms| {
+            step(&mut second, &mut store, at(*ms), Answer::Given);
+            second.token(at(*ms)).is_some()
+        });
+        let first_ms = first_ms.expect("orders");
+        let is_early = first_ms < last_ms + LEASE_MS;
+        assert_eq!(is_early, is_at_once, "{what}: first order at {first_ms} ms");
+    }
+}
