--- a/crates/lycheeford-gateway/src/request/relay/mod.rs
+++ b/crates/lycheeford-gateway/src/request/relay/mod.rs
@@ -1,5 +1,7 @@
 //! Streams, relayed to callers event by event.
 
+mod ending;
+mod outcome;
 mod rest;
 
 use std::future::Future;
@@ -10,16 +12,15 @@
 use async_std::prelude::FutureExt;
 use async_std::task;
 use lycheeford_caller::{ChunkSender, Reservation};
-use lycheeford_policy::{
-    Chosen, EVENT_BYTES_MAX, EndSign, EventBoundary, Name, StatedContent, TimeMs,
-};
+use lycheeford_policy::{Chosen, EVENT_BYTES_MAX, EventBoundary, StatedContent, TimeMs};
 use lycheeford_target::{BodyEnd, TargetBody, TargetError, TargetResponse};
 use slog::info;
 
+use self::ending::EmptyRest;
+use self::outcome::{Cut, End, Next, NextTarget, Stall, StallOutcome};
 use self::rest::DoubtedEnd;
 use super::attempt::{Attempts, PendingCall, StartedResponse};
 use super::silence::{LeaveIf, OVERLAP_MS_MAX, Silence};
-use super::slot::Slot;
 use crate::Reply;
 use crate::state::MEMORY_WAIT;
 
@@ -62,132 +63,6 @@
     empty_rest: Option<EmptyRest>,
 }
 
-/// A response with no event behind the last one that the caller has, ended by its connection.
-#[derive(Debug, PartialEq)]
-struct EmptyRest {
-    target: Name,
-    after: Option<String>,
-}
-
-/// How a stream ended at one target.
-enum End {
-    Done,
-    /// The connection ended, and nothing shows that the stream is incomplete. The next target may
-    /// have the stream already, since this one was silent before.
-    Unstated(EndSign, Option<Box<PendingCall>>),
-    /// This target has no further event, as another one before it, and neither states the end.
-    Agreed,
-    HungUp,
-    OutOfTime,
-    HostStopping,
-    NoMemory,
-    /// The target failed, while this call to the next one was pending, if any.
-    Broken(TargetError, Option<Box<PendingCall>>),
-    /// The stream has stalled since this time, and the next target has it.
-    Moved(TimeMs, Box<NextTarget>),
-}
-
-impl End {
-    fn broken(error: TargetError, stall: Stall) -> End {
-        End::Broken(error, stall.next.map(Box::new))
-    }
-}
-
-/// A target that goes on with a stream.
-enum NextTarget {
-    Started(Box<StartedResponse>),
-    /// It hasn't answered yet.
-    Pending(PendingCall),
-}
-
-impl NextTarget {
-    fn chosen(&self) -> &Chosen {
-        match self {
-            NextTarget::Started(started) => &started.slot.chosen,
-            NextTarget::Pending(pending) => &pending.slot.chosen,
-        }
-    }
-}
-
-/// Why a caller's stream is broken off for good.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Cut {
-    CallerLeft,
-    DeadlinePassed,
-    HostStopping,
-    /// This host has no memory for the stream.
-    NoMemory,
-    /// The last event has no id after which another target could go on.
-    WithoutIds,
-    /// The request may not be sent to another target.
-    NoAttemptLeft,
-    /// No other target took the request.
-    NoOtherTarget,
-}
-
-impl Cut {
-    fn label(self) -> &'static str {
-        match self {
-            Cut::CallerLeft => "caller_left",
-            Cut::DeadlinePassed => "deadline_passed",
-            Cut::HostStopping => "host_stopping",
-            Cut::NoMemory => "no_memory",
-            Cut::WithoutIds => "without_ids",
-            Cut::NoAttemptLeft => "no_attempt_left",
-            Cut::NoOtherTarget => "no_other_target",
-        }
-    }
-
-    fn cause(self) -> &'static str {
-        match self {
-            Cut::CallerLeft => "caller left",
-            Cut::DeadlinePassed => "deadline passed",
-            Cut::HostStopping => "this host is stopping",
-            Cut::NoMemory => "this host has no memory for the stream",
-            Cut::WithoutIds => "the last event has no id to go on after",
-            Cut::NoAttemptLeft => "the request may not be sent to another target",
-            Cut::NoOtherTarget => "no other target took the stream",
-        }
-    }
-}
-
-/// The next step of a stream.
-enum Next {
-    Chunk(Result<Option<Vec<u8>>, TargetError>),
-    HungUp,
-    HostStopping,
-}
-
-/// What happened first after a stream had stalled.
-enum StallOutcome {
-    Next(Next),
-    OtherSlot(Slot),
-    /// The next target answered, or the call to it failed.
-    Answered(Result<TargetResponse, TargetError>),
-    /// The stream may not be at two targets for longer.
-    OverlapOver,
-    OutOfTime,
-}
-
-/// A pause of a stream.
-struct Stall {
-    /// When the last event came, or the request was sent if none has.
-    since: TimeMs,
-    leave_if: LeaveIf,
-    /// Whether the pause has been long enough to look for another target.
-    is_long: bool,
-    /// The call to the next target. Until it answers, the stream may still go on at the current one.
-    next: Option<PendingCall>,
-    /// When another target may be sought, after one that didn't take the stream.
-    seek_at: TimeMs,
-}
-
-impl Stall {
-    fn new(now: TimeMs, leave_if: LeaveIf) -> Stall {
-        Stall { since: now, leave_if, is_long: false, next: None, seek_at: now }
-    }
-}
-
 impl Relay {
     pub(in crate::request) fn new(
         attempts: Attempts,
@@ -460,94 +335,6 @@
         }
     }
 
-    /// Ends a stream whose body has ended, if it is complete.
-    async fn end(
-        &mut self,
-        chosen: &Chosen,
-        content: StatedContent,
-        body_end: BodyEnd,
-        mut stall: Stall,
-    ) -> End {
-        if let Some(evidence) = self.cut_evidence(content, body_end) {
-            if body_end == BodyEnd::Connection && self.is_agreed_end(chosen, stall.since).await {
-                self.cancel_next(&mut stall);
-                return End::Agreed;
-            }
-            return End::broken(TargetError::ended_early(evidence), stall);
-        }
-        if body_end == BodyEnd::Connection {
-            return self.end_unstated(chosen, stall).await;
-        }
-        self.cancel_next(&mut stall);
-        self.attempts.record_completion();
-        let rest = self.boundary.take_rest();
-        if self.send(rest).await { End::Done } else { End::HungUp }
-    }
-
-    /// Returns whether a target has no further event for a stream, and another one had none either.
-    ///
-    /// One of them may have broken off before its first event, but hardly both. A stream that began
-    /// with chunks isn't ended by that, since its caller would take the last chunk for a statement.
-    async fn is_agreed_end(&mut self, chosen: &Chosen, heard_at: TimeMs) -> bool {
-        let is_empty = self.boundary.events() == 0
-            && !self.boundary.is_event_due()
-            && !self.boundary.is_inside_block();
-        if !is_empty || self.first_at.is_none() || self.caller_end == BodyEnd::Declared {
-            return false;
-        }
-        let sign = self.attempts.check_unstated_end(chosen, 0, heard_at).await;
-        if !matches!(sign, Ok(EndSign::Listens)) {
-            return false;
-        }
-        let rest = EmptyRest { target: chosen.id.clone(), after: self.resume_after.clone() };
-        let earlier = self.empty_rest.replace(rest);
-        let agrees =
-            |earlier: EmptyRest| earlier.after == self.resume_after && earlier.target != chosen.id;
-        earlier.is_some_and(agrees)
-    }
-
-    /// Ends a stream whose connection has ended, if nothing shows that it is incomplete.
-    async fn end_unstated(&mut self, chosen: &Chosen, stall: Stall) -> End {
-        if self.doubted_end.is_some() {
-            return End::Unstated(EndSign::Listens, None);
-        }
-        let events = self.boundary.events();
-        let sign = match self.attempts.check_unstated_end(chosen, events, stall.since).await {
-            Ok(sign) => sign,
-            Err(error) => return End::broken(error, stall),
-        };
-        if self.caller_end == BodyEnd::Declared {
-            // The caller would take the last chunk for a statement that the stream is complete.
-            return End::broken(TargetError::ended_early("its end isn't stated"), stall);
-        }
-        let rest = self.boundary.take_rest();
-        if !self.send(rest).await {
-            return End::HungUp;
-        }
-        End::Unstated(sign, stall.next.map(Box::new))
-    }
-
-    /// Returns what shows that a stream whose body has ended is incomplete, if anything does.
-    ///
-    /// A target that stops inside an event may still end its chunks properly. If the end of the
-    /// connection is the end of the body, the target may have crashed before the first event.
-    fn cut_evidence(&self, content: StatedContent, end: BodyEnd) -> Option<&'static str> {
-        if self.boundary.is_event_due() {
-            return Some("the event that its first target broke off hasn't come");
-        }
-        match end {
-            BodyEnd::Declared => (content != StatedContent::Other
-                && self.boundary.is_inside_event())
-            .then_some("it ends inside an event"),
-            BodyEnd::Connection if self.boundary.events() == 0 && self.doubted_end.is_none() => {
-                Some("it has no event")
-            }
-            BodyEnd::Connection => {
-                self.boundary.is_inside_block().then_some("it ends inside an event or a line")
-            }
-        }
-    }
-
     /// Waits for a stalled stream until it continues or another target has it.
     ///
     /// A target that is only overloaded continues later, so a stream that no other target can
