--- a/crates/lycheeford-gateway/src/membership/stored_streams.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_streams.rs
@@ -27,7 +27,7 @@
 ///
 /// A version never changes for a stream, so a record holds whatever its age.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct StoredStreams {
+pub(super) struct StoredStreams {
     versions: Vec<StoredVersion>,
 }
 
--- a/crates/lycheeford-gateway/src/membership/tests.rs
+++ b/crates/lycheeford-gateway/src/membership/tests.rs
@@ -1,11 +1,14 @@
 //! Checks that this build reads the objects that earlier builds wrote into the store, and that they
 //! read its objects. Checks which forecasts of loads a lease holder sends, and which a host applies.
 
-use lycheeford_policy::{HostRecord, LoadTime, Name, ShortKey, TimeMs, WantedName};
+use lycheeford_policy::{
+    HostRecord, LoadTime, Name, ShortKey, StreamKey, StreamVersion, TimeMs, WantedName,
+};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use super::hosts::StoredHost;
+use super::stored_streams::StoredStreams;
 use super::stored_suspects::StoredSuspect;
 use super::table::Membership;
 use super::wire::{LoadForecasts, RemainingLoad, WaitingDemand};
@@ -43,6 +46,22 @@
     }
 }
 
+/// Guards against keys that a store rounds, as JSON numbers above 2^53 may be.
+#[test]
+fn stored_streams_are_read_as_they_were_written() {
+    let streams = [(1, 7), (u64::MAX - 1, 9), (u64::MAX, 7)].map(|(stream, version)| {
+        StreamVersion { stream: StreamKey(stream), version: ShortKey(version) }
+    });
+    let written = serde_json::to_value(StoredStreams::from(&streams[..])).unwrap();
+    let keys: Vec<&Value> = written["versions"][0]["streams"].as_array().unwrap().iter().collect();
+    assert!(keys.iter().all(|key| key.is_string()), "{written}");
+    let read: StoredStreams = serde_json::from_value(written).unwrap();
+    assert_eq!(Vec::try_from(read).unwrap(), streams);
+    let odd = serde_json::json!({ "versions": [{ "version": 7, "streams": ["no key"] }] });
+    let odd: StoredStreams = serde_json::from_value(odd).unwrap();
+    assert!(Vec::<StreamVersion>::try_from(odd).is_err());
+}
+
 #[test]
 fn earlier_builds_read_the_object_of_a_host_that_names_its_build() {
     for text in HOSTS {
--- a/crates/lycheeford-gateway/src/orders/tests.rs
+++ b/crates/lycheeford-gateway/src/orders/tests.rs
@@ -106,3 +106,12 @@
         assert_eq!(serde_json::to_value(read).unwrap(), object);
     }
 }
+
+#[test]
+fn the_machine_in_a_lease_is_read_as_it_was_written() {
+    let mut object: serde_json::Value = serde_json::from_str(LEASES[0]).unwrap();
+    object["machine"] = "10.1.0.25".into();
+    object["era"] = 1.into();
+    let read: StoredLease = serde_json::from_value(object.clone()).unwrap();
+    assert_eq!(serde_json::to_value(read).unwrap(), object);
+}
