Don't let stored streams that are read again prolong themselves

By reading: a host that asked the store again for unknown streams counted all streams of its own object as open once more, also those that their callers had whole, and each such reading prolonged the records of all. With callers that name unknown streams all the time, records would have grown without end.

What is known of a stream stays as it is when the store is read again.

Test: stream_versions, stored_streams_that_are_read_again_stay_as_they_are, covers the new StreamVersions::add_stored, which didn't exist before.

--- a/crates/lycheeford-gateway/src/membership/stored_streams.rs
+++ b/crates/lycheeford-gateway/src/membership/stored_streams.rs
@@ -99,7 +99,13 @@
 ///
 /// Fails if the store doesn't answer.
 pub(super) async fn reread_stored_streams(state: &State) -> Result<(), PlatformError> {
-    read_all(state).await.map(|_| ())
+    let listing = state.protocols.store.objects().list(STREAMS_KIND).await?;
+    for object in &listing.objects {
+        let streams = decode(state, object);
+        let now = state.now();
+        state.streams().versions.add_stored(now, &streams);
+    }
+    Ok(())
 }
 
 /// Keeps the versions of this host's streams in the store while they can't be derived from which
@@ -162,10 +168,12 @@
     for object in &listing.objects {
         let streams = decode(state, object);
         read += streams.len();
-        let is_own = object.name == state.settings.host;
-        record(state, &streams, is_own);
-        if is_own {
+        if object.name == state.settings.host {
+            record_own(state, &streams);
             own = OwnObject { expect: Expect::Version(object.version), streams, era };
+        } else {
+            let now = state.now();
+            state.streams().versions.add_stored(now, &streams);
         }
     }
     if read > 0 {
@@ -180,7 +188,7 @@
     match state.protocols.store.objects().get(STREAMS_KIND, &state.settings.host).await {
         Ok(Some(object)) => {
             let streams = decode(state, &object);
-            record(state, &streams, true);
+            record_own(state, &streams);
             OwnObject { expect: Expect::Version(object.version), streams, era }
         }
         Ok(None) => OwnObject { expect: Expect::Absent, streams: Vec::new(), era },
@@ -191,15 +199,12 @@
     }
 }
 
-fn record(state: &State, streams: &[StreamVersion], is_own: bool) {
+/// Records the streams of this host's earlier life, or of a write whose answer was lost.
+fn record_own(state: &State, streams: &[StreamVersion]) {
     let now = state.now();
     let versions = &mut state.streams().versions;
     for StreamVersion { stream, version } in streams {
-        if is_own {
-            versions.record_own_stream(now, *stream, *version);
-        } else {
-            versions.record_stream(now, *stream, *version);
-        }
+        versions.record_own_stream(now, *stream, *version);
     }
 }
 
--- a/crates/lycheeford-policy/src/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/src/gateway/stream_versions.rs
@@ -198,6 +198,15 @@
         self.record(now, StreamVersion { stream, version }, true);
     }
 
+    /// Adds streams that hosts have stored; what is known of a stream stays as it is.
+    pub fn add_stored(&mut self, now: TimeMs, stored: &[StreamVersion]) {
+        for known in stored {
+            if self.position(known.stream).is_err() {
+                self.record(now, *known, false);
+            }
+        }
+    }
+
     /// Records that the caller of a stream that this host relays has all of it.
     pub fn completed(&mut self, stream: StreamKey) {
         if let Ok(index) = self.position(stream) {
--- a/crates/lycheeford-policy/tests/gateway/stream_versions.rs
+++ b/crates/lycheeford-policy/tests/gateway/stream_versions.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use lycheeford_policy::{
-    HostRecord, Name, ServiceVersions, ShortKey, StreamKey, StreamVersions, VersionKnowledge,
-    combine_knowledge, stream_keepers,
+    HostRecord, Name, ServiceVersions, ShortKey, StreamKey, StreamVersion, StreamVersions,
+    VersionKnowledge, combine_knowledge, stream_keepers,
 };
 
 use crate::world::{at, name};
@@ -296,3 +296,24 @@
         assert_eq!(stored, expected, "{}", case.what);
     }
 }
+
+/// Guards against a record that keeps itself: reading what is stored must neither prolong it nor make a
+/// completed stream an open one again.
+#[test]
+fn stored_streams_that_are_read_again_stay_as_they_are() {
+    let (service, stream) = (name("models"), StreamKey::of("stream"));
+    let other = StreamKey::of("other");
+    let mut streams = StreamVersions::new(at(0));
+    for version in [old(), new()] {
+        streams.record_serving(at(0), &service, version);
+    }
+    streams.record_own_stream(at(0), stream, old());
+    let stored = streams.own_streams_to_store(at(10));
+    streams.completed(stream);
+    streams.add_stored(at(RETENTION_MS - 1), &stored);
+    streams.add_stored(at(20), &[StreamVersion { stream: other, version: new() }]);
+    assert_eq!(streams.own_streams_to_store(at(30)), []);
+    assert_eq!(streams.knowledge(at(30), &service, other), VersionKnowledge::Began(new()));
+    streams.expire(at(RETENTION_MS));
+    assert_eq!(streams.streams().map(|known| known.stream).collect::<Vec<_>>(), [other]);
+}
