Let the wait for a reset go on after it was given up

The relay of streams gives up its wait for the next bytes and begins it again. The check for a reset behind the end of an answer then began anew each time, so that the end never came, and would have polled an upload that had been completed.

The check counts from when the end was read, and keeps how far the upload was sent.

--- a/crates/lycheeford-target/src/link.rs
+++ b/crates/lycheeford-target/src/link.rs
@@ -66,6 +66,8 @@
     close_mode: CloseMode,
     exchange: Exchange,
     upload: Upload,
+    /// When the end of the connection was read.
+    ended_at: Option<Instant>,
     carried: CarriedCalls,
 }
 
@@ -77,8 +79,8 @@
     OnItsWay,
     /// A part of it wasn't written.
     Unsent(Sending),
-    /// Nothing is known.
-    Failed,
+    /// It may have been written in part.
+    Unknown,
 }
 
 /// The rest of a request that is being sent.
@@ -90,7 +92,7 @@
             Upload::Sent => "Sent",
             Upload::OnItsWay => "OnItsWay",
             Upload::Unsent(_) => "Unsent",
-            Upload::Failed => "Failed",
+            Upload::Unknown => "Unknown",
         })
     }
 }
@@ -135,6 +137,7 @@
             close_mode: CloseMode::Close,
             exchange: Exchange::Finished,
             upload: Upload::Sent,
+            ended_at: None,
             carried: CarriedCalls::default(),
         })
     }
@@ -189,7 +192,7 @@
     ) -> Result<Received, TargetError> {
         self.exchange = Exchange::Unfinished;
         let Link { reader, writer, carried, upload, .. } = self;
-        *upload = Upload::Failed;
+        *upload = Upload::Unknown;
         let history = carried.record(echo.and_then(|echo| echo.id.as_deref()));
         let expected = ExpectedAnswer { method, echo, history };
         let mut sending: Sending =
@@ -250,25 +253,28 @@
     /// at which it has read all that came, and reset it when more arrives. Reading then ends as
     /// after a complete answer.
     ///
+    /// If the future is dropped, the next call goes on.
+    ///
     /// # Errors
     ///
     /// Fails if the connection was reset.
     pub(crate) async fn check_for_reset(&mut self) -> Result<(), TargetError> {
-        let start = Instant::now();
+        let ended_at = *self.ended_at.get_or_insert_with(Instant::now);
+        let left = || RESET_WAIT.saturating_sub(ended_at.elapsed());
         match &mut self.upload {
             Upload::Sent => return Ok(()),
-            Upload::Unsent(sending) => {
-                if let Ok(Err(_)) = timeout(RESET_WAIT, sending).await {
-                    return Err(Code::Truncated.into());
-                }
-            }
-            Upload::OnItsWay | Upload::Failed => {}
+            Upload::Unsent(sending) => match timeout(left(), sending).await {
+                Ok(Ok(sent)) => self.upload = sent,
+                Ok(Err(_)) => return Err(Code::Truncated.into()),
+                Err(_) => {}
+            },
+            Upload::OnItsWay | Upload::Unknown => {}
         }
         loop {
             if !matches!(sockopt::socket_error(&self.writer), Ok(Ok(()))) {
                 return Err(Code::Truncated.into());
             }
-            if start.elapsed() >= RESET_WAIT {
+            if left().is_zero() {
                 return Ok(());
             }
             task::sleep(RESET_CHECK).await;
