--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -434,6 +434,9 @@
         if let Some(limit) = &limit {
             said.push(("Server-Limit", limit));
         }
+        if self.is_draining.load(Ordering::SeqCst) {
+            said.push(("Server-Leaving", "1"));
+        }
         if head.header("expected-instance").is_some_and(|expected| expected != own_id) {
             said.extend([("Instance-Id", own_id), ("Attempt-Id", &id)]);
             return answer(writer, 421, &said, b"");
@@ -441,7 +444,8 @@
         match (method, target) {
             ("GET", "/healthz") => {
                 said.push(("Instance-Id", own_id));
-                return answer(writer, 200, &said, b"");
+                let is_draining = self.is_draining.load(Ordering::SeqCst);
+                return answer(writer, if is_draining { 503 } else { 200 }, &said, b"");
             }
             ("GET", "/v1/report") => {
                 let active = self.room.lock().expect("no panic").running;
