--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -8,4 +8,4 @@
         exit 2
     fi
 done
-exec target/review-3/standin-3 brittle "$folder"
+exec target/review-3/standin-3 silence-at-stop "$folder"
--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -5,6 +5,7 @@
 mod lone_worker;
 mod quota_without_burst;
 mod rare_models;
+mod silence_at_stop;
 mod unknown_version;
 
 use std::path::Path;
@@ -23,6 +24,7 @@
         "lone-worker" => Some(lone_worker::play),
         "quota-without-burst" => Some(quota_without_burst::play),
         "rare-models" => Some(rare_models::play),
+        "silence-at-stop" => Some(silence_at_stop::play),
         "unknown-version" => Some(unknown_version::play),
         _ => None,
     }
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -68,6 +68,10 @@
     is_down: AtomicBool,
     is_listening: AtomicBool,
     is_draining: AtomicBool,
+    /// Whether streams that begin now end with their connection.
+    states_no_end: AtomicBool,
+    /// Until when it sends and answers nothing.
+    silent_until: Mutex<Option<Instant>>,
     /// When requests began to run, in seconds of the record.
     run_times: Mutex<Vec<f64>>,
     /// Whether its entry is of its present life.
@@ -172,6 +176,8 @@
             is_listening: AtomicBool::new(true),
             has_entry: AtomicBool::new(true),
             is_draining: AtomicBool::new(false),
+            states_no_end: AtomicBool::new(false),
+            silent_until: Mutex::new(None),
             run_times: Mutex::default(),
             connections: Mutex::default(),
             room: Mutex::default(),
@@ -216,6 +222,24 @@
         self.record.seconds()
     }
 
+    /// Sends and answers nothing for a while, and goes on.
+    pub fn fall_silent(&self, time: Duration) {
+        self.record.note(&format!("worker {} falls silent for {time:?}", self.what.id));
+        *self.silent_until.lock().expect("no panic") = Some(Instant::now() + time);
+    }
+
+    /// Lets streams that begin from now on end with their connection.
+    pub fn state_no_end(&self) {
+        self.states_no_end.store(true, Ordering::SeqCst);
+    }
+
+    fn wait_while_silent(&self) {
+        let until = *self.silent_until.lock().expect("no panic");
+        if let Some(until) = until {
+            thread::sleep(until.saturating_duration_since(Instant::now()));
+        }
+    }
+
     /// When requests began to run, in seconds of the record.
     pub fn run_times(&self) -> Vec<f64> {
         self.run_times.lock().expect("no panic").clone()
@@ -407,6 +431,7 @@
         let mut reader = Reader::new(stream);
         while let Ok(Some(head)) = reader.head() {
             let Ok(body) = reader.body(&head) else { return };
+            self.wait_while_silent();
             if self.is_down.load(Ordering::SeqCst)
                 || self.handle(&head, &body, &mut writer).is_err()
             {
@@ -562,9 +587,12 @@
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
+        let states_no_end = self.states_no_end.load(Ordering::SeqCst);
+        let framing =
+            if states_no_end { "Connection: close" } else { "Transfer-Encoding: chunked" };
         write!(
             writer,
-            "{head}Content-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "{head}Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n{framing}\r\n\r\n"
         )?;
         let version = self.version.lock().expect("no panic").clone();
         let life = self.born.load(Ordering::SeqCst);
@@ -573,8 +601,17 @@
             if self.is_down.load(Ordering::SeqCst) || self.born.load(Ordering::SeqCst) != life {
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
+            self.wait_while_silent();
             let text = format!("id: {event}\ndata: {version}/{event}\n\n");
-            write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
+            if states_no_end {
+                write!(writer, "{text}")?;
+            } else {
+                write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
+            }
+        }
+        if states_no_end {
+            writer.shutdown(std::net::Shutdown::Both)?;
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
         }
         write!(writer, "0\r\n\r\n")
     }
